Add the design, the wire types and the shared packages

Cause: the programs need fixed messages and shared packages before they can be written side by side. Conclusion: the frame stands; the programs are empty.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+# Targets that CI and operators rely on. Every target needs only Go and make.
+
+MODULES := wire internal standin daemon entry ctl scenario bench
+TOOLS := cd tools && GOWORK=off go build -o ../bin/tools/
+BIN := $(CURDIR)/bin
+
+.PHONY: all build tools generate demo test check bench
+
+all: build
+
+build:
+	go build -o $(BIN)/bulrush-entry ./entry
+	go build -o $(BIN)/bulrush-daemon ./daemon
+	go build -o $(BIN)/bulrushctl ./ctl
+	go build -o $(BIN)/bulrush-standin ./standin
+
+# The tools are pinned in tools/go.mod.
+tools:
+	@mkdir -p bin/tools
+	@$(TOOLS) github.com/golangci/golangci-lint/v2/cmd/golangci-lint
+	@$(TOOLS) mvdan.cc/gofumpt
+
+generate:
+	@mkdir -p bin/tools
+	@$(TOOLS) github.com/atombender/go-jsonschema
+	cd wire/schema && $(BIN)/tools/go-jsonschema --only-models --capitalization ID -p wire --tags json \
+		-o ../wire.go link.json http.json object.json engine.json
+
+demo: build
+	go run ./scenario/demo -bin $(BIN)
+
+test:
+	go test -race $(addprefix ./,$(addsuffix /...,$(MODULES)))
+
+check: tools
+	@test -z "$$($(BIN)/tools/gofumpt -l $(MODULES))" || { $(BIN)/tools/gofumpt -d $(MODULES); exit 1; }
+	@for m in $(MODULES); do (cd $$m && $(BIN)/tools/golangci-lint run ./...) || exit 1; done
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./internal/... ./entry/... ./daemon/...
+	go run ./bench -check
--- /dev/null
+++ b/internal/event/shared.go
@@ -0,0 +1,20 @@
+package event
+
+import "log/slog"
+
+// Events of all programs.
+var (
+	Started       = define(100, slog.LevelInfo, "process started")
+	Stopping      = define(101, slog.LevelInfo, "graceful stop begins")
+	Stopped       = define(102, slog.LevelInfo, "process stopped")
+	TaskPanicked  = define(103, slog.LevelError, "task ended by a panic")
+	TaskRestarted = define(104, slog.LevelWarn, "supervisor restarts a task")
+	LinkOpened    = define(110, slog.LevelInfo, "link opened")
+	LinkClosed    = define(111, slog.LevelInfo, "link closed")
+	LinkRefused   = define(112, slog.LevelWarn, "link refused: peer failed to authenticate")
+	LinkMalformed = define(113, slog.LevelWarn, "link closed: malformed frame")
+	LinkSilent    = define(114, slog.LevelWarn, "link closed: no acknowledgement in time")
+	StoreDown     = define(120, slog.LevelWarn, "object store does not answer")
+	StoreBack     = define(121, slog.LevelInfo, "object store answers again")
+	StoreReadBack = define(122, slog.LevelInfo, "lost store answer resolved by reading back")
+)
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,158 @@
+// Package settings reads the JSON settings file of a program and checks it against the program's schema.
+//
+// # Usage
+//
+//	s := defaults()
+//	err := settings.Load(path, schema, &s)
+//
+// The target holds the defaults before the call. An unknown field, a wrong unit or a value out of range gives an
+// *Error that names the path, the value and what is allowed. Durations are strings with their unit, such as "250ms".
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	"golang.org/x/text/language"
+	"golang.org/x/text/message"
+)
+
+// ExitCode is the exit status of a program whose settings are invalid (EX_CONFIG of sysexits.h).
+const ExitCode = 78
+
+// Error tells which setting is invalid.
+type Error struct {
+	path    string
+	value   string
+	allowed string
+}
+
+// Path returns the place of the setting in the file, such as /listen/address.
+func (e *Error) Path() string { return e.path }
+
+// Value returns the invalid value as JSON.
+func (e *Error) Value() string { return e.value }
+
+// Allowed tells what the setting may be.
+func (e *Error) Allowed() string { return e.allowed }
+
+// Error implements error.
+func (e *Error) Error() string {
+	return fmt.Sprintf("settings: %s is %s: %s", e.path, e.value, e.allowed)
+}
+
+// Duration is a length of time written as a string with its unit.
+type Duration time.Duration
+
+// UnmarshalJSON reads a string such as "250ms".
+func (d *Duration) UnmarshalJSON(b []byte) error {
+	var s string
+	if err := json.Unmarshal(b, &s); err != nil {
+		return eris.Wrap(err, "settings: duration")
+	}
+	v, err := time.ParseDuration(s)
+	if err != nil {
+		return eris.Wrap(err, "settings: duration")
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// MarshalJSON writes a string such as "250ms".
+func (d Duration) MarshalJSON() ([]byte, error) {
+	return json.Marshal(time.Duration(d).String())
+}
+
+// Std returns the duration as the standard type.
+func (d Duration) Std() time.Duration { return time.Duration(d) }
+
+// Load reads the file at path, checks it against the JSON schema and stores it in target.
+func Load(path string, schema []byte, target any) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return eris.Wrap(err, "settings: read")
+	}
+	return Parse(text, schema, target)
+}
+
+// Parse checks text against the JSON schema and stores it in target.
+func Parse(text, schema []byte, target any) error {
+	value, err := jsonschema.UnmarshalJSON(bytes.NewReader(text))
+	if err != nil {
+		return &Error{path: "/", value: "not JSON", allowed: err.Error()}
+	}
+	compiled, err := compile(schema)
+	if err != nil {
+		return err
+	}
+	if err := compiled.Validate(value); err != nil {
+		var v *jsonschema.ValidationError
+		if errors.As(err, &v) {
+			return explain(v, value)
+		}
+		return eris.Wrap(err, "settings: check")
+	}
+	if err := json.Unmarshal(text, target); err != nil {
+		return &Error{path: "/", value: "invalid", allowed: err.Error()}
+	}
+	return nil
+}
+
+func compile(schema []byte) (*jsonschema.Schema, error) {
+	const name = "settings.json"
+	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(schema))
+	if err != nil {
+		return nil, eris.Wrap(err, "settings: schema")
+	}
+	c := jsonschema.NewCompiler()
+	if err := c.AddResource(name, doc); err != nil {
+		return nil, eris.Wrap(err, "settings: schema")
+	}
+	s, err := c.Compile(name)
+	if err != nil {
+		return nil, eris.Wrap(err, "settings: schema")
+	}
+	return s, nil
+}
+
+// explain names the deepest cause of a validation error.
+func explain(v *jsonschema.ValidationError, value any) error {
+	for len(v.Causes) > 0 {
+		v = v.Causes[0]
+	}
+	text, err := json.Marshal(lookup(value, v.InstanceLocation))
+	if err != nil {
+		text = []byte("invalid")
+	}
+	return &Error{
+		path:    "/" + strings.Join(v.InstanceLocation, "/"),
+		value:   string(text),
+		allowed: v.ErrorKind.LocalizedString(message.NewPrinter(language.English)),
+	}
+}
+
+// lookup returns the part of value at the given place.
+func lookup(value any, place []string) any {
+	for _, p := range place {
+		switch v := value.(type) {
+		case map[string]any:
+			value = v[p]
+		case []any:
+			i := 0
+			if _, err := fmt.Sscanf(p, "%d", &i); err != nil || i >= len(v) {
+				return nil
+			}
+			value = v[i]
+		default:
+			return nil
+		}
+	}
+	return value
+}
--- /dev/null
+++ b/internal/store/store.go
@@ -0,0 +1,229 @@
+// Package store is the client of the platform's object store.
+//
+// # Usage
+//
+//	c := store.New("http://10.0.0.5:7000", 2*time.Second, logger)
+//	version, err := c.Create(ctx, "claim", name, value)
+//	var conflict *store.ConflictError
+//	if errors.As(err, &conflict) { … }
+//
+// Each call sends exactly one request and never repeats it: what a repeat means is for the caller to decide. A
+// *DownError with Ambiguous true means that a write may have taken effect although its answer was lost.
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"bulrushspoke/internal/event"
+	"bulrushspoke/wire"
+)
+
+// VersionHeader carries the store version of an object.
+const VersionHeader = "Version"
+
+// MaxValue is the largest value that the store holds, in bytes.
+const MaxValue = 1 << 20
+
+const maxConnections = 64
+
+// Object is a value with the store version of its last write.
+type Object struct {
+	Value   []byte
+	Version int64
+}
+
+// AbsentError tells that no such object exists.
+type AbsentError struct {
+	kind string
+	name string
+}
+
+// Error implements error.
+func (e *AbsentError) Error() string { return fmt.Sprintf("store: %s/%s is absent", e.kind, e.name) }
+
+// ConflictError tells that a conditional write lost; it holds the object that won.
+type ConflictError struct {
+	kind   string
+	name   string
+	winner Object
+}
+
+// Winner returns the present object; its version is 0 if the object is absent.
+func (e *ConflictError) Winner() Object { return e.winner }
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("store: %s/%s is at version %d", e.kind, e.name, e.winner.Version)
+}
+
+// DownError tells that the store did not answer.
+type DownError struct {
+	ambiguous bool
+	cause     string
+}
+
+// Ambiguous reports whether a write may have taken effect.
+func (e *DownError) Ambiguous() bool { return e.ambiguous }
+
+// Error implements error.
+func (e *DownError) Error() string {
+	return fmt.Sprintf("store: no answer (ambiguous: %t): %s", e.ambiguous, e.cause)
+}
+
+// Client speaks to one object store.
+type Client struct {
+	base    string
+	timeout time.Duration
+	http    *fasthttp.Client
+	logger  *slog.Logger
+	down    atomic.Bool
+	calls   atomic.Int64
+}
+
+// New returns a client of the store at base, such as http://10.0.0.5:7000, that waits timeout for each answer.
+func New(base string, timeout time.Duration, logger *slog.Logger) *Client {
+	return &Client{
+		base:    base,
+		timeout: timeout,
+		logger:  logger,
+		http: &fasthttp.Client{
+			MaxConnsPerHost: maxConnections,
+			// A repeated write would hide a lost answer from the caller.
+			MaxIdemponentCallAttempts: 1,
+			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		},
+	}
+}
+
+// Calls returns the number of requests sent, waiting watches included.
+func (c *Client) Calls() int64 { return c.calls.Load() }
+
+// Down reports whether the last call got no answer.
+func (c *Client) Down() bool { return c.down.Load() }
+
+// Get reads an object.
+func (c *Client) Get(ctx context.Context, kind, name string) (Object, error) {
+	return c.object(ctx, fasthttp.MethodGet, kind, name, nil, "", "")
+}
+
+// Create writes an object only if it is absent and returns its version.
+func (c *Client) Create(ctx context.Context, kind, name string, value []byte) (int64, error) {
+	o, err := c.object(ctx, fasthttp.MethodPut, kind, name, value, fasthttp.HeaderIfNoneMatch, "*")
+	return o.Version, err
+}
+
+// Update writes an object only if it is at the given version and returns its new version.
+func (c *Client) Update(ctx context.Context, kind, name string, value []byte, version int64) (int64, error) {
+	o, err := c.object(ctx, fasthttp.MethodPut, kind, name, value, fasthttp.HeaderIfMatch, strconv.FormatInt(version, 10))
+	return o.Version, err
+}
+
+// Delete removes an object only if it is at the given version.
+func (c *Client) Delete(ctx context.Context, kind, name string, version int64) error {
+	_, err := c.object(ctx, fasthttp.MethodDelete, kind, name, nil, fasthttp.HeaderIfMatch, strconv.FormatInt(version, 10))
+	return err
+}
+
+// List names the objects of a kind whose names begin with prefix.
+func (c *Client) List(ctx context.Context, kind, prefix string) (wire.Listing, error) {
+	uri := fmt.Sprintf("%s/o/%s?prefix=%s", c.base, url.PathEscape(kind), url.QueryEscape(prefix))
+	return c.listing(ctx, uri, c.timeout)
+}
+
+// Watch waits up to wait for changes of a kind after a store version and returns them with their values.
+func (c *Client) Watch(ctx context.Context, kind, prefix string, after int64, wait time.Duration) (wire.Listing, error) {
+	uri := fmt.Sprintf("%s/w/%s?prefix=%s&after=%d&wait=%d",
+		c.base, url.PathEscape(kind), url.QueryEscape(prefix), after, wait.Milliseconds())
+	return c.listing(ctx, uri, wait+c.timeout)
+}
+
+func (c *Client) listing(ctx context.Context, uri string, timeout time.Duration) (wire.Listing, error) {
+	var l wire.Listing
+	status, body, _, err := c.do(ctx, fasthttp.MethodGet, uri, nil, "", "", timeout)
+	if err != nil {
+		return l, err
+	}
+	if status != fasthttp.StatusOK {
+		return l, eris.Errorf("store: list answered %d", status)
+	}
+	if err := json.Unmarshal(body, &l); err != nil {
+		return l, eris.Wrap(err, "store: list")
+	}
+	return l, nil
+}
+
+func (c *Client) object(
+	ctx context.Context, method, kind, name string, value []byte, condition, match string,
+) (Object, error) {
+	uri := fmt.Sprintf("%s/o/%s/%s", c.base, url.PathEscape(kind), url.PathEscape(name))
+	status, body, version, err := c.do(ctx, method, uri, value, condition, match, c.timeout)
+	if err != nil {
+		return Object{}, err
+	}
+	switch status {
+	case fasthttp.StatusOK, fasthttp.StatusCreated, fasthttp.StatusNoContent:
+		return Object{Value: body, Version: version}, nil
+	case fasthttp.StatusNotFound:
+		return Object{}, &AbsentError{kind: kind, name: name}
+	case fasthttp.StatusPreconditionFailed:
+		return Object{}, &ConflictError{kind: kind, name: name, winner: Object{Value: body, Version: version}}
+	default:
+		return Object{}, eris.Errorf("store: %s %s/%s answered %d: %s", method, kind, name, status, body)
+	}
+}
+
+func (c *Client) do(
+	ctx context.Context, method, uri string, value []byte, condition, match string, timeout time.Duration,
+) (int, []byte, int64, error) {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(method)
+	req.SetRequestURI(uri)
+	req.SetBody(value)
+	if condition != "" {
+		req.Header.Set(condition, match)
+	}
+	if d, ok := ctx.Deadline(); ok {
+		timeout = min(timeout, time.Until(d))
+	}
+	if err := ctx.Err(); err != nil {
+		return 0, nil, 0, &DownError{cause: err.Error()}
+	}
+	c.calls.Add(1)
+	if err := c.http.DoTimeout(req, resp, timeout); err != nil {
+		c.report(true, err)
+		return 0, nil, 0, &DownError{ambiguous: method != fasthttp.MethodGet && !neverSent(err), cause: err.Error()}
+	}
+	if resp.StatusCode() >= fasthttp.StatusInternalServerError {
+		c.report(true, eris.Errorf("status %d", resp.StatusCode()))
+		ambiguous := method != fasthttp.MethodGet && resp.StatusCode() != fasthttp.StatusServiceUnavailable
+		return 0, nil, 0, &DownError{ambiguous: ambiguous, cause: fmt.Sprintf("status %d", resp.StatusCode())}
+	}
+	c.report(false, nil)
+	version, _ := strconv.ParseInt(string(resp.Header.Peek(VersionHeader)), 10, 64)
+	return resp.StatusCode(), append([]byte(nil), resp.Body()...), version, nil
+}
+
+// report logs when the store stops answering and when it answers again.
+func (c *Client) report(down bool, cause error) {
+	if c.down.Swap(down) == down {
+		return
+	}
+	if down {
+		event.StoreDown.Log(c.logger, "cause", cause.Error())
+		return
+	}
+	event.StoreBack.Log(c.logger)
+}
