--- /dev/null
+++ b/bench/capacity/main.go
@@ -0,0 +1,224 @@
+// Command capacity measures the slopes that docs/CAPACITY.md is worked out from.
+//
+// # Usage
+//
+//	go run ./bench/capacity
+//
+// It prints the encoded size of each control message, the memory of an open link at several numbers of links, and the
+// processor time of an acknowledged message at several numbers of messages. All traffic stays on loopback.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"runtime"
+	"syscall"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"bulrushspoke/internal/link"
+	"bulrushspoke/wire"
+)
+
+const (
+	// frameOverhead is the WebSocket header with its mask, in bytes, for messages of 126 bytes to 64 KiB.
+	frameOverhead = 8
+	// packetOverhead is the TCP and IPv4 header of one segment, in bytes.
+	packetOverhead = 52
+	id             = "01JE8Z6T4Q9W2X3Y4Z5A6B7C8D"
+)
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	if err := sizes(); err != nil {
+		return err
+	}
+	if err := links(); err != nil {
+		return err
+	}
+	return messages()
+}
+
+type message struct {
+	kind string
+	body any
+}
+
+func samples() []message {
+	target := wire.Target{Model: "plan-model", Version: 4711, Fence: 123456}
+	return []message{
+		{link.Ping, struct{}{}},
+		{link.Pong, struct{}{}},
+		{link.Ack, wire.Ack{Attempt: id, State: "queued", Depth: 3, Rev: 123456}},
+		{link.Refuse, wire.Refuse{Attempt: id, Code: "busy", Ran: "no", Retry: 250, Rev: 123456, Message: "queue is full"}},
+		{link.Drop, wire.Drop{Attempts: []string{id}}},
+		{link.Notice, wire.Notice{Rev: 123456}},
+		{link.Target, target},
+		{link.State, wire.State{Server: &wire.Server{
+			Name: "plan-nord-1-0", Kind: "engine", Model: "plan-model", Slots: 64, Version: 4711, Up: true,
+		}}},
+		{link.Hello, wire.Hello{
+			Name: "plan-nord-1", Role: "daemon", Inc: id, Era: 7, Domain: "nord-a", Region: "nord", Rev: 123456,
+			Servers: make([]wire.Server, 4), Targets: []wire.Target{target},
+		}},
+		{link.Ask, wire.Ask{Key: "berges/" + id, Inc: id, Era: 7}},
+		{link.Done, wire.Done{Attempt: id, Total: 300, Spans: []wire.Span{{Version: 4711, Last: 299}}, Finish: "length"}},
+	}
+}
+
+func sizes() error {
+	fmt.Println("encoded bytes of a message: frame, with WebSocket, TCP and IP headers")
+	for _, m := range samples() {
+		raw, err := cbor.Marshal(m.body)
+		if err != nil {
+			return eris.Wrap(err, "capacity: encode")
+		}
+		b, err := cbor.Marshal(link.Frame{Kind: m.kind, ID: 1, Body: raw})
+		if err != nil {
+			return eris.Wrap(err, "capacity: encode")
+		}
+		fmt.Printf("  %-8s %5d %5d\n", m.kind, len(b), len(b)+frameOverhead+packetOverhead)
+	}
+	return nil
+}
+
+func identity(name string) *link.Identity {
+	return link.NewIdentity(name, []byte("secret"), func() wire.Hello { return wire.Hello{Name: name, Inc: id} })
+}
+
+// listen starts a listener that acknowledges each work message.
+func listen() (*fasthttp.Server, string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, "", eris.Wrap(err, "capacity: listen")
+	}
+	h := link.HandlerFunc(func(c *link.Conn, f link.Frame) error {
+		return c.Reply(f, link.Ack, wire.Ack{Attempt: id, State: "queued", Rev: 123456})
+	})
+	logger := slog.New(slog.DiscardHandler)
+	s := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
+		_ = link.Accept(ctx, identity("listener"), h, func(*link.Conn) {}, logger)
+	}}
+	go func() { _ = s.Serve(l) }()
+	return s, l.Addr().String(), nil
+}
+
+func open(address string, n int) ([]*link.Conn, error) {
+	h := link.HandlerFunc(func(*link.Conn, link.Frame) error { return nil })
+	conns := make([]*link.Conn, 0, n)
+	for range n {
+		c, err := link.Dial(context.Background(), address, identity("dialler"), h, slog.New(slog.DiscardHandler))
+		if err != nil {
+			return nil, err
+		}
+		conns = append(conns, c)
+	}
+	return conns, nil
+}
+
+// memory returns the bytes in use by heap and stacks after a collection.
+func memory() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapInuse + m.StackInuse)
+}
+
+// links prints the memory of both ends of n links.
+func links() error {
+	fmt.Println("memory of n links, both ends in one process")
+	var counts, bytes []float64
+	for _, n := range []int{50, 100, 200, 400} {
+		_, address, err := listen()
+		if err != nil {
+			return err
+		}
+		before := memory()
+		conns, err := open(address, n)
+		if err != nil {
+			return err
+		}
+		used := memory() - before
+		fmt.Printf("  %4d links: %6d KiB, %5.1f KiB for each end\n", n, used>>10, float64(used)/float64(n)/2/1024)
+		counts, bytes = append(counts, float64(n)), append(bytes, float64(used)/2)
+		for _, c := range conns {
+			c.Close()
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	slope, base := fit(counts, bytes)
+	fmt.Printf("  fit: %.1f KiB for each end of a link, %.0f KiB constant\n", slope/1024, base/1024)
+	return nil
+}
+
+// messages prints the processor time of n acknowledged messages, both ends together.
+func messages() error {
+	_, address, err := listen()
+	if err != nil {
+		return err
+	}
+	conns, err := open(address, 1)
+	if err != nil {
+		return err
+	}
+	defer conns[0].Close()
+	fmt.Println("processor time of n acknowledged messages, both ends in one process")
+	var counts, times []float64
+	for _, n := range []int{2_000, 4_000, 8_000, 16_000} {
+		before, err := processor()
+		if err != nil {
+			return err
+		}
+		for range n {
+			if _, err := conns[0].Call(context.Background(), link.Work, wire.Work{Attempt: id}); err != nil {
+				return err
+			}
+		}
+		after, err := processor()
+		if err != nil {
+			return err
+		}
+		used := after - before
+		fmt.Printf("  %6d messages: %v, %v each\n", n, used.Round(time.Millisecond), (used / time.Duration(n)).Round(time.Microsecond))
+		counts, times = append(counts, float64(n)), append(times, float64(used))
+	}
+	slope, _ := fit(counts, times)
+	fmt.Printf("  fit: %v for each message and its acknowledgement, both ends together\n", time.Duration(slope).Round(time.Microsecond))
+	return nil
+}
+
+// processor returns the processor time that this process has used.
+func processor() (time.Duration, error) {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0, eris.Wrap(err, "capacity: processor time")
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano()), nil
+}
+
+// fit returns slope and constant of the least-squares line through the points.
+func fit(x, y []float64) (float64, float64) {
+	var sx, sy, sxx, sxy float64
+	n := float64(len(x))
+	for i := range x {
+		sx += x[i]
+		sy += y[i]
+		sxx += x[i] * x[i]
+		sxy += x[i] * y[i]
+	}
+	slope := (n*sxy - sx*sy) / (n*sxx - sx*sx)
+	return slope, (sy - slope*sx) / n
+}
