Add the stand-ins of the outside systems

Cause: the programs are tested against the published protocols of outside systems, of which none may be installed. Conclusion: other programs can be tested against these.

--- a/standin/internal/cli/cli.go
+++ b/standin/internal/cli/cli.go
@@ -1,7 +1,245 @@
-// Package cli reads the command line and runs the program.
+// Package cli reads the command line and runs one stand-in.
 package cli
 
-// Run runs the program with the given arguments and returns its exit status.
-func Run(_ []string) int {
-	return 0
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"bulrushspoke/standin/engine"
+	"bulrushspoke/standin/instances"
+	"bulrushspoke/standin/internal/web"
+	"bulrushspoke/standin/relay"
+	"bulrushspoke/standin/scorer"
+	"bulrushspoke/standin/service"
+	"bulrushspoke/standin/store"
+	"bulrushspoke/standin/trainer"
+	"bulrushspoke/standin/weights"
+	"bulrushspoke/wire"
+)
+
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+var errFailed = errors.New("the summary lists problems")
+
+// Run runs the stand-in that the arguments name and returns its exit status.
+func Run(args []string) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	p := flags.NewNamedParser("bulrush-standin", flags.HelpFlag|flags.PassDoubleDash)
+	p.CommandHandler = func(c flags.Commander, rest []string) error { return c.Execute(rest) }
+	for _, c := range []struct {
+		name string
+		text string
+		data any
+	}{
+		{"store", "object store", &storeCommand{ctx: ctx}},
+		{"engine", "model engine", &engineCommand{ctx: ctx}},
+		{"weights", "rate-limited weight store", &weightsCommand{ctx: ctx}},
+		{"instances", "lagging list of instances", &instancesCommand{ctx: ctx}},
+		{"scorer", "service that scores texts", &scorerCommand{ctx: ctx}},
+		{"service", "plain service", &serviceCommand{ctx: ctx}},
+		{"trainer", "trainer of one step", &trainerCommand{ctx: ctx}},
+		{"relay", "TCP relay with faults", &relayCommand{ctx: ctx}},
+	} {
+		if _, err := p.AddCommand(c.name, c.text, c.text, c.data); err != nil {
+			panic(err) // only a wrong struct tag gets here
+		}
+	}
+	_, err := p.ParseArgs(args)
+	var usage *flags.Error
+	switch {
+	case err == nil:
+		return 0
+	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
+		fmt.Println(err)
+		return 0
+	case errors.As(err, &usage):
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	default:
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+}
+
+type listen struct {
+	Listen string `long:"listen" required:"true" description:"address to listen on, host:port"`
+}
+
+type storeCommand struct {
+	ctx context.Context
+	listen
+}
+
+// Execute implements flags.Commander.
+func (c *storeCommand) Execute([]string) error { return web.Serve(c.ctx, c.Listen, store.New()) }
+
+type engineCommand struct {
+	ctx context.Context
+	listen
+	Model   string        `long:"model" default:"m" description:"model name"`
+	Version int64         `long:"version" default:"1" description:"weight version at the start and after a crash"`
+	Slots   int           `long:"slots" default:"8" description:"requests that run at once"`
+	Rate    float64       `long:"rate" default:"200" description:"tokens a second of each stream"`
+	Falling float64       `long:"falling" default:"0" description:"part of the rate lost when all slots are busy"`
+	Prefill time.Duration `long:"prefill" default:"0s" description:"time for 64 bytes of prompt that are not cached"`
+	Cache   int           `long:"cache" default:"4096" description:"prefix cache in blocks of 64 bytes"`
+	Swap    time.Duration `long:"swap" default:"500ms" description:"time that a load takes"`
+	Lag     time.Duration `long:"lag" default:"1s" description:"age of the load report"`
+	Restart int64         `long:"restart" default:"500" description:"milliseconds that connections are refused after a crash"`
+	Marker  string        `long:"marker" default:"<crash>" description:"a prompt with this text crashes the engine"`
+	Fencing string        `long:"fencing" default:"honour" choice:"honour" choice:"ignore" description:"fencing tokens"`
+	Weights string        `long:"weights" description:"base URL of the weight store"`
+}
+
+// Execute implements flags.Commander.
+func (c *engineCommand) Execute([]string) error {
+	l, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return err
+	}
+	return engine.New(engine.Config{
+		Model: c.Model, Version: c.Version, Slots: c.Slots, Rate: c.Rate, Falling: c.Falling, Prefill: c.Prefill,
+		Cache: c.Cache, Swap: c.Swap, Lag: c.Lag, Restart: time.Duration(c.Restart) * time.Millisecond, Marker: c.Marker,
+		Ignore: c.Fencing == "ignore", Weights: c.Weights,
+	}).Serve(c.ctx, l)
+}
+
+type weightsCommand struct {
+	ctx context.Context
+	listen
+	Size int64 `long:"size" default:"419430400" description:"bytes of one set of weights"`
+	Rate int64 `long:"rate" default:"0" description:"bytes a second of all answers together, 0 for no limit"`
+}
+
+// Execute implements flags.Commander.
+func (c *weightsCommand) Execute([]string) error {
+	return web.Serve(c.ctx, c.Listen, weights.New(c.Size, c.Rate))
+}
+
+type instancesCommand struct {
+	ctx context.Context
+	listen
+	Lag  int64  `long:"lag" default:"0" description:"milliseconds until a change is visible"`
+	File string `long:"file" description:"JSON file with the first list"`
+}
+
+// Execute implements flags.Commander.
+func (c *instancesCommand) Execute([]string) error {
+	var first wire.Instances
+	if c.File != "" {
+		text, err := os.ReadFile(c.File)
+		if err != nil {
+			return err
+		}
+		if err := json.Unmarshal(text, &first); err != nil {
+			return err
+		}
+	}
+	return web.Serve(c.ctx, c.Listen, instances.New(time.Duration(c.Lag)*time.Millisecond, first.Instances))
+}
+
+type scorerCommand struct {
+	ctx context.Context
+	listen
+	Delay time.Duration `long:"delay" default:"0s" description:"time that a score takes"`
+}
+
+// Execute implements flags.Commander.
+func (c *scorerCommand) Execute([]string) error {
+	return web.Serve(c.ctx, c.Listen, scorer.New(c.Delay))
+}
+
+type serviceCommand struct {
+	ctx context.Context
+	listen
+	Delay time.Duration `long:"delay" default:"0s" description:"time that a run takes"`
+}
+
+// Execute implements flags.Commander.
+func (c *serviceCommand) Execute([]string) error {
+	return web.Serve(c.ctx, c.Listen, service.New(c.Delay))
+}
+
+type trainerCommand struct {
+	ctx       context.Context
+	Entries   []string      `long:"entry" required:"true" description:"base URL of an entry, repeated for several"`
+	Token     string        `long:"token" description:"bearer token"`
+	Name      string        `long:"run" default:"r" description:"training run"`
+	Step      int           `long:"step" default:"1" description:"step number"`
+	Model     string        `long:"model" default:"m" description:"model name"`
+	Version   int64         `long:"version" default:"1" description:"weight version of the trainer"`
+	Groups    int           `long:"groups" default:"8" description:"groups of the step"`
+	Samples   int           `long:"samples" default:"8" description:"samples of a group"`
+	Tokens    int           `long:"tokens" default:"64" description:"tokens of a sample"`
+	Long      int           `long:"long" default:"0" description:"groups with long samples"`
+	Stretch   int           `long:"stretch" default:"1" description:"how many times longer the long samples are"`
+	Scorer    string        `long:"scorer" description:"service that scores each sample"`
+	Staleness int64         `long:"staleness" default:"-1" description:"bound to check, below 0 for none"`
+	Max       int           `long:"max" default:"0" description:"samples of a pull, 0 for no limit"`
+	Wait      time.Duration `long:"wait" default:"2s" description:"time that a pull waits"`
+	Compute   time.Duration `long:"compute" default:"0s" description:"time that the trainer works on a sample"`
+	Publish   int           `long:"publish" default:"0" description:"samples before new weights are published, 0 for never"`
+	Keep      bool          `long:"keep" description:"leave the step open"`
+	Prompt    string        `long:"prompt" default:"write a plan for" description:"beginning of every prompt"`
+	Timeout   time.Duration `long:"timeout" default:"1m" description:"time after which the trainer gives up"`
+}
+
+// Execute implements flags.Commander.
+func (c *trainerCommand) Execute([]string) error {
+	ctx, cancel := context.WithTimeout(c.ctx, c.Timeout)
+	defer cancel()
+	s := trainer.Run(ctx, trainer.Config{
+		Entries: c.Entries, Token: c.Token, Run: c.Name, Step: c.Step, Model: c.Model, Version: c.Version,
+		Groups: c.Groups, Samples: c.Samples, Tokens: c.Tokens, Long: c.Long, Stretch: c.Stretch, Scorer: c.Scorer,
+		Staleness: c.Staleness, Max: c.Max, Wait: c.Wait, Compute: c.Compute, Publish: c.Publish, Keep: c.Keep,
+		Prompt: c.Prompt,
+	})
+	if err := json.NewEncoder(os.Stdout).Encode(s); err != nil {
+		return err
+	}
+	if len(s.Problems) > 0 {
+		return errFailed
+	}
+	return nil
+}
+
+type relayCommand struct {
+	ctx context.Context
+	listen
+	To      string `long:"to" required:"true" description:"address that connections are passed on to"`
+	Control string `long:"control" description:"address of the HTTP server for /control and /counts"`
+	Up      int64  `long:"up" default:"0" description:"milliseconds that bytes to the target are late"`
+	Down    int64  `long:"down" default:"0" description:"milliseconds that bytes from the target are late"`
+}
+
+// Execute implements flags.Commander.
+func (c *relayCommand) Execute([]string) error {
+	l, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return err
+	}
+	r := relay.New(c.To)
+	r.SetDelay(c.Up, c.Down)
+	if c.Control != "" {
+		go func() {
+			if err := web.Serve(c.ctx, c.Control, http.Handler(r)); err != nil {
+				fmt.Fprintln(os.Stderr, err)
+			}
+		}()
+	}
+	return r.Run(c.ctx, l)
 }
