Add internal/meter: metrics with bounded label sets

Both programs need histograms by tenant and class. Names get the prefix bulrush_<program>_; a label keeps at most 100 values, the rest count as other.

--- /dev/null
+++ b/internal/meter/meter.go
@@ -0,0 +1,200 @@
+// Package meter collects the metrics of a program with OpenTelemetry and exports them for Prometheus.
+//
+// # Usage
+//
+//	m, text, err := meter.New("entry")
+//	wait := m.Histogram("queue_wait", "s", "Time from arrival to dispatch.")
+//	wait.Record(tenant, class, 0.012)
+//	refused := m.Counter("refused", "Refused requests.", "code")
+//	refused.Add(1, "busy")
+//
+// The returned handler serves the text format. Every label has a bounded set of values: after MaxValues different
+// ones, further values are counted as Other.
+package meter
+
+import (
+	"context"
+	"strings"
+	"sync"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttpadaptor"
+	"go.opentelemetry.io/otel/attribute"
+	exporter "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+)
+
+const (
+	// MaxValues bounds the different values of one label, such as tenants.
+	MaxValues = 100
+	// Other replaces the values of a label beyond MaxValues.
+	Other = "other"
+)
+
+// Labels of histograms.
+const (
+	labelTenant = "tenant"
+	labelClass  = "class"
+)
+
+// secondBounds are bucket limits in seconds: dense where live answers lie, up to the length of a step.
+var secondBounds = []float64{
+	0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60, 300, 1800,
+}
+
+// countBounds are bucket limits of everything else, such as weight versions or tokens.
+var countBounds = []float64{0, 1, 2, 3, 4, 6, 8, 16, 64, 256, 1024, 4096, 16384, 65536}
+
+// Meter creates the instruments of one program.
+type Meter struct {
+	meter  metric.Meter
+	values *limiter
+}
+
+// New returns the meter of a program and the handler that serves its metrics as text; all names get the prefix
+// bulrush_<name>_.
+func New(name string) (*Meter, fasthttp.RequestHandler, error) {
+	registry := prometheus.NewRegistry()
+	e, err := exporter.New(
+		exporter.WithRegisterer(registry),
+		exporter.WithNamespace("bulrush_"+name),
+		exporter.WithoutScopeInfo(),
+		exporter.WithoutTargetInfo(),
+	)
+	if err != nil {
+		return nil, nil, eris.Wrap(err, "meter: exporter")
+	}
+	provider := sdk.NewMeterProvider(sdk.WithReader(e))
+	text := promhttp.HandlerFor(registry, promhttp.HandlerOpts{})
+	m := &Meter{meter: provider.Meter(name), values: &limiter{seen: make(map[string]map[string]struct{})}}
+	return m, fasthttpadaptor.NewFastHTTPHandler(text), nil
+}
+
+// Histogram counts values by tenant and class.
+type Histogram struct {
+	instrument metric.Float64Histogram
+	options    *optionCache
+}
+
+// Histogram returns a histogram by tenant and class; the unit is s for seconds, or {token} and the like. It panics
+// if the name is not valid, which is a fault of the program.
+func (m *Meter) Histogram(name, unit, description string) *Histogram {
+	bounds := countBounds
+	if unit == "s" {
+		bounds = secondBounds
+	}
+	h, err := m.meter.Float64Histogram(name, metric.WithUnit(unit), metric.WithDescription(description),
+		metric.WithExplicitBucketBoundaries(bounds...))
+	if err != nil {
+		panic(eris.Wrapf(err, "meter: histogram %s", name))
+	}
+	return &Histogram{instrument: h, options: newOptionCache(m.values, labelTenant, labelClass)}
+}
+
+// Record counts one value in the unit of the histogram.
+func (h *Histogram) Record(tenant, class string, value float64) {
+	h.instrument.Record(context.Background(), value, h.options.get(tenant, class))
+}
+
+// Counter counts events by the values of its labels.
+type Counter struct {
+	instrument metric.Int64Counter
+	options    *optionCache
+}
+
+// Counter returns a counter with the given labels. It panics if the name is not valid, which is a fault of the
+// program.
+func (m *Meter) Counter(name, description string, labels ...string) *Counter {
+	c, err := m.meter.Int64Counter(name, metric.WithDescription(description))
+	if err != nil {
+		panic(eris.Wrapf(err, "meter: counter %s", name))
+	}
+	return &Counter{instrument: c, options: newOptionCache(m.values, labels...)}
+}
+
+// Add counts n events; values are those of the labels, in their order.
+func (c *Counter) Add(n int64, values ...string) {
+	c.instrument.Add(context.Background(), n, c.options.get(values...))
+}
+
+// Gauge exports the value that read returns whenever metrics are collected.
+func (m *Meter) Gauge(name, description string, read func() float64) {
+	_, err := m.meter.Float64ObservableGauge(name, metric.WithDescription(description),
+		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+			o.Observe(read())
+			return nil
+		}))
+	if err != nil {
+		panic(eris.Wrapf(err, "meter: gauge %s", name))
+	}
+}
+
+// limiter replaces the values of a label beyond MaxValues.
+type limiter struct {
+	mu   sync.Mutex
+	seen map[string]map[string]struct{}
+}
+
+func (l *limiter) limit(label, value string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	values := l.seen[label]
+	if values == nil {
+		values = make(map[string]struct{})
+		l.seen[label] = values
+	}
+	if _, ok := values[value]; ok {
+		return value
+	}
+	if len(values) >= MaxValues {
+		return Other
+	}
+	values[value] = struct{}{}
+	return value
+}
+
+// separator cannot occur in a label value that a settings file or token holds.
+const separator = "\x00"
+
+// optionCache keeps the attribute set of each combination of values, so that a measurement does not build it anew.
+type optionCache struct {
+	labels []string
+	values *limiter
+	mu     sync.RWMutex
+	sets   map[string]metric.MeasurementOption
+}
+
+func newOptionCache(values *limiter, labels ...string) *optionCache {
+	return &optionCache{labels: labels, values: values, sets: make(map[string]metric.MeasurementOption)}
+}
+
+func (c *optionCache) get(values ...string) metric.MeasurementOption {
+	limited := make([]string, len(c.labels))
+	for i, label := range c.labels {
+		value := Other
+		if i < len(values) {
+			value = c.values.limit(label, values[i])
+		}
+		limited[i] = value
+	}
+	key := strings.Join(limited, separator)
+	c.mu.RLock()
+	o, ok := c.sets[key]
+	c.mu.RUnlock()
+	if ok {
+		return o
+	}
+	pairs := make([]attribute.KeyValue, len(c.labels))
+	for i, label := range c.labels {
+		pairs[i] = attribute.String(label, limited[i])
+	}
+	o = metric.WithAttributeSet(attribute.NewSet(pairs...))
+	c.mu.Lock()
+	c.sets[key] = o
+	c.mu.Unlock()
+	return o
+}
