--- /dev/null
+++ b/entry/internal/gate/gate_test.go
@@ -0,0 +1,150 @@
+package gate
+
+import (
+	"bufio"
+	"encoding/json"
+	"log/slog"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttputil"
+
+	"bulrushspoke/wire"
+)
+
+type profiles map[string]wire.Profile
+
+func (p profiles) Profile(name string) (wire.Profile, bool) {
+	v, ok := p[name]
+	return v, ok
+}
+
+// serve runs a gate with one path for callers and returns a client of it and a count of handled requests.
+func serve(t *testing.T, h Handler) *fasthttputil.InmemoryListener {
+	t.Helper()
+	tokens := map[string]Identity{
+		"c": {Tenant: "kitchen", Profile: "live", Role: Caller},
+		"o": {Tenant: "kitchen", Role: Operator},
+	}
+	limits := Limits{Body: 1024, Header: 2048, Read: time.Second, Write: time.Second, Idle: time.Second}
+	g := New(tokens, limits, profiles{"live": {Concurrency: 1}}, slog.New(slog.DiscardHandler))
+	g.Handle("POST", "/v1/services/{name}/{path:*}", Caller, h)
+	l := fasthttputil.NewInmemoryListener()
+	go func() { _ = g.Serve(l) }()
+	t.Cleanup(func() { _ = l.Close() })
+	return l
+}
+
+// call sends one request and returns its status and refusal.
+func call(t *testing.T, l *fasthttputil.InmemoryListener, method, path, token, body string) (int, wire.Problem) {
+	t.Helper()
+	c := fasthttp.Client{Dial: func(string) (net.Conn, error) { return l.Dial() }}
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	req.Header.SetMethod(method)
+	req.SetRequestURI("http://entry" + path)
+	if token != "" {
+		req.Header.Set("Authorization", "Bearer "+token)
+	}
+	req.SetBodyString(body)
+	if err := c.Do(req, resp); err != nil {
+		t.Fatalf("%s %s: %v", method, path, err)
+	}
+	var e wire.ErrorBody
+	if resp.StatusCode() != 200 {
+		if err := json.Unmarshal(resp.Body(), &e); err != nil {
+			t.Fatalf("%s %s: status %d without a typed error: %q", method, path, resp.StatusCode(), resp.Body())
+		}
+		if e.Error.Request != string(resp.Header.Peek(RequestHeader)) {
+			t.Fatalf("error names request %q, header %q", e.Error.Request, resp.Header.Peek(RequestHeader))
+		}
+	}
+	return resp.StatusCode(), e.Error
+}
+
+// Guards against handlers that run for a token that is missing, unknown or of another role, and for oversized bodies.
+func TestRefusedBeforeHandler(t *testing.T) {
+	ran := 0
+	l := serve(t, func(*Request) error {
+		ran++
+		return nil
+	})
+	const path = "/v1/services/ledger/entries"
+	cases := []struct {
+		method, path, token, body string
+		status                    int
+		code                      string
+	}{
+		{"POST", path, "", "", 401, "unauthorized"},
+		{"POST", path, "x", "", 401, "unauthorized"},
+		{"GET", "/nowhere", "", "", 401, "unauthorized"},
+		{"POST", path, "o", "", 403, "forbidden"},
+		{"GET", "/nowhere", "c", "", 404, "not_found"},
+		{"POST", path, "c", strings.Repeat("b", 1025), 413, "too_large"},
+		{"POST", path + "/" + strings.Repeat("h", 4096), "c", "", 431, "too_large"},
+	}
+	for _, c := range cases {
+		status, p := call(t, l, c.method, c.path, c.token, c.body)
+		if status != c.status || p.Code != c.code || p.Ran != "no" {
+			t.Fatalf("%s %.40s with token %q: status %d, error %+v", c.method, c.path, c.token, status, p)
+		}
+	}
+	if ran != 0 {
+		t.Fatalf("the handler ran %d times for refused requests", ran)
+	}
+}
+
+// Guards against parameters that miss parts of a path, and against a panic that ends more than its own request.
+func TestHandler(t *testing.T) {
+	var name, rest string
+	l := serve(t, func(r *Request) error {
+		name, rest = r.Param("name"), r.Param("path")
+		if name == "boom" {
+			panic("fault of the handler")
+		}
+		return nil
+	})
+	if status, p := call(t, l, "POST", "/v1/services/boom/x", "c", ""); status != 500 || p.Ran != "unknown" {
+		t.Fatalf("panic answered %d %+v", status, p)
+	}
+	if status, p := call(t, l, "POST", "/v1/services/ledger/a/b", "c", "{}"); status != 200 {
+		t.Fatalf("answered %d %+v", status, p)
+	}
+	if name != "ledger" || rest != "a/b" {
+		t.Fatalf("parameters %q and %q", name, rest)
+	}
+}
+
+// Guards against a stream that gives its tenant's place back before its last byte.
+func TestStreamHoldsPlace(t *testing.T) {
+	finish := make(chan struct{})
+	l := serve(t, func(r *Request) error {
+		r.Stream(func(w *bufio.Writer) {
+			_, _ = w.WriteString("first")
+			_ = w.Flush()
+			<-finish
+		})
+		return nil
+	})
+	c, err := l.Dial()
+	if err != nil {
+		t.Fatalf("dial: %v", err)
+	}
+	_, _ = c.Write([]byte("POST /v1/services/a/b HTTP/1.1\r\nHost: e\r\nAuthorization: Bearer c\r\nContent-Length: 0\r\n\r\n"))
+	if _, err := bufio.NewReader(c).ReadString('t'); err != nil {
+		t.Fatalf("first bytes: %v", err)
+	}
+	if status, p := call(t, l, "POST", "/v1/services/a/b", "c", ""); status != 429 || p.Retry == 0 {
+		t.Fatalf("second request of a tenant with one place: %d %+v", status, p)
+	}
+	close(finish)
+	for range 1000 {
+		if status, _ := call(t, l, "POST", "/v1/services/a/b", "c", ""); status == 200 {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatal("the place was not given back after the stream's end")
+}
