--- /dev/null
+++ b/internal/balance/balance_test.go
@@ -0,0 +1,238 @@
+package balance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func fleet(n int) *Fleet {
+	f := NewFleet("nord", Defaults())
+	servers := make([]Server, n)
+	for i := range servers {
+		servers[i] = Server{Name: fmt.Sprintf("s%d", i), Region: "nord", Slots: 8, Version: 7, Usable: true}
+	}
+	f.Sync(start, servers)
+	return f
+}
+
+func paced(f *Fleet) *Paced { return NewPaced(f, rand.New(rand.NewPCG(1, 2))) }
+
+// feed lets every server produce tokens for some time, the first slow ones at ten times the usual time per token.
+func feed(f *Fleet, now time.Time, slow int, d time.Duration) time.Time {
+	end := now.Add(d)
+	for ; now.Before(end); now = now.Add(10 * time.Millisecond) {
+		for id := range f.states {
+			gap := 10 * time.Millisecond
+			if id < slow {
+				gap *= 10
+			}
+			f.Progress(now, ID(id), 1, gap)
+		}
+	}
+	return now
+}
+
+// Guards against slowed servers that keep getting work, and against servers that never come back.
+func TestOutliers(t *testing.T) {
+	f := fleet(14)
+	p := paced(f)
+	now := feed(f, start, 4, 2*time.Second)
+	for range 1000 {
+		if id, _ := p.Pick(now, Ask{Tokens: 10}); id < 4 {
+			t.Fatalf("slow server %d was chosen", id)
+		}
+	}
+	now = feed(f, now, 0, 10*time.Second)
+	seen := map[ID]bool{}
+	for range 300 {
+		id, _ := p.Pick(now, Ask{Tokens: 10})
+		f.Start(now, id, 10)
+		seen[id] = true
+	}
+	if len(seen) != 14 {
+		t.Fatalf("only %d of 14 servers are chosen after they recovered", len(seen))
+	}
+}
+
+// Guards against a server whose streams hang: silence gives no observation, and must count all the same.
+func TestSilenceEjects(t *testing.T) {
+	f := fleet(4)
+	p := paced(f)
+	f.Start(start, 0, 100)
+	now := start
+	for range 200 {
+		now = now.Add(10 * time.Millisecond)
+		for id := ID(1); id < 4; id++ {
+			f.Progress(now, id, 1, 10*time.Millisecond)
+		}
+	}
+	if !f.Ejected(now, 0) {
+		t.Fatalf("silent server stays")
+	}
+	if id, _ := p.Pick(now, Ask{Tokens: 10}); id == 0 {
+		t.Fatalf("silent server was chosen")
+	}
+}
+
+// Guards against ejecting so many servers that the others are overloaded.
+func TestFloorOfStay(t *testing.T) {
+	f := fleet(10)
+	now := feed(f, start, 4, time.Second)
+	for range 300 {
+		now = now.Add(10 * time.Millisecond)
+		for id := range f.states {
+			f.Progress(now, ID(id), 1, time.Duration(id*id+1)*10*time.Millisecond)
+		}
+		out := 0
+		for id := range f.states {
+			if f.states[id].until != 0 {
+				out++
+			}
+		}
+		if out > 5 {
+			t.Fatalf("%d of 10 servers are ejected", out)
+		}
+	}
+}
+
+// Guards against ejection that leaves a request without any server although one works.
+func TestRescue(t *testing.T) {
+	f := fleet(2)
+	now := feed(f, start, 1, time.Second)
+	if !f.Ejected(now, 0) {
+		t.Fatalf("slow server stays")
+	}
+	if id, v := paced(f).Pick(now, Ask{Tokens: 1, Except: []ID{1}}); id != 0 || v != Found {
+		t.Fatalf("got %d, %d", id, v)
+	}
+}
+
+// Guards against work on servers that are unusable, stale, full or excluded.
+func TestLimits(t *testing.T) {
+	f := NewFleet("nord", Defaults())
+	f.Sync(start, []Server{
+		{Name: "gone", Region: "nord", Slots: 8, Version: 9},
+		{Name: "old", Region: "nord", Slots: 8, Version: 6, Usable: true},
+		{Name: "full", Region: "nord", Slots: 1, Version: 9, Usable: true},
+	})
+	p := paced(f)
+	for range 2 {
+		id, v := p.Pick(start, Ask{Tokens: 1, Floor: 7, Train: true})
+		if v != Found || f.Server(id).Name != "full" {
+			t.Fatalf("got %d, %d", id, v)
+		}
+		f.Start(start, id, 1)
+	}
+	if _, v := p.Pick(start, Ask{Floor: 7, Train: true}); v != Full {
+		t.Fatalf("training beyond its cap: %d", v)
+	}
+	if _, v := p.Pick(start, Ask{Floor: 7}); v != Found {
+		t.Fatalf("live work finds no room beside training: %d", v)
+	}
+	if _, v := p.Pick(start, Ask{Floor: 10}); v != Stale {
+		t.Fatalf("got %d, want Stale", v)
+	}
+	if _, v := p.Pick(start, Ask{Except: []ID{1, 2}}); v != Absent {
+		t.Fatalf("got %d, want Absent", v)
+	}
+}
+
+// Guards against use of the billed link while the local region has room, and against never using it.
+func TestRegions(t *testing.T) {
+	f := NewFleet("nord", Defaults())
+	f.Sync(start, []Server{
+		{Name: "here", Region: "nord", Slots: 4, Usable: true},
+		{Name: "there", Region: "sud", Slots: 4, Usable: true},
+	})
+	p := paced(f)
+	for range 5 {
+		id, _ := p.Pick(start, Ask{Tokens: 10})
+		if f.Server(id).Name != "here" {
+			t.Fatalf("the other region was chosen without need")
+		}
+		f.Start(start, id, 10)
+	}
+	f.Start(start, f.Find("here"), 1000)
+	if id, _ := p.Pick(start, Ask{Tokens: 10}); f.Server(id).Name != "there" {
+		t.Fatalf("a long local queue was chosen")
+	}
+}
+
+// Guards against a group that is spread over all servers, and against one that piles up on its first.
+func TestAffinity(t *testing.T) {
+	f := fleet(14)
+	p := paced(f)
+	a := Ask{Tokens: 10, Prefix: 2000, Group: 99}
+	first, _ := p.Pick(start, a)
+	for range 20 {
+		if id, _ := p.Pick(start, a); id != first {
+			t.Fatalf("group moved from %d to %d without need", first, id)
+		}
+	}
+	f.Start(start, first, 10_000)
+	if id, _ := p.Pick(start, a); id == first {
+		t.Fatalf("group stays on a server with a long queue")
+	}
+}
+
+// Guards against choices that differ between runs with the same seed.
+func TestDeterministic(t *testing.T) {
+	run := func() []ID {
+		f := fleet(50)
+		p := paced(f)
+		var ids []ID
+		for i := range 500 {
+			now := start.Add(time.Duration(i) * time.Millisecond)
+			id, _ := p.Pick(now, Ask{Tokens: 1 + i%40, Group: uint64(i % 7), Prefix: 100})
+			f.Start(now, id, 1+i%40)
+			f.Progress(now, id, 1, time.Duration(1+id)*time.Millisecond)
+			ids = append(ids, id)
+		}
+		return ids
+	}
+	a, b := run(), run()
+	for i := range a {
+		if a[i] != b[i] {
+			t.Fatalf("choice %d differs", i)
+		}
+	}
+}
+
+// Guards against a removed server whose place is taken while requests on it still end.
+func TestReuse(t *testing.T) {
+	f := fleet(2)
+	f.Start(start, 0, 5)
+	f.Sync(start, []Server{{Name: "new", Region: "nord", Slots: 1, Usable: true}})
+	if f.Find("new") == 0 {
+		t.Fatalf("place of a server with requests in flight was reused")
+	}
+	f.End(start, 0, 5)
+	f.Sync(start, nil)
+	if f.Find("s0") != None {
+		t.Fatalf("gone server is kept")
+	}
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{14, 100, 375, 1500} {
+		b.Run(fmt.Sprintf("servers=%d", n), func(b *testing.B) {
+			f := fleet(n)
+			p := paced(f)
+			now := feed(f, start, n/4, time.Second)
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				now = now.Add(time.Millisecond)
+				id, _ := p.Pick(now, Ask{Tokens: 100, Prefix: 50, Group: uint64(i % 100)})
+				f.Start(now, id, 100)
+				f.Progress(now, id, 8, 80*time.Millisecond)
+				f.End(now, id, 92)
+				i++
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/balance/fleet.go
@@ -0,0 +1,321 @@
+// Package balance decides which server a request is sent to.
+//
+// # Usage
+//
+//	f := balance.NewFleet("nord", balance.Defaults())
+//	f.Sync(now, servers)
+//	p := balance.NewPaced(f, rand.New(rand.NewPCG(seed, 0)))
+//	id, verdict := p.Pick(now, balance.Ask{Tokens: 200})
+//	f.Start(now, id, 200)
+//	f.Progress(now, id, 8, gap)
+//	f.End(now, id, 192)
+//
+// The package only decides: it starts no goroutine, reads no clock and draws random numbers from the given source,
+// so that a run with the same seed and the same calls gives the same choices. It is not safe for concurrent use.
+// One Fleet holds the servers of one model or plain service.
+package balance
+
+import (
+	"slices"
+	"time"
+)
+
+// ID names a server of a fleet. It stays valid while the server is listed or has requests in flight.
+type ID int32
+
+// None is the ID of no server.
+const None ID = -1
+
+// Server is one candidate.
+type Server struct {
+	Name     string
+	Region   string
+	Slots    int   // requests that it runs at once
+	Version  int64 // weight version, 0 for plain services
+	Usable   bool  // linked, up and not leaving
+	Reported int   // running and waiting requests of its last report; only the baseline LeastReported reads it
+}
+
+// Settings are the constants of the decisions.
+type Settings struct {
+	// Cross is the wait in seconds that another region must save before the billed link is used.
+	Cross float64
+	// LiveCap and TrainCap bound the own requests in flight on a server, in multiples of its slots. Training stops
+	// earlier, so that live work always finds room in the daemon's queue.
+	LiveCap  float64
+	TrainCap float64
+	// PrefixCost is the cost of computing one prompt token, as a part of the cost of generating one.
+	PrefixCost float64
+	// EjectFactor ejects a server whose time per token is this many times the median.
+	EjectFactor float64
+	// Stay is the part of the usable servers that is never ejected.
+	Stay float64
+	// Pause is how long an ejected server gets no new work.
+	Pause time.Duration
+}
+
+// Defaults returns the settings for production.
+func Defaults() Settings {
+	return Settings{
+		Cross:       0.5,
+		LiveCap:     4,
+		TrainCap:    2,
+		PrefixCost:  0.1,
+		EjectFactor: 3,
+		Stay:        0.5,
+		Pause:       2 * time.Second,
+	}
+}
+
+const (
+	// firstPace is the time per token in seconds that is assumed before anything was observed.
+	firstPace = 0.02
+	// paceMemory is the number of tokens after which an observation has half of the weight in the average.
+	paceMemory = 32
+	// quietTokens is the number of tokens that a server may owe before its silence counts as slowness.
+	quietTokens = 16
+	// sweepEvery is the pause between two searches for outliers.
+	sweepEvery = 100 * time.Millisecond
+	// minEvidence is the number of observed tokens before a server may be ejected for its average.
+	minEvidence = 16
+	// reentryFactor sets the time per token after a pause, in medians: the server is tried again, but not preferred.
+	reentryFactor = 2
+	// calmFactor ends a pause early once streams still in flight progress faster than this many medians.
+	calmFactor = 1.5
+)
+
+type state struct {
+	server   Server
+	listed   bool
+	inflight int
+	tokens   float64 // outstanding tokens of own requests
+	pace     float64 // seconds per token
+	evidence int     // tokens observed since the server joined or came back
+	last     int64   // last progress in Unix nanoseconds, or the start of the first request in flight
+	until    int64   // end of the ejection in Unix nanoseconds, 0 if not ejected
+}
+
+// Fleet holds the servers of one model with what was observed of them.
+type Fleet struct {
+	region   string
+	settings Settings
+	states   []state
+	names    map[string]ID
+	free     []ID
+	local    []ID
+	remote   []ID
+	typical  float64
+	swept    int64
+	scratch  []float64
+	slow     []ID
+}
+
+// NewFleet returns an empty fleet as seen from region.
+func NewFleet(region string, settings Settings) *Fleet {
+	return &Fleet{region: region, settings: settings, names: make(map[string]ID), typical: firstPace}
+}
+
+// Sync replaces the list of servers; what was observed of servers that stay is kept.
+func (f *Fleet) Sync(now time.Time, servers []Server) {
+	for i := range f.states {
+		f.states[i].listed = false
+	}
+	f.local, f.remote = f.local[:0], f.remote[:0]
+	for _, s := range servers {
+		id, ok := f.names[s.Name]
+		if !ok {
+			id = f.add(now, s.Name)
+		}
+		e := &f.states[id]
+		if ok {
+			s.Reported = e.server.Reported
+		}
+		e.server, e.listed = s, true
+		switch {
+		case !s.Usable:
+		case s.Region == f.region:
+			f.local = append(f.local, id)
+		default:
+			f.remote = append(f.remote, id)
+		}
+	}
+	for name, id := range f.names {
+		if e := &f.states[id]; !e.listed && e.inflight == 0 {
+			delete(f.names, name)
+			f.free = append(f.free, id)
+		}
+	}
+	// The order of a map is random; a fixed order keeps the choices reproducible.
+	slices.Sort(f.free)
+}
+
+func (f *Fleet) add(now time.Time, name string) ID {
+	e := state{pace: f.typical, last: now.UnixNano()}
+	if n := len(f.free); n > 0 {
+		id := f.free[n-1]
+		f.free = f.free[:n-1]
+		f.states[id] = e
+		f.names[name] = id
+		return id
+	}
+	id := ID(len(f.states))
+	f.states = append(f.states, e)
+	f.names[name] = id
+	return id
+}
+
+// Find returns the ID of a server, or None.
+func (f *Fleet) Find(name string) ID {
+	if id, ok := f.names[name]; ok {
+		return id
+	}
+	return None
+}
+
+// Server returns the server with the given ID.
+func (f *Fleet) Server(id ID) Server { return f.states[id].server }
+
+// Inflight returns the number of own requests on the server.
+func (f *Fleet) Inflight(id ID) int { return f.states[id].inflight }
+
+// Ejected reports whether the server gets no new work because it is an outlier.
+func (f *Fleet) Ejected(now time.Time, id ID) bool { return f.states[id].until > now.UnixNano() }
+
+// Pace returns the observed seconds per token of the server.
+func (f *Fleet) Pace(id ID) float64 { return f.states[id].pace }
+
+// Typical returns the median seconds per token of the fleet.
+func (f *Fleet) Typical() float64 { return f.typical }
+
+// Start records a request of the given predicted tokens.
+func (f *Fleet) Start(now time.Time, id ID, tokens int) {
+	e := &f.states[id]
+	if e.inflight == 0 {
+		e.last = now.UnixNano()
+	}
+	e.inflight++
+	e.tokens += float64(max(tokens, 1))
+}
+
+// Progress records tokens that a request produced within gap.
+func (f *Fleet) Progress(now time.Time, id ID, tokens int, gap time.Duration) {
+	if tokens <= 0 {
+		return
+	}
+	e := &f.states[id]
+	e.last = now.UnixNano()
+	e.tokens = max(0, e.tokens-float64(tokens))
+	e.evidence += tokens
+	weight := float64(tokens) / float64(tokens+paceMemory)
+	e.pace += weight * (gap.Seconds()/float64(tokens) - e.pace)
+	f.sweep(now)
+}
+
+// End records the end of a request that still owed left tokens.
+func (f *Fleet) End(_ time.Time, id ID, left int) {
+	e := &f.states[id]
+	e.inflight--
+	e.tokens = max(0, e.tokens-float64(max(left, 0)))
+	if e.inflight == 0 {
+		e.tokens = 0
+	}
+}
+
+// Report records the number of requests that a server said it has.
+func (f *Fleet) Report(id ID, load int) { f.states[id].server.Reported = load }
+
+// effective returns the time per token, with silence counted as slowness.
+func (e *state) effective(now int64) float64 {
+	if e.inflight == 0 {
+		return e.pace
+	}
+	return max(e.pace, float64(now-e.last)/(quietTokens*1e9))
+}
+
+// cost returns the predicted seconds until a request of the given tokens is finished.
+func (e *state) cost(now int64, tokens float64) float64 {
+	return (e.tokens + tokens) * e.effective(now) / float64(max(e.server.Slots, 1))
+}
+
+// sweep ejects outliers, slowest first, and takes servers back whose streams progress normally again.
+func (f *Fleet) sweep(now time.Time) {
+	n := now.UnixNano()
+	if n-f.swept < int64(sweepEvery) {
+		return
+	}
+	f.swept = n
+	f.scratch = f.scratch[:0]
+	for _, ids := range [2][]ID{f.local, f.remote} {
+		for _, id := range ids {
+			if e := &f.states[id]; e.evidence > 0 {
+				f.scratch = append(f.scratch, e.effective(n))
+			}
+		}
+	}
+	if len(f.scratch) == 0 {
+		return
+	}
+	slices.Sort(f.scratch)
+	f.typical = f.scratch[(len(f.scratch)-1)/2]
+	f.eject(n)
+}
+
+func (f *Fleet) eject(now int64) {
+	f.slow = f.slow[:0]
+	out := 0
+	for _, ids := range [2][]ID{f.local, f.remote} {
+		for _, id := range ids {
+			e := &f.states[id]
+			f.readmit(e, now)
+			if e.until != 0 {
+				out++
+			} else if f.outlier(e, now) {
+				f.slow = append(f.slow, id)
+			}
+		}
+	}
+	usable := len(f.local) + len(f.remote)
+	room := int(float64(usable)*(1-f.settings.Stay)) - out
+	slices.SortFunc(f.slow, func(a, b ID) int {
+		x, y := f.states[a].effective(now), f.states[b].effective(now)
+		switch {
+		case x > y:
+			return -1
+		case x < y:
+			return 1
+		default:
+			return int(a - b)
+		}
+	})
+	for _, id := range f.slow[:max(0, min(room, len(f.slow)))] {
+		e := &f.states[id]
+		e.until = now + int64(f.settings.Pause)
+		e.evidence = 0
+	}
+}
+
+func (f *Fleet) outlier(e *state, now int64) bool {
+	limit := f.settings.EjectFactor * f.typical
+	if e.inflight > 0 && float64(now-e.last)/(quietTokens*1e9) > limit {
+		return true
+	}
+	return e.evidence >= minEvidence && e.pace > limit
+}
+
+// readmit ends an ejection after its pause, or earlier on evidence from streams in flight. After the pause the old
+// average says nothing about the present, so it is replaced.
+func (f *Fleet) readmit(e *state, now int64) {
+	if e.until == 0 {
+		return
+	}
+	calm := e.evidence >= minEvidence && e.effective(now) < calmFactor*f.typical
+	if now < e.until && !calm {
+		return
+	}
+	if !calm {
+		e.pace = min(e.pace, reentryFactor*f.typical)
+		e.evidence = 0
+		e.last = now
+	}
+	e.until = 0
+}
--- /dev/null
+++ b/internal/balance/policy.go
@@ -0,0 +1,182 @@
+package balance
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Verdict tells why a choice was or was not possible.
+type Verdict int
+
+const (
+	// Found means that a server was chosen.
+	Found Verdict = iota
+	// Full means that every suitable server has as many own requests as allowed.
+	Full
+	// Stale means that no server has the weight version that is needed.
+	Stale
+	// Absent means that there is no usable server.
+	Absent
+)
+
+// Ask describes a request.
+type Ask struct {
+	Tokens int    // predicted tokens of the answer, or 1 for a call to a plain service
+	Prefix int    // prompt tokens that a server with the group's prefix in its cache saves
+	Group  uint64 // hash of the prefix affinity key, 0 for none
+	Floor  int64  // lowest weight version
+	Train  bool   // class train
+	Except []ID   // servers that must not be chosen
+}
+
+// Policy chooses a server.
+type Policy interface {
+	Pick(now time.Time, a Ask) (ID, Verdict)
+}
+
+// probes bounds the random draws before all servers are scanned.
+const probes = 8
+
+// affinities is the size of the table of groups; groups with the same place displace each other.
+const affinities = 4096
+
+type affinity struct {
+	group uint64
+	id    ID
+}
+
+// Paced chooses the better of two random servers by outstanding tokens times observed time per token.
+type Paced struct {
+	fleet  *Fleet
+	random *rand.Rand
+	groups [affinities]affinity
+}
+
+// NewPaced returns the policy for production.
+func NewPaced(f *Fleet, random *rand.Rand) *Paced { return &Paced{fleet: f, random: random} }
+
+// Pick implements Policy. It prefers the local region, and the server that last ran the group while the saved
+// prompt computation outweighs its queue.
+func (p *Paced) Pick(now time.Time, a Ask) (ID, Verdict) {
+	f := p.fleet
+	n := now.UnixNano()
+	f.sweep(now)
+	id, cost := p.region(f.local, n, &a)
+	if len(f.remote) > 0 && (id == None || cost > f.settings.Cross) {
+		other, away := p.region(f.remote, n, &a)
+		if other != None && (id == None || cost-away > f.settings.Cross) {
+			id, cost = other, away
+		}
+	}
+	if id == None {
+		return f.rescue(n, &a)
+	}
+	return p.prefer(id, cost, n, &a), Found
+}
+
+// region chooses among the servers of one region and returns the predicted cost in seconds.
+func (p *Paced) region(ids []ID, now int64, a *Ask) (ID, float64) {
+	f := p.fleet
+	if len(ids) == 0 {
+		return None, 0
+	}
+	best, cost, found := None, 0.0, 0
+	for range probes {
+		id := ids[p.random.IntN(len(ids))]
+		if id == best || !f.eligible(id, now, a) {
+			continue
+		}
+		c := f.states[id].cost(now, float64(a.Tokens))
+		if best == None || c < cost {
+			best, cost = id, c
+		}
+		if found++; found == 2 {
+			break
+		}
+	}
+	if best != None {
+		return best, cost
+	}
+	return f.scan(ids, now, a)
+}
+
+// prefer returns the group's last server if the prefix in its cache is worth the longer wait.
+func (p *Paced) prefer(id ID, cost float64, now int64, a *Ask) ID {
+	if a.Group == 0 {
+		return id
+	}
+	f := p.fleet
+	g := &p.groups[a.Group%affinities]
+	if g.group == a.Group && g.id != id && int(g.id) < len(f.states) && f.states[g.id].listed && f.eligible(g.id, now, a) {
+		e := &f.states[g.id]
+		saved := f.settings.PrefixCost * float64(a.Prefix) * e.effective(now)
+		if e.cost(now, float64(a.Tokens))-saved <= cost && e.server.Region == f.states[id].server.Region {
+			return g.id
+		}
+	}
+	g.group, g.id = a.Group, id
+	return id
+}
+
+func (f *Fleet) eligible(id ID, now int64, a *Ask) bool {
+	e := &f.states[id]
+	return e.server.Usable && e.until <= now && e.server.Version >= a.Floor && f.room(e, a.Train) && !a.excludes(id)
+}
+
+func (f *Fleet) room(e *state, train bool) bool {
+	limit := f.settings.LiveCap
+	if train {
+		limit = f.settings.TrainCap
+	}
+	return e.inflight < max(1, int(limit*float64(e.server.Slots)))
+}
+
+func (a *Ask) excludes(id ID) bool {
+	for _, x := range a.Except {
+		if x == id {
+			return true
+		}
+	}
+	return false
+}
+
+// scan returns the cheapest eligible server.
+func (f *Fleet) scan(ids []ID, now int64, a *Ask) (ID, float64) {
+	best, cost := None, 0.0
+	for _, id := range ids {
+		if !f.eligible(id, now, a) {
+			continue
+		}
+		if c := f.states[id].cost(now, float64(a.Tokens)); best == None || c < cost {
+			best, cost = id, c
+		}
+	}
+	return best, cost
+}
+
+// rescue chooses an ejected server if nothing else is left, and otherwise tells what is missing.
+func (f *Fleet) rescue(now int64, a *Ask) (ID, Verdict) {
+	best, cost, verdict := None, 0.0, Absent
+	for _, ids := range [2][]ID{f.local, f.remote} {
+		for _, id := range ids {
+			e := &f.states[id]
+			switch {
+			case !e.server.Usable || a.excludes(id):
+			case e.server.Version < a.Floor:
+				if verdict == Absent {
+					verdict = Stale
+				}
+			case !f.room(e, a.Train):
+				verdict = Full
+			default:
+				if c := e.cost(now, float64(a.Tokens)); best == None || c < cost {
+					best, cost = id, c
+				}
+			}
+		}
+	}
+	if best != None {
+		return best, Found
+	}
+	return None, verdict
+}
