Run attempts on engines and services behind links

The daemon accepts links, remembers attempts by id and keys by era, streams engine output with the version of each token and passes calls to services. Tests: version change and crash in mid-stream, resend over a new link, ask before late work, lost answers.

--- /dev/null
+++ b/daemon/internal/attempt/table_test.go
@@ -0,0 +1,153 @@
+package attempt
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"bulrushspoke/internal/refusal"
+	"bulrushspoke/wire"
+)
+
+var (
+	start  = time.Unix(1_800_000_000, 0)
+	limits = Limits{Bytes: 1 << 20, Keys: 4, Samples: 30 * time.Minute, Others: 2 * time.Minute}
+)
+
+func once(id, key string, era int) wire.Work {
+	return wire.Work{Attempt: id, Once: true, Key: key, Era: era, Call: &wire.Call{}, Left: 1000}
+}
+
+func admitted(t *testing.T, tb *Table, now time.Time, w wire.Work) *Attempt {
+	t.Helper()
+	a, fresh, err := tb.Admit(now, w)
+	if err != nil || !fresh {
+		t.Fatalf("admit %s: fresh %t, %v", w.Attempt, fresh, err)
+	}
+	return a
+}
+
+// Guards against a late copy of a work message that runs after its first copy was refused as not run.
+func TestRefusedAttemptStaysRefused(t *testing.T) {
+	tb := NewTable("i", 100, start, limits)
+	w := wire.Work{Attempt: "a", Max: 4, Left: 1000}
+	tb.Refuse(start, admitted(t, tb, start, w), refusal.New(refusal.Busy, refusal.NotRun, "full"))
+	for _, later := range []time.Duration{time.Millisecond, Era} {
+		if _, fresh, err := tb.Admit(start.Add(later), w); fresh || err == nil || err.Code() != refusal.Busy {
+			t.Fatalf("after %v: fresh %t, %v, want the first refusal", later, fresh, err)
+		}
+	}
+}
+
+// Guards against a forgotten key that is answered as never run or is started again.
+func TestForgottenEraIsUnknown(t *testing.T) {
+	tb := NewTable("i", 100, start, limits)
+	a := admitted(t, tb, start, once("a", "k", 100))
+	tb.Finish(start, a, End{Finish: "stop", Reply: &wire.Reply{Status: 200}})
+	if f := tb.Ask(start, wire.Ask{Key: "k", Inc: "i", Era: 100}); f.State != "finished" {
+		t.Fatalf("fate %q, want finished", f.State)
+	}
+	later := start.Add((keptEras + 1) * Era)
+	tb.Sweep(later, time.Second)
+	if f := tb.Ask(later, wire.Ask{Key: "k", Inc: "i", Era: 100}); f.State != "unknown" {
+		t.Fatalf("fate %q, want unknown", f.State)
+	}
+	if _, _, err := tb.Admit(later, once("b", "k", 100)); err == nil || err.Ran() != refusal.Unknown {
+		t.Fatalf("work of a forgotten era: %v", err)
+	}
+}
+
+// Guards against keys that fill the memory: the oldest era goes first and is then answered as unknown.
+func TestKeysAreBounded(t *testing.T) {
+	tb := NewTable("i", 100, start, limits)
+	later := start.Add(Era)
+	for n := range limits.Keys {
+		tb.Ask(start, wire.Ask{Key: fmt.Sprint(n), Inc: "i", Era: 100})
+	}
+	if f := tb.Ask(start, wire.Ask{Key: "more", Inc: "i", Era: 100}); f.State != "unknown" {
+		t.Fatalf("fate beyond the bound %q, want unknown", f.State)
+	}
+	if _, _, err := tb.Admit(start, once("a", "more", 100)); err == nil || err.Code() != refusal.Busy {
+		t.Fatalf("work beyond the bound: %v", err)
+	}
+	if f := tb.Ask(later, wire.Ask{Key: "x", Inc: "i", Era: 101}); f.State != "none" {
+		t.Fatalf("fate in the next era %q, want none", f.State)
+	}
+	if f := tb.Ask(later, wire.Ask{Key: "0", Inc: "i", Era: 100}); f.State != "unknown" {
+		t.Fatalf("fate in the forgotten era %q, want unknown", f.State)
+	}
+}
+
+// Guards against finished samples that are lost before the owner of the step has committed them, and against results
+// that stay for good.
+func TestResultsStayUntilDropOrExpiry(t *testing.T) {
+	tb := NewTable("i", 100, start, limits)
+	slot := &wire.Slot{Run: "r", Step: 3, Group: "g"}
+	for _, id := range []string{"sample", "dropped"} {
+		a := admitted(t, tb, start, wire.Work{Attempt: id, Max: 4, Slot: slot, Left: 1000})
+		if err := a.Append(start, 0, []string{"x"}, 7); err != nil {
+			t.Fatalf("append: %v", err)
+		}
+		tb.Finish(start, a, End{Finish: "stop"})
+	}
+	other := admitted(t, tb, start, wire.Work{Attempt: "other", Max: 4, Left: 1000})
+	tb.Finish(start, other, End{Finish: "stop"})
+	tb.Drop(start, []string{"dropped"})
+	tb.Sweep(start.Add(limits.Others+time.Second), time.Second)
+	h := tb.Collect("r", 3)
+	if len(h.Samples) != 1 || h.Samples[0].Attempt != "sample" || len(h.Samples[0].Tokens) != 1 {
+		t.Fatalf("held samples %+v", h.Samples)
+	}
+	if a, err := tb.Find(start.Add(limits.Others), "other"); a != nil || err == nil {
+		t.Fatalf("an expired result is found: %v", err)
+	}
+	tb.Sweep(start.Add(limits.Samples+time.Second), time.Second)
+	if n, bytes := tb.Retained(); n != 0 || bytes != 0 {
+		t.Fatalf("%d results, %d bytes stay", n, bytes)
+	}
+}
+
+// Guards against results that fill the memory, and against samples given up before cheaper results.
+func TestBytesAreBounded(t *testing.T) {
+	tb := NewTable("i", 100, start, Limits{Bytes: 3000, Keys: 4, Samples: time.Hour, Others: time.Hour})
+	body := make([]byte, 1000)
+	for n := range 4 {
+		w := wire.Work{Attempt: fmt.Sprint(n), Max: 4, Left: 1000}
+		if n == 0 {
+			w.Slot = &wire.Slot{Run: "r"}
+		}
+		tb.Finish(start, admitted(t, tb, start, w), End{Reply: &wire.Reply{Body: body}})
+	}
+	if _, bytes := tb.Retained(); bytes > 3000 {
+		t.Fatalf("%d bytes are kept", bytes)
+	}
+	if a, _ := tb.Find(start, "0"); a == nil {
+		t.Fatalf("the sample was given up before other results")
+	}
+}
+
+// Guards against output with a gap, a repeat or more tokens than asked for.
+func TestAppendKeepsOrder(t *testing.T) {
+	a := newAttempt(start, wire.Work{Attempt: "a", Max: 4, Held: []string{"h"}, Spans: []wire.Span{{Version: 6}}})
+	for _, s := range []struct {
+		first  int
+		tokens []string
+		ok     bool
+	}{
+		{2, []string{"gap"}, false},
+		{1, []string{"b", "c"}, true},
+		{0, []string{"h", "b"}, true},
+		{2, []string{"c", "d"}, true},
+		{4, []string{"e"}, false},
+	} {
+		if err := a.Append(start, s.first, s.tokens, 7); (err == nil) != s.ok {
+			t.Fatalf("append at %d: %v", s.first, err)
+		}
+	}
+	if got := fmt.Sprint(a.Tokens()); got != "[h b c d]" {
+		t.Fatalf("tokens %s", got)
+	}
+	if got := fmt.Sprint(a.Done().Spans); got != "[{0 0 6} {1 3 7}]" {
+		t.Fatalf("spans %s", got)
+	}
+}
--- /dev/null
+++ b/daemon/internal/cli/fake_test.go
@@ -0,0 +1,176 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"bulrushspoke/wire"
+)
+
+// fakeEngine streams one token for each permission given by Let, or without end of permissions if Free was called.
+type fakeEngine struct {
+	*httptest.Server
+	mu      sync.Mutex
+	version int64
+	fence   int64
+	cancels map[string]chan struct{}
+	started []string
+	orders  []wire.EngineOrder
+	refuse  bool
+	tokens  chan struct{}
+	starts  chan string
+}
+
+func newFakeEngine(t *testing.T) *fakeEngine {
+	t.Helper()
+	e := &fakeEngine{
+		version: 7, cancels: make(map[string]chan struct{}), tokens: make(chan struct{}, 1024),
+		starts: make(chan string, 1024),
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/completions", e.complete)
+	mux.HandleFunc("DELETE /v1/completions/{id}", e.cancel)
+	mux.HandleFunc("GET /version", e.report)
+	mux.HandleFunc("POST /load", e.load)
+	e.Server = httptest.NewServer(mux)
+	t.Cleanup(func() {
+		e.CloseClientConnections()
+		close(e.tokens)
+		e.Close()
+	})
+	return e
+}
+
+// let permits n tokens.
+func (e *fakeEngine) let(n int) {
+	for range n {
+		e.tokens <- struct{}{}
+	}
+}
+
+func (e *fakeEngine) setVersion(v int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.version = v
+}
+
+func (e *fakeEngine) runs() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]string(nil), e.started...)
+}
+
+func (e *fakeEngine) complete(w http.ResponseWriter, r *http.Request) {
+	var q wire.EngineRequest
+	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	stop := make(chan struct{})
+	e.mu.Lock()
+	e.cancels[q.ID] = stop
+	e.started = append(e.started, q.ID)
+	e.mu.Unlock()
+	e.starts <- q.ID
+	w.WriteHeader(http.StatusOK)
+	w.(http.Flusher).Flush()
+	emit := func(ev wire.EngineEvent) {
+		b, _ := json.Marshal(ev)
+		_, _ = fmt.Fprintf(w, "data: %s\n\n", b)
+		w.(http.Flusher).Flush()
+	}
+	for n := len(q.Tokens); n < q.Max; n++ {
+		select {
+		case <-e.tokens:
+		case <-stop:
+			emit(wire.EngineEvent{Done: true, Reason: "cancelled"})
+			return
+		case <-r.Context().Done():
+			return
+		}
+		e.mu.Lock()
+		v := e.version
+		e.mu.Unlock()
+		emit(wire.EngineEvent{First: n, Tokens: []string{fmt.Sprintf("t%d ", n)}, Version: v})
+	}
+	emit(wire.EngineEvent{Done: true, Reason: "length"})
+}
+
+func (e *fakeEngine) cancel(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	id := r.PathValue("id")
+	if c := e.cancels[id]; c != nil {
+		close(c)
+		delete(e.cancels, id)
+		return
+	}
+	w.WriteHeader(http.StatusNotFound)
+}
+
+func (e *fakeEngine) report(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(wire.EngineVersion{Model: "plan", Version: e.version, Fence: e.fence, Slots: 4})
+}
+
+func (e *fakeEngine) load(w http.ResponseWriter, r *http.Request) {
+	var o wire.EngineOrder
+	_ = json.NewDecoder(r.Body).Decode(&o)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.orders = append(e.orders, o)
+	if e.refuse || o.Fence < e.fence {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	e.fence = o.Fence
+	e.version = o.Version
+}
+
+// fakeService counts its calls and answers each after a permission.
+type fakeService struct {
+	*httptest.Server
+	mu    sync.Mutex
+	calls int
+	let   chan struct{}
+}
+
+func newFakeService(t *testing.T) *fakeService {
+	t.Helper()
+	s := &fakeService{let: make(chan struct{}, 64)}
+	s.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// The server sees a closed connection only once the body is read.
+		_, _ = io.Copy(io.Discard, r.Body)
+		s.mu.Lock()
+		s.calls++
+		n := s.calls
+		s.mu.Unlock()
+		select {
+		case <-s.let:
+		case <-r.Context().Done():
+			return
+		}
+		w.Header().Set("Ledger", "yes")
+		w.WriteHeader(http.StatusCreated)
+		_, _ = fmt.Fprintf(w, "%s %s %d", r.Method, strings.TrimPrefix(r.URL.String(), "/"), n)
+	}))
+	t.Cleanup(func() {
+		s.CloseClientConnections()
+		close(s.let)
+		s.Close()
+	})
+	return s
+}
+
+func (s *fakeService) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
--- /dev/null
+++ b/daemon/internal/cli/run.go
@@ -0,0 +1,226 @@
+package cli
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/binary"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/rotisserie/eris"
+	"github.com/thejerf/suture/v4"
+	"github.com/valyala/fasthttp"
+
+	"bulrushspoke/daemon/internal/attempt"
+	"bulrushspoke/daemon/internal/engine"
+	"bulrushspoke/daemon/internal/entry"
+	"bulrushspoke/daemon/internal/lane"
+	"bulrushspoke/daemon/internal/service"
+	"bulrushspoke/internal/admit"
+	"bulrushspoke/internal/event"
+	"bulrushspoke/internal/link"
+	"bulrushspoke/internal/meter"
+	"bulrushspoke/internal/supervise"
+	"bulrushspoke/wire"
+)
+
+const (
+	// sweepPeriod is the time between two looks at expired results and orphaned attempts.
+	sweepPeriod = time.Second
+	// orphanGrace is how long a live attempt goes on without a link that takes its output. An entry replaces a silent
+	// link within 1 s.
+	orphanGrace = 10 * time.Second
+	// maxBody bounds the body of an HTTP request in bytes; no handler of the daemon reads one.
+	maxBody     = 64 << 10
+	readTimeout = 10 * time.Second
+)
+
+// program is the set of parts of a running daemon.
+type program struct {
+	config config
+	logger *slog.Logger
+	random *rand.Rand
+	meter  *meter.Meter
+	text   fasthttp.RequestHandler
+	table  *attempt.Table
+	lanes  map[string]*lane.Lane
+	links  *entry.Links
+	tree   *suture.Supervisor
+	leave  chan string
+	ready  atomic.Bool
+}
+
+// run runs the daemon until ctx ends or an entry asks it to leave, and drains it.
+func run(ctx context.Context, c config, logger *slog.Logger) error {
+	l, err := net.Listen("tcp4", c.Listen)
+	if err != nil {
+		return eris.Wrap(err, "cli: listen")
+	}
+	p, err := build(c, logger, seed())
+	if err != nil {
+		return err
+	}
+	return p.serve(ctx, l)
+}
+
+// seed returns the source of all random choices of the process.
+func seed() *rand.Rand {
+	var b [16]byte
+	// Read of crypto/rand never fails.
+	_, _ = crand.Read(b[:])
+	return rand.New(rand.NewPCG(binary.LittleEndian.Uint64(b[:8]), binary.LittleEndian.Uint64(b[8:])))
+}
+
+// build constructs the parts and the supervisor tree.
+func build(c config, logger *slog.Logger, random *rand.Rand) (*program, error) {
+	m, text, err := meter.New("daemon")
+	if err != nil {
+		return nil, err
+	}
+	inc := ulid.Make().String()
+	p := &program{
+		config: c,
+		logger: logger.With("daemon", c.Name),
+		random: random,
+		meter:  m,
+		text:   text,
+		lanes:  make(map[string]*lane.Lane),
+		tree:   supervise.New("daemon", logger),
+		leave:  make(chan string, 1),
+	}
+	// Eras of another incarnation must not be taken for those of this one.
+	const eraBits = 40
+	base := int(random.Uint64() >> (64 - eraBits))
+	p.table = attempt.NewTable(inc, base, time.Now(), attempt.Limits{
+		Bytes:   c.Retain.Bytes,
+		Keys:    c.Retain.Keys,
+		Samples: c.Retain.Samples.Std(),
+		Others:  c.Retain.Others.Std(),
+	})
+	identity := entry.Config{Name: c.Name, Inc: inc, Domain: c.Domain, Region: c.Region}
+	p.links = entry.New(identity, p.table, p.lanes, noTargets{}, p.askLeave, p.logger)
+	meters := lane.NewMeters(m)
+	for _, s := range c.Servers {
+		p.addServer(s, meters)
+	}
+	p.tree.Add(supervise.Task("sweep", p.sweep))
+	return p, nil
+}
+
+type noTargets struct{}
+
+func (noTargets) Offer(wire.Target)  {}
+func (noTargets) All() []wire.Target { return nil }
+
+func (p *program) addServer(s serverConfig, meters lane.Meters) {
+	random := rand.New(rand.NewPCG(p.random.Uint64(), p.random.Uint64()))
+	policy := admit.NewBaseline(s.Slots, p.config.Queue.Live+p.config.Queue.Train)
+	changed := func(state wire.Server, crashed bool) {
+		p.links.Changed(state, crashed)
+		if !state.Up {
+			p.lanes[s.Name].RefuseWaiting(time.Now())
+		}
+	}
+	if s.Kind == "service" {
+		v := service.New(service.Config{Name: s.Name, Model: s.Model, URL: s.URL, Slots: s.Slots}, changed, p.logger)
+		p.lanes[s.Name] = lane.New(policy, v, p.table, meters, p.logger)
+		p.tree.Add(supervise.Task("watch "+s.Name, func(ctx context.Context) error {
+			return v.Watch(ctx, p.config.Poll.Std())
+		}))
+	} else {
+		e := engine.New(engine.Config{Name: s.Name, Model: s.Model, URL: s.URL, Slots: s.Slots}, changed, p.logger)
+		p.lanes[s.Name] = lane.New(policy, e, p.table, meters, p.logger)
+		p.tree.Add(supervise.Task("watch "+s.Name, func(ctx context.Context) error {
+			return e.Watch(ctx, p.config.Poll.Std(), random)
+		}))
+	}
+	p.tree.Add(supervise.Task("queue "+s.Name, p.lanes[s.Name].Serve))
+}
+
+// sweep forgets expired results and stops live attempts that no entry reads.
+func (p *program) sweep(ctx context.Context) error {
+	t := time.NewTicker(sweepPeriod)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-t.C:
+			for _, a := range p.table.Sweep(now, orphanGrace) {
+				p.lanes[a.Work().Server].Cancel(now, a, "no entry reads the output")
+			}
+		}
+	}
+}
+
+func (p *program) askLeave(reason string) {
+	select {
+	case p.leave <- reason:
+	default:
+	}
+}
+
+// serve serves until ctx ends or an entry asks the daemon to leave.
+func (p *program) serve(ctx context.Context, l net.Listener) error {
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	treeDone := p.tree.ServeBackground(background)
+	identity := link.NewIdentity(p.config.Name, []byte(p.config.Secret), p.links.Hello)
+	s := &fasthttp.Server{
+		Handler:               p.handler(identity),
+		ReadTimeout:           readTimeout,
+		MaxRequestBodySize:    maxBody,
+		NoDefaultServerHeader: true,
+		Logger:                slog.NewLogLogger(p.logger.Handler(), slog.LevelDebug),
+	}
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(l) }()
+	p.ready.Store(true)
+	event.Started.Log(p.logger, "listen", l.Addr().String(), "advertise", p.config.Advertise)
+	select {
+	case err := <-served:
+		return eris.Wrap(err, "cli: serve")
+	case reason := <-p.leave:
+		p.drain(reason)
+	case <-ctx.Done():
+		p.drain("signal")
+	}
+	stop()
+	if err := <-treeDone; err != nil && !errors.Is(err, context.Canceled) {
+		return eris.Wrap(err, "cli: supervisor tree")
+	}
+	p.links.Close()
+	_ = l.Close()
+	event.Stopped.Log(p.logger)
+	return nil
+}
+
+// handler routes the paths of the HTTP listener.
+func (p *program) handler(identity *link.Identity) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		switch string(ctx.Path()) {
+		case link.Path:
+			if err := link.Accept(ctx, identity, p.links, p.links.Opened, p.logger); err != nil {
+				ctx.SetStatusCode(fasthttp.StatusBadRequest)
+			}
+		case "/health/live":
+			ctx.SetBodyString("live\n")
+		case "/health/ready":
+			if !p.ready.Load() || p.links.Leaving() {
+				ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+				ctx.SetBodyString("leaving\n")
+				return
+			}
+			ctx.SetBodyString("ready\n")
+		case "/metrics":
+			p.text(ctx)
+		default:
+			ctx.SetStatusCode(fasthttp.StatusNotFound)
+		}
+	}
+}
--- /dev/null
+++ b/daemon/internal/exchange/exchange.go
@@ -0,0 +1,111 @@
+// Package exchange sends one HTTP request on a TCP connection of its own.
+//
+// # Usage
+//
+//	x, err := exchange.Open(ctx, req)
+//	var dial *exchange.DialError
+//	if errors.As(err, &dial) { … } // no byte was sent
+//	defer x.Close()
+//
+// A connection is never used twice: an old connection that the server has closed meanwhile could not be told from a
+// request that was received and not answered. The end of the context closes the connection, which also stops a
+// waiting read.
+package exchange
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	dialTimeout = time.Second
+	bufferSize  = 16 << 10
+)
+
+// DialError tells that no connection was made, so that no byte of the request was sent.
+type DialError struct {
+	address string
+	cause   error
+}
+
+// Error implements error.
+func (e *DialError) Error() string { return fmt.Sprintf("exchange: dial %s: %v", e.address, e.cause) }
+
+// Unwrap returns the cause.
+func (e *DialError) Unwrap() error { return e.cause }
+
+// Exchange is a request whose response header was received.
+type Exchange struct {
+	conn net.Conn
+	resp fasthttp.Response
+	stop func() bool
+}
+
+// Open sends the request and waits for the response header. A *DialError means that nothing was sent.
+func Open(ctx context.Context, req *fasthttp.Request) (*Exchange, error) {
+	address := string(req.URI().Host())
+	d := net.Dialer{Timeout: dialTimeout}
+	conn, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, &DialError{address: address, cause: err}
+	}
+	x := &Exchange{conn: conn}
+	x.stop = context.AfterFunc(ctx, func() { _ = conn.Close() })
+	if err := x.send(req); err != nil {
+		x.Close()
+		return nil, err
+	}
+	return x, nil
+}
+
+func (x *Exchange) send(req *fasthttp.Request) error {
+	w := bufio.NewWriterSize(x.conn, bufferSize)
+	req.SetConnectionClose()
+	if err := req.Write(w); err != nil {
+		return eris.Wrap(err, "exchange: write")
+	}
+	if err := w.Flush(); err != nil {
+		return eris.Wrap(err, "exchange: write")
+	}
+	x.resp.StreamBody = true
+	if err := x.resp.Read(bufio.NewReaderSize(x.conn, bufferSize)); err != nil {
+		return eris.Wrap(err, "exchange: read")
+	}
+	return nil
+}
+
+// Response returns the response; its body is read through Body.
+func (x *Exchange) Response() *fasthttp.Response { return &x.resp }
+
+// Body returns the body as it arrives.
+func (x *Exchange) Body() io.Reader {
+	if s := x.resp.BodyStream(); s != nil {
+		return s
+	}
+	return io.MultiReader()
+}
+
+// ReadAll returns the whole body, at most limit bytes.
+func (x *Exchange) ReadAll(limit int64) ([]byte, error) {
+	b, err := io.ReadAll(io.LimitReader(x.Body(), limit+1))
+	if err != nil {
+		return nil, eris.Wrap(err, "exchange: read body")
+	}
+	if int64(len(b)) > limit {
+		return nil, eris.Errorf("exchange: body has more than %d bytes", limit)
+	}
+	return b, nil
+}
+
+// Close closes the connection.
+func (x *Exchange) Close() {
+	x.stop()
+	_ = x.conn.Close()
+}
--- /dev/null
+++ b/daemon/internal/lane/lane.go
@@ -0,0 +1,304 @@
+// Package lane runs the attempts of one server in the order that its policy decides.
+//
+// # Usage
+//
+//	l := lane.New(name, policy, upstream, table, meters, logger)
+//	go l.Serve(ctx)
+//	err := l.Submit(now, a)
+package lane
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"bulrushspoke/daemon/internal/attempt"
+	"bulrushspoke/internal/admit"
+	"bulrushspoke/internal/meter"
+	"bulrushspoke/internal/refusal"
+	"bulrushspoke/internal/supervise"
+	"bulrushspoke/wire"
+)
+
+// Causes for which a running attempt is stopped.
+var (
+	errPreempted = errors.New("lane: pushed out by urgent work")
+	errCancelled = errors.New("lane: cancelled")
+	errDeadline  = errors.New("lane: deadline passed")
+)
+
+// Upstream runs attempts on a server.
+type Upstream interface {
+	// Run runs an attempt until it ends or ctx ends; stopped tells that ctx ended it.
+	Run(ctx context.Context, a *attempt.Attempt, run int) (end attempt.End, stopped bool)
+	// Server returns the state of the server.
+	Server() wire.Server
+}
+
+// Meters are the instruments that lanes record with.
+type Meters struct {
+	Wait  *meter.Histogram
+	First *meter.Histogram
+	Total *meter.Histogram
+	Ends  *meter.Counter
+	Moves *meter.Counter
+}
+
+// NewMeters creates the instruments.
+func NewMeters(m *meter.Meter) Meters {
+	return Meters{
+		Wait:  m.Histogram("queue_wait", "s", "Time from arrival to the start on the server."),
+		First: m.Histogram("first_token", "s", "Time from arrival to the first token."),
+		Total: m.Histogram("total", "s", "Time from arrival to the end."),
+		Ends:  m.Counter("attempts", "Attempts that ended, by server and outcome.", "server", "outcome"),
+		Moves: m.Counter("preemptions", "Streams pushed out by urgent work.", "server"),
+	}
+}
+
+// Lane is the queue of one server.
+type Lane struct {
+	upstream Upstream
+	table    *attempt.Table
+	meters   Meters
+	logger   *slog.Logger
+	kick     chan struct{}
+
+	mu      sync.Mutex
+	policy  admit.Policy
+	items   map[string]*admit.Item // by attempt id, queued and running
+	cancels map[*admit.Item]context.CancelCauseFunc
+}
+
+// New returns the lane of a server; the policy is used by this lane only.
+func New(policy admit.Policy, u Upstream, t *attempt.Table, m Meters, logger *slog.Logger) *Lane {
+	return &Lane{
+		upstream: u,
+		table:    t,
+		meters:   m,
+		logger:   logger.With("server", u.Server().Name),
+		kick:     make(chan struct{}, 1),
+		policy:   policy,
+		items:    make(map[string]*admit.Item),
+		cancels:  make(map[*admit.Item]context.CancelCauseFunc),
+	}
+}
+
+// Server returns the state of the server.
+func (l *Lane) Server() wire.Server { return l.upstream.Server() }
+
+// Len returns the numbers of waiting and running attempts.
+func (l *Lane) Len() (waiting, running int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.policy.Len()
+}
+
+// Submit queues an attempt; a refusal means that it will not run.
+func (l *Lane) Submit(now time.Time, a *attempt.Attempt) *refusal.Error {
+	s := l.Server()
+	if !s.Up {
+		return refusal.New(refusal.NoUpstream, refusal.NotRun, "server %s does not answer", s.Name).After(retryDown)
+	}
+	if !now.Before(a.Deadline()) {
+		return refusal.New(refusal.Deadline, refusal.NotRun, "the deadline has passed")
+	}
+	i := admit.NewItem(spec(a), a)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	err := l.policy.Push(now, i)
+	var busy *admit.BusyError
+	if errors.As(err, &busy) {
+		return refusal.New(refusal.Busy, refusal.NotRun, "%v", err).After(busy.Retry())
+	}
+	l.items[a.ID()] = i
+	l.step(now)
+	return nil
+}
+
+// retryDown is the retry-after time of a server that does not answer; engines restart within seconds.
+const retryDown = time.Second
+
+func spec(a *attempt.Attempt) admit.Spec {
+	w := a.Work()
+	s := admit.Spec{Class: admit.Live, Solo: w.Solo, Deadline: a.Deadline()}
+	if w.Class == attempt.Train {
+		s.Class = admit.Train
+	}
+	if w.Call != nil {
+		return s
+	}
+	s.Preemptible = s.Class == admit.Train && !w.Once
+	s.Predicted = w.Predicted
+	if s.Predicted <= 0 {
+		s.Predicted = w.Max
+	}
+	s.Predicted = max(0, s.Predicted-len(a.Tokens()))
+	return s
+}
+
+// Cancel stops an attempt. The run of an unrepeatable call goes on, so that its outcome is known.
+func (l *Lane) Cancel(now time.Time, a *attempt.Attempt, reason string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	i := l.items[a.ID()]
+	if i == nil {
+		return
+	}
+	if l.policy.Remove(i) {
+		l.end(now, a, attempt.End{Refusal: refusal.New(refusal.Cancelled, ran(a), "cancelled: %s", reason)})
+		l.step(now)
+		return
+	}
+	if cancel := l.cancels[i]; cancel != nil && !a.Work().Once {
+		cancel(errCancelled)
+	}
+}
+
+// CancelAll stops all attempts that can be stopped; used when a drain takes too long.
+func (l *Lane) CancelAll(now time.Time, reason string) {
+	l.mu.Lock()
+	var all []*attempt.Attempt
+	for _, i := range l.items {
+		all = append(all, i.Value().(*attempt.Attempt))
+	}
+	l.mu.Unlock()
+	for _, a := range all {
+		l.Cancel(now, a, reason)
+	}
+}
+
+// RefuseWaiting refuses all attempts that wait, because the server does not answer.
+func (l *Lane) RefuseWaiting(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, i := range l.items {
+		if !l.policy.Remove(i) {
+			continue
+		}
+		a := i.Value().(*attempt.Attempt)
+		err := refusal.New(refusal.NoUpstream, ran(a), "server %s does not answer", l.Server().Name).After(retryDown)
+		l.end(now, a, attempt.End{Refusal: err})
+	}
+}
+
+// Serve acts on the passing of time until ctx ends: deadlines and ageing.
+func (l *Lane) Serve(ctx context.Context) error {
+	const idle = time.Hour
+	t := time.NewTimer(idle)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-l.kick:
+		case <-t.C:
+		}
+		now := time.Now()
+		l.mu.Lock()
+		l.step(now)
+		at, ok := l.policy.Wake(now)
+		l.mu.Unlock()
+		wait := idle
+		if ok {
+			wait = max(time.Until(at), time.Millisecond)
+		}
+		t.Reset(wait)
+	}
+}
+
+// step carries out what the policy decides now; l.mu is held.
+func (l *Lane) step(now time.Time) {
+	for d, ok := l.policy.Next(now); ok; d, ok = l.policy.Next(now) {
+		a := d.Item.Value().(*attempt.Attempt)
+		switch d.Kind {
+		case admit.Start:
+			l.start(now, d.Item, a)
+		case admit.Preempt:
+			l.meters.Moves.Add(1, l.Server().Name)
+			l.cancels[d.Item](errPreempted)
+		case admit.Expire:
+			l.end(now, a, attempt.End{Refusal: refusal.New(refusal.Deadline, ran(a), "the deadline passed in the queue")})
+		}
+	}
+	select {
+	case l.kick <- struct{}{}:
+	default:
+	}
+}
+
+func (l *Lane) start(now time.Time, i *admit.Item, a *attempt.Attempt) {
+	run := a.Start(now)
+	if run == 1 {
+		l.meters.Wait.Record(a.Work().Tenant, a.Work().Class, now.Sub(a.Arrived()).Seconds())
+	}
+	ctx, cancel := context.WithCancelCause(context.Background())
+	l.cancels[i] = cancel
+	go l.run(ctx, cancel, i, a, run)
+}
+
+// run runs an attempt on the server and gives its slot back.
+func (l *Lane) run(ctx context.Context, cancel context.CancelCauseFunc, i *admit.Item, a *attempt.Attempt, run int) {
+	defer cancel(nil)
+	ctx, stop := context.WithDeadlineCause(ctx, a.Deadline(), errDeadline)
+	defer stop()
+	end := attempt.End{Refusal: refusal.New(refusal.Internal, refusal.Unknown, "the task of the attempt failed")}
+	stopped := false
+	supervise.Guard(l.logger, "attempt", func() { end, stopped = l.upstream.Run(ctx, a, run) })
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.cancels, i)
+	cause := context.Cause(ctx)
+	if stopped && errors.Is(cause, errPreempted) {
+		l.policy.Requeue(now, i)
+		l.step(now)
+		return
+	}
+	if stopped {
+		end = stopEnd(a, cause)
+	}
+	l.policy.Done(now, i)
+	l.end(now, a, end)
+	l.step(now)
+}
+
+func stopEnd(a *attempt.Attempt, cause error) attempt.End {
+	code := refusal.Cancelled
+	if errors.Is(cause, errDeadline) {
+		code = refusal.Deadline
+	}
+	proof := ran(a)
+	if a.Work().Call == nil {
+		// The engine may have worked on it without a token that reached us.
+		proof = refusal.Partial
+	}
+	return attempt.End{Refusal: refusal.New(code, proof, "%v", cause)}
+}
+
+// ran tells what is proved about an attempt that does not run now.
+func ran(a *attempt.Attempt) refusal.Ran {
+	if a.Work().Call == nil && a.State() != attempt.Queued {
+		return refusal.Partial
+	}
+	return refusal.NotRun
+}
+
+// end finishes an attempt that neither waits nor runs any more; l.mu is held.
+func (l *Lane) end(now time.Time, a *attempt.Attempt, e attempt.End) {
+	delete(l.items, a.ID())
+	e.Waiting, e.Running = l.policy.Len()
+	l.table.Finish(now, a, e)
+	w := a.Work()
+	_, first, total := a.Times()
+	if first > 0 {
+		l.meters.First.Record(w.Tenant, w.Class, first.Seconds())
+	}
+	l.meters.Total.Record(w.Tenant, w.Class, total.Seconds())
+	outcome := "finished"
+	if e.Refusal != nil {
+		outcome = string(e.Refusal.Code())
+	}
+	l.meters.Ends.Add(1, l.Server().Name, outcome)
+}
--- /dev/null
+++ b/internal/admit/baseline.go
@@ -0,0 +1,98 @@
+package admit
+
+import (
+	"time"
+)
+
+// Baseline serves items first come, first served, without classes and preemption. Benches compare Fair with it.
+type Baseline struct {
+	slots   int
+	bound   int
+	items   []*Item
+	running int
+	alone   bool
+}
+
+// NewBaseline returns a policy for a server that runs slots items at once, with at most bound waiting.
+func NewBaseline(slots, bound int) *Baseline {
+	return &Baseline{slots: slots, bound: bound}
+}
+
+// Push implements Policy.
+func (b *Baseline) Push(now time.Time, i *Item) error {
+	if len(b.items) >= b.bound {
+		return &BusyError{class: i.spec.Class, bound: b.bound, retry: time.Second}
+	}
+	i.arrived = now
+	i.state = waiting
+	b.items = append(b.items, i)
+	return nil
+}
+
+// Next implements Policy.
+func (b *Baseline) Next(now time.Time) (Decision, bool) {
+	for n, i := range b.items {
+		if !i.spec.Deadline.IsZero() && !now.Before(i.spec.Deadline) {
+			b.cut(n)
+			i.state = idle
+			return Decision{Kind: Expire, Item: i}, true
+		}
+	}
+	if len(b.items) == 0 || b.running >= b.slots || b.alone {
+		return Decision{}, false
+	}
+	i := b.items[0]
+	if i.spec.Solo && b.running > 0 {
+		return Decision{}, false
+	}
+	b.cut(0)
+	b.running++
+	b.alone = i.spec.Solo
+	i.state = running
+	i.started = now
+	return Decision{Kind: Start, Item: i}, true
+}
+
+func (b *Baseline) cut(n int) {
+	b.items = append(b.items[:n], b.items[n+1:]...)
+}
+
+// Done implements Policy.
+func (b *Baseline) Done(_ time.Time, i *Item) {
+	b.running--
+	b.alone = false
+	i.state = idle
+}
+
+// Requeue implements Policy.
+func (b *Baseline) Requeue(now time.Time, i *Item) {
+	b.Done(now, i)
+	i.state = waiting
+	b.items = append([]*Item{i}, b.items...)
+}
+
+// Remove implements Policy.
+func (b *Baseline) Remove(i *Item) bool {
+	for n, other := range b.items {
+		if other == i {
+			b.cut(n)
+			i.state = idle
+			return true
+		}
+	}
+	return false
+}
+
+// Wake implements Policy.
+func (b *Baseline) Wake(time.Time) (time.Time, bool) {
+	var at time.Time
+	for _, i := range b.items {
+		if d := i.spec.Deadline; !d.IsZero() && (at.IsZero() || d.Before(at)) {
+			at = d
+		}
+	}
+	return at, !at.IsZero()
+}
+
+// Len implements Policy.
+func (b *Baseline) Len() (waiting, running int) { return len(b.items), b.running }
