--- /dev/null
+++ b/entry/internal/dispatch/trace.go
@@ -0,0 +1,117 @@
+package dispatch
+
+import (
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"bulrushspoke/internal/refusal"
+	"bulrushspoke/wire"
+)
+
+// maxTries bounds the attempts kept for one request; the first ones are kept.
+const maxTries = 64
+
+// Outcomes of attempts that no refusal code names.
+const (
+	outcomeRunning   = "running"
+	outcomeFinished  = "finished"
+	outcomeCancelled = "cancelled"
+)
+
+// traces holds the newest requests in a ring.
+type traces struct {
+	mu     sync.Mutex
+	ring   []string
+	next   int
+	traces map[string]*trace
+}
+
+type trace struct {
+	owner *traces
+	trace wire.Trace
+	tries map[string]int
+}
+
+func newTraces(size int) *traces {
+	return &traces{ring: make([]string, max(size, 1)), traces: make(map[string]*trace)}
+}
+
+// begin returns the trace of a request, which may have been run before.
+func (t *traces) begin(w *wire.Work) *trace {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e, ok := t.traces[w.Request]; ok {
+		e.trace.State, e.trace.Code = outcomeRunning, ""
+		return e
+	}
+	e := &trace{owner: t, tries: make(map[string]int)}
+	e.trace = wire.Trace{Request: w.Request, Tenant: w.Tenant, Profile: w.Profile, State: outcomeRunning}
+	if old := t.ring[t.next]; old != "" {
+		delete(t.traces, old)
+	}
+	t.ring[t.next] = w.Request
+	t.next = (t.next + 1) % len(t.ring)
+	t.traces[w.Request] = e
+	return e
+}
+
+func (t *traces) get(request string) (wire.Trace, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, ok := t.traces[request]
+	if !ok {
+		return wire.Trace{}, false
+	}
+	return e.copy(), true
+}
+
+func (e *trace) copy() wire.Trace {
+	c := e.trace
+	c.Tries = slices.Clone(c.Tries)
+	for i := range c.Tries {
+		c.Tries[i].Spans = slices.Clone(c.Tries[i].Spans)
+	}
+	return c
+}
+
+// start records an attempt.
+func (e *trace) start(now time.Time, attempt, daemon, server string) {
+	e.owner.mu.Lock()
+	defer e.owner.mu.Unlock()
+	if len(e.trace.Tries) >= maxTries {
+		return
+	}
+	e.tries[attempt] = len(e.trace.Tries)
+	e.trace.Tries = append(e.trace.Tries, wire.Try{
+		Attempt: attempt, Daemon: daemon, Server: server, Start: now.UnixMilli(), Outcome: outcomeRunning,
+	})
+}
+
+// stop records the outcome of an attempt.
+func (e *trace) stop(now time.Time, attempt, outcome string, spans []wire.Span) {
+	e.owner.mu.Lock()
+	defer e.owner.mu.Unlock()
+	i, ok := e.tries[attempt]
+	if !ok {
+		return
+	}
+	t := &e.trace.Tries[i]
+	t.Outcome = outcome
+	t.Spans = slices.Clone(spans)
+	t.Whole = now.UnixMilli() - t.Start
+}
+
+// end records the outcome of the request and returns its attempts.
+func (e *trace) end(err error) []wire.Try {
+	e.owner.mu.Lock()
+	defer e.owner.mu.Unlock()
+	e.trace.State = outcomeFinished
+	var refused *refusal.Error
+	if errors.As(err, &refused) {
+		e.trace.State = "refused"
+		e.trace.Code = string(refused.Code())
+	}
+	return e.copy().Tries
+}
--- /dev/null
+++ b/internal/event/dispatch.go
@@ -0,0 +1,9 @@
+package event
+
+import "log/slog"
+
+// Events of the entry's request path.
+var (
+	ContentSuspect   = define(1200, slog.LevelWarn, "server crashed: request content is suspect")
+	ContentCondemned = define(1201, slog.LevelError, "request content refused: it crashes servers")
+)
