--- a/entry/internal/dispatch/dispatch.go
+++ b/entry/internal/dispatch/dispatch.go
@@ -102,6 +102,8 @@
 	Daemon  string
 	Server  string
 	Tries   []wire.Try
+	First   time.Time     // arrival of the first tokens, zero for calls
+	Wait    time.Duration // time in the queue of the daemon that finished it
 }
 
 // Settings are the constants of the dispatcher.
--- a/entry/internal/dispatch/race.go
+++ b/entry/internal/dispatch/race.go
@@ -266,6 +266,9 @@
 	}
 	at := len(c.tokens)
 	c.idle = 0
+	if c.first.IsZero() {
+		c.first = time.Now()
+	}
 	spans, _ := cover(t.spans, at, at+len(t.tokens)-1)
 	c.tokens = append(c.tokens, t.tokens...)
 	c.spans = join(c.spans, spans)
@@ -293,6 +296,7 @@
 		c.trial = false
 		c.d.share(c.d.suspects.settle(c.work.Print))
 	}
+	c.wait = time.Duration(d.Wait) * time.Millisecond
 	res := c.finish(d.Finish, d.Reply, t)
 	return &res, true, nil
 }
--- a/entry/internal/dispatch/run.go
+++ b/entry/internal/dispatch/run.go
@@ -39,6 +39,8 @@
 	idle     int
 	hedges   int
 	trial    bool
+	first    time.Time
+	wait     time.Duration
 	trace    *trace
 	messages chan message
 }
@@ -91,6 +93,7 @@
 func (r *run) finish(reason string, reply *wire.Reply, t *try) Result {
 	res := r.result()
 	res.Finish, res.Reply = reason, reply
+	res.First, res.Wait = r.first, r.wait
 	if t != nil {
 		res.Attempt, res.Daemon, res.Server = t.work.Attempt, t.lease.place.Daemon, t.work.Server
 	}
--- a/entry/internal/gate/places.go
+++ b/entry/internal/gate/places.go
@@ -55,6 +55,9 @@
 	write time.Duration
 }
 
+// NetConn returns the connection below.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // Write implements net.Conn.
 func (c *conn) Write(b []byte) (int, error) {
 	if err := c.SetWriteDeadline(time.Now().Add(c.write)); err != nil {
