--- /dev/null
+++ b/scenario/rig/call.go
@@ -0,0 +1,131 @@
+package rig
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"bulrushspoke/scenario/history"
+	"bulrushspoke/wire"
+)
+
+const maxLine = 8 << 20 // bytes of one server-sent event
+
+// Complete calls for a completion, streamed or whole, and notes what it got.
+func Complete(ctx context.Context, entry, token string, q wire.CompletionRequest) history.Completion {
+	start := time.Now()
+	c := history.Completion{Prompt: q.Prompt, Max: q.MaxTokens, Start: start.UnixMilli()}
+	err := complete(ctx, entry, token, q, start, &c)
+	c.Whole = since(start)
+	if err != nil {
+		c.Error = err.Error()
+	}
+	return c
+}
+
+func complete(
+	ctx context.Context, entry, token string, q wire.CompletionRequest, start time.Time, c *history.Completion,
+) error {
+	body, err := json.Marshal(q)
+	if err != nil {
+		return err
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, entry+"/v1/completions", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	r.Header.Set("Authorization", "Bearer "+token)
+	r.Header.Set("Content-Type", "application/json")
+	a, err := plain.Do(r)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = a.Body.Close() }()
+	c.Status = a.StatusCode
+	if q.Stream && a.StatusCode == http.StatusOK {
+		return events(a.Body, start, c)
+	}
+	text, err := io.ReadAll(io.LimitReader(a.Body, maxBody))
+	if err != nil {
+		return err
+	}
+	c.First = since(start)
+	return add(text, c)
+}
+
+// events reads a stream of server-sent events.
+func events(body io.Reader, start time.Time, c *history.Completion) error {
+	lines := bufio.NewScanner(body)
+	lines.Buffer(nil, maxLine)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok || data == "[DONE]" {
+			continue
+		}
+		if c.First == 0 {
+			c.First = since(start)
+		}
+		if err := add([]byte(data), c); err != nil {
+			return err
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return err
+	}
+	if c.Finish == "" && c.Code == "" {
+		return errors.New("the stream ended without a finish reason")
+	}
+	return nil
+}
+
+// add notes one JSON body: an answer, an event of a stream, or a refusal.
+func add(text []byte, c *history.Completion) error {
+	var body struct {
+		wire.CompletionResponse
+		Error *wire.Problem `json:"error"`
+	}
+	if err := json.Unmarshal(text, &body); err != nil {
+		return fmt.Errorf("answer %.200q: %w", text, err)
+	}
+	if body.Error != nil {
+		c.Code, c.Ran = body.Error.Code, body.Error.Ran
+		return nil
+	}
+	for _, choice := range body.Choices {
+		c.Text += choice.Text
+		if choice.FinishReason != "" {
+			c.Finish = choice.FinishReason
+		}
+	}
+	if body.Versions != nil {
+		c.Spans = body.Versions
+	}
+	return nil
+}
+
+// Write posts to a plain service under an idempotency key and notes what it got.
+func Write(ctx context.Context, entry, token, service, key, path string) history.Write {
+	w := history.Write{Key: key, Path: path, Start: time.Now().UnixMilli()}
+	url := entry + "/v1/services/" + service + path
+	header := bearer(token)
+	header["Idempotency-Key"] = key
+	a, err := Do(ctx, http.MethodPost, url, map[string]string{"key": key}, header)
+	w.End = time.Now().UnixMilli()
+	w.Status, w.Body = a.Status, string(a.Body)
+	if err != nil {
+		w.Error = err.Error()
+		return w
+	}
+	var e wire.ErrorBody
+	if a.Status != http.StatusOK && json.Unmarshal(a.Body, &e) == nil {
+		w.Code, w.Ran = e.Error.Code, e.Error.Ran
+	}
+	return w
+}
--- /dev/null
+++ b/scenario/rig/rig.go
@@ -0,0 +1,181 @@
+// Package rig starts the real programs and the stand-ins as separate processes on loopback ports, and ends them.
+//
+// # Usage
+//
+//	r := rig.New(bin, dir)
+//	defer r.Close()
+//	p, err := r.Start("store", "bulrush-standin", "store", "--listen", address)
+//	err = p.Signal(syscall.SIGKILL)
+//
+// A Fleet is a whole deployment on a rig. Processes are ended by their own process id only, and the kernel ends them if
+// the starting process dies.
+package rig
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	pollPause = 20 * time.Millisecond
+	tailBytes = 4000 // of a log that is shown after a failure
+)
+
+// Rig holds the processes of one test.
+type Rig struct {
+	bin string // folder of the programs
+	dir string // folder of settings and logs
+
+	mu        sync.Mutex
+	processes map[string]*Process
+}
+
+// Process is one started program.
+type Process struct {
+	name string
+	log  string
+	cmd  *exec.Cmd
+	done chan struct{} // closed once it has ended
+	err  error
+}
+
+// New returns a rig without processes.
+func New(bin, dir string) *Rig {
+	return &Rig{bin: bin, dir: dir, processes: map[string]*Process{}}
+}
+
+// Dir returns the folder of settings and logs.
+func (r *Rig) Dir() string { return r.dir }
+
+// Start starts a program under a name that no running process of the rig has. Its output goes to <name>.log.
+func (r *Rig) Start(name, program string, args ...string) (*Process, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if p, ok := r.processes[name]; ok && p.Running() {
+		return nil, fmt.Errorf("rig: %s runs already", name)
+	}
+	p := &Process{name: name, log: filepath.Join(r.dir, name+".log"), done: make(chan struct{})}
+	out, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = out.Close() }()
+	p.cmd = exec.Command(filepath.Join(r.bin, program), args...)
+	p.cmd.Stdout = out
+	p.cmd.Stderr = out
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := p.cmd.Start(); err != nil {
+		return nil, err
+	}
+	go func() {
+		p.err = p.cmd.Wait()
+		close(p.done)
+	}()
+	r.processes[name] = p
+	return p, nil
+}
+
+// Process returns the process started last under a name.
+func (r *Rig) Process(name string) (*Process, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if p, ok := r.processes[name]; ok {
+		return p, nil
+	}
+	return nil, fmt.Errorf("rig: no process %q", name)
+}
+
+// Close kills all processes and waits for their ends.
+func (r *Rig) Close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.processes {
+		_ = p.Signal(syscall.SIGKILL)
+	}
+	for _, p := range r.processes {
+		<-p.done
+	}
+}
+
+// Logs returns the ends of all logs that are not empty.
+func (r *Rig) Logs() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	text := ""
+	for name, p := range r.processes {
+		if t := p.Tail(); t != "" {
+			text += fmt.Sprintf("--- %s (running: %t)\n%s\n", name, p.Running(), t)
+		}
+	}
+	return text
+}
+
+// Running reports whether the process has not ended.
+func (p *Process) Running() bool {
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// Signal sends a signal to the process; after its end it does nothing.
+func (p *Process) Signal(s os.Signal) error {
+	if err := p.cmd.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		return fmt.Errorf("rig: %s: %w", p.name, err)
+	}
+	return nil
+}
+
+// Wait waits for the end of the process and returns its exit status.
+func (p *Process) Wait(ctx context.Context) (int, error) {
+	select {
+	case <-p.done:
+		return p.cmd.ProcessState.ExitCode(), nil
+	case <-ctx.Done():
+		return 0, fmt.Errorf("rig: %s still runs: %w", p.name, ctx.Err())
+	}
+}
+
+// Tail returns the end of the log.
+func (p *Process) Tail() string {
+	f, err := os.Open(p.log)
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = f.Close() }()
+	if s, err := f.Stat(); err == nil && s.Size() > tailBytes {
+		if _, err := f.Seek(-tailBytes, io.SeekEnd); err != nil {
+			return err.Error()
+		}
+	}
+	text, err := io.ReadAll(f)
+	if err != nil {
+		return err.Error()
+	}
+	return string(text)
+}
+
+// Poll calls f until it returns nil or the context ends, and then returns the last error.
+func Poll(ctx context.Context, what string, f func(ctx context.Context) error) error {
+	for {
+		err := f(ctx)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("rig: waiting for %s: %w", what, err)
+		case <-time.After(pollPause):
+		}
+	}
+}
--- a/standin/report/report.go
+++ b/standin/report/report.go
@@ -98,6 +98,14 @@
 	Paths map[string]int `json:"paths"` // by path
 	Total int            `json:"total"`
 	Lost  int            `json:"lost"`
+	Runs  []ServiceRun   `json:"runs"`
+}
+
+// ServiceRun is one run of a plain service.
+type ServiceRun struct {
+	Key  string `json:"key"`
+	Path string `json:"path"`
+	At   int64  `json:"at"` // Unix time in milliseconds when it began
 }
 
 // ScorerCounts counts the scores by the identifier of the text.
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -12,6 +12,7 @@
 	"io"
 	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -55,6 +56,7 @@
 	c := s.counts
 	c.Keys = maps.Clone(c.Keys)
 	c.Paths = maps.Clone(c.Paths)
+	c.Runs = slices.Clone(c.Runs)
 	return c
 }
 
@@ -101,6 +103,7 @@
 	defer s.mu.Unlock()
 	s.counts.Total++
 	s.counts.Paths[path]++
+	s.counts.Runs = append(s.counts.Runs, report.ServiceRun{Key: key, Path: path, At: time.Now().UnixMilli()})
 	if key != "" {
 		s.counts.Keys[key]++
 	}
