Add the links to daemons, close a listener's links for good

Package daemon keeps one link to each daemon, replaces silent links within the acknowledgement time, resumes attempts under the same id from the offset held, and puts chunks in order. An attempt is never resumed at another incarnation. Links: closing an accepted link did nothing to its connection, since fasthttp closes an upgraded connection only after its handler, which kept reading. The link now ends the read by a deadline, and waits for its writer before the buffers are used again. A new test failed before the change and passes after it.

--- /dev/null
+++ b/entry/internal/daemon/pool.go
@@ -0,0 +1,424 @@
+// Package daemon keeps one link to each daemon and runs attempts over them.
+//
+// # Usage
+//
+//	p := daemon.New(identity, config, notify, options, random, logger)
+//	go p.Serve(ctx)
+//	p.List(instances, time.Now())
+//	s, err := p.Start(ctx, "willow-3", work)
+//	for {
+//		e, err := s.Next(ctx)
+//		…
+//	}
+//
+// Each daemon has one task that dials it again, with jittered backoff, whenever its link breaks. Every accepted stream
+// must be read to its end (done, refuse or an error of Next) or cancelled. The reader of a link never waits for a
+// consumer: the chunks of an attempt wait in its stream, which cannot hold more than the attempt's largest answer.
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"bulrushspoke/internal/link"
+	"bulrushspoke/internal/refusal"
+	"bulrushspoke/internal/supervise"
+	"bulrushspoke/wire"
+)
+
+// Candidate is one server that work can be sent to.
+type Candidate struct {
+	Server  wire.Server
+	Daemon  string // name of its daemon
+	Inc     string // incarnation of its daemon
+	Era     int    // era of its daemon
+	Domain  string
+	Region  string
+	Leaving bool
+	Linked  bool
+}
+
+// Config tells the configuration revision in force and accepts word of higher ones.
+type Config interface {
+	Revision() int64
+	// Offer returns once the revision is held or ctx ends.
+	Offer(ctx context.Context, rev int64)
+}
+
+// Random is a source of numbers from 0 to 1 that is safe for use by several tasks.
+type Random interface {
+	Float64() float64
+}
+
+// Options are the times that a pool works with.
+type Options struct {
+	Ack    time.Duration // a work message must be acknowledged within it
+	Resume time.Duration // a broken stream must be resumed within it
+	Redial time.Duration // longest pause between two dials of a daemon
+}
+
+const (
+	// eraLength is the length of a daemon's eras. A hello names the era of its moment only, and claims must not name
+	// one that the daemon has forgotten, so later eras are counted from it.
+	eraLength = 10 * time.Minute
+	eraCheck  = time.Minute
+	// keepUnlisted is how long a daemon that the lagging list omits is dialled after its link broke.
+	keepUnlisted = time.Minute
+)
+
+// shortestRedial is the first pause after a broken link, before jitter.
+const shortestRedial = 20 * time.Millisecond
+
+// Pool holds the links to all daemons.
+type Pool struct {
+	identity *link.Identity
+	config   Config
+	noticed  func(wire.Notice)
+	options  Options
+	random   Random
+	logger   *slog.Logger
+
+	mu       sync.Mutex
+	ctx      context.Context // of Serve; nil before
+	tasks    sync.WaitGroup
+	peers    map[string]*peer
+	streams  map[string]*Stream
+	inflight map[string]int // by server
+	changes  atomic.Int64
+	snapshot atomic.Pointer[snapshot]
+}
+
+// snapshot is the candidates by kind and model after a number of changes.
+type snapshot struct {
+	changes int64
+	servers map[string][]Candidate
+}
+
+// New returns a pool without daemons. Noticed is told of notices from daemons; it must not block.
+func New(
+	id *link.Identity, config Config, noticed func(wire.Notice), o Options, random Random, logger *slog.Logger,
+) *Pool {
+	return &Pool{
+		identity: id,
+		config:   config,
+		noticed:  noticed,
+		options:  o,
+		random:   random,
+		logger:   logger,
+		peers:    make(map[string]*peer),
+		streams:  make(map[string]*Stream),
+		inflight: make(map[string]int),
+	}
+}
+
+// Serve keeps the links until ctx ends and then closes them.
+func (p *Pool) Serve(ctx context.Context) error {
+	p.mu.Lock()
+	p.ctx = ctx
+	for _, r := range p.peers {
+		p.run(r)
+	}
+	p.mu.Unlock()
+	t := time.NewTicker(eraCheck)
+	defer t.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-t.C:
+			p.changed()
+		case <-ctx.Done():
+		}
+	}
+	p.tasks.Wait()
+	return ctx.Err()
+}
+
+// run starts the task of a peer; the caller holds mu.
+func (p *Pool) run(r *peer) {
+	if p.ctx == nil || p.ctx.Err() != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(p.ctx)
+	r.stop = cancel
+	p.tasks.Go(func() {
+		defer cancel()
+		supervise.Guard(p.logger, "daemon "+r.name, func() { r.run(ctx) })
+	})
+}
+
+// List brings the pool in line with the present list of instances, of which it uses the daemons. A daemon that the
+// list omits is kept while its link works; one that is listed as leaving is asked to drain.
+func (p *Pool) List(list []wire.Instance, now time.Time) {
+	p.mu.Lock()
+	seen := make(map[string]bool, len(list))
+	var drains []*peer
+	for _, i := range list {
+		if i.Role != "daemon" {
+			continue
+		}
+		seen[i.Name] = true
+		r := p.peers[i.Name]
+		if r == nil {
+			r = newPeer(p, i.Name)
+			p.peers[i.Name] = r
+			p.run(r)
+		}
+		if r.list(i) {
+			drains = append(drains, r)
+		}
+	}
+	for name, r := range p.peers {
+		if !seen[name] && r.gone(now) {
+			r.end()
+			delete(p.peers, name)
+		}
+	}
+	p.mu.Unlock()
+	p.changed()
+	for _, r := range drains {
+		r.urge(link.Drain, wire.Drain{Reason: "the platform lists the instance as leaving"})
+	}
+}
+
+// changed makes the next reader build the candidates anew; each change of a peer is made before its call.
+func (p *Pool) changed() { p.changes.Add(1) }
+
+// Candidates returns the servers of a kind (engine or service) and model in order of name. The result is shared and
+// must not be changed.
+func (p *Pool) Candidates(kind, model string) []Candidate {
+	s := p.snapshot.Load()
+	if s == nil || s.changes != p.changes.Load() {
+		s = p.build(time.Now())
+	}
+	return s.servers[key(kind, model)]
+}
+
+func key(kind, model string) string { return kind + "\x00" + model }
+
+func (p *Pool) build(now time.Time) *snapshot {
+	s := &snapshot{changes: p.changes.Load(), servers: make(map[string][]Candidate)}
+	for _, r := range p.all() {
+		for _, c := range r.candidates(now) {
+			k := key(c.Server.Kind, c.Server.Model)
+			s.servers[k] = append(s.servers[k], c)
+		}
+	}
+	for _, l := range s.servers {
+		slices.SortFunc(l, func(a, b Candidate) int { return strings.Compare(a.Server.Name, b.Server.Name) })
+	}
+	p.snapshot.Store(s)
+	return s
+}
+
+func (p *Pool) peer(name string) *peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.peers[name]
+}
+
+func (p *Pool) all() []*peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := make([]*peer, 0, len(p.peers))
+	for _, r := range p.peers {
+		l = append(l, r)
+	}
+	slices.SortFunc(l, func(a, b *peer) int { return strings.Compare(a.name, b.name) })
+	return l
+}
+
+// Drop tells a daemon that results were received. While its link is broken the message waits for the next link to the
+// same incarnation.
+func (p *Pool) Drop(daemon string, attempts ...string) {
+	if r := p.peer(daemon); r != nil && len(attempts) > 0 {
+		r.urge(link.Drop, wire.Drop{Attempts: attempts})
+	}
+}
+
+// Ask asks a daemon what became of an unrepeatable request; its error is a *refusal.Error of code outcome_unknown.
+func (p *Pool) Ask(ctx context.Context, daemon string, a wire.Ask) (wire.Fate, error) {
+	var fate wire.Fate
+	r := p.peer(daemon)
+	if r == nil {
+		return fate, unreachable(daemon)
+	}
+	ctx, cancel := context.WithTimeout(ctx, p.options.Resume)
+	defer cancel()
+	for ctx.Err() == nil {
+		c := r.wait(ctx)
+		if c == nil {
+			break
+		}
+		f, err := r.call(ctx, c, link.Ask, a)
+		if err != nil {
+			continue
+		}
+		if err := f.Decode(&fate); err != nil {
+			c.Close()
+			break
+		}
+		return fate, nil
+	}
+	return fate, unreachable(daemon)
+}
+
+func unreachable(daemon string) error {
+	return refusal.New(refusal.OutcomeUnknown, refusal.Unknown, "daemon %s does not answer", daemon)
+}
+
+// Collect asks all linked daemons for the samples of a step that they hold and returns the answers by daemon name.
+// Daemons that do not answer before ctx ends, or within the time for resuming, are left out.
+func (p *Pool) Collect(ctx context.Context, c wire.Collect) map[string]wire.Held {
+	ctx, cancel := context.WithTimeout(ctx, p.options.Resume)
+	defer cancel()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	held := make(map[string]wire.Held)
+	for _, r := range p.all() {
+		conn := r.conn()
+		if conn == nil {
+			continue
+		}
+		wg.Go(func() {
+			f, err := conn.Call(ctx, link.Collect, c)
+			if err != nil {
+				return
+			}
+			var h wire.Held
+			if err := f.Decode(&h); err != nil {
+				conn.Close()
+				return
+			}
+			mu.Lock()
+			held[r.name] = h
+			mu.Unlock()
+		})
+	}
+	wg.Wait()
+	return held
+}
+
+// Drain asks a daemon to leave; its error is a *refusal.Error.
+func (p *Pool) Drain(_ context.Context, daemon, reason string) error {
+	r := p.peer(daemon)
+	if r == nil {
+		return refusal.New(refusal.NotFound, refusal.NotRun, "daemon %s is not known", daemon)
+	}
+	c := r.conn()
+	if c == nil {
+		return refusal.New(refusal.NoUpstream, refusal.NotRun, "daemon %s has no link", daemon).After(p.options.Resume)
+	}
+	if err := c.Notify(link.Drain, wire.Drain{Reason: reason}); err != nil {
+		return refusal.New(refusal.NoUpstream, refusal.Unknown, "daemon %s: %s", daemon, err).After(p.options.Resume)
+	}
+	r.leave()
+	return nil
+}
+
+// Announce tells every daemon of revisions and weight targets.
+func (p *Pool) Announce(n wire.Notice) {
+	for _, r := range p.all() {
+		c := r.conn()
+		if c == nil {
+			// The hello of the next link carries the same.
+			continue
+		}
+		// A daemon that has stopped reading must not delay the others.
+		go supervise.Guard(p.logger, "announce", func() {
+			_ = c.Notify(link.Notice, n)
+			for _, t := range n.Targets {
+				_ = c.Notify(link.Target, t)
+			}
+		})
+	}
+}
+
+// Upstreams returns the state of all servers in order of daemon and server name.
+func (p *Pool) Upstreams() []wire.Upstream {
+	var l []wire.Upstream
+	for _, r := range p.all() {
+		for _, c := range r.candidates(time.Now()) {
+			l = append(l, wire.Upstream{
+				Daemon:   c.Daemon,
+				Domain:   c.Domain,
+				Region:   c.Region,
+				Leaving:  c.Leaving,
+				Linked:   c.Linked,
+				Server:   c.Server,
+				Inflight: p.running(c.Server.Name),
+			})
+		}
+	}
+	return l
+}
+
+// Linked returns the number of daemons whose link works.
+func (p *Pool) Linked() int {
+	n := 0
+	for _, r := range p.all() {
+		if r.linked() {
+			n++
+		}
+	}
+	return n
+}
+
+func (p *Pool) running(server string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.inflight[server]
+}
+
+// Inflight returns the number of streams that have not ended.
+func (p *Pool) Inflight() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.streams)
+}
+
+func (p *Pool) add(s *Stream) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.streams[s.work.Attempt] = s
+	p.inflight[s.work.Server]++
+	s.peer.inflight.Add(1)
+}
+
+// remove forgets a stream and reports whether it was known.
+func (p *Pool) remove(s *Stream) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.streams[s.work.Attempt] != s {
+		return false
+	}
+	delete(p.streams, s.work.Attempt)
+	p.inflight[s.work.Server]--
+	s.peer.inflight.Add(-1)
+	if p.inflight[s.work.Server] == 0 {
+		delete(p.inflight, s.work.Server)
+	}
+	return true
+}
+
+func (p *Pool) stream(attempt string) *Stream {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.streams[attempt]
+}
+
+// on returns the streams that run over a link.
+func (p *Pool) on(c *link.Conn) []*Stream {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var l []*Stream
+	for _, s := range p.streams {
+		if s.over(c) {
+			l = append(l, s)
+		}
+	}
+	return l
+}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -129,6 +129,7 @@
 	last    atomic.Int64
 	next    atomic.Uint64
 	sent    atomic.Int64
+	writer  sync.WaitGroup
 	mu      sync.Mutex
 	waits   map[uint64]chan Frame
 }
@@ -151,7 +152,7 @@
 // start runs the tasks of the link.
 func (c *Conn) start() {
 	event.LinkOpened.Log(c.logger, "inc", c.peer.Inc)
-	go supervise.Guard(c.logger, "link writer", c.write)
+	c.writer.Go(func() { supervise.Guard(c.logger, "link writer", c.write) })
 	go supervise.Guard(c.logger, "link probe", c.probe)
 }
 
@@ -177,6 +178,8 @@
 	c.once.Do(func() {
 		c.cause.Store(cause.Error())
 		close(c.done)
+		// The server closes the connection of a listener's link only after its handler, which a passed deadline ends.
+		_ = c.socket.NetConn().SetDeadline(time.Now())
 		_ = c.socket.Close()
 		event.LinkClosed.Log(c.logger, "cause", cause.Error())
 	})
@@ -276,6 +279,8 @@
 func (c *Conn) write() {
 	for {
 		select {
+		case <-c.done:
+			return
 		case b := <-c.control:
 			c.put(b)
 			continue
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -112,3 +112,15 @@
 		t.Fatalf("the other link answers %q", got)
 	}
 }
+
+// Guards against a listener whose close leaves the connection open.
+func TestListenerCloses(t *testing.T) {
+	address, opened := listen(t, "s")
+	c := open(t, address)
+	(<-opened).Close()
+	select {
+	case <-c.Done():
+	case <-time.After(5 * time.Second):
+		t.Fatalf("the dialler's link stays open")
+	}
+}
--- a/internal/link/open.go
+++ b/internal/link/open.go
@@ -97,6 +97,8 @@
 				event.LinkRefused.Log(logger, "cause", err.Error())
 				return
 			}
+			// The server uses the connection's buffers again once this function returns.
+			defer c.writer.Wait()
 			defer c.Close()
 			c.start()
 			opened(c)
