--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -58,6 +58,11 @@
 	winner Object
 }
 
+// NewConflictError returns a ConflictError, for stores other than Client.
+func NewConflictError(kind, name string, winner Object) *ConflictError {
+	return &ConflictError{kind: kind, name: name, winner: winner}
+}
+
 // Winner returns the present object; its version is 0 if the object is absent.
 func (e *ConflictError) Winner() Object { return e.winner }
 
@@ -72,6 +77,11 @@
 	cause     string
 }
 
+// NewDownError returns a DownError, for stores other than Client.
+func NewDownError(ambiguous bool, cause string) *DownError {
+	return &DownError{ambiguous: ambiguous, cause: cause}
+}
+
 // Ambiguous reports whether a write may have taken effect.
 func (e *DownError) Ambiguous() bool { return e.ambiguous }
 
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -796,6 +796,9 @@
 	// Plain service that scores each sample.
 	Scorer string `json:"scorer,omitempty,omitzero"`
 
+	// Number of samples of the step.
+	Slots int `json:"slots"`
+
 	// Staleness bound in weight versions.
 	Staleness int `json:"staleness"`
 
