--- a/entry/internal/dispatch/dispatch.go
+++ b/entry/internal/dispatch/dispatch.go
@@ -2,7 +2,7 @@
 //
 // # Usage
 //
-//	d := dispatch.New(pool, peers, config, "nord", seed, dispatch.Defaults(), logger)
+//	d := dispatch.New(dispatch.Links{Pool: pool}, peers, config, "nord", seed, dispatch.Defaults(), logger)
 //	result, err := d.Run(ctx, dispatch.Job{Work: work, Deadline: deadline})
 //	var refused *refusal.Error
 //	if errors.As(err, &refused) { … }
@@ -21,27 +21,15 @@
 
 	"github.com/oklog/ulid/v2"
 
+	"bulrushspoke/entry/internal/daemon"
 	"bulrushspoke/wire"
 )
 
 // Candidate is one server that work can be sent to.
-type Candidate struct {
-	Server  wire.Server
-	Daemon  string // name of its daemon
-	Inc     string // incarnation of its daemon
-	Era     int    // era of its daemon
-	Domain  string
-	Region  string
-	Leaving bool
-	Linked  bool
-}
+type Candidate = daemon.Candidate
 
 // Event is one message of a stream; exactly one field is set.
-type Event struct {
-	Chunk  *wire.Chunk
-	Done   *wire.Done
-	Refuse *wire.Refuse
-}
+type Event = daemon.Event
 
 // Stream is one attempt that a daemon has acknowledged.
 type Stream interface {
@@ -58,6 +46,20 @@
 	Drop(daemon string, attempts ...string)
 }
 
+// Links is the pool of links to the daemons.
+type Links struct {
+	*daemon.Pool
+}
+
+// Start implements Pool.
+func (l Links) Start(ctx context.Context, daemon string, w wire.Work) (Stream, error) {
+	s, err := l.Pool.Start(ctx, daemon, w)
+	if err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
 // Peers reaches the other entries.
 type Peers interface {
 	Suspect(s wire.Suspect)
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -796,6 +796,9 @@
 	// Plain service that scores each sample.
 	Scorer string `json:"scorer,omitempty,omitzero"`
 
+	// Number of samples of the step.
+	Slots int `json:"slots"`
+
 	// Staleness bound in weight versions.
 	Staleness int `json:"staleness"`
 
@@ -1069,6 +1072,9 @@
 	// Tokens of an earlier attempt that this one resumes after.
 	Held []string `json:"held,omitempty,omitzero"`
 
+	// Daemon incarnation that the claim names; no other may receive the work.
+	Inc string `json:"inc,omitempty,omitzero"`
+
 	// Idempotency key of an unrepeatable request, with its tenant.
 	Key string `json:"key,omitempty,omitzero"`
 
