--- a/entry/internal/daemon/peer.go
+++ b/entry/internal/daemon/peer.go
@@ -138,27 +138,6 @@
 	}
 }
 
-// run dials the daemon again whenever its link breaks, until ctx ends.
-func (r *peer) run(ctx context.Context) {
-	pause := shortestRedial
-	for ctx.Err() == nil {
-		c, err := r.dial(ctx)
-		if err == nil {
-			pause = shortestRedial
-			r.hold(ctx, c)
-		} else {
-			pause = min(2*pause, r.pool.options.Redial)
-		}
-		// Full jitter keeps entries from dialling a daemon that returns at the same moment.
-		t := time.NewTimer(time.Duration(r.pool.random.Float64() * float64(pause)))
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			t.Stop()
-		}
-	}
-}
-
 func (r *peer) dial(ctx context.Context) (*link.Conn, error) {
 	r.mu.Lock()
 	address := r.address
--- a/entry/internal/daemon/pool.go
+++ b/entry/internal/daemon/pool.go
@@ -25,6 +25,7 @@
 	"sync/atomic"
 	"time"
 
+	"bulrushspoke/entry/internal/redial"
 	"bulrushspoke/internal/link"
 	"bulrushspoke/internal/refusal"
 	"bulrushspoke/internal/supervise"
@@ -50,11 +51,6 @@
 	Offer(ctx context.Context, rev int64)
 }
 
-// Random is a source of numbers from 0 to 1 that is safe for use by several tasks.
-type Random interface {
-	Float64() float64
-}
-
 // Options are the times that a pool works with.
 type Options struct {
 	Ack    time.Duration // a work message must be acknowledged within it
@@ -71,16 +67,13 @@
 	keepUnlisted = time.Minute
 )
 
-// shortestRedial is the first pause after a broken link, before jitter.
-const shortestRedial = 20 * time.Millisecond
-
 // Pool holds the links to all daemons.
 type Pool struct {
 	identity *link.Identity
 	config   Config
 	noticed  func(wire.Notice)
 	options  Options
-	random   Random
+	random   redial.Random
 	logger   *slog.Logger
 
 	mu       sync.Mutex
@@ -101,7 +94,7 @@
 
 // New returns a pool without daemons. Noticed is told of notices from daemons; it must not block.
 func New(
-	id *link.Identity, config Config, noticed func(wire.Notice), o Options, random Random, logger *slog.Logger,
+	id *link.Identity, config Config, noticed func(wire.Notice), o Options, random redial.Random, logger *slog.Logger,
 ) *Pool {
 	return &Pool{
 		identity: id,
@@ -146,7 +139,9 @@
 	r.stop = cancel
 	p.tasks.Go(func() {
 		defer cancel()
-		supervise.Guard(p.logger, "daemon "+r.name, func() { r.run(ctx) })
+		supervise.Guard(p.logger, "daemon "+r.name, func() {
+			redial.Run(ctx, p.random, p.options.Redial, r.dial, r.hold)
+		})
 	})
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -34,6 +34,11 @@
 	allowed string
 }
 
+// NewError returns an error for a rule that a schema cannot state.
+func NewError(path, value, allowed string) *Error {
+	return &Error{path: path, value: value, allowed: allowed}
+}
+
 // Path returns the place of the setting in the file, such as /listen/address.
 func (e *Error) Path() string { return e.path }
 
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -185,6 +185,24 @@
 	Value []byte `json:"value"`
 }
 
+// The configuration in force.
+type ConfigAnswer struct {
+	// All profiles.
+	Document Document `json:"document"`
+
+	// Revision in force, 0 if there is none.
+	Revision int64 `json:"revision"`
+}
+
+// Refusal of a change that lost against another one.
+type ConfigConflict struct {
+	// What went wrong.
+	Error Problem `json:"error"`
+
+	// Configuration that won.
+	Winner ConfigAnswer `json:"winner"`
+}
+
 // The configuration object; its store version is the revision.
 type Document struct {
 	// Who wrote it.
@@ -236,6 +254,12 @@
 	Reason string `json:"reason"`
 }
 
+// Asks a daemon to leave.
+type DrainRequest struct {
+	// Text for people.
+	Reason string `json:"reason,omitempty,omitzero"`
+}
+
 // Tells that results were received and may be forgotten.
 type Drop struct {
 	// Identifiers of the attempts.
@@ -821,6 +845,12 @@
 	Server *Server `json:"server,omitempty,omitzero"`
 }
 
+// Steps that an entry knows.
+type StepList struct {
+	// Steps in order of run and number.
+	Steps []StepStatus `json:"steps"`
+}
+
 // Opens a step.
 type StepRequest struct {
 	// Cursor of a trainer that opens the step again.
@@ -977,6 +1007,12 @@
 	Server Server `json:"server"`
 }
 
+// All servers as an entry sees them.
+type UpstreamList struct {
+	// Servers in order of daemon and name.
+	Upstreams []Upstream `json:"upstreams"`
+}
+
 // Token counts.
 type Usage struct {
 	// Tokens of the answer.
