--- a/entry/internal/gate/gate.go
+++ b/entry/internal/gate/gate.go
@@ -81,11 +81,13 @@
 	routes   *router.Router
 	server   *fasthttp.Server
 	places   places
+	refused  func(refusal.Code)
 }
 
 // New returns a server without routes.
 func New(tokens map[string]Identity, limits Limits, profiles Profiles, logger *slog.Logger) *Gate {
 	g := &Gate{tokens: tokens, limits: limits, profiles: profiles, logger: logger, routes: router.New()}
+	g.refused = func(refusal.Code) {}
 	g.routes.RedirectTrailingSlash = false
 	g.routes.RedirectFixedPath = false
 	g.routes.HandleOPTIONS = false
@@ -122,6 +124,9 @@
 	})
 }
 
+// OnRefuse calls f with the code of each refusal; it must not be called once Serve runs.
+func (g *Gate) OnRefuse(f func(refusal.Code)) { g.refused = f }
+
 // Serve answers requests on l until Shutdown.
 func (g *Gate) Serve(l net.Listener) error {
 	return g.server.Serve(&listener{Listener: l, write: g.limits.Write})
@@ -224,6 +229,7 @@
 		event.RequestFailed.Log(g.logger, "request", r.ID, "cause", err.Error())
 		e = refusal.New(refusal.Internal, refusal.Unknown, "internal error")
 	}
+	g.refused(e.Code())
 	ctx := r.RequestCtx
 	ctx.Response.ResetBody()
 	ctx.SetStatusCode(e.Code().Status())
