Serve callers in the entry program

Cause: the handlers of callers and the claims were not connected to the program. Conclusion: builds, tests of the entry pass with -race.

--- a/entry/internal/caller/caller.go
+++ b/entry/internal/caller/caller.go
@@ -28,6 +28,10 @@
 // KeyHeader carries the idempotency key of a call that must not be repeated.
 const KeyHeader = "Idempotency-Key"
 
+// MaxPrompt is the largest prompt in bytes. A message between processes holds 4 MB, and a resumed answer sends its
+// tokens along with the prompt.
+const MaxPrompt = 1 << 20
+
 // Dispatcher runs work that may be repeated.
 type Dispatcher interface {
 	Run(ctx context.Context, j dispatch.Job) (dispatch.Result, error)
@@ -46,7 +50,7 @@
 
 // Limits bound what a caller may send, beside those of its profile.
 type Limits struct {
-	Prompt int // bytes of a prompt
+	Prompt int // bytes of a prompt, at most MaxPrompt
 }
 
 // Recorder counts values by tenant and class.
@@ -82,6 +86,7 @@
 
 // New returns the handlers for callers.
 func New(d Dispatcher, c Claims, p Profiles, l Limits, m Meters, logger *slog.Logger) *Caller {
+	l.Prompt = min(l.Prompt, MaxPrompt)
 	return &Caller{dispatcher: d, claims: c, profiles: p, limits: l, meters: m, logger: logger}
 }
 
--- a/entry/internal/cli/build.go
+++ b/entry/internal/cli/build.go
@@ -14,6 +14,8 @@
 	"github.com/oklog/ulid/v2"
 	"github.com/valyala/fasthttp"
 
+	"bulrushspoke/entry/internal/caller"
+	"bulrushspoke/entry/internal/claim"
 	settled "bulrushspoke/entry/internal/config"
 	"bulrushspoke/entry/internal/daemon"
 	"bulrushspoke/entry/internal/dispatch"
@@ -100,7 +102,8 @@
 	e.holder.Use(e.peers)
 	e.holder.OnChange(func(rev int64) { e.announce(wire.Notice{Rev: rev}) })
 	e.poller = instances.New(c.Instances.URL, c.Instances.Interval.Std(), c.fixed(), jitter, e.list, logger)
-	e.dispatcher = dispatch.New(dispatchPool{e.pool}, e.peers, e.holder, c.Region, draw(source), dispatch.Defaults(), logger)
+	links := dispatch.Links{Pool: e.pool}
+	e.dispatcher = dispatch.New(links, e.peers, e.holder, c.Region, draw(source), dispatch.Defaults(), logger)
 	e.peers.Use(peerHandler{e})
 	e.gate = gate.New(tokens(c), gate.Limits{
 		Body:   c.Limits.Body,
@@ -117,6 +120,9 @@
 		Ready:   e.ready,
 		Metrics: text,
 	}).Routes(e.gate)
+	claims := claim.New(e.store, links, e.dispatcher, e.holder, claim.Defaults(), logger)
+	caller.New(e.dispatcher, claims, e.holder, caller.Limits{Prompt: c.Limits.Body}, caller.NewMeters(m), logger).
+		Register(e.gate)
 	e.links = &fasthttp.Server{
 		Handler:               e.accept,
 		NoDefaultServerHeader: true,
