--- a/entry/internal/dispatch/fake_test.go
+++ b/entry/internal/dispatch/fake_test.go
@@ -31,7 +31,8 @@
 	crash   map[string]bool // prompts that crash their server
 	streams []*stream
 	starts  int
-	ran     int
+	runs    map[string]int // by request
+	falls   map[string]int // crashes by prompt
 	dropped []string
 }
 
@@ -48,7 +49,7 @@
 }
 
 func newPool(n int) *pool {
-	p := &pool{crash: map[string]bool{}, plan: func(wire.Work) plan { return plan{} }}
+	p := &pool{crash: map[string]bool{}, runs: map[string]int{}, falls: map[string]int{}, plan: func(wire.Work) plan { return plan{} }}
 	for i := range n {
 		p.servers = append(p.servers, Candidate{
 			Server: wire.Server{Kind: Engine, Model: "m", Name: fmt.Sprintf("s%d", i), Slots: 4, Up: true, Version: 7},
@@ -77,11 +78,11 @@
 	k := p.plan(w)
 	if k.refuse != nil {
 		if k.refuse.Ran() != refusal.NotRun {
-			p.ran++
+			p.runs[w.Request]++
 		}
 		return nil, k.refuse
 	}
-	p.ran++
+	p.runs[w.Request]++
 	s := &stream{pool: p, work: w, plan: k, crashed: make(chan struct{})}
 	for _, c := range p.servers {
 		if c.Server.Name == w.Server {
@@ -130,6 +131,7 @@
 	if s.over {
 		return
 	}
+	p.falls[s.work.Prompt]++
 	var on []*stream
 	for _, o := range p.streams {
 		if o.work.Server == s.work.Server && o.running && !o.over {
--- a/entry/internal/dispatch/race.go
+++ b/entry/internal/dispatch/race.go
@@ -18,6 +18,9 @@
 	startTimeout = 10 * time.Second
 	// slowTokens is the number of tokens after which the speed of a stream is judged.
 	slowTokens = 8
+	// stallAfter is the silence after which an attempt is given up and continued elsewhere: its server hangs, or holds
+	// back preempted training for longer than it takes to compute its prompt anew.
+	stallAfter = 30 * time.Second
 	// idleTimer is used when nothing is to be watched.
 	idleTimer = time.Minute
 	// raceFactor bounds, in units of the lateness limit, how long a slow stream is held back for its hedge.
@@ -26,10 +29,11 @@
 
 // Reasons for which an attempt is cancelled.
 var (
-	errLost  = errors.New("dispatch: another attempt was faster")
-	errStale = errors.New("dispatch: the version floor has risen")
-	errEnded = errors.New("dispatch: the request has ended")
-	errPump  = errors.New("dispatch: attempt ended by a panic")
+	errLost    = errors.New("dispatch: another attempt was faster")
+	errStale   = errors.New("dispatch: the version floor has risen")
+	errEnded   = errors.New("dispatch: the request has ended")
+	errStalled = refusal.New(refusal.OutcomeUnknown, refusal.Unknown, "dispatch: the server makes no progress")
+	errPump    = errors.New("dispatch: attempt ended by a panic")
 )
 
 // message is what the task of an attempt reports.
@@ -86,6 +90,11 @@
 			}
 		case <-timer.C:
 			c.watch(ctx, time.Now())
+			if t := c.stalled(time.Now()); t != nil {
+				if res, over, err := c.fail(ctx, t, errStalled); over {
+					return res, err
+				}
+			}
 		case <-ctx.Done():
 			for _, t := range c.tries {
 				r.unproved(t)
@@ -369,6 +378,12 @@
 	if c.job.Floor != nil {
 		d = floorEvery
 	}
+	for _, t := range c.tries {
+		if c.stalls(t) {
+			d = min(d, t.last.Add(stallAfter).Sub(now))
+		}
+	}
+	d = max(0, d)
 	if !c.hedgeable() || len(c.tries) == 0 {
 		return d
 	}
@@ -383,6 +398,19 @@
 	return max(0, min(d, at.Sub(now)))
 }
 
+// stalls reports whether silence of an attempt counts. Training that has not begun waits in a queue, as long as it takes.
+func (c *race) stalls(t *try) bool { return c.work.Class == Live || t.produced > 0 }
+
+// stalled returns an attempt that has made no progress for too long, or nil.
+func (c *race) stalled(now time.Time) *try {
+	for _, t := range c.tries {
+		if c.stalls(t) && now.Sub(t.last) >= stallAfter {
+			return t
+		}
+	}
+	return nil
+}
+
 func (c *race) hedgeable() bool {
 	return c.job.Hedge && c.work.Class == Live && !c.trial && (c.hedges < maxHedges || len(c.tries) > 1)
 }
