Estimate lateness by class and count attempts

Cause: training waits long for its first token, so a common estimate delayed the hedges of live work; a result whose end was lost named no attempt.

--- a/entry/internal/caller/caller.go
+++ b/entry/internal/caller/caller.go
@@ -51,6 +51,7 @@
 // Limits bound what a caller may send, beside those of its profile.
 type Limits struct {
 	Prompt int // bytes of a prompt, at most MaxPrompt
+	Tokens int // tokens of an answer, 0 for the limit of the profile only
 }
 
 // Recorder counts values by tenant and class.
@@ -116,6 +117,9 @@
 	if err != nil || d <= 0 {
 		return resolved{}, refusal.New(refusal.Unready, refusal.NotRun, "caller: profile %s has no valid deadline", p.Name)
 	}
+	if c.limits.Tokens > 0 {
+		p.Tokens = min(p.Tokens, c.limits.Tokens)
+	}
 	return resolved{Profile: p, rev: rev, arrived: now, deadline: now.Add(d)}, nil
 }
 
--- a/entry/internal/cli/build.go
+++ b/entry/internal/cli/build.go
@@ -121,8 +121,8 @@
 		Metrics: text,
 	}).Routes(e.gate)
 	claims := claim.New(e.store, links, e.dispatcher, e.holder, claim.Defaults(), logger)
-	caller.New(e.dispatcher, claims, e.holder, caller.Limits{Prompt: c.Limits.Body}, caller.NewMeters(m), logger).
-		Register(e.gate)
+	limits := caller.Limits{Prompt: c.Limits.Body, Tokens: c.Limits.Tokens}
+	caller.New(e.dispatcher, claims, e.holder, limits, caller.NewMeters(m), logger).Register(e.gate)
 	e.links = &fasthttp.Server{
 		Handler:               e.accept,
 		NoDefaultServerHeader: true,
@@ -148,6 +148,14 @@
 func (e *entry) measure(m *meter.Meter) {
 	m.Gauge("daemons_linked", "Daemons whose link works.", func() float64 { return float64(e.pool.Linked()) })
 	m.Gauge("attempts_inflight", "Attempts that have not ended.", func() float64 { return float64(e.pool.Inflight()) })
+	m.Gauge("requests_offered", "Requests given to the dispatcher.",
+		func() float64 { return float64(e.dispatcher.Counts().Requests) })
+	m.Gauge("attempts_sent", "Attempts sent to servers.",
+		func() float64 { return float64(e.dispatcher.Counts().Attempts) })
+	m.Gauge("retries", "Attempts paid from a retry budget.",
+		func() float64 { return float64(e.dispatcher.Counts().Retries) })
+	m.Gauge("hedges", "Attempts paid from the hedge budget.",
+		func() float64 { return float64(e.dispatcher.Counts().Hedges) })
 	m.Gauge("config_revision", "Revision of the configuration in force here.",
 		func() float64 { return float64(e.holder.Revision()) })
 	m.Gauge("store_calls", "Calls of the object store, waiting watches included.",
--- a/entry/internal/dispatch/budget.go
+++ b/entry/internal/dispatch/budget.go
@@ -1,5 +1,26 @@
 package dispatch
 
+// Counts are totals since the start of the process.
+type Counts struct {
+	Requests int64 // offered by callers and steps
+	Attempts int64 // sent to servers
+	Retries  int64 // paid from a retry budget
+	Hedges   int64 // paid from the hedge budget
+}
+
+// Counts returns the totals.
+func (d *Dispatcher) Counts() Counts {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.counts
+}
+
+func (d *Dispatcher) sent() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.counts.Attempts++
+}
+
 // budget bounds extra attempts to a part of the requests.
 type budget struct {
 	ratio float64
@@ -30,6 +51,7 @@
 func (d *Dispatcher) Offer(tenant string, hedge bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.counts.Requests++
 	d.budget(tenant).deposit()
 	if hedge {
 		d.hedges.deposit()
@@ -40,7 +62,11 @@
 func (d *Dispatcher) Repeat(tenant string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.budget(tenant).take()
+	if !d.budget(tenant).take() {
+		return false
+	}
+	d.counts.Retries++
+	return true
 }
 
 // hedge pays for a hedge from both budgets, so that hedges and retries together keep to the larger one.
@@ -48,7 +74,11 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	b := d.budget(tenant)
-	return b.ready() && d.hedges.take() && b.take()
+	if !b.ready() || !d.hedges.take() || !b.take() {
+		return false
+	}
+	d.counts.Hedges++
+	return true
 }
 
 // budget returns the retry budget of a tenant; d.mu is held. Tenants are named in the settings, so their number is
--- a/entry/internal/dispatch/dispatch.go
+++ b/entry/internal/dispatch/dispatch.go
@@ -163,6 +163,7 @@
 	routes  map[routeKey]*route
 	budgets map[string]*budget
 	hedges  *budget
+	counts  Counts
 }
 
 // New returns a dispatcher for an entry in region. The seed must differ between processes, because attempt identifiers
--- a/entry/internal/dispatch/dispatch_test.go
+++ b/entry/internal/dispatch/dispatch_test.go
@@ -62,6 +62,23 @@
 	}
 }
 
+// Guards against an answer that is made again because only its end was lost, and against a result without its attempt,
+// which names a sample.
+func TestEndLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPool(2)
+		p.plan = first(plan{end: "lost", after: 10})
+		r, err := dispatcher(p).Run(t.Context(), job("a", 10))
+		if err != nil {
+			t.Fatalf("run: %v", err)
+		}
+		check(t, r, "a", 10)
+		if p.starts != 1 || r.Attempt != p.streams[0].work.Attempt || r.Server == "" {
+			t.Fatalf("%d attempts, result of %q on %q", p.starts, r.Attempt, r.Server)
+		}
+	})
+}
+
 // Guards against a claim of "not run" without proof, and against silence about work that did not run.
 func TestRan(t *testing.T) {
 	no := refusal.New(refusal.Busy, refusal.NotRun, "full")
@@ -149,6 +166,9 @@
 			}
 			check(t, r, "a", 4)
 		}
+		if n := d.Counts(); n.Requests != requests || int(n.Attempts) != p.starts || n.Requests+n.Hedges != n.Attempts {
+			t.Fatalf("counts %+v, %d attempts", n, p.starts)
+		}
 		if most := requests*105/100 + int(Defaults().HedgeBurst); p.starts > most || p.starts == requests {
 			t.Fatalf("%d attempts for %d requests, at most %d", p.starts, requests, most)
 		}
@@ -160,8 +180,12 @@
 	for _, slow := range []plan{{wait: 30 * time.Second}, {end: "silent", after: 3}, {pace: 800 * time.Millisecond}} {
 		synctest.Test(t, func(t *testing.T) {
 			p := newPool(4)
-			p.plan = first(slow)
 			d := dispatcher(p)
+			// Training waits long in queues, which says nothing of live work.
+			for range 2 * lateSamples {
+				d.route(Engine, "m").latency(Train).observe(60)
+			}
+			p.plan = first(slow)
 			j := job("a", 40)
 			j.Hedge = true
 			r, err := d.Run(t.Context(), j)
--- a/entry/internal/dispatch/race.go
+++ b/entry/internal/dispatch/race.go
@@ -125,6 +125,7 @@
 	w.Server = l.place.Server.Name
 	t := &try{lease: l, work: w, began: now, last: now}
 	c.tries = append(c.tries, t)
+	c.d.sent()
 	c.trace.start(now, w.Attempt, l.place.Daemon, w.Server)
 	ctx, t.cancel = context.WithCancelCause(ctx)
 	go func() {
@@ -275,6 +276,7 @@
 	}
 	at := len(c.tokens)
 	c.idle = 0
+	c.newest = t
 	if c.first.IsZero() {
 		c.first = time.Now()
 	}
--- a/entry/internal/dispatch/route.go
+++ b/entry/internal/dispatch/route.go
@@ -26,8 +26,10 @@
 	tokenBytes = 4
 	// forcedRefresh bounds how often jobs without a server make the list of candidates be read again.
 	forcedRefresh = 2 * time.Millisecond
-	// pollEvery is how often waiting work looks for servers that have appeared.
+	// pollEvery is how often waiting work looks for servers that have appeared; it grows by itself with each pollShare
+	// of waiting jobs, so that a whole step that waits does not take up the entry.
 	pollEvery = 250 * time.Millisecond
+	pollShare = 64
 )
 
 type routeKey struct {
@@ -42,10 +44,16 @@
 	places  map[balance.ID]Candidate
 	synced  time.Time
 	waiters []chan struct{}
+	list    []Candidate        // as the pool gave it last
 	lengths map[string]float64 // part of the largest answer that is used, by profile
-	mean    float64            // seconds until the first token
-	spread  float64            // mean deviation of that
-	count   int
+	first   map[string]*latency
+}
+
+// latency estimates the time until the first token of one class, since training waits far longer than live work.
+type latency struct {
+	mean   float64 // seconds
+	spread float64 // mean deviation in seconds
+	count  int
 }
 
 // lease is the place of one attempt on a server.
@@ -57,6 +65,7 @@
 	owed       int
 	last       time.Time
 	began      time.Time
+	class      string
 	first      bool
 	ended      bool
 }
@@ -71,6 +80,7 @@
 			policy:  balance.NewPaced(f, d.random),
 			places:  make(map[balance.ID]Candidate),
 			lengths: make(map[string]float64),
+			first:   make(map[string]*latency),
 		}
 		d.routes[k] = r
 	}
@@ -89,6 +99,10 @@
 	}
 	r.synced = now
 	candidates := d.pool.Candidates(kind, model)
+	if same(candidates, r.list) {
+		return r
+	}
+	r.list = candidates
 	servers := make([]balance.Server, 0, len(candidates))
 	for _, c := range candidates {
 		servers = append(servers, balance.Server{
@@ -107,6 +121,11 @@
 	return r
 }
 
+// same reports whether two lists are one; the pool returns the same list while nothing has changed.
+func same(a, b []Candidate) bool {
+	return len(a) == len(b) && len(a) > 0 && &a[0] == &b[0]
+}
+
 // place chooses a server and takes a place on it.
 func (d *Dispatcher) place(now time.Time, w *wire.Work, owed int, except []string, fresh bool) (*lease, balance.Verdict) {
 	d.mu.Lock()
@@ -132,7 +151,7 @@
 		return nil, verdict
 	}
 	r.fleet.Start(now, id, owed)
-	return &lease{dispatcher: d, route: r, id: id, place: r.places[id], owed: owed, began: now, last: now}, verdict
+	return &lease{dispatcher: d, route: r, id: id, place: r.places[id], owed: owed, began: now, last: now, class: w.Class}, verdict
 }
 
 // progress records tokens of the attempt.
@@ -145,7 +164,7 @@
 	}
 	if !l.first {
 		l.first = true
-		l.route.observe(now.Sub(l.began).Seconds())
+		l.route.latency(l.class).observe(now.Sub(l.began).Seconds())
 	}
 	l.route.fleet.Progress(now, l.id, tokens, now.Sub(l.last))
 	l.owed -= tokens
@@ -178,21 +197,31 @@
 	d := l.dispatcher
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if l.route.count < lateSamples {
+	e := l.route.latency(l.class)
+	if e.count < lateSamples {
 		return d.settings.HedgeFirst
 	}
-	limit := time.Duration((l.route.mean + lateDeviations*l.route.spread) * float64(time.Second))
+	limit := time.Duration((e.mean + lateDeviations*e.spread) * float64(time.Second))
 	return max(d.settings.HedgeAfter, limit)
 }
 
-func (r *route) observe(seconds float64) {
-	r.count++
-	if r.count == 1 {
-		r.mean, r.spread = seconds, seconds/2
+func (r *route) latency(class string) *latency {
+	e, ok := r.first[class]
+	if !ok {
+		e = &latency{}
+		r.first[class] = e
+	}
+	return e
+}
+
+func (e *latency) observe(seconds float64) {
+	e.count++
+	if e.count == 1 {
+		e.mean, e.spread = seconds, seconds/2
 		return
 	}
-	r.spread += latencyWeight * (math.Abs(seconds-r.mean) - r.spread)
-	r.mean += latencyWeight * (seconds - r.mean)
+	e.spread += latencyWeight * (math.Abs(seconds-e.mean) - e.spread)
+	e.mean += latencyWeight * (seconds - e.mean)
 }
 
 func (r *route) wake() {
@@ -203,14 +232,15 @@
 	r.waiters = r.waiters[1:]
 }
 
-// await waits until a place was given back, at most pollEvery.
+// await waits until a place was given back or it is time to look for new servers.
 func (d *Dispatcher) await(ctx context.Context, w *wire.Work) error {
 	ch := make(chan struct{})
 	d.mu.Lock()
 	r := d.route(target(w))
 	r.waiters = append(r.waiters, ch)
+	poll := time.Duration(1+len(r.waiters)/pollShare) * pollEvery
 	d.mu.Unlock()
-	t := time.NewTimer(pollEvery)
+	t := time.NewTimer(poll)
 	defer t.Stop()
 	select {
 	case <-ch:
@@ -317,6 +347,7 @@
 		r := run{d: d, work: *w, ran: refusal.NotRun}
 		return nil, r.none(verdict)
 	}
+	d.sent()
 	return &Place{Candidate: l.place, lease: l}, nil
 }
 
--- a/entry/internal/dispatch/run.go
+++ b/entry/internal/dispatch/run.go
@@ -35,6 +35,7 @@
 	spans    []wire.Span
 	ran      refusal.Ran
 	last     *refusal.Error
+	newest   *try // attempt that produced tokens last
 	except   []string
 	idle     int
 	hedges   int
@@ -65,7 +66,7 @@
 			return r.result(), err
 		}
 		if r.whole() {
-			return r.finish("length", nil, nil), nil
+			return r.finish("length", nil, r.newest), nil
 		}
 		if err := r.admit(ctx); err != nil {
 			return r.result(), err
@@ -94,9 +95,7 @@
 	res := r.result()
 	res.Finish, res.Reply = reason, reply
 	res.First, res.Wait = r.first, r.wait
-	if t != nil {
-		res.Attempt, res.Daemon, res.Server = t.work.Attempt, t.lease.place.Daemon, t.work.Server
-	}
+	res.Attempt, res.Daemon, res.Server = t.work.Attempt, t.lease.place.Daemon, t.work.Server
 	r.d.learn(&r.work, len(r.tokens))
 	return res
 }
