--- a/scenario/rig/rig.go
+++ b/scenario/rig/rig.go
@@ -19,6 +19,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -40,11 +41,12 @@
 
 // Process is one started program.
 type Process struct {
-	name string
-	log  string
-	cmd  *exec.Cmd
-	done chan struct{} // closed once it has ended
-	err  error
+	name    string
+	program string
+	log     string // file of standard error
+	out     string // file of standard output
+	cmd     *exec.Cmd
+	done    chan struct{} // closed once it has ended
 }
 
 // New returns a rig without processes.
@@ -55,34 +57,51 @@
 // Dir returns the folder of settings and logs.
 func (r *Rig) Dir() string { return r.dir }
 
-// Start starts a program under a name that no running process of the rig has. Its output goes to <name>.log.
+// Start starts a program under a name that no running process of the rig has. Its standard output goes to <name>.out
+// and its standard error is added to <name>.log.
 func (r *Rig) Start(name, program string, args ...string) (*Process, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if p, ok := r.processes[name]; ok && p.Running() {
 		return nil, fmt.Errorf("rig: %s runs already", name)
 	}
-	p := &Process{name: name, log: filepath.Join(r.dir, name+".log"), done: make(chan struct{})}
-	out, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	base := filepath.Join(r.dir, name)
+	p := &Process{name: name, log: base + ".log", out: base + ".out", program: program, done: make(chan struct{})}
+	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = log.Close() }()
+	out, err := os.Create(p.out)
 	if err != nil {
 		return nil, err
 	}
 	defer func() { _ = out.Close() }()
 	p.cmd = exec.Command(filepath.Join(r.bin, program), args...)
 	p.cmd.Stdout = out
-	p.cmd.Stderr = out
+	p.cmd.Stderr = log
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := p.cmd.Start(); err != nil {
 		return nil, err
 	}
 	go func() {
-		p.err = p.cmd.Wait()
+		_ = p.cmd.Wait() // its status is read from ProcessState
 		close(p.done)
 	}()
 	r.processes[name] = p
 	return p, nil
 }
 
+// Restart starts the program of a name that has ended once more, with the same arguments.
+func (r *Rig) Restart(name string) error {
+	p, err := r.Process(name)
+	if err != nil {
+		return err
+	}
+	_, err = r.Start(name, p.program, p.cmd.Args[1:]...)
+	return err
+}
+
 // Process returns the process started last under a name.
 func (r *Rig) Process(name string) (*Process, error) {
 	r.mu.Lock()
@@ -118,6 +137,18 @@
 	return text
 }
 
+// Logged reports whether a text is in any log.
+func (r *Rig) Logged(text string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.processes {
+		if log, err := p.Log(); err == nil && strings.Contains(string(log), text) {
+			return true
+		}
+	}
+	return false
+}
+
 // Running reports whether the process has not ended.
 func (p *Process) Running() bool {
 	select {
@@ -146,6 +177,12 @@
 	}
 }
 
+// Output returns what the process has written to its standard output.
+func (p *Process) Output() ([]byte, error) { return os.ReadFile(p.out) }
+
+// Log returns what all processes of this name have written to their standard error.
+func (p *Process) Log() ([]byte, error) { return os.ReadFile(p.log) }
+
 // Tail returns the end of the log.
 func (p *Process) Tail() string {
 	f, err := os.Open(p.log)
@@ -179,3 +216,16 @@
 		}
 	}
 }
+
+// Size returns the number of running processes.
+func (r *Rig) Size() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, p := range r.processes {
+		if p.Running() {
+			n++
+		}
+	}
+	return n
+}
--- a/standin/internal/cli/cli.go
+++ b/standin/internal/cli/cli.go
@@ -206,7 +206,7 @@
 		Entries: c.Entries, Token: c.Token, Run: c.Name, Step: c.Step, Model: c.Model, Version: c.Version,
 		Groups: c.Groups, Samples: c.Samples, Tokens: c.Tokens, Long: c.Long, Stretch: c.Stretch, Scorer: c.Scorer,
 		Staleness: c.Staleness, Max: c.Max, Wait: c.Wait, Compute: c.Compute, Publish: c.Publish, Keep: c.Keep,
-		Prompt: c.Prompt,
+		Prompt: c.Prompt, Progress: os.Stderr,
 	})
 	if err := json.NewEncoder(os.Stdout).Encode(s); err != nil {
 		return err
--- a/standin/trainer/trainer.go
+++ b/standin/trainer/trainer.go
@@ -53,6 +53,7 @@
 	Publish   int           // samples accepted before new weights are published, 0 for never
 	Keep      bool          // leaves the step open
 	Prompt    string        // beginning of every prompt
+	Progress  io.Writer     // gets a line "held N left M" after each accepted answer; may be nil
 }
 
 type slot struct {
@@ -123,6 +124,9 @@
 			continue
 		}
 		t.accept(answer)
+		if c := t.config; c.Progress != nil {
+			_, _ = fmt.Fprintf(c.Progress, "held %d left %d\n", len(t.held), answer.Left)
+		}
 		done = answer.Done
 		if err := t.compute(ctx, len(answer.Samples)); err != nil {
 			return err
