--- a/entry/internal/operator/operator.go
+++ b/entry/internal/operator/operator.go
@@ -113,12 +113,9 @@
 	if change == "" || len(change) > maxChange {
 		return refusal.New(refusal.BadRequest, refusal.NotRun, "%s must hold 1 to %d bytes", ChangeHeader, maxChange)
 	}
-	var doc wire.Document
-	if err := r.Decode(&doc); err != nil {
-		return err
-	}
-	if err := o.check(r); err != nil {
-		return err
+	doc, err := profile.Parse(r.PostBody())
+	if err != nil {
+		return invalid(err)
 	}
 	doc.Change = change
 	if doc.Author == "" {
@@ -138,12 +135,6 @@
 	return answer(r, held, rev)
 }
 
-// check validates the body as it was sent, since decoding drops what the document does not know.
-func (o *Operator) check(r *gate.Request) error {
-	_, err := profile.Parse(r.PostBody())
-	return invalid(err)
-}
-
 func invalid(err error) error {
 	var e *settings.Error
 	if errors.As(err, &e) {
--- a/internal/profile/profile.go
+++ b/internal/profile/profile.go
@@ -57,6 +57,10 @@
 
 // Check checks a document that was built in this process and returns it with its defaults.
 func Check(d wire.Document) (wire.Document, error) {
+	d.Profiles = append([]wire.Profile{}, d.Profiles...)
+	for i := range d.Profiles {
+		fill(&d.Profiles[i])
+	}
 	text, err := json.Marshal(d)
 	if err != nil {
 		return wire.Document{}, err
