--- /dev/null
+++ b/entry/internal/config/config_test.go
@@ -0,0 +1,225 @@
+package config
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bulrushspoke/internal/store"
+	"bulrushspoke/wire"
+)
+
+// fake is a store with one object. Its next writes lose their answers: a kept one takes effect, a dropped one does not.
+type fake struct {
+	mu      sync.Mutex
+	object  store.Object
+	applied int
+	down    bool
+	lose    []string
+	after   func(s *fake) // runs once, after a lost write
+	watches chan wire.Entry
+}
+
+const (
+	kept    = "kept"
+	dropped = "dropped"
+)
+
+func (s *fake) Get(context.Context, string, string) (store.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return store.Object{}, store.NewDownError(false, "down")
+	}
+	if s.object.Version == 0 {
+		return store.Object{}, &store.AbsentError{}
+	}
+	return s.object, nil
+}
+
+func (s *fake) Create(ctx context.Context, kind, name string, value []byte) (int64, error) {
+	return s.Update(ctx, kind, name, value, 0)
+}
+
+func (s *fake) Update(_ context.Context, kind, name string, value []byte, version int64) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fate := ""
+	if len(s.lose) > 0 {
+		fate, s.lose = s.lose[0], s.lose[1:]
+	}
+	if fate != dropped {
+		if s.object.Version != version {
+			return 0, store.NewConflictError(kind, name, s.object)
+		}
+		s.put(value)
+	}
+	if fate == "" {
+		return s.object.Version, nil
+	}
+	if s.after != nil {
+		s.after(s)
+		s.after = nil
+	}
+	return 0, store.NewDownError(true, "answer lost")
+}
+
+func (s *fake) put(value []byte) {
+	s.object = store.Object{Value: value, Version: s.object.Version + 1}
+	s.applied++
+}
+
+func (s *fake) Watch(ctx context.Context, _, _ string, _ int64, _ time.Duration) (wire.Listing, error) {
+	select {
+	case e := <-s.watches:
+		return wire.Listing{Objects: []wire.Entry{e}}, nil
+	case <-ctx.Done():
+		return wire.Listing{}, ctx.Err()
+	}
+}
+
+func document(change, profile string) wire.Document {
+	return wire.Document{Change: change, Profiles: []wire.Profile{{Name: profile, Class: "live"}}}
+}
+
+func text(d wire.Document) []byte {
+	for i := range d.Profiles {
+		d.Profiles[i].Deadline, d.Profiles[i].Tokens, d.Profiles[i].Concurrency = "1s", 1, 1
+	}
+	b, _ := json.Marshal(d)
+	return b
+}
+
+func newHolder(s *fake) *Holder {
+	return New(s, rand.New(rand.NewPCG(1, 2)), slog.New(slog.DiscardHandler))
+}
+
+// Guards against a race of operators that merges or hides a change, and against a change that is written twice.
+func TestApplyRace(t *testing.T) {
+	s := &fake{}
+	h := newHolder(s)
+	rev, err := h.Apply(t.Context(), document("first", "a"), 0)
+	if err != nil || rev != 1 {
+		t.Fatalf("first change: revision %d, %v", rev, err)
+	}
+	_, err = h.Apply(t.Context(), document("second", "b"), 0)
+	var conflict *ConflictError
+	if !errors.As(err, &conflict) || conflict.Possible() {
+		t.Fatalf("second change on an old revision: %v", err)
+	}
+	if winner, rev := conflict.Winner(); winner.Change != "first" || rev != 1 {
+		t.Fatalf("winner %+v at revision %d", winner, rev)
+	}
+	if rev, err := h.Apply(t.Context(), document("first", "a"), 0); err != nil || rev != 1 || s.applied != 1 {
+		t.Fatalf("the repeated change: revision %d, %d writes, %v", rev, s.applied, err)
+	}
+	if _, ok := h.Profile("b"); ok {
+		t.Fatal("the lost change is in force")
+	}
+}
+
+// Guards against a change that is reported wrongly, or written twice, because the store's answer was lost.
+func TestApplyLostAnswer(t *testing.T) {
+	other := text(document("other", "b"))
+	cases := []struct {
+		name    string
+		lose    []string
+		after   func(*fake)
+		applied int
+		rev     int64
+		winner  string
+	}{
+		{name: "took effect", lose: []string{kept}, applied: 1, rev: 1},
+		{name: "did not take effect", lose: []string{dropped, dropped}, applied: 1, rev: 1},
+		{name: "lost twice", lose: []string{dropped, kept}, applied: 1, rev: 1},
+		{name: "overwritten", lose: []string{kept}, after: func(s *fake) { s.put(other) }, applied: 2, winner: "other"},
+		{name: "lost the race", lose: []string{dropped}, after: func(s *fake) { s.put(other) }, applied: 1, winner: "other"},
+	}
+	for _, c := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			s := &fake{lose: c.lose, after: c.after}
+			rev, err := newHolder(s).Apply(t.Context(), document("mine", "a"), 0)
+			var conflict *ConflictError
+			if errors.As(err, &conflict) != (c.winner != "") || err != nil && conflict == nil {
+				t.Fatalf("%s: %v", c.name, err)
+			}
+			if conflict != nil && (conflict.winner.Change != c.winner || !conflict.Possible()) {
+				t.Fatalf("%s: conflict %+v", c.name, conflict)
+			}
+			if rev != c.rev || s.applied != c.applied {
+				t.Fatalf("%s: revision %d, %d writes", c.name, rev, s.applied)
+			}
+		})
+	}
+}
+
+// Guards against a change that is called refused although it may be in force.
+func TestApplyUnresolved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fake{lose: []string{kept}, after: func(s *fake) { s.down = true }}
+		_, err := newHolder(s).Apply(t.Context(), document("mine", "a"), 0)
+		var down *store.DownError
+		if !errors.As(err, &down) || !down.Ambiguous() {
+			t.Fatalf("a change that cannot be read back: %v", err)
+		}
+	})
+}
+
+// Guards against a configuration that reverts because an older watch event, peer or invalid content comes later.
+func TestHigherRevisionsOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fake{watches: make(chan wire.Entry)}
+		h := newHolder(s)
+		var seen []int64
+		h.OnChange(func(rev int64) { seen = append(seen, rev) })
+		go func() { _ = h.Serve(t.Context()) }()
+		for _, e := range []wire.Entry{
+			{Name: Name, Version: 7, Value: text(document("seven", "a"))},
+			{Name: Name, Version: 5, Value: text(document("five", "b"))},
+			{Name: Name, Version: 8, Value: []byte(`{"profiles": 1}`)},
+			{Name: Name, Version: 9, Gone: true},
+		} {
+			s.watches <- e
+		}
+		synctest.Wait()
+		doc, rev := h.Document()
+		if rev != 7 || doc.Change != "seven" || len(seen) != 1 {
+			t.Fatalf("revision %d, change %s, changes %v", rev, doc.Change, seen)
+		}
+	})
+}
+
+type peers struct{ held wire.Config }
+
+func (p *peers) Fetch(_ context.Context, rev int64) (wire.Config, bool) {
+	return p.held, p.held.Rev >= rev
+}
+
+// Guards against an entry that starts in a store outage and stays without the configuration that its peers hold, or
+// keeps work waiting for a revision that a peer has.
+func TestPeersInOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fake{down: true, watches: make(chan wire.Entry)}
+		h := newHolder(s)
+		p := &peers{held: wire.Config{Rev: 3, Value: text(document("three", "a"))}}
+		h.Use(p)
+		go func() { _ = h.Serve(t.Context()) }()
+		time.Sleep(time.Second)
+		synctest.Wait()
+		if h.Revision() != 3 {
+			t.Fatalf("revision %d, the peer holds 3", h.Revision())
+		}
+		p.held = wire.Config{Rev: 4, Value: text(document("four", "a"))}
+		h.Notice(4)
+		h.Offer(t.Context(), 4)
+		if h.Revision() != 4 {
+			t.Fatalf("revision %d after word of 4", h.Revision())
+		}
+	})
+}
