--- a/entry/internal/cli/adapt.go
+++ b/entry/internal/cli/adapt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"bulrushspoke/entry/internal/claim"
 	"bulrushspoke/entry/internal/daemon"
 	"bulrushspoke/entry/internal/dispatch"
 	"bulrushspoke/internal/refusal"
@@ -44,6 +45,14 @@
 	return dispatch.Event(e), err
 }
 
+// noClaims refuses calls that must not be repeated until package claim can run them.
+type noClaims struct{}
+
+// Run implements caller.Claims.
+func (noClaims) Run(context.Context, claim.Call) (wire.Reply, error) {
+	return wire.Reply{}, refusal.New(refusal.Unready, refusal.NotRun, "this release runs no unrepeatable calls")
+}
+
 // peerHandler serves the messages of other entries.
 type peerHandler struct {
 	*entry
--- a/entry/internal/cli/build.go
+++ b/entry/internal/cli/build.go
@@ -14,6 +14,7 @@
 	"github.com/oklog/ulid/v2"
 	"github.com/valyala/fasthttp"
 
+	"bulrushspoke/entry/internal/caller"
 	settled "bulrushspoke/entry/internal/config"
 	"bulrushspoke/entry/internal/daemon"
 	"bulrushspoke/entry/internal/dispatch"
@@ -109,6 +110,8 @@
 		Write:  c.Timeouts.Write.Std(),
 		Idle:   c.Timeouts.Idle.Std(),
 	}, e.holder, logger)
+	prompt := caller.Limits{Prompt: c.Limits.Body}
+	caller.New(e.dispatcher, noClaims{}, e.holder, prompt, caller.NewMeters(m), logger).Register(e.gate)
 	operator.New(operator.Options{
 		Config:  e.holder,
 		Pool:    e.pool,
--- a/entry/internal/cli/settings.go
+++ b/entry/internal/cli/settings.go
@@ -1,17 +1,14 @@
 package cli
 
 import (
-	_ "embed" // the schema
 	"fmt"
 	"time"
 
+	"bulrushspoke/internal/schema"
 	"bulrushspoke/internal/settings"
 	"bulrushspoke/wire"
 )
 
-//go:embed schema.json
-var schema []byte
-
 // config is the settings file; docs/settings.md describes each setting.
 type config struct {
 	Name   string `json:"name"`
@@ -93,7 +90,7 @@
 // load reads the settings file; its error is a *settings.Error if the file can be read.
 func load(path string) (config, error) {
 	c := defaults()
-	if err := settings.Load(path, schema, &c); err != nil {
+	if err := settings.Load(path, schema.Entry, &c); err != nil {
 		return config{}, err
 	}
 	if c.Link.Advertise == "" {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -14,7 +14,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -161,3 +163,29 @@
 	}
 	return value
 }
+
+// Names returns the settings of a schema by their path with dots, such as link.listen, without those inside of lists.
+func Names(schema []byte) ([]string, error) {
+	var s property
+	if err := json.Unmarshal(schema, &s); err != nil {
+		return nil, eris.Wrap(err, "settings: schema")
+	}
+	return s.names(""), nil
+}
+
+type property struct {
+	Properties map[string]property `json:"properties"`
+}
+
+func (p property) names(prefix string) []string {
+	var l []string
+	for _, n := range slices.Sorted(maps.Keys(p.Properties)) {
+		child := p.Properties[n]
+		if len(child.Properties) == 0 {
+			l = append(l, prefix+n)
+			continue
+		}
+		l = append(l, child.names(prefix+n+".")...)
+	}
+	return l
+}
