--- /dev/null
+++ b/ctl/internal/cli/config.go
@@ -0,0 +1,325 @@
+package cli
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/oklog/ulid/v2"
+	"github.com/valyala/fasthttp"
+
+	"bulrushspoke/internal/profile"
+	"bulrushspoke/internal/schema"
+	"bulrushspoke/internal/settings"
+	"bulrushspoke/wire"
+)
+
+// applyTries is how often a change whose outcome is unknown is sent, always with the same identifier.
+const applyTries = 3
+
+type check struct {
+	*app
+	Kind string `long:"kind" choice:"entry" choice:"profiles" description:"kind of the files; by default it is told from their content"`
+	Args struct {
+		Files []string `positional-arg-name:"FILE" required:"1"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// verdict is the result for one file.
+type verdict struct {
+	File  string `json:"file"`
+	Kind  string `json:"kind"`
+	Valid bool   `json:"valid"`
+	Fault string `json:"fault,omitempty"`
+}
+
+// Execute implements flags.Commander.
+func (c *check) Execute([]string) error {
+	var l []verdict
+	var first error
+	for _, f := range c.Args.Files {
+		text, err := os.ReadFile(f)
+		if err != nil {
+			return err
+		}
+		kind := c.Kind
+		if kind == "" {
+			kind = kindOf(text)
+		}
+		v := verdict{File: f, Kind: kind, Valid: true}
+		if err := checkText(kind, text); err != nil {
+			v.Valid, v.Fault = false, err.Error()
+			if first == nil {
+				first = err
+			}
+		}
+		l = append(l, v)
+	}
+	err := c.print(l, "FILE\tKIND\tRESULT", func(w io.Writer) {
+		for _, v := range l {
+			result := "valid"
+			if !v.Valid {
+				result = v.Fault
+			}
+			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\n", v.File, v.Kind, result)
+		}
+	})
+	if first != nil {
+		return first
+	}
+	return err
+}
+
+// kindOf tells the kind of a file from its fields.
+func kindOf(text []byte) string {
+	var fields map[string]json.RawMessage
+	_ = json.Unmarshal(text, &fields) // a file that is no JSON is found invalid as either kind
+	if _, ok := fields["profiles"]; ok {
+		return "profiles"
+	}
+	return "entry"
+}
+
+func checkText(kind string, text []byte) error {
+	if kind == "profiles" {
+		_, err := profile.Parse(text)
+		return err
+	}
+	var v map[string]any
+	return settings.Parse(text, schema.Entry, &v)
+}
+
+type list struct {
+	*app
+}
+
+// Execute implements flags.Commander.
+func (c *list) Execute([]string) error {
+	var a wire.ConfigAnswer
+	if err := c.get("/v1/config", &a); err != nil {
+		return err
+	}
+	return c.table(a)
+}
+
+// table prints a configuration.
+func (a *app) table(c wire.ConfigAnswer) error {
+	if !a.JSON {
+		_, _ = fmt.Fprintf(a.out, "revision %d by %s, change %s\n", c.Revision, c.Document.Author, c.Document.Change)
+	}
+	return a.print(c, "PROFILE\tCLASS\tONCE\tHEDGE\tSTALENESS\tDEADLINE\tTOKENS\tCONCURRENCY", func(w io.Writer) {
+		for _, p := range c.Document.Profiles {
+			_, _ = fmt.Fprintf(w, "%s\t%s\t%t\t%t\t%d\t%s\t%d\t%d\n", p.Name, p.Class, p.Once, p.Hedge, p.Staleness,
+				p.Deadline, p.Tokens, p.Concurrency)
+		}
+	})
+}
+
+type show struct {
+	*app
+	Args struct {
+		Name string `positional-arg-name:"PROFILE" description:"only this profile"`
+	} `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *show) Execute([]string) error {
+	var a wire.ConfigAnswer
+	if err := c.get("/v1/config", &a); err != nil {
+		return err
+	}
+	if c.Args.Name == "" {
+		if c.JSON {
+			return c.encode(a)
+		}
+		return c.encode(file{Profiles: a.Document.Profiles})
+	}
+	for _, p := range a.Document.Profiles {
+		if p.Name == c.Args.Name {
+			return c.encode(p)
+		}
+	}
+	return &exitError{status: exitAbsent, text: fmt.Sprintf("no profile %s at revision %d", c.Args.Name, a.Revision)}
+}
+
+// file is the content of a profile file.
+type file struct {
+	Profiles []wire.Profile `json:"profiles"`
+}
+
+type diff struct {
+	*app
+	Args struct {
+		File string `positional-arg-name:"FILE"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// difference is one profile that differs.
+type difference struct {
+	Profile string        `json:"profile"`
+	Force   *wire.Profile `json:"force"`
+	File    *wire.Profile `json:"file"`
+}
+
+// Execute implements flags.Commander.
+func (c *diff) Execute([]string) error {
+	doc, err := read(c.Args.File)
+	if err != nil {
+		return err
+	}
+	var a wire.ConfigAnswer
+	if err := c.get("/v1/config", &a); err != nil {
+		return err
+	}
+	l := compare(a.Document.Profiles, doc.Profiles)
+	if len(l) == 0 && !c.JSON {
+		_, _ = fmt.Fprintf(c.out, "no difference to revision %d\n", a.Revision)
+		return nil
+	}
+	err = c.print(l, "PROFILE\tIN FORCE\tIN THE FILE", func(w io.Writer) {
+		for _, d := range l {
+			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\n", d.Profile, describe(d.Force, d.File), describe(d.File, d.Force))
+		}
+	})
+	if err != nil || len(l) == 0 {
+		return err
+	}
+	return &exitError{status: exitDifferent, text: fmt.Sprintf("%d profiles differ from revision %d", len(l), a.Revision)}
+}
+
+// compare returns the profiles that differ in order of name.
+func compare(force, file []wire.Profile) []difference {
+	byName := make(map[string]difference)
+	for _, p := range force {
+		byName[p.Name] = difference{Profile: p.Name, Force: &p}
+	}
+	for _, p := range file {
+		d := byName[p.Name]
+		d.Profile, d.File = p.Name, &p
+		byName[p.Name] = d
+	}
+	l := []difference{}
+	for _, d := range byName {
+		if !cmp.Equal(d.Force, d.File) {
+			l = append(l, d)
+		}
+	}
+	slices.SortFunc(l, func(a, b difference) int { return strings.Compare(a.Profile, b.Profile) })
+	return l
+}
+
+// describe lists the fields of p that differ from other.
+func describe(p, other *wire.Profile) string {
+	if p == nil {
+		return "absent"
+	}
+	if other == nil {
+		return "present"
+	}
+	var l []string
+	mine, theirs := fields(p), fields(other)
+	for i := range mine {
+		if mine[i] != theirs[i] {
+			l = append(l, mine[i])
+		}
+	}
+	return strings.Join(l, " ")
+}
+
+func fields(p *wire.Profile) []string {
+	return []string{
+		"class=" + p.Class,
+		fmt.Sprintf("once=%t", p.Once),
+		fmt.Sprintf("hedge=%t", p.Hedge),
+		fmt.Sprintf("staleness=%d", p.Staleness),
+		"deadline=" + p.Deadline,
+		fmt.Sprintf("tokens=%d", p.Tokens),
+		fmt.Sprintf("concurrency=%d", p.Concurrency),
+	}
+}
+
+func read(path string) (wire.Document, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return wire.Document{}, err
+	}
+	return profile.Parse(text)
+}
+
+type apply struct {
+	*app
+	Revision int64  `long:"revision" default:"-1" default-mask:"the one in force" value-name:"N" description:"revision that the change replaces; 0 stands for none"`
+	Change   string `long:"change" default-mask:"a new one" value-name:"ID" description:"identifier of the change"`
+	Author   string `long:"author" env:"USER" value-name:"NAME" description:"who makes the change"`
+	Args     struct {
+		File string `positional-arg-name:"FILE"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *apply) Execute([]string) error {
+	doc, err := read(c.Args.File)
+	if err != nil {
+		return err
+	}
+	if c.Revision < 0 {
+		var a wire.ConfigAnswer
+		if err := c.get("/v1/config", &a); err != nil {
+			return err
+		}
+		c.Revision = a.Revision
+	}
+	if c.Change == "" {
+		c.Change = ulid.Make().String()
+	}
+	doc.Author = c.Author
+	body, err := json.Marshal(doc)
+	if err != nil {
+		return err
+	}
+	return c.send(body)
+}
+
+// send makes the change. Its identifier makes a repeated try harmless.
+func (c *apply) send(body []byte) error {
+	header := map[string]string{fasthttp.HeaderIfMatch: strconv.FormatInt(c.Revision, 10), "Change-Id": c.Change}
+	unknown := false
+	var last *exitError
+	for range applyTries {
+		var a wire.ConfigAnswer
+		status, text, err := c.call(fasthttp.MethodPut, "/v1/config", header, body, &a)
+		if err == nil {
+			return c.table(a)
+		}
+		if status == fasthttp.StatusConflict {
+			return c.lost(text, err)
+		}
+		if !errors.As(err, &last) {
+			return err
+		}
+		unknown = unknown || last.status == exitUnknown
+		if !unknown {
+			return err
+		}
+	}
+	text := fmt.Sprintf("%s; repeat with --revision %d --change %s", last.text, c.Revision, c.Change)
+	return &exitError{status: exitUnknown, text: text}
+}
+
+// lost prints the winner of a race.
+func (c *apply) lost(text []byte, cause error) error {
+	var w wire.ConfigConflict
+	if err := json.Unmarshal(text, &w); err != nil {
+		return cause
+	}
+	if err := c.table(w.Winner); err != nil {
+		return err
+	}
+	return &exitError{status: exitConflict, text: cause.Error()}
+}
