--- a/ctl/internal/cli/config.go
+++ b/ctl/internal/cli/config.go
@@ -24,7 +24,7 @@
 const applyTries = 3
 
 type check struct {
-	*app
+	app  *app
 	Kind string `long:"kind" choice:"entry" choice:"profiles" description:"kind of the files; by default it is told from their content"`
 	Args struct {
 		Files []string `positional-arg-name:"FILE" required:"1"`
@@ -61,7 +61,7 @@
 		}
 		l = append(l, v)
 	}
-	err := c.print(l, "FILE\tKIND\tRESULT", func(w io.Writer) {
+	err := c.app.print(l, "FILE\tKIND\tRESULT", func(w io.Writer) {
 		for _, v := range l {
 			result := "valid"
 			if !v.Valid {
@@ -96,16 +96,16 @@
 }
 
 type list struct {
-	*app
+	app *app
 }
 
 // Execute implements flags.Commander.
 func (c *list) Execute([]string) error {
 	var a wire.ConfigAnswer
-	if err := c.get("/v1/config", &a); err != nil {
+	if err := c.app.get("/v1/config", &a); err != nil {
 		return err
 	}
-	return c.table(a)
+	return c.app.table(a)
 }
 
 // table prints a configuration.
@@ -122,7 +122,7 @@
 }
 
 type show struct {
-	*app
+	app  *app
 	Args struct {
 		Name string `positional-arg-name:"PROFILE" description:"only this profile"`
 	} `positional-args:"yes"`
@@ -131,18 +131,18 @@
 // Execute implements flags.Commander.
 func (c *show) Execute([]string) error {
 	var a wire.ConfigAnswer
-	if err := c.get("/v1/config", &a); err != nil {
+	if err := c.app.get("/v1/config", &a); err != nil {
 		return err
 	}
 	if c.Args.Name == "" {
-		if c.JSON {
-			return c.encode(a)
+		if c.app.JSON {
+			return c.app.encode(a)
 		}
-		return c.encode(file{Profiles: a.Document.Profiles})
+		return c.app.encode(file{Profiles: a.Document.Profiles})
 	}
 	for _, p := range a.Document.Profiles {
 		if p.Name == c.Args.Name {
-			return c.encode(p)
+			return c.app.encode(p)
 		}
 	}
 	return &exitError{status: exitAbsent, text: fmt.Sprintf("no profile %s at revision %d", c.Args.Name, a.Revision)}
@@ -154,7 +154,7 @@
 }
 
 type diff struct {
-	*app
+	app  *app
 	Args struct {
 		File string `positional-arg-name:"FILE"`
 	} `positional-args:"yes" required:"yes"`
@@ -174,15 +174,15 @@
 		return err
 	}
 	var a wire.ConfigAnswer
-	if err := c.get("/v1/config", &a); err != nil {
+	if err := c.app.get("/v1/config", &a); err != nil {
 		return err
 	}
 	l := compare(a.Document.Profiles, doc.Profiles)
-	if len(l) == 0 && !c.JSON {
-		_, _ = fmt.Fprintf(c.out, "no difference to revision %d\n", a.Revision)
+	if len(l) == 0 && !c.app.JSON {
+		_, _ = fmt.Fprintf(c.app.out, "no difference to revision %d\n", a.Revision)
 		return nil
 	}
-	err = c.print(l, "PROFILE\tIN FORCE\tIN THE FILE", func(w io.Writer) {
+	err = c.app.print(l, "PROFILE\tIN FORCE\tIN THE FILE", func(w io.Writer) {
 		for _, d := range l {
 			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\n", d.Profile, describe(d.Force, d.File), describe(d.File, d.Force))
 		}
@@ -253,7 +253,7 @@
 }
 
 type apply struct {
-	*app
+	app      *app
 	Revision int64  `long:"revision" default:"-1" default-mask:"the one in force" value-name:"N" description:"revision that the change replaces; 0 stands for none"`
 	Change   string `long:"change" default-mask:"a new one" value-name:"ID" description:"identifier of the change"`
 	Author   string `long:"author" env:"USER" value-name:"NAME" description:"who makes the change"`
@@ -270,7 +270,7 @@
 	}
 	if c.Revision < 0 {
 		var a wire.ConfigAnswer
-		if err := c.get("/v1/config", &a); err != nil {
+		if err := c.app.get("/v1/config", &a); err != nil {
 			return err
 		}
 		c.Revision = a.Revision
@@ -293,9 +293,9 @@
 	var last *exitError
 	for range applyTries {
 		var a wire.ConfigAnswer
-		status, text, err := c.call(fasthttp.MethodPut, "/v1/config", header, body, &a)
+		status, text, err := c.app.call(fasthttp.MethodPut, "/v1/config", header, body, &a)
 		if err == nil {
-			return c.table(a)
+			return c.app.table(a)
 		}
 		if status == fasthttp.StatusConflict {
 			return c.lost(text, err)
@@ -318,7 +318,7 @@
 	if err := json.Unmarshal(text, &w); err != nil {
 		return cause
 	}
-	if err := c.table(w.Winner); err != nil {
+	if err := c.app.table(w.Winner); err != nil {
 		return err
 	}
 	return &exitError{status: exitConflict, text: cause.Error()}
--- a/ctl/internal/cli/fleet.go
+++ b/ctl/internal/cli/fleet.go
@@ -12,16 +12,16 @@
 )
 
 type upstreams struct {
-	*app
+	app *app
 }
 
 // Execute implements flags.Commander.
 func (c *upstreams) Execute([]string) error {
 	var l wire.UpstreamList
-	if err := c.get("/v1/upstreams", &l); err != nil {
+	if err := c.app.get("/v1/upstreams", &l); err != nil {
 		return err
 	}
-	return c.print(l, "DAEMON\tSERVER\tKIND\tMODEL\tREGION\tDOMAIN\tVERSION\tIN FLIGHT\tSLOTS\tSTATE", func(w io.Writer) {
+	return c.app.print(l, "DAEMON\tSERVER\tKIND\tMODEL\tREGION\tDOMAIN\tVERSION\tIN FLIGHT\tSLOTS\tSTATE", func(w io.Writer) {
 		for _, u := range l.Upstreams {
 			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%s\n", u.Daemon, u.Server.Name, u.Server.Kind,
 				u.Server.Model, u.Region, u.Domain, u.Server.Version, u.Inflight, u.Server.Slots, state(u))
@@ -52,16 +52,16 @@
 }
 
 type steps struct {
-	*app
+	app *app
 }
 
 // Execute implements flags.Commander.
 func (c *steps) Execute([]string) error {
 	var l wire.StepList
-	if err := c.get("/v1/steps", &l); err != nil {
+	if err := c.app.get("/v1/steps", &l); err != nil {
 		return err
 	}
-	return c.print(l, "RUN\tSTEP\tMODEL\tVERSION\tSTATE\tDONE\tWANTED\tRUNNING\tSTALE\tOWNER\tEPOCH", func(w io.Writer) {
+	return c.app.print(l, "RUN\tSTEP\tMODEL\tVERSION\tSTATE\tDONE\tWANTED\tRUNNING\tSTALE\tOWNER\tEPOCH", func(w io.Writer) {
 		for _, s := range l.Steps {
 			_, _ = fmt.Fprintf(w, "%s\t%d\t%s\t%d\t%s\t%d\t%d\t%d\t%d\t%s\t%d\n", s.Run, s.Step, s.Model, s.Version, s.State,
 				s.Done, s.Slots, s.Running, s.Stale, s.Owner, s.Epoch)
@@ -70,7 +70,7 @@
 }
 
 type explain struct {
-	*app
+	app  *app
 	Args struct {
 		ID string `positional-arg-name:"ID" description:"request identifier"`
 	} `positional-args:"yes" required:"yes"`
@@ -79,13 +79,13 @@
 // Execute implements flags.Commander.
 func (c *explain) Execute([]string) error {
 	var t wire.Trace
-	if err := c.get("/v1/explain/"+segment(c.Args.ID), &t); err != nil {
+	if err := c.app.get("/v1/explain/"+segment(c.Args.ID), &t); err != nil {
 		return err
 	}
-	if !c.JSON {
-		_, _ = fmt.Fprintf(c.out, "request %s of %s under %s: %s %s\n", t.Request, t.Tenant, t.Profile, t.State, t.Code)
+	if !c.app.JSON {
+		_, _ = fmt.Fprintf(c.app.out, "request %s of %s under %s: %s %s\n", t.Request, t.Tenant, t.Profile, t.State, t.Code)
 	}
-	return c.print(t, "ATTEMPT\tDAEMON\tSERVER\tSTART (UNIX MS)\tTOOK (MS)\tVERSIONS\tOUTCOME", func(w io.Writer) {
+	return c.app.print(t, "ATTEMPT\tDAEMON\tSERVER\tSTART (UNIX MS)\tTOOK (MS)\tVERSIONS\tOUTCOME", func(w io.Writer) {
 		for _, y := range t.Tries {
 			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%s\t%s\n", y.Attempt, y.Daemon, y.Server, y.Start, y.Whole,
 				spans(y.Spans), y.Outcome)
@@ -103,7 +103,7 @@
 }
 
 type drain struct {
-	*app
+	app    *app
 	Reason string `long:"reason" value-name:"TEXT" description:"text for the logs"`
 	Args   struct {
 		Name string `positional-arg-name:"NAME" description:"name of the daemon"`
@@ -116,14 +116,14 @@
 	if err != nil {
 		return err
 	}
-	if _, _, err := c.call(fasthttp.MethodPost, "/v1/upstreams/"+segment(c.Args.Name)+"/drain", nil, body, nil); err != nil {
+	if _, _, err := c.app.call(fasthttp.MethodPost, "/v1/upstreams/"+segment(c.Args.Name)+"/drain", nil, body, nil); err != nil {
 		return err
 	}
-	if c.JSON {
-		return c.encode(struct {
+	if c.app.JSON {
+		return c.app.encode(struct {
 			Daemon string `json:"daemon"`
 		}{c.Args.Name})
 	}
-	_, _ = fmt.Fprintf(c.out, "daemon %s was asked to leave\n", c.Args.Name)
+	_, _ = fmt.Fprintf(c.app.out, "daemon %s was asked to leave\n", c.Args.Name)
 	return nil
 }
