--- a/entry/internal/dispatch/budget.go
+++ b/entry/internal/dispatch/budget.go
@@ -26,8 +26,8 @@
 	return true
 }
 
-// offer counts a request in the budgets.
-func (d *Dispatcher) offer(tenant string, hedge bool) {
+// Offer counts a request in the budgets.
+func (d *Dispatcher) Offer(tenant string, hedge bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.budget(tenant).deposit()
@@ -36,8 +36,8 @@
 	}
 }
 
-// repeat pays for a retry of the tenant.
-func (d *Dispatcher) repeat(tenant string) bool {
+// Repeat pays for a retry of the tenant and reports whether it may be made.
+func (d *Dispatcher) Repeat(tenant string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.budget(tenant).take()
--- a/entry/internal/dispatch/route.go
+++ b/entry/internal/dispatch/route.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"bulrushspoke/internal/balance"
+	"bulrushspoke/internal/refusal"
 	"bulrushspoke/wire"
 )
 
@@ -283,3 +284,41 @@
 		}
 	}
 }
+
+// Place is a place on a server, taken for work that another package sends.
+type Place struct {
+	Candidate
+	lease *lease
+}
+
+// End gives the place back; done tells whether the server answered.
+func (p *Place) End(now time.Time, done bool) {
+	if done {
+		p.lease.progress(now, 1)
+	}
+	p.lease.end(now)
+}
+
+// Choose takes a place for w on a server that skip does not exclude. Its error is a *refusal.Error, not run.
+func (d *Dispatcher) Choose(now time.Time, w *wire.Work, skip func(Candidate) bool) (*Place, error) {
+	var except []string
+	d.mu.Lock()
+	for _, c := range d.sync(now, Service, w.Model, false).places {
+		if skip(c) {
+			except = append(except, c.Server.Name)
+		}
+	}
+	d.mu.Unlock()
+	l, verdict := d.place(now, w, 1, except, false)
+	if l == nil {
+		l, verdict = d.place(now, w, 1, except, true)
+	}
+	if l == nil {
+		r := run{d: d, work: *w, ran: refusal.NotRun}
+		return nil, r.none(verdict)
+	}
+	return &Place{Candidate: l.place, lease: l}, nil
+}
+
+// Attempt returns a new attempt identifier.
+func (d *Dispatcher) Attempt(now time.Time) string { return d.attempt(now) }
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -1108,6 +1108,9 @@
 	// Tokens of an earlier attempt that this one resumes after.
 	Held []string `json:"held,omitempty,omitzero"`
 
+	// Daemon incarnation that the claim names; no other may receive the work.
+	Inc string `json:"inc,omitempty,omitzero"`
+
 	// Idempotency key of an unrepeatable request, with its tenant.
 	Key string `json:"key,omitempty,omitzero"`
 
