Delete old claims, and let suspects wait for an empty server

Cause: claims were kept for ever; a live suspect that waits for its server to become empty was moved every 30 s and used up the retry budget, which a random history found. Conclusion: tests pass with -race.

--- a/entry/internal/claim/claim_test.go
+++ b/entry/internal/claim/claim_test.go
@@ -193,3 +193,53 @@
 		}
 	})
 }
+
+// List implements Swept.
+func (o *objects) List(context.Context, string, string) (wire.Listing, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var l wire.Listing
+	for name, v := range o.values {
+		l.Objects = append(l.Objects, wire.Entry{Name: name, Version: v.Version})
+	}
+	return l, nil
+}
+
+// Delete implements Swept.
+func (o *objects) Delete(_ context.Context, _, name string, version int64) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.values[name].Version != version {
+		return store.NewConflictError(Kind, name, o.values[name])
+	}
+	delete(o.values, name)
+	return nil
+}
+
+type half struct{}
+
+func (half) Float64() float64 { return 0.5 }
+
+// Guards against claims that pile up in the store, and against deletion of one that still protects its call.
+func TestSweep(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o, d := world(nil, nil, nil)
+		c := claims(o, d, 1)
+		for i := range 48 {
+			if r := call(c, "r", fmt.Sprintf("k%d", i), "b"); r.refused != nil {
+				t.Fatalf("call: %v", r.refused)
+			}
+			time.Sleep(time.Hour)
+		}
+		// Half an hour keeps the time that the calls took from deciding over a claim.
+		n, err := NewSweeper(o, half{}).Sweep(t.Context(), time.Now().Add(-30*time.Minute))
+		if err != nil || n != 24 || len(o.values) != 24 {
+			t.Fatalf("deleted %d, %d left: %v", n, len(o.values), err)
+		}
+		for i := 24; i < 48; i++ {
+			if _, ok := o.values[fmt.Sprintf("t.k%d", i)]; !ok {
+				t.Fatalf("claim of hour %d is gone", i)
+			}
+		}
+	})
+}
--- a/entry/internal/cli/build.go
+++ b/entry/internal/cli/build.go
@@ -43,6 +43,7 @@
 	peers      *peer.Peers
 	poller     *instances.Poller
 	dispatcher *dispatch.Dispatcher
+	sweeper    *claim.Sweeper
 	gate       *gate.Gate
 	links      *fasthttp.Server
 }
@@ -123,6 +124,7 @@
 	claims := claim.New(e.store, links, e.dispatcher, e.holder, claim.Defaults(), logger)
 	limits := caller.Limits{Prompt: c.Limits.Body, Tokens: c.Limits.Tokens}
 	caller.New(e.dispatcher, claims, e.holder, limits, caller.NewMeters(m), logger).Register(e.gate)
+	e.sweeper = claim.NewSweeper(e.store, jitter)
 	e.links = &fasthttp.Server{
 		Handler:               e.accept,
 		NoDefaultServerHeader: true,
@@ -177,6 +179,7 @@
 	tree.Add(supervise.Task("entries", e.peers.Serve))
 	tree.Add(supervise.Task("configuration", e.holder.Serve))
 	tree.Add(supervise.Task("instances", e.poller.Serve))
+	tree.Add(supervise.Task("old claims", e.sweeper.Serve))
 	tree.Add(supervise.Task("http", func(ctx context.Context) error {
 		if err := e.gate.Serve(public); err != nil {
 			return err
--- a/entry/internal/dispatch/race.go
+++ b/entry/internal/dispatch/race.go
@@ -400,8 +400,11 @@
 	return max(0, min(d, at.Sub(now)))
 }
 
-// stalls reports whether silence of an attempt counts. Training that has not begun waits in a queue, as long as it takes.
-func (c *race) stalls(t *try) bool { return c.work.Class == Live || t.produced > 0 }
+// stalls reports whether silence of an attempt counts. Training that has not begun waits in a queue, and a suspect until
+// its server is empty, as long as it takes.
+func (c *race) stalls(t *try) bool {
+	return t.produced > 0 || (c.work.Class == Live && !t.work.Solo)
+}
 
 // stalled returns an attempt that has made no progress for too long, or nil.
 func (c *race) stalled(now time.Time) *try {
