Refuse a keyed request as unknown while its claim cannot be read

Cause: in a store outage a repeat of a call that had run was refused as not run, because the repeat itself sent nothing; its caller could take a new key and repeat the work. Ruled out: proof by asking the daemons, since an earlier incarnation may have run it. Change: store_down and refusals at the door of a request with a key say unknown. Figures: the new test TestRepeatInOutage fails before (ran: no after 1 run) and passes after.

--- a/entry/internal/caller/caller.go
+++ b/entry/internal/caller/caller.go
@@ -26,7 +26,7 @@
 const VersionsHeader = "Bulrush-Versions"
 
 // KeyHeader carries the idempotency key of a call that must not be repeated.
-const KeyHeader = "Idempotency-Key"
+const KeyHeader = gate.KeyHeader
 
 // MaxPrompt is the largest prompt in bytes. A message between processes holds 4 MB, and a resumed answer sends its
 // tokens along with the prompt.
--- a/entry/internal/claim/claim.go
+++ b/entry/internal/claim/claim.go
@@ -258,7 +258,7 @@
 	var down *store.DownError
 	switch {
 	case errors.As(err, &conflict) && conflict.Winner().Version == 0:
-		return held{}, r.refuse(refusal.Conflict, refusal.NotRun, "claim: the claim was removed")
+		return held{}, r.refuse(refusal.Conflict, refusal.Unknown, "claim: the claim was removed")
 	case errors.As(err, &conflict):
 		h, err := decode(conflict.Winner())
 		if err != nil {
@@ -277,9 +277,11 @@
 	}
 }
 
-// down refuses because the claim could not be written or read; this request has not sent anything.
+// down refuses because the claim could not be written or read. This request has not sent anything, but without the
+// claim nobody knows whether an earlier request with the key ran, so it must not be refused as not run: its caller
+// would take a new key and repeat the work.
 func (r *run) down(err error) *outcome {
-	return r.refuse(refusal.StoreDown, refusal.NotRun, "claim: the claim cannot be read or written: %s", err)
+	return r.refuse(refusal.StoreDown, refusal.Unknown, "claim: the claim cannot be read or written: %s", err)
 }
 
 func (r *run) read(ctx context.Context) (held, error) {
--- a/entry/internal/claim/claim_test.go
+++ b/entry/internal/claim/claim_test.go
@@ -131,7 +131,7 @@
 		for _, steps := range [][]int{{storeAbsent}, {answerLost, storeAbsent}, {writeLost}} {
 			o, d := world(nil, nil, steps)
 			r := call(claims(o, d, 1), "r", "k", "b")
-			expect(t, r, refusal.StoreDown, refusal.NotRun)
+			expect(t, r, refusal.StoreDown, refusal.Unknown)
 			if d.runs["t.k"] != 0 || r.refused.Retry() == 0 {
 				t.Fatalf("ran %d times, retry after %s", d.runs["t.k"], r.refused.Retry())
 			}
@@ -142,6 +142,17 @@
 	})
 }
 
+// Guards against a repeat that is refused as not run in a store outage although the first call with its key ran.
+func TestRepeatInOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o, d := world(nil, nil, []int{0, storeAbsent})
+		if r := call(claims(o, d, 1), "r", "k", "b"); r.refused != nil || d.runs["t.k"] != 1 {
+			t.Fatalf("got %v after %d runs", r.refused, d.runs["t.k"])
+		}
+		expect(t, call(claims(o, d, 2), "r2", "k", "b"), refusal.StoreDown, refusal.Unknown)
+	})
+}
+
 // Guards against a lost store answer that refuses a call whose claim is written.
 func TestAnswerLost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/entry/internal/gate/gate.go
+++ b/entry/internal/gate/gate.go
@@ -114,7 +114,7 @@
 		r := g.request(ctx)
 		defer g.recover(r)
 		if err := g.admit(r, role); err != nil {
-			g.refuse(r, err)
+			g.refuse(r, keyed(r, err))
 			return
 		}
 		defer r.leave()
@@ -172,6 +172,22 @@
 	return nil
 }
 
+// KeyHeader carries the idempotency key of a request that may run at most once.
+const KeyHeader = "Idempotency-Key"
+
+// keyed keeps a repeat of a request from being refused as not run before its key was looked up: an earlier request with
+// the key may have run.
+func keyed(r *Request, err error) error {
+	var e *refusal.Error
+	if len(r.Request.Header.Peek(KeyHeader)) == 0 || !errors.As(err, &e) {
+		return err
+	}
+	if c := e.Code(); c == refusal.TooMany || c == refusal.Unready {
+		return e.WithRan(refusal.Unknown)
+	}
+	return err
+}
+
 // Retry times of refusals at the door.
 const (
 	unreadyRetry = time.Second
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -113,6 +113,13 @@
 	return &c
 }
 
+// WithRan returns a copy that states ran about the work.
+func (e *Error) WithRan(ran Ran) *Error {
+	c := *e
+	c.ran = ran
+	return &c
+}
+
 // Code returns the reason.
 func (e *Error) Code() Code { return e.code }
 
