Look at the claim again before a refusal as not run

Cause: another request with the key may move the claim and run the call while this one still learns that its own daemon cannot be reached; it then refused as not run although the key had run. Change: such a refusal is given only if the claim still stands at the version that was proved; a request whose caller has gone between claim and send says unknown. Conclusion: not run is true for the key at the time it is said.

--- a/entry/internal/caller/caller.go
+++ b/entry/internal/caller/caller.go
@@ -110,12 +110,17 @@
 	// The revision is read first: a profile that is newer than it is harmless, an older one is not.
 	rev := c.profiles.Revision()
 	p, ok := c.profiles.Profile(r.Identity.Profile)
+	ran := refusal.NotRun
+	if len(r.Request.Header.Peek(KeyHeader)) > 0 {
+		// An earlier request with the key may have run.
+		ran = refusal.Unknown
+	}
 	if !ok {
-		return resolved{}, refusal.New(refusal.Unready, refusal.NotRun, "caller: profile %s is not known yet", r.Identity.Profile)
+		return resolved{}, refusal.New(refusal.Unready, ran, "caller: profile %s is not known yet", r.Identity.Profile)
 	}
 	d, err := time.ParseDuration(p.Deadline)
 	if err != nil || d <= 0 {
-		return resolved{}, refusal.New(refusal.Unready, refusal.NotRun, "caller: profile %s has no valid deadline", p.Name)
+		return resolved{}, refusal.New(refusal.Unready, ran, "caller: profile %s has no valid deadline", p.Name)
 	}
 	if c.limits.Tokens > 0 {
 		p.Tokens = min(p.Tokens, c.limits.Tokens)
--- a/entry/internal/claim/claim_test.go
+++ b/entry/internal/claim/claim_test.go
@@ -23,6 +23,7 @@
 	body    string
 	reply   wire.Reply
 	refused *refusal.Error
+	runs    int // of the key, when the caller was told
 }
 
 func world(starts, asks, steps []int) (*objects, *daemons) {
@@ -36,6 +37,10 @@
 	if err != nil && !errors.As(err, &r.refused) {
 		panic(fmt.Sprintf("error without type: %v", err))
 	}
+	d := c.pool.(*daemons)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r.runs = d.runs["t."+key]
 	return r
 }
 
@@ -89,6 +94,8 @@
 			return fmt.Sprintf("key %s answered without a run", r.key)
 		case r.refused != nil && r.refused.Ran() == refusal.NotRun && d.requests[r.request] > 0:
 			return fmt.Sprintf("request %s ran, but was refused as not run", r.request)
+		case r.refused != nil && r.refused.Ran() == refusal.NotRun && r.refused.Code() != refusal.KeyReused && r.runs > 0:
+			return fmt.Sprintf("key %s had run when request %s was refused as not run", r.key, r.request)
 		}
 		if r.refused != nil {
 			continue
--- a/entry/internal/claim/fake_test.go
+++ b/entry/internal/claim/fake_test.go
@@ -111,6 +111,7 @@
 	startCrash     // the service crashes in the middle
 	startRestart   // the daemon restarts and forgets everything, and the message with it
 	startRestarted // the daemon restarts before the message is sent
+	startUnlinked  // there is no link for some time, and nothing is sent
 	startKinds
 )
 
@@ -203,6 +204,9 @@
 	switch kind {
 	case startBusy:
 		return nil, refusal.New(refusal.Busy, refusal.NotRun, "busy")
+	case startUnlinked:
+		time.Sleep(50 * time.Millisecond)
+		return nil, refusal.New(refusal.NoUpstream, refusal.NotRun, "no link")
 	case startUnsent:
 		return nil, lost
 	case startLate:
--- a/entry/internal/claim/send.go
+++ b/entry/internal/claim/send.go
@@ -32,7 +32,7 @@
 	}
 	if ctx.Err() != nil {
 		place.End(time.Now(), false)
-		return h, nil, r.refuse(refusal.Cancelled, refusal.NotRun, "claim: the caller has gone or the deadline has passed")
+		return h, nil, r.refuse(refusal.Cancelled, refusal.Unknown, "claim: the caller has gone or the deadline has passed")
 	}
 	sctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), startTimeout)
 	s, err := r.pool.Start(sctx, h.Daemon, w)
@@ -79,7 +79,7 @@
 		// Another request with this key has asked and may have moved the claim.
 		return r.reread(ctx)
 	case permanent(e.Code()), e.Code() == refusal.Busy && !r.chooser.Repeat(r.work.Tenant):
-		return h, nil, &outcome{err: e}
+		return r.deny(ctx, h, e)
 	default:
 		return r.move(ctx, h, e)
 	}
@@ -147,11 +147,11 @@
 func (r *run) move(ctx context.Context, h held, why *refusal.Error) (held, *dispatch.Place, *outcome) {
 	r.skip[h.Inc] = true
 	if r.moves++; r.moves > r.settings.Moves {
-		return h, nil, r.refuse(why.Code(), refusal.NotRun, "%s", why.Message())
+		return r.deny(ctx, h, why.After(r.settings.Retry))
 	}
 	place, err := r.choose()
 	if err != nil {
-		return h, nil, &outcome{err: err}
+		return r.deny(ctx, h, err)
 	}
 	next, o := r.write(ctx, place, h.version)
 	if o == nil && next.Writer == r.work.Attempt {
@@ -159,3 +159,16 @@
 	}
 	return r.mine(next, place, o)
 }
+
+// deny refuses as not run, unless another request with the key has moved the claim meanwhile and may have run the call.
+func (r *run) deny(ctx context.Context, h held, why error) (held, *dispatch.Place, *outcome) {
+	now, err := r.read(ctx)
+	switch {
+	case err != nil:
+		return h, nil, r.down(err)
+	case now.version == h.version:
+		return h, nil, &outcome{err: why}
+	default:
+		return now, nil, r.check(now)
+	}
+}
