--- a/entry/internal/gate/gate.go
+++ b/entry/internal/gate/gate.go
@@ -81,11 +81,13 @@
 	routes   *router.Router
 	server   *fasthttp.Server
 	places   places
+	refused  func(refusal.Code)
 }
 
 // New returns a server without routes.
 func New(tokens map[string]Identity, limits Limits, profiles Profiles, logger *slog.Logger) *Gate {
 	g := &Gate{tokens: tokens, limits: limits, profiles: profiles, logger: logger, routes: router.New()}
+	g.refused = func(refusal.Code) {}
 	g.routes.RedirectTrailingSlash = false
 	g.routes.RedirectFixedPath = false
 	g.routes.HandleOPTIONS = false
@@ -112,7 +114,7 @@
 		r := g.request(ctx)
 		defer g.recover(r)
 		if err := g.admit(r, role); err != nil {
-			g.refuse(r, err)
+			g.refuse(r, keyed(r, err))
 			return
 		}
 		defer r.leave()
@@ -122,6 +124,9 @@
 	})
 }
 
+// OnRefuse calls f with the code of each refusal; it must not be called once Serve runs.
+func (g *Gate) OnRefuse(f func(refusal.Code)) { g.refused = f }
+
 // Serve answers requests on l until Shutdown.
 func (g *Gate) Serve(l net.Listener) error {
 	return g.server.Serve(&listener{Listener: l, write: g.limits.Write})
@@ -167,6 +172,22 @@
 	return nil
 }
 
+// KeyHeader carries the idempotency key of a request that may run at most once.
+const KeyHeader = "Idempotency-Key"
+
+// keyed keeps a repeat of a request from being refused as not run before its key was looked up: an earlier request with
+// the key may have run.
+func keyed(r *Request, err error) error {
+	var e *refusal.Error
+	if len(r.Request.Header.Peek(KeyHeader)) == 0 || !errors.As(err, &e) {
+		return err
+	}
+	if c := e.Code(); c == refusal.TooMany || c == refusal.Unready {
+		return e.WithRan(refusal.Unknown)
+	}
+	return err
+}
+
 // Retry times of refusals at the door.
 const (
 	unreadyRetry = time.Second
@@ -224,6 +245,7 @@
 		event.RequestFailed.Log(g.logger, "request", r.ID, "cause", err.Error())
 		e = refusal.New(refusal.Internal, refusal.Unknown, "internal error")
 	}
+	g.refused(e.Code())
 	ctx := r.RequestCtx
 	ctx.Response.ResetBody()
 	ctx.SetStatusCode(e.Code().Status())
