Name the unknown or missing setting in an error, without secrets

Cause: an unknown field was reported at the path of the object around it with the whole object as the value, the peer secret and tokens included. Found by starting an entry with a wrong field. Change: the path is that of the field; objects and lists are not shown. Conclusion: an error names path, value and what is allowed.

--- a/entry/internal/cli/cli_test.go
+++ b/entry/internal/cli/cli_test.go
@@ -51,7 +51,7 @@
 func TestInvalidSettings(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "entry.json")
 	for extra, want := range map[string]string{
-		`, "colour": 1}`:                                                   "/",
+		`, "colour": 1}`:                                                   "/colour",
 		`, "timeouts": {"ack": "1"}}`:                                      "/timeouts/ack",
 		`, "timeouts": {"ack": "0s"}}`:                                     "/timeouts/ack",
 		`, "timeouts": {"resume": "1ms"}}`:                                 "/timeouts/resume",
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -22,6 +22,7 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/santhosh-tekuri/jsonschema/v6"
+	"github.com/santhosh-tekuri/jsonschema/v6/kind"
 	"golang.org/x/text/language"
 	"golang.org/x/text/message"
 )
@@ -134,15 +135,34 @@
 	for len(v.Causes) > 0 {
 		v = v.Causes[0]
 	}
-	text, err := json.Marshal(lookup(value, v.InstanceLocation))
-	if err != nil {
-		text = []byte("invalid")
+	place := v.InstanceLocation
+	allowed := v.ErrorKind.LocalizedString(message.NewPrinter(language.English))
+	switch k := v.ErrorKind.(type) {
+	case *kind.AdditionalProperties:
+		place, allowed = at(place, k.Properties[0]), "no such setting"
+	case *kind.Required:
+		place, allowed = at(place, k.Missing[0]), "required"
+	}
+	return &Error{path: "/" + strings.Join(place, "/"), value: show(lookup(value, place)), allowed: allowed}
+}
+
+func at(place []string, name string) []string { return append(slices.Clone(place), name) }
+
+// show returns a value for an error message. Objects and lists are not shown: they may hold secrets.
+func show(value any) string {
+	switch value.(type) {
+	case nil:
+		return "absent"
+	case map[string]any:
+		return "an object"
+	case []any:
+		return "a list"
 	}
-	return &Error{
-		path:    "/" + strings.Join(v.InstanceLocation, "/"),
-		value:   string(text),
-		allowed: v.ErrorKind.LocalizedString(message.NewPrinter(language.English)),
+	text, err := json.Marshal(value)
+	if err != nil {
+		return "invalid"
 	}
+	return string(text)
 }
 
 // lookup returns the part of value at the given place.
