Order the work of each server by class, length and age

internal/admit holds the policy as a plain struct in virtual time, beside a first-come-first-served baseline. Live work and short work push out training streams, which resume with their tokens; solo work runs alone; aged training work claims a share of the slots.

--- a/daemon/internal/cli/run.go
+++ b/daemon/internal/cli/run.go
@@ -76,6 +76,11 @@
 	return rand.New(rand.NewPCG(binary.LittleEndian.Uint64(b[:8]), binary.LittleEndian.Uint64(b[8:])))
 }
 
+// source returns a random source of its own for one part, seeded from that of the process.
+func (p *program) source() *rand.Rand {
+	return rand.New(rand.NewPCG(p.random.Uint64(), p.random.Uint64()))
+}
+
 // build constructs the parts and the supervisor tree.
 func build(c config, logger *slog.Logger, random *rand.Rand) (*program, error) {
 	m, text, err := meter.New("daemon")
@@ -118,8 +123,9 @@
 func (noTargets) All() []wire.Target { return nil }
 
 func (p *program) addServer(s serverConfig, meters lane.Meters) {
-	random := rand.New(rand.NewPCG(p.random.Uint64(), p.random.Uint64()))
-	policy := admit.NewBaseline(s.Slots, p.config.Queue.Live+p.config.Queue.Train)
+	order := admit.DefaultConfig(s.Slots)
+	order.Live, order.Train = p.config.Queue.Live, p.config.Queue.Train
+	policy := admit.NewFair(order, p.source())
 	changed := func(state wire.Server, crashed bool) {
 		p.links.Changed(state, crashed)
 		if !state.Up {
@@ -135,6 +141,7 @@
 	} else {
 		e := engine.New(engine.Config{Name: s.Name, Model: s.Model, URL: s.URL, Slots: s.Slots}, changed, p.logger)
 		p.lanes[s.Name] = lane.New(policy, e, p.table, meters, p.logger)
+		random := p.source()
 		p.tree.Add(supervise.Task("watch "+s.Name, func(ctx context.Context) error {
 			return e.Watch(ctx, p.config.Poll.Std(), random)
 		}))
--- a/daemon/internal/engine/watch.go
+++ b/daemon/internal/engine/watch.go
@@ -36,7 +36,7 @@
 		}
 		wait := period
 		if !e.Server().Up {
-			wait = pause/2 + rand.N(pause)
+			wait = pause/2 + time.Duration(random.Int64N(int64(pause)))
 			pause = min(2*pause, downPollMax)
 		}
 		t := time.NewTimer(wait)
--- a/daemon/internal/lane/lane.go
+++ b/daemon/internal/lane/lane.go
@@ -65,10 +65,16 @@
 	logger   *slog.Logger
 	kick     chan struct{}
 
-	mu      sync.Mutex
-	policy  admit.Policy
-	items   map[string]*admit.Item // by attempt id, queued and running
-	cancels map[*admit.Item]context.CancelCauseFunc
+	mu     sync.Mutex
+	policy admit.Policy
+	items  map[string]*admit.Item // by attempt id, queued and running
+	tasks  map[*admit.Item]*task  // running ones
+}
+
+// task is one run of an attempt.
+type task struct {
+	stop      context.CancelCauseFunc
+	cancelled bool // it is not to be queued again
 }
 
 // New returns the lane of a server; the policy is used by this lane only.
@@ -81,7 +87,7 @@
 		kick:     make(chan struct{}, 1),
 		policy:   policy,
 		items:    make(map[string]*admit.Item),
-		cancels:  make(map[*admit.Item]context.CancelCauseFunc),
+		tasks:    make(map[*admit.Item]*task),
 	}
 }
 
@@ -151,8 +157,9 @@
 		l.step(now)
 		return
 	}
-	if cancel := l.cancels[i]; cancel != nil && !a.Work().Once {
-		cancel(errCancelled)
+	if t := l.tasks[i]; t != nil && !a.Work().Once {
+		t.cancelled = true
+		t.stop(errCancelled)
 	}
 }
 
@@ -217,7 +224,7 @@
 			l.start(now, d.Item, a)
 		case admit.Preempt:
 			l.meters.Moves.Add(1, l.Server().Name)
-			l.cancels[d.Item](errPreempted)
+			l.tasks[d.Item].stop(errPreempted)
 		case admit.Expire:
 			l.end(now, a, attempt.End{Refusal: refusal.New(refusal.Deadline, ran(a), "the deadline passed in the queue")})
 		}
@@ -233,24 +240,28 @@
 	if run == 1 {
 		l.meters.Wait.Record(a.Work().Tenant, a.Work().Class, now.Sub(a.Arrived()).Seconds())
 	}
-	ctx, cancel := context.WithCancelCause(context.Background())
-	l.cancels[i] = cancel
-	go l.run(ctx, cancel, i, a, run)
+	ctx, stop := context.WithCancelCause(context.Background())
+	l.tasks[i] = &task{stop: stop}
+	go l.run(ctx, stop, i, a, run)
 }
 
 // run runs an attempt on the server and gives its slot back.
-func (l *Lane) run(ctx context.Context, cancel context.CancelCauseFunc, i *admit.Item, a *attempt.Attempt, run int) {
-	defer cancel(nil)
-	ctx, stop := context.WithDeadlineCause(ctx, a.Deadline(), errDeadline)
-	defer stop()
+func (l *Lane) run(ctx context.Context, stop context.CancelCauseFunc, i *admit.Item, a *attempt.Attempt, run int) {
+	defer stop(nil)
+	ctx, release := context.WithDeadlineCause(ctx, a.Deadline(), errDeadline)
+	defer release()
 	end := attempt.End{Refusal: refusal.New(refusal.Internal, refusal.Unknown, "the task of the attempt failed")}
 	stopped := false
 	supervise.Guard(l.logger, "attempt", func() { end, stopped = l.upstream.Run(ctx, a, run) })
 	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delete(l.cancels, i)
+	cancelled := l.tasks[i].cancelled
+	delete(l.tasks, i)
 	cause := context.Cause(ctx)
+	if stopped && errors.Is(cause, errPreempted) && cancelled {
+		cause = errCancelled
+	}
 	if stopped && errors.Is(cause, errPreempted) {
 		l.policy.Requeue(now, i)
 		l.step(now)
--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -2,7 +2,7 @@
 //
 // # Usage
 //
-//	p := admit.NewFair(config, seed)
+//	p := admit.NewFair(admit.DefaultConfig(slots), random)
 //	err := p.Push(now, item)          // *BusyError if the queue is full
 //	for d, ok := p.Next(now); ok; d, ok = p.Next(now) {
 //		// start, push out or refuse d.Item
@@ -41,9 +41,14 @@
 type Item struct {
 	spec    Spec
 	value   any
+	state   state
 	arrived time.Time
 	started time.Time
-	state   state
+	rank    time.Time // order among items of the same class
+	seq     uint64    // order among equal ranks
+	place   int       // index in the heap of its kind
+	expiry  int       // index in the heap of deadlines
+	shield  bool      // started because of its age, must not be pushed out
 }
 
 type state uint8
@@ -52,6 +57,7 @@
 	idle state = iota
 	waiting
 	running
+	pushed // asked to stop, still holds its slot
 )
 
 // NewItem returns an item that carries a value of the caller.
--- /dev/null
+++ b/internal/admit/fair.go
@@ -0,0 +1,408 @@
+package admit
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"time"
+)
+
+// Config holds the parameters of Fair.
+type Config struct {
+	Slots   int           // items that run at once
+	Live    int           // live items that may wait
+	Train   int           // training items that may wait
+	Long    int           // predicted tokens from which an item counts as long
+	Reserve float64       // share of slots kept free of long work that cannot be pushed out
+	Spare   float64       // share of slots kept free of all long work while short or live work arrives
+	Aged    float64       // share of slots that training work may claim by age; at least one slot
+	Age     time.Duration // wait after which training work claims such a slot
+	Quantum time.Duration // shortest run of a stream before it is pushed out
+	Token   time.Duration // time by which each predicted token moves an item back
+	Length  time.Duration // largest such time
+}
+
+// DefaultConfig returns the parameters for a server with the given number of slots.
+func DefaultConfig(slots int) Config {
+	return Config{
+		Slots:   slots,
+		Live:    256,
+		Train:   1024,
+		Long:    512,
+		Reserve: 0.25,
+		// One slot of 16: what training gives up for it stays at about 5%.
+		Spare: 0.0625,
+		Aged:  0.25,
+		Age:   30 * time.Second,
+		// A stream that is pushed out pays its prefill again; a run much shorter than this would be mostly prefill.
+		Quantum: 200 * time.Millisecond,
+		Token:   5 * time.Millisecond,
+		Length:  10 * time.Second,
+	}
+}
+
+// Kinds of waiting items, each with its own heap.
+const (
+	liveShort = iota
+	liveLong
+	trainShort
+	trainLong
+	solos
+	kinds
+)
+
+const (
+	// Bounds of the retry-after time of a busy refusal.
+	minRetry = 250 * time.Millisecond
+	maxRetry = time.Minute
+	// firstService stands for the length of a run until one has ended.
+	firstService = time.Second
+	// serviceWeight is the weight of the newest run in the mean length of runs.
+	serviceWeight = 0.1
+)
+
+// Fair serves live before training work and short before long work, with these rules:
+//
+//   - The rank of an item is its arrival plus a time that grows with its predicted length up to Config.Length. Items
+//     of one class are served by rank, so an item is overtaken only by items that arrive within Config.Length.
+//   - Live work, and short training work, may push out long training streams that have run for Config.Quantum; live
+//     work may push out any training stream.
+//   - A training item that has waited for Config.Age beyond its rank claims one of the aged slots and is not pushed
+//     out again. With n such items before it and s aged slots it starts after at most n/s+1 of the longest runs.
+//   - A solo item waits for the server to empty, while nothing else is started. Between two solo items as many others
+//     are started as there are slots, if they wait.
+type Fair struct {
+	config  Config
+	random  *rand.Rand
+	reserve int // slots
+	spare   int // slots
+	aged    int // slots
+
+	heaps     [kinds]rankHeap
+	deadlines deadlineHeap
+	waits     [2]int // by class
+	active    []*Item
+	fixed     int // running long items that cannot be pushed out
+	long      int // running long items
+	shielded  int // running items that claimed a slot by age
+	leaving   int // running items that were asked to stop
+	alone     bool
+	emptying  *Item // solo item that the server is emptied for
+	others    int   // items started since the last solo item
+	short     time.Time
+	service   time.Duration
+	seq       uint64
+}
+
+// NewFair returns an empty queue; random spreads the retry-after times.
+func NewFair(c Config, random *rand.Rand) *Fair {
+	f := &Fair{config: c, random: random, others: c.Slots, service: firstService}
+	f.reserve = int(float64(c.Slots) * c.Reserve)
+	f.spare = int(float64(c.Slots) * c.Spare)
+	f.aged = max(1, int(float64(c.Slots)*c.Aged))
+	return f
+}
+
+func (f *Fair) isLong(i *Item) bool { return i.spec.Predicted >= f.config.Long }
+
+func (f *Fair) kind(i *Item) int {
+	k := solos
+	switch {
+	case i.spec.Solo:
+	case i.spec.Class == Live:
+		k = liveShort
+	default:
+		k = trainShort
+	}
+	if k != solos && f.isLong(i) {
+		k++
+	}
+	return k
+}
+
+// Push implements Policy.
+func (f *Fair) Push(now time.Time, i *Item) error {
+	bound := f.config.Live
+	if i.spec.Class == Train {
+		bound = f.config.Train
+	}
+	if f.waits[i.spec.Class] >= bound {
+		return &BusyError{class: i.spec.Class, bound: bound, retry: f.retry()}
+	}
+	f.seq++
+	i.seq = f.seq
+	i.arrived = now
+	i.rank = now.Add(min(time.Duration(i.spec.Predicted)*f.config.Token, f.config.Length))
+	f.add(i)
+	if i.spec.Class == Live || !f.isLong(i) {
+		f.short = now
+	}
+	return nil
+}
+
+// retry returns the time in which the waiting items are probably served, spread by half to either side.
+func (f *Fair) retry() time.Duration {
+	waiting := f.waits[Live] + f.waits[Train]
+	mean := f.service * time.Duration(waiting) / time.Duration(f.config.Slots)
+	mean = min(max(mean, minRetry), maxRetry)
+	return mean/2 + time.Duration(f.random.Int64N(int64(mean)))
+}
+
+func (f *Fair) add(i *Item) {
+	i.state = waiting
+	f.waits[i.spec.Class]++
+	heap.Push(&f.heaps[f.kind(i)], i)
+	if !i.spec.Deadline.IsZero() {
+		heap.Push(&f.deadlines, i)
+	}
+}
+
+// Remove implements Policy.
+func (f *Fair) Remove(i *Item) bool {
+	if i.state != waiting {
+		return false
+	}
+	i.state = idle
+	f.waits[i.spec.Class]--
+	heap.Remove(&f.heaps[f.kind(i)], i.place)
+	if !i.spec.Deadline.IsZero() {
+		heap.Remove(&f.deadlines, i.expiry)
+	}
+	if f.emptying == i {
+		f.emptying = nil
+	}
+	return true
+}
+
+// Next implements Policy.
+func (f *Fair) Next(now time.Time) (Decision, bool) {
+	if len(f.deadlines) > 0 && !now.Before(f.deadlines[0].spec.Deadline) {
+		i := f.deadlines[0]
+		f.Remove(i)
+		return Decision{Kind: Expire, Item: i}, true
+	}
+	if f.alone {
+		return Decision{}, false
+	}
+	if f.emptying != nil {
+		return f.empty(now)
+	}
+	if i := f.oldest(now); i != nil {
+		if i.spec.Solo {
+			f.emptying = i
+			return f.empty(now)
+		}
+		if f.fits(now, i, true) {
+			return f.start(now, i, i.spec.Class == Train), true
+		}
+	}
+	if d, ok := f.serve(now, f.heaps[liveShort].head(), f.heaps[liveLong].head(), Live); ok || f.emptying != nil {
+		return d, ok
+	}
+	return f.serve(now, f.heaps[trainShort].head(), f.heaps[trainLong].head(), Train)
+}
+
+// oldest returns the item that may claim a slot by age, nil if there is none.
+func (f *Fair) oldest(now time.Time) *Item {
+	if f.shielded >= f.aged {
+		return nil
+	}
+	var old *Item
+	for _, k := range [...]int{trainShort, trainLong, solos} {
+		i := f.heaps[k].head()
+		if i == nil || i.rank.Add(f.config.Age).After(now) {
+			continue
+		}
+		if k == solos && !f.soloTurn() {
+			continue
+		}
+		if old == nil || i.before(old) {
+			old = i
+		}
+	}
+	return old
+}
+
+// soloTurn reports whether a solo item may be next.
+func (f *Fair) soloTurn() bool {
+	return f.others >= f.config.Slots || f.waits[Live]+f.waits[Train] == len(f.heaps[solos])
+}
+
+// serve starts the first of the items of one class that can start, or makes room for it.
+func (f *Fair) serve(now time.Time, a, b *Item, c Class) (Decision, bool) {
+	if a == nil || b != nil && b.before(a) {
+		a, b = b, a
+	}
+	s := f.heaps[solos].head()
+	if s != nil && s.spec.Class == c && f.soloTurn() && (a == nil || s.before(a)) {
+		f.emptying = s
+		return f.empty(now)
+	}
+	for _, i := range [...]*Item{a, b} {
+		if i == nil {
+			continue
+		}
+		if f.fits(now, i, false) {
+			return f.start(now, i, false), true
+		}
+		if v := f.victim(now, i); v != nil {
+			return f.push(v), true
+		}
+	}
+	return Decision{}, false
+}
+
+// fits reports whether a slot is free for the item.
+func (f *Fair) fits(now time.Time, i *Item, shield bool) bool {
+	slots := f.config.Slots
+	if len(f.active) >= slots {
+		return false
+	}
+	if !f.isLong(i) {
+		return true
+	}
+	if shield || !i.spec.Preemptible {
+		return f.fixed < max(1, slots-f.reserve)
+	}
+	if !f.short.IsZero() && now.Sub(f.short) < f.config.Age {
+		slots = max(1, slots-f.spare)
+	}
+	return f.long < slots
+}
+
+func (f *Fair) start(now time.Time, i *Item, shield bool) Decision {
+	f.Remove(i)
+	i.state = running
+	i.started = now
+	i.shield = shield
+	f.active = append(f.active, i)
+	f.count(i, 1)
+	f.others++
+	return Decision{Kind: Start, Item: i}
+}
+
+// count adds n to the counters of running items.
+func (f *Fair) count(i *Item, n int) {
+	if i.shield {
+		f.shielded += n
+	}
+	if !f.isLong(i) {
+		return
+	}
+	f.long += n
+	if i.shield || !i.spec.Preemptible {
+		f.fixed += n
+	}
+}
+
+// victim returns the running stream that makes room for an item: the one of the latest rank.
+func (f *Fair) victim(now time.Time, i *Item) *Item {
+	entitled := f.waits[Live]
+	if i.spec.Class == Train {
+		entitled += len(f.heaps[trainShort])
+	}
+	if f.leaving >= entitled || i.spec.Class == Train && f.isLong(i) || len(f.active) < f.config.Slots {
+		return nil
+	}
+	var v *Item
+	for _, r := range f.active {
+		if !f.yields(r, i) || now.Sub(r.started) < f.config.Quantum {
+			continue
+		}
+		if v == nil || v.before(r) {
+			v = r
+		}
+	}
+	return v
+}
+
+// yields reports whether a running stream may be pushed out for an item.
+func (f *Fair) yields(r, i *Item) bool {
+	if r.state != running || !r.spec.Preemptible || r.shield || r.spec.Class != Train {
+		return false
+	}
+	return i.spec.Class == Live || f.isLong(r)
+}
+
+func (f *Fair) push(v *Item) Decision {
+	v.state = pushed
+	f.leaving++
+	return Decision{Kind: Preempt, Item: v}
+}
+
+// empty starts the chosen solo item once nothing runs, and pushes out what can be until then.
+func (f *Fair) empty(now time.Time) (Decision, bool) {
+	if len(f.active) == 0 {
+		d := f.start(now, f.emptying, false)
+		f.alone = true
+		f.others = 0
+		return d, true
+	}
+	for _, r := range f.active {
+		if r.state == running && r.spec.Preemptible && !r.shield {
+			return f.push(r), true
+		}
+	}
+	return Decision{}, false
+}
+
+// Done implements Policy.
+func (f *Fair) Done(now time.Time, i *Item) {
+	f.free(i)
+	i.state = idle
+	took := float64(now.Sub(i.started))
+	f.service = time.Duration(serviceWeight*took + (1-serviceWeight)*float64(f.service))
+}
+
+func (f *Fair) free(i *Item) {
+	for n, r := range f.active {
+		if r == i {
+			last := len(f.active) - 1
+			f.active[n] = f.active[last]
+			f.active[last] = nil
+			f.active = f.active[:last]
+			break
+		}
+	}
+	f.count(i, -1)
+	if i.state == pushed {
+		f.leaving--
+	}
+	i.shield = false
+	f.alone = false
+}
+
+// Requeue implements Policy.
+func (f *Fair) Requeue(_ time.Time, i *Item) {
+	f.free(i)
+	f.add(i)
+}
+
+// Wake implements Policy.
+func (f *Fair) Wake(now time.Time) (time.Time, bool) {
+	var at time.Time
+	sooner := func(t time.Time) {
+		if t.After(now) && (at.IsZero() || t.Before(at)) {
+			at = t
+		}
+	}
+	if len(f.deadlines) > 0 {
+		sooner(f.deadlines[0].spec.Deadline)
+	}
+	for _, k := range [...]int{trainShort, trainLong, solos} {
+		if i := f.heaps[k].head(); i != nil {
+			sooner(i.rank.Add(f.config.Age))
+		}
+	}
+	if f.waits[Live]+len(f.heaps[trainShort]) > 0 {
+		for _, r := range f.active {
+			sooner(r.started.Add(f.config.Quantum))
+		}
+	}
+	if f.waits[Train] > 0 && !f.short.IsZero() {
+		sooner(f.short.Add(f.config.Age))
+	}
+	return at, !at.IsZero()
+}
+
+// Len implements Policy.
+func (f *Fair) Len() (waiting, running int) { return f.waits[Live] + f.waits[Train], len(f.active) }
