Explain keyed calls, and let training outlast a bad quarter of an hour

Change: claims record their attempts; training pauses and goes on; the last resort ignores probation; paths that leave the root of a service are tested.

--- a/entry/internal/caller/caller_test.go
+++ b/entry/internal/caller/caller_test.go
@@ -294,6 +294,11 @@
 			t.Fatalf("status %d, body %s, header %v", resp.StatusCode, text, resp.Header)
 		}
 	}
+	for _, path := range []string{"a/%2e%2e/%2e%2e/x", "..%2fx"} {
+		if resp, _ := send(t, address, "GET", "/v1/services/ledger/"+path, "l", ""); resp.StatusCode != 400 {
+			t.Fatalf("path %s: status %d", path, resp.StatusCode)
+		}
+	}
 	for i, k := range calls {
 		body := fmt.Sprintf("body %d", i)
 		if k.Method != "PUT" || k.Path != fmt.Sprintf("/a%%20b/c?x=%d", i) || string(k.Body) != body || k.Headers["X-In"] != body {
--- a/entry/internal/claim/claim.go
+++ b/entry/internal/claim/claim.go
@@ -63,6 +63,7 @@
 	// Offer counts a request, and Repeat reports whether the tenant may repeat one.
 	Offer(tenant string, hedge bool)
 	Repeat(tenant string) bool
+	Trace(w *wire.Work) *dispatch.Trace
 }
 
 // Settings are the constants of claims.
@@ -121,7 +122,10 @@
 	}
 	r.work.Once, r.work.Key = true, r.name
 	c.chooser.Offer(r.work.Tenant, false)
-	return r.run(ctx)
+	r.trace = c.chooser.Trace(&r.work)
+	a, err := r.run(ctx)
+	r.trace.End(err)
+	return a, err
 }
 
 func valid(key string) bool {
@@ -163,6 +167,7 @@
 	name   string
 	skip   map[string]bool // incarnations that have proved that they will not run it
 	moves  int
+	trace  *dispatch.Trace
 }
 
 // outcome is the end of a call.
--- a/entry/internal/claim/claim_test.go
+++ b/entry/internal/claim/claim_test.go
@@ -11,6 +11,7 @@
 
 	"pgregory.net/rapid"
 
+	"bulrushspoke/entry/internal/dispatch"
 	"bulrushspoke/internal/refusal"
 	"bulrushspoke/internal/store"
 	"bulrushspoke/wire"
@@ -170,6 +171,21 @@
 	})
 }
 
+// Guards against calls that nobody can explain afterwards.
+func TestExplain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o, d := world([]int{startBusy}, nil, nil)
+		c := claims(o, d, 1)
+		if r := call(c, "r", "k", "b"); r.refused != nil {
+			t.Fatalf("call: %v", r.refused)
+		}
+		e, ok := c.chooser.(*dispatch.Dispatcher).Explain("r")
+		if !ok || e.State != dispatch.Finished || len(e.Tries) != 2 || e.Tries[0].Outcome != "busy" || e.Tries[1].Outcome != dispatch.Finished {
+			t.Fatalf("got %+v", e)
+		}
+	})
+}
+
 // Guards against a call that is sent to a second daemon without proof that the first one will never run it.
 func TestFates(t *testing.T) {
 	for _, c := range []struct {
--- a/entry/internal/claim/send.go
+++ b/entry/internal/claim/send.go
@@ -34,30 +34,47 @@
 		place.End(time.Now(), false)
 		return h, nil, r.refuse(refusal.Cancelled, refusal.Unknown, "claim: the caller has gone or the deadline has passed")
 	}
+	r.trace.Start(time.Now(), w.Attempt, h.Daemon, h.Server)
 	sctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), startTimeout)
 	s, err := r.pool.Start(sctx, h.Daemon, w)
 	cancel()
 	if err != nil {
-		place.End(time.Now(), false)
+		r.ended(place, &w, err)
 		return r.refused(ctx, h, err)
 	}
 	for {
 		e, err := s.Next(ctx)
 		switch {
 		case err != nil:
-			place.End(time.Now(), false)
+			r.ended(place, &w, err)
 			if ctx.Err() != nil {
 				return h, nil, r.unknown("no answer before the deadline or the end of the caller")
 			}
 			return r.resolve(ctx, h)
 		case e.Done != nil:
-			place.End(time.Now(), true)
+			r.ended(place, &w, nil)
 			return h, nil, r.finished(e.Done.Reply)
 		case e.Refuse != nil:
-			place.End(time.Now(), false)
-			return r.refused(ctx, h, refusal.FromWire(*e.Refuse))
+			refused := refusal.FromWire(*e.Refuse)
+			r.ended(place, &w, refused)
+			return r.refused(ctx, h, refused)
+		}
+	}
+}
+
+// ended records the end of an attempt and gives its place back.
+func (r *run) ended(place *dispatch.Place, w *wire.Work, err error) {
+	now := time.Now()
+	place.End(now, err == nil)
+	outcome := dispatch.Finished
+	if err != nil {
+		outcome = string(refusal.OutcomeUnknown)
+		var e *refusal.Error
+		if errors.As(err, &e) {
+			outcome = string(e.Code())
 		}
 	}
+	r.trace.Stop(now, w.Attempt, outcome, nil)
 }
 
 func (r *run) finished(a *wire.Reply) *outcome {
--- a/entry/internal/dispatch/dispatch.go
+++ b/entry/internal/dispatch/dispatch.go
@@ -200,7 +200,7 @@
 	r := newRun(d, j)
 	r.offer()
 	result, err := r.run(ctx)
-	result.Tries = r.trace.end(err)
+	result.Tries = r.trace.End(err)
 	if err != nil {
 		return result, err
 	}
@@ -210,6 +210,9 @@
 // Explain returns what is known of a request.
 func (d *Dispatcher) Explain(request string) (wire.Trace, bool) { return d.traces.get(request) }
 
+// Trace begins the record of a request that another package runs.
+func (d *Dispatcher) Trace(w *wire.Work) *Trace { return d.traces.begin(w) }
+
 // Suspect takes a suspicion from another entry.
 func (d *Dispatcher) Suspect(s wire.Suspect) { d.suspects.merge(time.Now(), s) }
 
--- a/entry/internal/dispatch/race.go
+++ b/entry/internal/dispatch/race.go
@@ -104,7 +104,7 @@
 		if c.outdated() {
 			r.mark(refusal.Partial)
 			c.stop(errStale)
-			return nil, r.restart()
+			return nil, r.restart(ctx)
 		}
 		c.hurry(ctx, time.Now())
 	}
@@ -126,7 +126,7 @@
 	t := &try{lease: l, work: w, began: now, last: now}
 	c.tries = append(c.tries, t)
 	c.d.sent()
-	c.trace.start(now, w.Attempt, l.place.Daemon, w.Server)
+	c.trace.Start(now, w.Attempt, l.place.Daemon, w.Server)
 	ctx, t.cancel = context.WithCancelCause(ctx)
 	go func() {
 		whole := false
@@ -186,7 +186,7 @@
 	now := time.Now()
 	t.cancel(cause)
 	t.lease.end(now)
-	c.trace.stop(now, t.work.Attempt, outcome, t.spans)
+	c.trace.Stop(now, t.work.Attempt, outcome, t.spans)
 	c.tries = slices.DeleteFunc(c.tries, func(o *try) bool { return o == t })
 }
 
@@ -299,7 +299,7 @@
 	}
 	c.win(t)
 	c.d.report(t.lease, d.Running+d.Waiting)
-	c.remove(t, outcomeFinished, errEnded)
+	c.remove(t, Finished, errEnded)
 	if t.work.Slot == nil {
 		c.d.pool.Drop(t.lease.place.Daemon, t.work.Attempt)
 	}
--- a/entry/internal/dispatch/run.go
+++ b/entry/internal/dispatch/run.go
@@ -42,7 +42,7 @@
 	trial    bool
 	first    time.Time
 	wait     time.Duration
-	trace    *trace
+	trace    *Trace
 	messages chan message
 }
 
@@ -151,9 +151,9 @@
 }
 
 // restart counts an attempt that the floor has made useless.
-func (r *run) restart() error {
+func (r *run) restart(ctx context.Context) error {
 	if r.idle++; r.idle > maxIdle {
-		return r.refuse(refusal.StaleVersion, "dispatch: servers produce versions below the floor")
+		return r.tired(ctx, refusal.New(refusal.StaleVersion, refusal.Partial, "dispatch: servers produce versions below the floor"))
 	}
 	return nil
 }
@@ -283,7 +283,7 @@
 		return nil
 	}
 	if r.idle++; r.idle > maxIdle {
-		return r.refuse(e.Code(), "%s", e.Message())
+		return r.tired(ctx, e)
 	}
 	switch {
 	case e.Code() == refusal.StaleConfig:
@@ -300,6 +300,14 @@
 	}
 }
 
+// tired decides after many attempts that produced nothing: training goes on slowly until its deadline.
+func (r *run) tired(ctx context.Context, e *refusal.Error) error {
+	if r.work.Class != Train {
+		return r.refuse(e.Code(), "%s", e.Message())
+	}
+	return r.pause(ctx, r.d.retryAfter())
+}
+
 func (r *run) pause(ctx context.Context, d time.Duration) error {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/entry/internal/dispatch/slowed_test.go
+++ b/entry/internal/dispatch/slowed_test.go
@@ -18,7 +18,6 @@
 	list  []Candidate
 	slots []chan struct{}
 	slow  func(server int) bool
-	work  int
 }
 
 const (
--- a/entry/internal/dispatch/trace.go
+++ b/entry/internal/dispatch/trace.go
@@ -16,8 +16,10 @@
 // Outcomes of attempts that no refusal code names.
 const (
 	outcomeRunning   = "running"
-	outcomeFinished  = "finished"
 	outcomeCancelled = "cancelled"
+
+	// Finished is the outcome of an attempt that gave the answer.
+	Finished = "finished"
 )
 
 // traces holds the newest requests in a ring.
@@ -25,28 +27,29 @@
 	mu     sync.Mutex
 	ring   []string
 	next   int
-	traces map[string]*trace
+	traces map[string]*Trace
 }
 
-type trace struct {
+// Trace records the attempts of one request.
+type Trace struct {
 	owner *traces
 	trace wire.Trace
 	tries map[string]int
 }
 
 func newTraces(size int) *traces {
-	return &traces{ring: make([]string, max(size, 1)), traces: make(map[string]*trace)}
+	return &traces{ring: make([]string, max(size, 1)), traces: make(map[string]*Trace)}
 }
 
 // begin returns the trace of a request, which may have been run before.
-func (t *traces) begin(w *wire.Work) *trace {
+func (t *traces) begin(w *wire.Work) *Trace {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if e, ok := t.traces[w.Request]; ok {
 		e.trace.State, e.trace.Code = outcomeRunning, ""
 		return e
 	}
-	e := &trace{owner: t, tries: make(map[string]int)}
+	e := &Trace{owner: t, tries: make(map[string]int)}
 	e.trace = wire.Trace{Request: w.Request, Tenant: w.Tenant, Profile: w.Profile, State: outcomeRunning}
 	if old := t.ring[t.next]; old != "" {
 		delete(t.traces, old)
@@ -67,7 +70,7 @@
 	return e.copy(), true
 }
 
-func (e *trace) copy() wire.Trace {
+func (e *Trace) copy() wire.Trace {
 	c := e.trace
 	c.Tries = slices.Clone(c.Tries)
 	for i := range c.Tries {
@@ -76,8 +79,8 @@
 	return c
 }
 
-// start records an attempt.
-func (e *trace) start(now time.Time, attempt, daemon, server string) {
+// Start records an attempt.
+func (e *Trace) Start(now time.Time, attempt, daemon, server string) {
 	e.owner.mu.Lock()
 	defer e.owner.mu.Unlock()
 	if len(e.trace.Tries) >= maxTries {
@@ -89,8 +92,8 @@
 	})
 }
 
-// stop records the outcome of an attempt.
-func (e *trace) stop(now time.Time, attempt, outcome string, spans []wire.Span) {
+// Stop records the outcome of an attempt.
+func (e *Trace) Stop(now time.Time, attempt, outcome string, spans []wire.Span) {
 	e.owner.mu.Lock()
 	defer e.owner.mu.Unlock()
 	i, ok := e.tries[attempt]
@@ -103,11 +106,11 @@
 	t.Whole = now.UnixMilli() - t.Start
 }
 
-// end records the outcome of the request and returns its attempts.
-func (e *trace) end(err error) []wire.Try {
+// End records the outcome of the request and returns its attempts.
+func (e *Trace) End(err error) []wire.Try {
 	e.owner.mu.Lock()
 	defer e.owner.mu.Unlock()
-	e.trace.State = outcomeFinished
+	e.trace.State = Finished
 	var refused *refusal.Error
 	if errors.As(err, &refused) {
 		e.trace.State = "refused"
--- a/internal/balance/policy.go
+++ b/internal/balance/policy.go
@@ -120,7 +120,10 @@
 
 func (f *Fleet) eligible(id ID, now int64, a *Ask) bool {
 	e := &f.states[id]
-	return e.server.Usable && e.until <= now && e.server.Version >= a.Floor && f.room(e, a.Train) && !a.excludes(id)
+	if e.until > now || (e.probing && e.inflight > 0) {
+		return false
+	}
+	return e.server.Usable && e.server.Version >= a.Floor && f.room(e, a.Train) && !a.excludes(id)
 }
 
 func (f *Fleet) room(e *state, train bool) bool {
@@ -128,9 +131,6 @@
 	if train {
 		limit = f.settings.TrainCap
 	}
-	if e.probing && e.inflight > 0 {
-		return false
-	}
 	return e.inflight < max(1, int(limit*float64(e.server.Slots)))
 }
 
@@ -157,7 +157,7 @@
 	return best, cost
 }
 
-// rescue chooses an ejected server if nothing else is left, and otherwise tells what is missing.
+// rescue chooses an ejected server, or one that is still on probation, if nothing else is left, and otherwise tells what is missing.
 func (f *Fleet) rescue(now int64, a *Ask) (ID, Verdict) {
 	best, cost, verdict := None, 0.0, Absent
 	for _, ids := range [2][]ID{f.local, f.remote} {
