Drop received results of keyed calls, and ask about every unproved refusal

Cause: a daemon that drains waits for results that nobody has dropped; a refusal that leaves the outcome open was final although the daemon may know more. Change: received results are dropped; every refusal without proof leads to a question.

--- a/entry/internal/claim/claim.go
+++ b/entry/internal/claim/claim.go
@@ -11,7 +11,8 @@
 // version of that object sends the call, and it sends it once. A claim is moved only after its incarnation has proved
 // that it never ran the call and never will: by refusing it as not run, or by a tombstone.
 //
-// The result stays with the daemon until its era is forgotten, so that a repeat of the call gets it; it is not dropped.
+// A result that was received is dropped like any other; the daemon keeps that of a key for later questions while it has
+// room and remembers its era.
 package claim
 
 import (
@@ -54,6 +55,7 @@
 type Pool interface {
 	Start(ctx context.Context, daemon string, w wire.Work) (dispatch.Stream, error)
 	Ask(ctx context.Context, daemon string, a wire.Ask) (wire.Fate, error)
+	Drop(daemon string, attempts ...string)
 }
 
 // Chooser chooses a server for a call.
--- a/entry/internal/claim/send.go
+++ b/entry/internal/claim/send.go
@@ -53,7 +53,7 @@
 			return r.resolve(ctx, h)
 		case e.Done != nil:
 			r.ended(place, &w, nil)
-			return h, nil, r.finished(e.Done.Reply)
+			return h, nil, r.finished(h, w.Attempt, e.Done.Reply)
 		case e.Refuse != nil:
 			refused := refusal.FromWire(*e.Refuse)
 			r.ended(place, &w, refused)
@@ -77,7 +77,8 @@
 	r.trace.Stop(now, w.Attempt, outcome, nil)
 }
 
-func (r *run) finished(a *wire.Reply) *outcome {
+func (r *run) finished(h held, attempt string, a *wire.Reply) *outcome {
+	r.pool.Drop(h.Daemon, attempt)
 	if a == nil {
 		return &outcome{err: refusal.New(refusal.Broken, refusal.Unknown, "claim: answer without a reply")}
 	}
@@ -88,7 +89,7 @@
 func (r *run) refused(ctx context.Context, h held, err error) (held, *dispatch.Place, *outcome) {
 	var e *refusal.Error
 	switch {
-	case !errors.As(err, &e) || e.Code() == refusal.OutcomeUnknown:
+	case !errors.As(err, &e) || e.Ran() == refusal.Unknown:
 		return r.resolve(ctx, h)
 	case e.Ran() != refusal.NotRun:
 		return h, nil, &outcome{err: e}
@@ -134,7 +135,7 @@
 				return h, nil, r.unknown("the daemon that may have run the call cannot be reached")
 			}
 		case f.State == "finished":
-			return h, nil, r.finished(f.Reply)
+			return h, nil, r.finished(h, f.Attempt, f.Reply)
 		case f.State == "none":
 			return r.move(ctx, h, refusal.New(refusal.Tombstoned, refusal.NotRun, "claim: the call was never started"))
 		case f.State != "running":
