--- a/entry/internal/claim/claim.go
+++ b/entry/internal/claim/claim.go
@@ -11,7 +11,8 @@
 // version of that object sends the call, and it sends it once. A claim is moved only after its incarnation has proved
 // that it never ran the call and never will: by refusing it as not run, or by a tombstone.
 //
-// The result stays with the daemon until its era is forgotten, so that a repeat of the call gets it; it is not dropped.
+// A result that was received is dropped like any other; the daemon keeps that of a key for later questions while it has
+// room and remembers its era.
 package claim
 
 import (
@@ -54,6 +55,7 @@
 type Pool interface {
 	Start(ctx context.Context, daemon string, w wire.Work) (dispatch.Stream, error)
 	Ask(ctx context.Context, daemon string, a wire.Ask) (wire.Fate, error)
+	Drop(daemon string, attempts ...string)
 }
 
 // Chooser chooses a server for a call.
@@ -63,6 +65,7 @@
 	// Offer counts a request, and Repeat reports whether the tenant may repeat one.
 	Offer(tenant string, hedge bool)
 	Repeat(tenant string) bool
+	Trace(w *wire.Work) *dispatch.Trace
 }
 
 // Settings are the constants of claims.
@@ -121,7 +124,10 @@
 	}
 	r.work.Once, r.work.Key = true, r.name
 	c.chooser.Offer(r.work.Tenant, false)
-	return r.run(ctx)
+	r.trace = c.chooser.Trace(&r.work)
+	a, err := r.run(ctx)
+	r.trace.End(err)
+	return a, err
 }
 
 func valid(key string) bool {
@@ -163,6 +169,7 @@
 	name   string
 	skip   map[string]bool // incarnations that have proved that they will not run it
 	moves  int
+	trace  *dispatch.Trace
 }
 
 // outcome is the end of a call.
--- a/entry/internal/claim/send.go
+++ b/entry/internal/claim/send.go
@@ -34,33 +34,51 @@
 		place.End(time.Now(), false)
 		return h, nil, r.refuse(refusal.Cancelled, refusal.Unknown, "claim: the caller has gone or the deadline has passed")
 	}
+	r.trace.Start(time.Now(), w.Attempt, h.Daemon, h.Server)
 	sctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), startTimeout)
 	s, err := r.pool.Start(sctx, h.Daemon, w)
 	cancel()
 	if err != nil {
-		place.End(time.Now(), false)
+		r.ended(place, &w, err)
 		return r.refused(ctx, h, err)
 	}
 	for {
 		e, err := s.Next(ctx)
 		switch {
 		case err != nil:
-			place.End(time.Now(), false)
+			r.ended(place, &w, err)
 			if ctx.Err() != nil {
 				return h, nil, r.unknown("no answer before the deadline or the end of the caller")
 			}
 			return r.resolve(ctx, h)
 		case e.Done != nil:
-			place.End(time.Now(), true)
-			return h, nil, r.finished(e.Done.Reply)
+			r.ended(place, &w, nil)
+			return h, nil, r.finished(h, w.Attempt, e.Done.Reply)
 		case e.Refuse != nil:
-			place.End(time.Now(), false)
-			return r.refused(ctx, h, refusal.FromWire(*e.Refuse))
+			refused := refusal.FromWire(*e.Refuse)
+			r.ended(place, &w, refused)
+			return r.refused(ctx, h, refused)
+		}
+	}
+}
+
+// ended records the end of an attempt and gives its place back.
+func (r *run) ended(place *dispatch.Place, w *wire.Work, err error) {
+	now := time.Now()
+	place.End(now, err == nil)
+	outcome := dispatch.Finished
+	if err != nil {
+		outcome = string(refusal.OutcomeUnknown)
+		var e *refusal.Error
+		if errors.As(err, &e) {
+			outcome = string(e.Code())
 		}
 	}
+	r.trace.Stop(now, w.Attempt, outcome, nil)
 }
 
-func (r *run) finished(a *wire.Reply) *outcome {
+func (r *run) finished(h held, attempt string, a *wire.Reply) *outcome {
+	r.pool.Drop(h.Daemon, attempt)
 	if a == nil {
 		return &outcome{err: refusal.New(refusal.Broken, refusal.Unknown, "claim: answer without a reply")}
 	}
@@ -71,7 +89,7 @@
 func (r *run) refused(ctx context.Context, h held, err error) (held, *dispatch.Place, *outcome) {
 	var e *refusal.Error
 	switch {
-	case !errors.As(err, &e) || e.Code() == refusal.OutcomeUnknown:
+	case !errors.As(err, &e) || e.Ran() == refusal.Unknown:
 		return r.resolve(ctx, h)
 	case e.Ran() != refusal.NotRun:
 		return h, nil, &outcome{err: e}
@@ -117,7 +135,7 @@
 				return h, nil, r.unknown("the daemon that may have run the call cannot be reached")
 			}
 		case f.State == "finished":
-			return h, nil, r.finished(f.Reply)
+			return h, nil, r.finished(h, f.Attempt, f.Reply)
 		case f.State == "none":
 			return r.move(ctx, h, refusal.New(refusal.Tombstoned, refusal.NotRun, "claim: the call was never started"))
 		case f.State != "running":
