Command the weights of engines under a claim and a fencing token

A target with a higher token and no lower version is followed: staggered by a hash of the server name, ordered only while server/<name> names this incarnation, read back, and repaired with growing pauses. An engine that honours tokens is also given the token again after a restart.

--- a/daemon/internal/cli/run.go
+++ b/daemon/internal/cli/run.go
@@ -17,6 +17,7 @@
 	"github.com/valyala/fasthttp"
 
 	"bulrushspoke/daemon/internal/attempt"
+	"bulrushspoke/daemon/internal/charge"
 	"bulrushspoke/daemon/internal/engine"
 	"bulrushspoke/daemon/internal/entry"
 	"bulrushspoke/daemon/internal/lane"
@@ -25,6 +26,7 @@
 	"bulrushspoke/internal/event"
 	"bulrushspoke/internal/link"
 	"bulrushspoke/internal/meter"
+	"bulrushspoke/internal/store"
 	"bulrushspoke/internal/supervise"
 	"bulrushspoke/wire"
 )
@@ -42,17 +44,19 @@
 
 // program is the set of parts of a running daemon.
 type program struct {
-	config config
-	logger *slog.Logger
-	random *rand.Rand
-	meter  *meter.Meter
-	text   fasthttp.RequestHandler
-	table  *attempt.Table
-	lanes  map[string]*lane.Lane
-	links  *entry.Links
-	tree   *suture.Supervisor
-	leave  chan string
-	ready  atomic.Bool
+	config  config
+	logger  *slog.Logger
+	random  *rand.Rand
+	meter   *meter.Meter
+	text    fasthttp.RequestHandler
+	table   *attempt.Table
+	lanes   map[string]*lane.Lane
+	links   *entry.Links
+	targets *engine.Targets
+	charge  *charge.Charge
+	tree    *suture.Supervisor
+	leave   chan string
+	ready   atomic.Bool
 }
 
 // run runs the daemon until ctx ends or an entry asks it to leave, and drains it.
@@ -107,8 +111,11 @@
 		Samples: c.Retain.Samples.Std(),
 		Others:  c.Retain.Others.Std(),
 	})
+	p.targets = engine.NewTargets()
+	objects := store.New(c.Store.URL, c.Store.Timeout.Std(), p.logger)
+	p.charge = charge.New(objects, c.Name, inc, p.logger)
 	identity := entry.Config{Name: c.Name, Inc: inc, Domain: c.Domain, Region: c.Region}
-	p.links = entry.New(identity, p.table, p.lanes, noTargets{}, p.askLeave, p.logger)
+	p.links = entry.New(identity, p.table, p.lanes, p.targets, p.askLeave, p.logger)
 	meters := lane.NewMeters(m)
 	for _, s := range c.Servers {
 		p.addServer(s, meters)
@@ -117,11 +124,6 @@
 	return p, nil
 }
 
-type noTargets struct{}
-
-func (noTargets) Offer(wire.Target)  {}
-func (noTargets) All() []wire.Target { return nil }
-
 func (p *program) addServer(s serverConfig, meters lane.Meters) {
 	order := admit.DefaultConfig(s.Slots)
 	order.Live, order.Train = p.config.Queue.Live, p.config.Queue.Train
@@ -139,11 +141,16 @@
 			return v.Watch(ctx, p.config.Poll.Std())
 		}))
 	} else {
-		e := engine.New(engine.Config{Name: s.Name, Model: s.Model, URL: s.URL, Slots: s.Slots}, changed, p.logger)
+		e := engine.New(engine.Config{
+			Name: s.Name, Model: s.Model, URL: s.URL, Slots: s.Slots, Fencing: s.fencing(),
+		}, changed, p.logger)
 		p.lanes[s.Name] = lane.New(policy, e, p.table, meters, p.logger)
-		random := p.source()
+		watching, following := p.source(), p.source()
 		p.tree.Add(supervise.Task("watch "+s.Name, func(ctx context.Context) error {
-			return e.Watch(ctx, p.config.Poll.Std(), random)
+			return e.Watch(ctx, p.config.Poll.Std(), watching)
+		}))
+		p.tree.Add(supervise.Task("weights "+s.Name, func(ctx context.Context) error {
+			return e.Follow(ctx, p.targets, p.charge, p.config.Stagger.Std(), p.config.Poll.Std(), following)
 		}))
 	}
 	p.tree.Add(supervise.Task("queue "+s.Name, p.lanes[s.Name].Serve))
--- a/daemon/internal/cli/settings.go
+++ b/daemon/internal/cli/settings.go
@@ -1,7 +1,6 @@
 package cli
 
 import (
-	_ "embed"
 	"fmt"
 	"log/slog"
 	"os"
@@ -10,14 +9,11 @@
 
 	"github.com/rotisserie/eris"
 
+	"bulrushspoke/internal/schema"
 	"bulrushspoke/internal/settings"
 )
 
-// schema validates the settings file; its descriptions and defaults are the reference for docs/settings.md.
-//
-//go:embed settings.schema.json
-var schema []byte
-
+// config is the settings file; docs/settings.md describes each setting.
 type config struct {
 	Name       string            `json:"name"`
 	Domain     string            `json:"domain"`
@@ -51,6 +47,9 @@
 	Fencing *bool  `json:"fencing"`
 }
 
+// fencing reports whether the engine refuses old fencing tokens.
+func (s serverConfig) fencing() bool { return s.Fencing == nil || *s.Fencing }
+
 type queueConfig struct {
 	Live  int `json:"live"`
 	Train int `json:"train"`
@@ -89,7 +88,7 @@
 // load reads the settings file and the secret.
 func load(path string) (config, error) {
 	c := defaults()
-	if err := settings.Load(path, schema, &c); err != nil {
+	if err := settings.Load(path, schema.Daemon, &c); err != nil {
 		return c, err
 	}
 	if c.Advertise == "" {
--- /dev/null
+++ b/daemon/internal/cli/weights_test.go
@@ -0,0 +1,149 @@
+package cli
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"bulrushspoke/daemon/internal/charge"
+	"bulrushspoke/daemon/internal/engine"
+	"bulrushspoke/internal/link"
+	"bulrushspoke/internal/store"
+	"bulrushspoke/wire"
+)
+
+func (e *fakeEngine) ordered() []wire.EngineOrder {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]wire.EngineOrder(nil), e.orders...)
+}
+
+func (e *fakeEngine) runsVersion(v int64) func() bool {
+	return func() bool {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return e.version == v
+	}
+}
+
+func weighted(t *testing.T, e *fakeEngine, s *fakeStore, fencing bool) (*daemon, *entryLink) {
+	t.Helper()
+	d := startDaemon(t, e.URL, "", func(c *config) {
+		c.Store.URL = s.URL
+		c.Servers[0].Fencing = &fencing
+	})
+	return d, dial(t, d)
+}
+
+func (e *entryLink) target(version, fence int64) {
+	e.t.Helper()
+	if err := e.Notify(link.Target, wire.Target{Model: "plan", Version: version, Fence: fence}); err != nil {
+		e.t.Fatalf("target: %v", err)
+	}
+}
+
+// Guards against a swap that fails partway or an engine that falls back to old weights, and stays there.
+func TestTargetIsRepaired(t *testing.T) {
+	for _, fencing := range []bool{true, false} {
+		e, s := newFakeEngine(t), newFakeStore(t)
+		_, c := weighted(t, e, s, fencing)
+		e.mu.Lock()
+		e.refuse = true
+		e.mu.Unlock()
+		c.target(8, 100)
+		eventually(t, "the first order fails", func() bool { return len(e.ordered()) > 0 })
+		e.mu.Lock()
+		e.refuse = false
+		e.mu.Unlock()
+		eventually(t, "the target runs", e.runsVersion(8))
+		e.mu.Lock()
+		e.version, e.fence = 5, 0
+		e.mu.Unlock()
+		eventually(t, "the target runs again", e.runsVersion(8))
+		if fencing {
+			eventually(t, "the engine has the token", func() bool { return e.ordered()[len(e.ordered())-1].Fence == 100 })
+		}
+	}
+}
+
+// Guards against an engine without fencing that is sent back to old weights by a late target.
+func TestOlderTargetIsIgnored(t *testing.T) {
+	e, s := newFakeEngine(t), newFakeStore(t)
+	d, c := weighted(t, e, s, false)
+	c.target(9, 200)
+	eventually(t, "the target runs", e.runsVersion(9))
+	c.target(8, 100)
+	c.target(8, 300)
+	var f wire.Fate
+	c.call(link.Ask, wire.Ask{}, &f) // answered after the targets are taken
+	if all := d.targets.All(); len(all) != 1 || all[0].Version != 9 {
+		t.Fatalf("targets %+v, want version 9", all)
+	}
+	for _, o := range e.ordered() {
+		if o.Version < 9 {
+			t.Fatalf("version %d was ordered", o.Version)
+		}
+	}
+}
+
+// Guards against a process that was paused, lost its server to a newer one and still commands it, and against
+// commands while the claim cannot be read.
+func TestOnlyTheProcessInChargeCommands(t *testing.T) {
+	e, s := newFakeEngine(t), newFakeStore(t)
+	_, c := weighted(t, e, s, false)
+	own := ""
+	eventually(t, "the server is claimed", func() bool {
+		s.set(func() { own = s.values["/o/server/e1"] })
+		return own != ""
+	})
+	s.set(func() { s.down = true })
+	c.target(8, 100)
+	time.Sleep(50 * time.Millisecond) // gives a wrong command the time to show; the test passes without it too
+	if n := len(e.ordered()); n != 0 {
+		t.Fatalf("%d orders while the claim cannot be read", n)
+	}
+	s.set(func() {
+		s.down = false
+		s.write("/o/server/e1", `{"daemon":"d1","inc":"newer"}`)
+	})
+	time.Sleep(50 * time.Millisecond)
+	if n := len(e.ordered()); n != 0 {
+		t.Fatalf("%d orders although another process is in charge", n)
+	}
+	s.set(func() { s.write("/o/server/e1", own) })
+	eventually(t, "the target runs", e.runsVersion(8))
+}
+
+// Guards against a process that was paused in its start and takes a server back from a newer one.
+func TestNewerProcessKeepsItsServer(t *testing.T) {
+	s := newFakeStore(t)
+	client := store.New(s.URL, limit, slog.New(slog.DiscardHandler))
+	older := charge.New(client, "d1", "01A", slog.New(slog.DiscardHandler))
+	newer := charge.New(client, "d1", "01B", slog.New(slog.DiscardHandler))
+	for _, c := range []*charge.Charge{older, newer, older} {
+		if err := c.Take(t.Context(), "e1"); err != nil {
+			t.Fatalf("take: %v", err)
+		}
+	}
+	if mine, err := older.Check(t.Context(), "e1"); mine || err != nil {
+		t.Fatalf("the older process is in charge: %t, %v", mine, err)
+	}
+	if mine, err := newer.Check(t.Context(), "e1"); !mine || err != nil {
+		t.Fatalf("the newer process is in charge: %t, %v", mine, err)
+	}
+}
+
+// Guards against servers that all swap at the same moment, and against a place that changes between two reads.
+func TestSwapsAreSpread(t *testing.T) {
+	halves := [2]int{}
+	for _, name := range []string{"e1", "e2", "e3", "e4", "e5", "e6", "e7", "e8", "e9", "e10", "e11", "e12"} {
+		d := engine.Delay(name, 10*time.Second)
+		if d < 0 || d >= 10*time.Second || d != engine.Delay(name, 10*time.Second) || engine.Delay(name, 0) != 0 {
+			t.Fatalf("delay of %s is %v", name, d)
+		}
+		halves[d/(5*time.Second)]++
+	}
+	if halves[0] < 3 || halves[1] < 3 {
+		t.Fatalf("servers by half of the window: %v", halves)
+	}
+}
--- a/daemon/internal/engine/engine.go
+++ b/daemon/internal/engine/engine.go
@@ -43,8 +43,11 @@
 	maxProblem = 512
 )
 
-// reasonCancelled is the finish reason of a stream that was cancelled.
-const reasonCancelled = "cancelled"
+// Finish reasons of the engine protocol.
+const (
+	reasonCancelled = "cancelled"
+	reasonLength    = "length"
+)
 
 // Priorities of the engine protocol; higher runs first.
 const (
@@ -58,6 +61,8 @@
 	Model string
 	URL   string // such as http://127.0.0.1:9000
 	Slots int
+	// Fencing is true if the engine refuses commands with an old fencing token.
+	Fencing bool
 }
 
 // Engine is the client of one engine.
@@ -70,6 +75,7 @@
 	mu      sync.Mutex
 	up      bool
 	version int64
+	fence   int64         // highest token that the engine has seen
 	epoch   int           // counts crashes
 	active  map[*run]bool // streams in flight
 	sizes   map[int]int   // streams in flight at the crash that ended an epoch
@@ -119,6 +125,10 @@
 	if err := e.checkFloor(a); err != nil {
 		return attempt.End{Refusal: err}, false
 	}
+	if w := a.Work(); len(a.Tokens()) >= w.Max {
+		// It was stopped after its last token.
+		return attempt.End{Finish: reasonLength}, false
+	}
 	r := e.begin()
 	defer e.finish(r)
 	id := a.ID()
@@ -207,7 +217,7 @@
 	if len(ev.Tokens) == 0 {
 		return nil
 	}
-	e.seen(ev.Version)
+	e.streamed(ev.Version)
 	if floor := a.Work().Floor; ev.Version < floor {
 		return refusal.New(refusal.StaleVersion, ran(a), "engine runs version %d, below %d", ev.Version, floor)
 	}
@@ -322,6 +332,19 @@
 	}
 }
 
+// streamed notes the version of a stream's event. Events wait in buffers, so that an older version than the last one
+// read is no proof that the engine has gone back.
+func (e *Engine) streamed(version int64) {
+	e.mu.Lock()
+	older := version < e.version
+	e.mu.Unlock()
+	if older {
+		e.Recheck()
+		return
+	}
+	e.seen(version)
+}
+
 // cancel asks the engine to stop a stream.
 func (e *Engine) cancel(id string) {
 	status, _, err := e.do(fasthttp.MethodDelete, "/v1/completions/"+id, nil)
--- a/daemon/internal/engine/watch.go
+++ b/daemon/internal/engine/watch.go
@@ -80,6 +80,9 @@
 		e.unanswered(err)
 		return v, err
 	}
+	e.mu.Lock()
+	e.fence = v.Fence
+	e.mu.Unlock()
 	e.seen(v.Version)
 	return v, nil
 }
--- a/internal/schema/schema.go
+++ b/internal/schema/schema.go
@@ -7,3 +7,8 @@
 //
 //go:embed entry.json
 var Entry []byte
+
+// Daemon is the schema of the settings of bulrush-daemon.
+//
+//go:embed daemon.json
+var Daemon []byte
