--- /dev/null
+++ b/daemon/internal/cli/cli_test.go
@@ -0,0 +1,123 @@
+package cli
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+
+	"bulrushspoke/internal/schema"
+	"bulrushspoke/internal/settings"
+)
+
+const minimal = `{"name": "d", "domain": "a", "region": "r", "listen": "127.0.0.1:0", "secret": "0123456789abcdef",
+	"store": {"url": "http://127.0.0.1:1"},
+	"servers": [{"name": "e", "kind": "engine", "model": "m", "url": "http://127.0.0.1:1", "slots": 1}]`
+
+// Guards against samples that the program itself refuses.
+func TestSamples(t *testing.T) {
+	files, err := filepath.Glob("../../../examples/*/daemon.json")
+	if err != nil || len(files) != 2 {
+		t.Fatalf("samples %v, %v", files, err)
+	}
+	for _, f := range files {
+		if _, err := load(f); err != nil {
+			t.Fatalf("%s: %v", f, err)
+		}
+	}
+}
+
+// Guards against invalid settings that start, or that are refused without naming their place.
+func TestInvalidSettings(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "daemon.json")
+	for extra, want := range map[string]string{
+		`, "colour": 1}`:                             "/colour",
+		`, "poll": "5"}`:                             "/poll",
+		`, "poll": "0s"}`:                            "/poll",
+		`, "queue": {"live": 0}}`:                    "/queue/live",
+		`, "log": {"level": "loud"}}`:                "/log/level",
+		`, "listen": "nowhere"}`:                     "/listen",
+		`, "secretfile": "absent"}`:                  "/",
+		`, "servers": [{"name": "e", "kind": "db"}]`: "/",
+	} {
+		if err := os.WriteFile(path, []byte(minimal+extra), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		var out, errs strings.Builder
+		if code := start(t.Context(), []string{"--config", path}, &out, &errs); code != settings.ExitCode {
+			t.Fatalf("%s: exit status %d", extra, code)
+		}
+		if !strings.HasPrefix(errs.String(), "settings: "+want) {
+			t.Fatalf("%s: %s", extra, errs.String())
+		}
+	}
+	if err := os.WriteFile(path, []byte(minimal+"}"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var out, errs strings.Builder
+	if code := start(t.Context(), []string{"--config", path, "--check"}, &out, &errs); code != 0 {
+		t.Fatalf("minimal settings: %d %s", code, errs.String())
+	}
+}
+
+// Guards against a setting that the page for operators lacks, and a page that describes a removed one.
+func TestSettingsPage(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/settings.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, section, _ := strings.Cut(string(page), "## bulrush-daemon\n")
+	section, _, _ = strings.Cut(section, "\n## ")
+	written := make(map[string]bool)
+	for _, m := range regexp.MustCompile("(?m)^\\| `([a-z.]+)` \\|").FindAllStringSubmatch(section, -1) {
+		written[m[1]] = true
+	}
+	defined, err := settings.Names(schema.Daemon)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, n := range defined {
+		if !written[n] {
+			t.Fatalf("docs/settings.md lacks %s", n)
+		}
+		delete(written, n)
+	}
+	if len(written) > 0 {
+		t.Fatalf("docs/settings.md describes %v, which the schema lacks", written)
+	}
+}
+
+// Guards against an instance that the platform takes for healthy while it leaves, and against metrics that are absent.
+func TestHealthAndMetrics(t *testing.T) {
+	e := newFakeEngine(t)
+	d := startDaemon(t, e.URL, "", nil)
+	c := dial(t, d)
+	c.work(completion("a", 1))
+	e.let(1)
+	c.read("a", 0)
+	get := func(path string) (int, string) {
+		status, body, err := fasthttp.Get(nil, "http://"+d.address+path)
+		if err != nil {
+			t.Fatalf("%s: %v", path, err)
+		}
+		return status, string(body)
+	}
+	for _, path := range []string{"/health/live", "/health/ready"} {
+		if status, _ := get(path); status != fasthttp.StatusOK {
+			t.Fatalf("%s answers %d", path, status)
+		}
+	}
+	_, text := get("/metrics")
+	for _, want := range []string{"queue_wait", "first_token", "total"} {
+		if !strings.Contains(text, `bulrush_daemon_`+want+`_seconds_count{class="live",tenant="t"} 1`) {
+			t.Fatalf("no %s in:\n%s", want, text)
+		}
+	}
+	c.work(completion("b", 1))
+	d.stop()
+	eventually(t, "unready", func() bool { status, _ := get("/health/ready"); return status == fasthttp.StatusServiceUnavailable })
+	e.let(1)
+}
--- a/daemon/internal/cli/run.go
+++ b/daemon/internal/cli/run.go
@@ -94,7 +94,7 @@
 	inc := ulid.Make().String()
 	p := &program{
 		config: c,
-		logger: logger.With("daemon", c.Name),
+		logger: logger.With("name", c.Name),
 		random: random,
 		meter:  m,
 		text:   text,
--- a/daemon/internal/cli/settings.go
+++ b/daemon/internal/cli/settings.go
@@ -2,13 +2,12 @@
 
 import (
 	"fmt"
+	"io"
 	"log/slog"
 	"os"
 	"strings"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"bulrushspoke/internal/schema"
 	"bulrushspoke/internal/settings"
 )
@@ -85,7 +84,7 @@
 	}
 }
 
-// load reads the settings file and the secret.
+// load reads the settings file and the secret; its error is a *settings.Error if the file can be read.
 func load(path string) (config, error) {
 	c := defaults()
 	if err := settings.Load(path, schema.Daemon, &c); err != nil {
@@ -97,30 +96,45 @@
 	if c.SecretFile != "" {
 		b, err := os.ReadFile(c.SecretFile)
 		if err != nil {
-			return c, eris.Wrap(err, "cli: secret")
+			return c, settings.NewError("/secretfile", c.SecretFile, err.Error())
 		}
 		c.Secret = strings.TrimSpace(string(b))
-		if c.Secret == "" {
-			return c, eris.Errorf("cli: secret file %s is empty", c.SecretFile)
-		}
+	}
+	return c, c.check()
+}
+
+// minSecret is the shortest secret in bytes.
+const minSecret = 16
+
+// check tests the rules that the schema cannot state.
+func (c *config) check() error {
+	if len(c.Secret) < minSecret {
+		return settings.NewError("/secretfile", c.SecretFile, fmt.Sprintf("a file with at least %d characters", minSecret))
 	}
 	seen := make(map[string]bool)
 	for i, s := range c.Servers {
 		if seen[s.Name] {
-			return c, fmt.Errorf("cli: /servers/%d/name is %q: names of servers must differ", i, s.Name)
+			return settings.NewError(fmt.Sprintf("/servers/%d/name", i), s.Name, "each name must be unique")
 		}
 		seen[s.Name] = true
 	}
-	if c.Poll.Std() <= 0 {
-		return c, fmt.Errorf("cli: /poll is %q: must be above 0s", c.Poll.Std())
+	for path, d := range map[string]settings.Duration{
+		"/poll":           c.Poll,
+		"/store/timeout":  c.Store.Timeout,
+		"/retain/samples": c.Retain.Samples,
+		"/retain/others":  c.Retain.Others,
+	} {
+		if d <= 0 {
+			return settings.NewError(path, d.Std().String(), "a duration above 0")
+		}
 	}
-	return c, nil
+	return nil
 }
 
-func (c logConfig) logger() *slog.Logger {
+func (c logConfig) logger(w io.Writer) *slog.Logger {
 	o := &slog.HandlerOptions{Level: c.Level}
 	if c.Format == "text" {
-		return slog.New(slog.NewTextHandler(os.Stderr, o))
+		return slog.New(slog.NewTextHandler(w, o))
 	}
-	return slog.New(slog.NewJSONHandler(os.Stderr, o))
+	return slog.New(slog.NewJSONHandler(w, o))
 }
--- a/internal/event/daemon.go
+++ b/internal/event/daemon.go
@@ -17,5 +17,4 @@
 	ChargeTaken        = define(2033, slog.LevelInfo, "this process is in charge of a server")
 	ChargeElsewhere    = define(2034, slog.LevelWarn, "another process is in charge of a server")
 	MessageUnknown     = define(2021, slog.LevelWarn, "message of an unknown kind ignored")
-	SettingsInvalid    = define(2020, slog.LevelError, "settings are invalid")
 )
