Bound the frames of a link and resend the state of servers when it opens

Collected samples beyond 2 MB are named as running and asked for again; a chunk holds at most 256 KB. A change between hello and the first message was lost, so the state of each server follows the hello. Tests: slow link, random cuts of a stream, any order of work and questions for a key.

--- a/daemon/internal/attempt/attempt.go
+++ b/daemon/internal/attempt/attempt.go
@@ -59,6 +59,7 @@
 	Offset int
 	Tokens []string
 	Spans  []wire.Span
+	Rest   bool // more tokens are there already
 	End    *End
 }
 
@@ -193,14 +194,20 @@
 	return true
 }
 
-// Next returns up to limit tokens from an offset on, and a channel that is closed once there is more.
-func (a *Attempt) Next(from, limit int) (Output, <-chan struct{}) {
+// Next returns tokens from an offset on, up to limit of them and about size bytes, and a channel that is closed once
+// there is more.
+func (a *Attempt) Next(from, limit, size int) (Output, <-chan struct{}) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	from = max(0, min(from, len(a.tokens)))
-	to := min(from+limit, len(a.tokens))
+	to := from
+	for to < len(a.tokens) && to < from+limit && size > 0 {
+		size -= len(a.tokens[to])
+		to++
+	}
 	o := Output{Offset: from, Tokens: a.tokens[from:to:to], Spans: clip(a.spans, from, to)}
-	if to == len(a.tokens) {
+	o.Rest = to < len(a.tokens)
+	if !o.Rest {
 		o.End = a.end
 	}
 	return o, a.changed
@@ -292,11 +299,12 @@
 	return n
 }
 
-func (a *Attempt) held() wire.HeldSample {
+// held describes the sample, with its output if whole is true.
+func (a *Attempt) held(whole bool) wire.HeldSample {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	h := wire.HeldSample{Attempt: a.work.Attempt, Server: a.work.Server, Slot: *a.work.Slot}
-	if a.end != nil {
+	if whole {
 		h.Tokens = a.tokens[:len(a.tokens):len(a.tokens)]
 		h.Spans = append([]wire.Span(nil), a.spans...)
 	}
--- a/daemon/internal/attempt/table.go
+++ b/daemon/internal/attempt/table.go
@@ -2,6 +2,8 @@
 
 import (
 	"container/list"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -334,22 +336,31 @@
 	}
 }
 
-// Collect returns the samples of a step that are kept or run.
+// maxHeld bounds the bytes of the samples in one answer to collect, which has to fit into a frame of a link.
+const maxHeld = 2 << 20
+
+// Collect returns the samples of a step that are kept or run. Finished samples beyond maxHeld bytes are named among the
+// running ones: the owner asks again while there are any, and has dropped the first ones by then.
 func (t *Table) Collect(run string, step int) wire.Held {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	h := wire.Held{Running: []wire.HeldSample{}, Samples: []wire.HeldSample{}}
+	var found []*Attempt
 	for _, a := range t.attempts {
-		s := a.Work().Slot
-		if s == nil || s.Run != run || s.Step != step {
-			continue
+		if s := a.Work().Slot; s != nil && s.Run == run && s.Step == step {
+			found = append(found, a)
 		}
+	}
+	slices.SortFunc(found, func(a, b *Attempt) int { return strings.Compare(a.ID(), b.ID()) })
+	h := wire.Held{Running: []wire.HeldSample{}, Samples: []wire.HeldSample{}}
+	room := int64(maxHeld)
+	for _, a := range found {
 		e := a.End()
 		switch {
-		case e == nil:
-			h.Running = append(h.Running, a.held())
+		case e == nil, e.Refusal == nil && room <= 0:
+			h.Running = append(h.Running, a.held(false))
 		case e.Refusal == nil:
-			h.Samples = append(h.Samples, a.held())
+			h.Samples = append(h.Samples, a.held(true))
+			room -= t.places[a].bytes
 		}
 	}
 	return h
--- a/daemon/internal/attempt/table_test.go
+++ b/daemon/internal/attempt/table_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"bulrushspoke/internal/refusal"
 	"bulrushspoke/wire"
 )
@@ -151,3 +153,69 @@
 		t.Fatalf("spans %s", got)
 	}
 }
+
+// claims models the claims of one key: work is only sent in eras that a claim has named, and a claim moves only after
+// proof that the key did not run under it. Copies of work arrive late.
+type claims struct {
+	eras []int
+	runs int
+}
+
+// Guards against a key that runs twice, or that runs after an entry was told that it never will, for any order of
+// work, questions, ends, forgetting and time.
+func TestAnyOrderRunsAKeyOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tb := NewTable("i", 100, start, Limits{Bytes: 4000, Keys: 6, Samples: time.Minute, Others: time.Minute})
+		now := start
+		keys := [3]claims{{eras: []int{100}}, {eras: []int{100}}, {eras: []int{100}}}
+		denied := make(map[string]bool) // by key and era
+		var open []*Attempt
+		for n := range rapid.IntRange(1, 150).Draw(t, "steps") {
+			k := rapid.IntRange(0, len(keys)-1).Draw(t, "key")
+			c := &keys[k]
+			key, last := fmt.Sprint(k), c.eras[len(c.eras)-1]
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0:
+				era := rapid.SampledFrom(c.eras).Draw(t, "era")
+				a, fresh, _ := tb.Admit(now, once(fmt.Sprint(n), key, era))
+				if !fresh {
+					continue
+				}
+				if denied[fmt.Sprint(key, era)] {
+					t.Fatalf("key %s starts in era %d after it was denied", key, era)
+				}
+				if c.runs++; c.runs > 1 {
+					t.Fatalf("key %s runs again", key)
+				}
+				open = append(open, a)
+			case 1, 2:
+				if f := tb.Ask(now, wire.Ask{Key: key, Inc: "i", Era: last}); f.State != "none" {
+					continue
+				}
+				denied[fmt.Sprint(key, last)] = true
+				if now := tb.Era(now); now > last {
+					c.eras = append(c.eras, now)
+				}
+			case 3:
+				if len(open) == 0 {
+					continue
+				}
+				a := open[0]
+				open = open[1:]
+				e := End{Reply: &wire.Reply{Status: 200}}
+				if rapid.Bool().Draw(t, "unstarted") {
+					e = End{Refusal: refusal.New(refusal.Deadline, refusal.NotRun, "late")}
+					w := a.Work()
+					denied[fmt.Sprint(w.Key, w.Era)] = true
+					keys[w.Key[0]-'0'].runs--
+				}
+				tb.Finish(now, a, e)
+			case 4:
+				tb.Drop(now, []string{fmt.Sprint(rapid.IntRange(0, n).Draw(t, "id"))})
+			case 5:
+				now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "pause")) * time.Second)
+				tb.Sweep(now, time.Second)
+			}
+		}
+	})
+}
--- a/daemon/internal/cli/fake_test.go
+++ b/daemon/internal/cli/fake_test.go
@@ -139,6 +139,7 @@
 	*httptest.Server
 	mu    sync.Mutex
 	calls int
+	pad   int // further bytes of each answer
 	let   chan struct{}
 }
 
@@ -160,6 +161,7 @@
 		w.Header().Set("Ledger", "yes")
 		w.WriteHeader(http.StatusCreated)
 		_, _ = fmt.Fprintf(w, "%s %s %d", r.Method, strings.TrimPrefix(r.URL.String(), "/"), n)
+		_, _ = w.Write(make([]byte, s.pad))
 	}))
 	t.Cleanup(func() {
 		s.CloseClientConnections()
--- a/daemon/internal/cli/program_test.go
+++ b/daemon/internal/cli/program_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -71,8 +72,12 @@
 	*link.Conn
 	t      *testing.T
 	frames chan link.Frame
+	wait   atomic.Pointer[chan struct{}] // the reading task waits for it once a result arrives
 }
 
+// hold stops the reading task at the next result until release is closed.
+func (e *entryLink) hold(release chan struct{}) { e.wait.Store(&release) }
+
 func dial(t *testing.T, d *daemon) *entryLink {
 	t.Helper()
 	e := &entryLink{t: t, frames: make(chan link.Frame, 10_000)}
@@ -80,6 +85,9 @@
 		return wire.Hello{Name: "entry", Inc: "i", Role: "entry"}
 	})
 	h := link.HandlerFunc(func(_ *link.Conn, f link.Frame) error {
+		if c := e.wait.Load(); c != nil && f.Kind == link.Done {
+			<-*c
+		}
 		e.frames <- f
 		return nil
 	})
--- a/daemon/internal/cli/stream_test.go
+++ b/daemon/internal/cli/stream_test.go
@@ -1,6 +1,8 @@
 package cli
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -76,3 +78,64 @@
 		t.Fatalf("runs at the engine: %s", diff)
 	}
 }
+
+// Guards against an entry that stops reading and holds up the streams of others.
+func TestSlowLinkDelaysOnlyItself(t *testing.T) {
+	e, s := newFakeEngine(t), newFakeService(t)
+	s.pad = 2 << 20
+	d := startDaemon(t, e.URL, s.URL, nil)
+	slow, other := dial(t, d), dial(t, d)
+	release := make(chan struct{})
+	defer close(release)
+	slow.hold(release)
+	const calls = 12 // 24 MB of answers fill the buffers of the connection
+	for n := range calls {
+		w := ledger(fmt.Sprintf("s%d", n), "", 0)
+		w.Once = false
+		slow.work(w)
+	}
+	for range calls {
+		s.let <- struct{}{}
+	}
+	eventually(t, "all answers are there", func() bool { return d.table.Active() == 0 })
+	other.work(completion("a", 3))
+	e.let(3)
+	if r := other.read("a", 0); r.done == nil || len(r.tokens) != 3 {
+		t.Fatalf("the other link gets %+v", r.refuse)
+	}
+}
+
+// Guards against streams that break while entries are cut off and send them again at random: every token must arrive
+// once and in order, and nothing may run twice.
+func TestStreamSurvivesRandomCuts(t *testing.T) {
+	e := newFakeEngine(t)
+	d := startDaemon(t, e.URL, "", nil)
+	random := rand.New(rand.NewPCG(3, 4))
+	const tokens = 60
+	var got []string
+	for len(got) < tokens {
+		c := dial(t, d)
+		w := completion("a", tokens)
+		w.Offset = len(got)
+		c.work(w)
+		want := min(len(got)+1+random.IntN(8), tokens)
+		e.let(want - len(got))
+		for len(got) < want {
+			var m wire.Chunk
+			_ = c.next(link.Chunk).Decode(&m)
+			if m.Offset != len(got) {
+				t.Fatalf("chunk at %d, want %d", m.Offset, len(got))
+			}
+			got = append(got, m.Tokens...)
+		}
+		c.Close()
+	}
+	for n, text := range got {
+		if text != fmt.Sprintf("t%d ", n) {
+			t.Fatalf("token %d is %q", n, text)
+		}
+	}
+	if diff := cmp.Diff([]string{"a"}, e.runs()); diff != "" {
+		t.Fatalf("runs at the engine: %s", diff)
+	}
+}
--- a/daemon/internal/entry/entry.go
+++ b/daemon/internal/entry/entry.go
@@ -27,8 +27,9 @@
 )
 
 const (
-	// maxChunk bounds the tokens of one message, so that the streams of a link take turns.
+	// maxChunk and maxBytes bound the tokens of one message, so that the streams of a link take turns.
 	maxChunk = 512
+	maxBytes = 256 << 10
 	// maxKey bounds an idempotency key with its tenant, in bytes.
 	maxKey = 512
 	// maxTokens bounds the answer that a work message may ask for; entries enforce the lower limit of the profile.
@@ -113,8 +114,10 @@
 	for _, t := range c.Peer().Targets {
 		l.targets.Offer(t)
 	}
-	if leaving {
-		_ = c.Notify(link.State, wire.State{Leaving: true})
+	// The state may have changed since the hello was made; a link that is closed by now needs none.
+	for _, la := range l.lanes {
+		s := la.Server()
+		_ = c.Notify(link.State, wire.State{Server: &s, Leaving: leaving})
 	}
 }
 
@@ -321,7 +324,7 @@
 	ctx, detach := a.Attach(context.Background())
 	defer func() { detach(time.Now()) }()
 	for {
-		o, more := a.Next(from, maxChunk)
+		o, more := a.Next(from, maxChunk, maxBytes)
 		if o.End != nil && o.End.Refusal != nil {
 			_ = c.Send(ctx, link.Refuse, l.refuse(a, o))
 			return
@@ -337,7 +340,7 @@
 			_ = c.Send(ctx, link.Done, a.Done())
 			return
 		}
-		if len(o.Tokens) == maxChunk {
+		if o.Rest {
 			continue
 		}
 		select {
