Test crashes of shared content and repeated tokens

Change: tests for a crash that ends many requests of the same content, and for messages that repeat tokens.

--- a/entry/internal/dispatch/dispatch_test.go
+++ b/entry/internal/dispatch/dispatch_test.go
@@ -62,6 +62,22 @@
 	}
 }
 
+// Guards against tokens that appear twice when a daemon sends more than is missing.
+func TestRepeatedTokens(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPool(2)
+		p.plan = first(plan{repeat: true, end: "lost", after: 6}, plan{repeat: true})
+		r, err := dispatcher(p).Run(t.Context(), job("a", 12))
+		if err != nil {
+			t.Fatalf("run: %v", err)
+		}
+		check(t, r, "a", 12)
+		if p.starts != 2 {
+			t.Fatalf("%d attempts, want 2", p.starts)
+		}
+	})
+}
+
 // Guards against an answer that is made again because only its end was lost, and against a result without its attempt,
 // which names a sample.
 func TestEndLost(t *testing.T) {
@@ -253,6 +269,32 @@
 	})
 }
 
+// Guards against blame on content that many requests share, such as the samples of a group, when one crash ends them all.
+func TestCrashOfGroup(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPool(1)
+		p.servers[0].Server.Slots = 8
+		p.crash["poison"] = true
+		d := dispatcher(p)
+		var wg sync.WaitGroup
+		for range 6 {
+			wg.Go(func() {
+				r, err := d.Run(t.Context(), job("same", 20))
+				if err != nil {
+					t.Errorf("bystander: %v", err)
+					return
+				}
+				check(t, r, "same", 20)
+			})
+		}
+		_, err := d.Run(t.Context(), job("poison", 20))
+		if e := code(t, err); e.Code() != refusal.Poison || p.falls["poison"] != 2 {
+			t.Fatalf("%v after %d crashes", e, p.falls["poison"])
+		}
+		wg.Wait()
+	})
+}
+
 // Guards against suspicions that other entries do not learn of, or that a finished solo run leaves behind.
 func TestSuspicionIsShared(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/entry/internal/dispatch/fake_test.go
+++ b/entry/internal/dispatch/fake_test.go
@@ -21,6 +21,7 @@
 	after  int            // tokens before that end
 	wait   time.Duration  // time before the first token
 	pace   time.Duration  // time per token, 10 ms if 0
+	repeat bool           // each message repeats all tokens of the attempt
 }
 
 // pool is a stand-in for the daemons that counts what really runs.
@@ -185,10 +186,15 @@
 		return Event{}, ctx.Err()
 	}
 	s.sent++
-	return Event{Chunk: &wire.Chunk{
-		Attempt: s.work.Attempt, Offset: at, Tokens: []string{text(s.work.Prompt, at)},
-		Spans: []wire.Span{{Version: s.version, First: at, Last: at}},
-	}}, nil
+	from := at
+	if s.plan.repeat {
+		from = len(s.work.Held)
+	}
+	c := &wire.Chunk{Attempt: s.work.Attempt, Offset: from, Spans: []wire.Span{{Version: s.version, First: from, Last: at}}}
+	for i := from; i <= at; i++ {
+		c.Tokens = append(c.Tokens, text(s.work.Prompt, i))
+	}
+	return Event{Chunk: c}, nil
 }
 
 func (s *stream) fail(ctx context.Context, at int) (Event, error) {
