--- a/entry/internal/daemon/pool_test.go
+++ b/entry/internal/daemon/pool_test.go
@@ -218,6 +218,68 @@
 	}
 }
 
+// Guards against a stream that waits for good on a connection which went silent after the acknowledgement.
+func TestSilentInMidStream(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	d := &fake{inc: "i1", answer: func(n int, c *link.Conn, f link.Frame, w wire.Work) {
+		ack(c, f)
+		send(c, link.Chunk, chunk(w.Offset, "x"))
+		if n == 1 {
+			<-release // the reading task answers nothing any more
+			return
+		}
+		send(c, link.Done, wire.Done{Attempt: "a1", Total: 2})
+	}}
+	p := start(t, d, options())
+	s, err := p.Start(t.Context(), "w", work())
+	if err != nil {
+		t.Fatalf("start: %v", err)
+	}
+	if text, e, err := read(t, s); text != "xx" || e.Done == nil || err != nil {
+		t.Fatalf("read %q, %+v, %v", text, e, err)
+	}
+}
+
+// Guards against an answer that ends early because its last part is missing, and against a refused attempt that is sent
+// again for one.
+func TestMissingPart(t *testing.T) {
+	d := &fake{inc: "i1", answer: func(n int, c *link.Conn, f link.Frame, _ wire.Work) {
+		ack(c, f)
+		if n == 1 {
+			send(c, link.Done, wire.Done{Attempt: "a1", Total: 2})
+			send(c, link.Chunk, chunk(0, "a"))
+			return
+		}
+		send(c, link.Chunk, chunk(1, "b"))
+	}}
+	p := start(t, d, options())
+	s, err := p.Start(t.Context(), "w", work())
+	if err != nil {
+		t.Fatalf("start: %v", err)
+	}
+	if text, e, err := read(t, s); text != "ab" || e.Done == nil || err != nil {
+		t.Fatalf("read %q, %+v, %v", text, e, err)
+	}
+	before := len(d.seen())
+	d.answer = func(_ int, c *link.Conn, f link.Frame, _ wire.Work) {
+		ack(c, f)
+		send(c, link.Refuse, wire.Refuse{
+			Attempt: "a1", Code: "leaving", Ran: "partial", Offset: 1, Tokens: []string{"b"},
+			Spans: []wire.Span{{Version: 7, First: 1, Last: 1}},
+		})
+	}
+	if s, err = p.Start(t.Context(), "w", work()); err != nil {
+		t.Fatalf("start: %v", err)
+	}
+	if text, e, err := read(t, s); text != "" || e.Refuse == nil || err != nil {
+		t.Fatalf("read %q, %+v, %v", text, e, err)
+	}
+	if n := len(d.seen()) - before; n != 1 {
+		t.Fatalf("a refused attempt was sent %d times", n)
+	}
+}
+
 // Guards against an attempt that runs a second time because a restarted daemon does not know it.
 func TestRestartedDaemon(t *testing.T) {
 	d := &fake{inc: "i1", answer: func(_ int, c *link.Conn, f link.Frame, _ wire.Work) {
--- /dev/null
+++ b/entry/internal/peer/peer_test.go
@@ -0,0 +1,127 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"bulrushspoke/internal/link"
+	"bulrushspoke/wire"
+)
+
+// half is a jitter without randomness.
+type half struct{}
+
+func (half) Float64() float64 { return 0.5 }
+
+// node is one entry of a test.
+type node struct {
+	*Peers
+	address string
+	rev     int64
+	noticed atomic.Int64
+	stuck   chan struct{} // blocks the task that reads a link, as if the connection had gone silent
+	pulls   atomic.Int64
+}
+
+func (n *node) Pull(_ context.Context, f wire.Forward) wire.Batch {
+	n.pulls.Add(1)
+	return wire.Batch{Code: f.Run}
+}
+func (n *node) Verdict(wire.Verdict) {}
+func (n *node) Suspect(wire.Suspect) { <-n.stuck }
+
+func start(t *testing.T, name string, rev int64) *node {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := &node{address: l.Addr().String(), rev: rev, stuck: make(chan struct{})}
+	quiet := slog.New(slog.DiscardHandler)
+	id := link.NewIdentity(name, []byte("s"), func() wire.Hello { return wire.Hello{Name: name, Role: role, Inc: name, Rev: rev} })
+	content := func() wire.Config { return wire.Config{Rev: n.rev, Value: []byte(name)} }
+	noticed := func(m wire.Notice) { n.noticed.Store(max(n.noticed.Load(), m.Rev)) }
+	o := Options{Ack: 300 * time.Millisecond, Resume: 5 * time.Second, Redial: 50 * time.Millisecond}
+	n.Peers = New(name, id, content, noticed, o, half{}, quiet)
+	n.Use(n)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { _ = n.Serve(ctx) }()
+	s := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) { _ = n.Accept(ctx) }}
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() {
+		close(n.stuck)
+		cancel()
+		_ = l.Close()
+	})
+	return n
+}
+
+// know makes n dial the others.
+func (n *node) know(others ...*node) {
+	var l []wire.Instance
+	for _, o := range others {
+		l = append(l, wire.Instance{Name: o.name, Role: role, Address: o.address, State: "live"})
+	}
+	n.List(l, time.Now())
+}
+
+func await(t *testing.T, ready func() bool) {
+	t.Helper()
+	for range 4000 {
+		if ready() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatal("condition was not reached")
+}
+
+// Guards against entries that lose touch because only one of them can reach the other, and against an entry that takes
+// over an older configuration than its peers hold.
+func TestEntries(t *testing.T) {
+	a, b, c := start(t, "a", 3), start(t, "b", 5), start(t, "c", 4)
+	a.know(b, c)
+	await(t, func() bool { return a.Reachable("b") && a.Reachable("c") && b.Reachable("a") })
+	if got, err := b.Forward(t.Context(), "a", wire.Forward{Run: "r"}); err != nil || got.Code != "r" {
+		t.Fatalf("pull over the link that the owner opened: %+v, %v", got, err)
+	}
+	if got, ok := a.Fetch(t.Context(), 4); !ok || got.Rev != 5 || string(got.Value) != "b" {
+		t.Fatalf("fetched %+v, %t", got, ok)
+	}
+	if _, ok := a.Fetch(t.Context(), 6); ok {
+		t.Fatal("fetched a revision that nobody holds")
+	}
+	await(t, func() bool { return a.noticed.Load() == 5 })
+	a.Announce(wire.Notice{Rev: 9})
+	await(t, func() bool { return b.noticed.Load() == 9 && c.noticed.Load() == 9 })
+}
+
+// Guards against a pull that waits on a connection which went silent, or that gives up on an owner who still answers on
+// a new one.
+func TestForwardOverSilentLink(t *testing.T) {
+	a, b := start(t, "a", 0), start(t, "b", 0)
+	a.know(b)
+	await(t, func() bool { return a.Reachable("b") })
+	a.Peers.Suspect(wire.Suspect{}) // stops b's reader of this link
+	await(t, func() bool {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+		defer cancel()
+		_, ok := a.Fetch(ctx, 0)
+		return !ok
+	})
+	got, err := a.Forward(t.Context(), "b", wire.Forward{Run: "r"})
+	if err != nil || got.Code != "r" || b.pulls.Load() != 1 {
+		t.Fatalf("pull %+v, %v, arrived %d times", got, err, b.pulls.Load())
+	}
+	var absent *AbsentError
+	if _, err := a.Forward(t.Context(), "z", wire.Forward{}); !errors.As(err, &absent) {
+		t.Fatalf("pull to an unknown entry: %v", err)
+	}
+}
