--- a/entry/internal/caller/caller.go
+++ b/entry/internal/caller/caller.go
@@ -26,7 +26,11 @@
 const VersionsHeader = "Bulrush-Versions"
 
 // KeyHeader carries the idempotency key of a call that must not be repeated.
-const KeyHeader = "Idempotency-Key"
+const KeyHeader = gate.KeyHeader
+
+// MaxPrompt is the largest prompt in bytes. A message between processes holds 4 MB, and a resumed answer sends its
+// tokens along with the prompt.
+const MaxPrompt = 1 << 20
 
 // Dispatcher runs work that may be repeated.
 type Dispatcher interface {
@@ -46,7 +50,8 @@
 
 // Limits bound what a caller may send, beside those of its profile.
 type Limits struct {
-	Prompt int // bytes of a prompt
+	Prompt int // bytes of a prompt, at most MaxPrompt
+	Tokens int // tokens of an answer, 0 for the limit of the profile only
 }
 
 // Recorder counts values by tenant and class.
@@ -82,6 +87,7 @@
 
 // New returns the handlers for callers.
 func New(d Dispatcher, c Claims, p Profiles, l Limits, m Meters, logger *slog.Logger) *Caller {
+	l.Prompt = min(l.Prompt, MaxPrompt)
 	return &Caller{dispatcher: d, claims: c, profiles: p, limits: l, meters: m, logger: logger}
 }
 
@@ -104,12 +110,20 @@
 	// The revision is read first: a profile that is newer than it is harmless, an older one is not.
 	rev := c.profiles.Revision()
 	p, ok := c.profiles.Profile(r.Identity.Profile)
+	ran := refusal.NotRun
+	if len(r.Request.Header.Peek(KeyHeader)) > 0 {
+		// An earlier request with the key may have run.
+		ran = refusal.Unknown
+	}
 	if !ok {
-		return resolved{}, refusal.New(refusal.Unready, refusal.NotRun, "caller: profile %s is not known yet", r.Identity.Profile)
+		return resolved{}, refusal.New(refusal.Unready, ran, "caller: profile %s is not known yet", r.Identity.Profile)
 	}
 	d, err := time.ParseDuration(p.Deadline)
 	if err != nil || d <= 0 {
-		return resolved{}, refusal.New(refusal.Unready, refusal.NotRun, "caller: profile %s has no valid deadline", p.Name)
+		return resolved{}, refusal.New(refusal.Unready, ran, "caller: profile %s has no valid deadline", p.Name)
+	}
+	if c.limits.Tokens > 0 {
+		p.Tokens = min(p.Tokens, c.limits.Tokens)
 	}
 	return resolved{Profile: p, rev: rev, arrived: now, deadline: now.Add(d)}, nil
 }
--- a/entry/internal/cli/build.go
+++ b/entry/internal/cli/build.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"bulrushspoke/entry/internal/caller"
+	"bulrushspoke/entry/internal/claim"
 	settled "bulrushspoke/entry/internal/config"
 	"bulrushspoke/entry/internal/daemon"
 	"bulrushspoke/entry/internal/dispatch"
@@ -42,6 +43,7 @@
 	peers      *peer.Peers
 	poller     *instances.Poller
 	dispatcher *dispatch.Dispatcher
+	sweeper    *claim.Sweeper
 	gate       *gate.Gate
 	links      *fasthttp.Server
 }
@@ -101,7 +103,8 @@
 	e.holder.Use(e.peers)
 	e.holder.OnChange(func(rev int64) { e.announce(wire.Notice{Rev: rev}) })
 	e.poller = instances.New(c.Instances.URL, c.Instances.Interval.Std(), c.fixed(), jitter, e.list, logger)
-	e.dispatcher = dispatch.New(dispatchPool{e.pool}, e.peers, e.holder, c.Region, draw(source), dispatch.Defaults(), logger)
+	links := dispatch.Links{Pool: e.pool}
+	e.dispatcher = dispatch.New(links, e.peers, e.holder, c.Region, draw(source), dispatch.Defaults(), logger)
 	e.peers.Use(peerHandler{e})
 	e.gate = gate.New(tokens(c), gate.Limits{
 		Body:   c.Limits.Body,
@@ -110,8 +113,6 @@
 		Write:  c.Timeouts.Write.Std(),
 		Idle:   c.Timeouts.Idle.Std(),
 	}, e.holder, logger)
-	prompt := caller.Limits{Prompt: c.Limits.Body}
-	caller.New(e.dispatcher, noClaims{}, e.holder, prompt, caller.NewMeters(m), logger).Register(e.gate)
 	operator.New(operator.Options{
 		Config:  e.holder,
 		Pool:    e.pool,
@@ -120,6 +121,10 @@
 		Ready:   e.ready,
 		Metrics: text,
 	}).Routes(e.gate)
+	claims := claim.New(e.store, links, e.dispatcher, e.holder, claim.Defaults(), logger)
+	limits := caller.Limits{Prompt: c.Limits.Body, Tokens: c.Limits.Tokens}
+	caller.New(e.dispatcher, claims, e.holder, limits, caller.NewMeters(m), logger).Register(e.gate)
+	e.sweeper = claim.NewSweeper(e.store, jitter)
 	e.links = &fasthttp.Server{
 		Handler:               e.accept,
 		NoDefaultServerHeader: true,
@@ -145,6 +150,14 @@
 func (e *entry) measure(m *meter.Meter) {
 	m.Gauge("daemons_linked", "Daemons whose link works.", func() float64 { return float64(e.pool.Linked()) })
 	m.Gauge("attempts_inflight", "Attempts that have not ended.", func() float64 { return float64(e.pool.Inflight()) })
+	m.Gauge("requests_offered", "Requests given to the dispatcher.",
+		func() float64 { return float64(e.dispatcher.Counts().Requests) })
+	m.Gauge("attempts_sent", "Attempts sent to servers.",
+		func() float64 { return float64(e.dispatcher.Counts().Attempts) })
+	m.Gauge("retries", "Attempts paid from a retry budget.",
+		func() float64 { return float64(e.dispatcher.Counts().Retries) })
+	m.Gauge("hedges", "Attempts paid from the hedge budget.",
+		func() float64 { return float64(e.dispatcher.Counts().Hedges) })
 	m.Gauge("config_revision", "Revision of the configuration in force here.",
 		func() float64 { return float64(e.holder.Revision()) })
 	m.Gauge("store_calls", "Calls of the object store, waiting watches included.",
@@ -166,6 +179,7 @@
 	tree.Add(supervise.Task("entries", e.peers.Serve))
 	tree.Add(supervise.Task("configuration", e.holder.Serve))
 	tree.Add(supervise.Task("instances", e.poller.Serve))
+	tree.Add(supervise.Task("old claims", e.sweeper.Serve))
 	tree.Add(supervise.Task("http", func(ctx context.Context) error {
 		if err := e.gate.Serve(public); err != nil {
 			return err
--- a/entry/internal/daemon/stream.go
+++ b/entry/internal/daemon/stream.go
@@ -139,12 +139,12 @@
 }
 
 // bind notes that the attempt is about to be sent over c. It reports false if the attempt was sent to another
-// incarnation before.
+// incarnation before, or if a claim binds it to another one.
 func (s *Stream) bind(c *link.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	inc := c.Peer().Inc
-	if s.inc != "" && s.inc != inc {
+	if s.inc != "" && s.inc != inc || s.work.Inc != "" && s.work.Inc != inc {
 		return false
 	}
 	s.inc = inc
--- a/entry/internal/dispatch/budget.go
+++ b/entry/internal/dispatch/budget.go
@@ -1,5 +1,26 @@
 package dispatch
 
+// Counts are totals since the start of the process.
+type Counts struct {
+	Requests int64 // offered by callers and steps
+	Attempts int64 // sent to servers
+	Retries  int64 // paid from a retry budget
+	Hedges   int64 // paid from the hedge budget
+}
+
+// Counts returns the totals.
+func (d *Dispatcher) Counts() Counts {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.counts
+}
+
+func (d *Dispatcher) sent() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.counts.Attempts++
+}
+
 // budget bounds extra attempts to a part of the requests.
 type budget struct {
 	ratio float64
@@ -7,9 +28,11 @@
 	level float64
 }
 
-// newBudget returns a budget that starts half full, so that a new process can repeat its first requests.
+// startLevel lets a new process repeat some of its first requests.
+const startLevel = 10
+
 func newBudget(ratio, burst float64) *budget {
-	return &budget{ratio: ratio, burst: burst, level: burst / 2}
+	return &budget{ratio: ratio, burst: burst, level: min(burst, startLevel)}
 }
 
 // deposit counts a request.
@@ -26,21 +49,26 @@
 	return true
 }
 
-// offer counts a request in the budgets.
-func (d *Dispatcher) offer(tenant string, hedge bool) {
+// Offer counts a request in the budgets.
+func (d *Dispatcher) Offer(tenant string, hedge bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.counts.Requests++
 	d.budget(tenant).deposit()
 	if hedge {
 		d.hedges.deposit()
 	}
 }
 
-// repeat pays for a retry of the tenant.
-func (d *Dispatcher) repeat(tenant string) bool {
+// Repeat pays for a retry of the tenant and reports whether it may be made.
+func (d *Dispatcher) Repeat(tenant string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.budget(tenant).take()
+	if !d.budget(tenant).take() {
+		return false
+	}
+	d.counts.Retries++
+	return true
 }
 
 // hedge pays for a hedge from both budgets, so that hedges and retries together keep to the larger one.
@@ -48,7 +76,11 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	b := d.budget(tenant)
-	return b.ready() && d.hedges.take() && b.take()
+	if !b.ready() || !d.hedges.take() || !b.take() {
+		return false
+	}
+	d.counts.Hedges++
+	return true
 }
 
 // budget returns the retry budget of a tenant; d.mu is held. Tenants are named in the settings, so their number is
--- a/entry/internal/dispatch/dispatch.go
+++ b/entry/internal/dispatch/dispatch.go
@@ -2,7 +2,7 @@
 //
 // # Usage
 //
-//	d := dispatch.New(pool, peers, config, "nord", seed, dispatch.Defaults(), logger)
+//	d := dispatch.New(dispatch.Links{Pool: pool}, peers, config, "nord", seed, dispatch.Defaults(), logger)
 //	result, err := d.Run(ctx, dispatch.Job{Work: work, Deadline: deadline})
 //	var refused *refusal.Error
 //	if errors.As(err, &refused) { … }
@@ -21,27 +21,15 @@
 
 	"github.com/oklog/ulid/v2"
 
+	"bulrushspoke/entry/internal/daemon"
 	"bulrushspoke/wire"
 )
 
 // Candidate is one server that work can be sent to.
-type Candidate struct {
-	Server  wire.Server
-	Daemon  string // name of its daemon
-	Inc     string // incarnation of its daemon
-	Era     int    // era of its daemon
-	Domain  string
-	Region  string
-	Leaving bool
-	Linked  bool
-}
+type Candidate = daemon.Candidate
 
 // Event is one message of a stream; exactly one field is set.
-type Event struct {
-	Chunk  *wire.Chunk
-	Done   *wire.Done
-	Refuse *wire.Refuse
-}
+type Event = daemon.Event
 
 // Stream is one attempt that a daemon has acknowledged.
 type Stream interface {
@@ -58,6 +46,20 @@
 	Drop(daemon string, attempts ...string)
 }
 
+// Links is the pool of links to the daemons.
+type Links struct {
+	*daemon.Pool
+}
+
+// Start implements Pool.
+func (l Links) Start(ctx context.Context, daemon string, w wire.Work) (Stream, error) {
+	s, err := l.Pool.Start(ctx, daemon, w)
+	if err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
 // Peers reaches the other entries.
 type Peers interface {
 	Suspect(s wire.Suspect)
@@ -127,14 +129,15 @@
 	Traces int
 }
 
-// Defaults returns the settings for production. The hedge and retry shares add up to less than the 10% of extra load
-// that the design allows, because a hedge is paid from both budgets.
+// Defaults returns the settings for production. Hedges and retries together stay within the 10% of extra load that the
+// design allows, because a hedge is paid from both budgets. The bursts let the requests that run on a quarter of the
+// servers be hedged at once when these become slow: with a burst of 5 hedges the p99 of a small fleet doubled.
 func Defaults() Settings {
 	return Settings{
 		RetryRatio: 0.10,
-		RetryBurst: 20,
+		RetryBurst: 100,
 		HedgeRatio: 0.05,
-		HedgeBurst: 5,
+		HedgeBurst: 50,
 		HedgeAfter: 50 * time.Millisecond,
 		HedgeFirst: time.Second,
 		Suspicion:  10 * time.Minute,
@@ -161,6 +164,7 @@
 	routes  map[routeKey]*route
 	budgets map[string]*budget
 	hedges  *budget
+	counts  Counts
 }
 
 // New returns a dispatcher for an entry in region. The seed must differ between processes, because attempt identifiers
@@ -196,7 +200,7 @@
 	r := newRun(d, j)
 	r.offer()
 	result, err := r.run(ctx)
-	result.Tries = r.trace.end(err)
+	result.Tries = r.trace.End(err)
 	if err != nil {
 		return result, err
 	}
@@ -206,6 +210,9 @@
 // Explain returns what is known of a request.
 func (d *Dispatcher) Explain(request string) (wire.Trace, bool) { return d.traces.get(request) }
 
+// Trace begins the record of a request that another package runs.
+func (d *Dispatcher) Trace(w *wire.Work) *Trace { return d.traces.begin(w) }
+
 // Suspect takes a suspicion from another entry.
 func (d *Dispatcher) Suspect(s wire.Suspect) { d.suspects.merge(time.Now(), s) }
 
--- a/entry/internal/dispatch/run.go
+++ b/entry/internal/dispatch/run.go
@@ -35,13 +35,14 @@
 	spans    []wire.Span
 	ran      refusal.Ran
 	last     *refusal.Error
+	newest   *try // attempt that produced tokens last
 	except   []string
 	idle     int
 	hedges   int
 	trial    bool
 	first    time.Time
 	wait     time.Duration
-	trace    *trace
+	trace    *Trace
 	messages chan message
 }
 
@@ -55,7 +56,7 @@
 	return r
 }
 
-func (r *run) offer() { r.d.offer(r.work.Tenant, r.job.Hedge) }
+func (r *run) offer() { r.d.Offer(r.work.Tenant, r.job.Hedge) }
 
 // run makes attempts until the job is finished or refused.
 func (r *run) run(ctx context.Context) (Result, error) {
@@ -65,7 +66,7 @@
 			return r.result(), err
 		}
 		if r.whole() {
-			return r.finish("length", nil, nil), nil
+			return r.finish("length", nil, r.newest), nil
 		}
 		if err := r.admit(ctx); err != nil {
 			return r.result(), err
@@ -94,9 +95,7 @@
 	res := r.result()
 	res.Finish, res.Reply = reason, reply
 	res.First, res.Wait = r.first, r.wait
-	if t != nil {
-		res.Attempt, res.Daemon, res.Server = t.work.Attempt, t.lease.place.Daemon, t.work.Server
-	}
+	res.Attempt, res.Daemon, res.Server = t.work.Attempt, t.lease.place.Daemon, t.work.Server
 	r.d.learn(&r.work, len(r.tokens))
 	return res
 }
@@ -114,6 +113,11 @@
 	return refusal.New(code, r.ran, format, args...).After(r.d.retryAfter())
 }
 
+// repeated returns the refusal of the last attempt with what all attempts together prove.
+func (r *run) repeated(e *refusal.Error) error {
+	return refusal.New(e.Code(), r.ran, "%s", e.Message()).After(max(e.Retry(), r.d.retryAfter()))
+}
+
 // ended returns the refusal for a context that has ended.
 func (r *run) ended(ctx context.Context) error {
 	switch {
@@ -152,9 +156,9 @@
 }
 
 // restart counts an attempt that the floor has made useless.
-func (r *run) restart() error {
+func (r *run) restart(ctx context.Context) error {
 	if r.idle++; r.idle > maxIdle {
-		return r.refuse(refusal.StaleVersion, "dispatch: servers produce versions below the floor")
+		return r.tired(ctx, refusal.New(refusal.StaleVersion, refusal.Partial, "dispatch: servers produce versions below the floor"))
 	}
 	return nil
 }
@@ -250,7 +254,7 @@
 
 func (r *run) none(v balance.Verdict) error {
 	if r.last != nil {
-		return r.refuse(r.last.Code(), "%s", r.last.Message())
+		return r.repeated(r.last)
 	}
 	switch v {
 	case balance.Full:
@@ -284,7 +288,7 @@
 		return nil
 	}
 	if r.idle++; r.idle > maxIdle {
-		return r.refuse(e.Code(), "%s", e.Message())
+		return r.tired(ctx, e)
 	}
 	switch {
 	case e.Code() == refusal.StaleConfig:
@@ -294,11 +298,19 @@
 	case e.Ran() == refusal.NotRun && e.Code() != refusal.Busy:
 		// The daemon proved that nothing was done, so the next attempt adds no load to the servers.
 		return nil
-	case r.d.repeat(r.work.Tenant):
+	case r.d.Repeat(r.work.Tenant):
 		return nil
 	default:
-		return r.refuse(e.Code(), "%s", e.Message())
+		return r.repeated(e)
+	}
+}
+
+// tired decides after many attempts that produced nothing: training goes on slowly until its deadline.
+func (r *run) tired(ctx context.Context, e *refusal.Error) error {
+	if r.work.Class != Train {
+		return r.repeated(e)
 	}
+	return r.pause(ctx, r.d.retryAfter())
 }
 
 func (r *run) pause(ctx context.Context, d time.Duration) error {
--- a/internal/event/dispatch.go
+++ b/internal/event/dispatch.go
@@ -6,4 +6,5 @@
 var (
 	ContentSuspect   = define(1200, slog.LevelWarn, "server crashed: request content is suspect")
 	ContentCondemned = define(1201, slog.LevelError, "request content refused: it crashes servers")
+	ClaimMoved       = define(1210, slog.LevelInfo, "claim moved to another daemon")
 )
