Add ownership, verdicts, weight targets and the calls of trainers

A rapid test plays outages, lost answers, pauses and weight changes against 2 or 3 entries in virtual time; one judge checks the trainer's side.

The lock of a step is a channel: a mutex held during a slow store call kept later calls from giving up.

--- /dev/null
+++ b/entry/internal/trainer/handlers.go
@@ -0,0 +1,154 @@
+package trainer
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"bulrushspoke/entry/internal/gate"
+	"bulrushspoke/entry/internal/steplog"
+	"bulrushspoke/internal/refusal"
+	"bulrushspoke/wire"
+)
+
+// Router takes the routes of the trainers' calls.
+type Router interface {
+	Handle(method, pattern, role string, h gate.Handler)
+}
+
+// callLimit bounds a call; a pull gets the time that it may wait in addition.
+const callLimit = 20 * time.Second
+
+const stepPath = "/v1/steps/{run}/{step}"
+
+// Register routes the trainers' calls.
+func (t *Trainer) Register(r Router) {
+	r.Handle(fasthttp.MethodPost, "/v1/steps", gate.Trainer, t.postStep)
+	r.Handle(fasthttp.MethodPost, stepPath+"/pull", gate.Trainer, t.postPull)
+	r.Handle(fasthttp.MethodGet, stepPath, gate.Trainer, t.getStep)
+	r.Handle(fasthttp.MethodPost, stepPath+"/end", gate.Trainer, t.endStep(steplog.Ended))
+	r.Handle(fasthttp.MethodDelete, stepPath, gate.Trainer, t.endStep(steplog.Cancelled))
+	r.Handle(fasthttp.MethodPost, "/v1/weights", gate.Trainer, t.postWeights)
+	r.Handle(fasthttp.MethodPost, "/v1/verdicts", gate.Trainer, t.postVerdict)
+}
+
+func identity(r *gate.Request) Identity {
+	return Identity{Tenant: r.Identity.Tenant, Profile: r.Identity.Profile}
+}
+
+// place returns the run and step that the path names.
+func place(r *gate.Request) (key, error) {
+	step, err := strconv.Atoi(r.Param("step"))
+	k := key{run: r.Param("run"), step: step}
+	if err != nil || step < 0 || !runName.MatchString(k.run) {
+		return k, bad("path names no run and step")
+	}
+	return k, nil
+}
+
+func (t *Trainer) postStep(r *gate.Request) error {
+	var q wire.StepRequest
+	if err := r.Decode(&q); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+	defer cancel()
+	a, err := t.Open(ctx, identity(r), q)
+	if err != nil {
+		return err
+	}
+	return r.JSON(a)
+}
+
+func (t *Trainer) postPull(r *gate.Request) error {
+	k, err := place(r)
+	if err != nil {
+		return err
+	}
+	var q wire.PullRequest
+	if err := r.Decode(&q); err != nil {
+		return err
+	}
+	if q.Wait < 0 || q.Max < 0 || q.Version < 0 {
+		return bad("wait, max and version must be at least 0")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callLimit+maxWait)
+	defer cancel()
+	a, err := t.Take(ctx, identity(r), k.run, k.step, q)
+	if err != nil {
+		return err
+	}
+	return r.JSON(a)
+}
+
+func (t *Trainer) getStep(r *gate.Request) error {
+	k, err := place(r)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+	defer cancel()
+	a, err := t.Progress(ctx, identity(r), k.run, k.step)
+	if err != nil {
+		return err
+	}
+	return r.JSON(a)
+}
+
+func (t *Trainer) endStep(state string) gate.Handler {
+	return func(r *gate.Request) error {
+		k, err := place(r)
+		if err != nil {
+			return err
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+		defer cancel()
+		a, err := t.End(ctx, identity(r), k.run, k.step, state)
+		if err != nil {
+			return err
+		}
+		return r.JSON(a)
+	}
+}
+
+func (t *Trainer) postWeights(r *gate.Request) error {
+	var q wire.WeightsRequest
+	if err := r.Decode(&q); err != nil {
+		return err
+	}
+	if q.Model == "" || q.Version < 1 {
+		return bad("weights need a model and a version of at least 1")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+	defer cancel()
+	if err := t.o.Weights.Publish(ctx, q.Model, q.Version); err != nil {
+		return storeError(err)
+	}
+	return r.JSON(q)
+}
+
+func (t *Trainer) postVerdict(r *gate.Request) error {
+	var q wire.VerdictRequest
+	if err := r.Decode(&q); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+	defer cancel()
+	a, err := t.Judge(ctx, identity(r), q)
+	if err != nil {
+		return err
+	}
+	return r.JSON(a)
+}
+
+// storeError turns the errors of the store into refusals and leaves others as they are.
+func storeError(err error) error {
+	var r *refusal.Error
+	if errors.As(err, &r) {
+		return err
+	}
+	return absent(key{}, err)
+}
--- a/entry/internal/trainer/produce.go
+++ b/entry/internal/trainer/produce.go
@@ -262,7 +262,7 @@
 }
 
 func (s *Step) sample(i int, attempt string, tokens []string, spans []wire.Span) wire.Sample {
-	c := s.cells[i]
+	c := &s.cells[i]
 	return wire.Sample{
 		ID: attempt, Group: s.groups[c.group].Name, Index: c.index,
 		Text: strings.Join(tokens, ""), Tokens: len(tokens), Spans: spans,
--- a/entry/internal/trainer/score.go
+++ b/entry/internal/trainer/score.go
@@ -5,25 +5,26 @@
 	"encoding/json"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"bulrushspoke/wire"
 )
 
-// scoreRequest is the body of a call to a scorer and scoreAnswer the body of its answer.
+// scoreRequest is the body of a call to a scorer and scoreAnswer the body of its answer. The id is that of the attempt
+// that produced the text, so that a scorer can tell a repeated call.
 type scoreRequest struct {
-	Prompt string `json:"prompt"`
-	Text   string `json:"text"`
-	Group  string `json:"group"`
-	Index  int    `json:"index"`
+	ID   string `json:"id"`
+	Text string `json:"text"`
 }
 
 type scoreAnswer struct {
-	Score float64 `json:"score"`
+	ID    string  `json:"id"`
+	Value float64 `json:"value"`
 }
 
 // score asks the step's scorer for the value of a sample until it answers; false if the sample is not wanted any more.
 func (s *Step) score(ctx context.Context, a *attempt, sample *wire.Sample) bool {
-	g := s.groups[s.cells[a.slot].group]
-	body, err := json.Marshal(scoreRequest{Prompt: g.Prompt, Text: sample.Text, Group: g.Name, Index: sample.Index})
+	body, err := json.Marshal(scoreRequest{ID: sample.ID, Text: sample.Text})
 	if err != nil {
 		return false
 	}
@@ -32,13 +33,14 @@
 		r, err := s.t.o.Dispatcher.Run(ctx, Job{
 			Work: wire.Work{
 				Class: class, Tenant: s.spec.Tenant, Profile: s.spec.Profile, Request: s.request(a.slot),
-				Model: s.spec.Scorer, Call: &wire.Call{Method: "POST", Path: "/score", Body: body},
+				Model: s.spec.Scorer, Call: &wire.Call{Method: fasthttp.MethodPost, Path: "/score", Body: body},
 			},
 			Deadline: time.Now().Add(s.deadline()),
 		})
 		var answer scoreAnswer
-		if err == nil && r.Reply != nil && r.Reply.Status == 200 && json.Unmarshal(r.Reply.Body, &answer) == nil {
-			sample.Score, sample.Scored = answer.Score, true
+		if err == nil && r.Reply != nil && r.Reply.Status == fasthttp.StatusOK &&
+			json.Unmarshal(r.Reply.Body, &answer) == nil && answer.ID == sample.ID {
+			sample.Score, sample.Scored = answer.Value, true
 			return true
 		}
 		s.wait(ctx, nil, pause)
--- a/entry/internal/trainer/trainer.go
+++ b/entry/internal/trainer/trainer.go
@@ -119,9 +119,10 @@
 	step int
 }
 
-// site is what this entry knows of a step. Its mutex is held while the entry opens the step or takes it over.
+// site is what this entry knows of a step. It is locked while the entry opens the step or takes it over; the lock is a
+// channel, so that a call that waits for a slow store can give up.
 type site struct {
-	mu    sync.Mutex
+	busy  chan struct{}
 	spec  *wire.Spec
 	owner wire.Record
 	step  *Step
@@ -162,17 +163,41 @@
 	}
 }
 
+// leaving refuses calls that would write to a log once the trainer is closed.
+func (t *Trainer) leaving() error {
+	if !t.closed() {
+		return nil
+	}
+	return leaving()
+}
+
+func leaving() error {
+	return refusal.New(refusal.Leaving, refusal.NotRun, "trainer: entry is leaving").After(time.Second)
+}
+
 func (t *Trainer) site(k key) *site {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.sites[k]
 	if s == nil {
-		s = &site{}
+		s = &site{busy: make(chan struct{}, 1)}
 		t.sites[k] = s
 	}
 	return s
 }
 
+// lock waits for the site; its error is a refusal.
+func (s *site) lock(ctx context.Context) error {
+	select {
+	case s.busy <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return refusal.New(refusal.Busy, refusal.NotRun, "trainer: step is being opened or taken over").After(time.Second)
+	}
+}
+
+func (s *site) unlock() { <-s.busy }
+
 // local returns the step if this entry owns it.
 func (t *Trainer) local(k key) *Step {
 	t.mu.Lock()
@@ -189,7 +214,7 @@
 	defer t.mu.Unlock()
 	if t.closed() {
 		s.cancel()
-		return refusal.New(refusal.Leaving, refusal.NotRun, "trainer: entry is leaving")
+		return leaving()
 	}
 	if old := t.sites[s.key]; old != nil && old.step != nil {
 		// Two pulls took the step over at once: the log has the newer owner record, and the older step finds it.
--- a/entry/internal/trainer/world_test.go
+++ b/entry/internal/trainer/world_test.go
@@ -34,10 +34,8 @@
 	runs    map[string]wire.HeldSample
 	ids     int
 	made    int
-	// careless turns the create-only condition off.
-	careless bool
-	nodes    []*node
-	tokens   func(slot wire.Slot) int
+	nodes   []*node
+	tokens  func(slot wire.Slot) int
 	// pace is the time per token of an attempt.
 	pace func() time.Duration
 }
@@ -207,7 +205,7 @@
 	version := int64(0)
 	err := n.call(ctx, true, func() error {
 		o, ok := n.w.objects[id]
-		if !allowed(o, ok) && !n.w.careless {
+		if !allowed(o, ok) {
 			return store.NewConflictError(id, "", o)
 		}
 		n.w.version++
@@ -261,7 +259,12 @@
 	r := Result{Attempt: w.id(), Daemon: "d"}
 	if j.Work.Call != nil {
 		time.Sleep(5 * time.Millisecond)
-		return Result{Reply: &wire.Reply{Status: 200, Body: []byte(`{"score":0.5}`)}}, nil
+		var q scoreRequest
+		if err := json.Unmarshal(j.Work.Call.Body, &q); err != nil {
+			return Result{}, refusal.New(refusal.BadRequest, refusal.NotRun, "%v", err)
+		}
+		body, err := json.Marshal(scoreAnswer{ID: q.ID, Value: 0.5})
+		return Result{Reply: &wire.Reply{Status: 200, Body: body}}, err
 	}
 	lag := w.random(int64(2 * time.Second))
 	pace := w.pace()
@@ -368,20 +371,3 @@
 func (n *node) Version(string) int64 { return n.w.running(time.Second) }
 
 func (n *node) Publish(context.Context, string, int64) error { return nil }
-
-// record returns the records of one kind in the log of a step, in order.
-func (w *world) records(kind string) []wire.Record {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	var list []wire.Record
-	for n := 0; ; n++ {
-		o, ok := w.objects[fmt.Sprintf("step/r.1.%d", n)]
-		if !ok {
-			return list
-		}
-		var r wire.Record
-		if json.Unmarshal(o.Value, &r) == nil && r.Kind == kind {
-			list = append(list, r)
-		}
-	}
-}
