--- /dev/null
+++ b/daemon/internal/cli/settings.go
@@ -0,0 +1,140 @@
+package cli
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"strings"
+	"time"
+
+	"bulrushspoke/internal/schema"
+	"bulrushspoke/internal/settings"
+)
+
+// config is the settings file; docs/settings.md describes each setting.
+type config struct {
+	Name       string            `json:"name"`
+	Domain     string            `json:"domain"`
+	Region     string            `json:"region"`
+	Listen     string            `json:"listen"`
+	Advertise  string            `json:"advertise"`
+	Secret     string            `json:"secret"`
+	SecretFile string            `json:"secretfile"`
+	Store      storeConfig       `json:"store"`
+	Servers    []serverConfig    `json:"servers"`
+	Queue      queueConfig       `json:"queue"`
+	Drain      settings.Duration `json:"drain"`
+	Handover   settings.Duration `json:"handover"`
+	Stagger    settings.Duration `json:"stagger"`
+	Poll       settings.Duration `json:"poll"`
+	Retain     retainConfig      `json:"retain"`
+	Log        logConfig         `json:"log"`
+}
+
+type storeConfig struct {
+	URL     string            `json:"url"`
+	Timeout settings.Duration `json:"timeout"`
+}
+
+type serverConfig struct {
+	Name    string `json:"name"`
+	Kind    string `json:"kind"`
+	Model   string `json:"model"`
+	URL     string `json:"url"`
+	Slots   int    `json:"slots"`
+	Fencing *bool  `json:"fencing"`
+}
+
+// fencing reports whether the engine refuses old fencing tokens.
+func (s serverConfig) fencing() bool { return s.Fencing == nil || *s.Fencing }
+
+type queueConfig struct {
+	Live  int `json:"live"`
+	Train int `json:"train"`
+}
+
+type retainConfig struct {
+	Bytes   int64             `json:"bytes"`
+	Keys    int               `json:"keys"`
+	Samples settings.Duration `json:"samples"`
+	Others  settings.Duration `json:"others"`
+}
+
+type logConfig struct {
+	Level  slog.Level `json:"level"`
+	Format string     `json:"format"`
+}
+
+func defaults() config {
+	return config{
+		Store:    storeConfig{Timeout: settings.Duration(time.Second)},
+		Queue:    queueConfig{Live: 256, Train: 1024},
+		Drain:    settings.Duration(10 * time.Minute),
+		Handover: settings.Duration(30 * time.Second),
+		Stagger:  settings.Duration(10 * time.Second),
+		Poll:     settings.Duration(5 * time.Second),
+		Retain: retainConfig{
+			Bytes:   64 << 20,
+			Keys:    200_000,
+			Samples: settings.Duration(30 * time.Minute),
+			Others:  settings.Duration(2 * time.Minute),
+		},
+		Log: logConfig{Level: slog.LevelInfo, Format: "json"},
+	}
+}
+
+// load reads the settings file and the secret; its error is a *settings.Error if the file can be read.
+func load(path string) (config, error) {
+	c := defaults()
+	if err := settings.Load(path, schema.Daemon, &c); err != nil {
+		return c, err
+	}
+	if c.Advertise == "" {
+		c.Advertise = c.Listen
+	}
+	if c.SecretFile != "" {
+		b, err := os.ReadFile(c.SecretFile)
+		if err != nil {
+			return c, settings.NewError("/secretfile", c.SecretFile, err.Error())
+		}
+		c.Secret = strings.TrimSpace(string(b))
+	}
+	return c, c.check()
+}
+
+// minSecret is the shortest secret in bytes.
+const minSecret = 16
+
+// check tests the rules that the schema cannot state.
+func (c *config) check() error {
+	if len(c.Secret) < minSecret {
+		return settings.NewError("/secretfile", c.SecretFile, fmt.Sprintf("a file with at least %d characters", minSecret))
+	}
+	seen := make(map[string]bool)
+	for i, s := range c.Servers {
+		if seen[s.Name] {
+			return settings.NewError(fmt.Sprintf("/servers/%d/name", i), s.Name, "each name must be unique")
+		}
+		seen[s.Name] = true
+	}
+	for path, d := range map[string]settings.Duration{
+		"/poll":           c.Poll,
+		"/store/timeout":  c.Store.Timeout,
+		"/retain/samples": c.Retain.Samples,
+		"/retain/others":  c.Retain.Others,
+	} {
+		if d <= 0 {
+			return settings.NewError(path, d.Std().String(), "a duration above 0")
+		}
+	}
+	return nil
+}
+
+func (c logConfig) logger(w io.Writer) *slog.Logger {
+	o := &slog.HandlerOptions{Level: c.Level}
+	if c.Format == "text" {
+		return slog.New(slog.NewTextHandler(w, o))
+	}
+	return slog.New(slog.NewJSONHandler(w, o))
+}
--- /dev/null
+++ b/entry/internal/claim/claim_test.go
@@ -0,0 +1,279 @@
+package claim
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"bulrushspoke/entry/internal/dispatch"
+	"bulrushspoke/internal/refusal"
+	"bulrushspoke/internal/store"
+	"bulrushspoke/wire"
+)
+
+// result is what one caller got.
+type result struct {
+	request string
+	key     string
+	body    string
+	reply   wire.Reply
+	refused *refusal.Error
+	runs    int // of the key, when the caller was told
+}
+
+func world(starts, asks, steps []int) (*objects, *daemons) {
+	return &objects{values: map[string]store.Object{}, script: &script{steps: steps}}, newDaemons(3, starts, asks)
+}
+
+func call(c *Claims, request, key, body string) result {
+	r := result{request: request, key: key, body: body}
+	var err error
+	r.reply, err = c.Run(context.Background(), newCall(request, key, body))
+	if err != nil && !errors.As(err, &r.refused) {
+		panic(fmt.Sprintf("error without type: %v", err))
+	}
+	d := c.pool.(*daemons)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r.runs = d.runs["t."+key]
+	return r
+}
+
+// Guards against calls that run twice, claims of "not run" that are false, and answers that belong to another call,
+// under any mix of lost store answers, refusals, lost links, crashes, restarts and repeats through two entries.
+func TestAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := func(name string, kinds int) []int {
+			return rapid.SliceOfN(rapid.IntRange(0, kinds-1), 0, 12).Draw(rt, name)
+		}
+		o, d := world(steps("starts", startKinds), steps("asks", 2), steps("store", storeKinds))
+		callers := rapid.IntRange(1, 5).Draw(rt, "callers")
+		pauses := rapid.SliceOfN(rapid.IntRange(0, 60), callers, callers).Draw(rt, "pauses")
+		keys := rapid.SliceOfN(rapid.IntRange(0, 1), callers, callers).Draw(rt, "keys")
+		bodies := rapid.SliceOfN(rapid.IntRange(0, 5), callers, callers).Draw(rt, "bodies")
+		results := make([]result, callers)
+		synctest.Test(t, func(*testing.T) {
+			entries := []*Claims{claims(o, d, 1), claims(o, d, 2)}
+			var wg sync.WaitGroup
+			for i := range callers {
+				wg.Go(func() {
+					time.Sleep(time.Duration(pauses[i]) * time.Millisecond)
+					body := "same"
+					if bodies[i] == 0 {
+						body = "other"
+					}
+					results[i] = call(entries[i%2], fmt.Sprintf("r%d", i), fmt.Sprintf("k%d", keys[i]), body)
+				})
+			}
+			wg.Wait()
+			// Late messages arrive.
+			time.Sleep(time.Second)
+		})
+		if err := verify(d, results); err != "" {
+			rt.Fatalf("%s\nresults: %+v", err, results)
+		}
+	})
+}
+
+// verify compares what the callers were told with what ran.
+func verify(d *daemons, results []result) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	answers := map[string]string{}
+	for _, r := range results {
+		runs := d.runs["t."+r.key]
+		switch {
+		case runs > 1:
+			return fmt.Sprintf("key %s ran %d times", r.key, runs)
+		case r.refused == nil && runs == 0:
+			return fmt.Sprintf("key %s answered without a run", r.key)
+		case r.refused != nil && r.refused.Ran() == refusal.NotRun && d.requests[r.request] > 0:
+			return fmt.Sprintf("request %s ran, but was refused as not run", r.request)
+		case r.refused != nil && r.refused.Ran() == refusal.NotRun && r.refused.Code() != refusal.KeyReused && r.runs > 0:
+			return fmt.Sprintf("key %s had run when request %s was refused as not run", r.key, r.request)
+		}
+		if r.refused != nil {
+			continue
+		}
+		id := r.body + " " + string(r.reply.Body)
+		if first, ok := answers[r.key]; ok && first != id {
+			return fmt.Sprintf("key %s has answers %q and %q", r.key, first, id)
+		}
+		answers[r.key] = id
+	}
+	return ""
+}
+
+func expect(t *testing.T, r result, code refusal.Code, ran refusal.Ran) {
+	t.Helper()
+	if r.refused == nil || r.refused.Code() != code || r.refused.Ran() != ran {
+		t.Fatalf("got %v, want %s (ran: %s)", r.refused, code, ran)
+	}
+}
+
+// Guards against a repeat that runs again, differs, or is refused although the result is known.
+func TestRepeat(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o, d := world([]int{startNoAnswer}, nil, nil)
+		first := call(claims(o, d, 1), "r1", "k", "b")
+		second := call(claims(o, d, 2), "r2", "k", "b")
+		if first.refused != nil || second.refused != nil || string(first.reply.Body) != string(second.reply.Body) {
+			t.Fatalf("got %+v and %+v", first, second)
+		}
+		expect(t, call(claims(o, d, 2), "r3", "k", "other"), refusal.KeyReused, refusal.NotRun)
+		if d.runs["t.k"] != 1 {
+			t.Fatalf("ran %d times", d.runs["t.k"])
+		}
+	})
+}
+
+// Guards against calls that are sent without a claim while the store is down.
+func TestStoreDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, steps := range [][]int{{storeAbsent}, {answerLost, storeAbsent}, {writeLost}} {
+			o, d := world(nil, nil, steps)
+			r := call(claims(o, d, 1), "r", "k", "b")
+			expect(t, r, refusal.StoreDown, refusal.Unknown)
+			if d.runs["t.k"] != 0 || r.refused.Retry() == 0 {
+				t.Fatalf("ran %d times, retry after %s", d.runs["t.k"], r.refused.Retry())
+			}
+			if r := call(claims(o, d, 2), "r2", "k", "b"); r.refused != nil {
+				t.Fatalf("after the outage: %v", r.refused)
+			}
+		}
+	})
+}
+
+// Guards against a repeat that is refused as not run in a store outage although the first call with its key ran.
+func TestRepeatInOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o, d := world(nil, nil, []int{0, storeAbsent})
+		if r := call(claims(o, d, 1), "r", "k", "b"); r.refused != nil || d.runs["t.k"] != 1 {
+			t.Fatalf("got %v after %d runs", r.refused, d.runs["t.k"])
+		}
+		expect(t, call(claims(o, d, 2), "r2", "k", "b"), refusal.StoreDown, refusal.Unknown)
+	})
+}
+
+// Guards against a lost store answer that refuses a call whose claim is written.
+func TestAnswerLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o, d := world(nil, nil, []int{answerLost})
+		if r := call(claims(o, d, 1), "r", "k", "b"); r.refused != nil || d.runs["t.k"] != 1 {
+			t.Fatalf("got %v after %d runs", r.refused, d.runs["t.k"])
+		}
+	})
+}
+
+// Guards against calls that nobody can explain afterwards.
+func TestExplain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o, d := world([]int{startBusy}, nil, nil)
+		c := claims(o, d, 1)
+		if r := call(c, "r", "k", "b"); r.refused != nil {
+			t.Fatalf("call: %v", r.refused)
+		}
+		e, ok := c.chooser.(*dispatch.Dispatcher).Explain("r")
+		if !ok || e.State != dispatch.Finished || len(e.Tries) != 2 || e.Tries[0].Outcome != "busy" || e.Tries[1].Outcome != dispatch.Finished {
+			t.Fatalf("got %+v", e)
+		}
+	})
+}
+
+// Guards against a call that is sent to a second daemon without proof that the first one will never run it.
+func TestFates(t *testing.T) {
+	for _, c := range []struct {
+		starts, asks []int
+		code         refusal.Code
+		ran          refusal.Ran
+	}{
+		{[]int{startRestart}, nil, refusal.OutcomeUnknown, refusal.Unknown},
+		{[]int{startNoAnswer}, []int{1, 1, 1}, refusal.OutcomeUnknown, refusal.Unknown},
+		{[]int{startLate}, []int{1, 1, 1}, refusal.OutcomeUnknown, refusal.Unknown},
+		{[]int{startCrash}, nil, refusal.Crashed, refusal.Partial},
+		{[]int{startUnsent}, nil, "", ""},
+		{[]int{startQueued}, nil, "", ""},
+		{[]int{startBusy, startBusy}, nil, "", ""},
+		{[]int{startBusy, startBusy, startBusy}, nil, refusal.NoUpstream, refusal.NotRun},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			o, d := world(c.starts, c.asks, nil)
+			r := call(claims(o, d, 1), "r", "k", "b")
+			time.Sleep(time.Second)
+			if c.code != "" {
+				expect(t, r, c.code, c.ran)
+			} else if r.refused != nil {
+				t.Fatalf("starts %v: %v", c.starts, r.refused)
+			}
+			if err := verify(d, []result{r}); err != "" {
+				t.Fatalf("starts %v: %s", c.starts, err)
+			}
+		})
+	}
+}
+
+// Guards against keys that are empty, too long, or not safe in a name.
+func TestKeys(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o, d := world(nil, nil, nil)
+		for _, key := range []string{"", "a b", "é", string(make([]byte, maxKey+1))} {
+			expect(t, call(claims(o, d, 1), "r", key, "b"), refusal.BadRequest, refusal.NotRun)
+		}
+	})
+}
+
+// List implements Swept.
+func (o *objects) List(context.Context, string, string) (wire.Listing, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var l wire.Listing
+	for name, v := range o.values {
+		l.Objects = append(l.Objects, wire.Entry{Name: name, Version: v.Version})
+	}
+	return l, nil
+}
+
+// Delete implements Swept.
+func (o *objects) Delete(_ context.Context, _, name string, version int64) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.values[name].Version != version {
+		return store.NewConflictError(Kind, name, o.values[name])
+	}
+	delete(o.values, name)
+	return nil
+}
+
+type half struct{}
+
+func (half) Float64() float64 { return 0.5 }
+
+// Guards against claims that pile up in the store, and against deletion of one that still protects its call.
+func TestSweep(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o, d := world(nil, nil, nil)
+		c := claims(o, d, 1)
+		for i := range 48 {
+			if r := call(c, "r", fmt.Sprintf("k%d", i), "b"); r.refused != nil {
+				t.Fatalf("call: %v", r.refused)
+			}
+			time.Sleep(time.Hour)
+		}
+		// Half an hour keeps the time that the calls took from deciding over a claim.
+		n, err := NewSweeper(o, half{}).Sweep(t.Context(), time.Now().Add(-30*time.Minute))
+		if err != nil || n != 24 || len(o.values) != 24 {
+			t.Fatalf("deleted %d, %d left: %v", n, len(o.values), err)
+		}
+		for i := 24; i < 48; i++ {
+			if _, ok := o.values[fmt.Sprintf("t.k%d", i)]; !ok {
+				t.Fatalf("claim of hour %d is gone", i)
+			}
+		}
+	})
+}
--- a/entry/internal/trainer/score.go
+++ b/entry/internal/trainer/score.go
@@ -7,6 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"bulrushspoke/entry/internal/dispatch"
 	"bulrushspoke/wire"
 )
 
@@ -30,7 +31,7 @@
 	}
 	pause := firstPause
 	for ctx.Err() == nil {
-		r, err := s.t.o.Dispatcher.Run(ctx, Job{
+		r, err := s.t.o.Dispatcher.Run(ctx, dispatch.Job{
 			Work: wire.Work{
 				Class: class, Tenant: s.spec.Tenant, Profile: s.spec.Profile, Request: s.request(a.slot),
 				Model: s.spec.Scorer, Call: &wire.Call{Method: fasthttp.MethodPost, Path: "/score", Body: body},
--- a/entry/internal/trainer/trainer.go
+++ b/entry/internal/trainer/trainer.go
@@ -22,6 +22,8 @@
 	"sync"
 	"time"
 
+	"bulrushspoke/entry/internal/daemon"
+	"bulrushspoke/entry/internal/dispatch"
 	"bulrushspoke/entry/internal/steplog"
 	"bulrushspoke/internal/refusal"
 	"bulrushspoke/wire"
@@ -33,36 +35,15 @@
 	Profile string
 }
 
-// Job is one request to run to its end; it has the fields of dispatch.Job.
-type Job struct {
-	Work     wire.Work
-	Deadline time.Time
-	Hedge    bool
-	Floor    func() int64
-	Sink     func(offset int, tokens []string, spans []wire.Span)
-}
-
-// Result is the whole answer of a job; it has the fields of dispatch.Result.
-type Result struct {
-	Tokens  []string
-	Spans   []wire.Span
-	Finish  string
-	Reply   *wire.Reply
-	Attempt string
-	Daemon  string
-	Server  string
-	Tries   []wire.Try
-}
-
 // Dispatcher runs jobs; its error is a *refusal.Error.
 type Dispatcher interface {
-	Run(ctx context.Context, j Job) (Result, error)
+	Run(ctx context.Context, j dispatch.Job) (dispatch.Result, error)
 }
 
 // Pool reaches the daemons.
 type Pool interface {
-	// Slots returns how many samples the engines of a model make at once.
-	Slots(model string) int
+	// Candidates returns the servers of a kind that serve a model.
+	Candidates(kind, model string) []daemon.Candidate
 	// Drop tells a daemon that it may forget finished samples.
 	Drop(daemon string, attempts ...string)
 	// Collect returns the samples of a step that daemons hold, by daemon name.
--- a/entry/internal/trainer/world_test.go
+++ b/entry/internal/trainer/world_test.go
@@ -12,6 +12,8 @@
 	"sync"
 	"time"
 
+	"bulrushspoke/entry/internal/daemon"
+	"bulrushspoke/entry/internal/dispatch"
 	"bulrushspoke/internal/refusal"
 	"bulrushspoke/internal/store"
 	"bulrushspoke/wire"
@@ -253,18 +255,18 @@
 }
 
 // Run makes a sample on an engine that goes on when the entry is paused, and swaps weights in the middle.
-func (n *node) Run(ctx context.Context, j Job) (Result, error) {
+func (n *node) Run(ctx context.Context, j dispatch.Job) (dispatch.Result, error) {
 	n.gate()
 	w := n.w
-	r := Result{Attempt: w.id(), Daemon: "d"}
+	r := dispatch.Result{Attempt: w.id(), Daemon: "d"}
 	if j.Work.Call != nil {
 		time.Sleep(5 * time.Millisecond)
 		var q scoreRequest
 		if err := json.Unmarshal(j.Work.Call.Body, &q); err != nil {
-			return Result{}, refusal.New(refusal.BadRequest, refusal.NotRun, "%v", err)
+			return dispatch.Result{}, refusal.New(refusal.BadRequest, refusal.NotRun, "%v", err)
 		}
 		body, err := json.Marshal(scoreAnswer{ID: q.ID, Value: 0.5})
-		return Result{Reply: &wire.Reply{Status: 200, Body: body}}, err
+		return dispatch.Result{Reply: &wire.Reply{Status: 200, Body: body}}, err
 	}
 	lag := w.random(int64(2 * time.Second))
 	pace := w.pace()
@@ -283,7 +285,7 @@
 		time.Sleep(5 * pace)
 		if ctx.Err() != nil && !n.isPaused() {
 			note(nil)
-			return Result{}, refusal.New(refusal.Cancelled, refusal.Partial, "cancelled")
+			return dispatch.Result{}, refusal.New(refusal.Cancelled, refusal.Partial, "cancelled")
 		}
 		v := w.running(lag)
 		last := min(i+5, total) - 1
@@ -308,7 +310,9 @@
 	return r, nil
 }
 
-func (n *node) Slots(string) int { return 8 }
+func (n *node) Candidates(string, string) []daemon.Candidate {
+	return []daemon.Candidate{{Server: wire.Server{Up: true, Slots: 8}, Linked: true}}
+}
 
 func (n *node) Drop(_ string, attempts ...string) {
 	n.w.mu.Lock()
--- /dev/null
+++ b/internal/event/daemon.go
@@ -0,0 +1,20 @@
+package event
+
+import "log/slog"
+
+// Events of the daemon.
+var (
+	EngineCrashed      = define(2000, slog.LevelError, "engine crashed with requests in flight")
+	EngineCancelFailed = define(2001, slog.LevelWarn, "engine did not take a cancel")
+	ServerDown         = define(2002, slog.LevelWarn, "server does not answer")
+	ServerUp           = define(2003, slog.LevelInfo, "server answers")
+	DrainBegins        = define(2010, slog.LevelInfo, "drain begins")
+	DrainEnds          = define(2011, slog.LevelInfo, "drain ends")
+	DrainCut           = define(2012, slog.LevelWarn, "drain limit reached with work in flight")
+	WeightsOrdered     = define(2030, slog.LevelInfo, "weight version ordered")
+	WeightsLoaded      = define(2031, slog.LevelInfo, "server runs the weight version of its target")
+	WeightsDiffer      = define(2032, slog.LevelWarn, "server does not run the weight version of its target")
+	ChargeTaken        = define(2033, slog.LevelInfo, "this process is in charge of a server")
+	ChargeElsewhere    = define(2034, slog.LevelWarn, "another process is in charge of a server")
+	MessageUnknown     = define(2021, slog.LevelWarn, "message of an unknown kind ignored")
+)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -14,12 +14,15 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/santhosh-tekuri/jsonschema/v6"
+	"github.com/santhosh-tekuri/jsonschema/v6/kind"
 	"golang.org/x/text/language"
 	"golang.org/x/text/message"
 )
@@ -34,6 +37,11 @@
 	allowed string
 }
 
+// NewError returns an error for a rule that a schema cannot state.
+func NewError(path, value, allowed string) *Error {
+	return &Error{path: path, value: value, allowed: allowed}
+}
+
 // Path returns the place of the setting in the file, such as /listen/address.
 func (e *Error) Path() string { return e.path }
 
@@ -127,15 +135,34 @@
 	for len(v.Causes) > 0 {
 		v = v.Causes[0]
 	}
-	text, err := json.Marshal(lookup(value, v.InstanceLocation))
-	if err != nil {
-		text = []byte("invalid")
+	place := v.InstanceLocation
+	allowed := v.ErrorKind.LocalizedString(message.NewPrinter(language.English))
+	switch k := v.ErrorKind.(type) {
+	case *kind.AdditionalProperties:
+		place, allowed = at(place, k.Properties[0]), "no such setting"
+	case *kind.Required:
+		place, allowed = at(place, k.Missing[0]), "required"
 	}
-	return &Error{
-		path:    "/" + strings.Join(v.InstanceLocation, "/"),
-		value:   string(text),
-		allowed: v.ErrorKind.LocalizedString(message.NewPrinter(language.English)),
+	return &Error{path: "/" + strings.Join(place, "/"), value: show(lookup(value, place)), allowed: allowed}
+}
+
+func at(place []string, name string) []string { return append(slices.Clone(place), name) }
+
+// show returns a value for an error message. Objects and lists are not shown: they may hold secrets.
+func show(value any) string {
+	switch value.(type) {
+	case nil:
+		return "absent"
+	case map[string]any:
+		return "an object"
+	case []any:
+		return "a list"
 	}
+	text, err := json.Marshal(value)
+	if err != nil {
+		return "invalid"
+	}
+	return string(text)
 }
 
 // lookup returns the part of value at the given place.
@@ -156,3 +183,29 @@
 	}
 	return value
 }
+
+// Names returns the settings of a schema by their path with dots, such as link.listen, without those inside of lists.
+func Names(schema []byte) ([]string, error) {
+	var s property
+	if err := json.Unmarshal(schema, &s); err != nil {
+		return nil, eris.Wrap(err, "settings: schema")
+	}
+	return s.names(""), nil
+}
+
+type property struct {
+	Properties map[string]property `json:"properties"`
+}
+
+func (p property) names(prefix string) []string {
+	var l []string
+	for _, n := range slices.Sorted(maps.Keys(p.Properties)) {
+		child := p.Properties[n]
+		if len(child.Properties) == 0 {
+			l = append(l, prefix+n)
+			continue
+		}
+		l = append(l, child.names(prefix+n+".")...)
+	}
+	return l
+}
