--- a/entry/internal/trainer/owner.go
+++ b/entry/internal/trainer/owner.go
@@ -28,6 +28,9 @@
 	for range routes {
 		s := t.local(k)
 		if s == nil {
+			if err := t.leaving(); err != nil {
+				return wire.PullAnswer{}, err
+			}
 			a, moved, err := t.route(ctx, id, k, r)
 			if moved && err == nil {
 				continue
@@ -125,8 +128,10 @@
 // find returns the spec and the owner that this entry last knew, from the store if it knows none. The owner may be out
 // of date.
 func (t *Trainer) find(ctx context.Context, k key, site *site) (wire.Spec, wire.Record, error) {
-	site.mu.Lock()
-	defer site.mu.Unlock()
+	if err := site.lock(ctx); err != nil {
+		return wire.Spec{}, wire.Record{}, err
+	}
+	defer site.unlock()
 	if site.spec != nil && site.owner.Owner != nil {
 		return *site.spec, site.owner, nil
 	}
@@ -162,8 +167,10 @@
 // takeOver makes this entry the owner of a step whose owner record tried did not answer. If the log names a newer owner,
 // it only takes note of that one.
 func (t *Trainer) takeOver(ctx context.Context, k key, site *site, tried wire.Record) error {
-	site.mu.Lock()
-	defer site.mu.Unlock()
+	if err := site.lock(ctx); err != nil {
+		return err
+	}
+	defer site.unlock()
 	if t.local(k) != nil || site.owner.Writer != tried.Writer {
 		return nil
 	}
--- a/entry/internal/trainer/step.go
+++ b/entry/internal/trainer/step.go
@@ -21,7 +21,7 @@
 // errDeposed tells that this entry does not own the step any more.
 var errDeposed = errors.New("trainer: step is owned by another entry")
 
-// cell is what the owner knows of one slot.
+// cell is what the owner knows of one slot. Its group and index never change and are read without the mutex.
 type cell struct {
 	group int
 	index int
@@ -154,7 +154,7 @@
 
 // name returns the slot as messages carry it.
 func (s *Step) name(i int) wire.Slot {
-	c := s.cells[i]
+	c := &s.cells[i]
 	return wire.Slot{Run: s.key.run, Step: s.key.step, Group: s.groups[c.group].Name, Index: c.index}
 }
 
