Give up at once on entries that nobody knows

A pull to the owner of a step waited the whole time for a new link although the owner was not in the list.

--- a/entry/internal/peer/peer.go
+++ b/entry/internal/peer/peer.go
@@ -272,17 +272,18 @@
 	return nil
 }
 
-// wait returns a link to an entry, waiting for one until ctx ends; it returns nil then.
+// wait returns a link to an entry, waiting for one until ctx ends. It returns nil then, or if the entry is not known.
 func (p *Peers) wait(ctx context.Context, name string) *link.Conn {
 	for {
 		p.mu.Lock()
+		e := p.entries[name]
 		var c *link.Conn
-		if e := p.entries[name]; e != nil {
+		if e != nil {
 			c = e.link()
 		}
 		change := p.change
 		p.mu.Unlock()
-		if c != nil {
+		if e == nil || c != nil {
 			return c
 		}
 		select {
