Test slow clients and the graceful stop of the HTTP server, check daemon settings

A request that was not complete in time was answered as invalid HTTP, since the error of a wrapped connection is no net.Error; it is answered with 408 now. Weight targets go out as one notice, which daemons treat like a target.

--- a/ctl/internal/cli/cli_test.go
+++ b/ctl/internal/cli/cli_test.go
@@ -123,6 +123,7 @@
 	expect(t, exitUnreachable, "does not answer", "--url", "http://127.0.0.1:1", "apply", "--revision", "0", write(t, newFile))
 	expect(t, exitUsage, "", "prune")
 	expect(t, settings.ExitCode, "/profiles/0/class", "check", write(t, `{"profiles": [{"name": "a", "class": "b"}]}`))
+	expect(t, settings.ExitCode, "daemon", "check", write(t, `{"servers": []}`))
 	expect(t, 0, "valid", "check", "../../../examples/granite/entry.json", "../../../examples/granite/profiles.json")
 }
 
--- a/ctl/internal/cli/config.go
+++ b/ctl/internal/cli/config.go
@@ -25,7 +25,7 @@
 
 type check struct {
 	app  *app
-	Kind string `long:"kind" choice:"entry" choice:"profiles" description:"kind of the files; by default it is told from their content"`
+	Kind string `long:"kind" choice:"entry" choice:"daemon" choice:"profiles" description:"kind of the files; by default it is told from their content"`
 	Args struct {
 		Files []string `positional-arg-name:"FILE" required:"1"`
 	} `positional-args:"yes" required:"yes"`
@@ -79,19 +79,25 @@
 // kindOf tells the kind of a file from its fields.
 func kindOf(text []byte) string {
 	var fields map[string]json.RawMessage
-	_ = json.Unmarshal(text, &fields) // a file that is no JSON is found invalid as either kind
+	_ = json.Unmarshal(text, &fields) // a file that is no JSON is found invalid as any kind
 	if _, ok := fields["profiles"]; ok {
 		return "profiles"
 	}
+	if _, ok := fields["servers"]; ok {
+		return "daemon"
+	}
 	return "entry"
 }
 
 func checkText(kind string, text []byte) error {
-	if kind == "profiles" {
+	var v map[string]any
+	switch kind {
+	case "profiles":
 		_, err := profile.Parse(text)
 		return err
+	case "daemon":
+		return settings.Parse(text, schema.Daemon, &v)
 	}
-	var v map[string]any
 	return settings.Parse(text, schema.Entry, &v)
 }
 
--- a/entry/internal/daemon/pool.go
+++ b/entry/internal/daemon/pool.go
@@ -323,12 +323,7 @@
 			continue
 		}
 		// A daemon that has stopped reading must not delay the others.
-		go supervise.Guard(p.logger, "announce", func() {
-			_ = c.Notify(link.Notice, n)
-			for _, t := range n.Targets {
-				_ = c.Notify(link.Target, t)
-			}
-		})
+		go supervise.Guard(p.logger, "announce", func() { _ = c.Notify(link.Notice, n) })
 	}
 }
 
--- a/entry/internal/gate/gate.go
+++ b/entry/internal/gate/gate.go
@@ -222,7 +222,7 @@
 func (g *Gate) unreadable(ctx *fasthttp.RequestCtx, err error) {
 	r := g.request(ctx)
 	var small *fasthttp.ErrSmallBuffer
-	var timeout net.Error
+	var timeout interface{ Timeout() bool }
 	switch {
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		g.refuse(r, refusal.New(refusal.TooLarge, refusal.NotRun, "the body exceeds %d bytes", g.limits.Body))
--- a/entry/internal/gate/gate_test.go
+++ b/entry/internal/gate/gate_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"io"
 	"log/slog"
 	"net"
 	"strings"
@@ -24,6 +25,12 @@
 
 // serve runs a gate with one path for callers and returns a client of it and a count of handled requests.
 func serve(t *testing.T, h Handler) *fasthttputil.InmemoryListener {
+	t.Helper()
+	_, l := open(t, h)
+	return l
+}
+
+func open(t *testing.T, h Handler) (*Gate, *fasthttputil.InmemoryListener) {
 	t.Helper()
 	tokens := map[string]Identity{
 		"c": {Tenant: "kitchen", Profile: "live", Role: Caller},
@@ -35,7 +42,7 @@
 	l := fasthttputil.NewInmemoryListener()
 	go func() { _ = g.Serve(l) }()
 	t.Cleanup(func() { _ = l.Close() })
-	return l
+	return g, l
 }
 
 // call sends one request and returns its status and refusal.
@@ -148,3 +155,65 @@
 	}
 	t.Fatal("the place was not given back after the stream's end")
 }
+
+// Guards against a client that holds a connection by sending its request slowly or not as HTTP.
+func TestUnreadableRequests(t *testing.T) {
+	l := serve(t, func(*Request) error { return nil })
+	for text, status := range map[string]string{
+		"POST /v1/services/a/b HTTP/1.1\r\nHost: e\r\nAuthor":                    "408",
+		"POST /v1/services/a/b HTTP/1.1\r\nHost: e\r\nContent-Length: 9\r\n\r\n": "408",
+		"\x16\x03\x01garbage\r\n\r\n":                                            "400",
+	} {
+		c, err := l.Dial()
+		if err != nil {
+			t.Fatalf("dial: %v", err)
+		}
+		_, _ = c.Write([]byte(text))
+		answer, err := io.ReadAll(c)
+		if err != nil || !strings.HasPrefix(string(answer), "HTTP/1.1 "+status) || !strings.Contains(string(answer), `"ran":"no"`) {
+			t.Fatalf("%q answered %q, %v", text, answer, err)
+		}
+	}
+}
+
+// Guards against a graceful stop that cuts off a request or a stream in flight.
+func TestShutdownFinishes(t *testing.T) {
+	started, finish := make(chan struct{}), make(chan struct{})
+	g, l := open(t, func(r *Request) error {
+		r.Stream(func(w *bufio.Writer) {
+			_, _ = w.WriteString("first ")
+			_ = w.Flush()
+			close(started)
+			<-finish
+			_, _ = w.WriteString("last")
+		})
+		return nil
+	})
+	c, err := l.Dial()
+	if err != nil {
+		t.Fatalf("dial: %v", err)
+	}
+	_, _ = c.Write([]byte("POST /v1/services/a/b HTTP/1.0\r\nHost: e\r\nAuthorization: Bearer c\r\n\r\n"))
+	<-started
+	stopped := make(chan error, 1)
+	go func() { stopped <- g.Shutdown(t.Context()) }()
+	for range 4000 {
+		if _, err := l.Dial(); err != nil {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	select {
+	case err := <-stopped:
+		t.Fatalf("the stop did not wait for the stream: %v", err)
+	default:
+	}
+	close(finish)
+	answer, err := io.ReadAll(c)
+	if err != nil || !strings.Contains(string(answer), "first") || !strings.Contains(string(answer), "last") {
+		t.Fatalf("the stream was cut: %q, %v", answer, err)
+	}
+	if err := <-stopped; err != nil {
+		t.Fatalf("stop: %v", err)
+	}
+}
