--- a/entry/internal/trainer/trainer.go
+++ b/entry/internal/trainer/trainer.go
@@ -22,6 +22,8 @@
 	"sync"
 	"time"
 
+	"bulrushspoke/entry/internal/daemon"
+	"bulrushspoke/entry/internal/dispatch"
 	"bulrushspoke/entry/internal/steplog"
 	"bulrushspoke/internal/refusal"
 	"bulrushspoke/wire"
@@ -33,36 +35,15 @@
 	Profile string
 }
 
-// Job is one request to run to its end; it has the fields of dispatch.Job.
-type Job struct {
-	Work     wire.Work
-	Deadline time.Time
-	Hedge    bool
-	Floor    func() int64
-	Sink     func(offset int, tokens []string, spans []wire.Span)
-}
-
-// Result is the whole answer of a job; it has the fields of dispatch.Result.
-type Result struct {
-	Tokens  []string
-	Spans   []wire.Span
-	Finish  string
-	Reply   *wire.Reply
-	Attempt string
-	Daemon  string
-	Server  string
-	Tries   []wire.Try
-}
-
 // Dispatcher runs jobs; its error is a *refusal.Error.
 type Dispatcher interface {
-	Run(ctx context.Context, j Job) (Result, error)
+	Run(ctx context.Context, j dispatch.Job) (dispatch.Result, error)
 }
 
 // Pool reaches the daemons.
 type Pool interface {
-	// Slots returns how many samples the engines of a model make at once.
-	Slots(model string) int
+	// Candidates returns the servers of a kind that serve a model.
+	Candidates(kind, model string) []daemon.Candidate
 	// Drop tells a daemon that it may forget finished samples.
 	Drop(daemon string, attempts ...string)
 	// Collect returns the samples of a step that daemons hold, by daemon name.
@@ -119,9 +100,10 @@
 	step int
 }
 
-// site is what this entry knows of a step. Its mutex is held while the entry opens the step or takes it over.
+// site is what this entry knows of a step. It is locked while the entry opens the step or takes it over; the lock is a
+// channel, so that a call that waits for a slow store can give up.
 type site struct {
-	mu    sync.Mutex
+	busy  chan struct{}
 	spec  *wire.Spec
 	owner wire.Record
 	step  *Step
@@ -162,17 +144,41 @@
 	}
 }
 
+// leaving refuses calls that would write to a log once the trainer is closed.
+func (t *Trainer) leaving() error {
+	if !t.closed() {
+		return nil
+	}
+	return leaving()
+}
+
+func leaving() error {
+	return refusal.New(refusal.Leaving, refusal.NotRun, "trainer: entry is leaving").After(time.Second)
+}
+
 func (t *Trainer) site(k key) *site {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.sites[k]
 	if s == nil {
-		s = &site{}
+		s = &site{busy: make(chan struct{}, 1)}
 		t.sites[k] = s
 	}
 	return s
 }
 
+// lock waits for the site; its error is a refusal.
+func (s *site) lock(ctx context.Context) error {
+	select {
+	case s.busy <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return refusal.New(refusal.Busy, refusal.NotRun, "trainer: step is being opened or taken over").After(time.Second)
+	}
+}
+
+func (s *site) unlock() { <-s.busy }
+
 // local returns the step if this entry owns it.
 func (t *Trainer) local(k key) *Step {
 	t.mu.Lock()
@@ -189,7 +195,7 @@
 	defer t.mu.Unlock()
 	if t.closed() {
 		s.cancel()
-		return refusal.New(refusal.Leaving, refusal.NotRun, "trainer: entry is leaving")
+		return leaving()
 	}
 	if old := t.sites[s.key]; old != nil && old.step != nil {
 		// Two pulls took the step over at once: the log has the newer owner record, and the older step finds it.
