Let training claim a slot by age only when it makes no progress

Claims at any time kept a quarter of the slots from live work whenever the training backlog was older than 30 s, and long streams went before short ones of the same class.

--- a/internal/admit/fair.go
+++ b/internal/admit/fair.go
@@ -14,8 +14,7 @@
 	Long    int           // predicted tokens from which an item counts as long
 	Reserve float64       // share of slots kept free of long work that cannot be pushed out
 	Spare   float64       // share of slots kept free of all long work while short or live work arrives
-	Aged    float64       // share of slots that training work may claim by age; at least one slot
-	Age     time.Duration // wait after which training work claims such a slot
+	Age     time.Duration // wait after which training or solo work claims a slot
 	Quantum time.Duration // shortest run of a stream before it is pushed out
 	Token   time.Duration // time by which each predicted token moves an item back
 	Length  time.Duration // largest such time
@@ -31,10 +30,10 @@
 		Reserve: 0.25,
 		// One slot of 16: what training gives up for it stays at about 5%.
 		Spare: 0.0625,
-		Aged:  0.25,
 		Age:   30 * time.Second,
-		// A stream that is pushed out pays its prefill again; a run much shorter than this would be mostly prefill.
-		Quantum: 200 * time.Millisecond,
+		// A stream that is pushed out pays its prefill again; a much shorter run would be mostly prefill, and a longer
+		// one shows in the wait of live work.
+		Quantum: 50 * time.Millisecond,
 		Token:   5 * time.Millisecond,
 		Length:  10 * time.Second,
 	}
@@ -62,12 +61,14 @@
 
 // Fair serves live before training work and short before long work, with these rules:
 //
-//   - The rank of an item is its arrival plus a time that grows with its predicted length up to Config.Length. Items
-//     of one class are served by rank, so an item is overtaken only by items that arrive within Config.Length.
-//   - Live work, and short training work, may push out long training streams that have run for Config.Quantum; live
-//     work may push out any training stream.
-//   - A training item that has waited for Config.Age beyond its rank claims one of the aged slots and is not pushed
-//     out again. With n such items before it and s aged slots it starts after at most n/s+1 of the longest runs.
+//   - The rank of an item is its arrival plus a time that grows with its predicted length up to Config.Length. Live
+//     work is served by rank, so it is overtaken only by live work that arrives within Config.Length. Short training
+//     work goes before long training work, and each of them by rank.
+//   - Live work may push out any training stream that has run for Config.Quantum, and short training work long ones.
+//   - An item of training or solo work that has waited for Config.Age beyond its rank claims the next free slot if no
+//     item of its kind (short, long or solo) has made progress for as long; a claimed slot is kept to the end. With n
+//     older items of its kind before it, an item starts after at most n+1 times the sum of Config.Age and the longest
+//     run, whatever else arrives.
 //   - A solo item waits for the server to empty, while nothing else is started. Between two solo items as many others
 //     are started as there are slots, if they wait.
 type Fair struct {
@@ -75,16 +76,15 @@
 	random  *rand.Rand
 	reserve int // slots
 	spare   int // slots
-	aged    int // slots
 
 	heaps     [kinds]rankHeap
 	deadlines deadlineHeap
 	waits     [2]int // by class
 	active    []*Item
-	fixed     int // running long items that cannot be pushed out
-	long      int // running long items
-	shielded  int // running items that claimed a slot by age
-	leaving   int // running items that were asked to stop
+	fixed     int              // running long items that cannot be pushed out
+	long      int              // running long items
+	fed       [kinds]time.Time // last time that an item of the kind ended, or was pushed out after some progress
+	leaving   int              // running items that were asked to stop
 	alone     bool
 	emptying  *Item // solo item that the server is emptied for
 	others    int   // items started since the last solo item
@@ -98,7 +98,6 @@
 	f := &Fair{config: c, random: random, others: c.Slots, service: firstService}
 	f.reserve = int(float64(c.Slots) * c.Reserve)
 	f.spare = int(float64(c.Slots) * c.Spare)
-	f.aged = max(1, int(float64(c.Slots)*c.Aged))
 	return f
 }
 
@@ -195,21 +194,25 @@
 			return f.start(now, i, i.spec.Class == Train), true
 		}
 	}
-	if d, ok := f.serve(now, f.heaps[liveShort].head(), f.heaps[liveLong].head(), Live); ok || f.emptying != nil {
+	a, b := f.heaps[liveShort].head(), f.heaps[liveLong].head()
+	if a == nil || b != nil && b.before(a) {
+		a, b = b, a
+	}
+	if d, ok := f.serve(now, a, b, Live); ok || f.emptying != nil {
 		return d, ok
 	}
 	return f.serve(now, f.heaps[trainShort].head(), f.heaps[trainLong].head(), Train)
 }
 
+// claimants are the kinds that may claim a slot by age.
+var claimants = [...]int{trainShort, trainLong, solos}
+
 // oldest returns the item that may claim a slot by age, nil if there is none.
 func (f *Fair) oldest(now time.Time) *Item {
-	if f.shielded >= f.aged {
-		return nil
-	}
 	var old *Item
-	for _, k := range [...]int{trainShort, trainLong, solos} {
+	for _, k := range claimants {
 		i := f.heaps[k].head()
-		if i == nil || i.rank.Add(f.config.Age).After(now) {
+		if i == nil || i.rank.Add(f.config.Age).After(now) || !f.starving(now, k) {
 			continue
 		}
 		if k == solos && !f.soloTurn() {
@@ -222,16 +225,32 @@
 	return old
 }
 
+// starving reports whether no item of a kind has made progress lately. A run that is pushed out after a few quanta may
+// have got no further than its prefill.
+func (f *Fair) starving(now time.Time, kind int) bool {
+	if now.Sub(f.fed[kind]) < f.config.Age {
+		return false
+	}
+	for _, r := range f.active {
+		if f.kind(r) == kind && (r.shield || f.progressed(now, r)) {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *Fair) progressed(now time.Time, r *Item) bool {
+	const quanta = 10
+	return now.Sub(r.started) >= quanta*f.config.Quantum
+}
+
 // soloTurn reports whether a solo item may be next.
 func (f *Fair) soloTurn() bool {
 	return f.others >= f.config.Slots || f.waits[Live]+f.waits[Train] == len(f.heaps[solos])
 }
 
-// serve starts the first of the items of one class that can start, or makes room for it.
+// serve starts the first of the items of one class that can start, or makes room for it; a goes before b.
 func (f *Fair) serve(now time.Time, a, b *Item, c Class) (Decision, bool) {
-	if a == nil || b != nil && b.before(a) {
-		a, b = b, a
-	}
 	s := f.heaps[solos].head()
 	if s != nil && s.spec.Class == c && f.soloTurn() && (a == nil || s.before(a)) {
 		f.emptying = s
@@ -282,9 +301,6 @@
 
 // count adds n to the counters of running items.
 func (f *Fair) count(i *Item, n int) {
-	if i.shield {
-		f.shielded += n
-	}
 	if !f.isLong(i) {
 		return
 	}
@@ -347,6 +363,7 @@
 
 // Done implements Policy.
 func (f *Fair) Done(now time.Time, i *Item) {
+	f.fed[f.kind(i)] = now
 	f.free(i)
 	i.state = idle
 	took := float64(now.Sub(i.started))
@@ -372,7 +389,10 @@
 }
 
 // Requeue implements Policy.
-func (f *Fair) Requeue(_ time.Time, i *Item) {
+func (f *Fair) Requeue(now time.Time, i *Item) {
+	if f.progressed(now, i) {
+		f.fed[f.kind(i)] = now
+	}
 	f.free(i)
 	f.add(i)
 }
@@ -388,9 +408,10 @@
 	if len(f.deadlines) > 0 {
 		sooner(f.deadlines[0].spec.Deadline)
 	}
-	for _, k := range [...]int{trainShort, trainLong, solos} {
+	for _, k := range claimants {
 		if i := f.heaps[k].head(); i != nil {
 			sooner(i.rank.Add(f.config.Age))
+			sooner(f.fed[k].Add(f.config.Age))
 		}
 	}
 	if f.waits[Live]+len(f.heaps[trainShort]) > 0 {
