--- a/entry/internal/trainer/open.go
+++ b/entry/internal/trainer/open.go
@@ -10,9 +10,13 @@
 	"bulrushspoke/internal/event"
 	"bulrushspoke/internal/refusal"
 	"bulrushspoke/internal/store"
+	"bulrushspoke/internal/supervise"
 	"bulrushspoke/wire"
 )
 
+// sweepTimeout bounds the deletion of a log whose owner is gone.
+const sweepTimeout = time.Minute
+
 // retryStore is the pause that a caller is asked for while the store is down.
 const retryStore = 2 * time.Second
 
@@ -23,6 +27,9 @@
 // Open opens a step, or finds it open: the same run and step with another spec is a conflict. While the store is down
 // the step runs at this entry without its log, from the cursor in the request.
 func (t *Trainer) Open(ctx context.Context, id Identity, r wire.StepRequest) (wire.StepStatus, error) {
+	if err := t.leaving(); err != nil {
+		return wire.StepStatus{}, err
+	}
 	p, ok := t.o.Config.Profile(id.Profile)
 	if !ok {
 		return wire.StepStatus{}, refusal.New(refusal.Unready, refusal.NotRun, "trainer: profile %s is unknown", id.Profile).
@@ -47,8 +54,10 @@
 	}
 	k := key{run: r.Run, step: r.Step}
 	site := t.site(k)
-	site.mu.Lock()
-	defer site.mu.Unlock()
+	if err := site.lock(ctx); err != nil {
+		return wire.StepStatus{}, err
+	}
+	defer site.unlock()
 	if s := t.local(k); s != nil {
 		return s.again(spec)
 	}
@@ -168,6 +177,7 @@
 			return err
 		}
 		if h.end != nil {
+			t.sweep(*log, *h.end)
 			return steplog.Over(*h.end)
 		}
 		if h.owner.Writer == owner.Writer {
@@ -191,6 +201,17 @@
 	return nil
 }
 
+// sweep deletes, in the background, the log of a step whose owner ended it and went away.
+func (t *Trainer) sweep(log steplog.Log, end wire.Record) {
+	go supervise.Guard(t.o.Logger, "step sweep", func() {
+		ctx, cancel := context.WithTimeout(context.Background(), sweepTimeout)
+		defer cancel()
+		if err := log.Close(ctx, end); err != nil {
+			t.o.Logger.Debug("trainer: delete log", "cause", err.Error())
+		}
+	})
+}
+
 // load returns the step as its log has it, owned by this entry.
 func (t *Trainer) load(ctx context.Context, k key, h *history, groups []wire.Group, log *steplog.Log) *Step {
 	s := t.newStep(k, *h.spec, groups, log)
--- a/entry/internal/trainer/world_test.go
+++ b/entry/internal/trainer/world_test.go
@@ -12,6 +12,8 @@
 	"sync"
 	"time"
 
+	"bulrushspoke/entry/internal/daemon"
+	"bulrushspoke/entry/internal/dispatch"
 	"bulrushspoke/internal/refusal"
 	"bulrushspoke/internal/store"
 	"bulrushspoke/wire"
@@ -34,10 +36,8 @@
 	runs    map[string]wire.HeldSample
 	ids     int
 	made    int
-	// careless turns the create-only condition off.
-	careless bool
-	nodes    []*node
-	tokens   func(slot wire.Slot) int
+	nodes   []*node
+	tokens  func(slot wire.Slot) int
 	// pace is the time per token of an attempt.
 	pace func() time.Duration
 }
@@ -207,7 +207,7 @@
 	version := int64(0)
 	err := n.call(ctx, true, func() error {
 		o, ok := n.w.objects[id]
-		if !allowed(o, ok) && !n.w.careless {
+		if !allowed(o, ok) {
 			return store.NewConflictError(id, "", o)
 		}
 		n.w.version++
@@ -255,13 +255,18 @@
 }
 
 // Run makes a sample on an engine that goes on when the entry is paused, and swaps weights in the middle.
-func (n *node) Run(ctx context.Context, j Job) (Result, error) {
+func (n *node) Run(ctx context.Context, j dispatch.Job) (dispatch.Result, error) {
 	n.gate()
 	w := n.w
-	r := Result{Attempt: w.id(), Daemon: "d"}
+	r := dispatch.Result{Attempt: w.id(), Daemon: "d"}
 	if j.Work.Call != nil {
 		time.Sleep(5 * time.Millisecond)
-		return Result{Reply: &wire.Reply{Status: 200, Body: []byte(`{"score":0.5}`)}}, nil
+		var q scoreRequest
+		if err := json.Unmarshal(j.Work.Call.Body, &q); err != nil {
+			return dispatch.Result{}, refusal.New(refusal.BadRequest, refusal.NotRun, "%v", err)
+		}
+		body, err := json.Marshal(scoreAnswer{ID: q.ID, Value: 0.5})
+		return dispatch.Result{Reply: &wire.Reply{Status: 200, Body: body}}, err
 	}
 	lag := w.random(int64(2 * time.Second))
 	pace := w.pace()
@@ -280,7 +285,7 @@
 		time.Sleep(5 * pace)
 		if ctx.Err() != nil && !n.isPaused() {
 			note(nil)
-			return Result{}, refusal.New(refusal.Cancelled, refusal.Partial, "cancelled")
+			return dispatch.Result{}, refusal.New(refusal.Cancelled, refusal.Partial, "cancelled")
 		}
 		v := w.running(lag)
 		last := min(i+5, total) - 1
@@ -305,7 +310,9 @@
 	return r, nil
 }
 
-func (n *node) Slots(string) int { return 8 }
+func (n *node) Candidates(string, string) []daemon.Candidate {
+	return []daemon.Candidate{{Server: wire.Server{Up: true, Slots: 8}, Linked: true}}
+}
 
 func (n *node) Drop(_ string, attempts ...string) {
 	n.w.mu.Lock()
@@ -368,20 +375,3 @@
 func (n *node) Version(string) int64 { return n.w.running(time.Second) }
 
 func (n *node) Publish(context.Context, string, int64) error { return nil }
-
-// record returns the records of one kind in the log of a step, in order.
-func (w *world) records(kind string) []wire.Record {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	var list []wire.Record
-	for n := 0; ; n++ {
-		o, ok := w.objects[fmt.Sprintf("step/r.1.%d", n)]
-		if !ok {
-			return list
-		}
-		var r wire.Record
-		if json.Unmarshal(o.Value, &r) == nil && r.Kind == kind {
-			list = append(list, r)
-		}
-	}
-}
