--- a/daemon/internal/attempt/table.go
+++ b/daemon/internal/attempt/table.go
@@ -201,6 +201,14 @@
 	t.oldest++
 }
 
+// Expects reports whether the work of an unseen key may be on its way, because the claim names an era that is not over
+// for long.
+func (t *Table) Expects(now time.Time, q wire.Ask) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return q.Inc == t.inc && q.Era >= t.Era(now)-1 && t.remembers(now, q.Era) && t.eras[q.Era][q.Key] == nil
+}
+
 // Ask tells what became of a key. An unseen key gets a tombstone in the same critical section, so that it is never
 // started after the answer.
 func (t *Table) Ask(now time.Time, q wire.Ask) wire.Fate {
--- a/daemon/internal/cli/once_test.go
+++ b/daemon/internal/cli/once_test.go
@@ -32,6 +32,23 @@
 	}
 }
 
+// Guards against two copies of a request through two entries that deny each other: the second entry finds the claim
+// and asks before the work of the first has arrived.
+func TestQuestionWaitsForWorkOnItsWay(t *testing.T) {
+	s := newFakeService(t)
+	d := startDaemon(t, "", s.URL, func(c *config) { c.grace = limit })
+	c, other := dial(t, d), dial(t, d)
+	era := c.Peer().Era
+	asked := make(chan wire.Fate, 1)
+	go func() { asked <- other.ask("t.k", d, era) }()
+	c.work(ledger("a", "t.k", era))
+	if f := <-asked; f.State != "running" {
+		t.Fatalf("fate %q, want running", f.State)
+	}
+	s.let <- struct{}{}
+	c.read("a", 0)
+}
+
 // Guards against a key that runs twice, under the same or another attempt id, over the same or another link.
 func TestKeyRunsOnceAndItsResultIsKept(t *testing.T) {
 	s := newFakeService(t)
--- a/daemon/internal/cli/run.go
+++ b/daemon/internal/cli/run.go
@@ -114,7 +114,7 @@
 	p.targets = engine.NewTargets()
 	objects := store.New(c.Store.URL, c.Store.Timeout.Std(), p.logger)
 	p.charge = charge.New(objects, c.Name, inc, p.logger)
-	identity := entry.Config{Name: c.Name, Inc: inc, Domain: c.Domain, Region: c.Region}
+	identity := entry.Config{Name: c.Name, Inc: inc, Domain: c.Domain, Region: c.Region, Grace: c.grace}
 	p.links = entry.New(identity, p.table, p.lanes, p.targets, p.askLeave, p.logger)
 	meters := lane.NewMeters(m)
 	for _, s := range c.Servers {
--- a/daemon/internal/cli/settings.go
+++ b/daemon/internal/cli/settings.go
@@ -30,8 +30,14 @@
 	Poll       settings.Duration `json:"poll"`
 	Retain     retainConfig      `json:"retain"`
 	Log        logConfig         `json:"log"`
+
+	grace time.Duration // of questions for unseen keys
 }
 
+// askGrace is how long the work of a fresh claim is waited for: it was sent right after the claim was written, and the
+// links between regions take 12 ms. An entry gives up a question after 1 s.
+const askGrace = 100 * time.Millisecond
+
 type storeConfig struct {
 	URL     string            `json:"url"`
 	Timeout settings.Duration `json:"timeout"`
@@ -80,7 +86,8 @@
 			Samples: settings.Duration(30 * time.Minute),
 			Others:  settings.Duration(2 * time.Minute),
 		},
-		Log: logConfig{Level: slog.LevelInfo, Format: "json"},
+		Log:   logConfig{Level: slog.LevelInfo, Format: "json"},
+		grace: askGrace,
 	}
 }
 
--- a/daemon/internal/entry/entry.go
+++ b/daemon/internal/entry/entry.go
@@ -31,7 +31,8 @@
 	maxChunk = 512
 	maxBytes = 256 << 10
 	// maxKey bounds an idempotency key with its tenant, in bytes.
-	maxKey = 512
+	maxKey   = 512
+	askPause = 5 * time.Millisecond
 	// maxTokens bounds the answer that a work message may ask for; entries enforce the lower limit of the profile.
 	maxTokens = 1 << 20
 )
@@ -42,6 +43,7 @@
 	Inc    string
 	Domain string
 	Region string
+	Grace  time.Duration // how long a question for an unseen key waits for its work
 }
 
 // Targets keeps the highest weight target of each model.
@@ -187,7 +189,7 @@
 	case link.Drop:
 		return serve(f, func(m wire.Drop) error { l.table.Drop(time.Now(), m.Attempts); return nil })
 	case link.Ask:
-		return serve(f, func(m wire.Ask) error { return c.Reply(f, link.Fate, l.ask(m)) })
+		return serve(f, func(m wire.Ask) error { return l.ask(c, f, m) })
 	case link.Collect:
 		return serve(f, func(m wire.Collect) error {
 			return c.Reply(f, link.Held, l.table.Collect(m.Run, m.Step))
@@ -217,11 +219,23 @@
 	return err
 }
 
-func (l *Links) ask(m wire.Ask) wire.Fate {
+// ask tells what became of a key. A second entry that finds a fresh claim asks before the work of the first has
+// arrived, so an unseen key is waited for before it gets its tombstone.
+func (l *Links) ask(c *link.Conn, f link.Frame, m wire.Ask) error {
 	if len(m.Key) > maxKey {
-		return wire.Fate{State: "unknown"}
+		return c.Reply(f, link.Fate, wire.Fate{State: "unknown"})
 	}
-	return l.table.Ask(time.Now(), m)
+	if !l.table.Expects(time.Now(), m) {
+		return c.Reply(f, link.Fate, l.table.Ask(time.Now(), m))
+	}
+	go supervise.Guard(l.logger, "ask", func() {
+		for end := time.Now().Add(l.config.Grace); time.Now().Before(end) && l.table.Expects(time.Now(), m); {
+			time.Sleep(askPause)
+		}
+		// A link that is closed by now needs no answer; the tombstone stays.
+		_ = c.Reply(f, link.Fate, l.table.Ask(time.Now(), m))
+	})
+	return nil
 }
 
 func (l *Links) notice(m wire.Notice) {
