Confine suspects to one server, hedge slow streams surely, and leave young claims alone

Cause: trials with the real programs showed that suspects after a crash emptied every server; a hedge of a slow stream was ended by the stream's next token; a stream on a killed daemon waited 4 s for its return; two requests with one key forbade each other's send until both were refused. Change: solo requests go to one server, the same for every entry, which others avoid meanwhile; the tokens of a late stream are held back for up to 500 ms while its hedge begins; an attempt that is silent for 1 s and whose daemon has no link is continued elsewhere; a claim younger than 500 ms is not asked about. Conclusion: the new test TestTogether fails without the grace.

--- a/entry/internal/claim/claim.go
+++ b/entry/internal/claim/claim.go
@@ -75,6 +75,9 @@
 	PollMost time.Duration
 	// Asks is the number of questions that may stay unanswered before the outcome counts as unknown.
 	Asks int
+	// Grace is the age below which a claim of another request is not asked about: its writer may be about to send the
+	// call, and the question would forbid it. Without it two requests with one key kept forbidding each other's send.
+	Grace time.Duration
 	// Moves bounds how often one request moves a claim.
 	Moves int
 	// Retry is the time after which a refused caller is asked to come back.
@@ -87,6 +90,7 @@
 		Poll:     20 * time.Millisecond,
 		PollMost: 500 * time.Millisecond,
 		Asks:     3,
+		Grace:    500 * time.Millisecond,
 		Moves:    3,
 		Retry:    time.Second,
 	}
--- a/entry/internal/claim/claim_test.go
+++ b/entry/internal/claim/claim_test.go
@@ -171,6 +171,32 @@
 	})
 }
 
+// Guards against two requests with one key that forbid each other's send until both are refused.
+func TestTogether(t *testing.T) {
+	for pause := range 8 {
+		synctest.Test(t, func(t *testing.T) {
+			o, d := world(nil, nil, nil)
+			var results [3]result
+			var wg sync.WaitGroup
+			for i := range results {
+				wg.Go(func() {
+					time.Sleep(time.Duration(i*pause) * time.Millisecond / 2)
+					results[i] = call(claims(o, d, byte(i)), fmt.Sprintf("r%d", i), "k", "b")
+				})
+			}
+			wg.Wait()
+			for _, r := range results {
+				if r.refused != nil {
+					t.Fatalf("pause %d: %v", pause, r.refused)
+				}
+			}
+			if err := verify(d, results[:]); err != "" {
+				t.Fatalf("pause %d: %s", pause, err)
+			}
+		})
+	}
+}
+
 // Guards against calls that nobody can explain afterwards.
 func TestExplain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/entry/internal/claim/send.go
+++ b/entry/internal/claim/send.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"github.com/oklog/ulid/v2"
+
 	"bulrushspoke/entry/internal/dispatch"
 	"bulrushspoke/internal/event"
 	"bulrushspoke/internal/refusal"
@@ -126,6 +128,9 @@
 
 // resolve asks the incarnation that the claim names what became of the call.
 func (r *run) resolve(ctx context.Context, h held) (held, *dispatch.Place, *outcome) {
+	if !r.sleep(ctx, r.young(h)) {
+		return h, nil, r.unknown("no answer before the deadline or the end of the caller")
+	}
 	pause, silent := r.settings.Poll, 0
 	for {
 		f, err := r.ask(ctx, h)
@@ -143,17 +148,34 @@
 		default:
 			silent = 0
 		}
-		t := time.NewTimer(pause)
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			t.Stop()
+		if !r.sleep(ctx, pause) {
 			return h, nil, r.unknown("no answer before the deadline or the end of the caller")
 		}
 		pause = min(2*pause, r.settings.PollMost)
 	}
 }
 
+// sleep waits and reports false if ctx ends before.
+func (r *run) sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// young returns how long a claim is not to be asked about. A wrong clock of its writer makes this at most Grace longer.
+func (r *run) young(h held) time.Duration {
+	id, err := ulid.Parse(h.Writer)
+	if err != nil || h.Writer == r.work.Attempt {
+		return 0
+	}
+	return max(0, min(r.settings.Grace, r.settings.Grace-time.Since(ulid.Time(id.Time()))))
+}
+
 func (r *run) ask(ctx context.Context, h held) (wire.Fate, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
--- a/entry/internal/dispatch/dispatch_test.go
+++ b/entry/internal/dispatch/dispatch_test.go
@@ -62,6 +62,33 @@
 	}
 }
 
+// Guards against requests that wait for a daemon that has died as long as the pool hopes for its return.
+func TestDaemonGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPool(2)
+		p.plan = first(plan{end: "silent", after: 4})
+		d := dispatcher(p)
+		time.AfterFunc(100*time.Millisecond, func() {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			for i := range p.servers {
+				if p.servers[i].Server.Name == p.streams[0].work.Server {
+					p.servers[i].Linked = false
+				}
+			}
+		})
+		begin := time.Now()
+		r, err := d.Run(t.Context(), job("a", 12))
+		if err != nil {
+			t.Fatalf("run: %v", err)
+		}
+		check(t, r, "a", 12)
+		if p.starts != 2 || time.Since(begin) > 3*time.Second {
+			t.Fatalf("%d attempts in %s of virtual time", p.starts, time.Since(begin))
+		}
+	})
+}
+
 // Guards against tokens that appear twice when a daemon sends more than is missing.
 func TestRepeatedTokens(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/entry/internal/dispatch/race.go
+++ b/entry/internal/dispatch/race.go
@@ -23,8 +23,13 @@
 	stallAfter = 30 * time.Second
 	// idleTimer is used when nothing is to be watched.
 	idleTimer = time.Minute
-	// raceFactor bounds, in units of the lateness limit, how long a slow stream is held back for its hedge.
-	raceFactor = 2
+	// pauseFactor is the silence of a begun stream that counts as late, in units of that of a first token.
+	pauseFactor = 2
+	// holdFor bounds how long the tokens of a slow stream are held back for its hedge.
+	holdFor = 500 * time.Millisecond
+	// unlinkedAfter is the silence after which an attempt is given up if its daemon has no link, and how often this is
+	// looked at. The pool waits longer for the daemon, which may have died.
+	unlinkedAfter = time.Second
 )
 
 // Reasons for which an attempt is cancelled.
@@ -263,6 +268,15 @@
 	t.last = now
 }
 
+// late returns the silence after which the attempt is late. A stream that has begun gets more time: a pause in it costs
+// the reader less than a late begin, and short ones are common on shared instances.
+func (t *try) late() time.Duration {
+	if t.produced > 0 {
+		return pauseFactor * t.lease.late()
+	}
+	return t.lease.late()
+}
+
 // win ends the race in favour of t and passes its tokens on.
 func (c *race) win(t *try) {
 	for _, o := range slices.Clone(c.tries) {
@@ -384,15 +398,15 @@
 		if c.stalls(t) {
 			d = min(d, t.last.Add(stallAfter).Sub(now))
 		}
+		d = min(d, unlinkedAfter)
 	}
 	d = max(0, d)
 	if !c.hedgeable() || len(c.tries) == 0 {
 		return d
 	}
-	late := c.tries[0].lease.late()
-	at := c.tries[0].last.Add(late)
+	at := c.tries[0].last.Add(c.tries[0].late())
 	if len(c.tries) > 1 {
-		at = c.hedged.Add(raceFactor * late)
+		at = c.hedged.Add(holdFor)
 	}
 	if at.Before(c.check) {
 		at = c.check
@@ -406,10 +420,11 @@
 	return t.produced > 0 || (c.work.Class == Live && !t.work.Solo)
 }
 
-// stalled returns an attempt that has made no progress for too long, or nil.
+// stalled returns an attempt that has made no progress for too long or whose daemon is gone, or nil.
 func (c *race) stalled(now time.Time) *try {
 	for _, t := range c.tries {
-		if c.stalls(t) && now.Sub(t.last) >= stallAfter {
+		quiet := now.Sub(t.last)
+		if c.stalls(t) && quiet >= stallAfter || quiet >= unlinkedAfter && !t.lease.linked(now) {
 			return t
 		}
 	}
@@ -426,16 +441,17 @@
 		return
 	}
 	t := c.tries[0]
-	late := t.lease.late()
+	late := t.late()
 	if len(c.tries) > 1 {
-		if c.slow && len(t.tokens) > 0 && now.Sub(c.hedged) >= raceFactor*late {
+		if c.slow && len(t.tokens) > 0 && now.Sub(c.hedged) >= holdFor {
 			c.win(t)
 		}
 		c.check = now.Add(late)
 		return
 	}
 	if now.Sub(t.last) >= late {
-		c.hedge(ctx, now, t, false)
+		// The next token of a stream that has begun does not show that it is fast again.
+		c.hedge(ctx, now, t, t.produced > 0)
 	}
 }
 
@@ -452,7 +468,7 @@
 
 // hedge starts a second attempt beside t if there is a server and a budget for it.
 func (c *race) hedge(ctx context.Context, now time.Time, t *try, slow bool) {
-	c.check = now.Add(t.lease.late())
+	c.check = now.Add(t.late())
 	w := c.next(now)
 	l, verdict := c.d.place(now, &w, c.owed(), append(slices.Clone(c.except), t.work.Server), false)
 	if verdict != balance.Found {
--- a/entry/internal/dispatch/route.go
+++ b/entry/internal/dispatch/route.go
@@ -68,6 +68,7 @@
 	last       time.Time
 	began      time.Time
 	class      string
+	solo       bool
 	first      bool
 	ended      bool
 }
@@ -139,6 +140,7 @@
 		Prefix: len(w.Prompt)/tokenBytes + len(w.Held),
 		Floor:  w.Floor,
 		Train:  w.Class == Train,
+		Solo:   w.Solo,
 	}
 	if w.Group != "" {
 		a.Group = xxhash.Sum64String(w.Group)
@@ -153,7 +155,10 @@
 		return nil, verdict
 	}
 	r.fleet.Start(now, id, owed)
-	return &lease{dispatcher: d, route: r, id: id, place: r.places[id], owed: owed, began: now, last: now, class: w.Class}, verdict
+	if w.Solo {
+		r.fleet.Solo(id, true)
+	}
+	return &lease{dispatcher: d, route: r, id: id, place: r.places[id], owed: owed, began: now, last: now, class: w.Class, solo: w.Solo}, verdict
 }
 
 // progress records tokens of the attempt.
@@ -183,6 +188,9 @@
 	}
 	l.ended = true
 	l.route.fleet.End(now, l.id, l.owed)
+	if l.solo {
+		l.route.fleet.Solo(l.id, false)
+	}
 	l.route.wake()
 }
 
@@ -194,6 +202,15 @@
 	return pace > balance.Defaults().EjectFactor*l.route.fleet.Typical()
 }
 
+// linked reports whether the daemon of the attempt can be reached.
+func (l *lease) linked(now time.Time) bool {
+	d := l.dispatcher
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.sync(now, l.place.Server.Kind, l.place.Server.Model, false)
+	return l.route.places[l.id].Linked
+}
+
 // late returns the silence after which the attempt counts as late.
 func (l *lease) late() time.Duration {
 	d := l.dispatcher
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -179,6 +179,36 @@
 	}
 }
 
+// Guards against solo requests that empty one server after another, and against others that wait behind them.
+func TestSolo(t *testing.T) {
+	f := fleet(14)
+	p := paced(f)
+	first, _ := p.Pick(start, Ask{Tokens: 10, Solo: true})
+	f.Start(start, first, 10)
+	f.Solo(first, true)
+	if id, _ := paced(fleet(14)).Pick(start, Ask{Tokens: 10, Solo: true}); id != first {
+		t.Fatalf("solo requests of two processes go to %d and %d", first, id)
+	}
+	for range 200 {
+		if id, _ := p.Pick(start, Ask{Tokens: 10}); id == first {
+			t.Fatalf("a request waits behind a solo request")
+		}
+	}
+	if id, _ := p.Pick(start, Ask{Tokens: 10, Solo: true, Except: []ID{first}}); id == first || id == None {
+		t.Fatalf("excluded server %d was chosen", id)
+	}
+	f.Solo(first, false)
+	seen := false
+	for range 200 {
+		id, _ := p.Pick(start, Ask{Tokens: 10})
+		f.Start(start, id, 10)
+		seen = seen || id == first
+	}
+	if !seen {
+		t.Fatalf("server is still avoided")
+	}
+}
+
 // Guards against choices that differ between runs with the same seed.
 func TestDeterministic(t *testing.T) {
 	run := func() []ID {
--- a/internal/balance/fleet.go
+++ b/internal/balance/fleet.go
@@ -16,6 +16,7 @@
 package balance
 
 import (
+	"hash/fnv"
 	"slices"
 	"time"
 )
@@ -105,6 +106,8 @@
 	evidence int     // tokens observed since the server joined or came back
 	last     int64   // last progress in Unix nanoseconds, or the start of the first request in flight
 	until    int64   // end of the ejection in Unix nanoseconds, 0 if not ejected
+	rank     uint64  // order in which servers are taken for solo requests, the same in every process
+	solos    int     // own solo requests in flight
 	strikes  int     // ejections since the server was last found normal
 	probing  bool    // back after a pause: one request at a time until there is evidence
 }
@@ -165,7 +168,9 @@
 }
 
 func (f *Fleet) add(now time.Time, name string) ID {
-	e := state{pace: f.typical, last: now.UnixNano()}
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(name))
+	e := state{pace: f.typical, last: now.UnixNano(), rank: h.Sum64()}
 	if n := len(f.free); n > 0 {
 		id := f.free[n-1]
 		f.free = f.free[:n-1]
@@ -212,6 +217,16 @@
 	e.tokens += float64(max(tokens, 1))
 }
 
+// Solo records that a request which must run alone is sent to the server, or has ended. Other requests avoid the server
+// meanwhile.
+func (f *Fleet) Solo(id ID, begins bool) {
+	if begins {
+		f.states[id].solos++
+		return
+	}
+	f.states[id].solos--
+}
+
 // Progress records tokens that a request produced within gap.
 func (f *Fleet) Progress(now time.Time, id ID, tokens int, gap time.Duration) {
 	if tokens <= 0 {
--- a/internal/balance/policy.go
+++ b/internal/balance/policy.go
@@ -26,6 +26,7 @@
 	Group  uint64 // hash of the prefix affinity key, 0 for none
 	Floor  int64  // lowest weight version
 	Train  bool   // class train
+	Solo   bool   // must run alone on its server
 	Except []ID   // servers that must not be chosen
 }
 
@@ -61,6 +62,9 @@
 	f := p.fleet
 	n := now.UnixNano()
 	f.sweep(now)
+	if a.Solo {
+		return f.solo(n, &a)
+	}
 	id, cost := p.region(f.local, n, &a)
 	if len(f.remote) > 0 && (id == None || cost > f.settings.Cross) {
 		other, away := p.region(f.remote, n, &a)
@@ -120,7 +124,7 @@
 
 func (f *Fleet) eligible(id ID, now int64, a *Ask) bool {
 	e := &f.states[id]
-	if e.until > now || (e.probing && e.inflight > 0) {
+	if e.until > now || e.solos > 0 || (e.probing && e.inflight > 0) {
 		return false
 	}
 	return e.server.Usable && e.server.Version >= a.Floor && f.room(e, a.Train) && !a.excludes(id)
@@ -157,7 +161,28 @@
 	return best, cost
 }
 
-// rescue chooses an ejected server, or one that is still on probation, if nothing else is left, and otherwise tells what is missing.
+// solo chooses the same server for all solo requests, in every process: each of them empties its server, and a request
+// that crashes its server should always hit the same one.
+func (f *Fleet) solo(now int64, a *Ask) (ID, Verdict) {
+	for _, ids := range [2][]ID{f.local, f.remote} {
+		best := None
+		for _, id := range ids {
+			e := &f.states[id]
+			if e.server.Version < a.Floor || !f.room(e, a.Train) || a.excludes(id) {
+				continue
+			}
+			if best == None || e.rank > f.states[best].rank {
+				best = id
+			}
+		}
+		if best != None {
+			return best, Found
+		}
+	}
+	return f.rescue(now, a)
+}
+
+// rescue chooses an ejected server, or one that is on probation or runs solo requests, if nothing else is left, and otherwise tells what is missing.
 func (f *Fleet) rescue(now int64, a *Ask) (ID, Verdict) {
 	best, cost, verdict := None, 0.0, Absent
 	for _, ids := range [2][]ID{f.local, f.remote} {
