--- a/entry/internal/steplog/steplog.go
+++ b/entry/internal/steplog/steplog.go
@@ -45,9 +45,10 @@
 )
 
 const (
-	steps    = "step"
-	parts    = "part"
-	verdicts = "verdict"
+	steps = "step"
+	parts = "part"
+	// Verdicts is the kind of the objects that hold verdicts; they are deleted with the step.
+	Verdicts = "verdict"
 	hint     = "owner"
 )
 
@@ -276,7 +277,7 @@
 			return err
 		}
 	}
-	for _, kind := range []string{steps, parts, verdicts} {
+	for _, kind := range []string{steps, parts, Verdicts} {
 		if err := l.clear(ctx, kind); err != nil {
 			return err
 		}
--- a/entry/internal/trainer/produce.go
+++ b/entry/internal/trainer/produce.go
@@ -7,16 +7,15 @@
 	"strings"
 	"time"
 
+	"bulrushspoke/entry/internal/dispatch"
 	"bulrushspoke/entry/internal/steplog"
 	"bulrushspoke/internal/refusal"
+	"bulrushspoke/internal/schedule"
 	"bulrushspoke/internal/supervise"
 	"bulrushspoke/wire"
 )
 
 const (
-	// window is how many samples are kept in flight for each slot of the engines: the surplus hides the round trip
-	// between the end of one sample and the start of the next.
-	window = 1.25
 	// minWindow keeps a step moving while the number of engine slots is unknown.
 	minWindow = 4
 	// maxWindow bounds the goroutines and buffers of one step.
@@ -62,14 +61,21 @@
 	}
 }
 
-// size returns how many samples may be in flight.
-func (s *Step) size() int {
-	return max(minWindow, min(maxWindow, int(window*float64(s.t.o.Pool.Slots(s.spec.Model)))))
+// capacity returns how many samples the engines of the model make at once.
+func (s *Step) capacity() int {
+	slots := 0
+	for _, c := range s.t.o.Pool.Candidates("engine", s.spec.Model) {
+		if c.Linked && !c.Leaving && c.Server.Up {
+			slots += c.Server.Slots
+		}
+	}
+	return slots
 }
 
 // fill starts samples up to the window, and runs stragglers again when no slot is open; the mutex must be held.
 func (s *Step) fill(now time.Time) {
-	most := s.size()
+	capacity := s.capacity()
+	most := max(minWindow, min(maxWindow, int(schedule.Window*float64(capacity))))
 	for s.running < most {
 		i, ok := s.pick(now)
 		if !ok {
@@ -78,7 +84,7 @@
 		s.launch(i, now)
 	}
 	// A rerun takes an engine slot at once, not a place in the queue that the surplus of the window makes.
-	for s.running < s.t.o.Pool.Slots(s.spec.Model) {
+	for s.running < capacity {
 		i, ok := s.plan.Rerun(now)
 		if !ok {
 			return
@@ -133,10 +139,10 @@
 }
 
 // job returns the request that makes the sample of a slot.
-func (s *Step) job(a *attempt, now time.Time) Job {
+func (s *Step) job(a *attempt, now time.Time) dispatch.Job {
 	g := s.groups[s.cells[a.slot].group]
 	slot := s.name(a.slot)
-	return Job{
+	return dispatch.Job{
 		Work: wire.Work{
 			Class: class, Tenant: s.spec.Tenant, Profile: s.spec.Profile, Request: s.request(a.slot), Slot: &slot,
 			Model: s.spec.Model, Prompt: g.Prompt, Max: g.Tokens, Predicted: s.plan.Predict(a.slot),
@@ -235,7 +241,7 @@
 }
 
 // deliver takes the result of an attempt. The first whole sample of a slot wins; any other is dropped at its daemon.
-func (s *Step) deliver(ctx context.Context, a *attempt, r Result, err error) {
+func (s *Step) deliver(ctx context.Context, a *attempt, r dispatch.Result, err error) {
 	if err != nil {
 		s.fail(a, err)
 		return
@@ -262,7 +268,7 @@
 }
 
 func (s *Step) sample(i int, attempt string, tokens []string, spans []wire.Span) wire.Sample {
-	c := s.cells[i]
+	c := &s.cells[i]
 	return wire.Sample{
 		ID: attempt, Group: s.groups[c.group].Name, Index: c.index,
 		Text: strings.Join(tokens, ""), Tokens: len(tokens), Spans: spans,
