Run steps and weight targets in the entry program

The entry answered every forwarded pull as unready and had no trainer paths. It now builds the trainer and the weight targets, tells targets in its hello and hands its steps over when it stops.

--- a/entry/internal/cli/adapt.go
+++ b/entry/internal/cli/adapt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 
-	"bulrushspoke/internal/refusal"
 	"bulrushspoke/wire"
 )
 
@@ -13,12 +12,10 @@
 }
 
 // Pull implements peer.Handler.
-func (h peerHandler) Pull(context.Context, wire.Forward) wire.Batch {
-	return wire.Batch{Code: string(refusal.Unready), Message: "this entry runs no steps"}
-}
+func (h peerHandler) Pull(ctx context.Context, f wire.Forward) wire.Batch { return h.trainer.Pull(ctx, f) }
 
 // Verdict implements peer.Handler.
-func (h peerHandler) Verdict(wire.Verdict) {}
+func (h peerHandler) Verdict(v wire.Verdict) { h.trainer.Verdict(v) }
 
 // Suspect implements peer.Handler.
 func (h peerHandler) Suspect(s wire.Suspect) { h.dispatcher.Suspect(s) }
--- a/entry/internal/cli/build.go
+++ b/entry/internal/cli/build.go
@@ -23,6 +23,8 @@
 	"bulrushspoke/entry/internal/instances"
 	"bulrushspoke/entry/internal/operator"
 	"bulrushspoke/entry/internal/peer"
+	"bulrushspoke/entry/internal/trainer"
+	"bulrushspoke/entry/internal/weights"
 	"bulrushspoke/internal/link"
 	"bulrushspoke/internal/meter"
 	"bulrushspoke/internal/refusal"
@@ -43,6 +45,8 @@
 	peers      *peer.Peers
 	poller     *instances.Poller
 	dispatcher *dispatch.Dispatcher
+	targets    *weights.Targets
+	trainer    *trainer.Trainer
 	sweeper    *claim.Sweeper
 	gate       *gate.Gate
 	links      *fasthttp.Server
@@ -124,6 +128,24 @@
 	claims := claim.New(e.store, links, e.dispatcher, e.holder, claim.Defaults(), logger)
 	limits := caller.Limits{Prompt: c.Limits.Body, Tokens: c.Limits.Tokens}
 	caller.New(e.dispatcher, claims, e.holder, limits, caller.NewMeters(m), logger).Register(e.gate)
+	e.targets = weights.New(e.store, e.pool, e.peers, newID, rand.New(rand.NewChaCha8(draw(source))), logger)
+	e.trainer = trainer.New(trainer.Options{
+		Self:       wire.Owner{Name: c.Name, Inc: e.inc},
+		Store:      e.store,
+		Dispatcher: e.dispatcher,
+		Pool:       e.pool,
+		Peers:      e.peers,
+		Config:     e.holder,
+		Weights:    e.targets,
+		Meter:      trainer.NewMeters(m),
+		Limits: trainer.Limits{
+			Groups: c.Limits.Groups, Samples: c.Limits.Samples, Tokens: c.Limits.Tokens, Spec: c.Limits.Body,
+		},
+		IDs:    newID,
+		Rand:   rand.New(rand.NewChaCha8(draw(source))),
+		Logger: logger,
+	})
+	e.trainer.Register(e.gate)
 	e.sweeper = claim.NewSweeper(e.store, jitter)
 	e.links = &fasthttp.Server{
 		Handler:               e.accept,
@@ -138,6 +160,8 @@
 	return e, nil
 }
 
+func newID() string { return ulid.Make().String() }
+
 func tokens(c config) map[string]gate.Identity {
 	m := make(map[string]gate.Identity, len(c.Tokens))
 	for _, t := range c.Tokens {
@@ -179,6 +203,7 @@
 	tree.Add(supervise.Task("entries", e.peers.Serve))
 	tree.Add(supervise.Task("configuration", e.holder.Serve))
 	tree.Add(supervise.Task("instances", e.poller.Serve))
+	tree.Add(supervise.Task("weights", e.targets.Run))
 	tree.Add(supervise.Task("old claims", e.sweeper.Serve))
 	tree.Add(supervise.Task("http", func(ctx context.Context) error {
 		if err := e.gate.Serve(public); err != nil {
@@ -203,7 +228,7 @@
 }
 
 // close hands over what this entry runs; the requests in flight have ended.
-func (e *entry) close() {}
+func (e *entry) close() { e.trainer.Close() }
 
 func (e *entry) hello(c config) wire.Hello {
 	return wire.Hello{
@@ -214,12 +239,14 @@
 		Region:  c.Region,
 		Rev:     e.holder.Revision(),
 		Leaving: e.leaving.Load(),
+		Targets: e.targets.All(),
 	}
 }
 
 // noticed takes revisions and weight targets that a link brings.
 func (e *entry) noticed(n wire.Notice) {
 	e.holder.Notice(n.Rev)
+	e.targets.Offer(n.Targets)
 }
 
 // announce tells all daemons and entries of a revision or weight targets.
--- /dev/null
+++ b/entry/internal/trainer/meters.go
@@ -0,0 +1,29 @@
+package trainer
+
+import (
+	"time"
+
+	"bulrushspoke/internal/meter"
+)
+
+// Meters records the measurements of steps by tenant.
+type Meters struct {
+	age  *meter.Histogram
+	wait *meter.Histogram
+}
+
+// NewMeters returns the histograms sample_age and trainer_wait of a program.
+func NewMeters(m *meter.Meter) *Meters {
+	return &Meters{
+		age:  m.Histogram("sample_age", "{version}", "Weight versions between an answered sample and its trainer."),
+		wait: m.Histogram("trainer_wait", "s", "Time that a pull waited with nothing to give."),
+	}
+}
+
+// SampleAge implements Meter.
+func (m *Meters) SampleAge(tenant string, age int64) { m.age.Record(tenant, class, float64(age)) }
+
+// TrainerWait implements Meter.
+func (m *Meters) TrainerWait(tenant string, wait time.Duration) {
+	m.wait.Record(tenant, class, wait.Seconds())
+}
