--- a/entry/internal/cli/adapt.go
+++ b/entry/internal/cli/adapt.go
@@ -12,7 +12,9 @@
 }
 
 // Pull implements peer.Handler.
-func (h peerHandler) Pull(ctx context.Context, f wire.Forward) wire.Batch { return h.trainer.Pull(ctx, f) }
+func (h peerHandler) Pull(ctx context.Context, f wire.Forward) wire.Batch {
+	return h.trainer.Pull(ctx, f)
+}
 
 // Verdict implements peer.Handler.
 func (h peerHandler) Verdict(v wire.Verdict) { h.trainer.Verdict(v) }
