--- a/entry/internal/trainer/chaos_test.go
+++ b/entry/internal/trainer/chaos_test.go
@@ -18,7 +18,7 @@
 // fault is one disturbance of a schedule.
 type fault struct {
 	at   time.Duration
-	kind string // down, slow, lose, pause, publish
+	kind string // down, slow, lose, pause, kill, publish
 	node int
 	last time.Duration
 }
@@ -46,7 +46,7 @@
 		repeat:  rapid.SampledFrom([]float64{0.1, 0.3, 0.7}).Draw(t, "repeat"),
 	}
 	// Without outages every answer of the step is compared with its repeats.
-	kinds := []string{"lose", "pause", "pause", "publish", "publish"}
+	kinds := []string{"lose", "pause", "pause", "publish", "publish", "kill"}
 	if rapid.Bool().Draw(t, "outages") {
 		kinds = append(kinds, "down", "slow")
 	}
@@ -74,12 +74,27 @@
 		case "pause":
 			w.nodes[f.node].pause()
 			time.AfterFunc(f.last, w.nodes[f.node].resume)
+		case "kill":
+			w.kill(f.node)
 		default:
 			w.disturb(f.kind, f.last)
 		}
 	}
 }
 
+// kill stops an entry for good, unless it is the last.
+func (w *world) kill(i int) {
+	alive := 0
+	for _, n := range w.nodes {
+		if !n.killed.Load() {
+			alive++
+		}
+	}
+	if alive > 1 && w.nodes[i].killed.CompareAndSwap(false, true) {
+		w.nodes[i].pause()
+	}
+}
+
 // disturb makes the store fail for a while; a store that only loses answers counts as up.
 func (w *world) disturb(kind string, last time.Duration) {
 	w.mu.Lock()
@@ -191,6 +206,10 @@
 	opened := false
 	for ctx.Err() == nil {
 		n := w.nodes[w.random(int64(len(w.nodes)))]
+		if n.killed.Load() {
+			// The load balancer passes over an entry that is gone.
+			continue
+		}
 		r.Version = w.running(0)
 		if !opened {
 			r.Cursor = cursor
--- a/entry/internal/trainer/open.go
+++ b/entry/internal/trainer/open.go
@@ -99,7 +99,7 @@
 func (t *Trainer) establish(
 	ctx context.Context, k key, site *site, spec wire.Spec, groups []wire.Group,
 ) (wire.StepStatus, *Step, error) {
-	var clock outageClock
+	clock := outageClock{after: t.patience}
 	log := steplog.New(t.o.Store, k.run, k.step)
 	log.Limit(callTimeout)
 	h := &history{}
--- a/entry/internal/trainer/produce.go
+++ b/entry/internal/trainer/produce.go
@@ -74,20 +74,19 @@
 	return slots
 }
 
-// fill starts samples up to the window, and runs stragglers again when no slot is open; the mutex must be held.
+// fill starts samples up to the window, and runs stragglers again near the end; the mutex must be held.
 func (s *Step) fill(now time.Time) {
 	capacity := s.capacity()
 	most := max(minWindow, min(maxWindow, int(window*float64(capacity))))
 	for s.running < most {
-		i, ok := s.pick(now)
+		// A rerun must find a free engine slot: waiting in the queue that the surplus of the window makes is no gain.
+		i, ok := 0, false
+		if s.running < capacity {
+			i, ok = s.plan.Rerun(now, capacity)
+		}
 		if !ok {
-			break
+			i, ok = s.pick(now)
 		}
-		s.launch(i, now)
-	}
-	// A rerun takes an engine slot at once, not a place in the queue that the surplus of the window makes.
-	for s.running < capacity {
-		i, ok := s.plan.Rerun(now)
 		if !ok {
 			return
 		}
--- a/entry/internal/trainer/trainer.go
+++ b/entry/internal/trainer/trainer.go
@@ -117,6 +117,8 @@
 	once sync.Once
 	// sites holds the steps that this entry owns or has seen.
 	sites map[key]*site
+	// patience is how long the store may fail before samples are given without the log.
+	patience time.Duration
 }
 
 // New returns a Trainer; Close ends its work.
@@ -124,7 +126,7 @@
 	if o.Limits == (Limits{}) {
 		o.Limits = DefaultLimits()
 	}
-	return &Trainer{o: o, sites: make(map[key]*site), stop: make(chan struct{})}
+	return &Trainer{o: o, sites: make(map[key]*site), stop: make(chan struct{}), patience: outageAfter}
 }
 
 // Close stops the work of all steps and writes nothing more; the next pull at another entry takes each step over.
--- a/entry/internal/trainer/trainer_test.go
+++ b/entry/internal/trainer/trainer_test.go
@@ -55,10 +55,7 @@
 			t.Fatalf("%d slots were given, want 40", len(seen))
 		}
 		time.Sleep(10 * time.Second)
-		w.mu.Lock()
-		left := len(w.objects)
-		w.mu.Unlock()
-		if left != 1 {
+		if left := w.left(); left != 1 {
 			t.Fatalf("%d objects are left, want the end marker alone", left)
 		}
 		status, err := n.Open(ctx, testIdentity, testRequest(10, 4))
@@ -76,3 +73,130 @@
 		}
 	})
 }
+
+func refused(err error, code refusal.Code) bool {
+	var r *refusal.Error
+	return errors.As(err, &r) && r.Code() == code
+}
+
+// Guards against a step that is lost or loses more than 2% of its tokens when its owner dies.
+func TestOwnerDies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(3, 2)
+		defer w.close()
+		w.tokens = func(s wire.Slot) int { return 50 + 5*s.Index }
+		j := &judge{w: w, accepted: make(map[string]string), answers: make(map[string]seenAnswer)}
+		time.AfterFunc(4*time.Second, func() { w.kill(0) })
+		if _, err := w.nodes[0].trainer.Open(context.Background(), testIdentity, testRequest(30, 8)); err != nil {
+			t.Fatalf("open: %v", err)
+		}
+		j.train(testRequest(30, 8), time.Minute)
+		if len(j.problems) > 0 || len(j.accepted) != 240 {
+			t.Fatalf("%d slots accepted: %v", len(j.accepted), j.problems)
+		}
+		needed := 0 // tokens
+		for i := range 8 {
+			needed += 30 * w.tokens(wire.Slot{Index: i})
+		}
+		time.Sleep(time.Minute)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		t.Logf("daemons made %d tokens for a step of %d", w.made, needed)
+		if w.made > needed+needed/50 {
+			t.Fatalf("daemons made %d tokens for a step of %d", w.made, needed)
+		}
+	})
+}
+
+// Guards against a verdict that counts twice, also when the answer to its write is lost.
+func TestVerdictCountsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, 2)
+		defer w.close()
+		ctx := context.Background()
+		if _, err := w.nodes[0].trainer.Open(ctx, testIdentity, testRequest(1, 2)); err != nil {
+			t.Fatalf("open: %v", err)
+		}
+		v := wire.VerdictRequest{ID: "crew-1", Run: "r", Step: 1, Group: "g0", Index: 1, Value: 0.75}
+		w.mu.Lock()
+		w.lose = 1
+		w.mu.Unlock()
+		a, err := w.nodes[1].trainer.Judge(ctx, testIdentity, v)
+		if err != nil || !a.Counted {
+			t.Fatalf("verdict with a lost answer gives %v, %v", a, err)
+		}
+		w.mu.Lock()
+		w.lose = 0
+		w.mu.Unlock()
+		if a, err = w.nodes[0].trainer.Judge(ctx, testIdentity, v); err != nil || a.Counted {
+			t.Fatalf("repeated verdict gives %v, %v", a, err)
+		}
+		v.ID = "crew-2"
+		if _, err = w.nodes[0].trainer.Judge(ctx, testIdentity, v); !refused(err, refusal.Conflict) {
+			t.Fatalf("second verdict gives %v, want a conflict", err)
+		}
+		if _, err = w.nodes[0].trainer.Judge(ctx, Identity{Tenant: "other"}, v); !refused(err, refusal.NotFound) {
+			t.Fatalf("verdict of another tenant gives %v, want not found", err)
+		}
+	})
+}
+
+// Guards against an owner that goes on making samples after the step was cancelled through another entry.
+func TestCancelAtAnotherEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, 2)
+		defer w.close()
+		ctx := context.Background()
+		if _, err := w.nodes[0].trainer.Open(ctx, testIdentity, testRequest(100, 4)); err != nil {
+			t.Fatalf("open: %v", err)
+		}
+		time.Sleep(time.Second)
+		a, err := w.nodes[1].trainer.End(ctx, testIdentity, "r", 1, "cancelled")
+		if err != nil || a.State != "cancelled" {
+			t.Fatalf("cancel gives %v, %v", a, err)
+		}
+		time.Sleep(2 * checkIdle)
+		if left := w.nodes[0].trainer.Steps(); len(left) != 0 {
+			t.Fatalf("the owner still runs %v", left)
+		}
+		_, err = w.nodes[0].trainer.Take(ctx, testIdentity, "r", 1, wire.PullRequest{})
+		if !refused(err, refusal.Conflict) {
+			t.Fatalf("pull of a cancelled step gives %v, want a conflict", err)
+		}
+		if a, err = w.nodes[0].trainer.Progress(ctx, testIdentity, "r", 1); err != nil || a.State != "cancelled" {
+			t.Fatalf("progress gives %v, %v", a, err)
+		}
+	})
+}
+
+// Guards against a step that exceeds a limit and is not refused with the type of its fault.
+func TestLimits(t *testing.T) {
+	l := Limits{Groups: 3, Samples: 10, Tokens: 100, Spec: 100}
+	p := wire.Profile{Tokens: 50}
+	for name, c := range map[string]struct {
+		change func(r *wire.StepRequest)
+		code   refusal.Code
+	}{
+		"run":     {func(r *wire.StepRequest) { r.Run = "a.b" }, refusal.BadRequest},
+		"empty":   {func(r *wire.StepRequest) { r.Groups = nil }, refusal.BadRequest},
+		"twice":   {func(r *wire.StepRequest) { r.Groups[1].Name = "g0" }, refusal.BadRequest},
+		"none":    {func(r *wire.StepRequest) { r.Groups[0].Samples = 0 }, refusal.BadRequest},
+		"groups":  {func(r *wire.StepRequest) { r.Groups = testRequest(4, 1).Groups }, refusal.TooLarge},
+		"samples": {func(r *wire.StepRequest) { r.Groups[0].Samples = 9 }, refusal.TooLarge},
+		"sum":     {func(r *wire.StepRequest) { r.Groups[0].Samples = 1 << 62; r.Groups[1].Samples = 1 << 62 }, refusal.TooLarge},
+		"tokens":  {func(r *wire.StepRequest) { r.Groups[0].Tokens = 51 }, refusal.TooLarge},
+		"spec":    {func(r *wire.StepRequest) { r.Groups[0].Prompt = string(make([]byte, 100)) }, refusal.TooLarge},
+	} {
+		r := testRequest(2, 2)
+		for i := range r.Groups {
+			r.Groups[i].Tokens = 50
+		}
+		if _, err := l.check(r, p); err != nil {
+			t.Fatalf("valid step is refused: %v", err)
+		}
+		c.change(&r)
+		if _, err := l.check(r, p); !refused(err, c.code) {
+			t.Errorf("%s: got %v, want %s", name, err, c.code)
+		}
+	}
+}
--- a/entry/internal/trainer/world_test.go
+++ b/entry/internal/trainer/world_test.go
@@ -10,6 +10,7 @@
 	"sort"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"bulrushspoke/entry/internal/daemon"
@@ -109,11 +110,21 @@
 	return v
 }
 
+// left returns how many objects the store holds.
+func (w *world) left() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.objects)
+}
+
 func (w *world) close() {
 	for _, n := range w.nodes {
+		n.killed.Store(false)
 		n.resume()
 		n.trainer.Close()
 	}
+	// Attempts on the engines end by themselves.
+	time.Sleep(time.Minute)
 }
 
 // node is one entry with everything around it. A paused node takes part in nothing until it is resumed.
@@ -123,6 +134,7 @@
 	trainer *Trainer
 	mu      sync.Mutex
 	paused  chan struct{}
+	killed  atomic.Bool
 }
 
 func (n *node) pause() {
@@ -136,7 +148,7 @@
 func (n *node) resume() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.paused != nil {
+	if n.paused != nil && !n.killed.Load() {
 		close(n.paused)
 		n.paused = nil
 	}
--- a/entry/internal/trainer/write.go
+++ b/entry/internal/trainer/write.go
@@ -19,9 +19,10 @@
 	checkIdle = 5 * time.Second
 )
 
-// outageClock decides when the store counts as down: two calls in a row failed, and the first of them began
-// outageAfter ago. A call that returns long after its time limit proves only that this process was paused.
+// outageClock decides when the store counts as down: two calls in a row failed, and the first of them began at least
+// the time after ago. A call that returns long after its time limit proves only that this process was paused.
 type outageClock struct {
+	after    time.Duration
 	first    time.Time
 	failures int
 }
@@ -29,19 +30,19 @@
 // fail records a failed call that ended now after the given time, and reports whether the store is down.
 func (c *outageClock) fail(took time.Duration, now time.Time) bool {
 	if took > 2*callTimeout {
-		*c = outageClock{}
+		*c = outageClock{after: c.after}
 		return false
 	}
 	if c.failures == 0 {
 		c.first = now.Add(-took)
 	}
 	c.failures++
-	return c.failures > 1 && now.Sub(c.first) >= outageAfter
+	return c.failures > 1 && now.Sub(c.first) >= c.after
 }
 
 // write appends the queued records in order.
 func (s *Step) write() {
-	var clock outageClock
+	clock := outageClock{after: s.t.patience}
 	checked := time.Now()
 	for s.ctx.Err() == nil {
 		s.mu.Lock()
@@ -64,7 +65,7 @@
 			err = s.check(&checked)
 		}
 		if err == nil {
-			clock = outageClock{}
+			clock = outageClock{after: s.t.patience}
 			continue
 		}
 		if !s.failed(err, &clock) {
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -7,7 +7,7 @@
 //	p.Start(slot, now)
 //	p.Progress(slot, 0, tokens, now)
 //	p.Finish(slot, 0, tokens, now)
-//	slot, ok = p.Rerun(now)
+//	slot, ok = p.Rerun(now, engines)
 //
 // Slots are numbered through the groups in order. The first sample of each group goes first, because its length
 // predicts the others of the group; after that the longest predicted samples go first, so that none of them starts
@@ -35,6 +35,8 @@
 	wasteShare = 0.05
 	// overrun is how much longer than its progress an attempt is expected to get once it has passed its prediction.
 	overrun = 1.25
+	// lead starts a second run a little before the open slots are done, because it must not be the last to end.
+	lead = 1.25
 	// rateWeight is the weight of one finished sample in the moving average of the time per token.
 	rateWeight = 0.1
 )
@@ -209,7 +211,8 @@
 		p.pace = pace
 		return
 	}
-	p.pace += time.Duration(rateWeight * float64(pace-p.pace))
+	// Stragglers must not raise the pace that they are measured by.
+	p.pace += time.Duration(rateWeight * float64(min(pace, 2*p.pace)-p.pace))
 }
 
 // Fail records that an attempt ended without a sample; the slot opens again if it was the only one.
@@ -252,12 +255,14 @@
 // Wasted returns the tokens that reruns have wasted.
 func (p *Plan) Wasted() int { return p.wasted }
 
-// Rerun returns the slot to run a second time on free capacity; false if none is worth it or the waste would exceed
-// its share of the step's tokens.
-func (p *Plan) Rerun(now time.Time) (int, bool) {
-	if p.config.firstCome || p.pace == 0 {
+// Rerun returns the slot to run a second time on one of the given number of engine slots; false if none is worth it or
+// the waste would exceed its share of the step's tokens. Near the end of the step it goes before Next: a straggler is
+// run again as soon as its second run would last as long as all open slots together.
+func (p *Plan) Rerun(now time.Time, engines int) (int, bool) {
+	if p.config.firstCome || p.pace == 0 || engines < 1 {
 		return 0, false
 	}
+	drain := p.drain(engines)
 	total, reserved := p.totals()
 	best, longest := -1, time.Duration(0)
 	for i := range p.slots {
@@ -267,7 +272,7 @@
 		}
 		rest := p.rest(i, now)
 		fresh := time.Duration(p.expect(i)) * p.pace
-		if float64(rest) <= p.config.slow*float64(fresh) || rest <= longest {
+		if float64(rest) <= p.config.slow*float64(fresh) || rest <= longest || lead*float64(fresh) < float64(drain) {
 			continue
 		}
 		if float64(p.wasted)+reserved+p.expect(i) > p.config.waste*total {
@@ -278,6 +283,15 @@
 	return best, best >= 0
 }
 
+// drain returns how long the engine slots need for the samples that have not been started.
+func (p *Plan) drain(engines int) time.Duration {
+	tokens := 0.0
+	for i, g := range p.groups {
+		tokens += float64(g.open) * p.length(i)
+	}
+	return time.Duration(tokens) * p.pace / time.Duration(engines)
+}
+
 // totals returns the expected tokens of the step and those that running reruns may still waste.
 func (p *Plan) totals() (total, reserved float64) {
 	total = float64(p.made)
--- /dev/null
+++ b/internal/schedule/schedule_test.go
@@ -0,0 +1,170 @@
+package schedule
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"bulrushspoke/wire"
+)
+
+const testPace = 10 * time.Millisecond
+
+// event is the next chunk of an attempt in virtual time.
+type event struct {
+	at      time.Time
+	slot    int
+	attempt int
+	serial  int
+	tokens  int
+	pace    time.Duration
+}
+
+type events []event
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
+func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	x := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return x
+}
+
+// outcome is what a simulated step took.
+type outcome struct {
+	whole  time.Duration
+	made   int
+	wasted int
+}
+
+// simulate runs a step on the given number of engine slots; length and pace give each sample's tokens and each
+// attempt's time per token.
+func simulate(groups []wire.Group, c Config, engines int, length func(slot int) int, pace func(slot, serial int) time.Duration) outcome {
+	const chunk = 25
+	p := New(groups, c)
+	start := time.Unix(0, 0)
+	now := start
+	queue := &events{}
+	current := make(map[[2]int]int) // serial of the live attempt of a slot and number
+	serial, running, made := 0, 0, 0
+	launch := func(i int) {
+		serial++
+		n := p.Start(i, now)
+		current[[2]int{i, n}] = serial
+		running++
+		heap.Push(queue, event{at: now, slot: i, attempt: n, serial: serial, pace: pace(i, serial)})
+	}
+	stop := func(i, n int) {
+		if _, ok := current[[2]int{i, n}]; ok {
+			delete(current, [2]int{i, n})
+			running--
+		}
+	}
+	for {
+		for running < engines {
+			i, ok := p.Rerun(now, engines)
+			if !ok {
+				if i, ok = p.Next(); !ok {
+					break
+				}
+			}
+			launch(i)
+		}
+		if i, n, ok := p.Excess(); ok {
+			p.Stop(i, n)
+			stop(i, n)
+			continue
+		}
+		if queue.Len() == 0 {
+			return outcome{whole: now.Sub(start), made: made, wasted: p.Wasted()}
+		}
+		e := heap.Pop(queue).(event)
+		if current[[2]int{e.slot, e.attempt}] != e.serial {
+			continue
+		}
+		now = e.at
+		total := length(e.slot)
+		p.Progress(e.slot, e.attempt, e.tokens)
+		if e.tokens >= total {
+			p.Finish(e.slot, e.attempt, total, now)
+			made += total
+			stop(e.slot, 0)
+			stop(e.slot, 1)
+			continue
+		}
+		step := min(chunk, total-e.tokens)
+		e.tokens += step
+		e.at = now.Add(time.Duration(step) * e.pace)
+		heap.Push(queue, e)
+	}
+}
+
+// workload is a step of 64 groups, two of which are long, on 16 engine slots.
+func workload(seed uint64) ([]wire.Group, func(int) int) {
+	r := rand.New(rand.NewPCG(seed, 1))
+	var groups []wire.Group
+	var lengths []int
+	for i := range 64 {
+		mean := 50 + r.IntN(200)
+		if i >= 62 {
+			mean *= 6
+		}
+		groups = append(groups, wire.Group{Samples: 8, Tokens: 2000})
+		for range 8 {
+			lengths = append(lengths, min(2000, mean/2+r.IntN(mean)))
+		}
+	}
+	return groups, func(slot int) int { return lengths[slot] }
+}
+
+// Guards against an order of work that leaves long samples to the end of a step.
+func TestLongSamplesFirst(t *testing.T) {
+	const engines = 16
+	for seed := range uint64(3) {
+		groups, length := workload(seed)
+		even := func(int, int) time.Duration { return testPace }
+		got := simulate(groups, Defaults(), engines, length, even)
+		base := simulate(groups, FirstCome(), engines, length, even)
+		bound, longest := time.Duration(0), time.Duration(0)
+		for i := range 64 * 8 {
+			d := time.Duration(length(i)) * testPace
+			bound += d / engines
+			longest = max(longest, d)
+		}
+		bound = max(bound, longest)
+		t.Logf("seed %d, virtual time: %v, first come %v, lower bound %v", seed, got.whole, base.whole, bound)
+		if float64(got.whole) > 1.10*float64(bound) {
+			t.Errorf("seed %d: step takes %v, more than 1.10 times the lower bound %v", seed, got.whole, bound)
+		}
+		if got.whole > base.whole {
+			t.Errorf("seed %d: step takes %v, first come %v", seed, got.whole, base.whole)
+		}
+	}
+}
+
+// Guards against stragglers that stall a step, and against reruns that waste more than 5% of its tokens.
+func TestStragglers(t *testing.T) {
+	for seed := range uint64(3) {
+		groups, length := workload(seed)
+		// Every 40th attempt is ten times slower.
+		pace := func(_, serial int) time.Duration {
+			if serial%40 == 0 {
+				return 10 * testPace
+			}
+			return testPace
+		}
+		got := simulate(groups, Defaults(), 16, length, pace)
+		base := simulate(groups, FirstCome(), 16, length, pace)
+		share := float64(got.wasted) / float64(got.made)
+		t.Logf("seed %d, virtual time: %v, first come %v, wasted %.3f of the tokens", seed, got.whole, base.whole, share)
+		if share > wasteShare {
+			t.Errorf("seed %d: wasted %.3f of the tokens", seed, share)
+		}
+		if got.whole >= base.whole {
+			t.Errorf("seed %d: step takes %v, first come %v", seed, got.whole, base.whole)
+		}
+	}
+}
