--- a/bench/steps.go
+++ b/bench/steps.go
@@ -32,6 +32,7 @@
 	groups   []wire.Group
 	lengths  []int
 	jobs     map[[2]int]*fleet.Job
+	slots    int // of all engines
 	window   int
 	open     int
 	left     int
@@ -51,9 +52,9 @@
 	d := sim.Berges(l)
 	s := &stepRun{loop: l, fleet: fleet.New(l, d, p), config: c, capacity: d.Capacity()}
 	for _, site := range d.Sites {
-		s.window += site.Engine.Slots()
+		s.slots += site.Engine.Slots()
 	}
-	s.window = int(schedule.Window * float64(s.window))
+	s.window = int(schedule.Window * float64(s.slots))
 	if slow {
 		spells(l, d, len(d.Sites)/slowedShare)
 	}
@@ -95,13 +96,14 @@
 
 func (s *stepRun) fill(now time.Time) {
 	for s.open < s.window && s.left > 0 {
-		slot, ok := s.plan.Next()
+		slot, ok := 0, false
+		if s.open < s.slots {
+			slot, ok = s.plan.Rerun(now, s.slots)
+		}
 		if !ok {
-			if slot, ok = s.plan.Rerun(now); !ok {
-				return
-			}
+			slot, ok = s.plan.Next()
 		}
-		if !s.submit(now, slot) {
+		if !ok || !s.submit(now, slot) {
 			return
 		}
 	}
