--- a/entry/internal/cli/adapt.go
+++ b/entry/internal/cli/adapt.go
@@ -1,24 +1,45 @@
 package cli
 
 import (
-	"context"
+	"time"
 
-	"bulrushspoke/internal/refusal"
+	"bulrushspoke/entry/internal/dispatch"
+	"bulrushspoke/entry/internal/trainer"
+	"bulrushspoke/internal/meter"
 	"bulrushspoke/wire"
 )
 
 // peerHandler serves the messages of other entries.
 type peerHandler struct {
-	*entry
+	*trainer.Trainer
+	dispatcher *dispatch.Dispatcher
 }
 
-// Pull implements peer.Handler.
-func (h peerHandler) Pull(context.Context, wire.Forward) wire.Batch {
-	return wire.Batch{Code: string(refusal.Unready), Message: "this entry runs no steps"}
+// Suspect implements peer.Handler.
+func (h peerHandler) Suspect(s wire.Suspect) { h.dispatcher.Suspect(s) }
+
+// stepMeter exports the measurements of steps.
+type stepMeter struct {
+	age  *meter.Histogram
+	wait *meter.Histogram
 }
 
-// Verdict implements peer.Handler.
-func (h peerHandler) Verdict(wire.Verdict) {}
+// trainClass is the class label of all measurements of steps.
+const trainClass = "train"
 
-// Suspect implements peer.Handler.
-func (h peerHandler) Suspect(s wire.Suspect) { h.dispatcher.Suspect(s) }
+func newStepMeter(m *meter.Meter) stepMeter {
+	return stepMeter{
+		age:  m.Histogram("sample_age", "{version}", "Age of answered samples in weight versions."),
+		wait: m.Histogram("trainer_wait", "s", "Time that a pull waited with nothing to give."),
+	}
+}
+
+// SampleAge implements trainer.Meter.
+func (s stepMeter) SampleAge(tenant string, age int64) {
+	s.age.Record(tenant, trainClass, float64(age))
+}
+
+// TrainerWait implements trainer.Meter.
+func (s stepMeter) TrainerWait(tenant string, wait time.Duration) {
+	s.wait.Record(tenant, trainClass, wait.Seconds())
+}
--- a/entry/internal/cli/build.go
+++ b/entry/internal/cli/build.go
@@ -23,6 +23,8 @@
 	"bulrushspoke/entry/internal/instances"
 	"bulrushspoke/entry/internal/operator"
 	"bulrushspoke/entry/internal/peer"
+	"bulrushspoke/entry/internal/trainer"
+	"bulrushspoke/entry/internal/weights"
 	"bulrushspoke/internal/link"
 	"bulrushspoke/internal/meter"
 	"bulrushspoke/internal/refusal"
@@ -43,6 +45,8 @@
 	peers      *peer.Peers
 	poller     *instances.Poller
 	dispatcher *dispatch.Dispatcher
+	weights    *weights.Targets
+	trainer    *trainer.Trainer
 	sweeper    *claim.Sweeper
 	gate       *gate.Gate
 	links      *fasthttp.Server
@@ -105,7 +109,22 @@
 	e.poller = instances.New(c.Instances.URL, c.Instances.Interval.Std(), c.fixed(), jitter, e.list, logger)
 	links := dispatch.Links{Pool: e.pool}
 	e.dispatcher = dispatch.New(links, e.peers, e.holder, c.Region, draw(source), dispatch.Defaults(), logger)
-	e.peers.Use(peerHandler{e})
+	e.weights = weights.New(e.store, e.pool, e.peers, newID, rand.New(rand.NewChaCha8(draw(source))), logger)
+	e.trainer = trainer.New(trainer.Options{
+		Self:       wire.Owner{Name: c.Name, Inc: e.inc},
+		Store:      e.store,
+		Dispatcher: e.dispatcher,
+		Pool:       e.pool,
+		Peers:      e.peers,
+		Config:     e.holder,
+		Weights:    e.weights,
+		Meter:      newStepMeter(m),
+		Limits:     stepLimits(c),
+		IDs:        newID,
+		Rand:       rand.New(rand.NewChaCha8(draw(source))),
+		Logger:     logger,
+	})
+	e.peers.Use(peerHandler{Trainer: e.trainer, dispatcher: e.dispatcher})
 	e.gate = gate.New(tokens(c), gate.Limits{
 		Body:   c.Limits.Body,
 		Header: c.Limits.Header,
@@ -117,6 +136,7 @@
 		Config:  e.holder,
 		Pool:    e.pool,
 		Mark:    e.dispatcher.Mark,
+		Steps:   e.trainer.Steps,
 		Explain: e.dispatcher.Explain,
 		Ready:   e.ready,
 		Metrics: text,
@@ -124,6 +144,7 @@
 	claims := claim.New(e.store, links, e.dispatcher, e.holder, claim.Defaults(), logger)
 	limits := caller.Limits{Prompt: c.Limits.Body, Tokens: c.Limits.Tokens}
 	caller.New(e.dispatcher, claims, e.holder, limits, caller.NewMeters(m), logger).Register(e.gate)
+	e.trainer.Register(e.gate)
 	e.sweeper = claim.NewSweeper(e.store, jitter)
 	e.links = &fasthttp.Server{
 		Handler:               e.accept,
@@ -138,6 +159,17 @@
 	return e, nil
 }
 
+// newID returns the identifier of a write.
+func newID() string { return ulid.Make().String() }
+
+func stepLimits(c config) trainer.Limits {
+	l := trainer.DefaultLimits()
+	l.Groups = c.Limits.Groups
+	l.Samples = c.Limits.Samples
+	l.Tokens = c.Limits.Tokens
+	return l
+}
+
 func tokens(c config) map[string]gate.Identity {
 	m := make(map[string]gate.Identity, len(c.Tokens))
 	for _, t := range c.Tokens {
@@ -178,6 +210,7 @@
 	tree.Add(supervise.Task("daemons", e.pool.Serve))
 	tree.Add(supervise.Task("entries", e.peers.Serve))
 	tree.Add(supervise.Task("configuration", e.holder.Serve))
+	tree.Add(supervise.Task("weight targets", e.weights.Run))
 	tree.Add(supervise.Task("instances", e.poller.Serve))
 	tree.Add(supervise.Task("old claims", e.sweeper.Serve))
 	tree.Add(supervise.Task("http", func(ctx context.Context) error {
@@ -202,8 +235,8 @@
 	return ended
 }
 
-// close hands over what this entry runs; the requests in flight have ended.
-func (e *entry) close() {}
+// close hands over the steps that this entry runs; the requests in flight have ended.
+func (e *entry) close() { e.trainer.Close() }
 
 func (e *entry) hello(c config) wire.Hello {
 	return wire.Hello{
@@ -214,12 +247,14 @@
 		Region:  c.Region,
 		Rev:     e.holder.Revision(),
 		Leaving: e.leaving.Load(),
+		Targets: e.weights.All(),
 	}
 }
 
 // noticed takes revisions and weight targets that a link brings.
 func (e *entry) noticed(n wire.Notice) {
 	e.holder.Notice(n.Rev)
+	e.weights.Offer(n.Targets)
 }
 
 // announce tells all daemons and entries of a revision or weight targets.
--- a/entry/internal/config/config.go
+++ b/entry/internal/config/config.go
@@ -241,26 +241,11 @@
 	h.mu.Lock()
 	after := max(h.now.rev, h.rejected)
 	h.mu.Unlock()
-	type answer struct {
-		list wire.Listing
-		err  error
-	}
-	done := make(chan answer, 1)
-	// The store's client cannot be interrupted, and a stop must not wait for it.
-	go func() {
-		l, err := h.store.Watch(ctx, Kind, Name, after, watchWait)
-		done <- answer{list: l, err: err}
-	}()
-	var a answer
-	select {
-	case a = <-done:
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-	if a.err != nil {
-		return a.err
+	l, err := h.store.Watch(ctx, Kind, Name, after, watchWait)
+	if err != nil {
+		return err
 	}
-	for _, e := range a.list.Objects {
+	for _, e := range l.Objects {
 		if e.Name == Name && !e.Gone {
 			h.accept(e.Version, e.Value)
 		}
--- a/internal/profile/profile_test.go
+++ b/internal/profile/profile_test.go
@@ -21,8 +21,8 @@
 		`{"profiles": [{"name": "a", "class": "live"}, {"name": "a", "class": "live"}]}`:          "/profiles/1/name",
 		`{"profiles": [{"name": "a", "class": "live", "once": true, "hedge": true}]}`:             "/profiles/0/hedge",
 		`{"profiles": [{"name": "a", "class": "live", "tokens": 0}]}`:                             "/profiles/0/tokens",
-		`{"profiles": [{"name": "a", "class": "live", "concurency": 3}]}`:                         "/profiles/0",
-		`{"profiles": [{"name": "a", "class": "live", "concurrency": 3, "deadline": "24h"}, {}]}`: "/profiles/1",
+		`{"profiles": [{"name": "a", "class": "live", "concurency": 3}]}`:                         "/profiles/0/concurency",
+		`{"profiles": [{"name": "a", "class": "live", "concurrency": 3, "deadline": "24h"}, {}]}`: "/profiles/1/name",
 	} {
 		var e *settings.Error
 		if _, err := Parse([]byte(text)); !errors.As(err, &e) || e.Path() != path {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -150,11 +150,26 @@
 	return c.listing(ctx, uri, c.timeout)
 }
 
-// Watch waits up to wait for changes of a kind after a store version and returns them with their values.
+// Watch waits up to wait for changes of a kind after a store version and returns them with their values. It returns at
+// once when ctx ends, although the HTTP client leaves the request running.
 func (c *Client) Watch(ctx context.Context, kind, prefix string, after int64, wait time.Duration) (wire.Listing, error) {
 	uri := fmt.Sprintf("%s/w/%s?prefix=%s&after=%d&wait=%d",
 		c.base, url.PathEscape(kind), url.QueryEscape(prefix), after, wait.Milliseconds())
-	return c.listing(ctx, uri, wait+c.timeout)
+	type answer struct {
+		list wire.Listing
+		err  error
+	}
+	done := make(chan answer, 1)
+	go func() {
+		l, err := c.listing(ctx, uri, wait+c.timeout)
+		done <- answer{list: l, err: err}
+	}()
+	select {
+	case a := <-done:
+		return a.list, a.err
+	case <-ctx.Done():
+		return wire.Listing{}, ctx.Err()
+	}
 }
 
 func (c *Client) listing(ctx context.Context, uri string, timeout time.Duration) (wire.Listing, error) {
