Refuse unknown tokens before reading the body, drain a listed instance once

A client without a token could make the entry read a whole body; it gets 401 after the header now. A daemon that came back under a name that the lagging list still calls leaving was asked to drain again on each link; it only gets no work until the list says live. An unrepeatable call that was sent is not cancelled when its acknowledgement is missing. The test of slow bodies sends a token now, and keeps the former request with the new answer.

--- a/entry/internal/daemon/peer.go
+++ b/entry/internal/daemon/peer.go
@@ -51,7 +51,8 @@
 	return &peer{pool: p, name: name, change: make(chan struct{}), servers: make(map[string]wire.Server)}
 }
 
-// list notes what the list says and reports whether the daemon is to be asked to drain.
+// list notes what the list says and reports whether the daemon is to be asked to drain. It is asked once: the list lags,
+// and a daemon that comes back under the name while the list still says leaving gets no work, but is not made to leave.
 func (r *peer) list(i wire.Instance) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -229,16 +230,12 @@
 	r.link = c
 	pending := r.pending
 	r.pending = nil
-	listed := r.listed
 	r.signal()
 	r.mu.Unlock()
 	r.pool.changed()
 	for _, m := range pending {
 		_ = c.Notify(m.kind, m.body)
 	}
-	if listed {
-		_ = c.Notify(link.Drain, wire.Drain{Reason: "the platform lists the instance as leaving"})
-	}
 	r.pool.noticed(wire.Notice{Rev: h.Rev, Targets: h.Targets})
 }
 
--- a/entry/internal/daemon/pool_test.go
+++ b/entry/internal/daemon/pool_test.go
@@ -26,10 +26,16 @@
 	inc    string
 	links  []*link.Conn
 	work   []wire.Work
+	drains int
 	answer func(n int, c *link.Conn, f link.Frame, w wire.Work) // n counts the work messages from 1
 }
 
 func (d *fake) Serve(c *link.Conn, f link.Frame) error {
+	if f.Kind == link.Drain {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.drains++
+	}
 	if f.Kind != link.Work {
 		return nil
 	}
@@ -58,6 +64,12 @@
 	return append([]*link.Conn(nil), d.links...)
 }
 
+func (d *fake) drained() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.drains
+}
+
 func (d *fake) restart(inc string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -358,6 +370,55 @@
 	}
 }
 
+// Guards against work for an instance that the platform lists as leaving, and against a lagging list that drives out the
+// daemon that came back in its place.
+func TestListedAsLeaving(t *testing.T) {
+	d := &fake{inc: "i1"}
+	p := start(t, d, options())
+	list := func(state string) {
+		p.List([]wire.Instance{{Name: "w", Role: "daemon", Address: p.peer("w").address, State: state}}, time.Now())
+	}
+	leaving := func() bool { return p.Candidates("engine", "plan")[0].Leaving }
+	list("leaving")
+	list("leaving")
+	await(t, func() bool { return d.drained() == 1 && leaving() })
+	d.restart("i2")
+	await(t, func() bool {
+		c := p.Candidates("engine", "plan")[0]
+		return c.Inc == "i2" && c.Linked && c.Leaving
+	})
+	list("leaving")
+	list("live")
+	await(t, func() bool { return !leaving() })
+	if _, err := p.Ask(t.Context(), "nobody", wire.Ask{}); err == nil {
+		t.Fatal("an unknown daemon answered")
+	}
+	if d.drained() != 1 {
+		t.Fatalf("%d drain messages", d.drained())
+	}
+}
+
+// Guards against a malformed message that ends more than its own link.
+func TestMalformedMessage(t *testing.T) {
+	d := &fake{inc: "i1", answer: func(n int, c *link.Conn, f link.Frame, w wire.Work) {
+		ack(c, f)
+		if n == 1 {
+			send(c, link.Chunk, chunk(0, "a"), "no chunk")
+			return
+		}
+		send(c, link.Chunk, chunk(w.Offset, "b"))
+		send(c, link.Done, wire.Done{Attempt: "a1", Total: 2})
+	}}
+	p := start(t, d, options())
+	s, err := p.Start(t.Context(), "w", work())
+	if err != nil {
+		t.Fatalf("start: %v", err)
+	}
+	if text, e, err := read(t, s); text != "ab" || e.Done == nil || len(d.opened()) != 2 {
+		t.Fatalf("read %q, %+v, %v over %d links", text, e, err, len(d.opened()))
+	}
+}
+
 // Guards against answers with tokens that are missing, doubled, out of order or named with a wrong version, however
 // the parts of an answer arrive.
 func TestOrder(t *testing.T) {
--- a/entry/internal/daemon/stream.go
+++ b/entry/internal/daemon/stream.go
@@ -84,7 +84,8 @@
 	if err == nil {
 		return s, nil
 	}
-	if e := (*refusal.Error)(nil); errors.As(err, &e) && e.Code() == refusal.OutcomeUnknown {
+	// An unrepeatable call that may run must run to its end, so that its result can be asked for.
+	if e := (*refusal.Error)(nil); errors.As(err, &e) && e.Code() == refusal.OutcomeUnknown && !w.Once {
 		s.Cancel("not acknowledged")
 	}
 	s.forget()
--- a/entry/internal/gate/gate.go
+++ b/entry/internal/gate/gate.go
@@ -99,6 +99,7 @@
 		NoDefaultServerHeader: true,
 		ReadBufferSize:        limits.Header,
 		MaxRequestBodySize:    limits.Body,
+		HeaderReceived:        g.bound,
 		ReadTimeout:           limits.Read,
 		IdleTimeout:           limits.Idle,
 		CloseOnShutdown:       true,
@@ -194,11 +195,26 @@
 	busyRetry    = time.Second
 )
 
-func (g *Gate) identify(r *Request) error {
-	token, ok := strings.CutPrefix(string(r.Request.Header.Peek(fasthttp.HeaderAuthorization)), "Bearer ")
-	if ok {
-		r.Identity, ok = g.tokens[token]
+// bound keeps clients without a token from filling the memory with bodies.
+func (g *Gate) bound(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
+	if _, ok := g.known(h); ok {
+		return fasthttp.RequestConfig{}
 	}
+	return fasthttp.RequestConfig{MaxRequestBodySize: 1}
+}
+
+func (g *Gate) known(h *fasthttp.RequestHeader) (Identity, bool) {
+	token, ok := strings.CutPrefix(string(h.Peek(fasthttp.HeaderAuthorization)), "Bearer ")
+	if !ok {
+		return Identity{}, false
+	}
+	i, ok := g.tokens[token]
+	return i, ok
+}
+
+func (g *Gate) identify(r *Request) error {
+	var ok bool
+	r.Identity, ok = g.known(&r.Request.Header)
 	if !ok {
 		r.Response.Header.Set(fasthttp.HeaderWWWAuthenticate, "Bearer")
 		return refusal.New(refusal.Unauthorized, refusal.NotRun, "a known bearer token is required")
@@ -225,6 +241,10 @@
 	var timeout interface{ Timeout() bool }
 	switch {
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		if err := g.identify(r); err != nil {
+			g.refuse(r, err)
+			break
+		}
 		g.refuse(r, refusal.New(refusal.TooLarge, refusal.NotRun, "the body exceeds %d bytes", g.limits.Body))
 	case errors.As(err, &small):
 		g.refuse(r, refusal.New(refusal.TooLarge, refusal.NotRun, "the header exceeds %d bytes", g.limits.Header))
--- a/entry/internal/gate/gate_test.go
+++ b/entry/internal/gate/gate_test.go
@@ -86,6 +86,7 @@
 	}{
 		{"POST", path, "", "", 401, "unauthorized"},
 		{"POST", path, "x", "", 401, "unauthorized"},
+		{"POST", path, "x", "some body", 401, "unauthorized"},
 		{"GET", "/nowhere", "", "", 401, "unauthorized"},
 		{"POST", path, "o", "", 403, "forbidden"},
 		{"GET", "/nowhere", "c", "", 404, "not_found"},
@@ -160,9 +161,10 @@
 func TestUnreadableRequests(t *testing.T) {
 	l := serve(t, func(*Request) error { return nil })
 	for text, status := range map[string]string{
-		"POST /v1/services/a/b HTTP/1.1\r\nHost: e\r\nAuthor":                    "408",
-		"POST /v1/services/a/b HTTP/1.1\r\nHost: e\r\nContent-Length: 9\r\n\r\n": "408",
-		"\x16\x03\x01garbage\r\n\r\n":                                            "400",
+		"POST /v1/services/a/b HTTP/1.1\r\nHost: e\r\nAuthor":                                               "408",
+		"POST /v1/services/a/b HTTP/1.1\r\nHost: e\r\nAuthorization: Bearer c\r\nContent-Length: 9\r\n\r\n": "408",
+		"POST /v1/services/a/b HTTP/1.1\r\nHost: e\r\nContent-Length: 9\r\n\r\n":                            "401",
+		"\x16\x03\x01garbage\r\n\r\n":                                                                       "400",
 	} {
 		c, err := l.Dial()
 		if err != nil {
