--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -170,6 +170,11 @@
 
 // CloseSilent closes a link whose peer has not acknowledged a message in time.
 func (c *Conn) CloseSilent() {
+	select {
+	case <-c.done:
+		return
+	default:
+	}
 	event.LinkSilent.Log(c.logger)
 	c.shut(ErrClosed)
 }
