--- a/scenario/demo/main.go
+++ b/scenario/demo/main.go
@@ -162,12 +162,12 @@
 	out := h.Check()
 	for _, c := range h.Completions {
 		if c.Status != 200 {
-			out = append(out, fmt.Sprintf("completion %q: status %d %s %s", c.Prompt, c.Status, c.Code, c.Error))
+			out = append(out, fmt.Sprintf("completion %q: status %d %s %s%s", c.Prompt, c.Status, c.Code, c.Reason, c.Error))
 		}
 	}
 	for _, w := range h.Writes {
 		if w.Status != 200 {
-			out = append(out, fmt.Sprintf("write %s: status %d %s %s", w.Key, w.Status, w.Code, w.Error))
+			out = append(out, fmt.Sprintf("write %s: status %d %s %s%s", w.Key, w.Status, w.Code, w.Reason, w.Error))
 		}
 	}
 	for _, s := range h.Steps {
--- a/scenario/history/history.go
+++ b/scenario/history/history.go
@@ -37,6 +37,7 @@
 	Finish string
 	Code   string // refusal code
 	Ran    string
+	Reason string // message of a refusal
 	Error  string // broken connection or malformed answer
 }
 
@@ -50,6 +51,7 @@
 	Body   string
 	Code   string
 	Ran    string
+	Reason string // message of a refusal
 	Error  string
 }
 
--- /dev/null
+++ b/scenario/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package scenario_test
+
+func init() { race = true }
--- a/scenario/rig/call.go
+++ b/scenario/rig/call.go
@@ -95,7 +95,7 @@
 		return fmt.Errorf("answer %.200q: %w", text, err)
 	}
 	if body.Error != nil {
-		c.Code, c.Ran = body.Error.Code, body.Error.Ran
+		c.Code, c.Ran, c.Reason = body.Error.Code, body.Error.Ran, body.Error.Message
 		return nil
 	}
 	for _, choice := range body.Choices {
@@ -125,7 +125,7 @@
 	}
 	var e wire.ErrorBody
 	if a.Status != http.StatusOK && json.Unmarshal(a.Body, &e) == nil {
-		w.Code, w.Ran = e.Error.Code, e.Error.Ran
+		w.Code, w.Ran, w.Reason = e.Error.Code, e.Error.Ran, e.Error.Message
 	}
 	return w
 }
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -30,6 +30,7 @@
 	tick          = 5 * time.Millisecond   // batching step; tokens of one step travel in one event
 	maxStep       = 100 * time.Millisecond // a paused process makes no burst of tokens when it goes on
 	headerTimeout = 10 * time.Second
+	crashDelay    = 20 * time.Millisecond // after the answer to a control call that asks for a crash
 	listenRetry   = 20 * time.Millisecond
 )
 
--- a/standin/engine/http.go
+++ b/standin/engine/http.go
@@ -74,9 +74,13 @@
 	}
 	e.Control(c, time.Now())
 	w.WriteHeader(http.StatusNoContent)
+	if c.Crash {
+		// The answer leaves before the crash closes its connection.
+		time.AfterFunc(crashDelay, e.Crash)
+	}
 }
 
-// Control injects or ends faults.
+// Control injects or ends faults other than a crash.
 func (e *Engine) Control(c report.EngineControl, now time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -89,9 +93,6 @@
 	if c.Fail != nil {
 		e.fails = *c.Fail
 	}
-	if c.Crash {
-		e.fall(now)
-	}
 }
 
 // cancel ends a run; its stream gets a last event.
--- a/standin/report/report.go
+++ b/standin/report/report.go
@@ -43,7 +43,7 @@
 	Slow  *float64 `json:"slow,omitempty"`  // divides the token rate; 1 ends a slow spell
 	For   int64    `json:"for,omitempty"`   // milliseconds after which the slow spell ends, 0 for never
 	Fail  *int     `json:"fail,omitempty"`  // number of loads that fail partway
-	Crash bool     `json:"crash,omitempty"` // crashes at once
+	Crash bool     `json:"crash,omitempty"` // crashes shortly after the answer
 }
 
 // EngineRun is one run of a completion as the engine saw it.
