--- a/daemon/internal/engine/engine.go
+++ b/daemon/internal/engine/engine.go
@@ -76,6 +76,7 @@
 	up      bool
 	version int64
 	fence   int64         // highest token that the engine has seen
+	misses  int           // version reads in a row without an answer
 	epoch   int           // counts crashes
 	active  map[*run]bool // streams in flight
 	sizes   map[int]int   // streams in flight at the crash that ended an epoch
@@ -231,7 +232,10 @@
 func (e *Engine) broken(ctx context.Context, a *attempt.Attempt, r *run, err error) (attempt.End, bool) {
 	var dial *exchange.DialError
 	if errors.As(err, &dial) {
-		e.lost(false)
+		if exchange.Refused(err) {
+			e.lost(false)
+		}
+		e.Recheck()
 		if ctx.Err() != nil {
 			return attempt.End{}, true
 		}
--- a/daemon/internal/engine/watch.go
+++ b/daemon/internal/engine/watch.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
+	"bulrushspoke/daemon/internal/exchange"
 	"bulrushspoke/internal/event"
 	"bulrushspoke/wire"
 )
@@ -31,11 +32,12 @@
 func (e *Engine) Watch(ctx context.Context, period time.Duration, random *rand.Rand) error {
 	pause := downPoll
 	for {
-		if _, err := e.ReadVersion(); err == nil {
+		_, err := e.ReadVersion()
+		if err == nil {
 			pause = downPoll
 		}
 		wait := period
-		if !e.Server().Up {
+		if err != nil {
 			wait = pause/2 + time.Duration(random.Int64N(int64(pause)))
 			pause = min(2*pause, downPollMax)
 		}
@@ -82,19 +84,26 @@
 	}
 	e.mu.Lock()
 	e.fence = v.Fence
+	e.misses = 0
 	e.mu.Unlock()
 	e.seen(v.Version)
 	return v, nil
 }
 
-// unanswered notes a failed read of the version.
+// maxMisses is the number of version reads in a row without an answer after which the engine counts as down. A slow
+// neighbour delays single answers beyond their timeout.
+const maxMisses = 3
+
+// unanswered notes a failed read of the version. A refused connection is proof that nothing listens.
 func (e *Engine) unanswered(cause error) {
 	e.mu.Lock()
+	e.misses++
 	was := e.up
-	e.up = false
+	e.up = was && e.misses < maxMisses && !exchange.Refused(cause)
+	down := was && !e.up
 	s := e.server()
 	e.mu.Unlock()
-	if was {
+	if down {
 		event.ServerDown.Log(e.logger, "cause", cause.Error())
 		e.changed(s, false)
 	}
--- a/daemon/internal/exchange/exchange.go
+++ b/daemon/internal/exchange/exchange.go
@@ -15,9 +15,11 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -41,6 +43,9 @@
 // Unwrap returns the cause.
 func (e *DialError) Unwrap() error { return e.cause }
 
+// Refused reports whether the error proves that nothing listens at the address.
+func Refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
 // Exchange is a request whose response header was received.
 type Exchange struct {
 	conn net.Conn
--- a/daemon/internal/service/service.go
+++ b/daemon/internal/service/service.go
@@ -14,6 +14,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -45,6 +46,8 @@
 	changed func(s wire.Server, crashed bool)
 	logger  *slog.Logger
 
+	misses atomic.Int32 // dials in a row that failed
+
 	mu sync.Mutex
 	up bool
 }
@@ -84,6 +87,21 @@
 	s.changed(now, false)
 }
 
+// maxMisses is the number of dials in a row that time out after which the service counts as down.
+const maxMisses = 3
+
+// seen notes the outcome of a dial. A refused connection is proof that nothing listens.
+func (s *Service) seen(err error) {
+	if err == nil {
+		s.misses.Store(0)
+		s.set(true)
+		return
+	}
+	if s.misses.Add(1) >= maxMisses || exchange.Refused(err) {
+		s.set(false)
+	}
+}
+
 // Watch dials the service each period to learn whether it listens, until ctx ends.
 func (s *Service) Watch(ctx context.Context, period time.Duration) error {
 	var req fasthttp.Request
@@ -97,7 +115,7 @@
 		if err == nil {
 			_ = conn.Close()
 		}
-		s.set(err == nil)
+		s.seen(err)
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -114,7 +132,7 @@
 		if ctx.Err() != nil {
 			return attempt.End{}, true
 		}
-		s.set(false)
+		s.seen(err)
 		return attempt.End{Refusal: refusal.New(refusal.NoUpstream, refusal.NotRun, "service does not answer: %v", err)}, false
 	}
 	if err != nil {
