Serve training work by rank again

The merge of the bench's findings with the claims by age let short samples always go before long ones, so the longest samples of a step started last.

--- a/internal/admit/fair.go
+++ b/internal/admit/fair.go
@@ -64,9 +64,9 @@
 
 // Fair serves live before training work and short before long work, with these rules:
 //
-//   - The rank of an item is its arrival plus a time that grows with its predicted length up to Config.Length. Live
-//     work is served by rank, so it is overtaken only by live work that arrives within Config.Length. Short training
-//     work goes before long training work, and each of them by rank.
+//   - The rank of an item is its arrival plus a time that grows with its predicted length up to Config.Length. Items
+//     of one class are served by rank, so an item is overtaken only by items of its class that arrive within
+//     Config.Length. Long samples that always waited for short ones would start last and hold up their step.
 //   - Live work may push out training streams that have run for Config.Quantum. Training work pushes nothing out: a
 //     stream that goes on later computes its prompt and its tokens again, and in steps of mixed lengths the streams
 //     spent more time on that than on new tokens.
@@ -203,11 +203,7 @@
 			return f.start(now, i, i.spec.Class == Train), true
 		}
 	}
-	a, b := f.heaps[liveShort].head(), f.heaps[liveLong].head()
-	if a == nil || b != nil && b.before(a) {
-		a, b = b, a
-	}
-	if d, ok := f.serve(now, a, b, Live); ok || f.emptying != nil {
+	if d, ok := f.serve(now, f.heaps[liveShort].head(), f.heaps[liveLong].head(), Live); ok || f.emptying != nil {
 		return d, ok
 	}
 	return f.serve(now, f.heaps[trainShort].head(), f.heaps[trainLong].head(), Train)
@@ -258,8 +254,11 @@
 	return f.others >= f.config.Slots || f.waits[Live]+f.waits[Train] == len(f.heaps[solos])
 }
 
-// serve starts the first of the items of one class that can start, or makes room for it; a goes before b.
+// serve starts the first of the items of one class that can start, or makes room for it.
 func (f *Fair) serve(now time.Time, a, b *Item, c Class) (Decision, bool) {
+	if a == nil || b != nil && b.before(a) {
+		a, b = b, a
+	}
 	s := f.heaps[solos].head()
 	if s != nil && s.spec.Class == c && f.soloTurn() && (a == nil || s.before(a)) {
 		f.emptying = s
