--- a/entry/internal/dispatch/dispatch_test.go
+++ b/entry/internal/dispatch/dispatch_test.go
@@ -62,6 +62,24 @@
 	}
 }
 
+// Guards against a stream that is cut off in its middle because servers are busy for a moment.
+func TestBusyAfterStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPool(2)
+		busy := plan{refuse: refusal.New(refusal.Busy, refusal.NotRun, "full")}
+		plans := []plan{{end: "lost", after: 4}}
+		for range 25 {
+			plans = append(plans, busy)
+		}
+		p.plan = first(plans...)
+		r, err := dispatcher(p).Run(t.Context(), job("a", 12))
+		if err != nil {
+			t.Fatalf("run: %v", err)
+		}
+		check(t, r, "a", 12)
+	})
+}
+
 // Guards against requests that wait for a daemon that has died as long as the pool hopes for its return.
 func TestDaemonGone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/entry/internal/dispatch/run.go
+++ b/entry/internal/dispatch/run.go
@@ -18,6 +18,8 @@
 	maxHedges = 2
 	// resumeWait is how long started live work waits for a server to go on; work that was not started is refused.
 	resumeWait = 5 * time.Second
+	// startedPause divides the mean retry time for a started stream that finds every server busy.
+	startedPause = 4
 	// floorEvery is how often the floor of a running job is read; hopeless work must stop within a second.
 	floorEvery = 250 * time.Millisecond
 	// configWait is how long a job waits for a revision that a daemon has already seen, and configPoll how often it
@@ -295,6 +297,9 @@
 		return r.reconfigure(ctx)
 	case e.Code() == refusal.Busy && r.work.Class == Train:
 		return r.pause(ctx, max(e.Retry(), r.d.retryAfter()))
+	case e.Code() == refusal.Busy && len(r.tokens) > 0:
+		// A stream that its reader already sees is worth waiting for; maxIdle bounds the wait.
+		return r.pause(ctx, r.d.retryAfter()/startedPause)
 	case e.Ran() == refusal.NotRun && e.Code() != refusal.Busy:
 		// The daemon proved that nothing was done, so the next attempt adds no load to the servers.
 		return nil
