--- a/entry/internal/trainer/collect.go
+++ b/entry/internal/trainer/collect.go
@@ -47,6 +47,9 @@
 	running := make(map[int]bool)
 	for _, h := range held {
 		for _, p := range h.Running {
+			if v := oldest(p.Spans); v != 0 && v < s.floor() {
+				continue
+			}
 			if i, ok := s.slot(p.Slot.Group, p.Slot.Index); ok && s.wanted(i) {
 				running[i] = true
 			}
--- a/entry/internal/trainer/owner.go
+++ b/entry/internal/trainer/owner.go
@@ -82,6 +82,7 @@
 	spec, owner, err := t.find(ctx, k, site)
 	var over *steplog.EndedError
 	if errors.As(err, &over) {
+		t.forget(k, site)
 		return t.closing(id, k, r, over.Record())
 	}
 	if err != nil {
@@ -101,6 +102,7 @@
 	}
 	err = t.takeOver(ctx, k, site, owner)
 	if errors.As(err, &over) {
+		t.forget(k, site)
 		return t.closing(id, k, r, over.Record())
 	}
 	return wire.PullAnswer{}, true, err
--- a/entry/internal/trainer/trainer.go
+++ b/entry/internal/trainer/trainer.go
@@ -237,6 +237,15 @@
 	}
 }
 
+// forget drops what this entry knew of a step that has ended.
+func (t *Trainer) forget(k key, s *site) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.sites[k] == s && s.step == nil {
+		delete(t.sites, k)
+	}
+}
+
 func (t *Trainer) owned() []*Step {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/entry/internal/trainer/world_test.go
+++ b/entry/internal/trainer/world_test.go
@@ -381,7 +381,7 @@
 func (n *node) Verdict(string, wire.Verdict) error { return nil }
 
 func (n *node) Profile(name string) (wire.Profile, bool) {
-	return wire.Profile{Name: name, Class: "train", Staleness: 2, Deadline: "10m", Tokens: 1000}, true
+	return wire.Profile{Name: name, Class: "train", Staleness: 2, Deadline: "10m", Tokens: 1000, Concurrency: 10}, true
 }
 
 func (n *node) Version(string) int64 { return n.w.running(time.Second) }
