--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 
 check: tools
 	@test -z "$$($(BIN)/tools/gofumpt -l $(MODULES))" || { $(BIN)/tools/gofumpt -d $(MODULES); exit 1; }
-	@for m in $(MODULES); do (cd $$m && $(BIN)/tools/golangci-lint run ./...) || exit 1; done
+	@for m in $(MODULES); do (cd $$m && $(BIN)/tools/golangci-lint run --allow-parallel-runners ./...) || exit 1; done
 
 bench:
 	go test -run '^$$' -bench . -benchmem ./internal/... ./entry/... ./daemon/...
--- a/entry/internal/cli/adapt.go
+++ b/entry/internal/cli/adapt.go
@@ -1,45 +1,23 @@
 package cli
 
 import (
-	"time"
+	"context"
 
-	"bulrushspoke/entry/internal/dispatch"
-	"bulrushspoke/entry/internal/trainer"
-	"bulrushspoke/internal/meter"
 	"bulrushspoke/wire"
 )
 
 // peerHandler serves the messages of other entries.
 type peerHandler struct {
-	*trainer.Trainer
-	dispatcher *dispatch.Dispatcher
+	*entry
 }
 
-// Suspect implements peer.Handler.
-func (h peerHandler) Suspect(s wire.Suspect) { h.dispatcher.Suspect(s) }
-
-// stepMeter exports the measurements of steps.
-type stepMeter struct {
-	age  *meter.Histogram
-	wait *meter.Histogram
-}
-
-// trainClass is the class label of all measurements of steps.
-const trainClass = "train"
-
-func newStepMeter(m *meter.Meter) stepMeter {
-	return stepMeter{
-		age:  m.Histogram("sample_age", "{version}", "Age of answered samples in weight versions."),
-		wait: m.Histogram("trainer_wait", "s", "Time that a pull waited with nothing to give."),
-	}
+// Pull implements peer.Handler.
+func (h peerHandler) Pull(ctx context.Context, f wire.Forward) wire.Batch {
+	return h.trainer.Pull(ctx, f)
 }
 
-// SampleAge implements trainer.Meter.
-func (s stepMeter) SampleAge(tenant string, age int64) {
-	s.age.Record(tenant, trainClass, float64(age))
-}
+// Verdict implements peer.Handler.
+func (h peerHandler) Verdict(v wire.Verdict) { h.trainer.Verdict(v) }
 
-// TrainerWait implements trainer.Meter.
-func (s stepMeter) TrainerWait(tenant string, wait time.Duration) {
-	s.wait.Record(tenant, trainClass, wait.Seconds())
-}
+// Suspect implements peer.Handler.
+func (h peerHandler) Suspect(s wire.Suspect) { h.dispatcher.Suspect(s) }
