--- a/Makefile
+++ b/Makefile
@@ -29,12 +29,15 @@
 demo: build
 	go run ./scenario/demo -bin $(BIN)
 
+# The scenarios build the programs themselves, which the test cache does not see; they also load the machine by
+# themselves.
 test:
-	go test -race $(addprefix ./,$(addsuffix /...,$(MODULES)))
+	go test -race $(addprefix ./,$(addsuffix /...,$(filter-out scenario,$(MODULES))))
+	go test -race -count=1 ./scenario/...
 
 check: tools
 	@test -z "$$($(BIN)/tools/gofumpt -l $(MODULES))" || { $(BIN)/tools/gofumpt -d $(MODULES); exit 1; }
-	@for m in $(MODULES); do (cd $$m && $(BIN)/tools/golangci-lint run ./...) || exit 1; done
+	@for m in $(MODULES); do (cd $$m && $(BIN)/tools/golangci-lint run --allow-parallel-runners ./...) || exit 1; done
 
 bench:
 	go test -run '^$$' -bench . -benchmem ./internal/... ./entry/... ./daemon/...
--- a/internal/admit/fair.go
+++ b/internal/admit/fair.go
@@ -14,7 +14,7 @@
 	Wait    time.Duration // longest predicted wait of a live item; beyond it the item is refused at once
 	Long    int           // predicted tokens from which an item counts as long
 	Reserve float64       // share of slots kept free of long work that cannot be pushed out
-	Spare   float64       // share of slots kept free of all long work while short or live work arrives
+	Spare   float64       // share of slots kept free of all long work while live work arrives
 	Age     time.Duration // wait after which training or solo work claims a slot
 	Quantum time.Duration // shortest run of a stream before it is pushed out
 	Token   time.Duration // time by which each predicted token moves an item back
@@ -56,18 +56,17 @@
 	// Bounds of the retry-after time of a busy refusal.
 	minRetry = 250 * time.Millisecond
 	maxRetry = time.Minute
-	// firstService stands for the length of a run until one has ended.
-	firstService = time.Second
 	// serviceWeight is the weight of the newest run in the mean length of runs.
 	serviceWeight = 0.1
 )
 
 // Fair serves live before training work and short before long work, with these rules:
 //
-//   - The rank of an item is its arrival plus a time that grows with its predicted length up to Config.Length. Items
-//     of one class are served by rank, so an item is overtaken only by items of its class that arrive within
-//     Config.Length. Long samples that always waited for short ones would start last and hold up their step.
-//   - Live work may push out training streams that have run for Config.Quantum. Training work pushes nothing out: a
+//   - Each class is served by rank. The rank of live work is its arrival plus a time that grows with its predicted
+//     length up to Config.Length, so it is overtaken only by live work that arrives within Config.Length. The rank of
+//     training work is its arrival: the owner of a step sends its longest samples first, and short samples that
+//     overtook them here would leave the longest to the end of the step.
+//   - Live work may push out any training stream that has run for Config.Quantum. Training work pushes nothing out: a
 //     stream that goes on later computes its prompt and its tokens again, and in steps of mixed lengths the streams
 //     spent more time on that than on new tokens.
 //   - An item of training or solo work that has waited for Config.Age beyond its rank claims the next free slot if no
@@ -91,17 +90,16 @@
 	fed       [kinds]time.Time // last time that an item of the kind ended, or was pushed out after some progress
 	leaving   int              // running items that were asked to stop
 	alone     bool
-	emptying  *Item // solo item that the server is emptied for
-	others    int   // items started since the last solo item
-	short     time.Time
-	service   [2]time.Duration // mean length of the runs of a class
+	emptying  *Item            // solo item that the server is emptied for
+	others    int              // items started since the last solo item
+	lastLive  time.Time        // arrival of the last live item
+	service   [2]time.Duration // mean length of the runs of a class, 0 before the first has ended
 	seq       uint64
 }
 
 // NewFair returns an empty queue; random spreads the retry-after times.
 func NewFair(c Config, random *rand.Rand) *Fair {
 	f := &Fair{config: c, random: random, others: c.Slots}
-	f.service = [2]time.Duration{Live: firstService, Train: firstService}
 	f.reserve = int(float64(c.Slots) * c.Reserve)
 	f.spare = int(float64(c.Slots) * c.Spare)
 	return f
@@ -136,15 +134,19 @@
 	f.seq++
 	i.seq = f.seq
 	i.arrived = now
-	i.rank = now.Add(min(time.Duration(i.spec.Predicted)*f.config.Token, f.config.Length))
+	i.rank = now
+	if i.spec.Class == Live {
+		i.rank = now.Add(min(time.Duration(i.spec.Predicted)*f.config.Token, f.config.Length))
+	}
 	f.add(i)
-	if i.spec.Class == Live || !f.isLong(i) {
-		f.short = now
+	if i.spec.Class == Live {
+		f.lastLive = now
 	}
 	return nil
 }
 
-// predict returns the time in which the waiting items of a class are probably started, without regard to the others.
+// predict returns the time in which the waiting items of a class are probably started, without regard to the others; 0
+// until a run of the class has ended.
 func (f *Fair) predict(c Class) time.Duration {
 	return f.service[c] * time.Duration(f.waits[c]) / time.Duration(f.config.Slots)
 }
@@ -254,7 +256,7 @@
 	return f.others >= f.config.Slots || f.waits[Live]+f.waits[Train] == len(f.heaps[solos])
 }
 
-// serve starts the first of the items of one class that can start, or makes room for it.
+// serve starts the first of two items of one class that can start, or makes room for it.
 func (f *Fair) serve(now time.Time, a, b *Item, c Class) (Decision, bool) {
 	if a == nil || b != nil && b.before(a) {
 		a, b = b, a
@@ -290,7 +292,7 @@
 	if shield || !i.spec.Preemptible {
 		return f.fixed < max(1, slots-f.reserve)
 	}
-	if !f.short.IsZero() && now.Sub(f.short) < f.config.Age {
+	if !f.lastLive.IsZero() && now.Sub(f.lastLive) < f.config.Age {
 		slots = max(1, slots-f.spare)
 	}
 	return f.long < slots
@@ -369,6 +371,9 @@
 	i.state = idle
 	took := float64(now.Sub(i.started))
 	mean := &f.service[i.spec.Class]
+	if *mean == 0 {
+		*mean = time.Duration(took)
+	}
 	*mean = time.Duration(serviceWeight*took + (1-serviceWeight)*float64(*mean))
 }
 
@@ -421,8 +426,8 @@
 			sooner(r.started.Add(f.config.Quantum))
 		}
 	}
-	if f.waits[Train] > 0 && !f.short.IsZero() {
-		sooner(f.short.Add(f.config.Age))
+	if f.waits[Train] > 0 && !f.lastLive.IsZero() {
+		sooner(f.lastLive.Add(f.config.Age))
 	}
 	return at, !at.IsZero()
 }
