--- a/bench/steps.go
+++ b/bench/steps.go
@@ -32,7 +32,7 @@
 	groups   []wire.Group
 	lengths  []int
 	jobs     map[[2]int]*fleet.Job
-	engines  int // slots of all engines
+	slots    int // of all engines
 	window   int
 	open     int
 	left     int
@@ -52,9 +52,9 @@
 	d := sim.Berges(l)
 	s := &stepRun{loop: l, fleet: fleet.New(l, d, p), config: c, capacity: d.Capacity()}
 	for _, site := range d.Sites {
-		s.engines += site.Engine.Slots()
+		s.slots += site.Engine.Slots()
 	}
-	s.window = int(schedule.Window * float64(s.engines))
+	s.window = int(schedule.Window * float64(s.slots))
 	if slow {
 		spells(l, d, len(d.Sites)/slowedShare)
 	}
@@ -97,16 +97,13 @@
 func (s *stepRun) fill(now time.Time) {
 	for s.open < s.window && s.left > 0 {
 		slot, ok := 0, false
-		if s.open < s.engines {
-			slot, ok = s.plan.Rerun(now, s.engines)
+		if s.open < s.slots {
+			slot, ok = s.plan.Rerun(now, s.slots)
 		}
 		if !ok {
 			slot, ok = s.plan.Next()
 		}
-		if !ok {
-			return
-		}
-		if !s.submit(now, slot) {
+		if !ok || !s.submit(now, slot) {
 			return
 		}
 	}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -29,7 +29,7 @@
 
 // Window is how many samples are kept in flight for each slot of the engines. The surplus waits at the daemons, so that
 // a slot never waits for the next sample; a larger surplus waits at servers that slow down in the meantime.
-const Window = 1.5
+const Window = 1.6
 
 const (
 	// slowFactor is how many times longer than a fresh run the rest of an attempt must be expected to take before it is
@@ -39,10 +39,10 @@
 	wasteShare = 0.05
 	// overrun is how much longer than its progress an attempt is expected to get once it has passed its prediction.
 	overrun = 1.25
-	// lead starts a second run a little before the open slots are done, because it must not be the last to end.
-	lead = 1.25
 	// residual is the expected length of a sample that still runs, in units of its progress.
 	residual = 2
+	// lead starts a second run a little before the open slots are done, because it must not be the last to end.
+	lead = 1.25
 	// rateWeight is the weight of one finished sample in the moving average of the time per token.
 	rateWeight = 0.1
 )
