--- a/daemon/internal/cli/standin_test.go
+++ b/daemon/internal/cli/standin_test.go
@@ -77,7 +77,7 @@
 	_ = c.next(link.Done).Decode(&done)
 	a, _ := d.table.Find(time.Now(), "a")
 	checkText(t, w.Prompt, a.Tokens(), done.Spans)
-	e.Control(report.EngineControl{Crash: true}, time.Now())
+	e.Crash()
 	eventually(t, "the engine crashed and was repaired", func() bool {
 		h := e.History()
 		return h.Crashes == 1 && at(2)() && h.Loads[len(h.Loads)-1].Outcome == "loaded"
