Send the states of servers to a new link in the order of their changes

Cause: a daemon read the state of its servers for a new link, and a change that came before the state was sent overtook it; the entry then held an answering server as down until its next change. Change: states are read and sent under one lock. Conclusion: the order of two changes of one server that come from different tasks is still open.

--- a/daemon/internal/entry/entry.go
+++ b/daemon/internal/entry/entry.go
@@ -64,6 +64,7 @@
 	logger  *slog.Logger
 	rev     atomic.Int64
 	senders sync.WaitGroup
+	order   sync.Mutex // held while states of servers are sent
 
 	mu      sync.Mutex
 	conns   map[*link.Conn]struct{}
@@ -116,7 +117,10 @@
 	for _, t := range c.Peer().Targets {
 		l.targets.Offer(t)
 	}
-	// The state may have changed since the hello was made; a link that is closed by now needs none.
+	// The state may have changed since the hello was made; a link that is closed by now needs none. A change that comes
+	// meanwhile is sent after what is read here, so that the last message of a server is its newest state.
+	l.order.Lock()
+	defer l.order.Unlock()
 	for _, la := range l.lanes {
 		s := la.Server()
 		_ = c.Notify(link.State, wire.State{Server: &s, Leaving: leaving})
@@ -154,6 +158,8 @@
 
 // Changed tells every entry of a change of a server.
 func (l *Links) Changed(s wire.Server, crashed bool) {
+	l.order.Lock()
+	defer l.order.Unlock()
 	l.Broadcast(link.State, wire.State{Server: &s, Crashed: crashed, Leaving: l.Leaving()})
 }
 
