Ignore a version answer that was sent before a crash was noticed

Cause: an answer in flight marked a dead engine as up again, so that one more piece of work was sent to it.

--- a/daemon/internal/cli/order_test.go
+++ b/daemon/internal/cli/order_test.go
@@ -129,6 +129,9 @@
 	if r := seen["b"]; r.Code != "no_upstream" || r.Ran != "no" || r.Retry == 0 {
 		t.Fatalf("waiting work: %+v", r)
 	}
+	// A connection that was accepted while the listener closed is still answered.
+	e.CloseClientConnections()
+	eventually(t, "the server is down", func() bool { return !d.lanes["e1"].Server().Up })
 	if r := c.refused(completion("c", 1)); r.Code != "no_upstream" || r.Ran != "no" {
 		t.Fatalf("new work: %+v", r)
 	}
--- a/daemon/internal/engine/engine.go
+++ b/daemon/internal/engine/engine.go
@@ -77,6 +77,7 @@
 	version int64
 	fence   int64         // highest token that the engine has seen
 	misses  int           // version reads in a row without an answer
+	losses  int           // times that the engine was found dead
 	epoch   int           // counts crashes
 	active  map[*run]bool // streams in flight
 	sizes   map[int]int   // streams in flight at the crash that ended an epoch
@@ -311,6 +312,7 @@
 	e.mu.Lock()
 	was := e.up
 	e.up = false
+	e.losses++
 	s := e.server()
 	e.mu.Unlock()
 	e.Recheck()
--- a/daemon/internal/engine/watch.go
+++ b/daemon/internal/engine/watch.go
@@ -71,6 +71,9 @@
 // ReadVersion asks the engine what it runs.
 func (e *Engine) ReadVersion() (wire.EngineVersion, error) {
 	var v wire.EngineVersion
+	e.mu.Lock()
+	losses := e.losses
+	e.mu.Unlock()
 	status, body, err := e.do(fasthttp.MethodGet, "/version", nil)
 	if err == nil && status != fasthttp.StatusOK {
 		err = eris.Errorf("engine: version answered %d", status)
@@ -83,9 +86,15 @@
 		return v, err
 	}
 	e.mu.Lock()
-	e.fence = v.Fence
-	e.misses = 0
+	late := e.losses != losses
+	if !late {
+		e.fence = v.Fence
+		e.misses = 0
+	}
 	e.mu.Unlock()
+	if late {
+		return v, eris.New("engine: the answer was sent before a crash")
+	}
 	e.seen(v.Version)
 	return v, nil
 }
