--- a/scenario/commands_test.go
+++ b/scenario/commands_test.go
@@ -70,6 +70,7 @@
 //	sleep MS
 //	answers NAME STATUS N       checks that at least N calls of NAME were answered with a status
 //	versions NAME N             checks that the samples of a trainer come from at least N weight versions
+//	lost N                      checks that the store lost the answers of at least N writes
 //	check                       applies every rule of package history to what was seen
 func commands() map[string]func(*testscript.TestScript, bool, []string) {
 	out := map[string]func(*testscript.TestScript, bool, []string){}
@@ -78,7 +79,7 @@
 		"destroy": signal(syscall.SIGKILL), "freeze": signal(syscall.SIGSTOP), "thaw": signal(syscall.SIGCONT),
 		"term": signal(syscall.SIGTERM), "ended": ended, "start": start, "control": control, "silence": silence,
 		"cut": cutLink, "outage": outage, "drain": drain, "leaves": leaves, "ready": ready, "sleep": sleep, "check": check,
-		"answers": answers, "race": configRace, "versions": versions,
+		"answers": answers, "race": configRace, "versions": versions, "lost": lost,
 	} {
 		out[name] = func(ts *testscript.TestScript, neg bool, args []string) {
 			w := ts.Value(worldKey{}).(*world)
@@ -527,6 +528,18 @@
 	return fmt.Errorf("no step of %s with %s versions", args[0], args[1])
 }
 
+// lost checks that a fault was met, so that a run without it proves nothing.
+func lost(w *world, _ *testscript.TestScript, args []string) error {
+	var c report.StoreCounts
+	if err := rig.Get(w.ctx, w.fleet.URL("store")+"/counts", &c, nil); err != nil {
+		return err
+	}
+	if want, err := strconv.ParseInt(args[0], 10, 64); err != nil || c.Lost < want {
+		return fmt.Errorf("%d answers were lost, want %s", c.Lost, args[0])
+	}
+	return nil
+}
+
 // check applies every rule of package history, and looks for reports of the race detector in the logs.
 func check(w *world, ts *testscript.TestScript, _ []string) error {
 	if err := w.fleet.Collect(w.ctx, &w.history); err != nil {
