--- a/scenario/rig/rig.go
+++ b/scenario/rig/rig.go
@@ -149,6 +149,9 @@
 	return false
 }
 
+// PID returns the process id.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
 // Running reports whether the process has not ended.
 func (p *Process) Running() bool {
 	select {
