--- a/daemon/internal/cli/drain.go
+++ b/daemon/internal/cli/drain.go
@@ -16,7 +16,7 @@
 )
 
 // drain announces that the daemon leaves, finishes what it has accepted and hands over the results.
-func (p *program) drain(reason string) {
+func (p *process) drain(reason string) {
 	start := time.Now()
 	event.DrainBegins.Log(p.logger, "reason", reason, "attempts", p.table.Active())
 	p.links.Leave()
--- a/daemon/internal/cli/run.go
+++ b/daemon/internal/cli/run.go
@@ -42,8 +42,8 @@
 	readTimeout = 10 * time.Second
 )
 
-// program is the set of parts of a running daemon.
-type program struct {
+// process is the set of parts of a running daemon.
+type process struct {
 	config  config
 	logger  *slog.Logger
 	random  *rand.Rand
@@ -81,18 +81,18 @@
 }
 
 // source returns a random source of its own for one part, seeded from that of the process.
-func (p *program) source() *rand.Rand {
+func (p *process) source() *rand.Rand {
 	return rand.New(rand.NewPCG(p.random.Uint64(), p.random.Uint64()))
 }
 
 // build constructs the parts and the supervisor tree.
-func build(c config, logger *slog.Logger, random *rand.Rand) (*program, error) {
+func build(c config, logger *slog.Logger, random *rand.Rand) (*process, error) {
 	m, text, err := meter.New("daemon")
 	if err != nil {
 		return nil, err
 	}
 	inc := ulid.Make().String()
-	p := &program{
+	p := &process{
 		config: c,
 		logger: logger.With("name", c.Name),
 		random: random,
@@ -124,7 +124,7 @@
 	return p, nil
 }
 
-func (p *program) addServer(s serverConfig, meters lane.Meters) {
+func (p *process) addServer(s serverConfig, meters lane.Meters) {
 	order := admit.DefaultConfig(s.Slots)
 	order.Live, order.Train = p.config.Queue.Live, p.config.Queue.Train
 	policy := admit.NewFair(order, p.source())
@@ -157,7 +157,7 @@
 }
 
 // sweep forgets expired results and stops live attempts that no entry reads.
-func (p *program) sweep(ctx context.Context) error {
+func (p *process) sweep(ctx context.Context) error {
 	t := time.NewTicker(sweepPeriod)
 	defer t.Stop()
 	for {
@@ -172,7 +172,7 @@
 	}
 }
 
-func (p *program) askLeave(reason string) {
+func (p *process) askLeave(reason string) {
 	select {
 	case p.leave <- reason:
 	default:
@@ -180,7 +180,7 @@
 }
 
 // serve serves until ctx ends or an entry asks the daemon to leave.
-func (p *program) serve(ctx context.Context, l net.Listener) error {
+func (p *process) serve(ctx context.Context, l net.Listener) error {
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	treeDone := p.tree.ServeBackground(background)
@@ -215,7 +215,7 @@
 }
 
 // handler routes the paths of the HTTP listener.
-func (p *program) handler(identity *link.Identity) fasthttp.RequestHandler {
+func (p *process) handler(identity *link.Identity) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
 		switch string(ctx.Path()) {
 		case link.Path:
--- a/daemon/internal/cli/settings.go
+++ b/daemon/internal/cli/settings.go
@@ -2,12 +2,12 @@
 
 import (
 	"fmt"
-	"io"
 	"log/slog"
 	"os"
 	"strings"
 	"time"
 
+	"bulrushspoke/internal/program"
 	"bulrushspoke/internal/schema"
 	"bulrushspoke/internal/settings"
 )
@@ -29,7 +29,7 @@
 	Stagger    settings.Duration `json:"stagger"`
 	Poll       settings.Duration `json:"poll"`
 	Retain     retainConfig      `json:"retain"`
-	Log        logConfig         `json:"log"`
+	Log        program.Log       `json:"log"`
 
 	grace time.Duration // of questions for unseen keys
 }
@@ -67,11 +67,6 @@
 	Others  settings.Duration `json:"others"`
 }
 
-type logConfig struct {
-	Level  slog.Level `json:"level"`
-	Format string     `json:"format"`
-}
-
 func defaults() config {
 	return config{
 		Store:    storeConfig{Timeout: settings.Duration(time.Second)},
@@ -86,7 +81,7 @@
 			Samples: settings.Duration(30 * time.Minute),
 			Others:  settings.Duration(2 * time.Minute),
 		},
-		Log:   logConfig{Level: slog.LevelInfo, Format: "json"},
+		Log:   program.Log{Level: slog.LevelInfo, Format: "json"},
 		grace: askGrace,
 	}
 }
@@ -137,11 +132,3 @@
 	}
 	return nil
 }
-
-func (c logConfig) logger(w io.Writer) *slog.Logger {
-	o := &slog.HandlerOptions{Level: c.Level}
-	if c.Format == "text" {
-		return slog.New(slog.NewTextHandler(w, o))
-	}
-	return slog.New(slog.NewJSONHandler(w, o))
-}
--- a/entry/internal/cli/settings.go
+++ b/entry/internal/cli/settings.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"time"
 
+	"bulrushspoke/internal/program"
 	"bulrushspoke/internal/schema"
 	"bulrushspoke/internal/settings"
 	"bulrushspoke/wire"
@@ -56,11 +58,8 @@
 		Unready settings.Duration `json:"unready"`
 		Drain   settings.Duration `json:"drain"`
 	} `json:"timeouts"`
-	Seed uint64 `json:"seed"`
-	Log  struct {
-		Level  string `json:"level"`
-		Format string `json:"format"`
-	} `json:"log"`
+	Seed uint64      `json:"seed"`
+	Log  program.Log `json:"log"`
 }
 
 // defaults returns the settings that hold where the file says nothing.
@@ -82,8 +81,7 @@
 	c.Timeouts.Idle = settings.Duration(75 * time.Second)
 	c.Timeouts.Unready = settings.Duration(5 * time.Second)
 	c.Timeouts.Drain = settings.Duration(10 * time.Minute)
-	c.Log.Level = "info"
-	c.Log.Format = "json"
+	c.Log = program.Log{Level: slog.LevelInfo, Format: "json"}
 	return c
 }
 
