--- a/scenario/recovery/main.go
+++ b/scenario/recovery/main.go
@@ -23,6 +23,7 @@
 
 	"bulrushspoke/scenario/history"
 	"bulrushspoke/scenario/rig"
+	"bulrushspoke/standin/engine"
 	"bulrushspoke/standin/report"
 	"bulrushspoke/wire"
 )
@@ -96,9 +97,9 @@
 					missed++
 				}
 			}
-			fmt.Printf("%-16s run %d: samples again after %v, longest pause before %v, after %v; lost tokens %.2f%%; "+
-				"step %v, trainer idle %v %s\n",
-				f.name, n+1, m.again, m.before, m.after, 100*m.lost, m.total, m.idle, verdict)
+			fmt.Printf("%-16s run %d: samples again after %v, longest pause before %v, after %v; lost tokens %.2f%% "+
+				"(cancelled reruns %.2f%%, %d samples begun twice, %d runs cut off); step %v, trainer idle %v %s\n",
+				f.name, n+1, m.again, m.before, m.after, 100*m.lost, 100*m.rerun, m.spare, m.gone, m.total, m.idle, verdict)
 		}
 	}
 	if missed > 0 {
@@ -114,6 +115,9 @@
 	lost   float64       // share of the generated tokens
 	total  time.Duration
 	idle   time.Duration
+	rerun  float64 // share of the generated tokens that cancelled runs made: the waste of second runs of stragglers
+	spare  int     // runs from the first token on beyond one for each sample
+	gone   int     // runs that ended without all their tokens
 }
 
 func layout() rig.Layout {
@@ -178,12 +182,25 @@
 	if wrong := h.Check(); len(wrong) > 0 {
 		return figures{}, errors.New(strings.Join(wrong, "; "))
 	}
-	made := int64(0)
+	made, rerun := int64(0), 0
+	m := pauses(times, at)
+	m.spare = -s.Slots
 	for _, e := range h.Engines {
 		made += e.Tokens
+		for _, r := range e.Runs {
+			if r.Held == 0 && r.Made > 0 {
+				m.spare++
+			}
+			if r.Held+r.Made < tokens {
+				m.gone++
+			}
+			if r.Outcome == engine.Cancelled {
+				rerun += r.Made
+			}
+		}
 	}
-	m := pauses(times, at)
 	m.lost = float64(made-s.Tokens) / float64(made)
+	m.rerun = float64(rerun) / float64(made)
 	m.total, m.idle = time.Duration(s.Total)*time.Millisecond, time.Duration(s.Idle)*time.Millisecond
 	return m, nil
 }
