Read the peer secret of the entry from a file too, keep secrets out of errors

Cause: only the daemon took a secret file; a secret or token that is too short was printed with the error. Change: settings.Secret serves both programs; values of secret and token are shown as hidden. Conclusion: both programs take secret or secretfile.

--- a/daemon/internal/cli/settings.go
+++ b/daemon/internal/cli/settings.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"log/slog"
-	"os"
-	"strings"
 	"time"
 
 	"bulrushspoke/internal/program"
@@ -95,24 +93,15 @@
 	if c.Advertise == "" {
 		c.Advertise = c.Listen
 	}
-	if c.SecretFile != "" {
-		b, err := os.ReadFile(c.SecretFile)
-		if err != nil {
-			return c, settings.NewError("/secretfile", c.SecretFile, err.Error())
-		}
-		c.Secret = strings.TrimSpace(string(b))
+	var err error
+	if c.Secret, err = settings.Secret(c.Secret, c.SecretFile); err != nil {
+		return c, err
 	}
 	return c, c.check()
 }
 
-// minSecret is the shortest secret in bytes.
-const minSecret = 16
-
 // check tests the rules that the schema cannot state.
 func (c *config) check() error {
-	if len(c.Secret) < minSecret {
-		return settings.NewError("/secretfile", c.SecretFile, fmt.Sprintf("a file with at least %d characters", minSecret))
-	}
 	seen := make(map[string]bool)
 	for i, s := range c.Servers {
 		if seen[s.Name] {
--- a/entry/internal/cli/settings.go
+++ b/entry/internal/cli/settings.go
@@ -21,8 +21,9 @@
 		Listen    string `json:"listen"`
 		Advertise string `json:"advertise"`
 	} `json:"link"`
-	Secret string `json:"secret"`
-	Store  struct {
+	Secret     string `json:"secret"`
+	SecretFile string `json:"secretfile"`
+	Store      struct {
 		URL     string            `json:"url"`
 		Timeout settings.Duration `json:"timeout"`
 	} `json:"store"`
@@ -94,6 +95,10 @@
 	if c.Link.Advertise == "" {
 		c.Link.Advertise = c.Link.Listen
 	}
+	var err error
+	if c.Secret, err = settings.Secret(c.Secret, c.SecretFile); err != nil {
+		return config{}, err
+	}
 	return c, c.check()
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -143,7 +143,33 @@
 	case *kind.Required:
 		place, allowed = at(place, k.Missing[0]), "required"
 	}
-	return &Error{path: "/" + strings.Join(place, "/"), value: show(lookup(value, place)), allowed: allowed}
+	shown := show(lookup(value, place))
+	if last := place[max(len(place)-1, 0):]; len(last) > 0 && slices.Contains(hidden, last[0]) {
+		shown = "hidden"
+	}
+	return &Error{path: "/" + strings.Join(place, "/"), value: shown, allowed: allowed}
+}
+
+// hidden are the settings whose values must not reach a log.
+var hidden = []string{"secret", "token"}
+
+// minSecret is the shortest secret in bytes.
+const minSecret = 16
+
+// Secret returns the secret itself, or the content of its file without white space at its ends if secret is empty.
+func Secret(secret, file string) (string, error) {
+	if secret != "" {
+		return secret, nil
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return "", &Error{path: "/secretfile", value: file, allowed: err.Error()}
+	}
+	secret = strings.TrimSpace(string(text))
+	if len(secret) < minSecret {
+		return "", &Error{path: "/secretfile", value: file, allowed: fmt.Sprintf("a file with at least %d bytes", minSecret)}
+	}
+	return secret, nil
 }
 
 func at(place []string, name string) []string { return append(slices.Clone(place), name) }
