Open a slot again whose collected sample goes stale while it is scored

Cause: a new owner closes a slot in the plan while a daemon finishes the sample of the former owner. Scoring that sample started an attempt of the closed slot, and an attempt of a closed slot did not open it when it failed: a weight change during the scoring left the slot without work for good, and the step did not end. Ruled out: samples missing from a record after a merge, and a slot that is still awaited; a dump of the stuck step showed neither. Change: an attempt of a closed slot makes it running.

Tests for mechanisms that no test missed when they were switched off: samples stay at their daemon until the commit, and a call is bound to the incarnation of its claim. The fake daemons of the claim tests refused every call that named no incarnation, so a run of the tests without the binding passed.

--- a/entry/internal/claim/claim_test.go
+++ b/entry/internal/claim/claim_test.go
@@ -197,6 +197,29 @@
 	}
 }
 
+// Guards against a call that was on its way to an incarnation while this wrote a tombstone and was restarted: the next
+// incarnation knows nothing of the tombstone and must not run the call beside the daemon that the claim was moved to.
+func TestLateSendAfterRestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o, d := world([]int{startLate}, nil, nil)
+		time.AfterFunc(20*time.Millisecond, func() {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			for i, keys := range d.keys {
+				if a, seen := keys["t.k"]; seen && a == nil {
+					d.incs[i]++
+					d.keys[i] = map[string]*attempt{}
+				}
+			}
+		})
+		r := call(claims(o, d, 1), "r1", "k", "b")
+		time.Sleep(time.Second)
+		if r.refused != nil || d.runs["t.k"] != 1 || d.incs[0]+d.incs[1]+d.incs[2] != 4 {
+			t.Fatalf("got %v after %d runs, incarnations %v", r.refused, d.runs["t.k"], d.incs)
+		}
+	})
+}
+
 // Guards against calls that nobody can explain afterwards.
 func TestExplain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/entry/internal/daemon/pool_test.go
+++ b/entry/internal/daemon/pool_test.go
@@ -319,6 +319,20 @@
 	}
 }
 
+// Guards against a call that was claimed for one incarnation of a daemon and is sent to the next, which knows nothing
+// of the tombstone that the first one wrote.
+func TestClaimBindsToIncarnation(t *testing.T) {
+	d := &fake{inc: "i2", answer: func(_ int, c *link.Conn, f link.Frame, _ wire.Work) { ack(c, f) }}
+	p := start(t, d, options())
+	w := work()
+	w.Once, w.Key, w.Inc = true, "k", "i1"
+	var refused *refusal.Error
+	_, err := p.Start(t.Context(), "w", w)
+	if !errors.As(err, &refused) || refused.Ran() != refusal.NotRun || len(d.seen()) != 0 {
+		t.Fatalf("start gives %v after %d messages, want a refusal as not run and none", err, len(d.seen()))
+	}
+}
+
 // Guards against work that is refused for good because the daemon knows a newer configuration, and against a refusal
 // that loses its proof.
 func TestRefusals(t *testing.T) {
--- a/entry/internal/trainer/trainer_test.go
+++ b/entry/internal/trainer/trainer_test.go
@@ -108,6 +108,32 @@
 	})
 }
 
+// Guards against finished samples that daemons drop before the log holds them: the next owner would have to make them
+// again.
+func TestSamplesStayUntilCommit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(4, 1)
+		defer w.close()
+		if _, err := w.nodes[0].trainer.Open(context.Background(), testIdentity, testRequest(2, 4)); err != nil {
+			t.Fatalf("open: %v", err)
+		}
+		kept := func() int {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			return len(w.held)
+		}
+		w.disturb("down", 10*time.Second)
+		time.Sleep(9 * time.Second)
+		if n := kept(); n != 8 {
+			t.Fatalf("daemons keep %d of 8 samples before the commit", n)
+		}
+		time.Sleep(20 * time.Second)
+		if n := kept(); n != 0 {
+			t.Fatalf("daemons keep %d samples after the commit", n)
+		}
+	})
+}
+
 // Guards against a verdict that counts twice, also when the answer to its write is lost.
 func TestVerdictCountsOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -180,14 +180,15 @@
 	return min(l, float64(p.groups[s.group].limit))
 }
 
-// Start records that an attempt of the slot begins and returns its number, 0 or 1.
+// Start records that an attempt of the slot begins and returns its number, 0 or 1. A closed slot runs again, so that it
+// opens if the attempt fails.
 func (p *Plan) Start(i int, now time.Time) int {
 	s := &p.slots[i]
 	if s.state == open {
-		s.state = running
 		p.groups[s.group].open--
-		p.groups[s.group].started = true
 	}
+	s.state = running
+	p.groups[s.group].started = true
 	n := 0
 	if s.attempts[0].live {
 		n = 1
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -168,3 +168,14 @@
 		}
 	}
 }
+
+// Guards against a slot that nobody makes any more: it was closed while a daemon finished the sample of a former owner,
+// and this sample went stale while it was scored.
+func TestClosedSlotOpensAfterFailure(t *testing.T) {
+	p := New([]wire.Group{{Name: "a", Samples: 1, Tokens: 10}}, Defaults())
+	p.Close(0)
+	p.Fail(0, p.Start(0, time.Unix(0, 0)))
+	if i, ok := p.Next(); !ok || i != 0 {
+		t.Fatalf("next slot is %d, %t; want 0", i, ok)
+	}
+}
