Test that keyed requests are not refused as not run at the door

Cause: the rule had no test. Change: a test over the three kinds of refusals at the door. Conclusion: the rule holds for too_many_requests and unready.

--- a/entry/internal/gate/gate_test.go
+++ b/entry/internal/gate/gate_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"io"
 	"log/slog"
 	"net"
@@ -13,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttputil"
 
+	"bulrushspoke/internal/refusal"
 	"bulrushspoke/wire"
 )
 
@@ -219,3 +221,23 @@
 		t.Fatalf("stop: %v", err)
 	}
 }
+
+// Guards against a repeat of a keyed request that is refused as not run before anyone knows whether its first copy ran.
+func TestKeyedRequestIsNotCalledNotRun(t *testing.T) {
+	for code, want := range map[refusal.Code]refusal.Ran{
+		refusal.TooMany:      refusal.Unknown,
+		refusal.Unready:      refusal.Unknown,
+		refusal.Unauthorized: refusal.NotRun,
+	} {
+		r := &Request{RequestCtx: &fasthttp.RequestCtx{}}
+		plain := refusal.New(code, refusal.NotRun, "refused")
+		if got := keyed(r, plain); !errors.Is(got, plain) {
+			t.Fatalf("%s without a key: %v", code, got)
+		}
+		r.Request.Header.Set(KeyHeader, "k")
+		var e *refusal.Error
+		if !errors.As(keyed(r, plain), &e) || e.Ran() != want || e.Code() != code {
+			t.Fatalf("%s with a key: %v, want ran %s", code, e, want)
+		}
+	}
+}
