Make tests of the drain, the order of parts, charges and sent work strict

Cause: with the mechanism switched off, these tests passed: a drain that waits neither for running work nor for its results, a part that overlaps what is held, a command of a process that is not in charge, and sent work called not run. Change: the drain test gives a wrong end the time to show, repeated parts arrive anywhere in the order, the test of charges waits until the claim was read twice, and a new test restarts the daemon before its acknowledgement. After: each fails with its mechanism off and passes with it on.

--- a/daemon/internal/cli/drain_test.go
+++ b/daemon/internal/cli/drain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"bulrushspoke/internal/link"
 	"bulrushspoke/internal/settings"
@@ -34,6 +35,7 @@
 			if r := c.refused(completion("late", 1)); r.Code != "leaving" || r.Ran != "no" {
 				t.Fatalf("late work is refused with %s, ran %s", r.Code, r.Ran)
 			}
+			d.stays(t, "its work was done")
 			e.let(3)
 			if r := c.read("running", 0); r.done == nil || len(r.tokens) != 2 {
 				t.Fatalf("the stream in flight was cut off: %+v", r.refuse)
@@ -41,11 +43,7 @@
 			if r := c.read("queued", 0); r.done == nil {
 				t.Fatalf("the queued sample was not made: %+v", r.refuse)
 			}
-			select {
-			case err := <-d.ended:
-				t.Fatalf("the daemon ended before its results were taken: %v", err)
-			default:
-			}
+			d.stays(t, "its results were taken")
 			if err := c.Notify(link.Drop, wire.Drop{Attempts: []string{"running", "queued"}}); err != nil {
 				t.Fatalf("drop: %v", err)
 			}
@@ -57,6 +55,16 @@
 	}
 }
 
+// stays fails if the daemon ends; the pause only gives a wrong end the time to show.
+func (d *daemon) stays(t *testing.T, before string) {
+	t.Helper()
+	select {
+	case err := <-d.ended:
+		t.Fatalf("the daemon ended before %s: %v", before, err)
+	case <-time.After(2 * linger):
+	}
+}
+
 // Guards against a drain without end: at its limit, streams are given back in part so that another server resumes
 // them.
 func TestDrainLimitGivesStreamsBack(t *testing.T) {
--- a/daemon/internal/cli/fakestore_test.go
+++ b/daemon/internal/cli/fakestore_test.go
@@ -18,6 +18,7 @@
 	at      map[string]int
 	version int
 	down    bool
+	calls   int
 }
 
 func newFakeStore(t *testing.T) *fakeStore {
@@ -32,6 +33,7 @@
 func (s *fakeStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.calls++
 	if s.down {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/daemon/internal/cli/weights_test.go
+++ b/daemon/internal/cli/weights_test.go
@@ -96,9 +96,19 @@
 		s.set(func() { own = s.values["/o/server/e1"] })
 		return own != ""
 	})
+	// A command follows the read of the claim, so one that follows the first read shows before the second.
+	asked := func() {
+		before := 0
+		s.set(func() { before = s.calls })
+		eventually(t, "the claim is read twice", func() bool {
+			n := 0
+			s.set(func() { n = s.calls })
+			return n >= before+2 || len(e.ordered()) > 0
+		})
+	}
 	s.set(func() { s.down = true })
 	c.target(8, 100)
-	time.Sleep(50 * time.Millisecond) // gives a wrong command the time to show; the test passes without it too
+	asked()
 	if n := len(e.ordered()); n != 0 {
 		t.Fatalf("%d orders while the claim cannot be read", n)
 	}
@@ -106,7 +116,7 @@
 		s.down = false
 		s.write("/o/server/e1", `{"daemon":"d1","inc":"newer"}`)
 	})
-	time.Sleep(50 * time.Millisecond)
+	asked()
 	if n := len(e.ordered()); n != 0 {
 		t.Fatalf("%d orders although another process is in charge", n)
 	}
--- a/entry/internal/daemon/pool_test.go
+++ b/entry/internal/daemon/pool_test.go
@@ -319,6 +319,18 @@
 	}
 }
 
+// Guards against work that is called not run although it was sent: the daemon restarts before it acknowledges.
+func TestUnacknowledgedIsUnknown(t *testing.T) {
+	d := &fake{inc: "i1"}
+	d.answer = func(int, *link.Conn, link.Frame, wire.Work) { d.restart("i2") }
+	p := start(t, d, options())
+	var refused *refusal.Error
+	_, err := p.Start(t.Context(), "w", work())
+	if !errors.As(err, &refused) || refused.Code() != refusal.OutcomeUnknown || refused.Ran() != refusal.Unknown {
+		t.Fatalf("start gives %v, want an unknown outcome", err)
+	}
+}
+
 // Guards against a call that was claimed for one incarnation of a daemon and is sent to the next, which knows nothing
 // of the tombstone that the first one wrote.
 func TestClaimBindsToIncarnation(t *testing.T) {
@@ -461,12 +473,14 @@
 			parts = append(parts, part(whole, i, i+size))
 			i += size
 		}
+		parts = append(parts, part(whole, rapid.IntRange(held, n-1).Draw(t, "repeat"), n))
 		parts = rapid.Permutation(parts).Draw(t, "order")
-		repeat := rapid.IntRange(held, n-1).Draw(t, "repeat")
-		parts = append(parts, part(whole, repeat, n))
 		for _, c := range parts {
-			if err := o.add(c); err != nil && o.beyond <= n {
-				t.Fatalf("add: %v", err)
+			if err := o.add(c); err != nil {
+				if o.beyond <= n {
+					t.Fatalf("add: %v", err)
+				}
+				return
 			}
 			if rapid.Bool().Draw(t, "take") {
 				drain()
