--- a/daemon/internal/cli/settings.go
+++ b/daemon/internal/cli/settings.go
@@ -2,12 +2,10 @@
 
 import (
 	"fmt"
-	"io"
 	"log/slog"
-	"os"
-	"strings"
 	"time"
 
+	"bulrushspoke/internal/program"
 	"bulrushspoke/internal/schema"
 	"bulrushspoke/internal/settings"
 )
@@ -29,7 +27,7 @@
 	Stagger    settings.Duration `json:"stagger"`
 	Poll       settings.Duration `json:"poll"`
 	Retain     retainConfig      `json:"retain"`
-	Log        logConfig         `json:"log"`
+	Log        program.Log       `json:"log"`
 
 	grace time.Duration // of questions for unseen keys
 }
@@ -67,11 +65,6 @@
 	Others  settings.Duration `json:"others"`
 }
 
-type logConfig struct {
-	Level  slog.Level `json:"level"`
-	Format string     `json:"format"`
-}
-
 func defaults() config {
 	return config{
 		Store:    storeConfig{Timeout: settings.Duration(time.Second)},
@@ -86,7 +79,7 @@
 			Samples: settings.Duration(30 * time.Minute),
 			Others:  settings.Duration(2 * time.Minute),
 		},
-		Log:   logConfig{Level: slog.LevelInfo, Format: "json"},
+		Log:   program.Log{Level: slog.LevelInfo, Format: "json"},
 		grace: askGrace,
 	}
 }
@@ -100,24 +93,15 @@
 	if c.Advertise == "" {
 		c.Advertise = c.Listen
 	}
-	if c.SecretFile != "" {
-		b, err := os.ReadFile(c.SecretFile)
-		if err != nil {
-			return c, settings.NewError("/secretfile", c.SecretFile, err.Error())
-		}
-		c.Secret = strings.TrimSpace(string(b))
+	var err error
+	if c.Secret, err = settings.Secret(c.Secret, c.SecretFile); err != nil {
+		return c, err
 	}
 	return c, c.check()
 }
 
-// minSecret is the shortest secret in bytes.
-const minSecret = 16
-
 // check tests the rules that the schema cannot state.
 func (c *config) check() error {
-	if len(c.Secret) < minSecret {
-		return settings.NewError("/secretfile", c.SecretFile, fmt.Sprintf("a file with at least %d characters", minSecret))
-	}
 	seen := make(map[string]bool)
 	for i, s := range c.Servers {
 		if seen[s.Name] {
@@ -137,11 +121,3 @@
 	}
 	return nil
 }
-
-func (c logConfig) logger(w io.Writer) *slog.Logger {
-	o := &slog.HandlerOptions{Level: c.Level}
-	if c.Format == "text" {
-		return slog.New(slog.NewTextHandler(w, o))
-	}
-	return slog.New(slog.NewJSONHandler(w, o))
-}
--- a/daemon/internal/entry/entry.go
+++ b/daemon/internal/entry/entry.go
@@ -50,6 +50,8 @@
 type Targets interface {
 	// Offer passes on a target that an entry sent.
 	Offer(t wire.Target)
+	// Settle takes over the place of a server among those that change their weights.
+	Settle(p wire.Place)
 	// All returns the highest targets seen.
 	All() []wire.Target
 }
@@ -64,6 +66,7 @@
 	logger  *slog.Logger
 	rev     atomic.Int64
 	senders sync.WaitGroup
+	order   sync.Mutex // held while states of servers are sent
 
 	mu      sync.Mutex
 	conns   map[*link.Conn]struct{}
@@ -116,7 +119,10 @@
 	for _, t := range c.Peer().Targets {
 		l.targets.Offer(t)
 	}
-	// The state may have changed since the hello was made; a link that is closed by now needs none.
+	// The state may have changed since the hello was made; a link that is closed by now needs none. A change that comes
+	// meanwhile is sent after what is read here, so that the last message of a server is its newest state.
+	l.order.Lock()
+	defer l.order.Unlock()
 	for _, la := range l.lanes {
 		s := la.Server()
 		_ = c.Notify(link.State, wire.State{Server: &s, Leaving: leaving})
@@ -154,6 +160,8 @@
 
 // Changed tells every entry of a change of a server.
 func (l *Links) Changed(s wire.Server, crashed bool) {
+	l.order.Lock()
+	defer l.order.Unlock()
 	l.Broadcast(link.State, wire.State{Server: &s, Crashed: crashed, Leaving: l.Leaving()})
 }
 
@@ -240,6 +248,12 @@
 
 func (l *Links) notice(m wire.Notice) {
 	l.raise(m.Rev)
+	// The places come first, since an offered target starts the delay.
+	for _, p := range m.Places {
+		if l.lanes[p.Server] != nil {
+			l.targets.Settle(p)
+		}
+	}
 	for _, t := range m.Targets {
 		l.targets.Offer(t)
 	}
@@ -262,7 +276,7 @@
 	if err != nil {
 		return c.Reply(f, link.Refuse, err.Wire(w.Attempt, l.rev.Load()))
 	}
-	ack := wire.Ack{Attempt: w.Attempt, State: a.State(), Rev: l.rev.Load()}
+	ack := wire.Ack{State: a.State(), Rev: l.rev.Load()}
 	if la := l.lanes[a.Work().Server]; la != nil {
 		ack.Depth, _ = la.Len()
 	}
--- a/entry/internal/daemon/pool_test.go
+++ b/entry/internal/daemon/pool_test.go
@@ -27,6 +27,7 @@
 	links  []*link.Conn
 	work   []wire.Work
 	drains int
+	places []wire.Place
 	answer func(n int, c *link.Conn, f link.Frame, w wire.Work) // n counts the work messages from 1
 }
 
@@ -36,6 +37,9 @@
 		defer d.mu.Unlock()
 		d.drains++
 	}
+	if f.Kind == link.Notice {
+		return d.notice(f)
+	}
 	if f.Kind != link.Work {
 		return nil
 	}
@@ -150,7 +154,7 @@
 }
 
 func ack(c *link.Conn, f link.Frame) {
-	_ = c.Reply(f, link.Ack, wire.Ack{Attempt: "a1", State: "running"})
+	_ = c.Reply(f, link.Ack, wire.Ack{State: "running"})
 }
 
 func send(c *link.Conn, kind string, bodies ...any) {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -2,11 +2,9 @@
 
 package wire
 
-// Tells that an attempt was received.
+// Reply to work that was received. It names no attempt, as the frame names the
+// message that it replies to.
 type Ack struct {
-	// Identifier of the attempt.
-	Attempt string `json:"attempt"`
-
 	// Attempts that wait for the same server.
 	Depth int `json:"depth"`
 
@@ -529,6 +527,9 @@
 
 // Highest revisions that the sender has seen.
 type Notice struct {
+	// Places of the daemon's engines, sent with weight targets.
+	Places []Place `json:"places,omitempty,omitzero"`
+
 	// Configuration revision.
 	Rev int64 `json:"rev"`
 
@@ -551,6 +552,18 @@
 	Groups []Group `json:"groups"`
 }
 
+// Position of an engine among those of its model in its failure domain.
+type Place struct {
+	// Position, from 0.
+	Rank int `json:"rank"`
+
+	// Server name.
+	Server string `json:"server"`
+
+	// Number of these engines.
+	Servers int `json:"servers"`
+}
+
 // A typed refusal.
 type Problem struct {
 	// Refusal code.
