--- a/daemon/internal/cli/weights_test.go
+++ b/daemon/internal/cli/weights_test.go
@@ -3,7 +3,6 @@
 import (
 	"log/slog"
 	"testing"
-	"time"
 
 	"bulrushspoke/daemon/internal/charge"
 	"bulrushspoke/internal/link"
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -96,6 +96,29 @@
 	}
 }
 
+// Guards against a dialler without the secret that does not care for the listener's proof and gets an answer.
+func TestListenerRefusesWrongProof(t *testing.T) {
+	address, _ := listen(t, "s")
+	socket, _, err := (&websocket.Dialer{}).Dial("ws://"+address+Path, nil)
+	if err != nil {
+		t.Fatalf("dial: %v", err)
+	}
+	defer func() { _ = socket.Close() }()
+	var theirs wire.Proof
+	if err := put(socket, wire.Proof{Name: "x", Nonce: make([]byte, nonceSize)}); err != nil {
+		t.Fatalf("nonce: %v", err)
+	}
+	if err := get(socket, &theirs); err != nil {
+		t.Fatalf("proof of the listener: %v", err)
+	}
+	_ = put(socket, wire.Proof{Name: "x", Mac: theirs.Mac})
+	_ = put(socket, wire.Hello{Name: "x", Role: "entry"})
+	var hello wire.Hello
+	if err := get(socket, &hello); err == nil {
+		t.Fatalf("the listener answered %q", hello.Name)
+	}
+}
+
 // Guards against a malformed frame that harms other links.
 func TestMalformedFrameClosesOnlyItsLink(t *testing.T) {
 	address, _ := listen(t, "s")
