Use the field's terms for queues, ownership and preemption

Cause: read as a newcomer, several names were private or figurative: lane, charge, shield, deposed, lapse, pushed out. Change: daemon packages queue and ownership, wire types Ownership and Withdrawal, preempt in place of push out, hedgeLate in place of hurry, errNotOwner and abandon in package trainer. Messages and stored fields keep their names.

--- a/daemon/internal/cli/drain.go
+++ b/daemon/internal/cli/drain.go
@@ -22,7 +22,7 @@
 	p.links.Leave()
 	if !await(p.config.Drain.Std(), func() bool { return p.table.Active() == 0 }) {
 		event.DrainCut.Log(p.logger, "attempts", p.table.Active())
-		for _, l := range p.lanes {
+		for _, l := range p.queues {
 			l.CancelAll(time.Now(), "the daemon leaves")
 		}
 		await(stopLimit, func() bool { return p.table.Active() == 0 })
--- a/daemon/internal/cli/engine_test.go
+++ b/daemon/internal/cli/engine_test.go
@@ -30,7 +30,7 @@
 	if diff := cmp.Diff(want, done.Spans); diff != "" {
 		t.Fatalf("spans: %s", diff)
 	}
-	if v := d.lanes["e1"].Server().Version; v != 8 {
+	if v := d.queues["e1"].Server().Version; v != 8 {
 		t.Fatalf("version of the server is %d, want 8", v)
 	}
 }
@@ -97,7 +97,7 @@
 		if got != len(ids) {
 			t.Fatalf("%d tokens are kept, want %d", got, len(ids))
 		}
-		eventually(t, "the engine is up again", func() bool { return d.lanes["e1"].Server().Up })
+		eventually(t, "the engine is up again", func() bool { return d.queues["e1"].Server().Up })
 	}
 }
 
--- a/daemon/internal/cli/order_test.go
+++ b/daemon/internal/cli/order_test.go
@@ -13,7 +13,7 @@
 func oneSlot(c *config) { c.Servers[0].Slots = 1 }
 
 // Guards against live work that waits behind a training stream, and against a stream that loses, repeats or renumbers
-// its tokens when it is pushed out and resumed.
+// its tokens when it is preempted and resumed.
 func TestLiveWorkPushesOutATrainingStream(t *testing.T) {
 	e := newFakeEngine(t)
 	d := startDaemon(t, e.URL, "", oneSlot)
@@ -57,7 +57,7 @@
 	w.Solo = true
 	c.work(w)
 	c.work(completion("b", 1))
-	if _, running := d.lanes["e1"].Len(); running != 1 {
+	if _, running := d.queues["e1"].Len(); running != 1 {
 		t.Fatalf("%d run, want the first only", running)
 	}
 	e.let(3)
@@ -131,7 +131,7 @@
 	}
 	// A connection that was accepted while the listener closed is still answered.
 	e.CloseClientConnections()
-	eventually(t, "the server is down", func() bool { return !d.lanes["e1"].Server().Up })
+	eventually(t, "the server is down", func() bool { return !d.queues["e1"].Server().Up })
 	if r := c.refused(completion("c", 1)); r.Code != "no_upstream" || r.Ran != "no" {
 		t.Fatalf("new work: %+v", r)
 	}
--- a/daemon/internal/cli/program_test.go
+++ b/daemon/internal/cli/program_test.go
@@ -54,8 +54,8 @@
 	d := &daemon{process: p, address: l.Addr().String(), stop: stop, ended: make(chan error, 1)}
 	go func() { d.ended <- p.serve(ctx, l) }()
 	t.Cleanup(stop)
-	for name := range p.lanes {
-		eventually(t, "server "+name+" is up", func() bool { return p.lanes[name].Server().Up })
+	for name := range p.queues {
+		eventually(t, "server "+name+" is up", func() bool { return p.queues[name].Server().Up })
 	}
 	return d
 }
--- a/daemon/internal/cli/run.go
+++ b/daemon/internal/cli/run.go
@@ -17,10 +17,10 @@
 	"github.com/valyala/fasthttp"
 
 	"bulrushspoke/daemon/internal/attempt"
-	"bulrushspoke/daemon/internal/charge"
 	"bulrushspoke/daemon/internal/engine"
 	"bulrushspoke/daemon/internal/entry"
-	"bulrushspoke/daemon/internal/lane"
+	"bulrushspoke/daemon/internal/ownership"
+	"bulrushspoke/daemon/internal/queue"
 	"bulrushspoke/daemon/internal/service"
 	"bulrushspoke/internal/admit"
 	"bulrushspoke/internal/event"
@@ -44,19 +44,19 @@
 
 // process is the set of parts of a running daemon.
 type process struct {
-	config  config
-	logger  *slog.Logger
-	random  *rand.Rand
-	meter   *meter.Meter
-	text    fasthttp.RequestHandler
-	table   *attempt.Table
-	lanes   map[string]*lane.Lane
-	links   *entry.Links
-	targets *engine.Targets
-	charge  *charge.Charge
-	tree    *suture.Supervisor
-	leave   chan string
-	ready   atomic.Bool
+	config    config
+	logger    *slog.Logger
+	random    *rand.Rand
+	meter     *meter.Meter
+	text      fasthttp.RequestHandler
+	table     *attempt.Table
+	queues    map[string]*queue.Queue
+	links     *entry.Links
+	targets   *engine.Targets
+	ownership *ownership.Ownership
+	tree      *suture.Supervisor
+	leave     chan string
+	ready     atomic.Bool
 }
 
 // run runs the daemon until ctx ends or an entry asks it to leave, and drains it.
@@ -98,7 +98,7 @@
 		random: random,
 		meter:  m,
 		text:   text,
-		lanes:  make(map[string]*lane.Lane),
+		queues: make(map[string]*queue.Queue),
 		tree:   supervise.New("daemon", logger),
 		leave:  make(chan string, 1),
 	}
@@ -113,10 +113,10 @@
 	})
 	p.targets = engine.NewTargets()
 	objects := store.New(c.Store.URL, c.Store.Timeout.Std(), p.logger)
-	p.charge = charge.New(objects, c.Name, inc, p.logger)
+	p.ownership = ownership.New(objects, c.Name, inc, p.logger)
 	identity := entry.Config{Name: c.Name, Inc: inc, Domain: c.Domain, Region: c.Region, Grace: c.grace}
-	p.links = entry.New(identity, p.table, p.lanes, p.targets, p.askLeave, p.logger)
-	meters := lane.NewMeters(m)
+	p.links = entry.New(identity, p.table, p.queues, p.targets, p.askLeave, p.logger)
+	meters := queue.NewMeters(m)
 	for _, s := range c.Servers {
 		p.addServer(s, meters)
 	}
@@ -124,19 +124,19 @@
 	return p, nil
 }
 
-func (p *process) addServer(s serverConfig, meters lane.Meters) {
+func (p *process) addServer(s serverConfig, meters queue.Meters) {
 	order := admit.DefaultConfig(s.Slots)
 	order.Live, order.Train = p.config.Queue.Live, p.config.Queue.Train
 	policy := admit.NewFair(order, p.source())
 	changed := func(state wire.Server, crashed bool) {
 		p.links.Changed(state, crashed)
 		if !state.Up {
-			p.lanes[s.Name].RefuseWaiting(time.Now())
+			p.queues[s.Name].RefuseWaiting(time.Now())
 		}
 	}
 	if s.Kind == "service" {
 		v := service.New(service.Config{Name: s.Name, Model: s.Model, URL: s.URL, Slots: s.Slots}, changed, p.logger)
-		p.lanes[s.Name] = lane.New(policy, v, p.table, meters, p.logger)
+		p.queues[s.Name] = queue.New(policy, v, p.table, meters, p.logger)
 		p.tree.Add(supervise.Task("watch "+s.Name, func(ctx context.Context) error {
 			return v.Watch(ctx, p.config.Poll.Std())
 		}))
@@ -144,16 +144,16 @@
 		e := engine.New(engine.Config{
 			Name: s.Name, Model: s.Model, URL: s.URL, Slots: s.Slots, Fencing: s.fencing(),
 		}, changed, p.logger)
-		p.lanes[s.Name] = lane.New(policy, e, p.table, meters, p.logger)
+		p.queues[s.Name] = queue.New(policy, e, p.table, meters, p.logger)
 		watching, following := p.source(), p.source()
 		p.tree.Add(supervise.Task("watch "+s.Name, func(ctx context.Context) error {
 			return e.Watch(ctx, p.config.Poll.Std(), watching)
 		}))
 		p.tree.Add(supervise.Task("weights "+s.Name, func(ctx context.Context) error {
-			return e.Follow(ctx, p.targets, p.charge, p.config.Stagger.Std(), p.config.Poll.Std(), following)
+			return e.Follow(ctx, p.targets, p.ownership, p.config.Stagger.Std(), p.config.Poll.Std(), following)
 		}))
 	}
-	p.tree.Add(supervise.Task("queue "+s.Name, p.lanes[s.Name].Serve))
+	p.tree.Add(supervise.Task("queue "+s.Name, p.queues[s.Name].Serve))
 }
 
 // sweep forgets expired results and stops live attempts that no entry reads.
@@ -166,7 +166,7 @@
 			return ctx.Err()
 		case now := <-t.C:
 			for _, a := range p.table.Sweep(now, orphanGrace) {
-				p.lanes[a.Work().Server].Cancel(now, a, "no entry reads the output")
+				p.queues[a.Work().Server].Cancel(now, a, "no entry reads the output")
 			}
 		}
 	}
--- a/daemon/internal/cli/standin_test.go
+++ b/daemon/internal/cli/standin_test.go
@@ -70,7 +70,7 @@
 	c.next(link.Chunk)
 	c.target(2, 50)
 	at := func(v int64) func() bool {
-		return func() bool { return d.lanes["e1"].Server().Up && d.lanes["e1"].Server().Version == v }
+		return func() bool { return d.queues["e1"].Server().Up && d.queues["e1"].Server().Version == v }
 	}
 	eventually(t, "version 2 is read back", at(2))
 	var done wire.Done
@@ -106,7 +106,7 @@
 			t.Fatalf("%s: %+v, want a crash that nobody is blamed for", id, r)
 		}
 	}
-	eventually(t, "the engine is back", func() bool { return d.lanes["e1"].Server().Up })
+	eventually(t, "the engine is back", func() bool { return d.queues["e1"].Server().Up })
 	a, _ := d.table.Find(time.Now(), "innocent")
 	again := completion("again", 300)
 	again.Held, again.Offset = a.Tokens(), len(a.Tokens())
@@ -124,7 +124,7 @@
 	}
 }
 
-// Guards against streams that lose or repeat tokens while they are pushed out and resumed again and again.
+// Guards against streams that lose or repeat tokens while they are preempted and resumed again and again.
 func TestStandinManyPreemptions(t *testing.T) {
 	e, url := serveEngine(t, 2)
 	d := startDaemon(t, url, "", func(c *config) { c.Servers[0].Slots = 2 })
@@ -155,6 +155,6 @@
 		}
 	}
 	if resumed == 0 {
-		t.Fatalf("no training stream was pushed out and resumed")
+		t.Fatalf("no training stream was preempted and resumed")
 	}
 }
--- a/daemon/internal/cli/weights_test.go
+++ b/daemon/internal/cli/weights_test.go
@@ -4,7 +4,7 @@
 	"log/slog"
 	"testing"
 
-	"bulrushspoke/daemon/internal/charge"
+	"bulrushspoke/daemon/internal/ownership"
 	"bulrushspoke/internal/link"
 	"bulrushspoke/internal/store"
 	"bulrushspoke/wire"
@@ -126,9 +126,9 @@
 func TestNewerProcessKeepsItsServer(t *testing.T) {
 	s := newFakeStore(t)
 	client := store.New(s.URL, limit, slog.New(slog.DiscardHandler))
-	older := charge.New(client, "d1", "01A", slog.New(slog.DiscardHandler))
-	newer := charge.New(client, "d1", "01B", slog.New(slog.DiscardHandler))
-	for _, c := range []*charge.Charge{older, newer, older} {
+	older := ownership.New(client, "d1", "01A", slog.New(slog.DiscardHandler))
+	newer := ownership.New(client, "d1", "01B", slog.New(slog.DiscardHandler))
+	for _, c := range []*ownership.Ownership{older, newer, older} {
 		if err := c.Take(t.Context(), "e1"); err != nil {
 			t.Fatalf("take: %v", err)
 		}
--- a/daemon/internal/engine/command.go
+++ b/daemon/internal/engine/command.go
@@ -25,8 +25,8 @@
 	loadLimit = time.Minute
 )
 
-// Charge tells whether this process may command a server.
-type Charge interface {
+// Ownership tells whether this process may command a server.
+type Ownership interface {
 	Take(ctx context.Context, server string) error
 	Check(ctx context.Context, server string) (bool, error)
 }
@@ -34,9 +34,9 @@
 // Follow brings the engine to the target of its model, and back to it whenever it runs something older, until ctx
 // ends. It commands only while this process is in charge of the server.
 func (e *Engine) Follow(
-	ctx context.Context, targets *Targets, charge Charge, window, period time.Duration, random *rand.Rand,
+	ctx context.Context, targets *Targets, ownership Ownership, window, period time.Duration, random *rand.Rand,
 ) error {
-	if err := e.takeCharge(ctx, charge, random); err != nil {
+	if err := e.takeOwnership(ctx, ownership, random); err != nil {
 		return err
 	}
 	var reached int64 // fencing token of the last target that the engine ran
@@ -64,7 +64,7 @@
 			}
 			target, _ = targets.of(e.config.Model)
 		}
-		if e.command(ctx, target, charge) {
+		if e.command(ctx, target, ownership) {
 			continue
 		}
 		event.WeightsDiffer.Log(e.logger, "version", e.Server().Version, "target", target.Version)
@@ -74,10 +74,10 @@
 	return ctx.Err()
 }
 
-// takeCharge claims the server; while the store is down it tries again with growing pauses.
-func (e *Engine) takeCharge(ctx context.Context, charge Charge, random *rand.Rand) error {
+// takeOwnership claims the server; while the store is down it tries again with growing pauses.
+func (e *Engine) takeOwnership(ctx context.Context, ownership Ownership, random *rand.Rand) error {
 	for pause := firstPause; ; pause = min(2*pause, lastPause) {
-		err := charge.Take(ctx, e.config.Name)
+		err := ownership.Take(ctx, e.config.Name)
 		if err == nil {
 			return nil
 		}
@@ -112,19 +112,19 @@
 }
 
 // command orders the target and reports whether the engine runs it afterwards.
-func (e *Engine) command(ctx context.Context, t wire.Target, charge Charge) bool {
+func (e *Engine) command(ctx context.Context, t wire.Target, ownership Ownership) bool {
 	if _, err := e.ReadVersion(); err != nil {
 		return false
 	}
 	if e.runs(t) {
 		return true
 	}
-	mine, err := charge.Check(ctx, e.config.Name)
+	mine, err := ownership.Check(ctx, e.config.Name)
 	if err != nil {
 		return false
 	}
 	if !mine {
-		event.ChargeElsewhere.Log(e.logger)
+		event.OwnedElsewhere.Log(e.logger)
 		return false
 	}
 	if err := e.order(t); err != nil {
--- a/daemon/internal/engine/engine.go
+++ b/daemon/internal/engine/engine.go
@@ -122,7 +122,7 @@
 }
 
 // Run streams an attempt until it ends or ctx ends; stopped tells that ctx ended it. The number of the run
-// distinguishes the runs of an attempt that was pushed out and resumed.
+// distinguishes the runs of an attempt that was preempted and resumed.
 func (e *Engine) Run(ctx context.Context, a *attempt.Attempt, number int) (end attempt.End, stopped bool) {
 	if err := e.checkFloor(a); err != nil {
 		return attempt.End{Refusal: err}, false
--- a/daemon/internal/entry/entry.go
+++ b/daemon/internal/entry/entry.go
@@ -2,7 +2,7 @@
 //
 // # Usage
 //
-//	l := entry.New(config, table, lanes, logger)
+//	l := entry.New(config, table, queues, logger)
 //	err := link.Accept(ctx, identity, l, l.Opened, logger)
 //
 // A link's reading task handles each message at once; the output of each attempt is sent by a task of its own, so
@@ -18,7 +18,7 @@
 	"time"
 
 	"bulrushspoke/daemon/internal/attempt"
-	"bulrushspoke/daemon/internal/lane"
+	"bulrushspoke/daemon/internal/queue"
 	"bulrushspoke/internal/event"
 	"bulrushspoke/internal/link"
 	"bulrushspoke/internal/refusal"
@@ -60,7 +60,7 @@
 type Links struct {
 	config  Config
 	table   *attempt.Table
-	lanes   map[string]*lane.Lane
+	queues  map[string]*queue.Queue
 	targets Targets
 	drain   func(reason string)
 	logger  *slog.Logger
@@ -75,12 +75,12 @@
 
 // New returns an empty set; drain is called when an entry asks the daemon to leave.
 func New(
-	c Config, t *attempt.Table, lanes map[string]*lane.Lane, targets Targets, drain func(string), logger *slog.Logger,
+	c Config, t *attempt.Table, queues map[string]*queue.Queue, targets Targets, drain func(string), logger *slog.Logger,
 ) *Links {
 	return &Links{
 		config:  c,
 		table:   t,
-		lanes:   lanes,
+		queues:  queues,
 		targets: targets,
 		drain:   drain,
 		logger:  logger,
@@ -97,8 +97,8 @@
 		Name: l.config.Name, Inc: l.config.Inc, Role: "daemon", Domain: l.config.Domain, Region: l.config.Region,
 		Rev: l.rev.Load(), Leaving: leaving, Era: l.table.Era(time.Now()), Targets: l.targets.All(),
 	}
-	for _, la := range l.lanes {
-		h.Servers = append(h.Servers, la.Server())
+	for _, q := range l.queues {
+		h.Servers = append(h.Servers, q.Server())
 	}
 	return h
 }
@@ -123,8 +123,8 @@
 	// meanwhile is sent after what is read here, so that the last message of a server is its newest state.
 	l.order.Lock()
 	defer l.order.Unlock()
-	for _, la := range l.lanes {
-		s := la.Server()
+	for _, q := range l.queues {
+		s := q.Server()
 		_ = c.Notify(link.State, wire.State{Server: &s, Leaving: leaving})
 	}
 }
@@ -250,7 +250,7 @@
 	l.raise(m.Rev)
 	// The places come first, since an offered target starts the delay.
 	for _, p := range m.Places {
-		if l.lanes[p.Server] != nil {
+		if l.queues[p.Server] != nil {
 			l.targets.Settle(p)
 		}
 	}
@@ -265,8 +265,8 @@
 	if a == nil {
 		return
 	}
-	if la := l.lanes[a.Work().Server]; la != nil {
-		la.Cancel(now, a, m.Reason)
+	if q := l.queues[a.Work().Server]; q != nil {
+		q.Cancel(now, a, m.Reason)
 	}
 }
 
@@ -277,8 +277,8 @@
 		return c.Reply(f, link.Refuse, err.Wire(w.Attempt, l.rev.Load()))
 	}
 	ack := wire.Ack{State: a.State(), Rev: l.rev.Load()}
-	if la := l.lanes[a.Work().Server]; la != nil {
-		ack.Depth, _ = la.Len()
+	if q := l.queues[a.Work().Server]; q != nil {
+		ack.Depth, _ = q.Len()
 	}
 	if err := c.Reply(f, link.Ack, ack); err != nil {
 		return err
@@ -302,8 +302,8 @@
 	if have := l.raise(w.Rev); w.Rev < have {
 		return nil, refusal.New(refusal.StaleConfig, refusal.NotRun, "revision %d is in force", have)
 	}
-	la := l.lanes[w.Server]
-	if la == nil {
+	q := l.queues[w.Server]
+	if q == nil {
 		return nil, refusal.New(refusal.NotFound, refusal.NotRun, "no server %q here", w.Server)
 	}
 	// The lock orders the admission against the start of a drain, which waits for all attempts that were admitted.
@@ -317,7 +317,7 @@
 	if err != nil || !fresh {
 		return a, err
 	}
-	if err := la.Submit(now, a); err != nil {
+	if err := q.Submit(now, a); err != nil {
 		l.table.Refuse(now, a, err)
 		return nil, err
 	}
--- a/daemon/internal/entry/notice_test.go
+++ b/daemon/internal/entry/notice_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"bulrushspoke/daemon/internal/lane"
+	"bulrushspoke/daemon/internal/queue"
 	"bulrushspoke/wire"
 )
 
@@ -21,7 +21,7 @@
 // are not this daemon's.
 func TestPlacesBeforeTargets(t *testing.T) {
 	r := &recorder{}
-	l := New(Config{}, nil, map[string]*lane.Lane{"e1": {}}, r, nil, slog.New(slog.DiscardHandler))
+	l := New(Config{}, nil, map[string]*queue.Queue{"e1": {}}, r, nil, slog.New(slog.DiscardHandler))
 	l.notice(wire.Notice{
 		Targets: []wire.Target{{Model: "m", Version: 2, Fence: 9}},
 		Places:  []wire.Place{{Server: "e1", Servers: 2}, {Server: "other", Servers: 2}},
--- a/daemon/internal/charge/charge.go
+++ b/daemon/internal/ownership/ownership.go
@@ -1,14 +1,14 @@
-// Package charge keeps the claim of this daemon incarnation on its servers: the store object server/<name> names the
+// Package ownership keeps the claim of this daemon incarnation on its servers: the store object server/<name> names the
 // incarnation that may command the server.
 //
 // # Usage
 //
-//	c := charge.New(store, daemon, inc, logger)
+//	c := ownership.New(store, daemon, inc, logger)
 //	err := c.Take(ctx, server)       // once, at the start
 //	mine, err := c.Check(ctx, server) // before each command
 //
 // A process that was paused while a newer one took the server over finds the other incarnation when it checks.
-package charge
+package ownership
 
 import (
 	"context"
@@ -33,25 +33,25 @@
 	Update(ctx context.Context, kind, name string, value []byte, version int64) (int64, error)
 }
 
-// Charge claims servers for one incarnation.
-type Charge struct {
+// Ownership claims servers for one incarnation.
+type Ownership struct {
 	store  Store
-	own    wire.Charge
+	own    wire.Ownership
 	logger *slog.Logger
 }
 
 // New returns the claims of an incarnation of a daemon.
-func New(s Store, daemon, inc string, logger *slog.Logger) *Charge {
-	return &Charge{store: s, own: wire.Charge{Daemon: daemon, Inc: inc}, logger: logger}
+func New(s Store, daemon, inc string, logger *slog.Logger) *Ownership {
+	return &Ownership{store: s, own: wire.Ownership{Daemon: daemon, Inc: inc}, logger: logger}
 }
 
 // Take takes a server over from whoever was in charge of it. It returns the store's error if the claim is not known to
 // be written, and is to be called again then. Incarnations are ULIDs, which grow with time: a process that was paused
 // in its start does not take a server back from a newer one.
-func (c *Charge) Take(ctx context.Context, server string) error {
+func (c *Ownership) Take(ctx context.Context, server string) error {
 	value, err := json.Marshal(c.own)
 	if err != nil {
-		return eris.Wrap(err, "charge: encode")
+		return eris.Wrap(err, "ownership: encode")
 	}
 	have, version, err := c.read(ctx, server)
 	if err != nil {
@@ -62,7 +62,7 @@
 		return nil
 	}
 	if have.Inc > c.own.Inc {
-		event.ChargeElsewhere.Log(c.logger, "server", server, "inc", have.Inc)
+		event.OwnedElsewhere.Log(c.logger, "server", server, "inc", have.Inc)
 		return nil
 	}
 	if version == 0 {
@@ -73,19 +73,19 @@
 	if err != nil {
 		return err
 	}
-	event.ChargeTaken.Log(c.logger, "server", server, "former", have.Inc)
+	event.OwnershipTaken.Log(c.logger, "server", server, "former", have.Inc)
 	return nil
 }
 
 // Check reads the claim again and reports whether this incarnation is in charge.
-func (c *Charge) Check(ctx context.Context, server string) (bool, error) {
+func (c *Ownership) Check(ctx context.Context, server string) (bool, error) {
 	have, _, err := c.read(ctx, server)
 	return have == c.own, err
 }
 
 // read returns the claim; its version is 0 if there is none.
-func (c *Charge) read(ctx context.Context, server string) (wire.Charge, int64, error) {
-	var have wire.Charge
+func (c *Ownership) read(ctx context.Context, server string) (wire.Ownership, int64, error) {
+	var have wire.Ownership
 	o, err := c.store.Get(ctx, kind, server)
 	var absent *store.AbsentError
 	if errors.As(err, &absent) {
@@ -95,7 +95,7 @@
 		return have, 0, err
 	}
 	if err := json.Unmarshal(o.Value, &have); err != nil {
-		return have, 0, eris.Wrap(err, "charge: decode")
+		return have, 0, eris.Wrap(err, "ownership: decode")
 	}
 	return have, o.Version, nil
 }
--- a/daemon/internal/lane/lane.go
+++ b/daemon/internal/queue/queue.go
@@ -1,11 +1,11 @@
-// Package lane runs the attempts of one server in the order that its policy decides.
+// Package queue runs the attempts of one server in the order that its policy decides.
 //
 // # Usage
 //
-//	l := lane.New(name, policy, upstream, table, meters, logger)
-//	go l.Serve(ctx)
-//	err := l.Submit(now, a)
-package lane
+//	q := queue.New(name, policy, upstream, table, meters, logger)
+//	go q.Serve(ctx)
+//	err := q.Submit(now, a)
+package queue
 
 import (
 	"context"
@@ -24,9 +24,9 @@
 
 // Causes for which a running attempt is stopped.
 var (
-	errPreempted = errors.New("lane: pushed out by urgent work")
-	errCancelled = errors.New("lane: cancelled")
-	errDeadline  = errors.New("lane: deadline passed")
+	errPreempted = errors.New("queue: preempted by urgent work")
+	errCancelled = errors.New("queue: cancelled")
+	errDeadline  = errors.New("queue: deadline passed")
 )
 
 // Upstream runs attempts on a server.
@@ -37,7 +37,7 @@
 	Server() wire.Server
 }
 
-// Meters are the instruments that lanes record with.
+// Meters are the instruments that queues record with.
 type Meters struct {
 	Wait  *meter.Histogram
 	First *meter.Histogram
@@ -53,12 +53,12 @@
 		First: m.Histogram("first_token", "s", "Time from arrival to the first token."),
 		Total: m.Histogram("total", "s", "Time from arrival to the end."),
 		Ends:  m.Counter("attempts", "Attempts that ended, by server and outcome.", "server", "outcome"),
-		Moves: m.Counter("preemptions", "Streams pushed out by urgent work.", "server"),
+		Moves: m.Counter("preemptions", "Streams preempted by urgent work.", "server"),
 	}
 }
 
-// Lane is the queue of one server.
-type Lane struct {
+// Queue is the queue of one server.
+type Queue struct {
 	upstream Upstream
 	table    *attempt.Table
 	meters   Meters
@@ -77,9 +77,9 @@
 	cancelled bool // it is not to be queued again
 }
 
-// New returns the lane of a server; the policy is used by this lane only.
-func New(policy admit.Policy, u Upstream, t *attempt.Table, m Meters, logger *slog.Logger) *Lane {
-	return &Lane{
+// New returns the queue of a server; the policy is used by this queue only.
+func New(policy admit.Policy, u Upstream, t *attempt.Table, m Meters, logger *slog.Logger) *Queue {
+	return &Queue{
 		upstream: u,
 		table:    t,
 		meters:   m,
@@ -92,18 +92,18 @@
 }
 
 // Server returns the state of the server.
-func (l *Lane) Server() wire.Server { return l.upstream.Server() }
+func (q *Queue) Server() wire.Server { return q.upstream.Server() }
 
 // Len returns the numbers of waiting and running attempts.
-func (l *Lane) Len() (waiting, running int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.policy.Len()
+func (q *Queue) Len() (waiting, running int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.policy.Len()
 }
 
 // Submit queues an attempt; a refusal means that it will not run.
-func (l *Lane) Submit(now time.Time, a *attempt.Attempt) *refusal.Error {
-	s := l.Server()
+func (q *Queue) Submit(now time.Time, a *attempt.Attempt) *refusal.Error {
+	s := q.Server()
 	if !s.Up {
 		return refusal.New(refusal.NoUpstream, refusal.NotRun, "server %s does not answer", s.Name).After(retryDown)
 	}
@@ -111,15 +111,15 @@
 		return refusal.New(refusal.Deadline, refusal.NotRun, "the deadline has passed")
 	}
 	i := admit.NewItem(spec(a), a)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	err := l.policy.Push(now, i)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	err := q.policy.Push(now, i)
 	var busy *admit.BusyError
 	if errors.As(err, &busy) {
 		return refusal.New(refusal.Busy, refusal.NotRun, "%v", err).After(busy.Retry())
 	}
-	l.items[a.ID()] = i
-	l.step(now)
+	q.items[a.ID()] = i
+	q.step(now)
 	return nil
 }
 
@@ -145,53 +145,53 @@
 }
 
 // Cancel stops an attempt. The run of an unrepeatable call goes on, so that its outcome is known.
-func (l *Lane) Cancel(now time.Time, a *attempt.Attempt, reason string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	i := l.items[a.ID()]
+func (q *Queue) Cancel(now time.Time, a *attempt.Attempt, reason string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	i := q.items[a.ID()]
 	if i == nil {
 		return
 	}
-	if l.policy.Remove(i) {
-		l.end(now, a, attempt.End{Refusal: refusal.New(refusal.Cancelled, ran(a), "cancelled: %s", reason)})
-		l.step(now)
+	if q.policy.Remove(i) {
+		q.end(now, a, attempt.End{Refusal: refusal.New(refusal.Cancelled, ran(a), "cancelled: %s", reason)})
+		q.step(now)
 		return
 	}
-	if t := l.tasks[i]; t != nil && !a.Work().Once {
+	if t := q.tasks[i]; t != nil && !a.Work().Once {
 		t.cancelled = true
 		t.stop(errCancelled)
 	}
 }
 
 // CancelAll stops all attempts that can be stopped; used when a drain takes too long.
-func (l *Lane) CancelAll(now time.Time, reason string) {
-	l.mu.Lock()
+func (q *Queue) CancelAll(now time.Time, reason string) {
+	q.mu.Lock()
 	var all []*attempt.Attempt
-	for _, i := range l.items {
+	for _, i := range q.items {
 		all = append(all, i.Value().(*attempt.Attempt))
 	}
-	l.mu.Unlock()
+	q.mu.Unlock()
 	for _, a := range all {
-		l.Cancel(now, a, reason)
+		q.Cancel(now, a, reason)
 	}
 }
 
 // RefuseWaiting refuses all attempts that wait, because the server does not answer.
-func (l *Lane) RefuseWaiting(now time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, i := range l.items {
-		if !l.policy.Remove(i) {
+func (q *Queue) RefuseWaiting(now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, i := range q.items {
+		if !q.policy.Remove(i) {
 			continue
 		}
 		a := i.Value().(*attempt.Attempt)
-		err := refusal.New(refusal.NoUpstream, ran(a), "server %s does not answer", l.Server().Name).After(retryDown)
-		l.end(now, a, attempt.End{Refusal: err})
+		err := refusal.New(refusal.NoUpstream, ran(a), "server %s does not answer", q.Server().Name).After(retryDown)
+		q.end(now, a, attempt.End{Refusal: err})
 	}
 }
 
 // Serve acts on the passing of time until ctx ends: deadlines and ageing.
-func (l *Lane) Serve(ctx context.Context) error {
+func (q *Queue) Serve(ctx context.Context) error {
 	const idle = time.Hour
 	t := time.NewTimer(idle)
 	defer t.Stop()
@@ -199,14 +199,14 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-l.kick:
+		case <-q.kick:
 		case <-t.C:
 		}
 		now := time.Now()
-		l.mu.Lock()
-		l.step(now)
-		at, ok := l.policy.Wake(now)
-		l.mu.Unlock()
+		q.mu.Lock()
+		q.step(now)
+		at, ok := q.policy.Wake(now)
+		q.mu.Unlock()
 		wait := idle
 		if ok {
 			wait = max(time.Until(at), time.Millisecond)
@@ -215,64 +215,64 @@
 	}
 }
 
-// step carries out what the policy decides now; l.mu is held.
-func (l *Lane) step(now time.Time) {
-	for d, ok := l.policy.Next(now); ok; d, ok = l.policy.Next(now) {
+// step carries out what the policy decides now; q.mu is held.
+func (q *Queue) step(now time.Time) {
+	for d, ok := q.policy.Next(now); ok; d, ok = q.policy.Next(now) {
 		a := d.Item.Value().(*attempt.Attempt)
 		switch d.Kind {
 		case admit.Start:
-			l.start(now, d.Item, a)
+			q.start(now, d.Item, a)
 		case admit.Preempt:
-			l.meters.Moves.Add(1, l.Server().Name)
-			l.tasks[d.Item].stop(errPreempted)
+			q.meters.Moves.Add(1, q.Server().Name)
+			q.tasks[d.Item].stop(errPreempted)
 		case admit.Expire:
-			l.end(now, a, attempt.End{Refusal: refusal.New(refusal.Deadline, ran(a), "the deadline passed in the queue")})
+			q.end(now, a, attempt.End{Refusal: refusal.New(refusal.Deadline, ran(a), "the deadline passed in the queue")})
 		}
 	}
 	select {
-	case l.kick <- struct{}{}:
+	case q.kick <- struct{}{}:
 	default:
 	}
 }
 
-func (l *Lane) start(now time.Time, i *admit.Item, a *attempt.Attempt) {
+func (q *Queue) start(now time.Time, i *admit.Item, a *attempt.Attempt) {
 	run := a.Start(now)
 	if run == 1 {
-		l.meters.Wait.Record(a.Work().Tenant, a.Work().Class, now.Sub(a.Arrived()).Seconds())
+		q.meters.Wait.Record(a.Work().Tenant, a.Work().Class, now.Sub(a.Arrived()).Seconds())
 	}
 	ctx, stop := context.WithCancelCause(context.Background())
-	l.tasks[i] = &task{stop: stop}
-	go l.run(ctx, stop, i, a, run)
+	q.tasks[i] = &task{stop: stop}
+	go q.run(ctx, stop, i, a, run)
 }
 
 // run runs an attempt on the server and gives its slot back.
-func (l *Lane) run(ctx context.Context, stop context.CancelCauseFunc, i *admit.Item, a *attempt.Attempt, run int) {
+func (q *Queue) run(ctx context.Context, stop context.CancelCauseFunc, i *admit.Item, a *attempt.Attempt, run int) {
 	defer stop(nil)
 	ctx, release := context.WithDeadlineCause(ctx, a.Deadline(), errDeadline)
 	defer release()
 	end := attempt.End{Refusal: refusal.New(refusal.Internal, refusal.Unknown, "the task of the attempt failed")}
 	stopped := false
-	supervise.Guard(l.logger, "attempt", func() { end, stopped = l.upstream.Run(ctx, a, run) })
+	supervise.Guard(q.logger, "attempt", func() { end, stopped = q.upstream.Run(ctx, a, run) })
 	now := time.Now()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	cancelled := l.tasks[i].cancelled
-	delete(l.tasks, i)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	cancelled := q.tasks[i].cancelled
+	delete(q.tasks, i)
 	cause := context.Cause(ctx)
 	if stopped && errors.Is(cause, errPreempted) && cancelled {
 		cause = errCancelled
 	}
 	if stopped && errors.Is(cause, errPreempted) {
-		l.policy.Requeue(now, i)
-		l.step(now)
+		q.policy.Requeue(now, i)
+		q.step(now)
 		return
 	}
 	if stopped {
 		end = stopEnd(a, cause)
 	}
-	l.policy.Done(now, i)
-	l.end(now, a, end)
-	l.step(now)
+	q.policy.Done(now, i)
+	q.end(now, a, end)
+	q.step(now)
 }
 
 func stopEnd(a *attempt.Attempt, cause error) attempt.End {
@@ -296,20 +296,20 @@
 	return refusal.NotRun
 }
 
-// end finishes an attempt that neither waits nor runs any more; l.mu is held.
-func (l *Lane) end(now time.Time, a *attempt.Attempt, e attempt.End) {
-	delete(l.items, a.ID())
-	e.Waiting, e.Running = l.policy.Len()
-	l.table.Finish(now, a, e)
+// end finishes an attempt that neither waits nor runs any more; q.mu is held.
+func (q *Queue) end(now time.Time, a *attempt.Attempt, e attempt.End) {
+	delete(q.items, a.ID())
+	e.Waiting, e.Running = q.policy.Len()
+	q.table.Finish(now, a, e)
 	w := a.Work()
 	_, first, total := a.Times()
 	if first > 0 {
-		l.meters.First.Record(w.Tenant, w.Class, first.Seconds())
+		q.meters.First.Record(w.Tenant, w.Class, first.Seconds())
 	}
-	l.meters.Total.Record(w.Tenant, w.Class, total.Seconds())
+	q.meters.Total.Record(w.Tenant, w.Class, total.Seconds())
 	outcome := "finished"
 	if e.Refusal != nil {
 		outcome = string(e.Refusal.Code())
 	}
-	l.meters.Ends.Add(1, l.Server().Name, outcome)
+	q.meters.Ends.Add(1, q.Server().Name, outcome)
 }
--- a/entry/internal/dispatch/race.go
+++ b/entry/internal/dispatch/race.go
@@ -111,7 +111,7 @@
 			c.stop(errStale)
 			return nil, r.restart(ctx)
 		}
-		c.hurry(ctx, time.Now())
+		c.hedgeLate(ctx, time.Now())
 	}
 }
 
@@ -455,8 +455,8 @@
 	}
 }
 
-// hurry starts a hedge for a stream that progresses, but much slower than is usual for the model.
-func (c *race) hurry(ctx context.Context, now time.Time) {
+// hedgeLate starts a hedge for a stream that progresses, but much slower than is usual for the model.
+func (c *race) hedgeLate(ctx context.Context, now time.Time) {
 	if len(c.tries) != 1 || !c.hedgeable() || now.Before(c.check) {
 		return
 	}
--- a/entry/internal/trainer/collect.go
+++ b/entry/internal/trainer/collect.go
@@ -36,7 +36,7 @@
 	held := s.t.o.Pool.Collect(ctx, wire.Collect{Run: s.key.run, Step: s.key.step, Epoch: s.epoch})
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.state != open || s.deposed {
+	if s.state != open || s.abandoned {
 		return false
 	}
 	for daemon, h := range held {
--- a/entry/internal/trainer/owner.go
+++ b/entry/internal/trainer/owner.go
@@ -41,7 +41,7 @@
 			return wire.PullAnswer{}, unknown(k)
 		}
 		a, err := s.pull(ctx, r)
-		if errors.Is(err, errDeposed) {
+		if errors.Is(err, errNotOwner) {
 			continue
 		}
 		return a, err
@@ -64,7 +64,7 @@
 		if a, err = s.pull(ctx, f.Pull); err == nil {
 			return wire.Batch{Answer: &a}
 		}
-		if errors.Is(err, errDeposed) {
+		if errors.Is(err, errNotOwner) {
 			err = unknown(k)
 		}
 	}
@@ -214,7 +214,7 @@
 // stepDown ends the work of a step that this entry does not own any more.
 func (t *Trainer) stepDown(s *Step, cause error) {
 	event.StepLost.Log(t.o.Logger, "run", s.key.run, "step", s.key.step, "cause", cause.Error())
-	s.depose()
+	s.abandon()
 }
 
 // join brings a step that was opened during an outage together with its log: this entry becomes the owner, samples in
@@ -234,7 +234,7 @@
 		return err
 	}
 	if h.owner.Writer != owner.Writer {
-		return errDeposed
+		return errNotOwner
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/entry/internal/trainer/pull.go
+++ b/entry/internal/trainer/pull.go
@@ -34,8 +34,8 @@
 	s.adoptCursor(set)
 	defer func() { s.waiting-- }()
 	for {
-		if s.deposed {
-			return wire.PullAnswer{}, errDeposed
+		if s.abandoned {
+			return wire.PullAnswer{}, errNotOwner
 		}
 		if s.state != open && !set.Full() {
 			return wire.PullAnswer{}, refusal.New(refusal.Conflict, refusal.NotRun, "trainer: step is %s", s.state)
--- a/entry/internal/trainer/step.go
+++ b/entry/internal/trainer/step.go
@@ -18,8 +18,8 @@
 // open is the state of a step that has not ended.
 const open = "open"
 
-// errDeposed tells that this entry does not own the step any more.
-var errDeposed = errors.New("trainer: step is owned by another entry")
+// errNotOwner tells that this entry does not own the step any more.
+var errNotOwner = errors.New("trainer: step is owned by another entry")
 
 // cell is what the owner knows of one slot. Its group and index never change and are read without the mutex.
 type cell struct {
@@ -70,23 +70,23 @@
 	// current is the highest weight version that ages are checked against.
 	current atomic.Int64
 
-	mu      sync.Mutex
-	changed chan struct{}
-	cells   []cell
-	plan    *schedule.Plan
-	held    cursor.Set
-	batches []*batch
-	ready   []item
-	since   time.Time // when the oldest of ready was finished
-	queue   []*entry
-	answer  map[int]bool // slots of the last answer
-	waiting int
-	running int
-	stale   int
-	pulled  time.Time
-	state   string
-	closed  bool // nothing is left to append
-	deposed bool
+	mu        sync.Mutex
+	changed   chan struct{}
+	cells     []cell
+	plan      *schedule.Plan
+	held      cursor.Set
+	batches   []*batch
+	ready     []item
+	since     time.Time // when the oldest of ready was finished
+	queue     []*entry
+	answer    map[int]bool // slots of the last answer
+	waiting   int
+	running   int
+	stale     int
+	pulled    time.Time
+	state     string
+	closed    bool // nothing is left to append
+	abandoned bool
 	// joined is false while the step runs without its log, in an outage.
 	joined bool
 	outage bool
@@ -211,12 +211,12 @@
 			return
 		}
 	}
-	lapse := wire.Lapse{Group: sample.Group, Index: sample.Index, ID: sample.ID}
+	withdrawal := wire.Withdrawal{Group: sample.Group, Index: sample.Index, ID: sample.ID}
 	if n := len(s.queue); n > 1 && s.queue[n-1].record.Kind == steplog.Void {
-		s.queue[n-1].record.Void = append(s.queue[n-1].record.Void, lapse)
+		s.queue[n-1].record.Void = append(s.queue[n-1].record.Void, withdrawal)
 		return
 	}
-	s.push(wire.Record{Kind: steplog.Void, Void: []wire.Lapse{lapse}}, nil)
+	s.push(wire.Record{Kind: steplog.Void, Void: []wire.Withdrawal{withdrawal}}, nil)
 }
 
 // push queues a record for the log; the mutex must be held.
@@ -226,10 +226,10 @@
 	s.notify()
 }
 
-// depose ends all work of the step here without writing anything more.
-func (s *Step) depose() {
+// abandon ends all work of the step here without writing anything more.
+func (s *Step) abandon() {
 	s.mu.Lock()
-	s.deposed = true
+	s.abandoned = true
 	s.closed = true
 	s.notify()
 	s.mu.Unlock()
--- a/entry/internal/trainer/trainer.go
+++ b/entry/internal/trainer/trainer.go
@@ -133,7 +133,7 @@
 func (t *Trainer) Close() {
 	t.once.Do(func() { close(t.stop) })
 	for _, s := range t.owned() {
-		s.depose()
+		s.abandon()
 	}
 }
 
--- a/entry/internal/trainer/write.go
+++ b/entry/internal/trainer/write.go
@@ -86,7 +86,7 @@
 		s.wait(s.ctx, nil, retryPause)
 		return true
 	case errors.As(err, &over):
-		s.depose()
+		s.abandon()
 		return false
 	default:
 		s.t.stepDown(s, err)
--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -5,10 +5,10 @@
 //	p := admit.NewFair(admit.DefaultConfig(slots), random)
 //	err := p.Push(now, item)          // *BusyError if the queue is full
 //	for d, ok := p.Next(now); ok; d, ok = p.Next(now) {
-//		// start, push out or refuse d.Item
+//		// start, preempt or refuse d.Item
 //	}
 //	p.Done(now, item)                 // a started item has ended
-//	p.Requeue(now, item)              // a started item was pushed out
+//	p.Requeue(now, item)              // a started item was preempted
 //
 // A policy is a plain struct without goroutines, clocks or locks: the caller passes the present time and serializes
 // the calls. The same sequence of calls gives the same decisions.
@@ -33,7 +33,7 @@
 	Class       Class
 	Predicted   int       // tokens that the answer probably has
 	Solo        bool      // must run alone on the server
-	Preemptible bool      // can be pushed out and resumed later
+	Preemptible bool      // can be preempted and resumed later
 	Deadline    time.Time // zero for none
 }
 
@@ -48,7 +48,7 @@
 	seq     uint64    // order among equal ranks
 	place   int       // index in the heap of its kind
 	expiry  int       // index in the heap of deadlines
-	shield  bool      // started because of its age, must not be pushed out
+	protect bool      // started because of its age, must not be preempted
 }
 
 type state uint8
@@ -57,7 +57,7 @@
 	idle state = iota
 	waiting
 	running
-	pushed // asked to stop, still holds its slot
+	preempting // asked to stop, still holds its slot
 )
 
 // NewItem returns an item that carries a value of the caller.
--- a/internal/admit/fair.go
+++ b/internal/admit/fair.go
@@ -13,10 +13,10 @@
 	Train   int           // training items that may wait
 	Wait    time.Duration // longest predicted wait of a live item; beyond it the item is refused at once
 	Long    int           // predicted tokens from which an item counts as long
-	Reserve float64       // share of slots kept free of long work that cannot be pushed out
+	Reserve float64       // share of slots kept free of long work that cannot be preempted
 	Spare   float64       // share of slots kept free of all long work while live work arrives
 	Age     time.Duration // wait after which training or solo work claims a slot
-	Quantum time.Duration // shortest run of a stream before it is pushed out
+	Quantum time.Duration // shortest run of a stream before it is preempted
 	Token   time.Duration // time by which each predicted token moves an item back
 	Length  time.Duration // largest such time
 }
@@ -34,7 +34,7 @@
 		// One slot of 16: what training gives up for it stays at about 5%.
 		Spare: 0.0625,
 		Age:   30 * time.Second,
-		// A stream that is pushed out pays its prefill again; a much shorter run would be mostly prefill, and a longer
+		// A stream that is preempted pays its prefill again; a much shorter run would be mostly prefill, and a longer
 		// one shows in the wait of live work.
 		Quantum: 50 * time.Millisecond,
 		Token:   5 * time.Millisecond,
@@ -66,7 +66,7 @@
 //     length up to Config.Length, so it is overtaken only by live work that arrives within Config.Length. The rank of
 //     training work is its arrival: the owner of a step sends its longest samples first, and short samples that
 //     overtook them here would leave the longest to the end of the step.
-//   - Live work may push out any training stream that has run for Config.Quantum. Training work pushes nothing out: a
+//   - Live work may preempt any training stream that has run for Config.Quantum. Training work preempts nothing: a
 //     stream that goes on later computes its prompt and its tokens again, and in steps of mixed lengths the streams
 //     spent more time on that than on new tokens.
 //   - An item of training or solo work that has waited for Config.Age beyond its rank claims the next free slot if no
@@ -85,12 +85,12 @@
 	deadlines deadlineHeap
 	waits     [2]int // by class
 	active    []*Item
-	fixed     int              // running long items that cannot be pushed out
+	fixed     int              // running long items that cannot be preempted
 	long      int              // running long items
-	fed       [kinds]time.Time // last time that an item of the kind ended, or was pushed out after some progress
+	fed       [kinds]time.Time // last time that an item of the kind ended, or was preempted after some progress
 	leaving   int              // running items that were asked to stop
 	alone     bool
-	emptying  *Item            // solo item that the server is emptied for
+	draining  *Item            // solo item that the server is emptied for
 	others    int              // items started since the last solo item
 	lastLive  time.Time        // arrival of the last live item
 	service   [2]time.Duration // mean length of the runs of a class, 0 before the first has ended
@@ -177,8 +177,8 @@
 	if !i.spec.Deadline.IsZero() {
 		heap.Remove(&f.deadlines, i.expiry)
 	}
-	if f.emptying == i {
-		f.emptying = nil
+	if f.draining == i {
+		f.draining = nil
 	}
 	return true
 }
@@ -193,19 +193,19 @@
 	if f.alone {
 		return Decision{}, false
 	}
-	if f.emptying != nil {
+	if f.draining != nil {
 		return f.empty(now)
 	}
 	if i := f.oldest(now); i != nil {
 		if i.spec.Solo {
-			f.emptying = i
+			f.draining = i
 			return f.empty(now)
 		}
 		if f.fits(now, i, true) {
 			return f.start(now, i, i.spec.Class == Train), true
 		}
 	}
-	if d, ok := f.serve(now, f.heaps[liveShort].head(), f.heaps[liveLong].head(), Live); ok || f.emptying != nil {
+	if d, ok := f.serve(now, f.heaps[liveShort].head(), f.heaps[liveLong].head(), Live); ok || f.draining != nil {
 		return d, ok
 	}
 	return f.serve(now, f.heaps[trainShort].head(), f.heaps[trainLong].head(), Train)
@@ -232,14 +232,14 @@
 	return old
 }
 
-// starving reports whether no item of a kind has made progress lately. A run that is pushed out after a few quanta may
+// starving reports whether no item of a kind has made progress lately. A run that is preempted after a few quanta may
 // have got no further than its prefill.
 func (f *Fair) starving(now time.Time, kind int) bool {
 	if now.Sub(f.fed[kind]) < f.config.Age {
 		return false
 	}
 	for _, r := range f.active {
-		if f.kind(r) == kind && (r.shield || f.progressed(now, r)) {
+		if f.kind(r) == kind && (r.protect || f.progressed(now, r)) {
 			return false
 		}
 	}
@@ -263,7 +263,7 @@
 	}
 	s := f.heaps[solos].head()
 	if s != nil && s.spec.Class == c && f.soloTurn() && (a == nil || s.before(a)) {
-		f.emptying = s
+		f.draining = s
 		return f.empty(now)
 	}
 	for _, i := range [...]*Item{a, b} {
@@ -281,7 +281,7 @@
 }
 
 // fits reports whether a slot is free for the item.
-func (f *Fair) fits(now time.Time, i *Item, shield bool) bool {
+func (f *Fair) fits(now time.Time, i *Item, protect bool) bool {
 	slots := f.config.Slots
 	if len(f.active) >= slots {
 		return false
@@ -289,7 +289,7 @@
 	if !f.isLong(i) {
 		return true
 	}
-	if shield || !i.spec.Preemptible {
+	if protect || !i.spec.Preemptible {
 		return f.fixed < max(1, slots-f.reserve)
 	}
 	if !f.lastLive.IsZero() && now.Sub(f.lastLive) < f.config.Age {
@@ -298,11 +298,11 @@
 	return f.long < slots
 }
 
-func (f *Fair) start(now time.Time, i *Item, shield bool) Decision {
+func (f *Fair) start(now time.Time, i *Item, protect bool) Decision {
 	f.Remove(i)
 	i.state = running
 	i.started = now
-	i.shield = shield
+	i.protect = protect
 	f.active = append(f.active, i)
 	f.count(i, 1)
 	f.others++
@@ -315,7 +315,7 @@
 		return
 	}
 	f.long += n
-	if i.shield || !i.spec.Preemptible {
+	if i.protect || !i.spec.Preemptible {
 		f.fixed += n
 	}
 }
@@ -337,27 +337,27 @@
 	return v
 }
 
-// yields reports whether a running stream may be pushed out for live work.
+// yields reports whether a running stream may be preempted for live work.
 func yields(r *Item) bool {
-	return r.state == running && r.spec.Preemptible && !r.shield && r.spec.Class == Train
+	return r.state == running && r.spec.Preemptible && !r.protect && r.spec.Class == Train
 }
 
 func (f *Fair) push(v *Item) Decision {
-	v.state = pushed
+	v.state = preempting
 	f.leaving++
 	return Decision{Kind: Preempt, Item: v}
 }
 
-// empty starts the chosen solo item once nothing runs, and pushes out what can be until then.
+// empty starts the chosen solo item once nothing runs, and preempts what can be until then.
 func (f *Fair) empty(now time.Time) (Decision, bool) {
 	if len(f.active) == 0 {
-		d := f.start(now, f.emptying, false)
+		d := f.start(now, f.draining, false)
 		f.alone = true
 		f.others = 0
 		return d, true
 	}
 	for _, r := range f.active {
-		if r.state == running && r.spec.Preemptible && !r.shield {
+		if r.state == running && r.spec.Preemptible && !r.protect {
 			return f.push(r), true
 		}
 	}
@@ -388,10 +388,10 @@
 		}
 	}
 	f.count(i, -1)
-	if i.state == pushed {
+	if i.state == preempting {
 		f.leaving--
 	}
-	i.shield = false
+	i.protect = false
 	f.alone = false
 }
 
--- a/internal/admit/fair_test.go
+++ b/internal/admit/fair_test.go
@@ -223,7 +223,7 @@
 }
 
 // Guards against live work that waits behind training streams, against training streams that lose their place, and
-// against training streams that push each other out and spend their time on computing prompts again.
+// against training streams that preempt each other and spend their time on computing prompts again.
 func TestUrgentWorkPushesOutTraining(t *testing.T) {
 	s := &sim{t: t, p: fair(2), slots: 2, now: epoch}
 	for range 3 {
@@ -234,10 +234,10 @@
 	short := s.push(Spec{Class: Train, Predicted: 10}, time.Second)
 	s.until(s.now.Add(100 * time.Millisecond))
 	if live.begun.IsZero() || live.begun.Sub(live.at) > stopTime {
-		t.Fatalf("live work waits although training streams could be pushed out")
+		t.Fatalf("live work waits although training streams could be preempted")
 	}
 	if !short.begun.IsZero() {
-		t.Fatalf("training work pushed out training work")
+		t.Fatalf("training work preempted training work")
 	}
 	s.until(time.Time{})
 	if short.begun.After(s.jobs[2].begun) {
--- a/internal/balance/fleet.go
+++ b/internal/balance/fleet.go
@@ -86,7 +86,7 @@
 	// quietBursts the least number of progress reports.
 	quietTokens = 8
 	quietBursts = 2
-	// outlierFactor bounds one observation, in units of the pace that ejects a server: a stream that was pushed out and
+	// outlierFactor bounds one observation, in units of the pace that ejects a server: a stream that was preempted and
 	// resumed brings a single token after a long gap, which says nothing about the server.
 	outlierFactor = 2
 	// burstWeight is the weight of a new observation of the tokens of one progress report.
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -69,15 +69,6 @@
 	Reason string `json:"reason"`
 }
 
-// Names the daemon incarnation in charge of a server.
-type Charge struct {
-	// Daemon name.
-	Daemon string `json:"daemon"`
-
-	// Daemon incarnation.
-	Inc string `json:"inc"`
-}
-
 // One answer.
 type Choice struct {
 	// Finish reason, empty while a stream goes on.
@@ -504,18 +495,6 @@
 	Writer string `json:"writer"`
 }
 
-// A withdrawn sample.
-type Lapse struct {
-	// Group within the step.
-	Group string `json:"group"`
-
-	// Attempt that produced it.
-	ID string `json:"id"`
-
-	// Index within the group.
-	Index int `json:"index"`
-}
-
 // Names of one kind in the store.
 type Listing struct {
 	// Objects in order of name.
@@ -546,6 +525,15 @@
 	Name string `json:"name"`
 }
 
+// Names the daemon incarnation that owns a server and alone may command it.
+type Ownership struct {
+	// Daemon name.
+	Daemon string `json:"daemon"`
+
+	// Daemon incarnation.
+	Inc string `json:"inc"`
+}
+
 // Groups of a step, one part object.
 type Part struct {
 	// Groups in order.
@@ -677,7 +665,7 @@
 	State string `json:"state,omitempty,omitzero"`
 
 	// For void: samples withdrawn because they went stale.
-	Void []Lapse `json:"void,omitempty,omitzero"`
+	Void []Withdrawal `json:"void,omitempty,omitzero"`
 
 	// Identifier of this write, a ULID.
 	Writer string `json:"writer"`
@@ -1098,6 +1086,18 @@
 	Version int64 `json:"version"`
 }
 
+// A withdrawn sample.
+type Withdrawal struct {
+	// Group within the step.
+	Group string `json:"group"`
+
+	// Attempt that produced it.
+	ID string `json:"id"`
+
+	// Index within the group.
+	Index int `json:"index"`
+}
+
 // One attempt to run a request on one server.
 type Work struct {
 	// Identifier of the attempt, a ULID.
