Bound the waste of reruns by the samples that were started

Change: the share is that of finished and running samples; the owners of a step together stay within it.

--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -312,12 +312,14 @@
 	return time.Duration(tokens) * p.pace / time.Duration(engines)
 }
 
-// totals returns the expected tokens of the step and those that running reruns may still waste.
+// totals returns the tokens of the finished and the expected ones of the running samples, and those that running reruns
+// may still waste. Samples that have not been started do not count: if another entry takes the step over, its share of
+// waste is that of the samples it makes itself, and both together stay within the share of the whole step.
 func (p *Plan) totals() (total, reserved float64) {
 	total = float64(p.made)
 	for i := range p.slots {
 		s := &p.slots[i]
-		if s.state == closed {
+		if s.state != running {
 			continue
 		}
 		e := p.expect(i)
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -179,3 +179,27 @@
 		t.Fatalf("next slot is %d, %t; want 0", i, ok)
 	}
 }
+
+// Guards against two owners of a step, one after the other, that each spend the whole step's share of waste.
+func TestWasteCountsStartedSamplesOnly(t *testing.T) {
+	const engines = 1000
+	now := time.Unix(0, 0)
+	p := New([]wire.Group{{Name: "g", Samples: 60, Tokens: 100}}, Defaults())
+	p.Start(0, now)
+	p.Progress(0, 0, 10)
+	finish := func(slot int) {
+		n := p.Start(slot, now)
+		p.Finish(slot, n, 100, now.Add(time.Second))
+	}
+	finish(1)
+	late := now.Add(time.Minute)
+	if slot, ok := p.Rerun(late, engines); ok {
+		t.Fatalf("slot %d is run again after 100 of 6,000 tokens", slot)
+	}
+	for slot := 2; slot < 40; slot++ {
+		finish(slot)
+	}
+	if slot, ok := p.Rerun(late, engines); !ok || slot != 0 {
+		t.Fatalf("the straggler is not run again: slot %d, %t", slot, ok)
+	}
+}
