Explain a request of any linked entry

Cause: behind the balancer an operator does not know which entry served a request; explain knew only those of the entry that answered. Change: an entry that does not know a request asks the others over their links (messages explain and trace). The question to all peers is shared with the fetch of a configuration. Conclusion: explain works through the balancer; what a dead entry knew is lost.

--- a/entry/internal/cli/adapt.go
+++ b/entry/internal/cli/adapt.go
@@ -14,3 +14,6 @@
 
 // Suspect implements peer.Handler.
 func (h peerHandler) Suspect(s wire.Suspect) { h.dispatcher.Suspect(s) }
+
+// Explain implements peer.Handler.
+func (h peerHandler) Explain(request string) (wire.Trace, bool) { return h.dispatcher.Explain(request) }
--- a/entry/internal/cli/build.go
+++ b/entry/internal/cli/build.go
@@ -137,7 +137,7 @@
 		Pool:    e.pool,
 		Mark:    e.dispatcher.Mark,
 		Steps:   e.trainer.Steps,
-		Explain: e.dispatcher.Explain,
+		Explain: e.explain,
 		Ready:   e.ready,
 		Metrics: text,
 	}).Routes(e.gate)
@@ -159,6 +159,14 @@
 	return e, nil
 }
 
+// explain returns what this entry or another one knows of a request.
+func (e *entry) explain(request string) (wire.Trace, bool) {
+	if t, ok := e.dispatcher.Explain(request); ok {
+		return t, true
+	}
+	return e.peers.Explain(context.Background(), request)
+}
+
 // newID returns the identifier of a write.
 func newID() string { return ulid.Make().String() }
 
--- a/entry/internal/operator/operator.go
+++ b/entry/internal/operator/operator.go
@@ -218,5 +218,5 @@
 			return r.JSON(t)
 		}
 	}
-	return refusal.New(refusal.NotFound, refusal.NotRun, "this entry does not know request %s", id)
+	return refusal.New(refusal.NotFound, refusal.NotRun, "no entry that answers knows request %s", id)
 }
--- a/entry/internal/peer/peer.go
+++ b/entry/internal/peer/peer.go
@@ -40,6 +40,7 @@
 	Pull(ctx context.Context, f wire.Forward) wire.Batch
 	Verdict(v wire.Verdict)
 	Suspect(s wire.Suspect)
+	Explain(request string) (wire.Trace, bool)
 }
 
 // AbsentError tells that an entry cannot be reached.
@@ -326,31 +327,50 @@
 
 // Fetch returns the highest configuration of all peers if one is at or above rev.
 func (p *Peers) Fetch(ctx context.Context, rev int64) (wire.Config, bool) {
+	var best wire.Config
+	gather(ctx, p, link.Fetch, wire.Fetch{Rev: rev}, func(got wire.Config) {
+		if got.Rev > best.Rev {
+			best = got
+		}
+	})
+	return best, best.Rev > 0 && best.Rev >= rev
+}
+
+// Explain returns what another entry knows of a request; false if none that answers knows it.
+func (p *Peers) Explain(ctx context.Context, request string) (wire.Trace, bool) {
+	var known wire.Trace
+	gather(ctx, p, link.Explain, wire.Explain{Request: request}, func(got wire.Trace) {
+		if got.State != "" {
+			known = got
+		}
+	})
+	return known, known.State != ""
+}
+
+// gather asks all linked entries at once and hands each answer to take, one after the other. Entries that do not answer
+// within the acknowledgement time are left out.
+func gather[T any](ctx context.Context, p *Peers, kind string, body any, take func(T)) {
 	ctx, cancel := context.WithTimeout(ctx, p.options.Ack)
 	defer cancel()
 	var wg sync.WaitGroup
 	var mu sync.Mutex
-	var best wire.Config
 	for _, c := range p.all() {
 		wg.Go(func() {
-			f, err := c.Call(ctx, link.Fetch, wire.Fetch{Rev: rev})
+			f, err := c.Call(ctx, kind, body)
 			if err != nil {
 				return
 			}
-			var got wire.Config
+			var got T
 			if err := f.Decode(&got); err != nil {
 				c.Close()
 				return
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			if got.Rev > best.Rev {
-				best = got
-			}
+			take(got)
 		})
 	}
 	wg.Wait()
-	return best, best.Rev > 0 && best.Rev >= rev
 }
 
 // Suspect tells all entries of a suspicion.
@@ -423,6 +443,13 @@
 			return err
 		}
 		go supervise.Guard(p.logger, "verdict", func() { h.Verdict(v) })
+	case link.Explain:
+		var m wire.Explain
+		if err := f.Decode(&m); err != nil {
+			return err
+		}
+		t, _ := h.Explain(m.Request)
+		return c.Reply(f, link.Trace, t)
 	case link.Suspect:
 		var s wire.Suspect
 		if err := f.Decode(&s); err != nil {
--- a/entry/internal/peer/peer_test.go
+++ b/entry/internal/peer/peer_test.go
@@ -36,6 +36,12 @@
 }
 func (n *node) Verdict(wire.Verdict) {}
 func (n *node) Suspect(wire.Suspect) { <-n.stuck }
+func (n *node) Explain(request string) (wire.Trace, bool) {
+	if request != n.name {
+		return wire.Trace{}, false
+	}
+	return wire.Trace{Request: request, State: "finished"}, true
+}
 
 func start(t *testing.T, name string, rev int64) *node {
 	t.Helper()
@@ -98,6 +104,12 @@
 	if _, ok := a.Fetch(t.Context(), 6); ok {
 		t.Fatal("fetched a revision that nobody holds")
 	}
+	if got, ok := a.Peers.Explain(t.Context(), "c"); !ok || got.Request != "c" {
+		t.Fatalf("request of entry c explained as %+v, %t", got, ok)
+	}
+	if got, ok := a.Peers.Explain(t.Context(), "x"); ok {
+		t.Fatalf("request that nobody knows explained as %+v", got)
+	}
 	await(t, func() bool { return a.noticed.Load() == 5 })
 	a.Announce(wire.Notice{Rev: 9})
 	await(t, func() bool { return b.noticed.Load() == 9 && c.noticed.Load() == 9 })
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -52,6 +52,8 @@
 	Batch   = "batch"
 	Verdict = "verdict"
 	Suspect = "suspect"
+	Explain = "explain"
+	Trace   = "trace"
 	Ping    = "ping"
 	Pong    = "pong"
 )
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -351,6 +351,13 @@
 	Error Problem `json:"error"`
 }
 
+// Asks what an entry knows of a request; the reply is a trace, without a state if
+// it knows nothing.
+type Explain struct {
+	// Request identifier.
+	Request string `json:"request"`
+}
+
 // Answer to ask.
 type Fate struct {
 	// Attempt that ran or runs it.
