--- a/daemon/internal/cli/drain_test.go
+++ b/daemon/internal/cli/drain_test.go
@@ -15,6 +15,8 @@
 		t.Run(by, func(t *testing.T) {
 			e := newFakeEngine(t)
 			d := startDaemon(t, e.URL, "", oneSlot)
+			// The queued sample is to be started within the grace period, however busy the machine is.
+			d.process.grace = time.Minute
 			c := dial(t, d)
 			c.work(completion("running", 2))
 			sample := completion("queued", 1)
@@ -55,6 +57,32 @@
 	}
 }
 
+// Guards against work that waits in a long queue and reaches a server long after it was told to leave.
+func TestLeavingServerGetsNoQueuedWork(t *testing.T) {
+	e := newFakeEngine(t)
+	d := startDaemon(t, e.URL, "", oneSlot)
+	d.process.grace = 0
+	c := dial(t, d)
+	c.work(completion("running", 2))
+	c.work(completion("queued", 1))
+	d.stop()
+	var r wire.Refuse
+	_ = c.next(link.Refuse).Decode(&r)
+	if r.Attempt != "queued" || r.Code != "leaving" || r.Ran != "no" {
+		t.Fatalf("refusal %+v, want leaving as not run", r)
+	}
+	e.let(3)
+	if r := c.read("running", 0); r.done == nil || len(r.tokens) != 2 {
+		t.Fatalf("the stream in flight was cut off: %+v", r.refuse)
+	}
+	if err := c.Notify(link.Drop, wire.Drop{Attempts: []string{"running"}}); err != nil {
+		t.Fatalf("drop: %v", err)
+	}
+	if err := <-d.ended; err != nil {
+		t.Fatalf("drain: %v", err)
+	}
+}
+
 // stays fails if the daemon ends; the pause only gives a wrong end the time to show.
 func (d *daemon) stays(t *testing.T, before string) {
 	t.Helper()
--- a/daemon/internal/cli/run.go
+++ b/daemon/internal/cli/run.go
@@ -57,6 +57,7 @@
 	tree      *suture.Supervisor
 	leave     chan string
 	ready     atomic.Bool
+	grace     time.Duration // queueGrace
 }
 
 // run runs the daemon until ctx ends or an entry asks it to leave, and drains it.
@@ -99,6 +100,7 @@
 		meter:  m,
 		text:   text,
 		queues: make(map[string]*queue.Queue),
+		grace:  queueGrace,
 		tree:   supervise.New("daemon", logger),
 		leave:  make(chan string, 1),
 	}
@@ -131,7 +133,7 @@
 	changed := func(state wire.Server, crashed bool) {
 		p.links.Changed(state, crashed)
 		if !state.Up {
-			p.queues[s.Name].RefuseWaiting(time.Now())
+			p.queues[s.Name].RefuseWaiting(time.Now(), queue.Down(s.Name))
 		}
 	}
 	if s.Kind == "service" {
--- a/daemon/internal/queue/queue.go
+++ b/daemon/internal/queue/queue.go
@@ -105,7 +105,7 @@
 func (q *Queue) Submit(now time.Time, a *attempt.Attempt) *refusal.Error {
 	s := q.Server()
 	if !s.Up {
-		return refusal.New(refusal.NoUpstream, refusal.NotRun, "server %s does not answer", s.Name).After(retryDown)
+		return Down(s.Name)
 	}
 	if !now.Before(a.Deadline()) {
 		return refusal.New(refusal.Deadline, refusal.NotRun, "the deadline has passed")
@@ -176,8 +176,8 @@
 	}
 }
 
-// RefuseWaiting refuses all attempts that wait, because the server does not answer.
-func (q *Queue) RefuseWaiting(now time.Time) {
+// RefuseWaiting refuses all attempts that wait, for the given reason and with what is proved of each.
+func (q *Queue) RefuseWaiting(now time.Time, why *refusal.Error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, i := range q.items {
@@ -185,11 +185,15 @@
 			continue
 		}
 		a := i.Value().(*attempt.Attempt)
-		err := refusal.New(refusal.NoUpstream, ran(a), "server %s does not answer", q.Server().Name).After(retryDown)
-		q.end(now, a, attempt.End{Refusal: err})
+		q.end(now, a, attempt.End{Refusal: why.WithRan(ran(a))})
 	}
 }
 
+// Down returns the refusal for work that waits for a server that does not answer.
+func Down(server string) *refusal.Error {
+	return refusal.New(refusal.NoUpstream, refusal.NotRun, "server %s does not answer", server).After(retryDown)
+}
+
 // Serve acts on the passing of time until ctx ends: deadlines and ageing.
 func (q *Queue) Serve(ctx context.Context) error {
 	const idle = time.Hour
