Satisfy the linter in the drain test

Cause: staticcheck asks for the short selector of an embedded field. Change: d.grace. Conclusion: none.

--- a/daemon/internal/cli/drain_test.go
+++ b/daemon/internal/cli/drain_test.go
@@ -16,7 +16,7 @@
 			e := newFakeEngine(t)
 			d := startDaemon(t, e.URL, "", oneSlot)
 			// The queued sample is to be started within the grace period, however busy the machine is.
-			d.process.grace = time.Minute
+			d.grace = time.Minute
 			c := dial(t, d)
 			c.work(completion("running", 2))
 			sample := completion("queued", 1)
@@ -61,7 +61,7 @@
 func TestLeavingServerGetsNoQueuedWork(t *testing.T) {
 	e := newFakeEngine(t)
 	d := startDaemon(t, e.URL, "", oneSlot)
-	d.process.grace = 0
+	d.grace = 0
 	c := dial(t, d)
 	c.work(completion("running", 2))
 	c.work(completion("queued", 1))
