--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Targets that CI and operators rely on. Every target needs only Go and make.
 
-MODULES := wire internal standin daemon entry ctl scenario bench
+MODULES := wire internal platform standin daemon entry ctl scenario bench
 TOOLS := cd tools && GOWORK=off go build -o ../bin/tools/
 BIN := $(CURDIR)/bin
 
@@ -24,7 +24,7 @@
 	@mkdir -p bin/tools
 	@$(TOOLS) github.com/atombender/go-jsonschema
 	cd wire/schema && $(BIN)/tools/go-jsonschema --only-models --capitalization ID -p wire --tags json \
-		-o ../wire.go link.json http.json object.json engine.json
+		-o ../wire.go link.json http.json object.json engine.json job.json
 
 demo: build
 	go run ./scenario/demo -bin $(BIN)
--- a/daemon/internal/cli/cli.go
+++ b/daemon/internal/cli/cli.go
@@ -4,6 +4,7 @@
 //
 //	bulrush-daemon --config daemon.json
 //	bulrush-daemon --config daemon.json --check
+//	bulrush-daemon --platform
 //
 // Exit status: 0 after a graceful stop, 1 on a failure, 2 on a wrong command line, 78 if the settings are invalid.
 package cli
@@ -18,7 +19,9 @@
 const name = "bulrush-daemon"
 
 // Run runs the program with the given arguments and returns its exit status.
-func Run(args []string) int { return program.Main(name, args, prepare) }
+func Run(args []string) int {
+	return program.Main(name, args, program.Loads{File: prepare, Platform: preparePlatform})
+}
 
 // prepare loads the settings.
 func prepare(path string) (program.Serve, error) {
--- /dev/null
+++ b/daemon/internal/cli/platform.go
@@ -0,0 +1,92 @@
+package cli
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+
+	"bulrushspoke/daemon/internal/rollout"
+	"bulrushspoke/internal/catalog"
+	"bulrushspoke/internal/event"
+	"bulrushspoke/internal/linelog"
+	"bulrushspoke/internal/node"
+	"bulrushspoke/internal/program"
+	"bulrushspoke/internal/supervise"
+	"bulrushspoke/internal/upstream"
+	"bulrushspoke/platform"
+)
+
+const (
+	// storeTimeout bounds a call to the platform's store, which answers in 4 ms and in a quarter of a second when slow.
+	storeTimeout = time.Second
+	// engineTimeout bounds a call to the engine on the same instance.
+	engineTimeout = time.Second
+	// idleMost bounds idle connections: one to the engine and few to the store.
+	idleMost = 8
+	// memoryShare is the part of the instance's memory that the garbage collector keeps the process within.
+	memoryShare = 0.5
+	// collectPercent makes the collector run early: the process allocates little, and memory is dear.
+	collectPercent = 25
+)
+
+// preparePlatform loads the settings that the platform gives.
+func preparePlatform() (program.Serve, error) {
+	s, err := platform.LoadSettings(os.Getenv(platform.SettingsEnv))
+	if err != nil {
+		return nil, err
+	}
+	if s.Engine == "" {
+		return nil, node.NewError("engine", "there is no upstream on this instance")
+	}
+	return func(ctx context.Context, _ io.Writer) error { return runPlatform(ctx, s) }, nil
+}
+
+// runPlatform brings the engine on this instance to the weight versions that trainers name, until ctx ends.
+func runPlatform(ctx context.Context, s node.Settings) error {
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory)))
+	debug.SetGCPercent(collectPercent)
+	lines := linelog.New(os.Stdout)
+	defer lines.Close()
+	logger := slog.New(slog.NewJSONHandler(lines, nil)).With("name", s.Name)
+	pool := upstream.New(upstream.Limits{Dial: engineTimeout, Idle: idleMost})
+	objects := platform.NewStore(s.Store.Address, storeTimeout, pool, logger)
+	known := catalog.New(logger)
+	feed := platform.NewFeeder(known, logger).Fill(catalog.Feed{Kind: platform.KindVersions})
+	r := rollout.New(rollout.Options{
+		Name: s.Name, Address: s.Engine, Service: s.Service, Catalog: known, Logger: logger,
+		Engine:  platform.NewEngine(s.Engine, engineTimeout, pool),
+		Servers: func(ctx context.Context) ([]catalog.Server, error) { return objects.Servers(ctx, logger) },
+	})
+	tree := supervise.New("daemon", logger)
+	tree.Add(supervise.Task("news of versions", func(ctx context.Context) error {
+		return catalog.Follow(ctx, objects, feed, logger)
+	}))
+	tree.Add(supervise.Task("rollout", r.Run))
+	go ignoreHangup(ctx, logger)
+	event.Started.Log(logger, "inc", ulid.Make().String(), "role", s.Role, "engine", s.Engine)
+	// The tree ends with ctx only.
+	_ = tree.Serve(ctx)
+	event.Stopped.Log(logger, "dropped", lines.Dropped())
+	return nil
+}
+
+// ignoreHangup keeps SIGHUP from ending the process: no setting of the daemon can change while it runs.
+func ignoreHangup(ctx context.Context, logger *slog.Logger) {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, syscall.SIGHUP)
+	for {
+		select {
+		case <-c:
+			event.Reloaded.Log(logger)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/daemon/internal/rollout/rollout.go
@@ -0,0 +1,163 @@
+// Package rollout brings the engine on this instance to the weight versions that trainers name.
+//
+// # Usage
+//
+//	r := rollout.New(rollout.Options{Engine: engine, Catalog: catalog, …})
+//	err := r.Run(ctx)
+//
+// The daemon is the only one to give its engine orders, so no lease is needed: its fencing token is the highest store
+// revision of a version that it has read, which a restarted daemon reads again. Each order names the number of orders
+// that the engine has accepted, so one that is carried out late does nothing.
+package rollout
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"strings"
+	"time"
+
+	"bulrushspoke/internal/catalog"
+	"bulrushspoke/internal/event"
+	"bulrushspoke/platform"
+)
+
+const (
+	// pollBusy is the time between two reports while an order is carried out; a report from the same instance is free.
+	pollBusy = 150 * time.Millisecond
+	// retryOrder is the pause after an order or report without an answer.
+	retryOrder = 400 * time.Millisecond
+	// repair is the time between two checks that the engine still has its versions: an engine may be replaced.
+	repair = 5 * time.Second
+)
+
+// Engine takes orders.
+type Engine interface {
+	Report(ctx context.Context) (platform.Report, error)
+	Load(ctx context.Context, o platform.Order) (platform.Outcome, string, error)
+}
+
+// Options are the parts that a Rollout works with.
+type Options struct {
+	Name    string // holder of the orders
+	Address string // of the engine, as in the list of servers
+	Service string
+	Engine  Engine
+	Catalog *catalog.Catalog
+	Servers func(ctx context.Context) ([]catalog.Server, error) // the list of servers, seconds old at most
+	Logger  *slog.Logger
+}
+
+// Rollout gives orders to one engine.
+type Rollout struct {
+	Options
+	server  string // incarnation of the engine; empty if unknown
+	servers []catalog.Server
+	fence   int64
+}
+
+// New returns a Rollout.
+func New(o Options) *Rollout { return &Rollout{Options: o} }
+
+// Run gives orders until ctx ends.
+func (r *Rollout) Run(ctx context.Context) error {
+	seen := int64(0)
+	for ctx.Err() == nil {
+		changed := r.Catalog.Changed()
+		named := r.Catalog.Versions()
+		if newest := highest(named); newest != seen {
+			r.look(ctx)
+			seen = newest
+		}
+		wait := repair
+		if len(named) > 0 {
+			wait = r.step(ctx, named)
+		}
+		t := time.NewTimer(wait)
+		select {
+		case <-changed:
+		case <-t.C:
+		case <-ctx.Done():
+		}
+		t.Stop()
+	}
+	return ctx.Err()
+}
+
+func highest(l []catalog.Version) int64 {
+	var n int64
+	for _, v := range l {
+		n = max(n, v.Revision)
+	}
+	return n
+}
+
+// look reads the list of servers, which decides which models this engine is for.
+func (r *Rollout) look(ctx context.Context) {
+	list, err := r.Servers(ctx)
+	if err != nil {
+		return // the client has logged it; the last list goes on to count
+	}
+	r.servers = r.servers[:0]
+	for _, s := range list {
+		if s.Service == r.Service && !s.Draining {
+			r.servers = append(r.servers, s)
+		}
+		if s.Address == r.Address {
+			r.server = s.ID
+		}
+	}
+	slices.SortFunc(r.servers, func(a, b catalog.Server) int { return strings.Compare(a.ID, b.ID) })
+}
+
+// place returns this engine's rank among the engines of its service, and their number.
+func (r *Rollout) place() (int, int) {
+	for i, s := range r.servers {
+		if s.ID == r.server {
+			return i, len(r.servers)
+		}
+	}
+	return 0, len(r.servers)
+}
+
+// step gives at most one order and returns how long to wait for the next look.
+func (r *Rollout) step(ctx context.Context, named []catalog.Version) time.Duration {
+	report, err := r.Engine.Report(ctx)
+	if err != nil {
+		event.EngineUnheard.Log(r.Logger, "cause", err.Error())
+		return retryOrder
+	}
+	if report.Busy {
+		return pollBusy
+	}
+	rank, count := r.place()
+	target, ok := choose(named, report.Versions, rank, count)
+	if !ok {
+		return repair
+	}
+	r.fence = max(r.fence, highest(named))
+	return r.order(ctx, target, report)
+}
+
+// order gives one order.
+func (r *Rollout) order(ctx context.Context, v catalog.Version, report platform.Report) time.Duration {
+	outcome, server, err := r.Engine.Load(ctx, platform.Order{
+		Server: r.server, Model: v.Model, Version: v.Number, Holder: r.Name, Fence: r.fence, Orders: report.Orders,
+	})
+	if err != nil {
+		event.OrderUnanswered.Log(r.Logger, "model", v.Model, "version", v.Number, "orders", report.Orders,
+			"cause", err.Error())
+		return retryOrder
+	}
+	event.OrderGiven.Log(r.Logger, "model", v.Model, "version", v.Number, "had", report.Versions[v.Model],
+		"revision", v.Revision, "fence", r.fence, "orders", report.Orders, "server", r.server, "outcome", int(outcome))
+	switch outcome {
+	case platform.OrderMisplaced:
+		r.server = server
+		return 0
+	case platform.OrderAccepted, platform.OrderHolds:
+		return pollBusy
+	default:
+		return retryOrder
+	}
+}
--- /dev/null
+++ b/entry/internal/batch/job.go
@@ -0,0 +1,244 @@
+package batch
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"bulrushspoke/internal/job"
+	"bulrushspoke/internal/supervise"
+	"bulrushspoke/wire"
+)
+
+// maxPage bounds the text in one page of results in bytes; the platform allows 1 MB in all.
+const maxPage = 900 << 10
+
+// Job is a job that this entry runs, or has loaded after its end.
+type Job struct {
+	manager   *Manager
+	spec      job.Job
+	epoch     int
+	host      string
+	path      string
+	submitted time.Time
+	size      int64
+
+	mu      sync.Mutex
+	items   map[string]*item
+	results []job.Result
+	records int          // records read or written
+	ready   []job.Result // to be listed
+	ended   bool         // by the trainer
+	stopped bool         // nothing runs here any more
+	cancel  context.CancelFunc
+	changed chan struct{} // closed when results are listed or the job stops
+	wake    chan struct{} // tells the tasks of the job that an item changed
+}
+
+// item is one item of a job; its fields are guarded by the mu of the job.
+type item struct {
+	job.Item
+	index    int
+	hint     int      // estimated output tokens
+	data     []string // data of the events so far
+	versions []int
+	failures int // answers of 500
+	running  bool
+	done     bool // the outcome is known
+	listed   bool
+}
+
+// newJob returns a job with the results of the given records.
+func newJob(m *Manager, spec job.Job, s wire.JobState, records []wire.JobRecord) *Job {
+	j := &Job{
+		manager:   m,
+		spec:      spec,
+		epoch:     s.Epoch,
+		host:      s.Host,
+		path:      s.Path,
+		submitted: time.UnixMilli(s.At),
+		items:     make(map[string]*item, len(spec.Items)),
+		ended:     s.Ended,
+		stopped:   s.Ended,
+		changed:   make(chan struct{}),
+		wake:      make(chan struct{}, 1),
+	}
+	for i, it := range spec.Items {
+		j.size += int64(len(it.Body))
+		j.items[it.ID] = &item{Item: it, index: i, hint: hint(it)}
+	}
+	for _, r := range records {
+		j.adopt(r)
+	}
+	return j
+}
+
+// adopt takes the results of a record that stands in the store; the caller holds mu or is the only user.
+func (j *Job) adopt(r wire.JobRecord) {
+	j.records++
+	for _, w := range r.Results {
+		j.results = append(j.results, fromResult(w))
+		if it := j.items[w.Item]; it != nil {
+			it.done, it.listed = true, true
+			it.data = nil
+		}
+	}
+	j.ready = slices.DeleteFunc(j.ready, func(r job.Result) bool { return j.items[r.Item].listed })
+}
+
+// resume takes texts that another owner or an earlier job has made.
+func (j *Job) resume(parts []wire.JobPart) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, p := range parts {
+		j.take(p)
+	}
+	for id := range j.items {
+		if p, ok := j.manager.texts.get(id); ok {
+			j.take(p)
+		}
+	}
+}
+
+// take uses a text if its versions fit; the caller holds mu.
+func (j *Job) take(p wire.JobPart) {
+	it := j.items[p.Item]
+	if it == nil || it.done || len(p.Data) <= len(it.data) {
+		return
+	}
+	for _, v := range p.Versions {
+		if v < j.spec.MinVersion {
+			return
+		}
+	}
+	it.data, it.versions = p.Data, p.Versions
+	if p.Done {
+		j.complete(it)
+	}
+}
+
+// complete moves the text of an item to the results to be listed; the caller holds mu.
+func (j *Job) complete(it *item) {
+	it.done = true
+	j.ready = append(j.ready, job.Result{
+		Item: it.ID, State: job.Completed, Text: strings.Join(it.data, "\n"), Versions: it.versions,
+	})
+}
+
+// void gives an item up; the caller holds mu.
+func (j *Job) void(it *item) {
+	it.done = true
+	j.ready = append(j.ready, job.Result{Item: it.ID, State: job.Terminated})
+}
+
+// parts returns the texts that exist and are not listed.
+func (j *Job) parts() []wire.JobPart {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	l := []wire.JobPart{}
+	for _, it := range j.items {
+		if !it.listed && len(it.data) > 0 {
+			l = append(l, wire.JobPart{Item: it.ID, Data: it.data, Versions: it.versions, Done: it.done})
+		}
+	}
+	return l
+}
+
+// launch runs the tasks of the job.
+func (j *Job) launch(life context.Context) {
+	ctx, cancel := context.WithCancel(life)
+	j.mu.Lock()
+	if j.stopped {
+		j.mu.Unlock()
+		cancel()
+		return
+	}
+	j.cancel = cancel
+	j.mu.Unlock()
+	listing := make(chan struct{}, 1)
+	listing <- struct{}{}
+	l := &lister{job: j, wake: listing}
+	go supervise.Guard(j.manager.Logger, "job", func() { j.run(ctx, listing) })
+	go supervise.Guard(j.manager.Logger, "lister", func() { l.run(ctx) })
+}
+
+// stop ends what runs here.
+func (j *Job) stop() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.stopped {
+		return
+	}
+	j.stopped = true
+	if j.cancel != nil {
+		j.cancel()
+	}
+	j.signal()
+}
+
+// finish notes that the trainer has ended the job.
+func (j *Job) finish() {
+	j.stop()
+	for _, p := range j.parts() {
+		j.manager.texts.put(p, time.Now())
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.ended = true
+	for _, it := range j.items {
+		it.data = nil
+	}
+}
+
+// over reports whether the trainer has ended the job.
+func (j *Job) over() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.ended
+}
+
+// signal wakes the readers; the caller holds mu.
+func (j *Job) signal() {
+	close(j.changed)
+	j.changed = make(chan struct{})
+}
+
+// page returns the results from a position on, waiting for the first while the job runs here.
+func (j *Job) page(ctx context.Context, after int, wait time.Duration) job.Page {
+	deadline := time.NewTimer(wait)
+	defer deadline.Stop()
+	for {
+		j.mu.Lock()
+		p := j.slice(after)
+		changed, stopped := j.changed, j.stopped
+		j.mu.Unlock()
+		if len(p.Results) > 0 || wait <= 0 || stopped || p.Next >= p.Total {
+			return p
+		}
+		select {
+		case <-changed:
+		case <-deadline.C:
+			wait = 0
+		case <-ctx.Done():
+			return p
+		}
+	}
+}
+
+// slice returns a page; the caller holds mu.
+func (j *Job) slice(after int) job.Page {
+	after = min(after, len(j.results))
+	p := job.Page{Total: len(j.spec.Items), Next: after}
+	size := 0
+	for _, r := range j.results[after:] {
+		size += len(r.Text) + len(r.Item)
+		if len(p.Results) > 0 && size > maxPage {
+			break
+		}
+		p.Results = append(p.Results, r)
+		p.Next++
+	}
+	return p
+}
--- /dev/null
+++ b/entry/internal/batch/list.go
@@ -0,0 +1,175 @@
+package batch
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"time"
+
+	"bulrushspoke/internal/event"
+	"bulrushspoke/internal/job"
+	"bulrushspoke/internal/store"
+	"bulrushspoke/internal/supervise"
+	"bulrushspoke/wire"
+)
+
+const (
+	// gather is how long results wait for others before they are listed, so that one write holds several; far below the
+	// half second between two reads of a trainer.
+	gather = 60 * time.Millisecond
+	// retryList is the pause after a write that got no answer.
+	retryList = 150 * time.Millisecond
+	// maxRecord bounds the text in one record in bytes; the store holds 1 MB.
+	maxRecord = 700 << 10
+)
+
+// lister writes the results of a job to its log.
+type lister struct {
+	job  *Job
+	wake chan struct{}
+}
+
+// run lists results until ctx ends. A trainer uses whole groups only, so results wait until their group is whole.
+func (l *lister) run(ctx context.Context) {
+	for {
+		select {
+		case <-l.wake:
+		case <-ctx.Done():
+			return
+		}
+		if len(l.job.listable()) == 0 {
+			continue
+		}
+		pause(ctx, gather)
+		for ctx.Err() == nil {
+			batch := l.job.listable()
+			if len(batch) == 0 {
+				break
+			}
+			if !l.write(ctx, batch) {
+				return
+			}
+		}
+	}
+}
+
+// listable returns the results of whole groups that are to be listed next.
+func (j *Job) listable() []job.Result {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	open := make(map[string]bool)
+	for _, it := range j.items {
+		if !it.done {
+			open[it.Group] = true
+		}
+	}
+	var l []job.Result
+	size := 0
+	for _, r := range j.ready {
+		if open[j.items[r.Item].Group] {
+			continue
+		}
+		size += len(r.Text)
+		if len(l) > 0 && size > maxRecord {
+			break
+		}
+		l = append(l, r)
+	}
+	return l
+}
+
+// write lists one batch of results and returns false once the job runs elsewhere.
+func (l *lister) write(ctx context.Context, batch []job.Result) bool {
+	j := l.job
+	began := time.Now()
+	j.mu.Lock()
+	n, first := j.records, len(j.results)
+	j.mu.Unlock()
+	rec := wire.JobRecord{Writer: j.manager.Self.Inc, First: first, Results: make([]wire.JobResult, 0, len(batch))}
+	for _, r := range batch {
+		rec.Results = append(rec.Results, toResult(r))
+	}
+	value, err := json.Marshal(rec)
+	if err != nil {
+		event.RequestFailed.Log(j.manager.Logger, "job", j.spec.ID, "cause", err.Error())
+		return false
+	}
+	for ctx.Err() == nil {
+		held, err := l.create(ctx, n, value, rec)
+		if err != nil {
+			pause(ctx, retryList)
+			continue
+		}
+		j.mu.Lock()
+		j.adopt(held)
+		j.signal()
+		total := len(j.results)
+		j.mu.Unlock()
+		event.ResultsListed.Log(j.manager.Logger, "job", j.spec.ID, "record", n, "results", len(held.Results),
+			"total", total, "ms", time.Since(began).Milliseconds())
+		if held.Writer != j.manager.Self.Inc {
+			go supervise.Guard(j.manager.Logger, "lost job", func() { j.manager.lost(j) })
+			return false
+		}
+		return true
+	}
+	return false
+}
+
+// create writes record n and returns what stands there. After a lost answer an earlier attempt of ours may hold it.
+func (l *lister) create(ctx context.Context, n int, value []byte, rec wire.JobRecord) (wire.JobRecord, error) {
+	kind := kindRecords + l.job.spec.ID
+	_, err := l.job.manager.Store.Create(ctx, kind, recordName(n), value)
+	if err == nil {
+		return rec, nil
+	}
+	var conflict *store.ConflictError
+	if !errors.As(err, &conflict) {
+		return rec, err
+	}
+	var held wire.JobRecord
+	if json.Unmarshal(conflict.Winner().Value, &held) == nil && held.Writer != "" {
+		return held, nil
+	}
+	r, err := l.job.manager.Store.Get(ctx, kind, recordName(n))
+	if err != nil {
+		return rec, err
+	}
+	if err := json.Unmarshal(r.Spec, &held); err != nil {
+		return rec, err
+	}
+	return held, nil
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// pending returns the items that wait for a server, the most urgent first: groups that began elsewhere or are nearest to
+// whole, and within a group the longest.
+func (j *Job) pending() []*item {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	var l []*item
+	for _, it := range j.items {
+		if !it.done && !it.running {
+			l = append(l, it)
+		}
+	}
+	slices.SortFunc(l, func(a, b *item) int {
+		if len(a.data) != len(b.data) {
+			return len(b.data) - len(a.data)
+		}
+		if a.hint != b.hint {
+			return b.hint - a.hint
+		}
+		return a.index - b.index
+	})
+	return l
+}
--- /dev/null
+++ b/entry/internal/batch/payload.go
@@ -0,0 +1,133 @@
+package batch
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"bulrushspoke/internal/job"
+	"bulrushspoke/internal/store"
+	"bulrushspoke/wire"
+
+	"bulrushspoke/entry/internal/ingress"
+	"bulrushspoke/platform"
+)
+
+// envelope is the room that the store needs in a value beside the payload, in bytes.
+const envelope = 4 << 10
+
+// parted stands in for a payload that does not fit one object.
+type parted struct {
+	Parts int `json:"parts"`
+}
+
+// putPayload keeps the payload of a job in the store. A payload that is there already is the same.
+func (m *Manager) putPayload(ctx context.Context, id string, body []byte) error {
+	room := m.Value - envelope
+	if len(body) <= room {
+		return m.putPart(ctx, id, body)
+	}
+	// A part is a JSON string, in which bytes take a third more.
+	chunk := room * 3 / 4
+	n := 0
+	for rest := body; len(rest) > 0; n++ {
+		size := min(chunk, len(rest))
+		value, err := json.Marshal(rest[:size])
+		if err != nil {
+			return err
+		}
+		if err := m.putPart(ctx, partName(id, n), value); err != nil {
+			return err
+		}
+		rest = rest[size:]
+	}
+	value, err := json.Marshal(parted{Parts: n})
+	if err != nil {
+		return err
+	}
+	return m.putPart(ctx, id, value)
+}
+
+func (m *Manager) putPart(ctx context.Context, name string, value []byte) error {
+	_, err := m.Store.Create(ctx, kindPayload, name, value)
+	var conflict *store.ConflictError
+	if errors.As(err, &conflict) {
+		return nil
+	}
+	var down *store.DownError
+	if errors.As(err, &down) && down.Ambiguous() {
+		if _, readErr := m.Store.Get(ctx, kindPayload, name); readErr == nil {
+			return nil
+		}
+	}
+	return err
+}
+
+func partName(id string, n int) string { return fmt.Sprintf("%s.%d", id, n) }
+
+// payload reads the payload of a job.
+func (m *Manager) payload(ctx context.Context, id string) ([]byte, error) {
+	r, err := m.Store.Get(ctx, kindPayload, id)
+	if err != nil {
+		return nil, err
+	}
+	var p parted
+	if err := json.Unmarshal(r.Spec, &p); err != nil || p.Parts == 0 {
+		return r.Spec, nil //nolint:nilerr // a payload that is not split is decoded by the caller
+	}
+	var body []byte
+	for n := range p.Parts {
+		r, err := m.Store.Get(ctx, kindPayload, partName(id, n))
+		if err != nil {
+			return nil, err
+		}
+		var chunk []byte
+		if err := json.Unmarshal(r.Spec, &chunk); err != nil {
+			return nil, fmt.Errorf("batch: part %d of job %s: %w", n, id, err)
+		}
+		body = append(body, chunk...)
+	}
+	return body, nil
+}
+
+// page encodes results for a client.
+func page(p job.Page) ingress.Reply {
+	body, err := platform.EncodePage(p)
+	if err != nil {
+		return refuse(500, 0, err.Error(), nil)
+	}
+	return ingress.Reply{Status: 200, Body: body, JSON: true}
+}
+
+func toPage(p job.Page) wire.JobPage {
+	w := wire.JobPage{Known: true, Total: p.Total, Next: p.Next, Results: make([]wire.JobResult, 0, len(p.Results))}
+	for _, r := range p.Results {
+		w.Results = append(w.Results, toResult(r))
+	}
+	return w
+}
+
+func fromPage(w wire.JobPage) job.Page {
+	p := job.Page{Total: w.Total, Next: w.Next}
+	for _, r := range w.Results {
+		p.Results = append(p.Results, fromResult(r))
+	}
+	return p
+}
+
+func toResult(r job.Result) wire.JobResult {
+	v := r.Versions
+	if v == nil {
+		v = []int{}
+	}
+	return wire.JobResult{Item: r.Item, Void: r.State == job.Terminated, Text: r.Text, Versions: v}
+}
+
+func fromResult(w wire.JobResult) job.Result {
+	r := job.Result{Item: w.Item, Text: w.Text, Versions: w.Versions}
+	if w.Void {
+		r.State = job.Terminated
+	}
+	return r
+}
--- /dev/null
+++ b/entry/internal/batch/run.go
@@ -0,0 +1,312 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"bulrushspoke/entry/internal/place"
+	"bulrushspoke/internal/call"
+	"bulrushspoke/internal/catalog"
+	"bulrushspoke/internal/event"
+	"bulrushspoke/internal/events"
+	"bulrushspoke/internal/supervise"
+	"bulrushspoke/internal/upstream"
+	"bulrushspoke/platform"
+)
+
+const (
+	// recheck is the pause before items that found no server are tried again: servers that refused are passed over for
+	// about as long.
+	recheck = 100 * time.Millisecond
+	// firstEvent is how long an engine may take until the first event of an item, its queue and a change of weights
+	// included.
+	firstEvent = 2500 * time.Millisecond
+	// nextEvent is how long an engine may pause between two events; a change of weights takes about a second.
+	nextEvent = 2 * time.Second
+	// itemTime bounds one item on routes that set no time of their own.
+	itemTime = 2 * time.Minute
+)
+
+// run starts items as servers have room until all are done or ctx ends.
+func (j *Job) run(ctx context.Context, listing chan struct{}) {
+	for {
+		freed, changed := j.manager.freedChan(), j.manager.Catalog.Changed()
+		waiting := j.schedule(ctx, listing)
+		if waiting < 0 {
+			return
+		}
+		var timer *time.Timer
+		var expired <-chan time.Time
+		if waiting > 0 {
+			timer = time.NewTimer(recheck)
+			expired = timer.C
+		}
+		select {
+		case <-j.wake:
+		case <-freed:
+		case <-changed:
+		case <-expired:
+		case <-ctx.Done():
+		}
+		if timer != nil {
+			timer.Stop()
+		}
+		if ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+// schedule starts as many items as servers have room for and returns how many wait; negative if all are done.
+func (j *Job) schedule(ctx context.Context, listing chan struct{}) int {
+	now := time.Now()
+	c := j.manager.Catalog.Config()
+	if c == nil {
+		return 1
+	}
+	route, ok := c.Match(j.host, j.path)
+	pending := j.pending()
+	if !ok || j.expired(route, now) {
+		j.giveUp(pending, ok)
+		notify(listing)
+		return j.left()
+	}
+	waiting := 0
+	servers := j.manager.Catalog.Servers(route.Shares[0].Service)
+	for _, it := range pending {
+		s, ok := j.manager.Tracker.Pick(now, servers, place.Need{
+			Model: j.spec.Model, MinVersion: j.spec.MinVersion, Room: true,
+		})
+		if !ok {
+			waiting++
+			continue
+		}
+		j.mu.Lock()
+		it.running = true
+		j.mu.Unlock()
+		j.manager.Tracker.Began(s.ID, now)
+		go supervise.Guard(j.manager.Logger, "item", func() {
+			j.attempt(ctx, it, s, route)
+			j.manager.free()
+			notify(j.wake)
+			notify(listing)
+		})
+	}
+	if j.left() < 0 {
+		notify(listing)
+		return -1
+	}
+	return waiting
+}
+
+// left returns 0 while items are open and -1 once none is.
+func (j *Job) left() int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, it := range j.items {
+		if !it.done {
+			return 0
+		}
+	}
+	return -1
+}
+
+func (j *Job) expired(r *catalog.Route, now time.Time) bool {
+	return r.Queue > 0 && now.Sub(j.submitted) > r.Queue
+}
+
+// giveUp ends items whose time has passed or whose route is gone.
+func (j *Job) giveUp(pending []*item, routed bool) {
+	cause := "its time has passed"
+	if !routed {
+		cause = "its route is gone"
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, it := range pending {
+		j.void(it)
+		event.ItemGivenUp.Log(j.manager.Logger, "job", j.spec.ID, "request", it.ID, "cause", cause)
+	}
+}
+
+func notify(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// verdict is how an attempt of an item ended.
+type verdict struct {
+	outcome place.Outcome
+	cause   string
+	status  int
+	version int
+	events  int
+}
+
+// attempt runs an item on one server.
+func (j *Job) attempt(ctx context.Context, it *item, s catalog.Server, route *catalog.Route) {
+	began := time.Now()
+	v := j.send(ctx, it, s, route, began)
+	now := time.Now()
+	if ctx.Err() != nil {
+		v.outcome, v.cause = place.Abandoned, "the job ended"
+	}
+	var took time.Duration
+	if v.events > 0 {
+		took = now.Sub(began) / time.Duration(v.events)
+	}
+	j.manager.Tracker.Ended(s.ID, v.outcome, took, now)
+	j.mu.Lock()
+	it.running = false
+	total, done := len(it.data), it.done
+	j.mu.Unlock()
+	event.ItemAttempt.Log(j.manager.Logger, "job", j.spec.ID, "request", it.ID, "server", s.ID, "status", v.status,
+		"cause", v.cause, "events", v.events, "total", total, "done", done, "version", v.version, "min", j.spec.MinVersion,
+		"ms", now.Sub(began).Milliseconds())
+}
+
+// send sends the item and reads its events.
+func (j *Job) send(
+	ctx context.Context, it *item, s catalog.Server, route *catalog.Route, now time.Time,
+) verdict {
+	j.mu.Lock()
+	after := len(it.data)
+	j.mu.Unlock()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	watch := time.AfterFunc(firstEvent, cancel)
+	defer watch.Stop()
+	codec := platform.Headers{}
+	h := make(http.Header, len(it.Header)+4)
+	for name, value := range it.Header {
+		h.Set(name, value)
+	}
+	codec.Identify(h, it.ID)
+	left := itemTime
+	if route.Queue > 0 {
+		left = max(route.Queue-now.Sub(j.submitted), time.Second)
+	}
+	codec.Attempt(h, call.Attempt{Server: s.ID, Left: left, After: after, Resume: after > 0, Priority: call.NoPriority})
+	conns := 0
+	if c := j.manager.Catalog.Config(); c != nil {
+		conns = c.Services[s.Service].Conns
+	}
+	resp, err := j.manager.Pool.Send(ctx, upstream.Target{Address: s.Address, Incarnation: s.ID, Conns: conns},
+		upstream.Request{Method: http.MethodPost, URI: it.Path, Host: j.host, Header: h, Body: it.Body})
+	if err != nil {
+		return verdict{outcome: place.Broken, cause: err.Error()}
+	}
+	answer := codec.Answer(resp.StatusCode, resp.Header)
+	v := verdict{status: resp.StatusCode, version: answer.Version}
+	if resp.StatusCode == http.StatusOK && answer.ID == it.ID && answer.Signed {
+		return j.read(it, resp, watch, after, v, route)
+	}
+	resp.Abandon()
+	v.outcome = place.Refused
+	switch {
+	case answer.NotRun:
+		v.cause = "the server refused"
+	case answer.ID != it.ID || !answer.Signed:
+		v.outcome, v.cause = place.Broken, "the answer is not the item's"
+	case resp.StatusCode == http.StatusUnprocessableEntity:
+		v.outcome, v.cause = place.Answered, "the item can never be done"
+		j.mu.Lock()
+		j.void(it)
+		j.mu.Unlock()
+	case resp.StatusCode == http.StatusInternalServerError:
+		v.outcome, v.cause = place.Answered, "the run failed"
+		j.mu.Lock()
+		if it.failures++; it.failures >= route.Attempts {
+			j.void(it)
+			event.ItemGivenUp.Log(j.manager.Logger, "job", j.spec.ID, "request", it.ID, "cause", "its runs fail",
+				"failures", it.failures)
+		}
+		j.mu.Unlock()
+	default:
+		v.cause = "the server failed"
+	}
+	return v
+}
+
+// read takes the events of an answer until it ends.
+func (j *Job) read(
+	it *item, resp *upstream.Response, watch *time.Timer, after int, v verdict, route *catalog.Route,
+) verdict {
+	if v.version < j.spec.MinVersion {
+		resp.Abandon()
+		v.outcome, v.cause = place.Refused, "the weights are too old"
+		return v
+	}
+	if after > 0 && route.SingleVersion && !j.single(it, v.version) {
+		// The text begins anew under the present version.
+		j.mu.Lock()
+		it.data, it.versions = nil, nil
+		j.mu.Unlock()
+		resp.Abandon()
+		v.outcome, v.cause = place.Refused, "the weights changed"
+		return v
+	}
+	in := events.NewReader(resp.Body, platform.Headers{}.VersionLine())
+	version := v.version
+	for {
+		e, err := in.Next()
+		if errors.Is(err, io.EOF) {
+			resp.Close()
+			j.mu.Lock()
+			if !it.done {
+				j.complete(it)
+			}
+			j.mu.Unlock()
+			v.outcome = place.Answered
+			return v
+		}
+		if err != nil {
+			resp.Abandon()
+			v.outcome, v.cause = place.Broken, err.Error()
+			return v
+		}
+		watch.Reset(nextEvent)
+		if e.Version > 0 {
+			version = e.Version
+		}
+		v.version = version
+		if e.ID != after+1 {
+			if e.ID > 0 && e.ID <= after {
+				continue
+			}
+			resp.Abandon()
+			v.outcome, v.cause = place.Broken, "events are missing"
+			return v
+		}
+		if version < j.spec.MinVersion || route.SingleVersion && after > 0 && !j.single(it, version) {
+			resp.Abandon()
+			j.mu.Lock()
+			it.data, it.versions = nil, nil
+			j.mu.Unlock()
+			v.outcome, v.cause = place.Refused, "the weights changed"
+			return v
+		}
+		after++
+		v.events++
+		j.mu.Lock()
+		it.data = append(it.data, e.Data)
+		if !slices.Contains(it.versions, version) {
+			it.versions = append(it.versions, version)
+			slices.Sort(it.versions)
+		}
+		j.mu.Unlock()
+	}
+}
+
+// single reports whether an item's text has been made by the given version only.
+func (j *Job) single(it *item, version int) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return len(it.versions) == 1 && it.versions[0] == version
+}
--- a/entry/internal/cli/cli.go
+++ b/entry/internal/cli/cli.go
@@ -4,6 +4,7 @@
 //
 //	bulrush-entry --config entry.json
 //	bulrush-entry --config entry.json --check
+//	bulrush-entry --platform
 //
 // The exit status is 0 after a graceful stop, 1 if the program cannot run, 2 for a wrong command line and 78 for invalid
 // settings.
@@ -25,7 +26,9 @@
 const closeLimit = 10 * time.Second
 
 // Run runs the program with the given arguments and returns its exit status.
-func Run(args []string) int { return program.Main(name, args, prepare) }
+func Run(args []string) int {
+	return program.Main(name, args, program.Loads{File: prepare, Platform: preparePlatform})
+}
 
 const name = "bulrush-entry"
 
--- /dev/null
+++ b/entry/internal/cli/platform.go
@@ -0,0 +1,315 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"strconv"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/thejerf/suture/v4"
+	"github.com/valyala/fasthttp"
+
+	"bulrushspoke/entry/internal/batch"
+	"bulrushspoke/entry/internal/ingress"
+	"bulrushspoke/entry/internal/member"
+	"bulrushspoke/entry/internal/peer"
+	"bulrushspoke/entry/internal/place"
+	"bulrushspoke/entry/internal/retire"
+	"bulrushspoke/internal/catalog"
+	"bulrushspoke/internal/event"
+	"bulrushspoke/internal/linelog"
+	"bulrushspoke/internal/link"
+	"bulrushspoke/internal/meter"
+	"bulrushspoke/internal/node"
+	"bulrushspoke/internal/program"
+	"bulrushspoke/internal/supervise"
+	"bulrushspoke/internal/upstream"
+	"bulrushspoke/platform"
+	"bulrushspoke/wire"
+)
+
+const (
+	// secretEnv names the environment variable with the secret that entries prove to each other.
+	secretEnv = "BULRUSHSPOKE_SECRET"
+	// storeTimeout bounds a call to the platform's store, which answers in 4 ms and in a quarter of a second when slow.
+	storeTimeout = time.Second
+	// dialTimeout bounds a new connection to a server, one lost opening packet included.
+	dialTimeout = 1200 * time.Millisecond
+	// idleMost bounds idle connections to servers; each takes a descriptor and two small buffers.
+	idleMost = 256
+	// settleServers collects changes of the server list into one watch; far below the time in which a leaving server
+	// must get no more requests.
+	settleServers = 200 * time.Millisecond
+	// memoryShare is the part of the instance's memory that the garbage collector keeps the process within.
+	memoryShare = 0.7
+	// bodyShare is the part of it that bodies in progress, and as much again that open jobs, may take.
+	bodyShare = 0.15
+	// readHeader bounds the time for a request's head; the platform's clients are bound to less.
+	readHeader = 10 * time.Second
+	// clientIdle exceeds the idle time of the platform's clients, so that no request crosses our close.
+	clientIdle = 60 * time.Second
+	// stopMargin is kept of the grace before SIGKILL.
+	stopMargin = time.Second
+	// unreadyTime is how long the load balancer takes to notice that a process is leaving: two probes a second apart.
+	unreadyTime = 2500 * time.Millisecond
+	// handoverTime bounds the handover of open jobs.
+	handoverTime = 2 * time.Second
+	// redialMost is the longest pause between two dials of another entry.
+	redialMost = time.Second
+	// metricsPort is where an instance serves its metrics, outside of the ports that the platform draws.
+	metricsPort = 9464
+)
+
+// onPlatform is the program on the users' platform.
+type onPlatform struct {
+	settings node.Settings
+	inc      string
+	logger   *slog.Logger
+	lines    *linelog.Writer
+	leaving  atomic.Bool
+
+	store   *platform.Store
+	catalog *catalog.Catalog
+	peers   *peer.Peers
+	batch   *batch.Manager
+	ingress *ingress.Ingress
+	server  *http.Server
+	metrics fasthttp.RequestHandler
+	tree    *suture.Supervisor
+}
+
+// preparePlatform loads the settings that the platform gives.
+func preparePlatform() (program.Serve, error) {
+	s, err := platform.LoadSettings(os.Getenv(platform.SettingsEnv))
+	if err != nil {
+		return nil, err
+	}
+	return func(ctx context.Context, _ io.Writer) error { return servePlatform(ctx, s) }, nil
+}
+
+// servePlatform runs the program until ctx ends.
+func servePlatform(ctx context.Context, s node.Settings) error {
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory)))
+	lines := linelog.New(os.Stdout)
+	defer lines.Close()
+	p := &onPlatform{
+		settings: s,
+		inc:      ulid.Make().String(),
+		lines:    lines,
+		logger:   slog.New(slog.NewJSONHandler(lines, nil)).With("name", s.Name),
+	}
+	life, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if err := p.build(life); err != nil {
+		return err
+	}
+	go p.reload(life)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		// The tree ends with life only.
+		_ = p.tree.Serve(life)
+	}()
+	event.Started.Log(p.logger, "inc", p.inc, "role", s.Role, "domain", s.Domain, "ingress", s.Ingress, "memory", s.Memory)
+	<-ctx.Done()
+	event.Stopping.Log(p.logger)
+	p.stop()
+	cancel()
+	select {
+	case <-ended:
+	case <-time.After(stopMargin):
+	}
+	event.Stopped.Log(p.logger, "dropped", lines.Dropped())
+	return nil
+}
+
+// build makes the parts that the instance has a use for.
+func (p *onPlatform) build(life context.Context) error {
+	s := p.settings
+	p.tree = supervise.New("entry", p.logger)
+	pool := upstream.New(upstream.Limits{Dial: dialTimeout, Idle: idleMost})
+	p.store = platform.NewStore(s.Store.Address, storeTimeout, pool, p.logger)
+	m, text, err := meter.New("entry")
+	if err != nil {
+		return err
+	}
+	p.metrics = text
+	p.measure(m, pool)
+	p.listen("metrics", net.JoinHostPort(s.IP, strconv.Itoa(metricsPort)), func(l net.Listener) error {
+		return p.fast(p.metrics).Serve(l)
+	})
+	if s.Ingress == "" {
+		p.task("retirement", func(ctx context.Context) error {
+			return retire.Run(ctx, s.Name, p.store, p.logger)
+		})
+		return nil
+	}
+	return p.buildEntry(life, pool, m)
+}
+
+// buildEntry makes the parts that serve clients.
+func (p *onPlatform) buildEntry(life context.Context, pool *upstream.Pool, m *meter.Meter) error {
+	s := p.settings
+	p.catalog = catalog.New(p.logger)
+	source := seeds(0)
+	tracker := place.New(place.Home{Domain: s.Domain, Region: s.Region, Regions: s.Regions},
+		rand.New(rand.NewChaCha8(draw(source))))
+	address := net.JoinHostPort(s.IP, strconv.Itoa(s.Ports.First))
+	self := wire.Member{Address: address, Inc: p.inc, Domain: s.Domain, Region: s.Region}
+	hello := func() wire.Hello {
+		return wire.Hello{
+			Name: s.Name, Role: "entry", Inc: p.inc, Domain: s.Domain, Region: s.Region, Leaving: p.leaving.Load(),
+		}
+	}
+	identity := link.NewIdentity(s.Name, []byte(os.Getenv(secretEnv)), hello)
+	p.peers = peer.New(s.Name, identity, func() wire.Config { return wire.Config{} }, func(wire.Notice) {}, peer.Options{
+		Ack: time.Second, Resume: time.Second, Redial: redialMost,
+	}, &random{r: rand.New(rand.NewChaCha8(draw(source)))}, p.logger)
+	p.batch = batch.New(life, batch.Options{
+		Self: self, Name: s.Name, Store: p.store, Peers: p.peers, Catalog: p.catalog, Pool: pool, Tracker: tracker,
+		Keep: s.Bounds.Status, Value: s.Store.Value, Memory: int64(bodyShare * float64(s.Memory)), Logger: p.logger,
+	})
+	p.batch.Register(p.peers)
+	waits := m.Histogram("request", "s", "Time from arrival to the answer.")
+	p.ingress = ingress.New(ingress.Options{
+		Catalog: p.catalog, Pool: pool, Tracker: tracker, Jobs: p.batch,
+		Random:   rand.New(rand.NewChaCha8(draw(source))),
+		Memory:   int64(bodyShare * float64(s.Memory)),
+		Suspects: ingress.NewSuspects(),
+		Logger:   p.logger,
+		Observe: func(route string, status int, took time.Duration) {
+			waits.Record(route, strconv.Itoa(status/100*100), took.Seconds())
+		},
+	})
+	p.server = &http.Server{
+		Handler:           p.ingress,
+		ReadHeaderTimeout: readHeader,
+		IdleTimeout:       clientIdle,
+		ErrorLog:          slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug),
+	}
+	p.listen("links", address, func(l net.Listener) error { return p.fast(p.acceptLink).Serve(l) })
+	p.listen("readiness", s.Readiness, func(l net.Listener) error { return p.fast(p.answerReady).Serve(l) })
+	p.listen("ingress", s.Ingress, func(l net.Listener) error {
+		err := p.server.Serve(l)
+		if errors.Is(err, http.ErrServerClosed) {
+			<-life.Done()
+		}
+		return err
+	})
+	p.task("entries", p.peers.Serve)
+	p.task("membership", member.New(s.Name, self, p.store, p.peers, p.logger).Run)
+	p.follow(catalog.Feed{Kind: platform.KindConfig}, p.catalogFeed())
+	p.follow(catalog.Feed{Kind: platform.KindServers, Settle: settleServers}, p.catalogFeed())
+	return nil
+}
+
+// catalogFeed hands the objects of the platform's store to the catalog.
+func (p *onPlatform) catalogFeed() *platform.Feeder { return platform.NewFeeder(p.catalog, p.logger) }
+
+func (p *onPlatform) follow(f catalog.Feed, feeder *platform.Feeder) {
+	f = feeder.Fill(f)
+	p.task("news of "+f.Kind, func(ctx context.Context) error { return catalog.Follow(ctx, p.store, f, p.logger) })
+}
+
+func (p *onPlatform) task(name string, f func(context.Context) error) {
+	p.tree.Add(supervise.Task(name, f))
+}
+
+// listen serves an address; the listener is opened again if it fails.
+func (p *onPlatform) listen(name, address string, serve func(net.Listener) error) {
+	p.task(name, func(ctx context.Context) error {
+		l, err := net.Listen("tcp4", address)
+		if err != nil {
+			return err
+		}
+		stop := context.AfterFunc(ctx, func() { _ = l.Close() })
+		defer stop()
+		return serve(l)
+	})
+}
+
+func (p *onPlatform) fast(h fasthttp.RequestHandler) *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler:               h,
+		NoDefaultServerHeader: true,
+		ReadTimeout:           readHeader,
+		IdleTimeout:           clientIdle,
+		MaxRequestBodySize:    1,
+		Logger:                slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug),
+	}
+}
+
+func (p *onPlatform) acceptLink(ctx *fasthttp.RequestCtx) {
+	if string(ctx.Path()) != link.Path {
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	// A failed upgrade has its answer already.
+	_ = p.peers.Accept(ctx)
+}
+
+// answerReady tells the load balancer whether this process takes clients: it must know routes and servers.
+func (p *onPlatform) answerReady(ctx *fasthttp.RequestCtx) {
+	if p.leaving.Load() || p.catalog.Config() == nil || !p.catalog.Known() {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	}
+}
+
+// stop leaves the load balancer, hands over the jobs and finishes the requests in flight.
+func (p *onPlatform) stop() {
+	p.leaving.Store(true)
+	if p.server == nil {
+		return
+	}
+	p.ingress.Leave()
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), handoverTime)
+	p.batch.Handover(ctx)
+	cancel()
+	time.Sleep(unreadyTime - min(time.Since(began), unreadyTime))
+	ctx, cancel = context.WithTimeout(context.Background(), p.settings.Bounds.Grace-unreadyTime-stopMargin)
+	defer cancel()
+	if err := p.server.Shutdown(ctx); err != nil {
+		event.StopCut.Log(p.logger, "cause", err.Error())
+	}
+}
+
+// reload reads the settings again on SIGHUP. Addresses and limits of a running process stay as they are.
+func (p *onPlatform) reload(ctx context.Context) {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, syscall.SIGHUP)
+	for {
+		select {
+		case <-c:
+			_, err := platform.LoadSettings(os.Getenv(platform.SettingsEnv))
+			cause := ""
+			if err != nil {
+				cause = err.Error()
+			}
+			event.Reloaded.Log(p.logger, "cause", cause)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// measure exports the state of the process.
+func (p *onPlatform) measure(m *meter.Meter, pool *upstream.Pool) {
+	m.Gauge("store_calls", "Calls of the object store, waiting watches included.",
+		func() float64 { return float64(p.store.Calls()) })
+	m.Gauge("server_connections", "Connections opened to servers and the store.",
+		func() float64 { return float64(pool.Dials()) })
+	m.Gauge("log_lines_dropped", "Log lines that found no room.",
+		func() float64 { return float64(p.lines.Dropped()) })
+}
--- /dev/null
+++ b/entry/internal/ingress/stream.go
@@ -0,0 +1,113 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"bulrushspoke/entry/internal/place"
+	"bulrushspoke/internal/call"
+	"bulrushspoke/internal/catalog"
+	"bulrushspoke/internal/events"
+	"bulrushspoke/internal/upstream"
+)
+
+// resumeMost bounds how often one answer is resumed at another server; a stream that breaks more often is not going to
+// end.
+const resumeMost = 8
+
+// stream passes the events of an answer on as they come. Where the route allows it, a broken stream goes on at another
+// server; else the client's connection is broken off, so that the answer does not look complete.
+func (g *Ingress) stream(
+	ctx context.Context, w http.ResponseWriter, q *request, s catalog.Server, resp *upstream.Response,
+) attempt {
+	g.head(w, resp.Header)
+	w.WriteHeader(resp.StatusCode)
+	out := http.NewResponseController(w)
+	last := q.After
+	for resumes := 0; ; resumes++ {
+		next, err := g.pump(w, out, resp, last)
+		last = next
+		if err == nil {
+			resp.Close()
+			g.decided(q, resp.StatusCode, "")
+			return attempt{outcome: delivered}
+		}
+		resp.Abandon()
+		if ctx.Err() != nil || !q.route.Resumable || resumes >= resumeMost {
+			break
+		}
+		if resp = g.resume(ctx, q, s.Service, last); resp == nil {
+			break
+		}
+	}
+	g.decided(q, http.StatusOK, "the stream was broken off")
+	panic(http.ErrAbortHandler)
+}
+
+// errGap tells that events are missing.
+var errGap = errors.New("ingress: events are missing")
+
+// pump passes on the events after last and returns the number of the newest; the error is nil at the end of the stream.
+func (g *Ingress) pump(
+	w http.ResponseWriter, out *http.ResponseController, resp *upstream.Response, last int,
+) (int, error) {
+	in := events.NewReader(resp.Body, g.headers.VersionLine())
+	for {
+		e, err := in.Next()
+		if errors.Is(err, io.EOF) {
+			return last, nil
+		}
+		if err != nil {
+			return last, err
+		}
+		if e.ID != 0 && e.ID <= last {
+			continue
+		}
+		if e.ID > last+1 && last > 0 {
+			return last, errGap
+		}
+		if _, err := w.Write(e.Raw); err != nil {
+			return last, err
+		}
+		if err := out.Flush(); err != nil {
+			return last, err
+		}
+		if e.ID != 0 {
+			last = e.ID
+		}
+	}
+}
+
+// resume asks servers to go on after an event until one does; nil if none will.
+func (g *Ingress) resume(ctx context.Context, q *request, service string, last int) *upstream.Response {
+	tried := make(map[string]bool)
+	for ctx.Err() == nil {
+		now := time.Now()
+		s, ok := g.Tracker.Pick(now, g.Catalog.Servers(service), place.Need{Tried: tried})
+		if !ok {
+			return nil
+		}
+		tried[s.ID] = true
+		q.servers = append(q.servers, s.ID)
+		q.attempts++
+		h := copyHeader(q.http.Header)
+		g.headers.Attempt(h, call.Attempt{
+			Server: s.ID, Left: q.left(now), After: last, Resume: last > 0, Priority: call.NoPriority,
+		})
+		resp, err := g.Pool.Send(ctx, upstream.Target{Address: s.Address, Incarnation: s.ID}, upstream.Request{
+			Method: q.http.Method, URI: q.http.RequestURI, Host: q.http.Host, Header: h, Body: q.body,
+		})
+		if err != nil {
+			continue
+		}
+		a := g.headers.Answer(resp.StatusCode, resp.Header)
+		if resp.StatusCode == http.StatusOK && a.Signed && a.ID == q.ID && isStream(resp.Header) {
+			return resp
+		}
+		resp.Abandon()
+	}
+	return nil
+}
--- a/entry/internal/peer/peer.go
+++ b/entry/internal/peer/peer.go
@@ -71,6 +71,7 @@
 
 	mu      sync.Mutex
 	handler Handler
+	more    map[string]func(context.Context, link.Frame) (string, any, error)
 	ctx     context.Context // of Serve; nil before
 	tasks   sync.WaitGroup
 	entries map[string]*entry
@@ -101,10 +102,64 @@
 		random:   random,
 		logger:   logger,
 		entries:  make(map[string]*entry),
+		more:     make(map[string]func(context.Context, link.Frame) (string, any, error)),
 		change:   make(chan struct{}),
 	}
 }
 
+// Handle names the function that answers messages of a kind, each in a task of its own. It returns the kind and body of
+// the reply; an error closes the link. It must be called before Serve.
+func (p *Peers) Handle(kind string, f func(context.Context, link.Frame) (string, any, error)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.more[kind] = f
+}
+
+// Ask sends a message to an entry and stores the body of the reply in answer. Its error is an *AbsentError if the entry
+// shows no sign of life, or ctx ends.
+func (p *Peers) Ask(ctx context.Context, name, kind string, body, answer any) error {
+	short, cancel := context.WithTimeout(ctx, p.options.Resume)
+	c := p.wait(short, name)
+	cancel()
+	if c == nil {
+		return &AbsentError{entry: name, cause: "no link"}
+	}
+	go supervise.Guard(p.logger, "check", func() { _ = c.Check(p.options.Ack) })
+	r, err := c.Call(ctx, kind, body)
+	if err != nil {
+		return &AbsentError{entry: name, cause: err.Error()}
+	}
+	if err := r.Decode(answer); err != nil {
+		c.Close()
+		return &AbsentError{entry: name, cause: err.Error()}
+	}
+	return nil
+}
+
+// Tell sends a message to all linked entries without waiting.
+func (p *Peers) Tell(kind string, body any) { p.broadcast(kind, body) }
+
+// Linked returns the names of the entries that have a working link, in order.
+func (p *Peers) Linked() []string {
+	var names []string
+	for _, c := range p.all() {
+		names = append(names, c.Peer().Name)
+	}
+	return names
+}
+
+// Incarnation returns the incarnation of the process behind the newest link to an entry; empty if there is none.
+func (p *Peers) Incarnation(name string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if e := p.entries[name]; e != nil {
+		if c := e.link(); c != nil {
+			return c.Peer().Inc
+		}
+	}
+	return ""
+}
+
 // Use names the handler of pulls, verdicts and suspects.
 func (p *Peers) Use(h Handler) {
 	p.mu.Lock()
@@ -414,8 +469,20 @@
 // serve handles a message of another entry in the link's reading task.
 func (p *Peers) serve(c *link.Conn, f link.Frame) error {
 	p.mu.Lock()
-	h, ctx := p.handler, p.ctx
+	h, ctx, more := p.handler, p.ctx, p.more[f.Kind]
 	p.mu.Unlock()
+	if more != nil && ctx != nil {
+		go supervise.Guard(p.logger, f.Kind, func() {
+			kind, body, err := more(ctx, f)
+			switch {
+			case err != nil:
+				c.Close()
+			case f.ID != 0 && kind != "":
+				_ = c.Reply(f, kind, body) // fails only on a closed link, whose caller learns of it there
+			}
+		})
+		return nil
+	}
 	switch f.Kind {
 	case link.Notice:
 		var n wire.Notice
--- /dev/null
+++ b/internal/call/call.go
@@ -0,0 +1,38 @@
+// Package call holds what the processes know of one request and its answer, whatever protocol carried them.
+//
+// # Usage
+//
+//	var codec Codec // of the deployment's adapter
+//	r := codec.Request(header)
+//	codec.Attempt(header, call.Attempt{Server: id, Left: left})
+package call
+
+import "time"
+
+// Request is what a client says of its request.
+type Request struct {
+	ID       string        // names this attempt of the client; empty if the client sent none
+	Deadline time.Duration // how long the client waits; 0 if it did not say
+	Wait     time.Duration // how long a read may be held open for news
+	After    int           // the client holds the events of a stream up to this one; 0 for none
+}
+
+// Attempt is what one server is told beside the client's own headers.
+type Attempt struct {
+	Server   string        // only this incarnation may run the request
+	Left     time.Duration // time until the request is given up
+	After    int           // resume the stream after this event; 0 starts it
+	Resume   bool          // After is to be sent
+	Priority int           // 0 is the most urgent; NoPriority leaves it to the server
+}
+
+// NoPriority leaves the order of admission to the server.
+const NoPriority = -1
+
+// Answer is what a server says of its answer beside status and body.
+type Answer struct {
+	ID      string // the request that is answered
+	Signed  bool   // the answer bears the server's signature
+	NotRun  bool   // the server states that it did not run the request
+	Version int    // weight version that the answer begins under; 0 if none was named
+}
--- /dev/null
+++ b/internal/catalog/catalog.go
@@ -0,0 +1,222 @@
+package catalog
+
+import (
+	"log/slog"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"bulrushspoke/internal/event"
+)
+
+// lapseGrace is how long a server whose entry went missing during an outage of the store stays in use after the
+// outage: entries of live servers are back within about two seconds.
+const lapseGrace = 2 * time.Second
+
+// Catalog holds what is known. It is safe for concurrent use.
+type Catalog struct {
+	logger *slog.Logger
+	config atomic.Pointer[Config]
+	view   atomic.Pointer[view]
+
+	mu       sync.Mutex
+	servers  map[string]Server
+	lapsed   map[string]time.Time // when a missing server is given up
+	restored time.Time            // end of the last outage of the store
+	versions map[string]Version
+	changed  chan struct{}
+	known    atomic.Bool
+}
+
+// view is an immutable arrangement of the servers in use.
+type view struct {
+	byService map[string][]Server
+	byID      map[string]Server
+}
+
+// New returns an empty catalog.
+func New(logger *slog.Logger) *Catalog {
+	c := &Catalog{
+		logger:   logger,
+		servers:  make(map[string]Server),
+		lapsed:   make(map[string]time.Time),
+		versions: make(map[string]Version),
+		changed:  make(chan struct{}),
+	}
+	c.view.Store(&view{})
+	return c
+}
+
+// Config returns the newest configuration, nil if none is known.
+func (c *Catalog) Config() *Config { return c.config.Load() }
+
+// Known reports whether the list of servers has been read.
+func (c *Catalog) Known() bool { return c.known.Load() }
+
+// Servers returns the servers of a service that take new work, in order of their ids.
+func (c *Catalog) Servers(service string) []Server { return c.view.Load().byService[service] }
+
+// Server returns a server by its id, also while it is draining.
+func (c *Catalog) Server(id string) (Server, bool) {
+	s, ok := c.view.Load().byID[id]
+	return s, ok
+}
+
+// Version returns the newest version named for a model.
+func (c *Catalog) Version(model string) (Version, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	v, ok := c.versions[model]
+	return v, ok
+}
+
+// Versions returns the newest version of each model, in order of their names.
+func (c *Catalog) Versions() []Version {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l := slices.Collect(maps.Values(c.versions))
+	slices.SortFunc(l, func(a, b Version) int { return strings.Compare(a.Model, b.Model) })
+	return l
+}
+
+// Changed returns a channel that is closed at the next change.
+func (c *Catalog) Changed() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.changed
+}
+
+// signal wakes all who wait for a change; the caller holds mu.
+func (c *Catalog) signal() {
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// ApplyConfig takes a configuration if it is newer than the one held.
+func (c *Catalog) ApplyConfig(n Config) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if held := c.config.Load(); held != nil && held.Revision >= n.Revision {
+		return false
+	}
+	c.config.Store(&n)
+	c.signal()
+	event.ConfigApplied.Log(c.logger, "revision", n.Revision, "version", n.Version, "routes", len(n.Routes))
+	return true
+}
+
+// ApplyVersion takes a weight version if it is newer than the one held.
+func (c *Catalog) ApplyVersion(v Version) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if held, ok := c.versions[v.Model]; ok && held.Revision >= v.Revision {
+		return false
+	}
+	c.versions[v.Model] = v
+	c.signal()
+	event.VersionNamed.Log(c.logger, "model", v.Model, "version", v.Number, "revision", v.Revision)
+	return true
+}
+
+// Restored tells that the store answers again after an outage.
+func (c *Catalog) Restored(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.restored = now
+}
+
+// ReplaceServers takes a complete list of the servers, read at the given revision.
+func (c *Catalog) ReplaceServers(list []Server, revision int64, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	present := make(map[string]bool, len(list))
+	for _, s := range list {
+		present[s.ID] = true
+		c.put(s)
+	}
+	for id, s := range c.servers {
+		if !present[id] && s.Revision < revision {
+			c.remove(id, now)
+		}
+	}
+	c.arrange()
+	c.known.Store(true)
+}
+
+// ApplyServer takes one entry that was written.
+func (c *Catalog) ApplyServer(s Server) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.put(s)
+	c.arrange()
+}
+
+// RemoveServer takes the removal of an entry at the given revision.
+func (c *Catalog) RemoveServer(id string, revision int64, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s, ok := c.servers[id]; !ok || s.Revision > revision {
+		return
+	}
+	c.remove(id, now)
+	c.arrange()
+}
+
+func (c *Catalog) put(s Server) {
+	held, ok := c.servers[s.ID]
+	if ok && held.Revision > s.Revision {
+		return
+	}
+	delete(c.lapsed, s.ID)
+	c.servers[s.ID] = s
+	switch {
+	case !ok:
+		event.ServerKnown.Log(c.logger, "server", s.ID, "address", s.Address, "revision", s.Revision, "draining", s.Draining)
+	case held.Draining != s.Draining || held.Born != s.Born:
+		event.ServerChanged.Log(c.logger, "server", s.ID, "revision", s.Revision, "draining", s.Draining, "born", s.Born)
+	}
+}
+
+// remove takes a server out of use, at once or after the grace that follows an outage.
+func (c *Catalog) remove(id string, now time.Time) {
+	if until := c.restored.Add(lapseGrace); now.Before(until) && !c.servers[id].Draining {
+		if _, ok := c.lapsed[id]; !ok {
+			c.lapsed[id] = until
+			time.AfterFunc(until.Sub(now), func() { c.giveUp(id, until) })
+		}
+		return
+	}
+	delete(c.servers, id)
+	delete(c.lapsed, id)
+	event.ServerGone.Log(c.logger, "server", id)
+}
+
+// giveUp removes a server whose entry has not come back.
+func (c *Catalog) giveUp(id string, until time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.lapsed[id].Equal(until) {
+		return
+	}
+	delete(c.servers, id)
+	delete(c.lapsed, id)
+	event.ServerGone.Log(c.logger, "server", id, "cause", "not back after an outage of the store")
+	c.arrange()
+}
+
+// arrange publishes the servers; the caller holds mu.
+func (c *Catalog) arrange() {
+	v := &view{byService: make(map[string][]Server), byID: make(map[string]Server, len(c.servers))}
+	for _, id := range slices.Sorted(maps.Keys(c.servers)) {
+		s := c.servers[id]
+		v.byID[id] = s
+		if !s.Draining {
+			v.byService[s.Service] = append(v.byService[s.Service], s)
+		}
+	}
+	c.view.Store(v)
+	c.signal()
+}
--- /dev/null
+++ b/internal/catalog/follow.go
@@ -0,0 +1,130 @@
+package catalog
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"bulrushspoke/internal/event"
+	"bulrushspoke/internal/store"
+)
+
+// Source reads objects of the platform's store.
+type Source interface {
+	// List returns all objects of a kind and the store's revision.
+	List(ctx context.Context, kind string) ([]store.Record, int64, error)
+	// Watch returns the changes of a kind after a revision and the revision to go on from. It returns none if none came
+	// within wait.
+	Watch(ctx context.Context, kind string, after int64, wait time.Duration) ([]store.Change, int64, error)
+}
+
+// Watching bounds.
+const (
+	// watchWait is how long one watch waits for changes; the store allows 30 s.
+	watchWait = 25 * time.Second
+	// retryFirst and retryMost bound the pause after a failed call; the longest keeps the news after an outage well
+	// within the two seconds in which missing servers come back.
+	retryFirst = 100 * time.Millisecond
+	retryMost  = 500 * time.Millisecond
+	// shortestOutage is the shortest failure that counts as an outage.
+	shortestOutage = time.Second
+)
+
+// Feed is one kind of objects and what is done with them.
+type Feed struct {
+	Kind    string
+	Settle  time.Duration // pause between two watches, so that one call brings several changes
+	Replace func(list []store.Record, revision int64, now time.Time)
+	Apply   func(c store.Change, now time.Time)
+	// Restored is told that the store answers again, before the first list after an outage is handed over.
+	Restored func(now time.Time)
+}
+
+// Follow keeps a feed up to date until ctx ends.
+func Follow(ctx context.Context, s Source, f Feed, logger *slog.Logger) error {
+	w := follower{source: s, feed: f, logger: logger, after: -1}
+	for ctx.Err() == nil {
+		err := w.step(ctx)
+		if err == nil {
+			w.succeeded(time.Now())
+			if w.after >= 0 && f.Settle > 0 {
+				pause(ctx, f.Settle)
+			}
+			continue
+		}
+		var gone *store.GoneError
+		if errors.As(err, &gone) {
+			event.HistoryGone.Log(logger, "kind", f.Kind, "after", w.after)
+			w.after = -1
+			continue
+		}
+		w.failed(err, time.Now())
+		pause(ctx, w.delay)
+	}
+	return ctx.Err()
+}
+
+type follower struct {
+	source Source
+	feed   Feed
+	logger *slog.Logger
+	after  int64 // revision to watch from; negative before the first list
+	since  time.Time
+	delay  time.Duration
+}
+
+// step makes one call and hands over what it brings.
+func (w *follower) step(ctx context.Context) error {
+	if w.after < 0 {
+		list, revision, err := w.source.List(ctx, w.feed.Kind)
+		if err != nil {
+			return err
+		}
+		w.recovered(time.Now())
+		w.feed.Replace(list, revision, time.Now())
+		w.after = revision
+		return nil
+	}
+	changes, next, err := w.source.Watch(ctx, w.feed.Kind, w.after, watchWait)
+	if err != nil {
+		return err
+	}
+	w.recovered(time.Now())
+	for _, c := range changes {
+		w.feed.Apply(c, time.Now())
+	}
+	w.after = max(w.after, next)
+	return nil
+}
+
+// recovered announces the end of an outage before its news is handed over.
+func (w *follower) recovered(now time.Time) {
+	if !w.since.IsZero() && now.Sub(w.since) >= shortestOutage && w.feed.Restored != nil {
+		w.feed.Restored(now)
+	}
+}
+
+func (w *follower) succeeded(now time.Time) {
+	if !w.since.IsZero() {
+		event.FeedBack.Log(w.logger, "kind", w.feed.Kind, "after_ms", now.Sub(w.since).Milliseconds(), "revision", w.after)
+	}
+	w.since, w.delay = time.Time{}, 0
+}
+
+func (w *follower) failed(err error, now time.Time) {
+	if w.since.IsZero() {
+		w.since = now
+		event.FeedLost.Log(w.logger, "kind", w.feed.Kind, "revision", w.after, "cause", err.Error())
+	}
+	w.delay = min(max(2*w.delay, retryFirst), retryMost)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/event/daemon.go
+++ b/internal/event/daemon.go
@@ -17,4 +17,8 @@
 	OwnershipTaken     = define(2033, slog.LevelInfo, "this process is in charge of a server")
 	OwnedElsewhere     = define(2034, slog.LevelWarn, "another process is in charge of a server")
 	MessageUnknown     = define(2021, slog.LevelWarn, "message of an unknown kind ignored")
+
+	OrderGiven      = define(2050, slog.LevelInfo, "order given to the engine")
+	OrderUnanswered = define(2051, slog.LevelWarn, "order to the engine got no answer")
+	EngineUnheard   = define(2052, slog.LevelWarn, "engine does not report")
 )
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -54,6 +54,12 @@
 	Suspect = "suspect"
 	Explain = "explain"
 	Trace   = "trace"
+	Read    = "read"
+	Page    = "page"
+	End     = "end"
+	Adopt   = "adopt"
+	Owner   = "owner"
+	Replied = "replied"
 	Ping    = "ping"
 	Pong    = "pong"
 )
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -3,7 +3,7 @@
 // # Usage
 //
 //	func Run(args []string) int {
-//		return program.Main("bulrush-entry", args, func(path string) (program.Serve, error) { … })
+//		return program.Main("bulrush-entry", args, program.Loads{File: func(path string) (program.Serve, error) { … }})
 //	}
 //
 // The exit status is 0 after a graceful stop, 1 if the program cannot run, 2 for a wrong command line and 78 for invalid
@@ -53,21 +53,49 @@
 	return slog.New(slog.NewJSONHandler(w, o))
 }
 
+// Loads are the ways to get the settings.
+type Loads struct {
+	File     Load                  // from our own settings file
+	Platform func() (Serve, error) // from the platform that the process runs on; nil if the program has no such mode
+}
+
 type options struct {
-	Config string `long:"config" short:"c" required:"true" value-name:"FILE" description:"settings file"`
-	Check  bool   `long:"check" description:"check the settings and exit"`
+	Config   string `long:"config" short:"c" value-name:"FILE" description:"settings file"`
+	Platform bool   `long:"platform" description:"take the settings from the platform in place of a file"`
+	Check    bool   `long:"check" description:"check the settings and exit"`
+}
+
+// load reads the settings from where the options say.
+func (o options) load(l Loads) (Serve, error) {
+	if o.Platform {
+		return l.Platform()
+	}
+	return l.File(o.Config)
+}
+
+// validate checks that exactly one source of settings is named.
+func (o options) validate(l Loads) error {
+	switch {
+	case o.Platform && o.Config != "":
+		return errors.New("--config and --platform exclude each other")
+	case o.Platform && l.Platform == nil:
+		return errors.New("this program has no --platform mode")
+	case !o.Platform && o.Config == "":
+		return errors.New("the required flag `-c, --config' was not specified")
+	}
+	return nil
 }
 
 // Main runs the program of the given name until SIGTERM or an interrupt and returns its exit status.
-func Main(name string, args []string, load Load) int {
+func Main(name string, args []string, loads Loads) int {
 	// Signals that come during the start must not kill the process before it can stop gracefully.
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	return Run(ctx, name, args, os.Stdout, os.Stderr, load)
+	return Run(ctx, name, args, os.Stdout, os.Stderr, loads)
 }
 
 // Run runs the program of the given name until ctx ends and returns its exit status.
-func Run(ctx context.Context, name string, args []string, out, errs io.Writer, load Load) int {
+func Run(ctx context.Context, name string, args []string, out, errs io.Writer, loads Loads) int {
 	var o options
 	p := flags.NewNamedParser(name, flags.HelpFlag|flags.PassDoubleDash)
 	if _, err := p.AddGroup("Options", "", &o); err != nil {
@@ -77,10 +105,13 @@
 	if err == nil && len(rest) > 0 {
 		err = fmt.Errorf("unexpected argument %q", rest[0])
 	}
+	if err == nil {
+		err = o.validate(loads)
+	}
 	if err != nil {
 		return usage(err, out, errs)
 	}
-	serve, err := load(o.Config)
+	serve, err := o.load(loads)
 	if err != nil {
 		return fail(err, errs)
 	}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -490,6 +490,142 @@
 	Instances []Instance `json:"instances"`
 }
 
+// Hands a job over to another entry, with the texts that exist so far.
+type JobAdopt struct {
+	// Epoch of the present owner.
+	Epoch int `json:"epoch"`
+
+	// Id of the job.
+	Job string `json:"job"`
+
+	// Texts that are not listed.
+	Parts []JobPart `json:"parts"`
+}
+
+// Tells the owner that the trainer has ended a job.
+type JobEnd struct {
+	// Id of the job.
+	Job string `json:"job"`
+}
+
+// Tells the other entries who owns a job.
+type JobOwner struct {
+	// Number of owners so far.
+	Epoch int `json:"epoch"`
+
+	// Incarnation of the owner's process.
+	Inc string `json:"inc"`
+
+	// Id of the job.
+	Job string `json:"job"`
+
+	// Instance that runs the job.
+	Owner string `json:"owner"`
+}
+
+// Results of a job.
+type JobPage struct {
+	// False if the asked process does not own the job.
+	Known bool `json:"known"`
+
+	// Position after the last result.
+	Next int `json:"next"`
+
+	// Results in order of their positions.
+	Results []JobResult `json:"results"`
+
+	// Number of items.
+	Total int `json:"total"`
+}
+
+// The part of an item's text that exists so far.
+type JobPart struct {
+	// Data of the events from the first on.
+	Data []string `json:"data"`
+
+	// True if the text is whole.
+	Done bool `json:"done"`
+
+	// Id of the item.
+	Item string `json:"item"`
+
+	// Weight versions that generated the events, ascending.
+	Versions []int `json:"versions"`
+}
+
+// Asks the owner of a job for results.
+type JobRead struct {
+	// Position of the first result.
+	After int `json:"after"`
+
+	// Id of the job.
+	Job string `json:"job"`
+
+	// Milliseconds that the answer may wait for a result.
+	Wait int64 `json:"wait"`
+}
+
+// Object of the store that holds results of a job at consecutive positions.
+type JobRecord struct {
+	// Position of the first result.
+	First int `json:"first"`
+
+	// Results in order of their positions.
+	Results []JobResult `json:"results"`
+
+	// Incarnation of the process that wrote the record.
+	Writer string `json:"writer"`
+}
+
+// Answer to a request of another entry.
+type JobReply struct {
+	// True if it did what was asked.
+	Done bool `json:"done"`
+}
+
+// Outcome of one item.
+type JobResult struct {
+	// Id of the item.
+	Item string `json:"item"`
+
+	// Data of all events, separated by line feeds.
+	Text string `json:"text"`
+
+	// Weight versions that generated the text, ascending.
+	Versions []int `json:"versions"`
+
+	// True if the item was given up.
+	Void bool `json:"void"`
+}
+
+// Object of the store that stands for an accepted batch job. Whoever replaces it
+// with a higher epoch owns the job.
+type JobState struct {
+	// Time of the submission in Unix milliseconds.
+	At int64 `json:"at"`
+
+	// True once the trainer has ended the job.
+	Ended bool `json:"ended"`
+
+	// Number of owners so far.
+	Epoch int `json:"epoch"`
+
+	// Host that the job was submitted to.
+	Host string `json:"host"`
+
+	// Incarnation of the owner's process.
+	Inc string `json:"inc"`
+
+	// Instance that runs the job.
+	Owner string `json:"owner"`
+
+	// Path that the job was submitted to.
+	Path string `json:"path"`
+
+	// Number of items.
+	Total int `json:"total"`
+}
+
 // The verdict that counts for a slot.
 type Judgement struct {
 	// Identifier of the verdict.
@@ -511,6 +647,21 @@
 	Version int64 `json:"version"`
 }
 
+// Object of the store by which entries find each other.
+type Member struct {
+	// Address of the link listener, host and port.
+	Address string `json:"address"`
+
+	// Failure domain.
+	Domain string `json:"domain"`
+
+	// Incarnation of the process.
+	Inc string `json:"inc"`
+
+	// Region.
+	Region string `json:"region"`
+}
+
 // Highest revisions that the sender has seen.
 type Notice struct {
 	// Places of the daemon's engines, sent with weight targets.
