Share the engines out by model and load in turns, move items off slow servers

A watch on a silent connection held an entry's list of servers back for 14 s. Refused requests closed their connections. Items stayed on slowed servers to their end.

Change: an engine's model follows from the hash of its id, with few moves when engines come and go; engines one version behind go on serving, half of a model's engines load each version, in turns. Connections have keep-alive probes. A refused request keeps its connection, and refusals count by model. The pace of each stream is tracked, and an item at a server slower than 1.6 times the median moves.

Ruled out: choosing the model that an engine is least behind with.

--- a/daemon/internal/rollout/rollout.go
+++ b/daemon/internal/rollout/rollout.go
@@ -13,8 +13,6 @@
 import (
 	"context"
 	"log/slog"
-	"slices"
-	"strings"
 	"time"
 
 	"bulrushspoke/internal/catalog"
@@ -54,10 +52,27 @@
 	server  string // incarnation of the engine; empty if unknown
 	servers []catalog.Server
 	fence   int64
+	model   string               // that the engine is for; empty before the first decision
+	turns   map[string]scheduled // by model
+	loading *load
+	took    time.Duration // of the shortest load seen; 0 before the first
+}
+
+// scheduled is when a version is to be loaded.
+type scheduled struct {
+	version int
+	at      time.Time
+}
+
+// load is an order being carried out.
+type load struct {
+	model   string
+	version int
+	began   time.Time
 }
 
 // New returns a Rollout.
-func New(o Options) *Rollout { return &Rollout{Options: o} }
+func New(o Options) *Rollout { return &Rollout{Options: o, turns: make(map[string]scheduled)} }
 
 // Run gives orders until ctx ends.
 func (r *Rollout) Run(ctx context.Context) error {
@@ -71,7 +86,7 @@
 		}
 		wait := repair
 		if len(named) > 0 {
-			wait = r.step(ctx, named)
+			wait = r.step(ctx, named, time.Now())
 		}
 		t := time.NewTimer(wait)
 		select {
@@ -107,21 +122,10 @@
 			r.server = s.ID
 		}
 	}
-	slices.SortFunc(r.servers, func(a, b catalog.Server) int { return strings.Compare(a.ID, b.ID) })
-}
-
-// place returns this engine's rank among the engines of its service, and their number.
-func (r *Rollout) place() (int, int) {
-	for i, s := range r.servers {
-		if s.ID == r.server {
-			return i, len(r.servers)
-		}
-	}
-	return 0, len(r.servers)
 }
 
 // step gives at most one order and returns how long to wait for the next look.
-func (r *Rollout) step(ctx context.Context, named []catalog.Version) time.Duration {
+func (r *Rollout) step(ctx context.Context, named []catalog.Version, now time.Time) time.Duration {
 	report, err := r.Engine.Report(ctx)
 	if err != nil {
 		event.EngineUnheard.Log(r.Logger, "cause", err.Error())
@@ -130,17 +134,77 @@
 	if report.Busy {
 		return pollBusy
 	}
-	rank, count := r.place()
-	target, ok := choose(named, report.Versions, rank, count)
-	if !ok {
+	r.loaded(report, now)
+	if len(report.Versions) == 0 {
 		return repair
 	}
-	r.fence = max(r.fence, highest(named))
-	return r.order(ctx, target, report)
+	v := newView(named, r.servers, r.server, report.Versions)
+	r.assign(v)
+	wait := repair
+	for _, n := range named {
+		if report.Versions[n.Model] >= n.Number || !v.serves(v.self, n.Model) {
+			continue
+		}
+		if _, ok := report.Versions[n.Model]; !ok {
+			continue
+		}
+		at, ok := r.schedule(v, n, now)
+		if !ok {
+			continue
+		}
+		if left := at.Sub(now); left > 0 {
+			wait = min(wait, left)
+			continue
+		}
+		r.fence = max(r.fence, highest(named))
+		return r.order(ctx, n, report, now)
+	}
+	return wait
+}
+
+// assign notes which model the engine is for.
+func (r *Rollout) assign(v view) {
+	if m := v.model[v.self]; m != r.model {
+		event.EngineAssigned.Log(r.Logger, "model", m, "before", r.model, "engines", len(v.engines))
+		r.model = m
+	}
+}
+
+// schedule returns when this engine is to load a version; false if it leaves the version out.
+func (r *Rollout) schedule(v view, n catalog.Version, now time.Time) (time.Time, bool) {
+	if s, ok := r.turns[n.Model]; ok && s.version == n.Number {
+		return s.at, !s.at.IsZero()
+	}
+	t := v.turnFor(n.Model)
+	s := scheduled{version: n.Number}
+	if t.load {
+		took := r.took
+		if took == 0 {
+			took = firstLoad
+		}
+		s.at = now.Add(time.Duration(t.after) * took)
+	}
+	r.turns[n.Model] = s
+	return s.at, t.load
+}
+
+// loaded notes the end of a load.
+func (r *Rollout) loaded(report platform.Report, now time.Time) {
+	if r.loading == nil {
+		return
+	}
+	took := now.Sub(r.loading.began)
+	reached := report.Versions[r.loading.model]
+	event.OrderDone.Log(r.Logger, "model", r.loading.model, "ordered", r.loading.version, "version", reached,
+		"ms", took.Milliseconds())
+	if reached >= r.loading.version && (r.took == 0 || took < r.took) {
+		r.took = took
+	}
+	r.loading = nil
 }
 
 // order gives one order.
-func (r *Rollout) order(ctx context.Context, v catalog.Version, report platform.Report) time.Duration {
+func (r *Rollout) order(ctx context.Context, v catalog.Version, report platform.Report, now time.Time) time.Duration {
 	outcome, server, err := r.Engine.Load(ctx, platform.Order{
 		Server: r.server, Model: v.Model, Version: v.Number, Holder: r.Name, Fence: r.fence, Orders: report.Orders,
 	})
@@ -155,7 +219,10 @@
 	case platform.OrderMisplaced:
 		r.server = server
 		return 0
-	case platform.OrderAccepted, platform.OrderHolds:
+	case platform.OrderAccepted:
+		r.loading = &load{model: v.Model, version: v.Number, began: now}
+		return pollBusy
+	case platform.OrderHolds:
 		return pollBusy
 	default:
 		return retryOrder
--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -45,6 +45,7 @@
 	data     []string // data of the events so far
 	versions []int
 	failures int // answers of 500
+	moves    int // from slow servers
 	running  bool
 	done     bool // the outcome is known
 	listed   bool
--- a/entry/internal/batch/run.go
+++ b/entry/internal/batch/run.go
@@ -27,6 +27,11 @@
 	firstEvent = 2500 * time.Millisecond
 	// nextEvent is how long an engine may pause between two events; a change of weights takes about a second.
 	nextEvent = 2 * time.Second
+	// moveAfter is how many events an item must have made at a slow server before it moves to another, and between two
+	// looks: moving costs the reading of its prompt and text, a few milliseconds.
+	moveAfter = 4
+	// moveMost bounds the moves of one item.
+	moveMost = 6
 	// itemTime bounds one item on routes that set no time of their own.
 	itemTime = 2 * time.Minute
 )
@@ -161,7 +166,7 @@
 	if v.events > 0 {
 		took = now.Sub(began) / time.Duration(v.events)
 	}
-	j.manager.Tracker.Ended(s.ID, v.outcome, took, now)
+	j.manager.Tracker.Ended(s.ID, j.spec.Model, v.outcome, took, now)
 	j.mu.Lock()
 	it.running = false
 	total, done := len(it.data), it.done
@@ -200,14 +205,18 @@
 	resp, err := j.manager.Pool.Send(ctx, upstream.Target{Address: s.Address, Incarnation: s.ID, Conns: conns},
 		upstream.Request{Method: http.MethodPost, URI: it.Path, Host: j.host, Header: h, Body: it.Body})
 	if err != nil {
+		if ctx.Err() != nil {
+			// It waited for a slot too long.
+			return verdict{outcome: place.Refused, cause: "no event in time"}
+		}
 		return verdict{outcome: place.Broken, cause: err.Error()}
 	}
 	answer := codec.Answer(resp.StatusCode, resp.Header)
 	v := verdict{status: resp.StatusCode, version: answer.Version}
 	if resp.StatusCode == http.StatusOK && answer.ID == it.ID && answer.Signed {
-		return j.read(it, resp, watch, after, v, route)
+		return j.read(it, s, resp, watch, after, v, route)
 	}
-	resp.Abandon()
+	resp.Discard()
 	v.outcome = place.Refused
 	switch {
 	case answer.NotRun:
@@ -236,14 +245,15 @@
 
 // read takes the events of an answer until it ends.
 func (j *Job) read(
-	it *item, resp *upstream.Response, watch *time.Timer, after int, v verdict, route *catalog.Route,
+	it *item, s catalog.Server, resp *upstream.Response, watch *time.Timer, after int, v verdict, route *catalog.Route,
 ) verdict {
-	if v.version < j.spec.MinVersion {
+	// An answer without events, to an item whose last event is here already, names no version.
+	if v.version < j.spec.MinVersion && (v.version > 0 || after == 0) {
 		resp.Abandon()
 		v.outcome, v.cause = place.Refused, "the weights are too old"
 		return v
 	}
-	if after > 0 && route.SingleVersion && !j.single(it, v.version) {
+	if after > 0 && v.version > 0 && route.SingleVersion && !j.single(it, v.version) {
 		// The text begins anew under the present version.
 		j.mu.Lock()
 		it.data, it.versions = nil, nil
@@ -254,6 +264,7 @@
 	}
 	in := events.NewReader(resp.Body, platform.Headers{}.VersionLine())
 	version := v.version
+	var last time.Time // when the newest event came
 	for {
 		e, err := in.Next()
 		if errors.Is(err, io.EOF) {
@@ -271,6 +282,7 @@
 			v.outcome, v.cause = place.Broken, err.Error()
 			return v
 		}
+		now := time.Now()
 		watch.Reset(nextEvent)
 		if e.Version > 0 {
 			version = e.Version
@@ -294,6 +306,10 @@
 		}
 		after++
 		v.events++
+		if !last.IsZero() {
+			j.manager.Tracker.Paced(s.ID, now.Sub(last), now)
+		}
+		last = now
 		j.mu.Lock()
 		it.data = append(it.data, e.Data)
 		if !slices.Contains(it.versions, version) {
@@ -301,7 +317,35 @@
 			slices.Sort(it.versions)
 		}
 		j.mu.Unlock()
+		if v.events%moveAfter == 0 && j.movable(it, s, now) {
+			resp.Abandon()
+			v.outcome, v.cause = place.Answered, causeMoved
+			return v
+		}
+	}
+}
+
+const causeMoved = "the server is slow; the item moves"
+
+// movable reports whether an item is to go on at a faster server. It answers a load in which a few slowed servers hold
+// the last items of a step while others have free slots.
+func (j *Job) movable(it *item, s catalog.Server, now time.Time) bool {
+	if !j.manager.Tracker.Slow(s.ID, now) {
+		return false
+	}
+	_, ok := j.manager.Tracker.Pick(now, j.manager.Catalog.Servers(s.Service), place.Need{
+		Model: j.spec.Model, MinVersion: j.spec.MinVersion, Room: true, Fast: true, Tried: map[string]bool{s.ID: true},
+	})
+	if !ok {
+		return false
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if it.moves >= moveMost {
+		return false
 	}
+	it.moves++
+	return true
 }
 
 // single reports whether an item's text has been made by the given version only.
--- a/entry/internal/ingress/forward.go
+++ b/entry/internal/ingress/forward.go
@@ -168,15 +168,15 @@
 	now := time.Now()
 	switch {
 	case q.http.Context().Err() != nil:
-		g.Tracker.Ended(s.ID, place.Abandoned, 0, now)
+		g.Tracker.Ended(s.ID, "", place.Abandoned, 0, now)
 	case a.outcome == notRun:
-		g.Tracker.Ended(s.ID, place.Refused, 0, now)
+		g.Tracker.Ended(s.ID, "", place.Refused, 0, now)
 	case a.outcome == lost:
-		g.Tracker.Ended(s.ID, place.Broken, 0, now)
+		g.Tracker.Ended(s.ID, "", place.Broken, 0, now)
 	case ctx.Err() != nil:
-		g.Tracker.Ended(s.ID, place.Abandoned, 0, now)
+		g.Tracker.Ended(s.ID, "", place.Abandoned, 0, now)
 	default:
-		g.Tracker.Ended(s.ID, place.Answered, now.Sub(began), now)
+		g.Tracker.Ended(s.ID, "", place.Answered, now.Sub(began), now)
 	}
 }
 
@@ -205,7 +205,7 @@
 	answer := g.headers.Answer(resp.StatusCode, resp.Header)
 	switch {
 	case answer.NotRun:
-		resp.Abandon()
+		resp.Discard()
 		return attempt{outcome: notRun, cause: "the server refused: " + strconv.Itoa(resp.StatusCode)}
 	case answer.ID != q.ID:
 		resp.Abandon()
--- a/entry/internal/place/place.go
+++ b/entry/internal/place/place.go
@@ -14,6 +14,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,11 +29,20 @@
 	// crossDomain and crossRegion are added for a server farther away; they stand for the transfer and its price.
 	crossDomain = 2 * time.Millisecond
 	crossRegion = 60 * time.Millisecond
-	// turnedAway is how long a server that refused for lack of room is passed over.
-	turnedAway = 150 * time.Millisecond
+	// turnedAway is how long a server that refused work for a model is passed over for that model, doubled with each
+	// refusal in a row: a full queue takes a fraction of a second to drain, a change of weights a second and more.
+	turnedAway     = 100 * time.Millisecond
+	turnedAwayMost = 400 * time.Millisecond
 	// failing is how long a server that broke a connection is passed over, doubled with each failure in a row.
 	failing     = 300 * time.Millisecond
 	failingMost = 3 * time.Second
+	// paceTime is how long the pace of a server is believed without a new event.
+	paceTime = 3 * time.Second
+	// paceLeast is how many servers must have a pace before one counts as slow.
+	paceLeast = 3
+	// slowFactor is how many times slower than the median a slow server is; neighbours on an engine make less of a
+	// difference.
+	slowFactor = 1.6
 	// forget is how long an unused server is remembered.
 	forget = time.Minute
 )
@@ -50,6 +60,7 @@
 	MinVersion int    // oldest weight version allowed
 	Tried      map[string]bool
 	Room       bool // only servers with a free slot as far as this process knows
+	Fast       bool // only servers that are not slow
 }
 
 // Outcome is how an attempt ended.
@@ -77,9 +88,18 @@
 	time     time.Duration // moving average of one request's time
 	avoid    time.Time     // passed over until then
 	failures int           // in a row
+	refusals map[string]refusal
+	pace     time.Duration // moving average of the time between two events of a stream; 0 if none was seen
+	paced    time.Time     // when it was last updated
 	last     time.Time
 }
 
+// refusal is the newest refusal of work for a model.
+type refusal struct {
+	until time.Time
+	count int // in a row
+}
+
 // New returns a Tracker that knows no server yet.
 func New(h Home, random *rand.Rand) *Tracker {
 	return &Tracker{home: h, random: random, state: make(map[string]*state)}
@@ -97,11 +117,14 @@
 			continue
 		}
 		st := t.state[s.ID]
-		avoided := st != nil && now.Before(st.avoid)
+		avoided := st != nil && (now.Before(st.avoid) || now.Before(st.refusals[n.Model].until))
 		if n.Room && (avoided || st != nil && st.inflight >= s.Slots) {
 			continue
 		}
-		cost := t.cost(s, st)
+		if n.Fast && t.slow(st, now) {
+			continue
+		}
+		cost := t.cost(now, s, st)
 		if avoided {
 			if second < 0 || cost < secondCost {
 				second, secondCost = i, cost
@@ -131,11 +154,14 @@
 }
 
 // cost estimates the wait for an answer in seconds, with a small random part that spreads equal servers.
-func (t *Tracker) cost(s catalog.Server, st *state) float64 {
+func (t *Tracker) cost(now time.Time, s catalog.Server, st *state) float64 {
 	own, inflight := firstTime, 0
 	if st != nil {
 		inflight = st.inflight
-		if st.time > 0 {
+		switch {
+		case st.pace > 0 && now.Sub(st.paced) < paceTime:
+			own = st.pace
+		case st.time > 0:
 			own = st.time
 		}
 	}
@@ -165,8 +191,8 @@
 	s.last = now
 }
 
-// Ended tells how an attempt ended and how long it took; a time of 0 says nothing of the server's speed.
-func (t *Tracker) Ended(id string, o Outcome, took time.Duration, now time.Time) {
+// Ended tells how an attempt for a model ended and how long it took; a time of 0 says nothing of the server's speed.
+func (t *Tracker) Ended(id, model string, o Outcome, took time.Duration, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.state[id]
@@ -178,6 +204,7 @@
 	case Answered:
 		s.failures = 0
 		s.avoid = time.Time{}
+		delete(s.refusals, model)
 		if took > 0 {
 			if s.time == 0 {
 				s.time = took
@@ -185,13 +212,61 @@
 			s.time += time.Duration(smoothing * float64(took-s.time))
 		}
 	case Refused:
-		s.avoid = now.Add(turnedAway)
+		r := s.refusals[model]
+		if now.Before(r.until) {
+			return // requests that were sent together count once
+		}
+		r.until = now.Add(min(turnedAway<<min(r.count, 8), turnedAwayMost))
+		r.count++
+		if s.refusals == nil {
+			s.refusals = make(map[string]refusal)
+		}
+		s.refusals[model] = r
 	case Broken:
 		s.failures++
 		s.avoid = now.Add(min(failing<<min(s.failures-1, 8), failingMost))
 	}
 }
 
+// Paced tells the time between two events that a server made for one stream.
+func (t *Tracker) Paced(id string, gap time.Duration, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.state[id]
+	if s == nil {
+		return
+	}
+	if s.pace == 0 || now.Sub(s.paced) > paceTime {
+		s.pace = gap
+	}
+	s.pace += time.Duration(smoothing * float64(gap-s.pace))
+	s.paced = now
+}
+
+// Slow reports whether a server makes events much slower than most others at present.
+func (t *Tracker) Slow(id string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.slow(t.state[id], now)
+}
+
+func (t *Tracker) slow(s *state, now time.Time) bool {
+	if s == nil || s.pace == 0 || now.Sub(s.paced) > paceTime {
+		return false
+	}
+	var paces []time.Duration
+	for _, o := range t.state {
+		if o.pace > 0 && now.Sub(o.paced) <= paceTime {
+			paces = append(paces, o.pace)
+		}
+	}
+	if len(paces) < paceLeast {
+		return false
+	}
+	slices.Sort(paces)
+	return float64(s.pace) > slowFactor*float64(paces[(len(paces)-1)/2])
+}
+
 // Inflight returns the attempts in progress at a server.
 func (t *Tracker) Inflight(id string) int {
 	t.mu.Lock()
--- a/internal/event/daemon.go
+++ b/internal/event/daemon.go
@@ -20,5 +20,7 @@
 
 	OrderGiven      = define(2050, slog.LevelInfo, "order given to the engine")
 	OrderUnanswered = define(2051, slog.LevelWarn, "order to the engine got no answer")
+	OrderDone       = define(2053, slog.LevelInfo, "engine has carried an order out")
+	EngineAssigned  = define(2054, slog.LevelInfo, "engine is for another model")
 	EngineUnheard   = define(2052, slog.LevelWarn, "engine does not report")
 )
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -15,6 +15,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -142,6 +143,10 @@
 	waits   map[uint64]chan Frame
 }
 
+// probes ends a link whose peer has gone silent, after about three seconds: the idle probe of the protocol is slower, since
+// it costs messages.
+var probes = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
+
 func newConn(socket *websocket.Conn, peer wire.Hello, handler Handler, logger *slog.Logger) *Conn {
 	c := &Conn{
 		socket:  socket,
@@ -154,6 +159,10 @@
 		waits:   make(map[uint64]chan Frame),
 	}
 	c.last.Store(time.Now().UnixNano())
+	if t, ok := socket.NetConn().(*net.TCPConn); ok {
+		// Without probes a silent peer shows later, at the next message.
+		_ = t.SetKeepAliveConfig(probes)
+	}
 	return c
 }
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -36,6 +36,11 @@
 	keepDefault = 2 * time.Second
 	// userTimeout ends a connection whose data the peer does not acknowledge.
 	userTimeout = 2 * time.Second
+	// probeAfter, probeEvery and probeCount end a connection on which the peer has gone silent although nothing is to be
+	// sent, such as that of a watch: after about two seconds.
+	probeAfter = time.Second
+	probeEvery = 500 * time.Millisecond
+	probeCount = 2
 	// sweepPeriod is the time between two looks at expired idle connections.
 	sweepPeriod = time.Second
 )
@@ -158,6 +163,16 @@
 	r.pool.drop(r.conn)
 }
 
+// Discard reads what is left of a short answer, so that the connection can be used again, and closes the answer.
+func (r *Response) Discard() {
+	const short = 16 << 10 // a longer rest costs more than a new connection
+	if r.Framed() && r.ContentLength <= short {
+		// An error shows in Close.
+		_, _ = io.CopyN(io.Discard, r.Body, short)
+	}
+	r.Close()
+}
+
 // Abandon closes the connection, which makes the server stop working on the request.
 func (r *Response) Abandon() {
 	if r.done {
@@ -179,17 +194,25 @@
 	if err != nil {
 		stop()
 		p.drop(c)
-		return nil, &Error{cause: err, sent: wrote, reset: broken(err)}
+		return nil, &Error{cause: given(ctx, err), sent: wrote, reset: broken(err)}
 	}
 	resp, err := readHead(c.reader, q.Method)
 	if err != nil {
 		stop()
 		p.drop(c)
-		return nil, &Error{cause: err, sent: true, reset: broken(err)}
+		return nil, &Error{cause: given(ctx, err), sent: true, reset: broken(err)}
 	}
 	return &Response{Response: resp, pool: p, conn: c, stop: stop}, nil
 }
 
+// given returns the reason for which this process closed the connection, if it did, in place of the error that followed.
+func given(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	return err
+}
+
 // readHead reads the head of the final answer.
 func readHead(r *bufio.Reader, method string) (*http.Response, error) {
 	for {
@@ -280,7 +303,9 @@
 	h.open++
 	p.dials++
 	p.mu.Unlock()
-	d := net.Dialer{Timeout: p.limits.Dial, Control: control}
+	d := net.Dialer{Timeout: p.limits.Dial, Control: control, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: probeAfter, Interval: probeEvery, Count: probeCount,
+	}}
 	nc, err := d.DialContext(ctx, "tcp4", t.Address)
 	if err != nil {
 		p.mu.Lock()
