Reach the store through another entry, and pass news of servers on

Change: a call without an answer is made by a linked entry. One entry reads the server list at short intervals and tells the others, which watch it once a second.

--- a/entry/internal/cli/platform.go
+++ b/entry/internal/cli/platform.go
@@ -25,6 +25,7 @@
 	"bulrushspoke/entry/internal/member"
 	"bulrushspoke/entry/internal/peer"
 	"bulrushspoke/entry/internal/place"
+	"bulrushspoke/entry/internal/relay"
 	"bulrushspoke/entry/internal/retire"
 	"bulrushspoke/internal/catalog"
 	"bulrushspoke/internal/event"
@@ -48,9 +49,8 @@
 	dialTimeout = 1200 * time.Millisecond
 	// idleMost bounds idle connections to servers; each takes a descriptor and two small buffers.
 	idleMost = 256
-	// settleServers collects changes of the server list into one watch; far below the time in which a leaving server
-	// must get no more requests.
-	settleServers = 200 * time.Millisecond
+	// collectPercent makes the garbage collector run early: the process allocates little, and memory is dear.
+	collectPercent = 40
 	// memoryShare is the part of the instance's memory that the garbage collector keeps the process within.
 	memoryShare = 0.7
 	// bodyShare is the part of it that bodies in progress, and as much again that open jobs, may take.
@@ -101,6 +101,7 @@
 // servePlatform runs the program until ctx ends.
 func servePlatform(ctx context.Context, s node.Settings) error {
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory)))
+	debug.SetGCPercent(collectPercent)
 	lines := linelog.New(os.Stdout)
 	defer lines.Close()
 	p := &onPlatform{
@@ -176,8 +177,10 @@
 	p.peers = peer.New(s.Name, identity, func() wire.Config { return wire.Config{} }, func(wire.Notice) {}, peer.Options{
 		Ack: time.Second, Resume: time.Second, Redial: redialMost,
 	}, &random{r: rand.New(rand.NewChaCha8(draw(source)))}, p.logger)
+	objects := relay.New(p.store, p.peers, p.logger)
+	objects.Register(p.peers)
 	p.batch = batch.New(life, batch.Options{
-		Self: self, Name: s.Name, Store: p.store, Peers: p.peers, Catalog: p.catalog, Pool: pool, Tracker: tracker,
+		Self: self, Name: s.Name, Store: objects, Peers: p.peers, Catalog: p.catalog, Pool: pool, Tracker: tracker,
 		Keep: s.Bounds.Status, Value: s.Store.Value, Memory: int64(bodyShare * float64(s.Memory)), Logger: p.logger,
 	})
 	p.batch.Register(p.peers)
@@ -209,17 +212,14 @@
 	})
 	p.task("entries", p.peers.Serve)
 	p.task("membership", member.New(s.Name, self, p.store, p.peers, p.logger).Run)
-	p.follow(catalog.Feed{Kind: platform.KindConfig}, p.catalogFeed())
-	p.follow(catalog.Feed{Kind: platform.KindServers, Settle: settleServers}, p.catalogFeed())
+	feeder := platform.NewFeeder(p.catalog, p.logger)
+	p.follow(objects, feeder.Fill(catalog.Feed{Kind: platform.KindConfig}))
+	p.follow(objects, relay.Spread(feeder.Fill(catalog.Feed{Kind: platform.KindServers}), s.Name, p.peers))
 	return nil
 }
 
-// catalogFeed hands the objects of the platform's store to the catalog.
-func (p *onPlatform) catalogFeed() *platform.Feeder { return platform.NewFeeder(p.catalog, p.logger) }
-
-func (p *onPlatform) follow(f catalog.Feed, feeder *platform.Feeder) {
-	f = feeder.Fill(f)
-	p.task("news of "+f.Kind, func(ctx context.Context) error { return catalog.Follow(ctx, p.store, f, p.logger) })
+func (p *onPlatform) follow(s catalog.Source, f catalog.Feed) {
+	p.task("news of "+f.Kind, func(ctx context.Context) error { return catalog.Follow(ctx, s, f, p.logger) })
 }
 
 func (p *onPlatform) task(name string, f func(context.Context) error) {
--- a/internal/catalog/follow.go
+++ b/internal/catalog/follow.go
@@ -34,7 +34,7 @@
 // Feed is one kind of objects and what is done with them.
 type Feed struct {
 	Kind    string
-	Settle  time.Duration // pause between two watches, so that one call brings several changes
+	Settle  func() time.Duration // pause between two watches, so that one call brings several changes; may be nil
 	Replace func(list []store.Record, revision int64, now time.Time)
 	Apply   func(c store.Change, now time.Time)
 	// Restored is told that the store answers again, before the first list after an outage is handed over.
@@ -48,8 +48,8 @@
 		err := w.step(ctx)
 		if err == nil {
 			w.succeeded(time.Now())
-			if w.after >= 0 && f.Settle > 0 {
-				pause(ctx, f.Settle)
+			if w.after >= 0 && f.Settle != nil {
+				pause(ctx, f.Settle())
 			}
 			continue
 		}
--- a/internal/event/shared.go
+++ b/internal/event/shared.go
@@ -18,6 +18,7 @@
 	StoreDown     = define(120, slog.LevelWarn, "object store does not answer")
 	StoreBack     = define(121, slog.LevelInfo, "object store answers again")
 	StoreReadBack = define(122, slog.LevelInfo, "lost store answer resolved by reading back")
+	StoreRelayed  = define(123, slog.LevelInfo, "object store reached through another entry")
 	VersionNamed  = define(130, slog.LevelInfo, "weight version named")
 	ServerKnown   = define(131, slog.LevelInfo, "server became known")
 	ServerChanged = define(132, slog.LevelInfo, "server changed its state or incarnation")
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -61,6 +61,9 @@
 	Adopt   = "adopt"
 	Owner   = "owner"
 	Replied = "replied"
+	Store   = "store"
+	Stored  = "stored"
+	News    = "news"
 	Ping    = "ping"
 	Pong    = "pong"
 )
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -662,6 +662,27 @@
 	Region string `json:"region"`
 }
 
+// A weight version that was named, as daemons tell each other.
+type Naming struct {
+	// Model.
+	Model string `json:"model"`
+
+	// Revision of the object in the store.
+	Rev int64 `json:"rev"`
+
+	// Weight version.
+	Version int `json:"version"`
+}
+
+// Changes of the store that an entry has read.
+type News struct {
+	// Kind of the objects.
+	Kind string `json:"kind"`
+
+	// Changed objects.
+	Records []StoreRecord `json:"records"`
+}
+
 // Highest revisions that the sender has seen.
 type Notice struct {
 	// Places of the daemon's engines, sent with weight targets.
@@ -1073,6 +1094,60 @@
 	Version int64 `json:"version"`
 }
 
+// Asks another entry to make a call to the store, which this one cannot reach.
+type StoreCall struct {
+	// Kind of the objects.
+	Kind string `json:"kind"`
+
+	// Name of the object.
+	Name string `json:"name"`
+
+	// One of get, create, update, list and watch.
+	Op string `json:"op"`
+
+	// Revision that the object must be at, or that a watch begins after.
+	Rev int64 `json:"rev"`
+
+	// New spec.
+	Spec []byte `json:"spec"`
+
+	// Milliseconds that a watch may wait.
+	Wait int64 `json:"wait"`
+}
+
+// An object of the store as one entry passes it on to another.
+type StoreRecord struct {
+	// True if the object was removed.
+	Gone bool `json:"gone"`
+
+	// Name of the object.
+	Name string `json:"name"`
+
+	// Revision of its last change.
+	Rev int64 `json:"rev"`
+
+	// What its owner asks for.
+	Spec []byte `json:"spec"`
+
+	// What was reached.
+	Status []byte `json:"status"`
+}
+
+// Outcome of a call to the store made for another entry.
+type StoreReply struct {
+	// Empty on success, else one of absent, conflict, gone, down and unknown.
+	Code string `json:"code"`
+
+	// Objects read, or the one that won a conflict.
+	Records []StoreRecord `json:"records"`
+
+	// Revision of the object or of the store.
+	Rev int64 `json:"rev"`
+
+	// Cause of a failure.
+	Text string `json:"text"`
+}
+
 // A content fingerprint that may crash engines.
 type Suspect struct {
 	// Crashes seen; 0 clears the suspicion.
