Let daemons tell each other of named versions

Cause: 46 daemons that each watch the versions made a quarter of the calls to the store on the grown sites.

Change: the daemons of the first two engines watch and tell the others by datagram; the others read a stale list every 2.5 s in case one is lost.

--- a/daemon/internal/cli/platform.go
+++ b/daemon/internal/cli/platform.go
@@ -4,14 +4,17 @@
 	"context"
 	"io"
 	"log/slog"
+	"net"
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strconv"
 	"syscall"
 	"time"
 
 	"github.com/oklog/ulid/v2"
 
+	"bulrushspoke/daemon/internal/naming"
 	"bulrushspoke/daemon/internal/rollout"
 	"bulrushspoke/internal/catalog"
 	"bulrushspoke/internal/event"
@@ -24,6 +27,8 @@
 )
 
 const (
+	// secretEnv names the environment variable with the secret that daemons prove to each other.
+	secretEnv = "BULRUSHSPOKE_SECRET"
 	// storeTimeout bounds a call to the platform's store, which answers in 4 ms and in a quarter of a second when slow.
 	storeTimeout = time.Second
 	// engineTimeout bounds a call to the engine on the same instance.
@@ -59,15 +64,19 @@
 	objects := platform.NewStore(s.Store.Address, storeTimeout, pool, logger)
 	known := catalog.New(logger)
 	feed := platform.NewFeeder(known, logger).Fill(catalog.Feed{Kind: platform.KindVersions})
+	servers := func(ctx context.Context) ([]catalog.Server, error) { return objects.Servers(ctx, logger) }
 	r := rollout.New(rollout.Options{
 		Name: s.Name, Address: s.Engine, Service: s.Service, Catalog: known, Logger: logger,
 		Engine:  platform.NewEngine(s.Engine, engineTimeout, pool),
-		Servers: func(ctx context.Context) ([]catalog.Server, error) { return objects.Servers(ctx, logger) },
+		Servers: servers,
 	})
 	tree := supervise.New("daemon", logger)
-	tree.Add(supervise.Task("news of versions", func(ctx context.Context) error {
-		return catalog.Follow(ctx, objects, feed, logger)
-	}))
+	n := naming.New(naming.Options{
+		Address: s.Engine, Service: s.Service, Port: s.Ports.First, Secret: []byte(os.Getenv(secretEnv)),
+		Listen: net.JoinHostPort(s.IP, strconv.Itoa(s.Ports.First)),
+		Feed:   feed, Source: objects, Catalog: known, Servers: servers, Logger: logger,
+	})
+	tree.Add(supervise.Task("naming", n.Run))
 	tree.Add(supervise.Task("rollout", r.Run))
 	go ignoreHangup(ctx, logger)
 	event.Started.Log(logger, "inc", ulid.Make().String(), "role", s.Role, "engine", s.Engine)
--- a/internal/event/daemon.go
+++ b/internal/event/daemon.go
@@ -22,5 +22,7 @@
 	OrderUnanswered = define(2051, slog.LevelWarn, "order to the engine got no answer")
 	OrderDone       = define(2053, slog.LevelInfo, "engine has carried an order out")
 	EngineAssigned  = define(2054, slog.LevelInfo, "engine is for another model")
+	NamingRole      = define(2055, slog.LevelInfo, "daemon begins or ceases to watch the named versions")
+	DatagramFailed  = define(2056, slog.LevelWarn, "datagram to or from another daemon failed")
 	EngineUnheard   = define(2052, slog.LevelWarn, "engine does not report")
 )
