Load weights in quiet moments of a step

Cause: half of a model's engines loaded at the beginning of each step, just when its items need every slot.

Change: an engine one version behind loads while at most 60% of its slots are taken, a second or more after the naming, in rounds; one further behind loads at once. Each attempt of an item logs its length hint.

--- a/daemon/internal/rollout/choose.go
+++ b/daemon/internal/rollout/choose.go
@@ -112,36 +112,35 @@
 // turn says when an engine loads the newest version of a model.
 type turn struct {
 	load  bool
-	after int // loads that come before, in rounds
+	quiet bool // only while the engine has little to do
+	after int  // rounds of loads that come before
 }
 
 // turnFor returns this engine's turn for the newest version of a model.
 //
-// It answers a load in which trainers name versions faster than the weight store can bring them to every engine. A step
-// allows the version before its own, so an engine that is one version behind goes on serving. Those further behind load
-// at once; of the others so many that half of the model's engines load. They take turns, since loads slow each other
-// down.
+// It answers a load in which trainers name versions faster than the weight store can bring them to all engines at once,
+// and in which a step needs every engine when it begins and few at its end. A step allows the version before its own. So
+// an engine that is further behind loads at once, since no step takes it any more. One that is a single version behind
+// goes on serving, and loads while the last items of the step run elsewhere, in rounds that the weight store has room
+// for; it is ready when the next step begins.
 func (v view) turnFor(model string) turn {
-	var must, may []string
-	group := 0
+	var may []string
 	for _, e := range v.engines {
 		if !v.serves(e.ID, model) {
 			continue
 		}
-		group++
-		switch b := v.behind(e, model); {
-		case b > skip:
-			must = append(must, e.ID)
-		case b > 0:
+		b := v.behind(e, model)
+		if e.ID == v.self && b > skip {
+			return turn{load: true}
+		}
+		if b == skip {
 			may = append(may, e.ID)
 		}
 	}
-	quota := min(max((group+1)/2-len(must), 0), len(may))
-	loaders := append(must, may[:quota]...)
-	i := slices.Index(loaders, v.self)
+	i := slices.Index(may, v.self)
 	if i < 0 {
 		return turn{}
 	}
 	atOnce := max(len(v.engines)/perLoad/max(len(v.models), 1), 1)
-	return turn{load: true, after: i / atOnce}
+	return turn{load: true, quiet: true, after: i / atOnce}
 }
--- a/daemon/internal/rollout/rollout.go
+++ b/daemon/internal/rollout/rollout.go
@@ -25,6 +25,13 @@
 	pollBusy = 150 * time.Millisecond
 	// retryOrder is the pause after an order or report without an answer.
 	retryOrder = 400 * time.Millisecond
+	// pollQuiet is the time between two reports while a load waits for a quiet moment.
+	pollQuiet = 250 * time.Millisecond
+	// quietAfter is the earliest time after the naming of a version at which an engine that may still serve loads it: a
+	// step begins at its naming and needs all engines for its first items.
+	quietAfter = time.Second
+	// quietShare is the part of an engine's slots that may be taken in a quiet moment.
+	quietShare = 0.6
 	// repair is the time between two checks that the engine still has its versions: an engine may be replaced.
 	repair = 5 * time.Second
 )
@@ -62,6 +69,7 @@
 type scheduled struct {
 	version int
 	at      time.Time
+	quiet   bool // not before the engine has little to do
 }
 
 // load is an order being carried out.
@@ -148,14 +156,18 @@
 		if _, ok := report.Versions[n.Model]; !ok {
 			continue
 		}
-		at, ok := r.schedule(v, n, now)
+		planned, ok := r.schedule(v, n, now)
 		if !ok {
 			continue
 		}
-		if left := at.Sub(now); left > 0 {
+		if left := planned.at.Sub(now); left > 0 {
 			wait = min(wait, left)
 			continue
 		}
+		if planned.quiet && !r.quiet(report) {
+			wait = min(wait, pollQuiet)
+			continue
+		}
 		r.fence = max(r.fence, highest(named))
 		return r.order(ctx, n, report, now)
 	}
@@ -170,22 +182,36 @@
 	}
 }
 
+// quiet reports whether the engine has little to do.
+func (r *Rollout) quiet(report platform.Report) bool {
+	slots := 0
+	for _, s := range r.servers {
+		if s.ID == r.server {
+			slots = s.Slots
+		}
+	}
+	return report.Waiting == 0 && float64(report.Running) <= quietShare*float64(slots)
+}
+
 // schedule returns when this engine is to load a version; false if it leaves the version out.
-func (r *Rollout) schedule(v view, n catalog.Version, now time.Time) (time.Time, bool) {
+func (r *Rollout) schedule(v view, n catalog.Version, now time.Time) (scheduled, bool) {
 	if s, ok := r.turns[n.Model]; ok && s.version == n.Number {
-		return s.at, !s.at.IsZero()
+		return s, !s.at.IsZero()
 	}
 	t := v.turnFor(n.Model)
-	s := scheduled{version: n.Number}
+	s := scheduled{version: n.Number, quiet: t.quiet}
 	if t.load {
 		took := r.took
 		if took == 0 {
 			took = firstLoad
 		}
 		s.at = now.Add(time.Duration(t.after) * took)
+		if t.quiet {
+			s.at = s.at.Add(quietAfter)
+		}
 	}
 	r.turns[n.Model] = s
-	return s.at, t.load
+	return s, t.load
 }
 
 // loaded notes the end of a load.
--- a/entry/internal/batch/run.go
+++ b/entry/internal/batch/run.go
@@ -172,7 +172,7 @@
 	total, done := len(it.data), it.done
 	j.mu.Unlock()
 	event.ItemAttempt.Log(j.manager.Logger, "job", j.spec.ID, "request", it.ID, "server", s.ID, "status", v.status,
-		"cause", v.cause, "events", v.events, "total", total, "done", done, "version", v.version, "min", j.spec.MinVersion,
+		"cause", v.cause, "hint", it.hint, "events", v.events, "total", total, "done", done, "version", v.version, "min", j.spec.MinVersion,
 		"ms", now.Sub(began).Milliseconds())
 }
 
