--- /dev/null
+++ b/daemon/internal/rollout/rollout_test.go
@@ -0,0 +1,229 @@
+package rollout
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"slices"
+	"testing"
+	"time"
+
+	"bulrushspoke/internal/catalog"
+	"bulrushspoke/platform"
+)
+
+var start = time.Date(2026, 6, 1, 12, 0, 0, 0, time.UTC)
+
+func engines(n int, versions map[string]int) []catalog.Server {
+	var l []catalog.Server
+	for i := range n {
+		l = append(l, catalog.Server{
+			ID: fmt.Sprintf("i-%x", i*7919+13), Service: "v", Address: fmt.Sprintf("10.0.0.%d:80", i), Slots: 8,
+			Versions: versions,
+		})
+	}
+	return l
+}
+
+// Guards against a model without engines, and against engines that change their model, and so their weights, whenever
+// another one comes or goes.
+func TestAssign(t *testing.T) {
+	for _, n := range []int{4, 11, 12, 49, 300} {
+		for _, models := range [][]string{{"a", "b"}, {"a", "b", "c"}} {
+			l := engines(n, nil)
+			before := assign(l, models)
+			count := make(map[string]int)
+			for _, m := range before {
+				count[m]++
+			}
+			for _, m := range models {
+				if even := n / len(models); count[m] < even || count[m] > even+1 {
+					t.Errorf("%d engines, %d models: %s has %d", n, len(models), m, count[m])
+				}
+			}
+			after := assign(l[1:], models)
+			moved := 0
+			for id, m := range after {
+				if before[id] != m {
+					moved++
+				}
+			}
+			if moved > len(models) {
+				t.Errorf("%d engines, %d models: %d changed their model when one left", n, len(models), moved)
+			}
+			shuffled := slices.Clone(l)
+			slices.Reverse(shuffled)
+			for id, m := range assign(shuffled, models) {
+				if before[id] != m {
+					t.Fatal("the order of the list decides")
+				}
+			}
+		}
+	}
+}
+
+// Plays the naming of a version: engines that no step takes any more load at once, those that still serve take turns.
+func TestTurns(t *testing.T) {
+	const n = 10
+	named := []catalog.Version{{Model: "m", Number: 5, Revision: 9}}
+	l := engines(n, map[string]int{"m": 4})
+	for i := range 3 {
+		l[i].Versions = map[string]int{"m": 3}
+	}
+	l[3].Versions = map[string]int{"m": 5}
+	rounds := make(map[int]int)
+	for i, e := range l {
+		turn := newView(named, l, e.ID, e.Versions).turnFor("m")
+		switch {
+		case i < 3 && (!turn.load || turn.quiet || turn.after != 0):
+			t.Errorf("an engine two versions behind has turn %+v", turn)
+		case i == 3 && turn.load:
+			t.Error("an engine that has the version loads it")
+		case i > 3 && (!turn.load || !turn.quiet):
+			t.Errorf("an engine that still serves has turn %+v", turn)
+		case i > 3:
+			rounds[turn.after]++
+		}
+	}
+	for round, count := range rounds {
+		if count > n/perLoad {
+			t.Errorf("%d engines load in round %d, the store bears %d", count, round, n/perLoad)
+		}
+	}
+}
+
+// fakeEngine carries orders out after some reports.
+type fakeEngine struct {
+	report platform.Report
+	orders []platform.Order
+	answer platform.Outcome
+	lost   int // orders whose answer is lost
+	late   []platform.Order
+}
+
+var errLost = fmt.Errorf("no answer")
+
+func (e *fakeEngine) Report(context.Context) (platform.Report, error) {
+	r := e.report
+	r.Versions = make(map[string]int)
+	for m, v := range e.report.Versions {
+		r.Versions[m] = v
+	}
+	return r, nil
+}
+
+func (e *fakeEngine) Load(_ context.Context, o platform.Order) (platform.Outcome, string, error) {
+	e.orders = append(e.orders, o)
+	if e.lost > 0 {
+		e.lost--
+		e.late = append(e.late, o)
+		return 0, "", errLost
+	}
+	if e.answer != platform.OrderAccepted {
+		a := e.answer
+		e.answer = platform.OrderAccepted
+		return a, "i-new", nil
+	}
+	e.carryOut(o)
+	return platform.OrderAccepted, "", nil
+}
+
+func (e *fakeEngine) carryOut(o platform.Order) {
+	if o.Orders != e.report.Orders {
+		return
+	}
+	e.report.Orders++
+	e.report.Versions[o.Model] = o.Version
+}
+
+func newRollout(e *fakeEngine, n int) (*Rollout, *catalog.Catalog) {
+	c := catalog.New(slog.New(slog.DiscardHandler))
+	l := engines(n, map[string]int{"m": 1})
+	r := New(Options{
+		Name: "d", Address: l[0].Address, Service: "v", Engine: e, Catalog: c, Logger: slog.New(slog.DiscardHandler),
+		Servers: func(context.Context) ([]catalog.Server, error) { return l, nil },
+	})
+	return r, c
+}
+
+// Guards against fencing tokens that fall, orders without the condition that makes late ones harmless, and a version that
+// is not brought after its order was lost.
+func TestOrders(t *testing.T) {
+	e := &fakeEngine{report: platform.Report{Versions: map[string]int{"m": 1}}, lost: 1, answer: platform.OrderAccepted}
+	r, c := newRollout(e, 1)
+	now := start
+	for i := 2; i <= 5; i++ {
+		c.ApplyVersion(catalog.Version{Model: "m", Number: i, Revision: int64(10 * i)})
+		r.look(t.Context())
+		for range 60 {
+			now = now.Add(r.step(t.Context(), c.Versions(), now))
+			if e.report.Versions["m"] == i {
+				break
+			}
+		}
+		if e.report.Versions["m"] != i {
+			t.Fatalf("the engine has version %d, want %d", e.report.Versions["m"], i)
+		}
+		if i == 3 {
+			for _, o := range e.late {
+				e.carryOut(o) // the lost order of version 2 is carried out now
+			}
+			if e.report.Versions["m"] != 3 {
+				t.Error("a late order took the engine back")
+			}
+		}
+	}
+	last := int64(0)
+	for _, o := range e.orders {
+		if o.Holder != "d" || o.Fence < last {
+			t.Errorf("order %+v after fencing token %d", o, last)
+		}
+		last = o.Fence
+	}
+}
+
+// Guards against orders to another incarnation than the one that was looked at.
+func TestMisplacedOrder(t *testing.T) {
+	e := &fakeEngine{report: platform.Report{Versions: map[string]int{"m": 1}}, answer: platform.OrderMisplaced}
+	r, c := newRollout(e, 1)
+	c.ApplyVersion(catalog.Version{Model: "m", Number: 3, Revision: 10})
+	r.look(t.Context())
+	now := start
+	for range 5 {
+		now = now.Add(r.step(t.Context(), c.Versions(), now))
+	}
+	if len(e.orders) != 2 || e.orders[0].Server == "i-new" || e.orders[1].Server != "i-new" {
+		t.Errorf("orders went to %+v", e.orders)
+	}
+	if e.report.Versions["m"] != 3 {
+		t.Error("the version was not brought")
+	}
+}
+
+// Guards against an engine that stops serving for a load while a step needs it.
+func TestWaitsForQuiet(t *testing.T) {
+	e := &fakeEngine{report: platform.Report{Versions: map[string]int{"m": 1}, Running: 8}, answer: platform.OrderAccepted}
+	r, c := newRollout(e, 1)
+	c.ApplyVersion(catalog.Version{Model: "m", Number: 2, Revision: 10})
+	r.look(t.Context())
+	now := start
+	for now.Sub(start) < 10*time.Second {
+		now = now.Add(r.step(t.Context(), c.Versions(), now))
+	}
+	if len(e.orders) > 0 {
+		t.Fatal("a busy engine that may still serve was told to load")
+	}
+	e.report.Running = 2
+	now = now.Add(r.step(t.Context(), c.Versions(), now))
+	if len(e.orders) != 1 {
+		t.Error("a quiet engine was not told to load")
+	}
+	e.report.Running = 8
+	c.ApplyVersion(catalog.Version{Model: "m", Number: 4, Revision: 20})
+	for range 3 {
+		now = now.Add(r.step(t.Context(), c.Versions(), now))
+	}
+	if e.report.Versions["m"] != 4 {
+		t.Error("an engine that no step takes any more waits for a quiet moment")
+	}
+}
--- /dev/null
+++ b/entry/internal/batch/batch_test.go
@@ -0,0 +1,403 @@
+package batch
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bulrushspoke/standin/objects"
+	"bulrushspoke/wire"
+)
+
+// Guards against lost, doubled or joined results on a calm day, and against a body that is not the item's.
+func TestCalm(t *testing.T) {
+	r := newRig(t, newEngine(t, 3), newEngine(t, 3))
+	m, _ := r.manager("a", "a1")
+	var ids []string
+	for g := range 4 {
+		for i := range 4 {
+			ids = append(ids, fmt.Sprintf("g%d-%d", g, g*4+i+1))
+		}
+	}
+	body := payload(2, ids...)
+	r.submit(m, "j", body)
+	r.submit(m, "j", body) // the client has lost the answer
+	results := r.collect(m, "j", len(ids))
+	check(t, results, ids...)
+	for _, res := range results {
+		if d := cmp.Diff([]int{3}, res.Versions); d != "" {
+			t.Errorf("versions of %s (-want +got):\n%s", res.ID, d)
+		}
+	}
+	if reply := m.Body(t.Context(), "j", "g1-5"); string(reply.Body) != "body of g1-5" {
+		t.Errorf("body is %d %q", reply.Status, reply.Body)
+	}
+	if reply := m.Body(t.Context(), "j", "g9-1"); reply.Status != http.StatusNotFound {
+		t.Errorf("the body of an unknown item: %d", reply.Status)
+	}
+	if reply := m.Results(t.Context(), "other", 0, 0); reply.Status != http.StatusNotFound {
+		t.Errorf("an unknown job: %d", reply.Status)
+	}
+	if n := len(r.store.Names(kindRecords + "j")); n > len(ids)/2 {
+		t.Errorf("%d records for %d results", n, len(ids))
+	}
+}
+
+// Guards against texts in which events are missing or stand twice after runs broke off, and against an item that never
+// ends because its last event came just before the break.
+func TestResumes(t *testing.T) {
+	a, b := newEngine(t, 1), newEngine(t, 1)
+	for _, e := range []*engine{a, b} {
+		e.cut = func(id string, run int) int {
+			if run > 2 {
+				return 0
+			}
+			return min(3*run, length(id))
+		}
+	}
+	r := newRig(t, a, b)
+	m, _ := r.manager("a", "a1")
+	ids := []string{"g-1", "g-5", "g-9", "h-12"}
+	r.submit(m, "j", payload(1, ids...))
+	check(t, r.collect(m, "j", len(ids)), ids...)
+	resumed := false
+	for _, s := range append(a.started(), b.started()...) {
+		resumed = resumed || !strings.HasSuffix(s, "@1")
+	}
+	if !resumed {
+		t.Error("no run went on where the one before it broke off")
+	}
+}
+
+// Guards against an item that is given up too early or never: refusals do not count, three failures do, 422 is final.
+func TestFailures(t *testing.T) {
+	e := newEngine(t, 1)
+	e.answer = func(id string, run int) int {
+		switch {
+		case strings.HasPrefix(id, "bad"):
+			return http.StatusUnprocessableEntity
+		case strings.HasPrefix(id, "fails"):
+			return http.StatusInternalServerError
+		case strings.HasPrefix(id, "late") && run <= 2:
+			return http.StatusInternalServerError
+		case strings.HasPrefix(id, "full") && run <= 4:
+			return http.StatusServiceUnavailable
+		}
+		return 0
+	}
+	r := newRig(t, e)
+	m, _ := r.manager("a", "a1")
+	r.submit(m, "j", payload(1, "bad-1", "fails-1", "late-2", "full-3"))
+	got := make(map[string]string)
+	for _, res := range r.collect(m, "j", 4) {
+		got[res.ID] = res.State
+	}
+	want := map[string]string{"bad-1": "terminated", "fails-1": "terminated", "late-2": "completed", "full-3": "completed"}
+	if d := cmp.Diff(want, got); d != "" {
+		t.Errorf("states (-want +got):\n%s", d)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.runs["bad-1"] != 1 || e.runs["fails-1"] != 3 {
+		t.Errorf("runs: %v", e.runs)
+	}
+}
+
+// Guards against samples of weights that are too old, and against results that do not name the versions they come from.
+func TestVersions(t *testing.T) {
+	stale, fresh := newEngine(t, 1), newEngine(t, 2)
+	fresh.gap = 20 * time.Millisecond
+	r := newRig(t, stale, fresh)
+	m, _ := r.manager("a", "a1")
+	r.submit(m, "j", payload(2, "g-40"))
+	time.Sleep(200 * time.Millisecond)
+	fresh.set(func(e *engine) { e.version = 3 })
+	results := r.collect(m, "j", 1)
+	check(t, results, "g-40")
+	if d := cmp.Diff([]int{2, 3}, results[0].Versions); d != "" {
+		t.Errorf("versions (-want +got):\n%s", d)
+	}
+	if got := stale.started(); len(got) > 0 {
+		t.Errorf("items ran on old weights: %v", got)
+	}
+}
+
+// Guards against a text of two versions on a route that allows one.
+func TestSingleVersion(t *testing.T) {
+	e := newEngine(t, 2)
+	e.gap = 20 * time.Millisecond
+	r := newRig(t, e)
+	r.route.SingleVersion = true
+	m, _ := r.manager("a", "a1")
+	r.submit(m, "j", payload(2, "g-30"))
+	time.Sleep(200 * time.Millisecond)
+	e.set(func(e *engine) { e.version = 3 })
+	results := r.collect(m, "j", 1)
+	check(t, results, "g-30")
+	if d := cmp.Diff([]int{3}, results[0].Versions); d != "" {
+		t.Errorf("versions (-want +got):\n%s", d)
+	}
+}
+
+// Guards against work for a job that has ended, and against listed results that vanish.
+func TestEnd(t *testing.T) {
+	e := newEngine(t, 1)
+	e.gap = 10 * time.Millisecond
+	r := newRig(t, e)
+	m, _ := r.manager("a", "a1")
+	other, _ := r.manager("b", "b1")
+	r.submit(m, "j", payload(1, "g-1", "h-2000"))
+	before := r.collect(m, "j", 1)
+	for range 2 {
+		if reply := other.End(t.Context(), "j"); reply.Status != http.StatusOK {
+			t.Fatalf("end: %d %s", reply.Status, reply.Cause)
+		}
+	}
+	deadline := time.Now().Add(5 * time.Second)
+	for running := 1; running > 0; {
+		if time.Now().After(deadline) {
+			t.Fatal("an item of the ended job still runs")
+		}
+		time.Sleep(5 * time.Millisecond)
+		e.set(func(e *engine) { running = e.running })
+	}
+	for _, reader := range []*Manager{m, other} {
+		if d := cmp.Diff(before, r.collect(reader, "j", 1)[:1]); d != "" {
+			t.Errorf("results after the end (-want +got):\n%s", d)
+		}
+	}
+	if reply := m.End(t.Context(), "unknown"); reply.Status != http.StatusNotFound {
+		t.Errorf("the end of an unknown job: %d", reply.Status)
+	}
+}
+
+// Guards against a refusal of a job that runs, and against an acceptance that does not last: what is answered to a
+// submission must be true whatever the store does.
+func TestSubmitInOutage(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		fault  objects.Fault
+		status int
+	}{
+		{"refuses", objects.Fault{Refuse: true}, http.StatusServiceUnavailable},
+		{"silent", objects.Fault{Silent: true}, http.StatusServiceUnavailable},
+		{"loses one answer", objects.Fault{Lose: 1}, http.StatusAccepted},
+		{"loses both answers", objects.Fault{Lose: 2}, http.StatusAccepted},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t, newEngine(t, 1))
+			m, _ := r.manager("a", "a1")
+			r.store.Fault(tc.fault)
+			reply := m.Submit(t.Context(), &r.route, "j", payload(1, "g-2"), time.Now())
+			if reply.Status != tc.status {
+				t.Fatalf("answered %d %s, want %d", reply.Status, reply.Cause, tc.status)
+			}
+			r.store.Fault(objects.Fault{})
+			switch reply.Status {
+			case http.StatusAccepted:
+				check(t, r.collect(m, "j", 1), "g-2")
+			case http.StatusServiceUnavailable:
+				if reply.Retry <= 0 {
+					t.Error("the refusal does not say when to come back")
+				}
+				if got := r.store.Names(kindState); got != nil {
+					t.Errorf("a refused job stands in the store: %v", got)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a promise that nothing runs while the state object may still be written.
+func TestSubmitLateWrite(t *testing.T) {
+	r := newRig(t, newEngine(t, 1))
+	m, _ := r.manager("a", "a1")
+	body := payload(1, "g-2")
+	if err := m.putPayload(t.Context(), "j", body); err != nil {
+		t.Fatal(err)
+	}
+	r.store.Fault(objects.Fault{Late: 1})
+	reply := m.Submit(t.Context(), &r.route, "j", body, time.Now())
+	if reply.Status == http.StatusServiceUnavailable || reply.Status == http.StatusTooManyRequests {
+		t.Errorf("answered %d although the write is still to come", reply.Status)
+	}
+	r.store.Fault(objects.Fault{})
+	r.submit(m, "j", body)
+	check(t, r.collect(m, "j", 1), "g-2")
+}
+
+// Guards against results that change or stand twice after their write got no answer, late writes included.
+func TestListingWithLostAnswers(t *testing.T) {
+	for name, f := range map[string]objects.Fault{
+		"lost": {Lose: 3}, "late": {Late: 2}, "both": {Lose: 1, Late: 1}, "silent": {Silent: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newEngine(t, 1)
+			e.gap = 5 * time.Millisecond
+			r := newRig(t, e)
+			m, _ := r.manager("a", "a1")
+			ids := []string{"g-1", "h-30", "i-60", "k-90"}
+			r.submit(m, "j", payload(1, ids...))
+			r.store.Fault(f)
+			time.AfterFunc(700*time.Millisecond, func() { r.store.Fault(objects.Fault{}) })
+			results := r.collect(m, "j", len(ids))
+			check(t, results, ids...)
+			other, _ := r.manager("b", "b1")
+			if d := cmp.Diff(results, r.collect(other, "j", len(ids))); d != "" {
+				t.Errorf("another entry shows other results (-owner +other):\n%s", d)
+			}
+		})
+	}
+}
+
+// Guards against a job that stands still after its owner died or was restarted, and against results of two owners that
+// contradict each other.
+func TestTakeover(t *testing.T) {
+	for _, restarted := range []bool{false, true} {
+		t.Run(fmt.Sprintf("restarted %t", restarted), func(t *testing.T) {
+			e := newEngine(t, 1)
+			e.gap = 5 * time.Millisecond
+			r := newRig(t, e)
+			m, crash := r.manager("a", "a1")
+			other, _ := r.manager("b", "b1")
+			ids := []string{"g-1", "h-50", "i-100"}
+			r.submit(m, "j", payload(1, ids...))
+			first := r.collect(other, "j", 1)
+			crash()
+			r.cut("a", true)
+			if restarted {
+				r.manager("a", "a2")
+			}
+			results := r.collect(other, "j", len(ids))
+			check(t, results, ids...)
+			if d := cmp.Diff(first, results[:1]); d != "" {
+				t.Errorf("the first position changed (-before +after):\n%s", d)
+			}
+		})
+	}
+}
+
+// Guards against two owners that both believe to own a job: the former one is cut off from its peers and goes on.
+func TestTwoOwners(t *testing.T) {
+	e := newEngine(t, 1)
+	e.gap = 5 * time.Millisecond
+	r := newRig(t, e)
+	m, _ := r.manager("a", "a1")
+	other, _ := r.manager("b", "b1")
+	var ids []string
+	for i := range 12 {
+		ids = append(ids, fmt.Sprintf("g%d-%d", i, 8*i+1))
+	}
+	r.submit(m, "j", payload(1, ids...))
+	r.cut("a", true)
+	results := r.collect(other, "j", len(ids))
+	check(t, results, ids...)
+	if d := cmp.Diff(results, r.collect(m, "j", len(ids))); d != "" {
+		t.Errorf("the two owners show different results (-new +former):\n%s", d)
+	}
+	var first []string
+	for _, name := range r.store.Names(kindRecords + "j") {
+		var rec wire.JobRecord
+		if err := json.Unmarshal(r.store.Spec(kindRecords+"j", name), &rec); err != nil {
+			t.Fatal(err)
+		}
+		for _, res := range rec.Results {
+			first = append(first, res.Item)
+		}
+	}
+	slices.Sort(first)
+	if n := len(slices.Compact(first)); n != len(ids) {
+		t.Errorf("%d different items are listed, want %d", n, len(ids))
+	}
+}
+
+// Guards against texts that are made again although their owner stopped in good order.
+func TestHandover(t *testing.T) {
+	e := newEngine(t, 1)
+	e.gap = 10 * time.Millisecond
+	r := newRig(t, e)
+	m, _ := r.manager("a", "a1")
+	other, _ := r.manager("b", "b1")
+	r.submit(m, "j", payload(1, "g-100"))
+	time.Sleep(300 * time.Millisecond)
+	m.Handover(t.Context())
+	check(t, r.collect(other, "j", 1), "g-100")
+	starts := e.started()
+	if len(starts) != 2 || strings.HasSuffix(starts[1], "@1") {
+		t.Errorf("runs began at %v, want the second one to go on with the first", starts)
+	}
+	if reply := m.Results(t.Context(), "j", 0, 0); reply.Status != http.StatusOK {
+		t.Errorf("the former owner answers %d", reply.Status)
+	}
+}
+
+// Guards against an item of a group that comes again in a later job and is made again, or taken although its versions do
+// not fit.
+func TestCarriedGroups(t *testing.T) {
+	e := newEngine(t, 1)
+	e.gap = 5 * time.Millisecond
+	r := newRig(t, e)
+	m, _ := r.manager("a", "a1")
+	r.submit(m, "j1", payload(1, "g-2", "g-500"))
+	deadline := time.Now().Add(5 * time.Second)
+	for !itemDone(m.local("j1"), "g-2") {
+		if time.Now().After(deadline) {
+			t.Fatal("the short item does not end")
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	if reply := m.End(t.Context(), "j1"); reply.Status != http.StatusOK {
+		t.Fatal(reply)
+	}
+	r.submit(m, "j2", payload(1, "g-2", "g-500", "h-1"))
+	check(t, r.collect(m, "j2", 3), "g-2", "g-500", "h-1")
+	runs := 0
+	for _, s := range e.started() {
+		if s == "g-2@1" {
+			runs++
+		}
+	}
+	if runs != 1 {
+		t.Errorf("the finished item was started %d times", runs)
+	}
+	e.set(func(e *engine) { e.version = 2 })
+	m.Catalog.ApplyServer(r.entry(0, 99))
+	r.submit(m, "j3", payload(2, "g-2"))
+	res := r.collect(m, "j3", 1)
+	if d := cmp.Diff([]int{2}, res[0].Versions); d != "" {
+		t.Errorf("a text of old weights was used (-want +got):\n%s", d)
+	}
+}
+
+// Guards against a payload that does not fit one object of the store.
+func TestLargePayload(t *testing.T) {
+	r := newRig(t, newEngine(t, 1))
+	m, _ := r.manager("a", "a1")
+	m.Value = 8 << 10
+	var ids []string
+	for i := range 200 {
+		ids = append(ids, fmt.Sprintf("g%d-1", i))
+	}
+	body := payload(1, ids...)
+	if len(body) <= m.Value {
+		t.Fatalf("the payload has only %d bytes", len(body))
+	}
+	if err := m.putPayload(t.Context(), "j", body); err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range r.store.Names(kindPayload) {
+		if n := len(r.store.Spec(kindPayload, name)); n > m.Value {
+			t.Errorf("object %s has %d bytes, at most %d fit", name, n, m.Value)
+		}
+	}
+	got, err := m.payload(t.Context(), "j")
+	if err != nil || string(got) != string(body) {
+		t.Errorf("read back %d bytes of %d, %v", len(got), len(body), err)
+	}
+}
--- /dev/null
+++ b/entry/internal/ingress/ingress_test.go
@@ -0,0 +1,414 @@
+package ingress
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bulrushspoke/entry/internal/place"
+	"bulrushspoke/internal/catalog"
+	"bulrushspoke/internal/upstream"
+)
+
+// server is an upstream whose answers a test scripts on the bare connection.
+type server struct {
+	net.Listener
+	mu   sync.Mutex
+	seen []*http.Request
+	left chan struct{}
+}
+
+// script answers one request; it returns false to close the connection.
+type script func(c net.Conn, q *http.Request, body string) bool
+
+func newServer(t *testing.T, answer script) *server {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &server{Listener: l, left: make(chan struct{}, 16)}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				r := bufio.NewReader(c)
+				for {
+					q, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					body, _ := io.ReadAll(q.Body)
+					s.mu.Lock()
+					s.seen = append(s.seen, q)
+					s.mu.Unlock()
+					if !answer(c, q, string(body)) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return s
+}
+
+func (s *server) requests() []*http.Request {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]*http.Request(nil), s.seen...)
+}
+
+func write(c net.Conn, head, body string) bool {
+	_, err := fmt.Fprintf(c, "HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s", head, len(body), body)
+	return err == nil
+}
+
+func signed(q *http.Request) string {
+	return "X-Request-Id: " + q.Header.Get("X-Request-Id") + "\r\nX-Server-Stamp: s"
+}
+
+func good(c net.Conn, q *http.Request, _ string) bool {
+	return write(c, "200 OK\r\n"+signed(q), "fine")
+}
+
+func full(c net.Conn, _ *http.Request, _ string) bool {
+	return write(c, "503 Service Unavailable\r\nX-Not-Executed: 1", "")
+}
+
+func reset(c net.Conn, _ *http.Request, _ string) bool { return false }
+
+type rig struct {
+	*httptest.Server
+	ingress *Ingress
+	catalog *catalog.Catalog
+}
+
+// newRig starts an ingress with one route of the given kind to the servers.
+func newRig(t *testing.T, route catalog.Route, servers ...*server) *rig {
+	t.Helper()
+	logger := slog.New(slog.DiscardHandler)
+	c := catalog.New(logger)
+	route.Host, route.Prefix = "h.example", "/p/"
+	route.Shares = []catalog.Share{{Service: "v", Weight: 1}}
+	if route.Timeout == 0 {
+		route.Timeout = 5 * time.Second
+	}
+	route.Attempts = max(route.Attempts, 1)
+	c.ApplyConfig(catalog.Config{
+		Revision: 1, Routes: []catalog.Route{route}, Services: map[string]catalog.Service{"v": {Name: "v", Conns: 10}},
+		Limits: catalog.Limits{Body: 1 << 20},
+	})
+	for i, s := range servers {
+		c.ApplyServer(catalog.Server{
+			ID: fmt.Sprintf("i%d", i), Revision: int64(i + 1), Service: "v", Address: s.Addr().String(), Domain: "d", Slots: 4,
+		})
+	}
+	home := place.Home{Domain: "d", Region: "r", Regions: map[string]string{"d": "r"}}
+	g := New(Options{
+		Catalog: c, Pool: upstream.New(upstream.Limits{Dial: time.Second, Idle: 8}),
+		Tracker: place.New(home, rand.New(rand.NewPCG(1, 1))), Random: rand.New(rand.NewPCG(1, 1)),
+		Memory: 1 << 20, Suspects: NewSuspects(), Logger: logger,
+	})
+	s := httptest.NewServer(g)
+	t.Cleanup(s.Close)
+	return &rig{Server: s, ingress: g, catalog: c}
+}
+
+func (r *rig) send(t *testing.T, method, path, body string, header map[string]string) (*http.Response, string, error) {
+	t.Helper()
+	q, err := http.NewRequestWithContext(t.Context(), method, r.URL+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	q.Host = "h.example"
+	q.Header.Set("X-Request-Id", "r1")
+	for n, v := range header {
+		q.Header.Set(n, v)
+	}
+	resp, err := r.Client().Do(q)
+	if err != nil {
+		return nil, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	return resp, string(b), err
+}
+
+// Guards against a request that its server sees changed, and against a lost signature.
+func TestForwardsUnchanged(t *testing.T) {
+	s := newServer(t, good)
+	r := newRig(t, catalog.Route{Kind: catalog.Unsafe}, s)
+	resp, body, err := r.send(t, "PUT", "/p/a%20b?x=1&y=%2F", "payload", map[string]string{
+		"X-Deadline-Ms": "3000", "X-Custom": "kept", "Te": "trailers",
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if resp.StatusCode != 200 || body != "fine" || resp.Header.Get("X-Server-Stamp") != "s" {
+		t.Errorf("the client got %d %q with stamp %q", resp.StatusCode, body, resp.Header.Get("X-Server-Stamp"))
+	}
+	q := s.requests()[0]
+	got := []string{q.Method, q.RequestURI, q.Host, q.Header.Get("X-Custom"), q.Header.Get("X-Expect-Instance"), q.Header.Get("Te")}
+	want := []string{"PUT", "/p/a%20b?x=1&y=%2F", "h.example", "kept", "i0", ""}
+	if d := cmp.Diff(want, got); d != "" {
+		t.Errorf("the server saw (-want +got):\n%s", d)
+	}
+	var left int
+	if _, err := fmt.Sscan(q.Header.Get("X-Deadline-Ms"), &left); err != nil || left <= 0 || left > 3000 {
+		t.Errorf("the server was handed %q ms of 3000", q.Header.Get("X-Deadline-Ms"))
+	}
+}
+
+// Guards against a second run of what may run once, a promise that is not true, and a repeatable request that fails
+// although another server would have served it.
+func TestAttempts(t *testing.T) {
+	truncated := func(c net.Conn, q *http.Request, _ string) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s\r\nContent-Length: 100\r\n\r\nhalf", signed(q))
+		return false
+	}
+	foreign := func(c net.Conn, _ *http.Request, _ string) bool {
+		return write(c, "200 OK\r\nX-Request-Id: other\r\nX-Server-Stamp: s", "stale")
+	}
+	unsigned := func(c net.Conn, q *http.Request, _ string) bool {
+		return write(c, "200 OK\r\nX-Request-Id: "+q.Header.Get("X-Request-Id"), "forged")
+	}
+	garbage := func(c net.Conn, _ *http.Request, _ string) bool {
+		_, _ = io.WriteString(c, "no answer at all\r\n\r\n")
+		return false
+	}
+	fails := func(c net.Conn, q *http.Request, _ string) bool { return write(c, "500 Oops\r\n"+signed(q), "sorry") }
+	moved := func(c net.Conn, _ *http.Request, _ string) bool { return write(c, "421 Misdirected Request", "") }
+	for _, tc := range []struct {
+		name   string
+		kind   catalog.Kind
+		first  script
+		status int
+		runs   int // requests that reach a server in all
+	}{
+		{"safe, refused", catalog.Safe, full, 200, 2},
+		{"safe, reset", catalog.Safe, reset, 200, 2},
+		{"safe, truncated", catalog.Safe, truncated, 200, 2},
+		{"safe, foreign answer", catalog.Safe, foreign, 200, 2},
+		{"safe, unsigned", catalog.Safe, unsigned, 200, 2},
+		{"safe, garbage", catalog.Safe, garbage, 200, 2},
+		{"safe, failed", catalog.Safe, fails, 200, 2},
+		{"unsafe, refused", catalog.Unsafe, full, 200, 2},
+		{"unsafe, another incarnation", catalog.Unsafe, moved, 200, 2},
+		{"unsafe, reset", catalog.Unsafe, reset, 502, 1},
+		{"unsafe, truncated", catalog.Unsafe, truncated, 502, 1},
+		{"unsafe, foreign answer", catalog.Unsafe, foreign, 502, 1},
+		{"unsafe, unsigned", catalog.Unsafe, unsigned, 502, 1},
+		{"unsafe, failed", catalog.Unsafe, fails, 500, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			// Which of the two servers is first is left to the tracker, so both count together.
+			var once sync.Once
+			answer := func(c net.Conn, q *http.Request, body string) bool {
+				result, first := false, false
+				once.Do(func() { first, result = true, tc.first(c, q, body) })
+				if first {
+					return result
+				}
+				return good(c, q, body)
+			}
+			a, b := newServer(t, answer), newServer(t, answer)
+			r := newRig(t, catalog.Route{Kind: tc.kind, Attempts: 2}, a, b)
+			resp, body, err := r.send(t, "POST", "/p/x", "payload", nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if resp.StatusCode != tc.status || tc.status == 200 && body != "fine" {
+				t.Errorf("the client got %d %q, want %d", resp.StatusCode, body, tc.status)
+			}
+			if runs := len(a.requests()) + len(b.requests()); runs != tc.runs {
+				t.Errorf("%d requests reached servers, want %d", runs, tc.runs)
+			}
+			if tc.status == 502 && resp.Header.Get("X-Server-Stamp") != "" {
+				t.Error("a failure of our own bears a server's stamp")
+			}
+		})
+	}
+}
+
+// Guards against a refusal without a time to come back, and one that comes late: full servers are known at once.
+func TestRefusesAtOnce(t *testing.T) {
+	r := newRig(t, catalog.Route{Kind: catalog.Unsafe, Attempts: 3}, newServer(t, full), newServer(t, full))
+	began := time.Now()
+	resp, _, err := r.send(t, "POST", "/p/x", "", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if resp.StatusCode != 503 || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("got %d with Retry-After %q", resp.StatusCode, resp.Header.Get("Retry-After"))
+	}
+	if took := time.Since(began); took > 2*time.Second {
+		t.Errorf("the refusal took %s of a timeout of 5 s", took)
+	}
+}
+
+// Guards against 404 before a configuration is known, and against requests that hang past their route's timeout.
+func TestOwnAnswers(t *testing.T) {
+	silent := newServer(t, func(c net.Conn, _ *http.Request, _ string) bool {
+		_, _ = c.Read(make([]byte, 1))
+		return false
+	})
+	r := newRig(t, catalog.Route{Kind: catalog.Unsafe, Timeout: 200 * time.Millisecond}, silent)
+	if resp, _, err := r.send(t, "GET", "/elsewhere", "", nil); err != nil || resp.StatusCode != 404 {
+		t.Errorf("a path without a route: %v %v", resp, err)
+	}
+	if resp, _, err := r.send(t, "POST", "/p/x", strings.Repeat("x", 2<<20), nil); err != nil || resp.StatusCode != 413 {
+		t.Errorf("a body over the limit: %v %v", resp, err)
+	}
+	began := time.Now()
+	resp, _, err := r.send(t, "POST", "/p/x", "", nil)
+	if err != nil || resp.StatusCode != 504 {
+		t.Errorf("at the timeout: %v %v", resp, err)
+	}
+	if took := time.Since(began); took > 700*time.Millisecond {
+		t.Errorf("the answer came after %s, the route's timeout is 200ms and 500ms are allowed beside it", took)
+	}
+	r.ingress.Catalog = catalog.New(slog.New(slog.DiscardHandler))
+	if resp, _, err := r.send(t, "GET", "/elsewhere", "", nil); err != nil || resp.StatusCode != 503 {
+		t.Errorf("without a configuration: %v %v", resp, err)
+	}
+}
+
+// Guards against a server that works on for a client that has left.
+func TestClientLeaves(t *testing.T) {
+	left := make(chan struct{})
+	reached := make(chan struct{})
+	s := newServer(t, func(c net.Conn, _ *http.Request, _ string) bool {
+		close(reached)
+		_, _ = c.Read(make([]byte, 1))
+		close(left)
+		return false
+	})
+	r := newRig(t, catalog.Route{Kind: catalog.Safe, Attempts: 3}, s)
+	ctx, cancel := context.WithCancel(t.Context())
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, r.URL+"/p/x", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	q.Host = "h.example"
+	go func() {
+		resp, err := r.Client().Do(q)
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+	}()
+	<-reached
+	cancel()
+	select {
+	case <-left:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the connection to the server stays open")
+	}
+	if n := len(s.requests()); n != 1 {
+		t.Errorf("%d requests reached the server", n)
+	}
+}
+
+// sendEvent sends one event of a stream in a chunk.
+func sendEvent(c net.Conn, id int) {
+	text := fmt.Sprintf("id: %d\ndata: %d\n\n", id, id)
+	_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text)
+}
+
+func streamHead(c net.Conn, q *http.Request) {
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", signed(q))
+}
+
+// Guards against a stream in which an event is missing or stands twice after its server broke off, and against one that
+// looks complete although it is not.
+func TestStreams(t *testing.T) {
+	const last = 6
+	answer := func(broken *sync.Once) script {
+		return func(c net.Conn, q *http.Request, _ string) bool {
+			streamHead(c, q)
+			from := 1
+			if n := q.Header.Get("Last-Event-Id"); n != "" {
+				_, _ = fmt.Sscan(n, &from)
+				from++
+			}
+			cut := false
+			broken.Do(func() { cut = true })
+			for id := from; id <= last; id++ {
+				if cut && id == 4 {
+					_, _ = io.WriteString(c, "9\r\nid: 4\nda\r\n") // in the middle of an event
+					return false
+				}
+				sendEvent(c, id)
+			}
+			_, _ = io.WriteString(c, "0\r\n\r\n")
+			return true
+		}
+	}
+	var want strings.Builder
+	for id := 1; id <= last; id++ {
+		fmt.Fprintf(&want, "id: %d\ndata: %d\n\n", id, id)
+	}
+	t.Run("resumable", func(t *testing.T) {
+		var once sync.Once
+		a, b := newServer(t, answer(&once)), newServer(t, answer(&once))
+		r := newRig(t, catalog.Route{Kind: catalog.Stream, Resumable: true, Attempts: 2}, a, b)
+		_, body, err := r.send(t, "POST", "/p/x", "", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if d := cmp.Diff(want.String(), body); d != "" {
+			t.Errorf("the client got (-want +got):\n%s", d)
+		}
+	})
+	t.Run("not resumable", func(t *testing.T) {
+		var once sync.Once
+		a, b := newServer(t, answer(&once)), newServer(t, answer(&once))
+		r := newRig(t, catalog.Route{Kind: catalog.Stream, Attempts: 2}, a, b)
+		_, body, err := r.send(t, "POST", "/p/x", "", nil)
+		if err == nil {
+			t.Errorf("the broken stream looks complete: %q", body)
+		}
+		if n := len(a.requests()) + len(b.requests()); n != 1 {
+			t.Errorf("%d requests reached servers, want 1", n)
+		}
+	})
+}
+
+// Guards against a request that takes one server after the other out: after three broken attempts it is given up, also
+// when it comes again, and others are served.
+func TestGivesUpCrashingRequest(t *testing.T) {
+	s := newServer(t, func(c net.Conn, q *http.Request, body string) bool {
+		if body == "poison" {
+			return false
+		}
+		return good(c, q, body)
+	})
+	r := newRig(t, catalog.Route{Kind: catalog.Safe, Attempts: 1}, s)
+	for range 6 {
+		if resp, _, err := r.send(t, "POST", "/p/x", "poison", nil); err != nil || resp.StatusCode != 502 {
+			t.Fatalf("the crashing request: %v %v", resp, err)
+		}
+	}
+	if n := len(s.requests()); n != crashLimit {
+		t.Errorf("the crashing request reached servers %d times, want %d", n, crashLimit)
+	}
+	if resp, _, err := r.send(t, "POST", "/p/x", "harmless", nil); err != nil || resp.StatusCode != 200 {
+		t.Errorf("another request: %v %v", resp, err)
+	}
+}
--- /dev/null
+++ b/entry/internal/member/member_test.go
@@ -0,0 +1,66 @@
+package member
+
+import (
+	"log/slog"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bulrushspoke/internal/upstream"
+	"bulrushspoke/platform"
+	"bulrushspoke/standin/objects"
+	"bulrushspoke/wire"
+)
+
+type peers struct {
+	mu   sync.Mutex
+	list []string
+}
+
+func (p *peers) List(l []wire.Instance, _ time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.list = nil
+	for _, i := range l {
+		p.list = append(p.list, i.Name+" "+i.Address)
+	}
+	slices.Sort(p.list)
+}
+
+func (p *peers) names() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.list)
+}
+
+// Guards against entries that do not find each other: after a start with the store down, a lost answer, a restart at
+// another address, and beside objects that cannot be read.
+func TestMembers(t *testing.T) {
+	s := objects.New()
+	server := httptest.NewServer(s)
+	t.Cleanup(server.CloseClientConnections)
+	quiet := slog.New(slog.DiscardHandler)
+	pool := upstream.New(upstream.Limits{Dial: time.Second, Idle: 8})
+	c := platform.NewStore(strings.TrimPrefix(server.URL, "http://"), 200*time.Millisecond, pool, quiet)
+	s.Put(kind, "broken", []byte(`7`))
+	s.Put(kind, "b", []byte(`{"address":"old:1","inc":"b0"}`))
+	s.Fault(objects.Fault{Refuse: true})
+	a, b := &peers{}, &peers{}
+	go func() { _ = New("a", wire.Member{Address: "a:1", Inc: "a1"}, c, a, quiet).Run(t.Context()) }()
+	time.Sleep(100 * time.Millisecond)
+	s.Fault(objects.Fault{Lose: 1})
+	go func() { _ = New("b", wire.Member{Address: "b:2", Inc: "b1"}, c, b, quiet).Run(t.Context()) }()
+	want := []string{"a a:1", "b b:2"}
+	deadline := time.Now().Add(10 * time.Second)
+	for !slices.Equal(a.names(), want) || !slices.Equal(b.names(), want) {
+		if time.Now().After(deadline) {
+			t.Fatalf("a (-want +got):\n%s\nb:\n%s", cmp.Diff(want, a.names()), cmp.Diff(want, b.names()))
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
--- /dev/null
+++ b/entry/internal/place/place_test.go
@@ -0,0 +1,179 @@
+package place
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"bulrushspoke/internal/catalog"
+)
+
+var start = time.Date(2026, 6, 1, 12, 0, 0, 0, time.UTC)
+
+func tracker() *Tracker {
+	return New(Home{Domain: "a", Region: "east", Regions: map[string]string{"a": "east", "b": "east", "c": "west"}},
+		rand.New(rand.NewPCG(1, 2)))
+}
+
+func servers(n, slots int, domain string) []catalog.Server {
+	var l []catalog.Server
+	for i := range n {
+		l = append(l, catalog.Server{
+			ID: fmt.Sprintf("%s%d", domain, i), Domain: domain, Slots: slots, Versions: map[string]int{"m": i},
+		})
+	}
+	return l
+}
+
+// Guards against a server that cannot run the work, was tried already, or has no room.
+func TestPickFits(t *testing.T) {
+	tr := tracker()
+	l := servers(3, 1, "a")
+	for range 20 {
+		if s, ok := tr.Pick(start, l, Need{Model: "m", MinVersion: 2}); !ok || s.ID != "a2" {
+			t.Fatalf("picked %q for version 2", s.ID)
+		}
+		if s, ok := tr.Pick(start, l, Need{Tried: map[string]bool{"a0": true, "a2": true}}); !ok || s.ID != "a1" {
+			t.Fatalf("picked %q, which was tried", s.ID)
+		}
+	}
+	if s, ok := tr.Pick(start, l, Need{Model: "other"}); ok {
+		t.Errorf("picked %q for a model it does not run", s.ID)
+	}
+	for _, s := range l {
+		tr.Began(s.ID, start)
+	}
+	if s, ok := tr.Pick(start, l, Need{Room: true}); ok {
+		t.Errorf("picked %q, which has no room", s.ID)
+	}
+	if _, ok := tr.Pick(start, l, Need{}); !ok {
+		t.Error("a request that may wait found no server")
+	}
+}
+
+// Guards against short requests that cross regions while servers of their own region have room.
+func TestPickStaysNear(t *testing.T) {
+	tr := tracker()
+	l := append(servers(2, 6, "c"), servers(2, 6, "a")...)
+	for range 50 {
+		s, _ := tr.Pick(start, l, Need{})
+		if s.Domain != "a" {
+			t.Fatalf("picked %q in another region", s.ID)
+		}
+		tr.Began(s.ID, start)
+		tr.Ended(s.ID, "", Answered, 30*time.Millisecond, start)
+	}
+}
+
+// Plays the load of a full server: refusals make it rest, longer each time, for that model only, and a success ends it.
+func TestRefusals(t *testing.T) {
+	tr := tracker()
+	l := []catalog.Server{{ID: "s", Domain: "a", Slots: 4, Versions: map[string]int{"m": 1, "n": 1}}}
+	need := Need{Model: "m", Room: true}
+	now := start
+	var rests []time.Duration
+	for range 4 {
+		tr.Began("s", now)
+		tr.Ended("s", "m", Refused, 0, now)
+		if _, ok := tr.Pick(now, l, Need{Model: "n", Room: true}); !ok {
+			t.Fatal("a refusal for one model keeps work of another away")
+		}
+		began := now
+		for {
+			if _, ok := tr.Pick(now, l, need); ok {
+				break
+			}
+			now = now.Add(10 * time.Millisecond)
+		}
+		rests = append(rests, now.Sub(began))
+	}
+	for i, r := range rests {
+		if want := min(turnedAway<<i, turnedAwayMost); r != want {
+			t.Errorf("after refusal %d it rests %s, want %s", i+1, r, want)
+		}
+	}
+	tr.Began("s", now)
+	tr.Ended("s", "m", Answered, time.Millisecond, now)
+	tr.Began("s", now)
+	tr.Ended("s", "m", Refused, 0, now)
+	if _, ok := tr.Pick(now.Add(turnedAway), l, need); !ok {
+		t.Error("a success does not end the growth of the rests")
+	}
+}
+
+// Guards against a burst of refusals of requests that were sent together, each of which would lengthen the rest.
+func TestRefusalsTogetherCountOnce(t *testing.T) {
+	tr := tracker()
+	l := []catalog.Server{{ID: "s", Domain: "a", Slots: 40}}
+	for range 30 {
+		tr.Began("s", start)
+	}
+	for range 30 {
+		tr.Ended("s", "", Refused, 0, start)
+	}
+	if _, ok := tr.Pick(start.Add(turnedAway), l, Need{Room: true}); !ok {
+		t.Error("30 refusals at once count as 30 in a row")
+	}
+}
+
+// Plays the load of a few slowed engines: they count as slow, others do not, old paces are forgotten, and nothing is
+// slow among too few.
+func TestSlow(t *testing.T) {
+	tr := tracker()
+	pace := func(id string, gap time.Duration, at time.Time) {
+		tr.Began(id, at)
+		for range 20 {
+			tr.Paced(id, gap, at)
+		}
+	}
+	pace("a0", 40*time.Millisecond, start)
+	pace("a1", 140*time.Millisecond, start)
+	if tr.Slow("a1", start) {
+		t.Error("slow among two")
+	}
+	pace("a2", 42*time.Millisecond, start)
+	pace("a3", 45*time.Millisecond, start)
+	if !tr.Slow("a1", start) {
+		t.Error("3.5 times the pace of the others is not slow")
+	}
+	if tr.Slow("a3", start) || tr.Slow("unknown", start) {
+		t.Error("a usual pace is slow")
+	}
+	l := servers(2, 8, "a")
+	if s, ok := tr.Pick(start, l, Need{Fast: true}); !ok || s.ID != "a0" {
+		t.Errorf("picked %q in place of the fast one", s.ID)
+	}
+	if tr.Slow("a1", start.Add(paceTime+time.Second)) {
+		t.Error("an old pace counts")
+	}
+}
+
+// Plays a step of long items on engines of which one is slowed, against the choice of the least filled server: the
+// slowed engine gets the smaller part of the work.
+func TestSlowedEngineGetsLess(t *testing.T) {
+	tr := tracker()
+	l := servers(6, 8, "a")
+	for i, s := range l {
+		gap := 40 * time.Millisecond
+		if i == 0 {
+			gap = 140 * time.Millisecond
+		}
+		tr.Began(s.ID, start)
+		tr.Paced(s.ID, gap, start)
+		tr.Ended(s.ID, "m", Abandoned, 0, start)
+	}
+	placed := make(map[string]int)
+	for range 30 {
+		s, ok := tr.Pick(start, l, Need{Model: "m", Room: true})
+		if !ok {
+			t.Fatal("no room for 30 items on 48 slots")
+		}
+		tr.Began(s.ID, start)
+		placed[s.ID]++
+	}
+	const even = 30 / 6
+	if placed["a0"] >= even {
+		t.Errorf("the slowed engine got %d of 30 items, an even share is %d", placed["a0"], even)
+	}
+}
--- /dev/null
+++ b/internal/catalog/catalog_test.go
@@ -0,0 +1,176 @@
+package catalog
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bulrushspoke/internal/store"
+)
+
+var quiet = slog.New(slog.DiscardHandler)
+
+var start = time.Date(2026, 6, 1, 12, 0, 0, 0, time.UTC)
+
+func ids(c *Catalog, service string) []string {
+	var l []string
+	for _, s := range c.Servers(service) {
+		l = append(l, s.ID)
+	}
+	return l
+}
+
+// Guards against a route that loses to a shorter prefix or another host.
+func TestMatch(t *testing.T) {
+	c := Config{Routes: []Route{
+		{Name: "root", Host: "a", Prefix: "/"},
+		{Name: "deep", Host: "a", Prefix: "/x/y/"},
+		{Name: "mid", Host: "a", Prefix: "/x/"},
+		{Name: "other", Host: "b", Prefix: "/x/y/z/"},
+	}}
+	for _, tc := range []struct{ host, path, want string }{
+		{"a", "/", "root"},
+		{"a", "/x", "root"},
+		{"a", "/x/1", "mid"},
+		{"a", "/x/y/z/1", "deep"},
+		{"b", "/x/y/z/1", "other"},
+		{"b", "/x/", ""},
+		{"c", "/x/y/", ""},
+	} {
+		r, ok := c.Match(tc.host, tc.path)
+		got := ""
+		if ok {
+			got = r.Name
+		}
+		if got != tc.want {
+			t.Errorf("%s%s is served by %q, want %q", tc.host, tc.path, got, tc.want)
+		}
+	}
+}
+
+// Guards against a configuration, version or server that goes back to a lower revision when news arrive out of order.
+func TestNeverGoesBack(t *testing.T) {
+	c := New(quiet)
+	if !c.ApplyConfig(Config{Revision: 5}) || c.ApplyConfig(Config{Revision: 4}) || c.ApplyConfig(Config{Revision: 5}) {
+		t.Error("a configuration that is not newer was applied")
+	}
+	if !c.ApplyVersion(Version{Model: "m", Number: 3, Revision: 8}) || c.ApplyVersion(Version{Model: "m", Number: 2, Revision: 7}) {
+		t.Error("a version that is not newer was applied")
+	}
+	c.ApplyServer(Server{ID: "s", Service: "v", Revision: 9, Draining: true})
+	c.ApplyServer(Server{ID: "s", Service: "v", Revision: 6})
+	if got := ids(c, "v"); got != nil {
+		t.Errorf("a draining server is in use again after old news: %v", got)
+	}
+	c.ApplyServer(Server{ID: "t", Service: "v", Revision: 12})
+	c.RemoveServer("t", 11, start)
+	if d := cmp.Diff([]string{"t"}, ids(c, "v")); d != "" {
+		t.Errorf("an old removal took a server away (-want +got):\n%s", d)
+	}
+}
+
+// Guards against servers that are given up because the store lost their entries during its outage, and against those
+// that are kept for good.
+func TestEntriesLapseDuringOutage(t *testing.T) {
+	c := New(quiet)
+	now := time.Now() // giveUp runs on a timer
+	c.ApplyServer(Server{ID: "a", Service: "v", Revision: 1})
+	c.ApplyServer(Server{ID: "b", Service: "v", Revision: 2})
+	c.ApplyServer(Server{ID: "d", Service: "v", Revision: 3, Draining: true})
+	c.Restored(now.Add(50*time.Millisecond - lapseGrace))
+	c.ReplaceServers(nil, 10, now)
+	if d := cmp.Diff([]string{"a", "b"}, ids(c, "v")); d != "" {
+		t.Errorf("right after the outage (-want +got):\n%s", d)
+	}
+	if _, ok := c.Server("d"); ok {
+		t.Error("a draining server is kept")
+	}
+	c.ApplyServer(Server{ID: "a", Service: "v", Revision: 11})
+	deadline := time.Now().Add(5 * time.Second)
+	for len(ids(c, "v")) > 1 && time.Now().Before(deadline) {
+		time.Sleep(5 * time.Millisecond)
+	}
+	if d := cmp.Diff([]string{"a"}, ids(c, "v")); d != "" {
+		t.Errorf("after the grace (-want +got):\n%s", d)
+	}
+	c.RemoveServer("a", 20, now.Add(time.Minute))
+	if got := ids(c, "v"); got != nil {
+		t.Errorf("long after the outage a removed server is in use: %v", got)
+	}
+}
+
+// script is a source that returns prepared answers.
+type script struct {
+	mu    sync.Mutex
+	steps []func(after int64) ([]store.Change, int64, error)
+	lists int
+	done  context.CancelFunc
+}
+
+func (s *script) List(context.Context, string) ([]store.Record, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lists++
+	return []store.Record{{Name: "x", Revision: int64(10 * s.lists)}}, int64(10 * s.lists), nil
+}
+
+func (s *script) Watch(_ context.Context, _ string, after int64, _ time.Duration) ([]store.Change, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.steps) == 0 {
+		s.done()
+		return nil, after, nil
+	}
+	step := s.steps[0]
+	s.steps = s.steps[1:]
+	return step(after)
+}
+
+// Guards against a feed that stops, or misses changes, after the store dropped its history or did not answer.
+func TestFollow(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var watched []int64
+	s := &script{done: cancel}
+	s.steps = []func(int64) ([]store.Change, int64, error){
+		func(after int64) ([]store.Change, int64, error) {
+			watched = append(watched, after)
+			return []store.Change{{Record: store.Record{Name: "y", Revision: 12}}}, 13, nil
+		},
+		func(after int64) ([]store.Change, int64, error) {
+			watched = append(watched, after)
+			return nil, 0, store.NewDownError(false, "down")
+		},
+		func(after int64) ([]store.Change, int64, error) {
+			watched = append(watched, after)
+			return nil, 0, store.NewGoneError("k", after)
+		},
+		func(after int64) ([]store.Change, int64, error) {
+			watched = append(watched, after)
+			return nil, after, nil
+		},
+	}
+	var applied, replaced []int64
+	err := Follow(ctx, s, Feed{
+		Kind:    "k",
+		Replace: func(_ []store.Record, revision int64, _ time.Time) { replaced = append(replaced, revision) },
+		Apply:   func(c store.Change, _ time.Time) { applied = append(applied, c.Revision) },
+	}, quiet)
+	if !errors.Is(err, context.Canceled) {
+		t.Fatalf("ended with %v", err)
+	}
+	if d := cmp.Diff([]int64{10, 13, 13, 20}, watched); d != "" {
+		t.Errorf("revisions watched from (-want +got):\n%s", d)
+	}
+	if d := cmp.Diff([]int64{10, 20}, replaced); d != "" {
+		t.Errorf("lists (-want +got):\n%s", d)
+	}
+	if d := cmp.Diff([]int64{12}, applied); d != "" {
+		t.Errorf("changes (-want +got):\n%s", d)
+	}
+}
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -14,7 +14,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"errors"
 	"io"
 	"strconv"
@@ -48,31 +47,36 @@
 	return &Reader{in: bufio.NewReaderSize(in, size), version: version}
 }
 
+// line appends the next line to the raw event and returns it.
+func (r *Reader) line() ([]byte, error) {
+	begin := len(r.raw)
+	for {
+		part, err := r.in.ReadSlice('\n')
+		r.raw = append(r.raw, part...)
+		switch {
+		case len(r.raw) > MaxEvent:
+			return nil, ErrFormat
+		case errors.Is(err, bufio.ErrBufferFull):
+			continue
+		case errors.Is(err, io.EOF) && len(r.raw) > 0:
+			return nil, io.ErrUnexpectedEOF
+		case err != nil:
+			return nil, err
+		}
+		return r.raw[begin:], nil
+	}
+}
+
 // Next returns the next whole event.
 func (r *Reader) Next() (Event, error) {
 	var e Event
 	var data []string
 	r.raw = r.raw[:0]
 	for {
-		line, err := r.in.ReadSlice('\n')
-		if errors.Is(err, bufio.ErrBufferFull) {
-			r.raw = append(r.raw, line...)
-			var rest []byte
-			rest, err = r.in.ReadBytes('\n')
-			line = append(bytes.Clone(line), rest...)
-			r.raw = append(r.raw, rest...)
-		} else {
-			r.raw = append(r.raw, line...)
-		}
+		line, err := r.line()
 		if err != nil {
-			if errors.Is(err, io.EOF) && len(r.raw) > 0 {
-				err = io.ErrUnexpectedEOF
-			}
 			return Event{}, err
 		}
-		if len(r.raw) > MaxEvent {
-			return Event{}, ErrFormat
-		}
 		text := strings.TrimRight(string(line), "\r\n")
 		if text == "" {
 			if len(r.raw) == len(line) {
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,234 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// fake answers each request on a connection with the next text; an empty text closes the connection.
+type fake struct {
+	net.Listener
+	mu    sync.Mutex
+	conns int
+	seen  []string
+}
+
+func serve(t *testing.T, answers ...string) *fake {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fake{Listener: l}
+	t.Cleanup(func() { _ = l.Close() })
+	next := make(chan string, len(answers))
+	for _, a := range answers {
+		next <- a
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			f.mu.Lock()
+			f.conns++
+			f.mu.Unlock()
+			go f.connection(c, next)
+		}
+	}()
+	return f
+}
+
+func (f *fake) connection(c net.Conn, next chan string) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for {
+		q, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(q.Body)
+		f.mu.Lock()
+		f.seen = append(f.seen, q.Method+" "+q.RequestURI+" "+string(body))
+		f.mu.Unlock()
+		select {
+		case a := <-next:
+			if a == "" {
+				return
+			}
+			if _, err := io.WriteString(c, a); err != nil || strings.Contains(a, "Connection: close") {
+				return
+			}
+		default:
+			_, _ = c.Read(make([]byte, 1)) // silent until the client leaves
+			return
+		}
+	}
+}
+
+func (f *fake) counts() (int, int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.conns, len(f.seen)
+}
+
+func target(f *fake) Target { return Target{Address: f.Addr().String(), Incarnation: "i", Conns: 2} }
+
+func post(t *testing.T, p *Pool, f *fake) (*Response, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	t.Cleanup(cancel)
+	return p.Send(ctx, target(f), Request{Method: "POST", URI: "/a?b=c", Host: "h", Header: http.Header{}, Body: []byte("x")})
+}
+
+func read(t *testing.T, r *Response) string {
+	t.Helper()
+	b, err := io.ReadAll(r.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Close()
+	return string(b)
+}
+
+const ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+// Guards against connections that are opened anew for each request.
+func TestKeepsConnection(t *testing.T) {
+	f := serve(t, ok, ok)
+	p := New(Limits{Dial: time.Second, Idle: 4})
+	for range 2 {
+		r, err := post(t, p, f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := read(t, r); got != "ok" {
+			t.Errorf("body is %q", got)
+		}
+	}
+	if conns, seen := f.counts(); conns != 1 || seen != 2 {
+		t.Errorf("%d connections for %d requests, want 1 for 2", conns, seen)
+	}
+}
+
+// Guards against an answer to one request that is taken for the answer to the next: a server may send bytes after its
+// answer, close, or send an answer whose end cannot be told.
+func TestDropsDoubtfulConnection(t *testing.T) {
+	for name, answer := range map[string]string{
+		"extra bytes": ok + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale",
+		"close":       "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok",
+		"no idle":     "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nContent-Length: 2\r\n\r\nok",
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := serve(t, answer, ok)
+			p := New(Limits{Dial: time.Second, Idle: 4})
+			for range 2 {
+				r, err := post(t, p, f)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if got := read(t, r); got != "ok" {
+					t.Errorf("body is %q", got)
+				}
+			}
+			if conns, _ := f.counts(); conns != 2 {
+				t.Errorf("%d connections, want 2", conns)
+			}
+		})
+	}
+}
+
+// Guards against a repeat that nobody decided: a request whose answer is lost is sent once and reported as sent.
+func TestNeverRepeats(t *testing.T) {
+	f := serve(t, ok, "")
+	p := New(Limits{Dial: time.Second, Idle: 4})
+	r, err := post(t, p, f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	read(t, r)
+	_, err = post(t, p, f)
+	var failed *Error
+	if !errors.As(err, &failed) || !failed.Sent() || !failed.Reset() {
+		t.Fatalf("error is %v, want one of a request that was sent and reset", err)
+	}
+	if _, seen := f.counts(); seen != 2 {
+		t.Errorf("the server saw %d requests, want 2", seen)
+	}
+}
+
+// Guards against a refused connection or a reached bound that counts as a request that may have run.
+func TestNotSent(t *testing.T) {
+	f := serve(t)
+	p := New(Limits{Dial: time.Second, Idle: 4})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	one := Target{Address: f.Addr().String(), Incarnation: "i", Conns: 1}
+	q := Request{Method: "GET", URI: "/", Host: "h", Header: http.Header{}}
+	go func() { _, _ = p.Send(ctx, one, q) }()
+	deadline := time.Now().Add(5 * time.Second)
+	for _, seen := f.counts(); seen == 0 && time.Now().Before(deadline); _, seen = f.counts() {
+		time.Sleep(time.Millisecond)
+	}
+	_, err := p.Send(t.Context(), one, q)
+	var failed *Error
+	if !errors.As(err, &failed) || failed.Sent() || !failed.Full() {
+		t.Errorf("over the bound the error is %v", err)
+	}
+	_ = f.Close()
+	_, err = p.Send(t.Context(), Target{Address: f.Addr().String(), Incarnation: "j"}, q)
+	if !errors.As(err, &failed) || failed.Sent() {
+		t.Errorf("of a refused connection the error is %v", err)
+	}
+}
+
+// Guards against a server that goes on working for a client that has left.
+func TestCancelClosesConnection(t *testing.T) {
+	f := serve(t) // never answers, and closes when the client does
+	p := New(Limits{Dial: time.Second, Idle: 4})
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() {
+		_, err := p.Send(ctx, target(f), Request{Method: "GET", URI: "/", Host: "h", Header: http.Header{}})
+		ended <- err
+	}()
+	deadline := time.Now().Add(5 * time.Second)
+	for _, seen := f.counts(); seen == 0 && time.Now().Before(deadline); _, seen = f.counts() {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	select {
+	case err := <-ended:
+		if !errors.Is(err, context.Canceled) {
+			t.Errorf("error is %v, want that of the context", err)
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatal("the request goes on")
+	}
+}
+
+// Guards against connections to a former server that are used for its successor at the same address.
+func TestIncarnationsShareNothing(t *testing.T) {
+	f := serve(t, ok, ok)
+	p := New(Limits{Dial: time.Second, Idle: 4})
+	for _, inc := range []string{"a", "b"} {
+		r, err := p.Send(t.Context(), Target{Address: f.Addr().String(), Incarnation: inc},
+			Request{Method: "GET", URI: "/", Host: "h", Header: http.Header{}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		read(t, r)
+	}
+	if conns, _ := f.counts(); conns != 2 {
+		t.Errorf("%d connections, want one for each incarnation", conns)
+	}
+}
