Tell refused trainers to come back after the usual outage, load in rounds

When two versions are named in quick succession all engines of a model stopped at once for up to 2.8 s, although the step before could still run on them.

Change: Retry-After follows from the age of the outage; engines that must load do so in rounds of what the weight store bears.

--- a/daemon/internal/rollout/choose.go
+++ b/daemon/internal/rollout/choose.go
@@ -120,27 +120,29 @@
 //
 // It answers a load in which trainers name versions faster than the weight store can bring them to all engines at once,
 // and in which a step needs every engine when it begins and few at its end. A step allows the version before its own. So
-// an engine that is further behind loads at once, since no step takes it any more. One that is a single version behind
-// goes on serving, and loads while the last items of the step run elsewhere, in rounds that the weight store has room
-// for; it is ready when the next step begins.
+// an engine that is further behind loads as soon as the weight store has room for it: more orders at once would not end
+// sooner, and until its round it serves a step before that may still be open. One that is a single version behind goes on
+// serving, and loads while the last items of the step run elsewhere, in rounds that leave room for the other models; it
+// is ready when the next step begins.
 func (v view) turnFor(model string) turn {
-	var may []string
+	var must, may []string
 	for _, e := range v.engines {
 		if !v.serves(e.ID, model) {
 			continue
 		}
-		b := v.behind(e, model)
-		if e.ID == v.self && b > skip {
-			return turn{load: true}
-		}
-		if b == skip {
+		switch b := v.behind(e, model); {
+		case b > skip:
+			must = append(must, e.ID)
+		case b == skip:
 			may = append(may, e.ID)
 		}
 	}
-	i := slices.Index(may, v.self)
-	if i < 0 {
-		return turn{}
+	atOnce := max(len(v.engines)/perLoad, 1)
+	if i := slices.Index(must, v.self); i >= 0 {
+		return turn{load: true, after: i / atOnce}
+	}
+	if i := slices.Index(may, v.self); i >= 0 {
+		return turn{load: true, quiet: true, after: i / max(atOnce/max(len(v.models), 1), 1)}
 	}
-	atOnce := max(len(v.engines)/perLoad/max(len(v.models), 1), 1)
-	return turn{load: true, quiet: true, after: i / atOnce}
+	return turn{}
 }
--- a/daemon/internal/rollout/rollout_test.go
+++ b/daemon/internal/rollout/rollout_test.go
@@ -71,12 +71,14 @@
 		l[i].Versions = map[string]int{"m": 3}
 	}
 	l[3].Versions = map[string]int{"m": 5}
-	rounds := make(map[int]int)
+	urgent, rounds := make(map[int]int), make(map[int]int)
 	for i, e := range l {
 		turn := newView(named, l, e.ID, e.Versions).turnFor("m")
 		switch {
-		case i < 3 && (!turn.load || turn.quiet || turn.after != 0):
+		case i < 3 && (!turn.load || turn.quiet):
 			t.Errorf("an engine two versions behind has turn %+v", turn)
+		case i < 3:
+			urgent[turn.after]++
 		case i == 3 && turn.load:
 			t.Error("an engine that has the version loads it")
 		case i > 3 && (!turn.load || !turn.quiet):
@@ -85,6 +87,9 @@
 			rounds[turn.after]++
 		}
 	}
+	if urgent[0] != n/perLoad {
+		t.Errorf("%d engines that are two versions behind load at once, the store bears %d", urgent[0], n/perLoad)
+	}
 	for round, count := range rounds {
 		if count > n/perLoad {
 			t.Errorf("%d engines load in round %d, the store bears %d", count, round, n/perLoad)
--- a/entry/internal/batch/batch.go
+++ b/entry/internal/batch/batch.go
@@ -46,9 +46,12 @@
 const (
 	// askTime bounds a question to another entry beside the time that the question itself allows.
 	askTime = 800 * time.Millisecond
-	// retryStore is when a client may come back while the store does not answer: outages last some seconds, and clients
-	// ask only once or twice.
-	retryStore = 2 * time.Second
+	// usualOutage is how long an outage of the store lasts as a rule; operators report three to nine seconds.
+	usualOutage = 7 * time.Second
+	// retryLeast and retryMost bound when a client may come back while the store does not answer. Clients come two or
+	// three times in all and wait at most a third of their time, which is four seconds of the usual twelve.
+	retryLeast = 1500 * time.Millisecond
+	retryMost  = 4 * time.Second
 	// retryBusy is when a client may come back while a job changes hands.
 	retryBusy = 300 * time.Millisecond
 	// storeTries bounds conditional updates that lose against others.
@@ -89,7 +92,7 @@
 	Value   int           // largest value of the store in bytes
 	Memory  int64         // bytes that the payloads of open jobs may take
 	Logger  *slog.Logger
-	Count   func(name string)
+	Outage  func(now time.Time) time.Duration // how long the store has not answered; 0 if it does
 }
 
 // Manager keeps the jobs that this entry knows.
@@ -134,14 +137,14 @@
 	}
 	if err := m.putPayload(ctx, id, body); err != nil {
 		// Nothing runs without a state object, so the job has not run.
-		return m.refused(id, http.StatusServiceUnavailable, retryStore, err.Error())
+		return m.refused(id, http.StatusServiceUnavailable, retryAfter(m.Outage(now)), err.Error())
 	}
 	state := wire.JobState{
 		Owner: m.Name, Inc: m.Self.Inc, Epoch: 1, Host: r.Host, Path: r.Prefix, Total: len(spec.Items), At: now.UnixMilli(),
 	}
 	held, err := m.createState(ctx, id, state)
 	if err != nil {
-		return m.refuseAmbiguous(id, err)
+		return m.refuseAmbiguous(id, err, now)
 	}
 	if held.Owner == m.Name && held.Inc == m.Self.Inc && !held.Ended {
 		m.start(newJob(m, spec, held, nil), nil)
@@ -152,14 +155,22 @@
 }
 
 // refuseAmbiguous answers a submission whose state object may have been written: nothing may be promised then.
-func (m *Manager) refuseAmbiguous(id string, err error) ingress.Reply {
+func (m *Manager) refuseAmbiguous(id string, err error, now time.Time) ingress.Reply {
 	var down *store.DownError
 	if errors.As(err, &down) && !down.Ambiguous() {
-		return m.refused(id, http.StatusServiceUnavailable, retryStore, err.Error())
+		return m.refused(id, http.StatusServiceUnavailable, retryAfter(m.Outage(now)), err.Error())
 	}
 	return m.refused(id, http.StatusGatewayTimeout, 0, err.Error())
 }
 
+// retryAfter returns when a job that the store could not take may come again, given how long the store has been away.
+//
+// It answers trainers whose few tries would all fall into one outage: early in an outage they are told to wait for its
+// usual end, late in one to come soon.
+func retryAfter(outage time.Duration) time.Duration {
+	return min(max(usualOutage-outage, retryLeast), retryMost)
+}
+
 func (m *Manager) refused(id string, status int, retry time.Duration, cause string) ingress.Reply {
 	event.JobRefused.Log(m.Logger, "job", id, "status", status, "cause", cause)
 	return refuse(status, retry, cause, nil)
--- a/entry/internal/batch/batch_test.go
+++ b/entry/internal/batch/batch_test.go
@@ -214,6 +214,36 @@
 	}
 }
 
+// Plays a trainer with three tries against outages of each usual length that begin just before its first one: it waits as
+// told and must get through by the third. The baseline is a fixed time to come back of two seconds.
+func TestRetryAfterOutlastsOutage(t *testing.T) {
+	const deadline, tries = 12 * time.Second, 3
+	through := func(outage time.Duration, retry func(age time.Duration) time.Duration) bool {
+		at := time.Duration(0)
+		for range tries {
+			if at >= outage {
+				return true
+			}
+			at += min(retry(at), (deadline-at)/3)
+		}
+		return false
+	}
+	baseline, got := 0, 0
+	const shortest, longest = 3, 9 // seconds
+	for s := shortest; s <= longest; s++ {
+		if through(time.Duration(s)*time.Second, func(time.Duration) time.Duration { return 2 * time.Second }) {
+			baseline++
+		}
+		if through(time.Duration(s)*time.Second, retryAfter) {
+			got++
+		}
+	}
+	t.Logf("%d of %d outages are outlasted, %d by the baseline", got, longest-shortest+1, baseline)
+	if got <= baseline {
+		t.Errorf("%d outages are outlasted, %d by the baseline", got, baseline)
+	}
+}
+
 // Guards against a promise that nothing runs while the state object may still be written.
 func TestSubmitLateWrite(t *testing.T) {
 	r := newRig(t, newEngine(t, 1))
--- a/entry/internal/batch/rig_test.go
+++ b/entry/internal/batch/rig_test.go
@@ -262,6 +262,7 @@
 		Self: wire.Member{Inc: inc}, Name: name,
 		Store: platform.NewStore(r.address, 200*time.Millisecond, pool, quiet), Peers: peers, Catalog: c, Pool: pool,
 		Tracker: place.New(home, rand.New(rand.NewPCG(1, 1))), Keep: time.Minute, Value: 1 << 20, Memory: 1 << 24, Logger: quiet,
+		Outage: func(time.Time) time.Duration { return 0 },
 	})
 	m.Register(peers)
 	r.mesh.mu.Lock()
--- a/entry/internal/cli/platform.go
+++ b/entry/internal/cli/platform.go
@@ -182,6 +182,7 @@
 	p.batch = batch.New(life, batch.Options{
 		Self: self, Name: s.Name, Store: objects, Peers: p.peers, Catalog: p.catalog, Pool: pool, Tracker: tracker,
 		Keep: s.Bounds.Status, Value: s.Store.Value, Memory: int64(bodyShare * float64(s.Memory)), Logger: p.logger,
+		Outage: objects.Outage,
 	})
 	p.batch.Register(p.peers)
 	waits := m.Histogram("request", "s", "Time from arrival to the answer.")
--- a/entry/internal/relay/relay.go
+++ b/entry/internal/relay/relay.go
@@ -82,6 +82,7 @@
 
 	mu    sync.Mutex
 	down  bool
+	since time.Time // when it went down
 	probe time.Time // when the store is to be tried again
 	next  int       // rotates the entries asked
 }
@@ -170,11 +171,21 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if down && !r.down {
-		r.probe = now.Add(probeEvery)
+		r.since, r.probe = now, now.Add(probeEvery)
 	}
 	r.down = down
 }
 
+// Outage returns how long the store has not answered this entry, 0 if it does.
+func (r *Relay) Outage(now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.down {
+		return 0
+	}
+	return now.Sub(r.since)
+}
+
 // ask makes a call through other entries. If none reaches the store, the error tells whether any attempt of a write may
 // have taken effect.
 func (r *Relay) ask(ctx context.Context, c wire.StoreCall, failed error) (int64, []store.Change, error) {
