--- a/ctl/internal/cli/fleet.go
+++ b/ctl/internal/cli/fleet.go
@@ -83,7 +83,7 @@
 		return err
 	}
 	if !c.app.JSON {
-		_, _ = fmt.Fprintf(c.app.out, "request %s of %s under %s: %s %s\n", t.Request, t.Tenant, t.Profile, t.State, t.Code)
+		_, _ = fmt.Fprintf(c.app.out, "request %s of %s under %s: %s %s\n", t.Request, t.Workspace, t.Profile, t.State, t.Code)
 	}
 	return c.app.print(t, "ATTEMPT\tDAEMON\tSERVER\tSTART (UNIX MS)\tTOOK (MS)\tVERSIONS\tOUTCOME", func(w io.Writer) {
 		for _, y := range t.Tries {
--- a/daemon/internal/cli/cli_test.go
+++ b/daemon/internal/cli/cli_test.go
@@ -84,7 +84,7 @@
 	}
 	_, text := get("/metrics")
 	for _, want := range []string{"queue_wait", "first_token", "total"} {
-		if !strings.Contains(text, `bulrush_daemon_`+want+`_seconds_count{class="live",tenant="t"} 1`) {
+		if !strings.Contains(text, `bulrush_daemon_`+want+`_seconds_count{class="live",workspace="t"} 1`) {
 			t.Fatalf("no %s in:\n%s", want, text)
 		}
 	}
--- a/daemon/internal/cli/program_test.go
+++ b/daemon/internal/cli/program_test.go
@@ -198,14 +198,14 @@
 
 func completion(id string, tokens int) wire.Work {
 	return wire.Work{
-		Attempt: id, Server: "e1", Class: "live", Tenant: "t", Profile: "p", Request: "r" + id,
+		Attempt: id, Server: "e1", Class: "live", Workspace: "t", Profile: "p", Request: "r" + id,
 		Left: 60_000, Model: "plan", Prompt: "plant", Max: tokens,
 	}
 }
 
 func ledger(id, key string, era int) wire.Work {
 	return wire.Work{
-		Attempt: id, Server: "s1", Class: "live", Tenant: "t", Profile: "p", Request: "r" + id, Left: 60_000,
+		Attempt: id, Server: "s1", Class: "live", Workspace: "t", Profile: "p", Request: "r" + id, Left: 60_000,
 		Once: true, Key: key, Era: era, Call: &wire.Call{Method: "POST", Path: "/log?x=1", Body: []byte("b")},
 	}
 }
--- a/daemon/internal/entry/entry.go
+++ b/daemon/internal/entry/entry.go
@@ -30,7 +30,7 @@
 	// maxChunk and maxBytes bound the tokens of one message, so that the streams of a link take turns.
 	maxChunk = 512
 	maxBytes = 256 << 10
-	// maxKey bounds an idempotency key with its tenant, in bytes.
+	// maxKey bounds an idempotency key with its workspace, in bytes.
 	maxKey   = 512
 	askPause = 5 * time.Millisecond
 	// maxTokens bounds the answer that a work message may ask for; entries enforce the lower limit of the profile.
--- a/daemon/internal/queue/queue.go
+++ b/daemon/internal/queue/queue.go
@@ -242,7 +242,7 @@
 func (q *Queue) start(now time.Time, i *admit.Item, a *attempt.Attempt) {
 	run := a.Start(now)
 	if run == 1 {
-		q.meters.Wait.Record(a.Work().Tenant, a.Work().Class, now.Sub(a.Arrived()).Seconds())
+		q.meters.Wait.Record(a.Work().Workspace, a.Work().Class, now.Sub(a.Arrived()).Seconds())
 	}
 	ctx, stop := context.WithCancelCause(context.Background())
 	q.tasks[i] = &task{stop: stop}
@@ -308,9 +308,9 @@
 	w := a.Work()
 	_, first, total := a.Times()
 	if first > 0 {
-		q.meters.First.Record(w.Tenant, w.Class, first.Seconds())
+		q.meters.First.Record(w.Workspace, w.Class, first.Seconds())
 	}
-	q.meters.Total.Record(w.Tenant, w.Class, total.Seconds())
+	q.meters.Total.Record(w.Workspace, w.Class, total.Seconds())
 	outcome := "finished"
 	if e.Refusal != nil {
 		outcome = string(e.Refusal.Code())
--- a/entry/internal/batch/batch.go
+++ b/entry/internal/batch/batch.go
@@ -227,7 +227,12 @@
 func (m *Manager) Results(ctx context.Context, id string, after int, wait time.Duration) ingress.Reply {
 	for range storeTries {
 		if j := m.local(id); j != nil {
-			return page(j.page(ctx, after, wait))
+			p := j.page(ctx, after, wait)
+			if len(p.Results) == 0 && p.Next < p.Total {
+				m.refresh(ctx, j, time.Now())
+				p = j.page(ctx, after, 0)
+			}
+			return page(p)
 		}
 		s, reply := m.find(ctx, id)
 		if reply.Status != 0 {
@@ -474,7 +479,7 @@
 			return "", nil, err
 		}
 		m.foreign(q)
-		return "", nil, nil
+		return link.Replied, wire.JobReply{Done: true}, nil
 	})
 	h.Handle(link.Adopt, func(ctx context.Context, f link.Frame) (string, any, error) {
 		var q wire.JobAdopt
@@ -520,6 +525,28 @@
 	j.stop()
 }
 
+// Joined tells an entry whose link has opened which jobs this one has taken over: a former owner that was cut off goes on
+// to believe in its ownership otherwise.
+func (m *Manager) Joined(name string) {
+	m.mu.Lock()
+	var taken []wire.JobOwner
+	for id, j := range m.jobs {
+		if j.epoch > 1 && j.launched {
+			taken = append(taken, wire.JobOwner{Job: id, Owner: m.Name, Inc: m.Self.Inc, Epoch: j.epoch})
+		}
+	}
+	m.mu.Unlock()
+	for _, o := range taken {
+		ctx, cancel := context.WithTimeout(m.life, askTime)
+		var done wire.JobReply
+		err := m.Peers.Ask(ctx, name, link.Owner, o, &done)
+		cancel()
+		if err != nil {
+			return // it is told when the next link opens
+		}
+	}
+}
+
 func (m *Manager) local(id string) *Job {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -547,6 +574,7 @@
 		return
 	}
 	m.jobs[j.spec.ID] = j
+	j.launched = !j.over()
 	m.sweep(time.Now())
 	m.mu.Unlock()
 	if j.over() {
@@ -559,6 +587,19 @@
 	j.launch(m.life)
 }
 
+// refresh reads records that reached the store after this entry last looked. A stopped job writes none itself, but a
+// write without an answer may be carried out seconds later.
+func (m *Manager) refresh(ctx context.Context, j *Job, now time.Time) {
+	if !j.stale(now) {
+		return
+	}
+	records, err := m.records(ctx, j.spec.ID)
+	if err != nil {
+		return // the client has logged it; the next reader tries again
+	}
+	j.catchUp(records)
+}
+
 // sweep drops jobs whose results need not be readable any more; the caller holds mu.
 func (m *Manager) sweep(now time.Time) {
 	for id, j := range m.jobs {
--- a/entry/internal/batch/batch_test.go
+++ b/entry/internal/batch/batch_test.go
@@ -431,3 +431,61 @@
 		t.Errorf("read back %d bytes of %d, %v", len(got), len(body), err)
 	}
 }
+
+// Guards against a former owner that goes on showing what it knew: it was cut off from the other entries, its items stand
+// still, and it learns of the new owner when the link between them opens again.
+func TestFormerOwnerLearns(t *testing.T) {
+	e := newEngine(t, 1)
+	r := newRig(t, e)
+	m, _ := r.manager("a", "a1")
+	other, _ := r.manager("b", "b1")
+	e.set(func(e *engine) { e.gap = time.Hour })
+	r.submit(m, "j", payload(1, "g-1", "h-3"))
+	r.collect(m, "j", 0)
+	deadline := time.Now().Add(5 * time.Second)
+	for len(e.started()) < 2 && time.Now().Before(deadline) {
+		time.Sleep(5 * time.Millisecond)
+	}
+	e.set(func(e *engine) { e.gap = 0 })
+	r.cut("a", true)
+	m.Catalog.RemoveServer("i0", 1000, time.Now())
+	results := r.collect(other, "j", 2)
+	r.cut("a", false)
+	other.Joined("a")
+	m.Joined("b")
+	if d := cmp.Diff(results, r.collect(m, "j", 2)); d != "" {
+		t.Errorf("the former owner shows other results (-owner +former):\n%s", d)
+	}
+}
+
+// Guards against readers that disagree on a job that has ended while a record was on its way to the store.
+func TestRecordLandsAfterEnd(t *testing.T) {
+	r := newRig(t, newEngine(t, 1))
+	m, _ := r.manager("a", "a1")
+	other, _ := r.manager("b", "b1")
+	r.submit(m, "j", payload(1, "g-1", "h-1000000"))
+	r.store.Fault(objects.Fault{Late: 1})
+	deadline := time.Now().Add(5 * time.Second)
+	for r.store.Calls("POST", kindRecords+"j") == 0 && time.Now().Before(deadline) {
+		time.Sleep(time.Millisecond)
+	}
+	if reply := m.End(t.Context(), "j"); reply.Status != http.StatusOK {
+		t.Fatal(reply)
+	}
+	r.cut("a", true) // the other entry reads the store itself
+	for _, reader := range []*Manager{m, other} {
+		if reply := reader.Results(t.Context(), "j", 0, 0); reply.Status != http.StatusOK {
+			t.Fatal(reply)
+		}
+	}
+	time.Sleep(300 * time.Millisecond)
+	for name, reader := range map[string]*Manager{"former owner": m, "other entry": other} {
+		var got []string
+		for _, res := range r.collect(reader, "j", 1) {
+			got = append(got, res.ID)
+		}
+		if d := cmp.Diff([]string{"g-1"}, got); d != "" {
+			t.Errorf("the %s shows (-want +got):\n%s", name, d)
+		}
+	}
+}
--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -12,6 +12,10 @@
 	"bulrushspoke/wire"
 )
 
+// lookEvery is the time between two looks at the log of a stopped job; a write that got no answer takes effect within six
+// seconds.
+const lookEvery = time.Second
+
 // maxPage bounds the text in one page of results in bytes; the platform allows 1 MB in all.
 const maxPage = 900 << 10
 
@@ -24,6 +28,7 @@
 	path      string
 	submitted time.Time
 	size      int64
+	launched  bool // ran here; guarded by the mu of the manager
 
 	mu      sync.Mutex
 	items   map[string]*item
@@ -32,6 +37,7 @@
 	ready   []job.Result // to be listed
 	ended   bool         // by the trainer
 	stopped bool         // nothing runs here any more
+	looked  time.Time    // when the log was last read after the job stopped
 	cancel  context.CancelFunc
 	changed chan struct{} // closed when results are listed or the job stops
 	wake    chan struct{} // tells the tasks of the job that an item changed
@@ -89,6 +95,26 @@
 	j.ready = slices.DeleteFunc(j.ready, func(r job.Result) bool { return j.items[r.Item].listed })
 }
 
+// stale reports whether the log of a stopped job is to be read again.
+func (j *Job) stale(now time.Time) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if !j.stopped || now.Sub(j.looked) < lookEvery {
+		return false
+	}
+	j.looked = now
+	return true
+}
+
+// catchUp takes the records that this entry has not seen.
+func (j *Job) catchUp(records []wire.JobRecord) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, r := range records[min(j.records, len(records)):] {
+		j.adopt(r)
+	}
+}
+
 // resume takes texts that another owner or an earlier job has made.
 func (j *Job) resume(parts []wire.JobPart) {
 	j.mu.Lock()
--- a/entry/internal/batch/run.go
+++ b/entry/internal/batch/run.go
@@ -29,7 +29,7 @@
 	nextEvent = 2 * time.Second
 	// moveAfter is how many events an item must have made at a slow server before it moves to another, and between two
 	// looks: moving costs the reading of its prompt and text, a few milliseconds.
-	moveAfter = 4
+	moveAfter = 8
 	// moveMost bounds the moves of one item.
 	moveMost = 6
 	// itemTime bounds one item on routes that set no time of their own.
--- a/entry/internal/caller/caller.go
+++ b/entry/internal/caller/caller.go
@@ -54,9 +54,9 @@
 	Tokens int // tokens of an answer, 0 for the limit of the profile only
 }
 
-// Recorder counts values by tenant and class.
+// Recorder counts values by workspace and class.
 type Recorder interface {
-	Record(tenant, class string, value float64)
+	Record(workspace, class string, value float64)
 }
 
 // Meters are the metrics of calls, in seconds.
@@ -131,22 +131,22 @@
 // work returns the part of a work message that all calls share.
 func (p *resolved) work(r *gate.Request) wire.Work {
 	return wire.Work{
-		Request: r.ID,
-		Tenant:  r.Identity.Tenant,
-		Profile: p.Name,
-		Class:   p.Class,
-		Rev:     p.rev,
+		Request:   r.ID,
+		Workspace: r.Identity.Workspace,
+		Profile:   p.Name,
+		Class:     p.Class,
+		Rev:       p.rev,
 	}
 }
 
 // record counts a finished call.
-func (c *Caller) record(p *resolved, tenant string, res *dispatch.Result) {
-	c.meters.Total.Record(tenant, p.Class, time.Since(p.arrived).Seconds())
+func (c *Caller) record(p *resolved, workspace string, res *dispatch.Result) {
+	c.meters.Total.Record(workspace, p.Class, time.Since(p.arrived).Seconds())
 	if res == nil {
 		return
 	}
-	c.meters.Wait.Record(tenant, p.Class, res.Wait.Seconds())
+	c.meters.Wait.Record(workspace, p.Class, res.Wait.Seconds())
 	if !res.First.IsZero() {
-		c.meters.First.Record(tenant, p.Class, res.First.Sub(p.arrived).Seconds())
+		c.meters.First.Record(workspace, p.Class, res.First.Sub(p.arrived).Seconds())
 	}
 }
--- a/entry/internal/caller/caller_test.go
+++ b/entry/internal/caller/caller_test.go
@@ -50,8 +50,8 @@
 		"once": {Name: "once", Class: "live", Concurrency: 100, Deadline: "30s", Once: true},
 	}
 	tokens := map[string]gate.Identity{
-		"l": {Tenant: "kitchen", Profile: "live", Role: gate.Caller},
-		"o": {Tenant: "kitchen", Profile: "once", Role: gate.Caller},
+		"l": {Workspace: "kitchen", Profile: "live", Role: gate.Caller},
+		"o": {Workspace: "kitchen", Profile: "once", Role: gate.Caller},
 	}
 	limits := gate.Limits{Body: 1 << 20, Header: 4096, Read: 10 * time.Second, Write: 10 * time.Second, Idle: time.Minute}
 	logger := slog.New(slog.DiscardHandler)
@@ -122,7 +122,7 @@
 		t.Fatalf("request id %q, header %q, work %q", c.ID, resp.Header.Get(gate.RequestHeader), job.Work.Request)
 	}
 	w := job.Work
-	if w.Max != 100 || w.Tenant != "kitchen" || w.Class != "live" || w.Rev != 3 || !job.Hedge || job.Deadline.IsZero() {
+	if w.Max != 100 || w.Workspace != "kitchen" || w.Class != "live" || w.Rev != 3 || !job.Hedge || job.Deadline.IsZero() {
 		t.Fatalf("job %+v", job)
 	}
 }
--- a/entry/internal/caller/completion.go
+++ b/entry/internal/caller/completion.go
@@ -73,7 +73,7 @@
 	if err != nil {
 		return err
 	}
-	c.record(p, r.Identity.Tenant, &res)
+	c.record(p, r.Identity.Workspace, &res)
 	r.Response.Header.Set(VersionsHeader, Versions(res.Spans))
 	return r.JSON(wire.CompletionResponse{
 		ID:       r.ID,
@@ -165,7 +165,7 @@
 	}
 	r.SetContentType("text/event-stream")
 	r.Response.Header.Set("Cache-Control", "no-cache")
-	id, tenant, profile := r.ID, r.Identity.Tenant, *p
+	id, workspace, profile := r.ID, r.Identity.Workspace, *p
 	r.Stream(func(w *bufio.Writer) {
 		defer release()
 		e := events{w: w, id: id, model: j.Work.Model}
@@ -180,7 +180,7 @@
 		}
 		e.end(f.result, f.err)
 		if f.err == nil {
-			c.record(&profile, tenant, &f.result)
+			c.record(&profile, workspace, &f.result)
 		}
 	})
 	return nil
--- a/entry/internal/caller/service.go
+++ b/entry/internal/caller/service.go
@@ -49,7 +49,7 @@
 	if res.Reply == nil {
 		return refusal.New(refusal.Broken, refusal.Unknown, "caller: answer without a reply")
 	}
-	c.record(&p, r.Identity.Tenant, &res)
+	c.record(&p, r.Identity.Workspace, &res)
 	return reply(r, res.Reply)
 }
 
@@ -62,7 +62,7 @@
 	if err != nil {
 		return err
 	}
-	c.record(p, r.Identity.Tenant, nil)
+	c.record(p, r.Identity.Workspace, nil)
 	return reply(r, &a)
 }
 
--- a/entry/internal/claim/claim.go
+++ b/entry/internal/claim/claim.go
@@ -7,7 +7,7 @@
 //	var refused *refusal.Error
 //	if errors.As(err, &refused) { … }
 //
-// The object claim/<tenant>.<key> names the daemon incarnation that alone may run the call. Only the writer of a
+// The object claim/<workspace>.<key> names the daemon incarnation that alone may run the call. Only the writer of a
 // version of that object sends the call, and it sends it once. A claim is moved only after its incarnation has proved
 // that it never ran the call and never will: by refusing it as not run, or by a tombstone.
 //
@@ -62,9 +62,9 @@
 type Chooser interface {
 	Choose(now time.Time, w *wire.Work, skip func(dispatch.Candidate) bool) (*dispatch.Place, error)
 	Attempt(now time.Time) string
-	// Offer counts a request, and Repeat reports whether the tenant may repeat one.
-	Offer(tenant string, hedge bool)
-	Repeat(tenant string) bool
+	// Offer counts a request, and Repeat reports whether the workspace may repeat one.
+	Offer(workspace string, hedge bool)
+	Repeat(workspace string) bool
 	Trace(w *wire.Work) *dispatch.Trace
 }
 
@@ -111,7 +111,7 @@
 	return &Claims{store: s, pool: p, chooser: c, config: config, settings: settings, logger: logger}
 }
 
-// Run runs a call at most once for its tenant and key, or finds out what became of it. The error is a *refusal.Error.
+// Run runs a call at most once for its workspace and key, or finds out what became of it. The error is a *refusal.Error.
 func (c *Claims) Run(ctx context.Context, k Call) (wire.Reply, error) {
 	if !valid(k.Key) {
 		return wire.Reply{}, refusal.New(refusal.BadRequest, refusal.NotRun,
@@ -123,11 +123,11 @@
 		defer cancel()
 	}
 	r := &run{
-		Claims: c, call: k, work: k.Work, digest: digest(&k.Work), name: k.Work.Tenant + "." + k.Key,
+		Claims: c, call: k, work: k.Work, digest: digest(&k.Work), name: k.Work.Workspace + "." + k.Key,
 		skip: make(map[string]bool),
 	}
 	r.work.Once, r.work.Key = true, r.name
-	c.chooser.Offer(r.work.Tenant, false)
+	c.chooser.Offer(r.work.Workspace, false)
 	r.trace = c.chooser.Trace(&r.work)
 	a, err := r.run(ctx)
 	r.trace.End(err)
@@ -146,11 +146,11 @@
 	return true
 }
 
-// digest tells requests with the same key apart. It includes the tenant: a tenant and key with a dot in them could
+// digest tells requests with the same key apart. It includes the workspace: a workspace and key with a dot in them could
 // give the object name of another pair.
 func digest(w *wire.Work) uint64 {
 	h := xxhash.New()
-	for _, s := range []string{w.Tenant, w.Model, w.Call.Method, w.Call.Path} {
+	for _, s := range []string{w.Workspace, w.Model, w.Call.Method, w.Call.Path} {
 		_, _ = h.WriteString(s)
 		_, _ = h.Write([]byte{0})
 	}
--- a/entry/internal/claim/fake_test.go
+++ b/entry/internal/claim/fake_test.go
@@ -287,7 +287,7 @@
 func newCall(request, key, body string) Call {
 	return Call{
 		Work: wire.Work{
-			Request: request, Tenant: "t", Class: dispatch.Live, Model: "ledger",
+			Request: request, Workspace: "t", Class: dispatch.Live, Model: "ledger",
 			Call: &wire.Call{Method: "POST", Path: "/x", Body: []byte(body)},
 		},
 		Key: key, Deadline: time.Now().Add(time.Minute),
--- a/entry/internal/claim/send.go
+++ b/entry/internal/claim/send.go
@@ -98,7 +98,7 @@
 	case e.Code() == refusal.Tombstoned:
 		// Another request with this key has asked and may have moved the claim.
 		return r.reread(ctx)
-	case permanent(e.Code()), e.Code() == refusal.Busy && !r.chooser.Repeat(r.work.Tenant):
+	case permanent(e.Code()), e.Code() == refusal.Busy && !r.chooser.Repeat(r.work.Workspace):
 		return r.deny(ctx, h, e)
 	default:
 		return r.move(ctx, h, e)
--- a/entry/internal/cli/build.go
+++ b/entry/internal/cli/build.go
@@ -181,7 +181,7 @@
 func tokens(c config) map[string]gate.Identity {
 	m := make(map[string]gate.Identity, len(c.Tokens))
 	for _, t := range c.Tokens {
-		m[t.Token] = gate.Identity{Tenant: t.Tenant, Profile: t.Profile, Role: t.Role}
+		m[t.Token] = gate.Identity{Workspace: t.Workspace, Profile: t.Profile, Role: t.Role}
 	}
 	return m
 }
--- a/entry/internal/cli/cli_test.go
+++ b/entry/internal/cli/cli_test.go
@@ -13,7 +13,7 @@
 
 const minimal = `{"name": "e", "domain": "d", "region": "r", "listen": "127.0.0.1:0", "link": {"listen": "127.0.0.1:0"},
 	"secret": "0123456789abcdef", "store": {"url": "http://127.0.0.1:1"},
-	"tokens": [{"token": "0123456789abcdef", "tenant": "t", "role": "operator"}]`
+	"tokens": [{"token": "0123456789abcdef", "workspace": "t", "role": "operator"}]`
 
 // Guards against samples and defaults that the program itself refuses.
 func TestSamples(t *testing.T) {
@@ -50,14 +50,14 @@
 func TestInvalidSettings(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "entry.json")
 	for extra, want := range map[string]string{
-		`, "colour": 1}`:                                                   "/colour",
-		`, "timeouts": {"ack": "1"}}`:                                      "/timeouts/ack",
-		`, "timeouts": {"ack": "0s"}}`:                                     "/timeouts/ack",
-		`, "timeouts": {"resume": "1ms"}}`:                                 "/timeouts/resume",
-		`, "limits": {"body": 1}}`:                                         "/limits/body",
-		`, "peers": [{"name": "d", "role": "db", "address": "h:1"}]}`:      "/peers/0/role",
-		`, "peers": [{"name": "d", "role": "daemon", "address": "h"}]}`:    "/peers/0/address",
-		`, "tokens": [{"token": "short", "tenant": "t", "role": "caller"}`: "/",
+		`, "colour": 1}`:                                                      "/colour",
+		`, "timeouts": {"ack": "1"}}`:                                         "/timeouts/ack",
+		`, "timeouts": {"ack": "0s"}}`:                                        "/timeouts/ack",
+		`, "timeouts": {"resume": "1ms"}}`:                                    "/timeouts/resume",
+		`, "limits": {"body": 1}}`:                                            "/limits/body",
+		`, "peers": [{"name": "d", "role": "db", "address": "h:1"}]}`:         "/peers/0/role",
+		`, "peers": [{"name": "d", "role": "daemon", "address": "h"}]}`:       "/peers/0/address",
+		`, "tokens": [{"token": "short", "workspace": "t", "role": "caller"}`: "/",
 	} {
 		if err := os.WriteFile(path, []byte(minimal+extra), 0o600); err != nil {
 			t.Fatal(err)
--- a/entry/internal/cli/platform.go
+++ b/entry/internal/cli/platform.go
@@ -185,6 +185,7 @@
 		Outage: objects.Outage,
 	})
 	p.batch.Register(p.peers)
+	p.peers.OnJoin(p.batch.Joined)
 	waits := m.Histogram("request", "s", "Time from arrival to the answer.")
 	p.ingress = ingress.New(ingress.Options{
 		Catalog: p.catalog, Pool: pool, Tracker: tracker, Jobs: p.batch,
@@ -214,7 +215,7 @@
 	p.task("entries", p.peers.Serve)
 	p.task("membership", member.New(s.Name, self, p.store, p.peers, p.logger).Run)
 	feeder := platform.NewFeeder(p.catalog, p.logger)
-	p.follow(objects, feeder.Fill(catalog.Feed{Kind: platform.KindConfig}))
+	p.follow(objects, relay.Spread(feeder.Fill(catalog.Feed{Kind: platform.KindConfig}), s.Name, p.peers))
 	p.follow(objects, relay.Spread(feeder.Fill(catalog.Feed{Kind: platform.KindServers}), s.Name, p.peers))
 	return nil
 }
--- a/entry/internal/cli/settings.go
+++ b/entry/internal/cli/settings.go
@@ -37,10 +37,10 @@
 		Address string `json:"address"`
 	} `json:"peers"`
 	Tokens []struct {
-		Token   string `json:"token"`
-		Tenant  string `json:"tenant"`
-		Profile string `json:"profile"`
-		Role    string `json:"role"`
+		Token     string `json:"token"`
+		Workspace string `json:"workspace"`
+		Profile   string `json:"profile"`
+		Role      string `json:"role"`
 	} `json:"tokens"`
 	Limits struct {
 		Body    int `json:"body"`
--- a/entry/internal/dispatch/budget.go
+++ b/entry/internal/dispatch/budget.go
@@ -50,21 +50,21 @@
 }
 
 // Offer counts a request in the budgets.
-func (d *Dispatcher) Offer(tenant string, hedge bool) {
+func (d *Dispatcher) Offer(workspace string, hedge bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.counts.Requests++
-	d.budget(tenant).deposit()
+	d.budget(workspace).deposit()
 	if hedge {
 		d.hedges.deposit()
 	}
 }
 
-// Repeat pays for a retry of the tenant and reports whether it may be made.
-func (d *Dispatcher) Repeat(tenant string) bool {
+// Repeat pays for a retry of the workspace and reports whether it may be made.
+func (d *Dispatcher) Repeat(workspace string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.budget(tenant).take() {
+	if !d.budget(workspace).take() {
 		return false
 	}
 	d.counts.Retries++
@@ -72,10 +72,10 @@
 }
 
 // hedge pays for a hedge from both budgets, so that hedges and retries together keep to the larger one.
-func (d *Dispatcher) hedge(tenant string) bool {
+func (d *Dispatcher) hedge(workspace string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	b := d.budget(tenant)
+	b := d.budget(workspace)
 	if !b.ready() || !d.hedges.take() || !b.take() {
 		return false
 	}
@@ -83,13 +83,13 @@
 	return true
 }
 
-// budget returns the retry budget of a tenant; d.mu is held. Tenants are named in the settings, so their number is
+// budget returns the retry budget of a workspace; d.mu is held. Workspaces are named in the settings, so their number is
 // bounded.
-func (d *Dispatcher) budget(tenant string) *budget {
-	b, ok := d.budgets[tenant]
+func (d *Dispatcher) budget(workspace string) *budget {
+	b, ok := d.budgets[workspace]
 	if !ok {
 		b = newBudget(d.settings.RetryRatio, d.settings.RetryBurst)
-		d.budgets[tenant] = b
+		d.budgets[workspace] = b
 	}
 	return b
 }
--- a/entry/internal/dispatch/dispatch.go
+++ b/entry/internal/dispatch/dispatch.go
@@ -8,7 +8,7 @@
 //	if errors.As(err, &refused) { … }
 //
 // A job may take several attempts. An attempt that is lost, crashes or drains is continued elsewhere after the tokens
-// it has produced. An attempt that repeats work is paid from the tenant's retry budget; a second attempt beside a late
+// it has produced. An attempt that repeats work is paid from the workspace's retry budget; a second attempt beside a late
 // one is paid from the hedge budget as well. Requests that must not be repeated are run by package claim.
 package dispatch
 
@@ -110,7 +110,7 @@
 
 // Settings are the constants of the dispatcher.
 type Settings struct {
-	// RetryRatio is the part of a tenant's requests that may be repeated, RetryBurst the repeats it may save up.
+	// RetryRatio is the part of a workspace's requests that may be repeated, RetryBurst the repeats it may save up.
 	RetryRatio float64
 	RetryBurst float64
 	// HedgeRatio is the part of all requests that may be hedged, HedgeBurst the hedges that may be saved up.
--- a/entry/internal/dispatch/fake_test.go
+++ b/entry/internal/dispatch/fake_test.go
@@ -227,7 +227,7 @@
 
 func job(prompt string, tokens int) Job {
 	return Job{
-		Work:     wire.Work{Request: prompt, Tenant: "t", Class: Live, Profile: "p", Model: "m", Prompt: prompt, Max: tokens},
+		Work:     wire.Work{Request: prompt, Workspace: "t", Class: Live, Profile: "p", Model: "m", Prompt: prompt, Max: tokens},
 		Deadline: time.Now().Add(time.Minute),
 	}
 }
--- a/entry/internal/dispatch/race.go
+++ b/entry/internal/dispatch/race.go
@@ -474,7 +474,7 @@
 	if verdict != balance.Found {
 		return
 	}
-	if !c.d.hedge(c.work.Tenant) {
+	if !c.d.hedge(c.work.Workspace) {
 		l.end(now)
 		return
 	}
--- a/entry/internal/dispatch/run.go
+++ b/entry/internal/dispatch/run.go
@@ -58,7 +58,7 @@
 	return r
 }
 
-func (r *run) offer() { r.d.Offer(r.work.Tenant, r.job.Hedge) }
+func (r *run) offer() { r.d.Offer(r.work.Workspace, r.job.Hedge) }
 
 // run makes attempts until the job is finished or refused.
 func (r *run) run(ctx context.Context) (Result, error) {
@@ -303,7 +303,7 @@
 	case e.Ran() == refusal.NotRun && e.Code() != refusal.Busy:
 		// The daemon proved that nothing was done, so the next attempt adds no load to the servers.
 		return nil
-	case r.d.Repeat(r.work.Tenant):
+	case r.d.Repeat(r.work.Workspace):
 		return nil
 	default:
 		return r.repeated(e)
--- a/entry/internal/dispatch/suspect.go
+++ b/entry/internal/dispatch/suspect.go
@@ -22,7 +22,7 @@
 		_, _ = h.WriteString(s)
 		_, _ = h.Write([]byte{0})
 	}
-	write(w.Tenant)
+	write(w.Workspace)
 	write(w.Model)
 	write(w.Prompt)
 	if w.Call != nil {
--- a/entry/internal/dispatch/trace.go
+++ b/entry/internal/dispatch/trace.go
@@ -50,7 +50,7 @@
 		return e
 	}
 	e := &Trace{owner: t, tries: make(map[string]int)}
-	e.trace = wire.Trace{Request: w.Request, Tenant: w.Tenant, Profile: w.Profile, State: outcomeRunning}
+	e.trace = wire.Trace{Request: w.Request, Workspace: w.Workspace, Profile: w.Profile, State: outcomeRunning}
 	if old := t.ring[t.next]; old != "" {
 		delete(t.traces, old)
 	}
--- a/entry/internal/gate/gate.go
+++ b/entry/internal/gate/gate.go
@@ -8,7 +8,7 @@
 //
 // A handler returns a *refusal.Error to refuse a request; any other error is answered as internal and logged. Byte
 // slices of a request are valid only until its handler returns. A handler that streams its answer calls Stream, which
-// keeps the tenant's place until the last byte is written. A pattern part such as {path:*} takes the rest of a path.
+// keeps the workspace's place until the last byte is written. A pattern part such as {path:*} takes the rest of a path.
 package gate
 
 import (
@@ -50,12 +50,12 @@
 
 // Identity is what a bearer token maps to.
 type Identity struct {
-	Tenant  string
-	Profile string
-	Role    string // caller, trainer or operator
+	Workspace string
+	Profile   string
+	Role      string // caller, trainer or operator
 }
 
-// Profiles finds the profile that bounds a tenant's concurrent requests.
+// Profiles finds the profile that bounds a workspace's concurrent requests.
 type Profiles interface {
 	Profile(name string) (wire.Profile, bool)
 }
@@ -144,7 +144,7 @@
 	return r
 }
 
-// admit checks the token and role and takes a place of the tenant.
+// admit checks the token and role and takes a place of the workspace.
 func (g *Gate) admit(r *Request, role string) error {
 	if role == Public {
 		return nil
@@ -155,7 +155,7 @@
 	if r.Identity.Role != role {
 		return refusal.New(refusal.Forbidden, refusal.NotRun, "role %s may not call this path", r.Identity.Role)
 	}
-	// Operators are not counted, so that they can act while a tenant is at its limit.
+	// Operators are not counted, so that they can act while a workspace is at its limit.
 	if role == Operator {
 		return nil
 	}
@@ -164,10 +164,10 @@
 		return refusal.New(refusal.Unready, refusal.NotRun, "profile %s is not known yet", r.Identity.Profile).
 			After(unreadyRetry)
 	}
-	key := r.Identity.Tenant + "\x00" + r.Identity.Profile
+	key := r.Identity.Workspace + "\x00" + r.Identity.Profile
 	if !g.places.take(key, p.Concurrency) {
-		return refusal.New(refusal.TooMany, refusal.NotRun, "tenant %s already has %d requests in flight",
-			r.Identity.Tenant, p.Concurrency).After(busyRetry)
+		return refusal.New(refusal.TooMany, refusal.NotRun, "workspace %s already has %d requests in flight",
+			r.Identity.Workspace, p.Concurrency).After(busyRetry)
 	}
 	r.release = func() { g.places.give(key) }
 	return nil
@@ -356,7 +356,7 @@
 	})
 }
 
-// leave gives the tenant's place back unless a stream still holds it.
+// leave gives the workspace's place back unless a stream still holds it.
 func (r *Request) leave() {
 	if r.release != nil && !r.streamed {
 		r.release()
--- a/entry/internal/gate/gate_test.go
+++ b/entry/internal/gate/gate_test.go
@@ -35,8 +35,8 @@
 func open(t *testing.T, h Handler) (*Gate, *fasthttputil.InmemoryListener) {
 	t.Helper()
 	tokens := map[string]Identity{
-		"c": {Tenant: "kitchen", Profile: "live", Role: Caller},
-		"o": {Tenant: "kitchen", Role: Operator},
+		"c": {Workspace: "kitchen", Profile: "live", Role: Caller},
+		"o": {Workspace: "kitchen", Role: Operator},
 	}
 	limits := Limits{Body: 1024, Header: 2048, Read: time.Second, Write: time.Second, Idle: time.Second}
 	g := New(tokens, limits, profiles{"live": {Concurrency: 1}}, slog.New(slog.DiscardHandler))
@@ -127,7 +127,7 @@
 	}
 }
 
-// Guards against a stream that gives its tenant's place back before its last byte.
+// Guards against a stream that gives its workspace's place back before its last byte.
 func TestStreamHoldsPlace(t *testing.T) {
 	finish := make(chan struct{})
 	l := serve(t, func(r *Request) error {
@@ -147,7 +147,7 @@
 		t.Fatalf("first bytes: %v", err)
 	}
 	if status, p := call(t, l, "POST", "/v1/services/a/b", "c", ""); status != 429 || p.Retry == 0 {
-		t.Fatalf("second request of a tenant with one place: %d %+v", status, p)
+		t.Fatalf("second request of a workspace with one place: %d %+v", status, p)
 	}
 	close(finish)
 	for range 1000 {
--- a/entry/internal/gate/places.go
+++ b/entry/internal/gate/places.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// places counts the requests in flight of each tenant and profile.
+// places counts the requests in flight of each workspace and profile.
 type places struct {
 	mu    sync.Mutex
 	count map[string]int
--- a/entry/internal/ingress/ingress.go
+++ b/entry/internal/ingress/ingress.go
@@ -143,6 +143,7 @@
 	route   *catalog.Route
 	body    []byte
 
+	job      string // that a call concerns
 	attempts int
 	servers  []string
 }
@@ -191,6 +192,7 @@
 
 func (g *Ingress) serveJob(w http.ResponseWriter, q *request, c platform.JobCall) {
 	ctx := q.http.Context()
+	q.job = c.Job
 	switch c.Operation {
 	case platform.ReadResults:
 		g.reply(w, q, g.Jobs.Results(ctx, c.Job, c.After, q.Wait))
@@ -238,7 +240,7 @@
 	if q.config != nil {
 		revision = q.config.Revision
 	}
-	e.Log(g.Logger, "request", q.ID, "method", q.http.Method, "path", q.http.URL.Path, "route", name, "status", status,
+	e.Log(g.Logger, "request", q.ID, "job", q.job, "method", q.http.Method, "path", q.http.URL.Path, "route", name, "status", status,
 		"cause", cause, "ms", took.Milliseconds(), "attempts", q.attempts, "servers", q.servers, "config", revision)
 }
 
--- a/entry/internal/operator/operator.go
+++ b/entry/internal/operator/operator.go
@@ -119,7 +119,7 @@
 	}
 	doc.Change = change
 	if doc.Author == "" {
-		doc.Author = r.Identity.Tenant
+		doc.Author = r.Identity.Workspace
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), applyLimit)
 	defer cancel()
@@ -198,7 +198,7 @@
 		}
 	}
 	if q.Reason == "" {
-		q.Reason = "asked by an operator of " + r.Identity.Tenant
+		q.Reason = "asked by an operator of " + r.Identity.Workspace
 	}
 	return o.o.Pool.Drain(context.Background(), r.Param("name"), q.Reason)
 }
--- a/entry/internal/operator/operator_test.go
+++ b/entry/internal/operator/operator_test.go
@@ -58,7 +58,7 @@
 	logger := slog.New(slog.DiscardHandler)
 	h := config.New(&memory{}, half{}, logger)
 	limits := gate.Limits{Body: 1 << 16, Header: 4096, Read: time.Second, Write: time.Second, Idle: time.Second}
-	g := gate.New(map[string]gate.Identity{"o": {Tenant: "ops", Role: gate.Operator}}, limits, h, logger)
+	g := gate.New(map[string]gate.Identity{"o": {Workspace: "ops", Role: gate.Operator}}, limits, h, logger)
 	New(Options{Config: h, Ready: func() error {
 		return refusal.New(refusal.Unready, refusal.NotRun, "leaving")
 	}}).Routes(g)
--- a/entry/internal/peer/peer.go
+++ b/entry/internal/peer/peer.go
@@ -72,6 +72,7 @@
 	mu      sync.Mutex
 	handler Handler
 	more    map[string]func(context.Context, link.Frame) (string, any, error)
+	joined  func(name string)
 	ctx     context.Context // of Serve; nil before
 	tasks   sync.WaitGroup
 	entries map[string]*entry
@@ -115,6 +116,13 @@
 	p.more[kind] = f
 }
 
+// OnJoin names the function that is told of each link that opens, in a task of its own. It must be called before Serve.
+func (p *Peers) OnJoin(f func(name string)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.joined = f
+}
+
 // Ask sends a message to an entry and stores the body of the reply in answer. Its error is an *AbsentError if the entry
 // shows no sign of life, or ctx ends.
 func (p *Peers) Ask(ctx context.Context, name, kind string, body, answer any) error {
@@ -251,7 +259,11 @@
 	}
 	e.links = append(e.links, c)
 	p.signal()
+	joined := p.joined
 	p.mu.Unlock()
+	if joined != nil {
+		go supervise.Guard(p.logger, "joined", func() { joined(h.Name) })
+	}
 	p.noticed(wire.Notice{Rev: h.Rev, Targets: h.Targets})
 }
 
--- a/entry/internal/relay/relay_test.go
+++ b/entry/internal/relay/relay_test.go
@@ -172,8 +172,9 @@
 	var applied []string
 	feed := func(self string, p *pair) catalog.Feed {
 		return Spread(catalog.Feed{
-			Kind:  "servers",
-			Apply: func(c store.Change, _ time.Time) { applied = append(applied, self+" "+c.Name) },
+			Kind:    "servers",
+			Replace: func([]store.Record, int64, time.Time) {},
+			Apply:   func(c store.Change, _ time.Time) { applied = append(applied, self+" "+c.Name) },
 		}, self, p)
 	}
 	first, second := &pair{names: []string{"b"}}, &pair{names: []string{"a"}}
@@ -194,13 +195,21 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if _, _, err := second.handlers[link.News](t.Context(), link.Frame{Body: raw}); err != nil {
+		if _, _, err := second.handlers[link.News+" servers"](t.Context(), link.Frame{Body: raw}); err != nil {
 			t.Fatal(err)
 		}
 	}
 	if d := cmp.Diff([]string{"a s", "b t", "b s"}, applied); d != "" {
 		t.Errorf("applied (-want +got):\n%s", d)
 	}
+	if a.Wait() > 2*time.Second {
+		t.Errorf("a lost answer to the reader's watch holds changes back for %s, 2s are allowed", a.Wait())
+	}
+	now = time.Now()
+	a.Replace([]store.Record{{Name: "u", Revision: 9}}, 9, now)
+	if len(first.told) != 2 {
+		t.Error("what a list brought after a lost history is not told")
+	}
 	second.names = nil
 	if b.Settle() != settleReader {
 		t.Error("without the first entry nobody reads at short intervals")
--- a/entry/internal/retire/retire.go
+++ b/entry/internal/retire/retire.go
@@ -18,8 +18,12 @@
 	"bulrushspoke/platform"
 )
 
-// retryWrite is the pause after a write that failed.
-const retryWrite = 300 * time.Millisecond
+const (
+	// retryWrite is the pause after a write that failed.
+	retryWrite = 300 * time.Millisecond
+	// watchWait bounds a watch, whose answer may be lost; operators give an instance some seconds.
+	watchWait = 4 * time.Second
+)
 
 // Store is the part of the platform's store that retirement uses.
 type Store interface {
@@ -44,6 +48,7 @@
 	}
 	return catalog.Follow(ctx, s, catalog.Feed{
 		Kind: platform.KindRetirements,
+		Wait: func() time.Duration { return watchWait },
 		Replace: func(list []store.Record, _ int64, _ time.Time) {
 			for _, r := range list {
 				handle(r)
--- a/entry/internal/trainer/end.go
+++ b/entry/internal/trainer/end.go
@@ -13,7 +13,7 @@
 func (t *Trainer) Progress(ctx context.Context, id Identity, run string, step int) (wire.StepStatus, error) {
 	k := key{run: run, step: step}
 	if s := t.local(k); s != nil {
-		if s.spec.Tenant != id.Tenant {
+		if s.spec.Workspace != id.Workspace {
 			return wire.StepStatus{}, unknown(k)
 		}
 		return s.Status(), nil
@@ -28,7 +28,7 @@
 	if err != nil {
 		return wire.StepStatus{}, absent(k, err)
 	}
-	if h.spec == nil || h.spec.Tenant != id.Tenant {
+	if h.spec == nil || h.spec.Workspace != id.Workspace {
 		return wire.StepStatus{}, unknown(k)
 	}
 	return status(h), nil
@@ -36,7 +36,7 @@
 
 // closed returns the status of a step that has ended.
 func closed(id Identity, k key, end wire.Record) (wire.StepStatus, error) {
-	if end.Spec == nil || end.Spec.Tenant != id.Tenant {
+	if end.Spec == nil || end.Spec.Workspace != id.Workspace {
 		return wire.StepStatus{}, unknown(k)
 	}
 	a, _, err := ended(end, *end.Spec)
@@ -51,7 +51,7 @@
 	}
 	k := key{run: run, step: step}
 	if s := t.local(k); s != nil {
-		if s.spec.Tenant != id.Tenant {
+		if s.spec.Workspace != id.Workspace {
 			return wire.StepStatus{}, unknown(k)
 		}
 		s.end(state)
@@ -63,7 +63,7 @@
 	record := endRecord(t.o.IDs(), 0, state)
 	for {
 		err := h.read(ctx, log)
-		if err == nil && (h.spec == nil || h.spec.Tenant != id.Tenant) {
+		if err == nil && (h.spec == nil || h.spec.Workspace != id.Workspace) {
 			return wire.StepStatus{}, unknown(k)
 		}
 		if err == nil && h.end != nil {
--- a/entry/internal/trainer/handlers.go
+++ b/entry/internal/trainer/handlers.go
@@ -36,7 +36,7 @@
 }
 
 func identity(r *gate.Request) Identity {
-	return Identity{Tenant: r.Identity.Tenant, Profile: r.Identity.Profile}
+	return Identity{Workspace: r.Identity.Workspace, Profile: r.Identity.Profile}
 }
 
 // place returns the run and step that the path names.
--- a/entry/internal/trainer/handlers_test.go
+++ b/entry/internal/trainer/handlers_test.go
@@ -20,7 +20,7 @@
 	n := w.nodes[0]
 	defer n.trainer.Close()
 	limits := gate.Limits{Body: 1 << 20, Header: 1 << 14, Read: time.Minute, Write: time.Minute, Idle: time.Minute}
-	tokens := map[string]gate.Identity{"secret": {Tenant: "berges", Profile: "train", Role: gate.Trainer}}
+	tokens := map[string]gate.Identity{"secret": {Workspace: "berges", Profile: "train", Role: gate.Trainer}}
 	g := gate.New(tokens, limits, n, slog.New(slog.DiscardHandler))
 	n.trainer.Register(g)
 	l := fasthttputil.NewInmemoryListener()
--- a/entry/internal/trainer/meters.go
+++ b/entry/internal/trainer/meters.go
@@ -6,7 +6,7 @@
 	"bulrushspoke/internal/meter"
 )
 
-// Meters records the measurements of steps by tenant.
+// Meters records the measurements of steps by workspace.
 type Meters struct {
 	age  *meter.Histogram
 	wait *meter.Histogram
@@ -21,9 +21,9 @@
 }
 
 // SampleAge implements Meter.
-func (m *Meters) SampleAge(tenant string, age int64) { m.age.Record(tenant, class, float64(age)) }
+func (m *Meters) SampleAge(workspace string, age int64) { m.age.Record(workspace, class, float64(age)) }
 
 // TrainerWait implements Meter.
-func (m *Meters) TrainerWait(tenant string, wait time.Duration) {
-	m.wait.Record(tenant, class, wait.Seconds())
+func (m *Meters) TrainerWait(workspace string, wait time.Duration) {
+	m.wait.Record(workspace, class, wait.Seconds())
 }
--- a/entry/internal/trainer/open.go
+++ b/entry/internal/trainer/open.go
@@ -45,7 +45,7 @@
 		return wire.StepStatus{}, err
 	}
 	spec := wire.Spec{
-		Run: r.Run, Step: r.Step, Model: r.Model, Version: r.Version, Scorer: r.Scorer, Tenant: id.Tenant,
+		Run: r.Run, Step: r.Step, Model: r.Model, Version: r.Version, Scorer: r.Scorer, Workspace: id.Workspace,
 		Profile: id.Profile, Staleness: p.Staleness, Slots: slots, Parts: len(split), Digest: steplog.Digest(r.Groups),
 	}
 	held, err := cursor.Parse(r.Cursor, spec.Digest, spec.Slots)
@@ -87,7 +87,7 @@
 
 // same refuses another spec for the same run and step. The version may have moved on since the first open.
 func same(a, b wire.Spec) error {
-	if a.Tenant != b.Tenant || a.Model != b.Model || a.Scorer != b.Scorer || a.Digest != b.Digest || a.Slots != b.Slots {
+	if a.Workspace != b.Workspace || a.Model != b.Model || a.Scorer != b.Scorer || a.Digest != b.Digest || a.Slots != b.Slots {
 		return refusal.New(refusal.Conflict, refusal.NotRun, "trainer: step %d of run %s is open with another spec",
 			b.Step, b.Run)
 	}
--- a/entry/internal/trainer/owner.go
+++ b/entry/internal/trainer/owner.go
@@ -37,7 +37,7 @@
 			}
 			return a, err
 		}
-		if s.spec.Tenant != id.Tenant {
+		if s.spec.Workspace != id.Workspace {
 			return wire.PullAnswer{}, unknown(k)
 		}
 		a, err := s.pull(ctx, r)
@@ -88,7 +88,7 @@
 	if err != nil {
 		return wire.PullAnswer{}, false, err
 	}
-	if spec.Tenant != id.Tenant {
+	if spec.Workspace != id.Workspace {
 		return wire.PullAnswer{}, false, unknown(k)
 	}
 	if o := owner.Owner; o != nil && *o != t.o.Self {
@@ -197,7 +197,7 @@
 
 // closing answers a pull of a step that has ended: its last answer may have been lost.
 func (t *Trainer) closing(id Identity, k key, r wire.PullRequest, end wire.Record) (wire.PullAnswer, bool, error) {
-	if end.Spec == nil || end.Spec.Tenant != id.Tenant {
+	if end.Spec == nil || end.Spec.Workspace != id.Workspace {
 		return wire.PullAnswer{}, false, unknown(k)
 	}
 	set, err := cursor.Parse(r.Cursor, end.Spec.Digest, end.Spec.Slots)
--- a/entry/internal/trainer/produce.go
+++ b/entry/internal/trainer/produce.go
@@ -143,7 +143,7 @@
 	slot := s.name(a.slot)
 	return dispatch.Job{
 		Work: wire.Work{
-			Class: class, Tenant: s.spec.Tenant, Profile: s.spec.Profile, Request: s.request(a.slot), Slot: &slot,
+			Class: class, Workspace: s.spec.Workspace, Profile: s.spec.Profile, Request: s.request(a.slot), Slot: &slot,
 			Model: s.spec.Model, Prompt: g.Prompt, Max: g.Tokens, Predicted: s.plan.Predict(a.slot),
 			Group: s.key.run + "/" + g.Name,
 		},
--- a/entry/internal/trainer/pull.go
+++ b/entry/internal/trainer/pull.go
@@ -117,9 +117,9 @@
 		}
 	}
 	if m := s.t.o.Meter; m != nil {
-		m.TrainerWait(s.spec.Tenant, time.Since(start))
+		m.TrainerWait(s.spec.Workspace, time.Since(start))
 		for _, p := range a.Samples {
-			m.SampleAge(s.spec.Tenant, p.Age)
+			m.SampleAge(s.spec.Workspace, p.Age)
 		}
 	}
 	if len(a.Samples) == 0 && a.Done {
--- a/entry/internal/trainer/score.go
+++ b/entry/internal/trainer/score.go
@@ -33,7 +33,7 @@
 	for ctx.Err() == nil {
 		r, err := s.t.o.Dispatcher.Run(ctx, dispatch.Job{
 			Work: wire.Work{
-				Class: class, Tenant: s.spec.Tenant, Profile: s.spec.Profile, Request: s.request(a.slot),
+				Class: class, Workspace: s.spec.Workspace, Profile: s.spec.Profile, Request: s.request(a.slot),
 				Model: s.spec.Scorer, Call: &wire.Call{Method: fasthttp.MethodPost, Path: "/score", Body: body},
 			},
 			Deadline: time.Now().Add(s.deadline()),
--- a/entry/internal/trainer/trainer.go
+++ b/entry/internal/trainer/trainer.go
@@ -31,8 +31,8 @@
 
 // Identity is who calls.
 type Identity struct {
-	Tenant  string
-	Profile string
+	Workspace string
+	Profile   string
 }
 
 // Dispatcher runs jobs; its error is a *refusal.Error.
@@ -72,9 +72,9 @@
 // Meter takes the measurements of steps.
 type Meter interface {
 	// SampleAge records the age in weight versions of a sample that is answered.
-	SampleAge(tenant string, age int64)
+	SampleAge(workspace string, age int64)
 	// TrainerWait records how long a pull waited with nothing to give.
-	TrainerWait(tenant string, wait time.Duration)
+	TrainerWait(workspace string, wait time.Duration)
 }
 
 // Options holds what a Trainer depends on. Meter may be nil.
--- a/entry/internal/trainer/trainer_test.go
+++ b/entry/internal/trainer/trainer_test.go
@@ -12,7 +12,7 @@
 	"bulrushspoke/wire"
 )
 
-var testIdentity = Identity{Tenant: "berges", Profile: "train"}
+var testIdentity = Identity{Workspace: "berges", Profile: "train"}
 
 func testRequest(groups, samples int) wire.StepRequest {
 	r := wire.StepRequest{Run: "r", Step: 1, Model: testModel, Version: 1}
@@ -161,8 +161,8 @@
 		if _, err = w.nodes[0].trainer.Judge(ctx, testIdentity, v); !refused(err, refusal.Conflict) {
 			t.Fatalf("second verdict gives %v, want a conflict", err)
 		}
-		if _, err = w.nodes[0].trainer.Judge(ctx, Identity{Tenant: "other"}, v); !refused(err, refusal.NotFound) {
-			t.Fatalf("verdict of another tenant gives %v, want not found", err)
+		if _, err = w.nodes[0].trainer.Judge(ctx, Identity{Workspace: "other"}, v); !refused(err, refusal.NotFound) {
+			t.Fatalf("verdict of another workspace gives %v, want not found", err)
 		}
 	})
 }
--- a/entry/internal/trainer/verdict.go
+++ b/entry/internal/trainer/verdict.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		return none, err
 	}
-	if spec.Tenant != id.Tenant {
+	if spec.Workspace != id.Workspace {
 		return none, unknown(k)
 	}
 	a, err := t.count(ctx, q)
--- a/internal/catalog/follow.go
+++ b/internal/catalog/follow.go
@@ -21,7 +21,8 @@
 
 // Watching bounds.
 const (
-	// watchWait is how long one watch waits for changes; the store allows 30 s.
+	// watchWait is the longest that one watch waits for changes; the store allows 30 s. A watch whose answer is lost says
+	// nothing for so long although its connection lives.
 	watchWait = 25 * time.Second
 	// retryFirst and retryMost bound the pause after a failed call; the longest keeps the news after an outage well
 	// within the two seconds in which missing servers come back.
@@ -35,6 +36,7 @@
 type Feed struct {
 	Kind    string
 	Settle  func() time.Duration // pause between two watches, so that one call brings several changes; may be nil
+	Wait    func() time.Duration // how long one watch waits for changes; nil for the longest
 	Replace func(list []store.Record, revision int64, now time.Time)
 	Apply   func(c store.Change, now time.Time)
 	// Restored is told that the store answers again, before the first list after an outage is handed over.
@@ -86,7 +88,11 @@
 		w.after = revision
 		return nil
 	}
-	changes, next, err := w.source.Watch(ctx, w.feed.Kind, w.after, watchWait)
+	wait := watchWait
+	if w.feed.Wait != nil {
+		wait = w.feed.Wait()
+	}
+	changes, next, err := w.source.Watch(ctx, w.feed.Kind, w.after, wait)
 	if err != nil {
 		return err
 	}
--- a/internal/link/cost_test.go
+++ b/internal/link/cost_test.go
@@ -44,7 +44,7 @@
 	}
 	work := wire.Work{
 		Attempt: attempt, Class: "train", Group: "g1", Left: 1_800_000, Max: 256, Model: "plan", Predicted: 200, Print: 1 << 60,
-		Profile: "train", Prompt: prompt, Request: attempt, Rev: 12, Server: "engine-1", Tenant: "lab",
+		Profile: "train", Prompt: prompt, Request: attempt, Rev: 12, Server: "engine-1", Workspace: "lab",
 	}
 	return []struct {
 		kind   string
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -4,7 +4,7 @@
 //
 //	m, text, err := meter.New("entry")
 //	wait := m.Histogram("queue_wait", "s", "Time from arrival to dispatch.")
-//	wait.Record(tenant, class, 0.012)
+//	wait.Record(workspace, class, 0.012)
 //	refused := m.Counter("refused", "Refused requests.", "code")
 //	refused.Add(1, "busy")
 //
@@ -29,7 +29,7 @@
 )
 
 const (
-	// MaxValues bounds the different values of one label, such as tenants.
+	// MaxValues bounds the different values of one label, such as workspaces.
 	MaxValues = 100
 	// Other replaces the values of a label beyond MaxValues.
 	Other = "other"
@@ -37,8 +37,8 @@
 
 // Labels of histograms.
 const (
-	labelTenant = "tenant"
-	labelClass  = "class"
+	labelWorkspace = "workspace"
+	labelClass     = "class"
 )
 
 // secondBounds are bucket limits in seconds: dense where live answers lie, up to the length of a step.
@@ -74,13 +74,13 @@
 	return m, fasthttpadaptor.NewFastHTTPHandler(text), nil
 }
 
-// Histogram counts values by tenant and class.
+// Histogram counts values by workspace and class.
 type Histogram struct {
 	instrument metric.Float64Histogram
 	options    *optionCache
 }
 
-// Histogram returns a histogram by tenant and class; the unit is s for seconds, or {token} and the like. It panics
+// Histogram returns a histogram by workspace and class; the unit is s for seconds, or {token} and the like. It panics
 // if the name is not valid, which is a fault of the program.
 func (m *Meter) Histogram(name, unit, description string) *Histogram {
 	bounds := countBounds
@@ -92,12 +92,12 @@
 	if err != nil {
 		panic(eris.Wrapf(err, "meter: histogram %s", name))
 	}
-	return &Histogram{instrument: h, options: newOptionCache(m.values, labelTenant, labelClass)}
+	return &Histogram{instrument: h, options: newOptionCache(m.values, labelWorkspace, labelClass)}
 }
 
 // Record counts one value in the unit of the histogram.
-func (h *Histogram) Record(tenant, class string, value float64) {
-	h.instrument.Record(context.Background(), value, h.options.get(tenant, class))
+func (h *Histogram) Record(workspace, class string, value float64) {
+	h.instrument.Record(context.Background(), value, h.options.get(workspace, class))
 }
 
 // Counter counts events by the values of its labels.
--- a/internal/meter/meter_test.go
+++ b/internal/meter/meter_test.go
@@ -19,8 +19,8 @@
 	return string(ctx.Response.Body())
 }
 
-// Guards against tenants without number that fill the memory of the program and of Prometheus.
-func TestTenantsAreBounded(t *testing.T) {
+// Guards against workspaces without number that fill the memory of the program and of Prometheus.
+func TestWorkspacesAreBounded(t *testing.T) {
 	m, text, err := New("test")
 	if err != nil {
 		t.Fatalf("new: %v", err)
--- a/scenario/rig/settings.go
+++ b/scenario/rig/settings.go
@@ -32,18 +32,18 @@
 
 // identity is an entry's settings for a bearer token.
 type identity struct {
-	Token   string `json:"token"`
-	Tenant  string `json:"tenant"`
-	Profile string `json:"profile"`
-	Role    string `json:"role"`
+	Token     string `json:"token"`
+	Workspace string `json:"workspace"`
+	Profile   string `json:"profile"`
+	Role      string `json:"role"`
 }
 
 func identities() []identity {
 	return []identity{
-		{Token: LiveToken, Tenant: "farm", Profile: "live", Role: "caller"},
-		{Token: LedgerToken, Tenant: "farm", Profile: "ledger", Role: "caller"},
-		{Token: TrainerToken, Tenant: "lab", Profile: "train", Role: "trainer"},
-		{Token: OperatorToken, Tenant: "ops", Profile: "live", Role: "operator"},
+		{Token: LiveToken, Workspace: "farm", Profile: "live", Role: "caller"},
+		{Token: LedgerToken, Workspace: "farm", Profile: "ledger", Role: "caller"},
+		{Token: TrainerToken, Workspace: "lab", Profile: "train", Role: "trainer"},
+		{Token: OperatorToken, Workspace: "ops", Profile: "live", Role: "operator"},
 	}
 }
 
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -23,7 +23,7 @@
 	// Daemon incarnation that the claim names.
 	Inc string `json:"inc"`
 
-	// Idempotency key with its tenant.
+	// Idempotency key with its workspace.
 	Key string `json:"key"`
 }
 
@@ -754,7 +754,7 @@
 	// Urgency class, live or train.
 	Class string `json:"class"`
 
-	// Requests of one tenant at once.
+	// Requests of one workspace at once.
 	Concurrency int `json:"concurrency"`
 
 	// Time limit of a request, a duration with its unit.
@@ -1009,11 +1009,11 @@
 	// Step number.
 	Step int `json:"step"`
 
-	// Tenant of the trainer.
-	Tenant string `json:"tenant"`
-
 	// Weight version of the step.
 	Version int64 `json:"version"`
+
+	// Workspace of the trainer.
+	Workspace string `json:"workspace"`
 }
 
 // A change at a daemon.
@@ -1186,11 +1186,11 @@
 	// One of running, finished, refused.
 	State string `json:"state"`
 
-	// Tenant.
-	Tenant string `json:"tenant"`
-
 	// Attempts in order.
 	Tries []Try `json:"tries"`
+
+	// Workspace.
+	Workspace string `json:"workspace"`
 }
 
 // One attempt.
@@ -1357,7 +1357,7 @@
 	// Daemon incarnation that the claim names; no other may receive the work.
 	Inc string `json:"inc,omitempty,omitzero"`
 
-	// Idempotency key of an unrepeatable request, with its tenant.
+	// Idempotency key of an unrepeatable request, with its workspace.
 	Key string `json:"key,omitempty,omitzero"`
 
 	// Milliseconds left until the deadline.
@@ -1405,6 +1405,6 @@
 	// Versions of the held tokens.
 	Spans []Span `json:"spans,omitempty,omitzero"`
 
-	// Tenant that the work is done for.
-	Tenant string `json:"tenant"`
+	// Workspace that the work is done for.
+	Workspace string `json:"workspace"`
 }
