Make fewer calls to the store

Cause: on the grown sites every entry read the state of every job and its payload, each start made all daemons watch the versions, and each joining entry woke all watches of the members.

Change: the owner tells the others of a job when it accepts it and answers for bodies; a daemon whose engine is not listed does not watch; changes of the members are collected for a second. Connections whose server announces no idle time are kept 8 s.

--- a/daemon/internal/naming/naming.go
+++ b/daemon/internal/naming/naming.go
@@ -140,10 +140,13 @@
 	if err != nil {
 		return reader
 	}
-	reader, others := role(list, n.Service, n.Address, n.Port)
+	listed, reader, others := role(list, n.Service, n.Address, n.Port)
 	n.mu.Lock()
 	changed := reader != n.reader
 	n.reader, n.others, n.looked = reader, others, now
+	if !listed {
+		n.looked = time.Time{} // look again at the next list of versions
+	}
 	n.mu.Unlock()
 	if changed {
 		event.NamingRole.Log(n.Logger, "reader", reader, "others", len(others))
@@ -151,8 +154,9 @@
 	return reader
 }
 
-// role tells whether the daemon beside the engine at address is a reader, and where the other daemons listen.
-func role(list []catalog.Server, service, address string, port int) (bool, []string) {
+// role tells whether the engine at address is listed, whether the daemon beside it is a reader, and where the other
+// daemons listen.
+func role(list []catalog.Server, service, address string, port int) (listed, reader bool, others []string) {
 	var engines []catalog.Server
 	for _, s := range list {
 		if s.Service == service {
@@ -160,19 +164,16 @@
 		}
 	}
 	slices.SortFunc(engines, func(a, b catalog.Server) int { return strings.Compare(a.ID, b.ID) })
-	// An engine that is not listed yet may be one of the first.
-	reader := !slices.ContainsFunc(engines, func(s catalog.Server) bool { return s.Address == address })
-	var others []string
 	for i, s := range engines {
 		if s.Address == address {
-			reader = i < readers
+			listed, reader = true, i < readers
 			continue
 		}
 		if host, _, err := net.SplitHostPort(s.Address); err == nil {
 			others = append(others, net.JoinHostPort(host, strconv.Itoa(port)))
 		}
 	}
-	return reader, others
+	return listed, reader, others
 }
 
 // tell sends the named versions to the other daemons.
--- a/entry/internal/batch/batch.go
+++ b/entry/internal/batch/batch.go
@@ -380,6 +380,9 @@
 	if _, reply := m.find(ctx, id); reply.Status != 0 {
 		return reply
 	}
+	if reply, ok := m.askBody(ctx, id, item); ok {
+		return reply
+	}
 	body, err := m.payload(ctx, id)
 	if err != nil {
 		return refuse(http.StatusServiceUnavailable, retryBusy, err.Error(), nil)
@@ -391,6 +394,26 @@
 	return itemBody(spec, item)
 }
 
+// askBody asks the owner of a job for the body of an item; false if the owner does not answer for the job.
+func (m *Manager) askBody(ctx context.Context, id, item string) (ingress.Reply, bool) {
+	m.mu.Lock()
+	s, ok := m.owners[id]
+	m.mu.Unlock()
+	if !ok || s.Owner == m.Name {
+		return ingress.Reply{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTime)
+	defer cancel()
+	var b wire.JobBody
+	if err := m.Peers.Ask(ctx, s.Owner, link.Item, wire.JobItem{Job: id, Item: item}, &b); err != nil || !b.Known {
+		return ingress.Reply{}, false
+	}
+	if !b.Found {
+		return refuse(http.StatusNotFound, 0, "no such item", nil), true
+	}
+	return ingress.Reply{Status: http.StatusOK, Body: b.Body}, true
+}
+
 func itemBody(spec job.Job, item string) ingress.Reply {
 	for _, it := range spec.Items {
 		if it.ID == item {
@@ -481,6 +504,19 @@
 		m.foreign(q)
 		return link.Replied, wire.JobReply{Done: true}, nil
 	})
+	h.Handle(link.Item, func(_ context.Context, f link.Frame) (string, any, error) {
+		var q wire.JobItem
+		if err := f.Decode(&q); err != nil {
+			return "", nil, err
+		}
+		b := wire.JobBody{Body: []byte{}}
+		if j := m.local(q.Job); j != nil {
+			reply := itemBody(j.spec, q.Item)
+			b.Known, b.Found = true, reply.Status == http.StatusOK
+			b.Body = append(b.Body, reply.Body...)
+		}
+		return link.Body, b, nil
+	})
 	h.Handle(link.Adopt, func(ctx context.Context, f link.Frame) (string, any, error) {
 		var q wire.JobAdopt
 		if err := f.Decode(&q); err != nil {
@@ -504,8 +540,8 @@
 	} else {
 		j = nil
 	}
-	if s, ok := m.owners[q.Job]; ok && s.Epoch < q.Epoch {
-		delete(m.owners, q.Job)
+	if m.jobs[q.Job] == nil && m.owners[q.Job].Epoch < q.Epoch {
+		m.owners[q.Job] = wire.JobState{Owner: q.Owner, Inc: q.Inc, Epoch: q.Epoch, Ended: q.Ended}
 	}
 	m.mu.Unlock()
 	if j != nil {
@@ -580,9 +616,7 @@
 	if j.over() {
 		return
 	}
-	if j.epoch > 1 {
-		m.Peers.Tell(link.Owner, wire.JobOwner{Job: j.spec.ID, Owner: m.Name, Inc: m.Self.Inc, Epoch: j.epoch})
-	}
+	m.Peers.Tell(link.Owner, wire.JobOwner{Job: j.spec.ID, Owner: m.Name, Inc: m.Self.Inc, Epoch: j.epoch})
 	j.resume(parts)
 	j.launch(m.life)
 }
--- a/entry/internal/cli/platform.go
+++ b/entry/internal/cli/platform.go
@@ -50,7 +50,7 @@
 	// idleMost bounds idle connections to servers; each takes a descriptor and two small buffers.
 	idleMost = 256
 	// collectPercent makes the garbage collector run early: the process allocates little, and memory is dear.
-	collectPercent = 40
+	collectPercent = 20
 	// memoryShare is the part of the instance's memory that the garbage collector keeps the process within.
 	memoryShare = 0.7
 	// bodyShare is the part of it that bodies in progress, and as much again that open jobs, may take.
--- a/entry/internal/member/member.go
+++ b/entry/internal/member/member.go
@@ -27,6 +27,8 @@
 	kind = "members"
 	// retryWrite is the pause after a write that failed.
 	retryWrite = 300 * time.Millisecond
+	// settle collects changes into one watch: a whole fleet starts within a second.
+	settle = time.Second
 )
 
 // Store is the part of the platform's store that membership uses.
@@ -69,7 +71,9 @@
 			return ctx.Err()
 		}
 	}
-	return catalog.Follow(ctx, m.store, catalog.Feed{Kind: kind, Replace: m.replace, Apply: m.apply}, m.logger)
+	return catalog.Follow(ctx, m.store, catalog.Feed{
+		Kind: kind, Replace: m.replace, Apply: m.apply, Settle: func() time.Duration { return settle },
+	}, m.logger)
 }
 
 // announce writes this entry's object. A write whose answer was lost is made again, which changes nothing.
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -61,6 +61,8 @@
 	Adopt   = "adopt"
 	Owner   = "owner"
 	Replied = "replied"
+	Item    = "item"
+	Body    = "body"
 	Store   = "store"
 	Stored  = "stored"
 	News    = "news"
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -32,8 +32,9 @@
 	writeBuffer = 4 << 10
 	// keepMargin is taken off the idle time that a server announces, so that a request does not cross its close.
 	keepMargin = 700 * time.Millisecond
-	// keepDefault is the idle time of connections whose server announced none; shorter than common server defaults.
-	keepDefault = 2 * time.Second
+	// keepDefault is the idle time of connections whose server announced none; common server defaults are longer. Requests
+	// that must not run twice use new connections in any case.
+	keepDefault = 8 * time.Second
 	// userTimeout ends a connection whose data the peer does not acknowledge.
 	userTimeout = 2 * time.Second
 	// probeAfter, probeEvery and probeCount end a connection on which the peer has gone silent although nothing is to be
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -502,14 +502,38 @@
 	Parts []JobPart `json:"parts"`
 }
 
+// Body of an item.
+type JobBody struct {
+	// The body.
+	Body []byte `json:"body"`
+
+	// False if the job has no such item.
+	Found bool `json:"found"`
+
+	// False if the asked process does not own the job.
+	Known bool `json:"known"`
+}
+
 // Tells the owner that the trainer has ended a job.
 type JobEnd struct {
 	// Id of the job.
 	Job string `json:"job"`
 }
 
+// Asks the owner of a job for the body of an item.
+type JobItem struct {
+	// Id of the item.
+	Item string `json:"item"`
+
+	// Id of the job.
+	Job string `json:"job"`
+}
+
 // Tells the other entries who owns a job.
 type JobOwner struct {
+	// True once the trainer has ended the job.
+	Ended bool `json:"ended"`
+
 	// Number of owners so far.
 	Epoch int `json:"epoch"`
 
