Let one entry run the jobs of a model, and remember the usual pace of engines

Cause: each step of a trainer was run by another entry of its failure domain, which knew neither the pace of the engines nor the texts of carried groups; a few slow engines got the longest items.

Change: the receiver of a job gives it to the entry that ranks first for the model. Paces are averaged over 0.8 s, and over 10 s for the next step.

--- a/entry/internal/batch/batch.go
+++ b/entry/internal/batch/batch.go
@@ -24,6 +24,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"bulrushspoke/entry/internal/ingress"
 	"bulrushspoke/entry/internal/place"
 	"bulrushspoke/internal/catalog"
@@ -31,6 +33,7 @@
 	"bulrushspoke/internal/job"
 	"bulrushspoke/internal/link"
 	"bulrushspoke/internal/store"
+	"bulrushspoke/internal/supervise"
 	"bulrushspoke/internal/upstream"
 	"bulrushspoke/platform"
 	"bulrushspoke/wire"
@@ -71,6 +74,7 @@
 	Ask(ctx context.Context, name, kind string, body, answer any) error
 	Tell(kind string, body any)
 	Linked() []string
+	Near(domain string) []string
 	Incarnation(name string) string
 }
 
@@ -139,21 +143,75 @@
 		// Nothing runs without a state object, so the job has not run.
 		return m.refused(id, http.StatusServiceUnavailable, retryAfter(m.Outage(now)), err.Error())
 	}
+	owner, inc := m.owner(spec.Model, len(body))
 	state := wire.JobState{
-		Owner: m.Name, Inc: m.Self.Inc, Epoch: 1, Host: r.Host, Path: r.Prefix, Total: len(spec.Items), At: now.UnixMilli(),
+		Owner: owner, Inc: inc, Epoch: 1, Host: r.Host, Path: r.Prefix, Total: len(spec.Items), At: now.UnixMilli(),
 	}
 	held, err := m.createState(ctx, id, state)
 	if err != nil {
 		return m.refuseAmbiguous(id, err, now)
 	}
-	if held.Owner == m.Name && held.Inc == m.Self.Inc && !held.Ended {
+	switch {
+	case held.Ended || held.Epoch > 1:
+	case held.Owner == m.Name && held.Inc == m.Self.Inc:
 		m.start(newJob(m, spec, held, nil), nil)
+	case held.Owner == owner && held.Inc == inc:
+		go supervise.Guard(m.Logger, "delegate", func() { m.delegate(id, held, body) })
 	}
 	event.JobAccepted.Log(m.Logger, "job", id, "step", spec.Step, "model", spec.Model, "min", spec.MinVersion,
 		"items", len(spec.Items), "owner", held.Owner, "epoch", held.Epoch, "ms", time.Since(now).Milliseconds())
 	return accepted
 }
 
+// maxDelegated is the largest payload that is given to another entry, in bytes; a link carries frames of 4 MB.
+const maxDelegated = 2 << 20
+
+// owner chooses the entry that is to run the jobs of a model: one in this failure domain, the same for each job of its
+// trainer. It knows the pace of the model's engines and the texts of groups that come again.
+func (m *Manager) owner(model string, size int) (name, inc string) {
+	name, inc = m.Name, m.Self.Inc
+	if size > maxDelegated {
+		return name, inc
+	}
+	best := rank(model, name)
+	for _, n := range m.Peers.Near(m.Self.Domain) {
+		if r := rank(model, n); r > best {
+			if i := m.Peers.Incarnation(n); i != "" {
+				name, inc, best = n, i, r
+			}
+		}
+	}
+	return name, inc
+}
+
+// rank orders the entries for a model.
+func rank(model, name string) uint64 { return xxhash.Sum64String(model + "\x00" + name) }
+
+// delegate gives an accepted job to its owner, and takes it over if the owner does not take it.
+func (m *Manager) delegate(id string, s wire.JobState, body []byte) {
+	ctx, cancel := context.WithTimeout(m.life, askTime)
+	defer cancel()
+	var done wire.JobReply
+	err := m.Peers.Ask(ctx, s.Owner, link.Start, wire.JobStart{Job: id, State: s, Payload: body}, &done)
+	if err == nil && done.Done {
+		m.mu.Lock()
+		m.owners[id] = s
+		m.mu.Unlock()
+		return
+	}
+	// Any read of the job by a client finds it without an owner, too, if the store does not answer now.
+	m.take(m.life, id, []wire.JobPart{})
+}
+
+// begin runs a job that another entry has accepted for this one.
+func (m *Manager) begin(q wire.JobStart) bool {
+	spec, err := platform.DecodeJob(q.Job, q.Payload)
+	if err != nil || q.State.Owner != m.Name || q.State.Inc != m.Self.Inc {
+		return false
+	}
+	return m.start(newJob(m, spec, q.State, nil), nil)
+}
+
 // refuseAmbiguous answers a submission whose state object may have been written: nothing may be promised then.
 func (m *Manager) refuseAmbiguous(id string, err error, now time.Time) ingress.Reply {
 	var down *store.DownError
@@ -475,6 +533,9 @@
 			return "", nil, err
 		}
 		j := m.local(q.Job)
+		if j == nil {
+			j = m.own(ctx, q.Job)
+		}
 		if j == nil {
 			return link.Page, wire.JobPage{Results: []wire.JobResult{}}, nil
 		}
@@ -504,6 +565,13 @@
 		m.foreign(q)
 		return link.Replied, wire.JobReply{Done: true}, nil
 	})
+	h.Handle(link.Start, func(_ context.Context, f link.Frame) (string, any, error) {
+		var q wire.JobStart
+		if err := f.Decode(&q); err != nil {
+			return "", nil, err
+		}
+		return link.Replied, wire.JobReply{Done: m.begin(q)}, nil
+	})
 	h.Handle(link.Item, func(_ context.Context, f link.Frame) (string, any, error) {
 		var q wire.JobItem
 		if err := f.Decode(&q); err != nil {
@@ -531,6 +599,19 @@
 	})
 }
 
+// own loads a job that the store says is this process's, although it does not run here: the entry that accepted it has not
+// handed it on.
+func (m *Manager) own(ctx context.Context, id string) *Job {
+	s, _, err := m.state(ctx, id)
+	if err != nil || s.Owner != m.Name || s.Inc != m.Self.Inc {
+		return nil
+	}
+	if reply := m.load(ctx, id, s, nil); reply.Status != 0 {
+		return nil
+	}
+	return m.local(id)
+}
+
 // foreign takes the news that another entry owns a job.
 func (m *Manager) foreign(q wire.JobOwner) {
 	m.mu.Lock()
@@ -602,23 +683,24 @@
 	return n
 }
 
-// start adds a job and runs it unless it has ended.
-func (m *Manager) start(j *Job, parts []wire.JobPart) {
+// start adds a job and runs it unless it has ended. It returns false if this entry is about to leave.
+func (m *Manager) start(j *Job, parts []wire.JobPart) bool {
 	m.mu.Lock()
 	if m.jobs[j.spec.ID] != nil || m.closed {
-		m.mu.Unlock()
-		return
+		defer m.mu.Unlock()
+		return !m.closed
 	}
 	m.jobs[j.spec.ID] = j
 	j.launched = !j.over()
 	m.sweep(time.Now())
 	m.mu.Unlock()
 	if j.over() {
-		return
+		return true
 	}
 	m.Peers.Tell(link.Owner, wire.JobOwner{Job: j.spec.ID, Owner: m.Name, Inc: m.Self.Inc, Epoch: j.epoch})
 	j.resume(parts)
 	j.launch(m.life)
+	return true
 }
 
 // refresh reads records that reached the store after this entry last looked. A stopped job writes none itself, but a
--- a/entry/internal/batch/batch_test.go
+++ b/entry/internal/batch/batch_test.go
@@ -489,3 +489,55 @@
 		}
 	}
 }
+
+// Guards against a job that nobody runs because its receiver gave it to another entry: in good order, to one that is
+// about to leave, to one that has died, and if the receiver dies before it could.
+func TestDelegates(t *testing.T) {
+	for _, name := range []string{"calm", "owner leaves", "owner dies", "receiver dies"} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, newEngine(t, 1))
+			r.mesh.delegates = true
+			a, stopA := r.manager("a", "a1")
+			b, stopB := r.manager("b", "b1")
+			receiver, owner, stopReceiver, stopOwner := a, b, stopA, stopB
+			if got, _ := a.owner("m", 1); got == "a" {
+				receiver, owner, stopReceiver, stopOwner = b, a, stopB, stopA
+			}
+			if got, _ := receiver.owner("m", 1); got != owner.Name {
+				t.Fatalf("%s gives the job to %s", receiver.Name, got)
+			}
+			reader := receiver
+			switch name {
+			case "owner leaves":
+				owner.Handover(t.Context())
+			case "owner dies":
+				stopOwner()
+			}
+			if name == "receiver dies" {
+				// It has written the job and got no further.
+				s := wire.JobState{Owner: owner.Name, Inc: owner.Self.Inc, Epoch: 1, Host: "h", Path: "/p/", Total: 2,
+					At: time.Now().UnixMilli()}
+				if err := receiver.putPayload(t.Context(), "j", payload(1, "g-2", "h-9")); err != nil {
+					t.Fatal(err)
+				}
+				if _, err := receiver.createState(t.Context(), "j", s); err != nil {
+					t.Fatal(err)
+				}
+				stopReceiver()
+				r.cut(receiver.Name, true)
+				reader, _ = r.manager("c", "c1")
+			} else {
+				r.submit(receiver, "j", payload(1, "g-2", "h-9"))
+			}
+			if name == "owner dies" {
+				r.cut(owner.Name, true)
+			}
+			check(t, r.collect(reader, "j", 2), "g-2", "h-9")
+			// An owner that dies may have begun before.
+			runs, want := owner.local("j") != nil, name != "owner leaves"
+			if name != "owner dies" && runs != want {
+				t.Errorf("the owner has the job: %t, want %t", runs, want)
+			}
+		})
+	}
+}
--- a/entry/internal/batch/rig_test.go
+++ b/entry/internal/batch/rig_test.go
@@ -150,6 +150,8 @@
 	handlers map[string]map[string]func(context.Context, link.Frame) (string, any, error)
 	incs     map[string]string
 	cut      map[string]bool
+
+	delegates bool // jobs are run by the owner of their model
 }
 
 // member is what one manager sees of the mesh.
@@ -211,6 +213,14 @@
 	return l
 }
 
+// Near returns no entry unless a test lets jobs be run by others than their receiver.
+func (m member) Near(string) []string {
+	if !m.delegates {
+		return nil
+	}
+	return m.Linked()
+}
+
 func (m member) Incarnation(name string) string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/entry/internal/peer/peer.go
+++ b/entry/internal/peer/peer.go
@@ -156,6 +156,17 @@
 	return names
 }
 
+// Near returns the names of the linked entries in a failure domain that are not about to leave, in order.
+func (p *Peers) Near(domain string) []string {
+	var names []string
+	for _, c := range p.all() {
+		if h := c.Peer(); h.Domain == domain && !h.Leaving {
+			names = append(names, h.Name)
+		}
+	}
+	return names
+}
+
 // Incarnation returns the incarnation of the process behind the newest link to an entry; empty if there is none.
 func (p *Peers) Incarnation(name string) string {
 	p.mu.Lock()
--- a/entry/internal/place/place.go
+++ b/entry/internal/place/place.go
@@ -36,13 +36,17 @@
 	// failing is how long a server that broke a connection is passed over, doubled with each failure in a row.
 	failing     = 300 * time.Millisecond
 	failingMost = 3 * time.Second
-	// paceTime is how long the pace of a server is believed without a new event.
+	// paceTime is how long the present pace of a server is believed without a new event.
 	paceTime = 3 * time.Second
+	// paceSpan is the time over which the present pace is averaged; unseen neighbours slow a server for about as long,
+	// which is no reason to leave it.
+	paceSpan = 800 * time.Millisecond
+	// usualSpan is the time over which the usual pace is averaged: servers differ for good.
+	usualSpan = 10 * time.Second
 	// paceLeast is how many servers must have a pace before one counts as slow.
 	paceLeast = 3
-	// slowFactor is how many times slower than the median a slow server is; neighbours on an engine make less of a
-	// difference.
-	slowFactor = 1.6
+	// slowFactor is how many times slower than the median a slow server is.
+	slowFactor = 1.4
 	// forget is how long an unused server is remembered.
 	forget = time.Minute
 )
@@ -89,8 +93,9 @@
 	avoid    time.Time     // passed over until then
 	failures int           // in a row
 	refusals map[string]refusal
-	pace     time.Duration // moving average of the time between two events of a stream; 0 if none was seen
-	paced    time.Time     // when it was last updated
+	pace     time.Duration // present time between two events of a stream; 0 if none was seen
+	usual    time.Duration // the same over a longer time
+	paced    time.Time     // when they were last updated
 	last     time.Time
 }
 
@@ -155,12 +160,14 @@
 
 // cost estimates the wait for an answer in seconds, with a small random part that spreads equal servers.
 func (t *Tracker) cost(now time.Time, s catalog.Server, st *state) float64 {
-	own, inflight := firstTime, 0
+	own, inflight := t.typical(s), 0
 	if st != nil {
 		inflight = st.inflight
 		switch {
 		case st.pace > 0 && now.Sub(st.paced) < paceTime:
 			own = st.pace
+		case st.usual > 0:
+			own = st.usual
 		case st.time > 0:
 			own = st.time
 		}
@@ -177,6 +184,26 @@
 	return c * (1 + spread*t.random.Float64())
 }
 
+// typical is the time assumed of a server that has not answered yet: the mean of the usual paces of the others if it is
+// an engine.
+func (t *Tracker) typical(s catalog.Server) time.Duration {
+	if s.Versions == nil {
+		return firstTime
+	}
+	var sum time.Duration
+	n := 0
+	for _, o := range t.state {
+		if o.usual > 0 {
+			sum += o.usual
+			n++
+		}
+	}
+	if n == 0 {
+		return firstTime
+	}
+	return sum / time.Duration(n)
+}
+
 // Began counts an attempt at a server.
 func (t *Tracker) Began(id string, now time.Time) {
 	t.mu.Lock()
@@ -236,13 +263,24 @@
 	if s == nil {
 		return
 	}
+	if s.usual == 0 {
+		s.usual = gap
+	}
 	if s.pace == 0 || now.Sub(s.paced) > paceTime {
-		s.pace = gap
+		s.pace, s.paced = gap, now
+		return
 	}
-	s.pace += time.Duration(smoothing * float64(gap-s.pace))
+	since := now.Sub(s.paced)
+	s.pace += part(gap-s.pace, since, paceSpan)
+	s.usual += part(gap-s.usual, since, usualSpan)
 	s.paced = now
 }
 
+// part returns how much of a difference a moving average over span takes up after the given time.
+func part(difference, since, span time.Duration) time.Duration {
+	return time.Duration(float64(difference) * float64(since) / float64(since+span))
+}
+
 // Slow reports whether a server makes events much slower than most others at present.
 func (t *Tracker) Slow(id string, now time.Time) bool {
 	t.mu.Lock()
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -61,6 +61,7 @@
 	Adopt   = "adopt"
 	Owner   = "owner"
 	Replied = "replied"
+	Start   = "start"
 	Item    = "item"
 	Body    = "body"
 	Store   = "store"
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -622,6 +622,18 @@
 	Void bool `json:"void"`
 }
 
+// Gives an accepted job to the entry that its state names as the owner.
+type JobStart struct {
+	// Id of the job.
+	Job string `json:"job"`
+
+	// The submission.
+	Payload []byte `json:"payload"`
+
+	// State object of the job.
+	State JobState `json:"state"`
+}
+
 // Object of the store that stands for an accepted batch job. Whoever replaces it
 // with a higher epoch owns the job.
 type JobState struct {
