Keep the texts of running items in the store

Cause: a step whose owner died, or all entries at once, began anew; its longest items, which decide when it is whole, lost up to seven seconds.

Change: the owner writes the texts that are not listed once a second; whoever takes the job over goes on with them.

Ruled out: copies at other entries, which a loss of all entries takes too.

--- a/entry/internal/batch/batch.go
+++ b/entry/internal/batch/batch.go
@@ -43,6 +43,7 @@
 const (
 	kindState   = "jobs"
 	kindPayload = "payloads"
+	kindTexts   = "texts"
 	kindRecords = "results-" // followed by the id of the job, so that one list reads a job's log
 )
 
@@ -403,6 +404,9 @@
 		return refuse(http.StatusServiceUnavailable, retryBusy, err.Error(), nil)
 	}
 	m.forget(id)
+	if !s.Ended && len(parts) == 0 {
+		parts = m.kept(ctx, id)
+	}
 	m.start(newJob(m, spec, s, records), parts)
 	return ingress.Reply{}
 }
--- a/entry/internal/batch/batch_test.go
+++ b/entry/internal/batch/batch_test.go
@@ -541,3 +541,27 @@
 		})
 	}
 }
+
+// Guards against long items that begin anew when all entries die at once: what their owner kept in the store goes on.
+func TestTextsOutliveOwner(t *testing.T) {
+	e := newEngine(t, 1)
+	e.gap = 10 * time.Millisecond
+	r := newRig(t, e)
+	m, crash := r.manager("a", "a1")
+	r.submit(m, "j", payload(1, "g-300", "h-2"))
+	deadline := time.Now().Add(10 * time.Second)
+	for r.store.Spec(kindTexts, "j") == nil {
+		if time.Now().After(deadline) {
+			t.Fatal("the owner keeps no texts")
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	crash()
+	r.cut("a", true)
+	other, _ := r.manager("b", "b1")
+	check(t, r.collect(other, "j", 2), "g-300", "h-2")
+	starts := e.started()
+	if last := starts[len(starts)-1]; !strings.HasPrefix(last, "g-300@") || last == "g-300@1" {
+		t.Errorf("runs began at %v, want the last one to go on with the long item", starts)
+	}
+}
--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -167,7 +167,9 @@
 	l := []wire.JobPart{}
 	for _, it := range j.items {
 		if !it.listed && len(it.data) > 0 {
-			l = append(l, wire.JobPart{Item: it.ID, Data: it.data, Versions: it.versions, Done: it.done})
+			l = append(l, wire.JobPart{
+				Item: it.ID, Data: slices.Clone(it.data), Versions: slices.Clone(it.versions), Done: it.done,
+			})
 		}
 	}
 	return l
@@ -189,6 +191,12 @@
 	l := &lister{job: j, wake: listing}
 	go supervise.Guard(j.manager.Logger, "job", func() { j.run(ctx, listing) })
 	go supervise.Guard(j.manager.Logger, "lister", func() { l.run(ctx) })
+	go supervise.Guard(j.manager.Logger, "keeper", func() { (&keeper{job: j}).run(ctx) })
+}
+
+// sortByLength puts the texts with the most events first.
+func sortByLength(parts []wire.JobPart) {
+	slices.SortFunc(parts, func(a, b wire.JobPart) int { return len(b.Data) - len(a.Data) })
 }
 
 // stop ends what runs here.
--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -21,5 +21,6 @@
 	ResultsListed  = define(1045, slog.LevelInfo, "results listed")
 	ItemAttempt    = define(1046, slog.LevelInfo, "attempt of an item ended")
 	ItemGivenUp    = define(1047, slog.LevelWarn, "item given up")
+	TextsKept      = define(1048, slog.LevelInfo, "texts of a former owner taken up")
 	Retired        = define(1050, slog.LevelInfo, "instance is to be taken away; nothing on it needs to be kept")
 )
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -662,6 +662,13 @@
 	Total int `json:"total"`
 }
 
+// Object of the store that holds texts of a job that are not listed yet, so that a
+// new owner goes on with them.
+type JobTexts struct {
+	// Texts that are not listed.
+	Parts []JobPart `json:"parts"`
+}
+
 // The verdict that counts for a slot.
 type Judgement struct {
 	// Identifier of the verdict.
