Take a job over once

Change: one task of an entry takes a job over, the others wait for it; an entry that the store names already does not raise the epoch; a handover may take 3 s.

--- a/entry/internal/batch/batch.go
+++ b/entry/internal/batch/batch.go
@@ -56,6 +56,8 @@
 	// three times in all and wait at most a third of their time, which is four seconds of the usual twelve.
 	retryLeast = 1500 * time.Millisecond
 	retryMost  = 4 * time.Second
+	// adoptTime bounds a handover: the adopting entry makes five calls to a store that may be slow.
+	adoptTime = 3 * time.Second
 	// retryBusy is when a client may come back while a job changes hands.
 	retryBusy = 300 * time.Millisecond
 	// storeTries bounds conditional updates that lose against others.
@@ -108,6 +110,7 @@
 	mu     sync.Mutex
 	jobs   map[string]*Job
 	owners map[string]wire.JobState // jobs that other entries own
+	taking map[string]chan struct{} // jobs that a task of this entry takes over; closed when it is done
 	texts  *texts
 	freed  chan struct{} // closed when a slot of a server becomes free
 	closed bool
@@ -120,6 +123,7 @@
 		life:    life,
 		jobs:    make(map[string]*Job),
 		owners:  make(map[string]wire.JobState),
+		taking:  make(map[string]chan struct{}),
 		texts:   newTexts(),
 		freed:   make(chan struct{}),
 	}
@@ -352,9 +356,42 @@
 	delete(m.owners, id)
 }
 
+// claim waits until no other task of this entry takes the job over, and holds the others back until release.
+func (m *Manager) claim(ctx context.Context, id string) (release func(), ok bool) {
+	for {
+		m.mu.Lock()
+		busy := m.taking[id]
+		if busy == nil {
+			done := make(chan struct{})
+			m.taking[id] = done
+			m.mu.Unlock()
+			return func() {
+				m.mu.Lock()
+				defer m.mu.Unlock()
+				delete(m.taking, id)
+				close(done)
+			}, true
+		}
+		m.mu.Unlock()
+		select {
+		case <-busy:
+		case <-ctx.Done():
+			return nil, false
+		}
+	}
+}
+
 // take makes this entry the owner of a job whose owner is out of reach. The reply has status 0 on success, and also if
 // the job turned out to have another owner that is to be asked.
 func (m *Manager) take(ctx context.Context, id string, parts []wire.JobPart) ingress.Reply {
+	release, ok := m.claim(ctx, id)
+	if !ok {
+		return refuse(http.StatusServiceUnavailable, retryBusy, "the job is changing hands", nil)
+	}
+	defer release()
+	if m.local(id) != nil {
+		return ingress.Reply{}
+	}
 	for range storeTries {
 		s, revision, err := m.state(ctx, id)
 		if err != nil {
@@ -366,7 +403,8 @@
 		if s.Owner != m.Name && parts == nil && m.Peers.Incarnation(s.Owner) == s.Inc {
 			return ingress.Reply{} // the owner can be asked again
 		}
-		if !s.Ended {
+		// A write without an answer may have made this process the owner already.
+		if mine := s.Owner == m.Name && s.Inc == m.Self.Inc; !s.Ended && !mine {
 			s.Owner, s.Inc = m.Name, m.Self.Inc
 			s.Epoch++
 			value, err := json.Marshal(s)
@@ -610,7 +648,7 @@
 	if err != nil || s.Owner != m.Name || s.Inc != m.Self.Inc {
 		return nil
 	}
-	if reply := m.load(ctx, id, s, nil); reply.Status != 0 {
+	if reply := m.take(ctx, id, nil); reply.Status != 0 {
 		return nil
 	}
 	return m.local(id)
@@ -760,7 +798,7 @@
 	parts := j.parts()
 	for i := range peers {
 		name := peers[(first+i)%len(peers)]
-		short, cancel := context.WithTimeout(ctx, askTime)
+		short, cancel := context.WithTimeout(ctx, adoptTime)
 		var done wire.JobReply
 		err := m.Peers.Ask(short, name, link.Adopt, wire.JobAdopt{Job: j.spec.ID, Epoch: j.epoch, Parts: parts}, &done)
 		cancel()
--- a/entry/internal/batch/batch_test.go
+++ b/entry/internal/batch/batch_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -565,3 +566,27 @@
 		t.Errorf("runs began at %v, want the last one to go on with the long item", starts)
 	}
 }
+
+// Guards against an entry that takes one job over again and again: several clients read it at once after its owner died,
+// and the store is slow.
+func TestTakesOverOnce(t *testing.T) {
+	r := newRig(t, newEngine(t, 1))
+	m, crash := r.manager("a", "a1")
+	other, _ := r.manager("b", "b1")
+	r.submit(m, "j", payload(1, "g-3"))
+	crash()
+	r.cut("a", true)
+	var wg sync.WaitGroup
+	for range 10 {
+		wg.Go(func() { other.Results(t.Context(), "j", 0, 10*time.Millisecond) })
+	}
+	wg.Wait()
+	check(t, r.collect(other, "j", 1), "g-3")
+	var s wire.JobState
+	if err := json.Unmarshal(r.store.Spec(kindState, "j"), &s); err != nil {
+		t.Fatal(err)
+	}
+	if s.Epoch != 2 {
+		t.Errorf("the job has epoch %d after one takeover, want 2", s.Epoch)
+	}
+}
--- a/entry/internal/cli/platform.go
+++ b/entry/internal/cli/platform.go
@@ -64,7 +64,7 @@
 	// unreadyTime is how long the load balancer takes to notice that a process is leaving: two probes a second apart.
 	unreadyTime = 2500 * time.Millisecond
 	// handoverTime bounds the handover of open jobs.
-	handoverTime = 2 * time.Second
+	handoverTime = 3500 * time.Millisecond
 	// redialMost is the longest pause between two dials of another entry.
 	redialMost = time.Second
 	// metricsPort is where an instance serves its metrics, outside of the ports that the platform draws.
@@ -280,7 +280,7 @@
 	p.batch.Handover(ctx)
 	cancel()
 	time.Sleep(unreadyTime - min(time.Since(began), unreadyTime))
-	ctx, cancel = context.WithTimeout(context.Background(), p.settings.Bounds.Grace-unreadyTime-stopMargin)
+	ctx, cancel = context.WithTimeout(context.Background(), p.settings.Bounds.Grace-time.Since(began)-stopMargin)
 	defer cancel()
 	if err := p.server.Shutdown(ctx); err != nil {
 		event.StopCut.Log(p.logger, "cause", err.Error())
