Run no jobs in an entry that is about to leave

Change: a leaving entry gives a new job to another one, and refuses it at once if there is none; it takes no job over; a job whose owner says that it does not run it is taken over at once.

--- a/entry/internal/batch/batch.go
+++ b/entry/internal/batch/batch.go
@@ -144,11 +144,14 @@
 	if m.open()+int64(len(body)) > m.Memory {
 		return m.refused(id, http.StatusTooManyRequests, retryBusy, "no memory for the job")
 	}
+	owner, inc := m.owner(spec.Model, len(body))
+	if owner == "" {
+		return m.refused(id, http.StatusServiceUnavailable, retryBusy, "this entry is about to leave")
+	}
 	if err := m.putPayload(ctx, id, body); err != nil {
 		// Nothing runs without a state object, so the job has not run.
 		return m.refused(id, http.StatusServiceUnavailable, retryAfter(m.Outage(now)), err.Error())
 	}
-	owner, inc := m.owner(spec.Model, len(body))
 	state := wire.JobState{
 		Owner: owner, Inc: inc, Epoch: 1, Host: r.Host, Path: r.Prefix, Total: len(spec.Items), At: now.UnixMilli(),
 	}
@@ -172,15 +175,23 @@
 const maxDelegated = 2 << 20
 
 // owner chooses the entry that is to run the jobs of a model: one in this failure domain, the same for each job of its
-// trainer. It knows the pace of the model's engines and the texts of groups that come again.
+// trainer. It knows the pace of the model's engines and the texts of groups that come again. An entry that is about to
+// leave names any other one, and nobody if there is none.
 func (m *Manager) owner(model string, size int) (name, inc string) {
-	name, inc = m.Name, m.Self.Inc
-	if size > maxDelegated {
-		return name, inc
+	var best uint64
+	near := m.Peers.Near(m.Self.Domain)
+	if m.leaving() {
+		if len(near) == 0 {
+			near = m.Peers.Linked()
+		}
+	} else {
+		name, inc, best = m.Name, m.Self.Inc, rank(model, m.Name)
+		if size > maxDelegated {
+			return name, inc
+		}
 	}
-	best := rank(model, name)
-	for _, n := range m.Peers.Near(m.Self.Domain) {
-		if r := rank(model, n); r > best {
+	for _, n := range near {
+		if r := rank(model, n); r >= best {
 			if i := m.Peers.Incarnation(n); i != "" {
 				name, inc, best = n, i, r
 			}
@@ -205,7 +216,7 @@
 		return
 	}
 	// Any read of the job by a client finds it without an owner, too, if the store does not answer now.
-	m.take(m.life, id, []wire.JobPart{})
+	m.take(m.life, id, nil, true)
 }
 
 // begin runs a job that another entry has accepted for this one.
@@ -301,6 +312,7 @@
 		if reply.Status != 0 {
 			return reply
 		}
+		denied := false
 		if s.Owner != m.Name {
 			p, err := m.askPage(ctx, s, wire.JobRead{Job: id, After: after, Wait: wait.Milliseconds()}, wait)
 			if err == nil && p.Known {
@@ -309,9 +321,10 @@
 			if ctx.Err() != nil {
 				return refuse(http.StatusServiceUnavailable, retryBusy, "client left", nil)
 			}
+			denied = err == nil && !s.Ended && s.Inc == m.Peers.Incarnation(s.Owner)
 			m.forget(id)
 		}
-		if reply := m.take(ctx, id, nil); reply.Status != 0 {
+		if reply := m.take(ctx, id, nil, denied); reply.Status != 0 {
 			return reply
 		}
 	}
@@ -382,8 +395,8 @@
 }
 
 // take makes this entry the owner of a job whose owner is out of reach. The reply has status 0 on success, and also if
-// the job turned out to have another owner that is to be asked.
-func (m *Manager) take(ctx context.Context, id string, parts []wire.JobPart) ingress.Reply {
+// the job turned out to have another owner that is to be asked; force takes it from an owner that does not run it.
+func (m *Manager) take(ctx context.Context, id string, parts []wire.JobPart, force bool) ingress.Reply {
 	release, ok := m.claim(ctx, id)
 	if !ok {
 		return refuse(http.StatusServiceUnavailable, retryBusy, "the job is changing hands", nil)
@@ -400,9 +413,12 @@
 		m.mu.Lock()
 		m.owners[id] = s
 		m.mu.Unlock()
-		if s.Owner != m.Name && parts == nil && m.Peers.Incarnation(s.Owner) == s.Inc {
+		if s.Owner != m.Name && !force && m.Peers.Incarnation(s.Owner) == s.Inc {
 			return ingress.Reply{} // the owner can be asked again
 		}
+		if !s.Ended && m.leaving() {
+			return refuse(http.StatusServiceUnavailable, retryBusy, "this entry is about to leave", nil)
+		}
 		// A write without an answer may have made this process the owner already.
 		if mine := s.Owner == m.Name && s.Inc == m.Self.Inc; !s.Ended && !mine {
 			s.Owner, s.Inc = m.Name, m.Self.Inc
@@ -445,7 +461,9 @@
 	if !s.Ended && len(parts) == 0 {
 		parts = m.kept(ctx, id)
 	}
-	m.start(newJob(m, spec, s, records), parts)
+	if !m.start(newJob(m, spec, s, records), parts) && !s.Ended {
+		return refuse(http.StatusServiceUnavailable, retryBusy, "this entry is about to leave", nil)
+	}
 	return ingress.Reply{}
 }
 
@@ -632,11 +650,7 @@
 		if err := f.Decode(&q); err != nil {
 			return "", nil, err
 		}
-		parts := q.Parts
-		if parts == nil {
-			parts = []wire.JobPart{}
-		}
-		reply := m.take(ctx, q.Job, parts)
+		reply := m.take(ctx, q.Job, q.Parts, true)
 		return link.Replied, wire.JobReply{Done: reply.Status == 0}, nil
 	})
 }
@@ -648,7 +662,7 @@
 	if err != nil || s.Owner != m.Name || s.Inc != m.Self.Inc {
 		return nil
 	}
-	if reply := m.take(ctx, id, nil); reply.Status != 0 {
+	if reply := m.take(ctx, id, nil, true); reply.Status != 0 {
 		return nil
 	}
 	return m.local(id)
@@ -812,6 +826,13 @@
 	}
 }
 
+// leaving reports whether this entry is about to leave.
+func (m *Manager) leaving() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.closed
+}
+
 // free wakes everyone who waits for a free slot.
 func (m *Manager) free() {
 	m.mu.Lock()
--- a/entry/internal/batch/batch_test.go
+++ b/entry/internal/batch/batch_test.go
@@ -590,3 +590,39 @@
 		t.Errorf("the job has epoch %d after one takeover, want 2", s.Epoch)
 	}
 }
+
+// Guards against a job that waits for the end of an entry that is about to leave: one submitted to it, one that it took
+// over just before, and one that it is named the owner of.
+func TestLeavingEntryRunsNothing(t *testing.T) {
+	r := newRig(t, newEngine(t, 1))
+	leaving, _ := r.manager("a", "a1")
+	other, _ := r.manager("b", "b1")
+	r.mesh.delegates = true
+	leaving.Handover(t.Context())
+	r.submit(leaving, "j1", payload(1, "g-2"))
+	check(t, r.collect(other, "j1", 1), "g-2")
+	if reply := leaving.take(t.Context(), "j1", nil, true); reply.Status != http.StatusServiceUnavailable {
+		t.Errorf("the leaving entry takes a job over: %d", reply.Status)
+	}
+	s := wire.JobState{Owner: "a", Inc: "a1", Epoch: 1, Host: "h", Path: "/p/", Total: 1, At: time.Now().UnixMilli()}
+	if err := other.putPayload(t.Context(), "j2", payload(1, "g-3")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := other.createState(t.Context(), "j2", s); err != nil {
+		t.Fatal(err)
+	}
+	began := time.Now()
+	check(t, r.collect(other, "j2", 1), "g-3")
+	if took := time.Since(began); took > 2*time.Second {
+		t.Errorf("the job waited %s for an entry that does not run it", took)
+	}
+	alone := newRig(t, newEngine(t, 1))
+	last, _ := alone.manager("a", "a1")
+	last.Handover(t.Context())
+	if reply := last.Submit(t.Context(), &alone.route, "j", payload(1, "g-1"), time.Now()); reply.Status != 503 || reply.Retry <= 0 {
+		t.Errorf("a leaving entry without others answers %d", reply.Status)
+	}
+	if got := alone.store.Names(kindState); got != nil {
+		t.Errorf("the refused job stands in the store: %v", got)
+	}
+}
