Remove old jobs from the store; split large files; keep one pause

Nothing in the platform's store expires by itself: the instances with a disk remove jobs four times as old as results must be readable.

--- a/daemon/internal/naming/naming.go
+++ b/daemon/internal/naming/naming.go
@@ -26,6 +26,7 @@
 
 	"bulrushspoke/internal/catalog"
 	"bulrushspoke/internal/event"
+	"bulrushspoke/internal/sleep"
 	"bulrushspoke/internal/store"
 	"bulrushspoke/wire"
 )
@@ -87,14 +88,14 @@
 	go n.receive()
 	// The first list must be the newest: the fencing token of orders rests on it.
 	for ctx.Err() == nil && !n.list(ctx, n.Source.List) {
-		pause(ctx, pollEvery/5)
+		sleep.For(ctx, pollEvery/5)
 	}
 	for ctx.Err() == nil {
 		if n.isReader(ctx, time.Now()) {
 			n.watch(ctx)
 			continue
 		}
-		pause(ctx, pollEvery)
+		sleep.For(ctx, pollEvery)
 		n.list(ctx, n.Source.ListStale)
 	}
 	return ctx.Err()
@@ -245,12 +246,3 @@
 	_, _ = m.Write(body)
 	return m.Sum(nil)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- /dev/null
+++ b/entry/internal/batch/answer.go
@@ -0,0 +1,80 @@
+package batch
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"bulrushspoke/internal/link"
+	"bulrushspoke/wire"
+)
+
+// Register answers the questions of other entries.
+func (m *Manager) Register(h Handlers) {
+	h.Handle(link.Read, func(ctx context.Context, f link.Frame) (string, any, error) {
+		var q wire.JobRead
+		if err := f.Decode(&q); err != nil {
+			return "", nil, err
+		}
+		j := m.local(q.Job)
+		if j == nil {
+			j = m.own(ctx, q.Job)
+		}
+		if j == nil {
+			return link.Page, wire.JobPage{Results: []wire.JobResult{}}, nil
+		}
+		return link.Page, toPage(j.page(ctx, q.After, time.Duration(q.Wait)*time.Millisecond)), nil
+	})
+	h.Handle(link.End, func(_ context.Context, f link.Frame) (string, any, error) {
+		var q wire.JobEnd
+		if err := f.Decode(&q); err != nil {
+			return "", nil, err
+		}
+		if j := m.local(q.Job); j != nil {
+			j.finish()
+		}
+		m.mu.Lock()
+		if s, ok := m.owners[q.Job]; ok {
+			s.Ended = true
+			m.owners[q.Job] = s
+		}
+		m.mu.Unlock()
+		return link.Replied, wire.JobReply{Done: true}, nil
+	})
+	h.Handle(link.Owner, func(_ context.Context, f link.Frame) (string, any, error) {
+		var q wire.JobOwner
+		if err := f.Decode(&q); err != nil {
+			return "", nil, err
+		}
+		m.foreign(q)
+		return link.Replied, wire.JobReply{Done: true}, nil
+	})
+	h.Handle(link.Start, func(_ context.Context, f link.Frame) (string, any, error) {
+		var q wire.JobStart
+		if err := f.Decode(&q); err != nil {
+			return "", nil, err
+		}
+		return link.Replied, wire.JobReply{Done: m.begin(q)}, nil
+	})
+	h.Handle(link.Item, func(_ context.Context, f link.Frame) (string, any, error) {
+		var q wire.JobItem
+		if err := f.Decode(&q); err != nil {
+			return "", nil, err
+		}
+		b := wire.JobBody{Body: []byte{}}
+		if j := m.local(q.Job); j != nil {
+			reply := itemBody(j.spec, q.Item)
+			b.Known, b.Found = true, reply.Status == http.StatusOK
+			b.Body = append(b.Body, reply.Body...)
+		}
+		return link.Body, b, nil
+	})
+	h.Handle(link.Adopt, func(ctx context.Context, f link.Frame) (string, any, error) {
+		var q wire.JobAdopt
+		if err := f.Decode(&q); err != nil {
+			return "", nil, err
+		}
+		reply := m.take(ctx, q.Job, q.Parts, true)
+		return link.Replied, wire.JobReply{Done: reply.Status == 0}, nil
+	})
+}
--- a/entry/internal/batch/keep.go
+++ b/entry/internal/batch/keep.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"bulrushspoke/internal/event"
+	"bulrushspoke/internal/sleep"
 	"bulrushspoke/internal/store"
 	"bulrushspoke/wire"
 )
@@ -34,7 +35,7 @@
 // run keeps texts until ctx ends.
 func (k *keeper) run(ctx context.Context) {
 	for {
-		pause(ctx, keepEvery)
+		sleep.For(ctx, keepEvery)
 		if ctx.Err() != nil {
 			return
 		}
@@ -60,9 +61,9 @@
 	m, id := k.job.manager, k.job.spec.ID
 	var revision int64
 	if k.revision == 0 {
-		revision, err = m.Store.Create(ctx, kindTexts, id, value)
+		revision, err = m.Store.Create(ctx, KindTexts, id, value)
 	} else {
-		revision, err = m.Store.Update(ctx, kindTexts, id, value, k.revision)
+		revision, err = m.Store.Update(ctx, KindTexts, id, value, k.revision)
 	}
 	var conflict *store.ConflictError
 	if errors.As(err, &conflict) {
@@ -96,13 +97,13 @@
 
 // kept returns the texts of a job that a former owner kept.
 func (m *Manager) kept(ctx context.Context, id string) []wire.JobPart {
-	r, err := m.Store.Get(ctx, kindTexts, id)
+	r, err := m.Store.Get(ctx, KindTexts, id)
 	if err != nil {
 		return nil // absent, or the client has logged the cause
 	}
 	var t wire.JobTexts
 	if err := json.Unmarshal(r.Spec, &t); err != nil {
-		event.ObjectInvalid.Log(m.Logger, "kind", kindTexts, "name", id, "cause", err.Error())
+		event.ObjectInvalid.Log(m.Logger, "kind", KindTexts, "name", id, "cause", err.Error())
 		return nil
 	}
 	event.TextsKept.Log(m.Logger, "job", id, "texts", len(t.Parts), "revision", r.Revision)
--- a/entry/internal/batch/list.go
+++ b/entry/internal/batch/list.go
@@ -9,6 +9,7 @@
 
 	"bulrushspoke/internal/event"
 	"bulrushspoke/internal/job"
+	"bulrushspoke/internal/sleep"
 	"bulrushspoke/internal/store"
 	"bulrushspoke/internal/supervise"
 	"bulrushspoke/wire"
@@ -41,7 +42,7 @@
 		if len(l.job.listable()) == 0 {
 			continue
 		}
-		pause(ctx, gather)
+		sleep.For(ctx, gather)
 		for ctx.Err() == nil {
 			batch := l.job.listable()
 			if len(batch) == 0 {
@@ -98,7 +99,7 @@
 	for ctx.Err() == nil {
 		held, err := l.create(ctx, n, value, rec)
 		if err != nil {
-			pause(ctx, retryList)
+			sleep.For(ctx, retryList)
 			continue
 		}
 		j.mu.Lock()
@@ -119,7 +120,7 @@
 
 // create writes record n and returns what stands there. After a lost answer an earlier attempt of ours may hold it.
 func (l *lister) create(ctx context.Context, n int, value []byte, rec wire.JobRecord) (wire.JobRecord, error) {
-	kind := kindRecords + l.job.spec.ID
+	kind := KindRecords + l.job.spec.ID
 	_, err := l.job.manager.Store.Create(ctx, kind, recordName(n), value)
 	if err == nil {
 		return rec, nil
@@ -142,15 +143,6 @@
 	return held, nil
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // pending returns the items that wait for a server, the most urgent first: groups that began elsewhere or are nearest to
 // whole, and within a group the longest.
 func (j *Job) pending() []*item {
--- a/entry/internal/batch/payload.go
+++ b/entry/internal/batch/payload.go
@@ -50,14 +50,14 @@
 }
 
 func (m *Manager) putPart(ctx context.Context, name string, value []byte) error {
-	_, err := m.Store.Create(ctx, kindPayload, name, value)
+	_, err := m.Store.Create(ctx, KindPayload, name, value)
 	var conflict *store.ConflictError
 	if errors.As(err, &conflict) {
 		return nil
 	}
 	var down *store.DownError
 	if errors.As(err, &down) && down.Ambiguous() {
-		if _, readErr := m.Store.Get(ctx, kindPayload, name); readErr == nil {
+		if _, readErr := m.Store.Get(ctx, KindPayload, name); readErr == nil {
 			return nil
 		}
 	}
@@ -68,7 +68,7 @@
 
 // payload reads the payload of a job.
 func (m *Manager) payload(ctx context.Context, id string) ([]byte, error) {
-	r, err := m.Store.Get(ctx, kindPayload, id)
+	r, err := m.Store.Get(ctx, KindPayload, id)
 	if err != nil {
 		return nil, err
 	}
@@ -78,7 +78,7 @@
 	}
 	var body []byte
 	for n := range p.Parts {
-		r, err := m.Store.Get(ctx, kindPayload, partName(id, n))
+		r, err := m.Store.Get(ctx, KindPayload, partName(id, n))
 		if err != nil {
 			return nil, err
 		}
--- /dev/null
+++ b/entry/internal/batch/submit.go
@@ -0,0 +1,171 @@
+package batch
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bulrushspoke/entry/internal/ingress"
+	"bulrushspoke/internal/catalog"
+	"bulrushspoke/internal/event"
+	"bulrushspoke/internal/link"
+	"bulrushspoke/internal/store"
+	"bulrushspoke/internal/supervise"
+	"bulrushspoke/platform"
+	"bulrushspoke/wire"
+)
+
+// Submit accepts a job and begins to run it.
+func (m *Manager) Submit(
+	ctx context.Context, r *catalog.Route, id string, body []byte, now time.Time,
+) ingress.Reply {
+	accepted := ingress.Reply{Status: http.StatusAccepted}
+	if m.local(id) != nil {
+		return accepted
+	}
+	spec, err := platform.DecodeJob(id, body)
+	if err != nil {
+		return refuse(http.StatusBadRequest, 0, err.Error(), []byte(err.Error()))
+	}
+	if m.open()+int64(len(body)) > m.Memory {
+		return m.refused(id, http.StatusTooManyRequests, retryBusy, "no memory for the job")
+	}
+	owner, inc := m.owner(spec.Model, len(body))
+	if owner == "" {
+		return m.refused(id, http.StatusServiceUnavailable, retryBusy, "this entry is about to leave")
+	}
+	if err := m.putPayload(ctx, id, body); err != nil {
+		// Nothing runs without a state object, so the job has not run.
+		return m.refused(id, http.StatusServiceUnavailable, retryAfter(m.Outage(now)), err.Error())
+	}
+	state := wire.JobState{
+		Owner: owner, Inc: inc, Epoch: 1, Host: r.Host, Path: r.Prefix, Total: len(spec.Items), At: now.UnixMilli(),
+	}
+	held, err := m.createState(ctx, id, state)
+	if err != nil {
+		return m.refuseAmbiguous(id, err, now)
+	}
+	switch {
+	case held.Ended || held.Epoch > 1:
+	case held.Owner == m.Name && held.Inc == m.Self.Inc:
+		m.start(newJob(m, spec, held, nil), nil)
+	case held.Owner == owner && held.Inc == inc:
+		go supervise.Guard(m.Logger, "delegate", func() { m.delegate(id, held, body) })
+	}
+	event.JobAccepted.Log(m.Logger, "job", id, "step", spec.Step, "model", spec.Model, "min", spec.MinVersion,
+		"items", len(spec.Items), "owner", held.Owner, "epoch", held.Epoch, "ms", time.Since(now).Milliseconds())
+	return accepted
+}
+
+// maxDelegated is the largest payload that is given to another entry, in bytes; a link carries frames of 4 MB.
+const maxDelegated = 2 << 20
+
+// owner chooses the entry that is to run the jobs of a model: one in this failure domain, the same for each job of its
+// trainer. It knows the pace of the model's engines and the texts of groups that come again. An entry that is about to
+// leave names any other one, and nobody if there is none.
+func (m *Manager) owner(model string, size int) (name, inc string) {
+	var best uint64
+	near := m.Peers.Near(m.Self.Domain)
+	if m.leaving() {
+		if len(near) == 0 {
+			near = m.Peers.Linked()
+		}
+	} else {
+		name, inc, best = m.Name, m.Self.Inc, rank(model, m.Name)
+		if size > maxDelegated {
+			return name, inc
+		}
+	}
+	for _, n := range near {
+		if r := rank(model, n); r >= best {
+			if i := m.Peers.Incarnation(n); i != "" {
+				name, inc, best = n, i, r
+			}
+		}
+	}
+	return name, inc
+}
+
+// rank orders the entries for a model.
+func rank(model, name string) uint64 { return xxhash.Sum64String(model + "\x00" + name) }
+
+// delegate gives an accepted job to its owner, and takes it over if the owner does not take it.
+func (m *Manager) delegate(id string, s wire.JobState, body []byte) {
+	ctx, cancel := context.WithTimeout(m.life, askTime)
+	defer cancel()
+	var done wire.JobReply
+	err := m.Peers.Ask(ctx, s.Owner, link.Start, wire.JobStart{Job: id, State: s, Payload: body}, &done)
+	if err == nil && done.Done {
+		m.mu.Lock()
+		m.owners[id] = s
+		m.mu.Unlock()
+		return
+	}
+	// Any read of the job by a client finds it without an owner, too, if the store does not answer now.
+	m.take(m.life, id, nil, true)
+}
+
+// begin runs a job that another entry has accepted for this one.
+func (m *Manager) begin(q wire.JobStart) bool {
+	spec, err := platform.DecodeJob(q.Job, q.Payload)
+	if err != nil || q.State.Owner != m.Name || q.State.Inc != m.Self.Inc {
+		return false
+	}
+	return m.start(newJob(m, spec, q.State, nil), nil)
+}
+
+// refuseAmbiguous answers a submission whose state object may have been written: nothing may be promised then.
+func (m *Manager) refuseAmbiguous(id string, err error, now time.Time) ingress.Reply {
+	var down *store.DownError
+	if errors.As(err, &down) && !down.Ambiguous() {
+		return m.refused(id, http.StatusServiceUnavailable, retryAfter(m.Outage(now)), err.Error())
+	}
+	return m.refused(id, http.StatusGatewayTimeout, 0, err.Error())
+}
+
+// retryAfter returns when a job that the store could not take may come again, given how long the store has been away.
+//
+// It answers trainers whose few tries would all fall into one outage: early in an outage they are told to wait for its
+// usual end, late in one to come soon.
+func retryAfter(outage time.Duration) time.Duration {
+	return min(max(usualOutage-outage, retryLeast), retryMost)
+}
+
+func (m *Manager) refused(id string, status int, retry time.Duration, cause string) ingress.Reply {
+	event.JobRefused.Log(m.Logger, "job", id, "status", status, "cause", cause)
+	return refuse(status, retry, cause, nil)
+}
+
+// createState writes the state object of a job and returns the one that stands in the store.
+func (m *Manager) createState(ctx context.Context, id string, s wire.JobState) (wire.JobState, error) {
+	value, err := json.Marshal(s)
+	if err != nil {
+		return s, err
+	}
+	_, err = m.Store.Create(ctx, KindState, id, value)
+	if err == nil {
+		return s, nil
+	}
+	var conflict *store.ConflictError
+	var down *store.DownError
+	switch {
+	case errors.As(err, &conflict):
+		if json.Unmarshal(conflict.Winner().Value, &s) == nil && s.Owner != "" {
+			return s, nil
+		}
+	case errors.As(err, &down) && down.Ambiguous():
+		// The answer may have been lost after the write.
+	default:
+		return s, err
+	}
+	held, _, readErr := m.state(ctx, id)
+	if readErr != nil {
+		return s, err
+	}
+	event.StoreReadBack.Log(m.Logger, "kind", KindState, "name", id)
+	return held, nil
+}
--- a/entry/internal/cli/cli.go
+++ b/entry/internal/cli/cli.go
@@ -17,9 +17,9 @@
 	"net"
 	"time"
 
-	"bulrushspoke/entry/internal/redial"
 	"bulrushspoke/internal/event"
 	"bulrushspoke/internal/program"
+	"bulrushspoke/internal/sleep"
 )
 
 // closeLimit bounds the end of the tasks and links after the last request.
@@ -78,7 +78,7 @@
 // stop lets the load balancer turn away, finishes what is in flight and hands over the steps.
 func (e *entry) stop(c config) {
 	e.leaving.Store(true)
-	redial.Sleep(context.Background(), c.Timeouts.Unready.Std())
+	sleep.For(context.Background(), c.Timeouts.Unready.Std())
 	ctx, cancel := context.WithTimeout(context.Background(), c.Timeouts.Drain.Std())
 	defer cancel()
 	if err := e.gate.Shutdown(ctx); err != nil {
--- a/entry/internal/cli/platform.go
+++ b/entry/internal/cli/platform.go
@@ -27,6 +27,7 @@
 	"bulrushspoke/entry/internal/place"
 	"bulrushspoke/entry/internal/relay"
 	"bulrushspoke/entry/internal/retire"
+	"bulrushspoke/entry/internal/sweep"
 	"bulrushspoke/internal/catalog"
 	"bulrushspoke/internal/event"
 	"bulrushspoke/internal/linelog"
@@ -63,6 +64,9 @@
 	stopMargin = time.Second
 	// unreadyTime is how long the load balancer takes to notice that a process is leaving: two probes a second apart.
 	unreadyTime = 2500 * time.Millisecond
+	// keepFactor times the time for which results must be readable is how long a job stays in the store: its trainer may
+	// still have it open, and clocks differ by seconds.
+	keepFactor = 4
 	// handoverTime bounds the handover of open jobs.
 	handoverTime = 3500 * time.Millisecond
 	// redialMost is the longest pause between two dials of another entry.
@@ -154,6 +158,7 @@
 		p.task("retirement", func(ctx context.Context) error {
 			return retire.Run(ctx, s.Name, p.store, p.logger)
 		})
+		p.task("sweep", sweep.New(p.store, keepFactor*s.Bounds.Status, p.logger).Run)
 		return nil
 	}
 	return p.buildEntry(life, pool, m)
--- a/entry/internal/config/config.go
+++ b/entry/internal/config/config.go
@@ -26,6 +26,7 @@
 	"bulrushspoke/entry/internal/redial"
 	"bulrushspoke/internal/event"
 	"bulrushspoke/internal/profile"
+	"bulrushspoke/internal/sleep"
 	"bulrushspoke/internal/store"
 	"bulrushspoke/wire"
 )
@@ -196,7 +197,7 @@
 		if h.Revision() == 0 {
 			h.ask(ctx, 1)
 		}
-		redial.Sleep(ctx, time.Duration(h.random.Float64()*float64(pause)))
+		sleep.For(ctx, time.Duration(h.random.Float64()*float64(pause)))
 		pause = min(2*pause, longestPause)
 	}
 	return ctx.Err()
@@ -380,7 +381,7 @@
 			return 0, cause
 		}
 		if lost {
-			redial.Sleep(ctx, time.Duration(h.random.Float64()*float64(pause)))
+			sleep.For(ctx, time.Duration(h.random.Float64()*float64(pause)))
 			pause = min(2*pause, longestPause)
 		}
 		lost = true
--- a/entry/internal/instances/instances.go
+++ b/entry/internal/instances/instances.go
@@ -20,6 +20,7 @@
 
 	"bulrushspoke/entry/internal/redial"
 	"bulrushspoke/internal/event"
+	"bulrushspoke/internal/sleep"
 	"bulrushspoke/wire"
 )
 
@@ -66,7 +67,7 @@
 			p.poll()
 		}
 		// The pause varies by a quarter so that entries do not poll in step.
-		redial.Sleep(ctx, time.Duration((0.75+0.5*p.random.Float64())*float64(p.interval)))
+		sleep.For(ctx, time.Duration((0.75+0.5*p.random.Float64())*float64(p.interval)))
 	}
 	return ctx.Err()
 }
--- a/entry/internal/member/member.go
+++ b/entry/internal/member/member.go
@@ -19,6 +19,7 @@
 
 	"bulrushspoke/internal/catalog"
 	"bulrushspoke/internal/event"
+	"bulrushspoke/internal/sleep"
 	"bulrushspoke/internal/store"
 	"bulrushspoke/wire"
 )
@@ -63,11 +64,8 @@
 // Run announces this entry and follows the others until ctx ends.
 func (m *Members) Run(ctx context.Context) error {
 	for !m.announce(ctx) {
-		t := time.NewTimer(retryWrite)
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			t.Stop()
+		sleep.For(ctx, retryWrite)
+		if ctx.Err() != nil {
 			return ctx.Err()
 		}
 	}
--- a/entry/internal/redial/redial.go
+++ b/entry/internal/redial/redial.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"bulrushspoke/internal/link"
+	"bulrushspoke/internal/sleep"
 )
 
 // shortest is the first pause after a broken link, before jitter.
@@ -35,16 +36,6 @@
 		} else {
 			pause = min(2*pause, longest)
 		}
-		Sleep(ctx, time.Duration(random.Float64()*float64(pause)))
-	}
-}
-
-// Sleep returns after d or when ctx ends.
-func Sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
+		sleep.For(ctx, time.Duration(random.Float64()*float64(pause)))
 	}
 }
--- a/entry/internal/retire/retire.go
+++ b/entry/internal/retire/retire.go
@@ -14,6 +14,7 @@
 
 	"bulrushspoke/internal/catalog"
 	"bulrushspoke/internal/event"
+	"bulrushspoke/internal/sleep"
 	"bulrushspoke/internal/store"
 	"bulrushspoke/platform"
 )
@@ -40,10 +41,7 @@
 		}
 		event.Retired.Log(logger, "revision", r.Revision)
 		for ctx.Err() == nil && !answer(ctx, s, name) {
-			select {
-			case <-time.After(retryWrite):
-			case <-ctx.Done():
-			}
+			sleep.For(ctx, retryWrite)
 		}
 	}
 	return catalog.Follow(ctx, s, catalog.Feed{
--- a/internal/catalog/follow.go
+++ b/internal/catalog/follow.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"bulrushspoke/internal/event"
+	"bulrushspoke/internal/sleep"
 	"bulrushspoke/internal/store"
 )
 
@@ -51,7 +52,7 @@
 		if err == nil {
 			w.succeeded(time.Now())
 			if w.after >= 0 && f.Settle != nil {
-				pause(ctx, f.Settle())
+				sleep.For(ctx, f.Settle())
 			}
 			continue
 		}
@@ -62,7 +63,7 @@
 			continue
 		}
 		w.failed(err, time.Now())
-		pause(ctx, w.delay)
+		sleep.For(ctx, w.delay)
 	}
 	return ctx.Err()
 }
@@ -125,12 +126,3 @@
 	}
 	w.delay = min(max(2*w.delay, retryFirst), retryMost)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
