Simplify what the platform path wrote twice

Cause: reading the change again. The refusal of a call that may succeed in a moment was spelled out 15 times, the submission of a job was read and decoded in two places, the request to a server was built in two, and an item's text was dropped in two. Choosing a server worked out the mean and the median of all paces anew for each candidate. The priority of an attempt, a bare call on an object and three fields were never used.

Change: one function for each; mean and median once and only when needed; the unused is gone.

--- a/daemon/internal/rollout/rollout.go
+++ b/daemon/internal/rollout/rollout.go
@@ -150,10 +150,7 @@
 	r.assign(v)
 	wait := repair
 	for _, n := range named {
-		if report.Versions[n.Model] >= n.Number || !v.serves(v.self, n.Model) {
-			continue
-		}
-		if _, ok := report.Versions[n.Model]; !ok {
+		if have, ok := report.Versions[n.Model]; !ok || have >= n.Number || !v.serves(v.self, n.Model) {
 			continue
 		}
 		planned, ok := r.schedule(v, n, now)
--- a/entry/internal/batch/batch.go
+++ b/entry/internal/batch/batch.go
@@ -30,7 +30,6 @@
 	"bulrushspoke/internal/link"
 	"bulrushspoke/internal/store"
 	"bulrushspoke/internal/upstream"
-	"bulrushspoke/platform"
 	"bulrushspoke/wire"
 )
 
@@ -124,8 +123,14 @@
 	}
 }
 
-func refuse(status int, retry time.Duration, cause string, body []byte) ingress.Reply {
-	return ingress.Reply{Status: status, Retry: retry, Cause: cause, Body: body}
+// unavailable answers a call that may succeed in a moment.
+func unavailable(cause string) ingress.Reply {
+	return ingress.Reply{Status: http.StatusServiceUnavailable, Retry: retryBusy, Cause: cause}
+}
+
+// notFound answers a call that names what does not exist.
+func notFound(cause string) ingress.Reply {
+	return ingress.Reply{Status: http.StatusNotFound, Cause: cause}
 }
 
 // Results returns the results of a job from a position on, waiting for the first for a time.
@@ -150,7 +155,7 @@
 				return page(fromPage(p))
 			}
 			if ctx.Err() != nil {
-				return refuse(http.StatusServiceUnavailable, retryBusy, "client left", nil)
+				return unavailable("client left")
 			}
 			denied = err == nil && !s.Ended && s.Inc == m.Peers.Incarnation(s.Owner)
 			m.forget(id)
@@ -159,7 +164,7 @@
 			return reply
 		}
 	}
-	return refuse(http.StatusServiceUnavailable, retryBusy, "the job is changing hands", nil)
+	return unavailable("the job is changing hands")
 }
 
 func (m *Manager) askPage(
@@ -184,9 +189,9 @@
 	var absent *store.AbsentError
 	switch {
 	case errors.As(err, &absent):
-		return s, refuse(http.StatusNotFound, 0, "no such job", nil)
+		return s, notFound("no such job")
 	case err != nil:
-		return s, refuse(http.StatusServiceUnavailable, retryBusy, err.Error(), nil)
+		return s, unavailable(err.Error())
 	}
 	m.mu.Lock()
 	m.owners[id] = s
@@ -205,29 +210,23 @@
 	if j := m.local(id); j != nil {
 		return itemBody(j.spec, item)
 	}
-	if _, reply := m.find(ctx, id); reply.Status != 0 {
+	s, reply := m.find(ctx, id)
+	if reply.Status != 0 {
 		return reply
 	}
-	if reply, ok := m.askBody(ctx, id, item); ok {
+	if reply, ok := m.askBody(ctx, s, id, item); ok {
 		return reply
 	}
-	body, err := m.payload(ctx, id)
-	if err != nil {
-		return refuse(http.StatusServiceUnavailable, retryBusy, err.Error(), nil)
-	}
-	spec, err := platform.DecodeJob(id, body)
+	spec, err := m.submitted(ctx, id)
 	if err != nil {
-		return refuse(http.StatusServiceUnavailable, retryBusy, err.Error(), nil)
+		return unavailable(err.Error())
 	}
 	return itemBody(spec, item)
 }
 
 // askBody asks the owner of a job for the body of an item; false if the owner does not answer for the job.
-func (m *Manager) askBody(ctx context.Context, id, item string) (ingress.Reply, bool) {
-	m.mu.Lock()
-	s, ok := m.owners[id]
-	m.mu.Unlock()
-	if !ok || s.Owner == m.Name {
+func (m *Manager) askBody(ctx context.Context, s wire.JobState, id, item string) (ingress.Reply, bool) {
+	if s.Owner == m.Name {
 		return ingress.Reply{}, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTime)
@@ -237,7 +236,7 @@
 		return ingress.Reply{}, false
 	}
 	if !b.Found {
-		return refuse(http.StatusNotFound, 0, "no such item", nil), true
+		return notFound("no such item"), true
 	}
 	return ingress.Reply{Status: http.StatusOK, Body: b.Body}, true
 }
@@ -248,7 +247,7 @@
 			return ingress.Reply{Status: http.StatusOK, Body: it.Body}
 		}
 	}
-	return refuse(http.StatusNotFound, 0, "no such item", nil)
+	return notFound("no such item")
 }
 
 // End ends a job for good.
@@ -264,10 +263,10 @@
 		s, revision, err := m.state(ctx, id)
 		var absent *store.AbsentError
 		if errors.As(err, &absent) {
-			return refuse(http.StatusNotFound, 0, "no such job", nil)
+			return notFound("no such job")
 		}
 		if err != nil {
-			return refuse(http.StatusServiceUnavailable, retryBusy, err.Error(), nil)
+			return unavailable(err.Error())
 		}
 		if !s.Ended {
 			s.Ended = true
@@ -276,7 +275,7 @@
 				continue
 			}
 			if err != nil {
-				return refuse(http.StatusServiceUnavailable, retryBusy, err.Error(), nil)
+				return unavailable(err.Error())
 			}
 		}
 		if j != nil {
@@ -286,7 +285,7 @@
 		event.JobEnded.Log(m.Logger, "job", id, "owner", s.Owner, "epoch", s.Epoch)
 		return ingress.Reply{Status: http.StatusOK}
 	}
-	return refuse(http.StatusServiceUnavailable, retryBusy, "the job is changing hands", nil)
+	return unavailable("the job is changing hands")
 }
 
 func (m *Manager) local(id string) *Job {
--- a/entry/internal/batch/list.go
+++ b/entry/internal/batch/list.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"slices"
 	"time"
 
 	"bulrushspoke/internal/event"
@@ -142,26 +141,3 @@
 	}
 	return held, nil
 }
-
-// pending returns the items that wait for a server, the most urgent first: groups that began elsewhere or are nearest to
-// whole, and within a group the longest.
-func (j *Job) pending() []*item {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	var l []*item
-	for _, it := range j.items {
-		if !it.done && !it.running {
-			l = append(l, it)
-		}
-	}
-	slices.SortFunc(l, func(a, b *item) int {
-		if len(a.data) != len(b.data) {
-			return len(b.data) - len(a.data)
-		}
-		if a.hint != b.hint {
-			return b.hint - a.hint
-		}
-		return a.index - b.index
-	})
-	return l
-}
--- a/entry/internal/batch/owner.go
+++ b/entry/internal/batch/owner.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net/http"
 	"sync"
 	"time"
 
@@ -13,7 +12,6 @@
 	"bulrushspoke/internal/event"
 	"bulrushspoke/internal/link"
 	"bulrushspoke/internal/store"
-	"bulrushspoke/platform"
 	"bulrushspoke/wire"
 )
 
@@ -73,7 +71,7 @@
 func (m *Manager) take(ctx context.Context, id string, parts []wire.JobPart, force bool) ingress.Reply {
 	release, ok := m.claim(ctx, id)
 	if !ok {
-		return refuse(http.StatusServiceUnavailable, retryBusy, "the job is changing hands", nil)
+		return unavailable("the job is changing hands")
 	}
 	defer release()
 	if m.local(id) != nil {
@@ -82,7 +80,7 @@
 	for range storeTries {
 		s, revision, err := m.state(ctx, id)
 		if err != nil {
-			return refuse(http.StatusServiceUnavailable, retryBusy, err.Error(), nil)
+			return unavailable(err.Error())
 		}
 		m.mu.Lock()
 		m.owners[id] = s
@@ -91,7 +89,7 @@
 			return ingress.Reply{} // the owner can be asked again
 		}
 		if !s.Ended && m.leaving() {
-			return refuse(http.StatusServiceUnavailable, retryBusy, "this entry is about to leave", nil)
+			return unavailable("this entry is about to leave")
 		}
 		// A write without an answer may have made this process the owner already.
 		if mine := s.Owner == m.Name && s.Inc == m.Self.Inc; !s.Ended && !mine {
@@ -102,35 +100,31 @@
 				continue
 			}
 			if err != nil {
-				return refuse(http.StatusServiceUnavailable, retryBusy, err.Error(), nil)
+				return unavailable(err.Error())
 			}
 			event.JobTaken.Log(m.Logger, "job", id, "epoch", s.Epoch)
 		}
 		return m.load(ctx, id, s, parts)
 	}
-	return refuse(http.StatusServiceUnavailable, retryBusy, "the job is changing hands", nil)
+	return unavailable("the job is changing hands")
 }
 
 // load reads a job from the store and, if it has not ended, goes on running it.
 func (m *Manager) load(ctx context.Context, id string, s wire.JobState, parts []wire.JobPart) ingress.Reply {
-	body, err := m.payload(ctx, id)
+	spec, err := m.submitted(ctx, id)
 	if err != nil {
-		return refuse(http.StatusServiceUnavailable, retryBusy, err.Error(), nil)
-	}
-	spec, err := platform.DecodeJob(id, body)
-	if err != nil {
-		return refuse(http.StatusServiceUnavailable, retryBusy, err.Error(), nil)
+		return unavailable(err.Error())
 	}
 	records, err := m.records(ctx, id)
 	if err != nil {
-		return refuse(http.StatusServiceUnavailable, retryBusy, err.Error(), nil)
+		return unavailable(err.Error())
 	}
 	m.forget(id)
 	if !s.Ended && len(parts) == 0 {
 		parts = m.kept(ctx, id)
 	}
 	if !m.start(newJob(m, spec, s, records), parts) && !s.Ended {
-		return refuse(http.StatusServiceUnavailable, retryBusy, "this entry is about to leave", nil)
+		return unavailable("this entry is about to leave")
 	}
 	return ingress.Reply{}
 }
--- a/entry/internal/batch/payload.go
+++ b/entry/internal/batch/payload.go
@@ -5,13 +5,13 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net/http"
 
+	"bulrushspoke/entry/internal/ingress"
 	"bulrushspoke/internal/job"
 	"bulrushspoke/internal/store"
-	"bulrushspoke/wire"
-
-	"bulrushspoke/entry/internal/ingress"
 	"bulrushspoke/platform"
+	"bulrushspoke/wire"
 )
 
 // envelope is the room that the store needs in a value beside the payload, in bytes.
@@ -91,13 +91,22 @@
 	return body, nil
 }
 
+// submitted reads a job from the store as its trainer submitted it.
+func (m *Manager) submitted(ctx context.Context, id string) (job.Job, error) {
+	body, err := m.payload(ctx, id)
+	if err != nil {
+		return job.Job{}, err
+	}
+	return platform.DecodeJob(id, body)
+}
+
 // page encodes results for a client.
 func page(p job.Page) ingress.Reply {
 	body, err := platform.EncodePage(p)
 	if err != nil {
-		return refuse(500, 0, err.Error(), nil)
+		return ingress.Reply{Status: http.StatusInternalServerError, Cause: err.Error()}
 	}
-	return ingress.Reply{Status: 200, Body: body, JSON: true}
+	return ingress.Reply{Status: http.StatusOK, Body: body, JSON: true}
 }
 
 func toPage(p job.Page) wire.JobPage {
--- a/entry/internal/batch/run.go
+++ b/entry/internal/batch/run.go
@@ -108,6 +108,29 @@
 	return waiting
 }
 
+// pending returns the items that wait for a server, the most urgent first: groups that began elsewhere or are nearest to
+// whole, and within a group the longest.
+func (j *Job) pending() []*item {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	var l []*item
+	for _, it := range j.items {
+		if !it.done && !it.running {
+			l = append(l, it)
+		}
+	}
+	slices.SortFunc(l, func(a, b *item) int {
+		if len(a.data) != len(b.data) {
+			return len(b.data) - len(a.data)
+		}
+		if a.hint != b.hint {
+			return b.hint - a.hint
+		}
+		return a.index - b.index
+	})
+	return l
+}
+
 // left returns 0 while items are open and -1 once none is.
 func (j *Job) left() int {
 	j.mu.Lock()
@@ -197,7 +220,7 @@
 	if route.Queue > 0 {
 		left = max(route.Queue-now.Sub(j.submitted), time.Second)
 	}
-	codec.Attempt(h, call.Attempt{Server: s.ID, Left: left, After: after, Resume: after > 0, Priority: call.NoPriority})
+	codec.Attempt(h, call.Attempt{Server: s.ID, Left: left, After: after})
 	conns := 0
 	if c := j.manager.Catalog.Config(); c != nil {
 		conns = c.Services[s.Service].Conns
@@ -254,13 +277,7 @@
 		return v
 	}
 	if after > 0 && v.version > 0 && route.SingleVersion && !j.single(it, v.version) {
-		// The text begins anew under the present version.
-		j.mu.Lock()
-		it.data, it.versions = nil, nil
-		j.mu.Unlock()
-		resp.Abandon()
-		v.outcome, v.cause = place.Refused, "the weights changed"
-		return v
+		return j.restart(it, resp, v)
 	}
 	in := events.NewReader(resp.Body, platform.Headers{}.VersionLine())
 	version := v.version
@@ -297,12 +314,7 @@
 			return v
 		}
 		if version < j.spec.MinVersion || route.SingleVersion && after > 0 && !j.single(it, version) {
-			resp.Abandon()
-			j.mu.Lock()
-			it.data, it.versions = nil, nil
-			j.mu.Unlock()
-			v.outcome, v.cause = place.Refused, "the weights changed"
-			return v
+			return j.restart(it, resp, v)
 		}
 		after++
 		v.events++
@@ -325,6 +337,16 @@
 	}
 }
 
+// restart drops the text of an item, which begins anew under the present weights.
+func (j *Job) restart(it *item, resp *upstream.Response, v verdict) verdict {
+	resp.Abandon()
+	j.mu.Lock()
+	it.data, it.versions = nil, nil
+	j.mu.Unlock()
+	v.outcome, v.cause = place.Refused, "the weights changed"
+	return v
+}
+
 const causeMoved = "the server is slow; the item moves"
 
 // movable reports whether an item is to go on at a faster server. It answers a load in which a few slowed servers hold
--- a/entry/internal/batch/submit.go
+++ b/entry/internal/batch/submit.go
@@ -29,7 +29,7 @@
 	}
 	spec, err := platform.DecodeJob(id, body)
 	if err != nil {
-		return refuse(http.StatusBadRequest, 0, err.Error(), []byte(err.Error()))
+		return ingress.Reply{Status: http.StatusBadRequest, Cause: err.Error(), Body: []byte(err.Error())}
 	}
 	if m.open()+int64(len(body)) > m.Memory {
 		return m.refused(id, http.StatusTooManyRequests, retryBusy, "no memory for the job")
@@ -137,7 +137,7 @@
 
 func (m *Manager) refused(id string, status int, retry time.Duration, cause string) ingress.Reply {
 	event.JobRefused.Log(m.Logger, "job", id, "status", status, "cause", cause)
-	return refuse(status, retry, cause, nil)
+	return ingress.Reply{Status: status, Retry: retry, Cause: cause}
 }
 
 // createState writes the state object of a job and returns the one that stands in the store.
--- a/entry/internal/ingress/forward.go
+++ b/entry/internal/ingress/forward.go
@@ -151,14 +151,13 @@
 	left := q.left(began)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	answering := func() {}
 	if q.route.Repeatable() && q.route.Attempts > 1 && first {
 		t := time.AfterFunc(time.Duration(silentShare*float64(left)), cancel)
 		defer t.Stop()
-		a := g.exchange(ctx, w, q, s, left, func() { t.Stop() })
-		g.noteEnd(ctx, q, s, a, began)
-		return a
+		answering = func() { t.Stop() }
 	}
-	a := g.exchange(ctx, w, q, s, left, func() {})
+	a := g.exchange(ctx, w, q, s, left, answering)
 	g.noteEnd(ctx, q, s, a, began)
 	return a
 }
@@ -180,28 +179,17 @@
 	}
 }
 
-// exchange sends the request and passes on its answer; began is called when the answer begins.
+// exchange sends the request and passes on its answer; answering is called when the answer begins.
 func (g *Ingress) exchange(
-	ctx context.Context, w http.ResponseWriter, q *request, s catalog.Server, left time.Duration, began func(),
+	ctx context.Context, w http.ResponseWriter, q *request, s catalog.Server, left time.Duration, answering func(),
 ) attempt {
-	h := copyHeader(q.http.Header)
-	g.headers.Attempt(h, call.Attempt{Server: s.ID, Left: left, Priority: call.NoPriority})
-	if h.Get("Content-Type") == "" && len(q.body) == 0 {
-		h.Del("Content-Type")
-	}
 	svc := q.config.Services[s.Service]
-	resp, err := g.Pool.Send(ctx, upstream.Target{Address: s.Address, Incarnation: s.ID, Conns: svc.Conns}, upstream.Request{
-		Method: q.http.Method,
-		URI:    q.http.RequestURI,
-		Host:   q.http.Host,
-		Header: h,
-		Body:   q.body,
-		Fresh:  !q.route.Repeatable(),
-	})
+	target := upstream.Target{Address: s.Address, Incarnation: s.ID, Conns: svc.Conns}
+	resp, err := g.Pool.Send(ctx, target, g.outgoing(q, call.Attempt{Server: s.ID, Left: left}))
 	if err != nil {
 		return broken(err)
 	}
-	began()
+	answering()
 	answer := g.headers.Answer(resp.StatusCode, resp.Header)
 	switch {
 	case answer.NotRun:
@@ -216,11 +204,25 @@
 	case isStream(resp.Header) && resp.StatusCode == http.StatusOK:
 		return g.stream(ctx, w, q, s, resp)
 	case resp.ContentLength > wholeAnswer:
-		return g.relay(w, q, resp)
+		return g.relay(w, q, resp, nil)
 	}
 	return g.whole(w, q, resp)
 }
 
+// outgoing returns the request as one server gets it.
+func (g *Ingress) outgoing(q *request, a call.Attempt) upstream.Request {
+	h := copyHeader(q.http.Header)
+	g.headers.Attempt(h, a)
+	return upstream.Request{
+		Method: q.http.Method,
+		URI:    q.http.RequestURI,
+		Host:   q.http.Host,
+		Header: h,
+		Body:   q.body,
+		Fresh:  !q.route.Repeatable(),
+	}
+}
+
 // broken returns the attempt that ended with an error of Send.
 func broken(err error) attempt {
 	var e *upstream.Error
@@ -244,7 +246,7 @@
 		return attempt{outcome: lost, cause: err.Error()}
 	}
 	if len(body) > wholeAnswer {
-		return g.relayRest(w, q, resp, body)
+		return g.relay(w, q, resp, body)
 	}
 	resp.Close()
 	a := attempt{outcome: delivered, status: resp.StatusCode, header: resp.Header, body: body}
@@ -286,14 +288,9 @@
 	}
 }
 
-// relay passes a large answer of known length on as it comes.
-func (g *Ingress) relay(w http.ResponseWriter, q *request, resp *upstream.Response) attempt {
-	return g.relayRest(w, q, resp, nil)
-}
-
-// relayRest passes on an answer of which the first bytes have been read. The client's connection is broken off if the
+// relay passes a large answer on as it comes, after the first bytes that have been read. The client's connection is broken off if the
 // answer is, so that it does not look complete.
-func (g *Ingress) relayRest(w http.ResponseWriter, q *request, resp *upstream.Response, first []byte) attempt {
+func (g *Ingress) relay(w http.ResponseWriter, q *request, resp *upstream.Response, first []byte) attempt {
 	g.head(w, resp.Header)
 	if resp.ContentLength >= 0 {
 		w.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
--- a/entry/internal/ingress/stream.go
+++ b/entry/internal/ingress/stream.go
@@ -93,13 +93,8 @@
 		tried[s.ID] = true
 		q.servers = append(q.servers, s.ID)
 		q.attempts++
-		h := copyHeader(q.http.Header)
-		g.headers.Attempt(h, call.Attempt{
-			Server: s.ID, Left: q.left(now), After: last, Resume: last > 0, Priority: call.NoPriority,
-		})
-		resp, err := g.Pool.Send(ctx, upstream.Target{Address: s.Address, Incarnation: s.ID}, upstream.Request{
-			Method: q.http.Method, URI: q.http.RequestURI, Host: q.http.Host, Header: h, Body: q.body,
-		})
+		resp, err := g.Pool.Send(ctx, upstream.Target{Address: s.Address, Incarnation: s.ID},
+			g.outgoing(q, call.Attempt{Server: s.ID, Left: q.left(now), After: last}))
 		if err != nil {
 			continue
 		}
--- a/entry/internal/place/place.go
+++ b/entry/internal/place/place.go
@@ -4,8 +4,8 @@
 //
 //	t := place.New(place.Home{Domain: "a", Region: "east", Regions: regions}, rand)
 //	s, ok := t.Pick(now, servers, place.Need{Model: "m", MinVersion: 6})
-//	t.Began(s.ID)
-//	defer t.Ended(s.ID, place.Outcome{…}, now)
+//	t.Began(s.ID, now)
+//	t.Ended(s.ID, "m", place.Answered, took, time.Now())
 //
 // It answers a load in which a few of many servers are slowed or full while the rest have room: the estimated wait of a
 // server is its own time per request, scaled by how full this process has made it, and a server that turned a request
@@ -116,6 +116,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	best, second := -1, -1
+	var slowest time.Duration
+	if n.Fast {
+		slowest = t.slowest(now)
+	}
 	var bestCost, secondCost float64
 	for i, s := range servers {
 		if n.Tried[s.ID] || !fits(s, n) {
@@ -126,7 +130,7 @@
 		if n.Room && (avoided || st != nil && st.inflight >= s.Slots) {
 			continue
 		}
-		if n.Fast && t.slow(st, now) {
+		if n.Fast && st != nil && st.slow(slowest, now) {
 			continue
 		}
 		cost := t.cost(now, s, st)
@@ -160,17 +164,20 @@
 
 // cost estimates the wait for an answer in seconds, with a small random part that spreads equal servers.
 func (t *Tracker) cost(now time.Time, s catalog.Server, st *state) float64 {
-	own, inflight := t.typical(s), 0
+	var own time.Duration
+	inflight := 0
 	if st != nil {
 		inflight = st.inflight
-		switch {
-		case st.pace > 0 && now.Sub(st.paced) < paceTime:
-			own = st.pace
-		case st.usual > 0:
-			own = st.usual
-		case st.time > 0:
-			own = st.time
-		}
+	}
+	switch {
+	case st != nil && st.pace > 0 && now.Sub(st.paced) < paceTime:
+		own = st.pace
+	case st != nil && st.usual > 0:
+		own = st.usual
+	case st != nil && st.time > 0:
+		own = st.time
+	default:
+		own = t.typical(s)
 	}
 	fill := float64(inflight) / float64(max(s.Slots, 1))
 	c := own.Seconds() * (1 + fill + 4*max(fill-1+1/float64(max(s.Slots, 1)), 0))
@@ -285,34 +292,31 @@
 func (t *Tracker) Slow(id string, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.slow(t.state[id], now)
+	s := t.state[id]
+	return s != nil && s.slow(t.slowest(now), now)
 }
 
-func (t *Tracker) slow(s *state, now time.Time) bool {
-	if s == nil || s.pace == 0 || now.Sub(s.paced) > paceTime {
-		return false
-	}
+// hasPace reports whether a server has a present pace.
+func (s *state) hasPace(now time.Time) bool { return s.pace > 0 && now.Sub(s.paced) <= paceTime }
+
+// slow reports whether the present pace of a server exceeds the slowest that is usual; 0 sets no bound.
+func (s *state) slow(slowest time.Duration, now time.Time) bool {
+	return s.hasPace(now) && slowest > 0 && s.pace > slowest
+}
+
+// slowest returns the pace beyond which a server is slow at present, 0 if too few servers have one.
+func (t *Tracker) slowest(now time.Time) time.Duration {
 	var paces []time.Duration
 	for _, o := range t.state {
-		if o.pace > 0 && now.Sub(o.paced) <= paceTime {
+		if o.hasPace(now) {
 			paces = append(paces, o.pace)
 		}
 	}
 	if len(paces) < paceLeast {
-		return false
+		return 0
 	}
 	slices.Sort(paces)
-	return float64(s.pace) > slowFactor*float64(paces[(len(paces)-1)/2])
-}
-
-// Inflight returns the attempts in progress at a server.
-func (t *Tracker) Inflight(id string) int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if s := t.state[id]; s != nil {
-		return s.inflight
-	}
-	return 0
+	return time.Duration(slowFactor * float64(paces[(len(paces)-1)/2]))
 }
 
 // forgetOld drops servers that have not been used for long.
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -19,16 +19,11 @@
 
 // Attempt is what one server is told beside the client's own headers.
 type Attempt struct {
-	Server   string        // only this incarnation may run the request
-	Left     time.Duration // time until the request is given up
-	After    int           // resume the stream after this event; 0 starts it
-	Resume   bool          // After is to be sent
-	Priority int           // 0 is the most urgent; NoPriority leaves it to the server
+	Server string        // only this incarnation may run the request
+	Left   time.Duration // time until the request is given up
+	After  int           // resume the stream after this event; 0 starts it
 }
 
-// NoPriority leaves the order of admission to the server.
-const NoPriority = -1
-
 // Answer is what a server says of its answer beside status and body.
 type Answer struct {
 	ID      string // the request that is answered
--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -3,7 +3,7 @@
 // # Usage
 //
 //	c := catalog.New(logger)
-//	go follow.Run(ctx, …)         // keeps it up to date from the store
+//	go catalog.Follow(ctx, source, feed, logger) // keeps it up to date from the store
 //	cfg := c.Config()             // nil before the first configuration is known
 //	route, ok := cfg.Match("shop.example", "/orders/7")
 //	for _, s := range c.Servers(route.Shares[0].Service) { … }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -118,7 +118,6 @@
 	reader  *bufio.Reader
 	host    *host
 	expires time.Time
-	used    bool
 }
 
 // New returns an empty pool.
@@ -288,7 +287,6 @@
 		p.idle--
 		if now.Before(c.expires) {
 			p.mu.Unlock()
-			c.used = true
 			return c, nil
 		}
 		h.open--
