Keep one heap, one question to a peer, one frame for programs on the platform

Cause: two heaps of internal/admit differed in order and index field only; Ask wrote the body of Forward again; both programs had their own log set-up, SIGHUP loop, secret and store timeout for the platform; two acceptors of links were the same.

Change: one of each. Forward now hands over a reply that arrives just as its context ends, as Ask did; all else behaves the same.

--- a/daemon/internal/cli/platform.go
+++ b/daemon/internal/cli/platform.go
@@ -3,13 +3,10 @@
 import (
 	"context"
 	"io"
-	"log/slog"
 	"net"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/oklog/ulid/v2"
@@ -18,7 +15,6 @@
 	"bulrushspoke/daemon/internal/rollout"
 	"bulrushspoke/internal/catalog"
 	"bulrushspoke/internal/event"
-	"bulrushspoke/internal/linelog"
 	"bulrushspoke/internal/node"
 	"bulrushspoke/internal/program"
 	"bulrushspoke/internal/supervise"
@@ -27,10 +23,6 @@
 )
 
 const (
-	// secretEnv names the environment variable with the secret that daemons prove to each other.
-	secretEnv = "BULRUSHSPOKE_SECRET"
-	// storeTimeout bounds a call to the platform's store, which answers in 4 ms and in a quarter of a second when slow.
-	storeTimeout = time.Second
 	// engineTimeout bounds a call to the engine on the same instance.
 	engineTimeout = time.Second
 	// idleMost bounds idle connections: one to the engine and few to the store.
@@ -57,11 +49,10 @@
 func runPlatform(ctx context.Context, s node.Settings) error {
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory)))
 	debug.SetGCPercent(collectPercent)
-	lines := linelog.New(os.Stdout)
+	lines, logger := program.Lines(s.Name)
 	defer lines.Close()
-	logger := slog.New(slog.NewJSONHandler(lines, nil)).With("name", s.Name)
 	pool := upstream.New(upstream.Limits{Dial: engineTimeout, Idle: idleMost})
-	objects := platform.NewStore(s.Store.Address, storeTimeout, pool, logger)
+	objects := platform.NewStore(s.Store.Address, program.StoreTimeout, pool, logger)
 	known := catalog.New(logger)
 	feed := platform.NewFeeder(known, logger).Fill(catalog.Feed{Kind: platform.KindVersions})
 	servers := func(ctx context.Context) ([]catalog.Server, error) { return objects.Servers(ctx, logger) }
@@ -72,30 +63,17 @@
 	})
 	tree := supervise.New("daemon", logger)
 	n := naming.New(naming.Options{
-		Address: s.Engine, Service: s.Service, Port: s.Ports.First, Secret: []byte(os.Getenv(secretEnv)),
+		Address: s.Engine, Service: s.Service, Port: s.Ports.First, Secret: []byte(os.Getenv(program.SecretEnv)),
 		Listen: net.JoinHostPort(s.IP, strconv.Itoa(s.Ports.First)),
 		Feed:   feed, Source: objects, Catalog: known, Servers: servers, Logger: logger,
 	})
 	tree.Add(supervise.Task("naming", n.Run))
 	tree.Add(supervise.Task("rollout", r.Run))
-	go ignoreHangup(ctx, logger)
+	// No setting of the daemon can change while it runs.
+	go program.OnHangup(ctx, func() error { return nil }, logger)
 	event.Started.Log(logger, "inc", ulid.Make().String(), "role", s.Role, "engine", s.Engine)
 	// The tree ends with ctx only.
 	_ = tree.Serve(ctx)
 	event.Stopped.Log(logger, "dropped", lines.Dropped())
 	return nil
 }
-
-// ignoreHangup keeps SIGHUP from ending the process: no setting of the daemon can change while it runs.
-func ignoreHangup(ctx context.Context, logger *slog.Logger) {
-	c := make(chan os.Signal, 1)
-	signal.Notify(c, syscall.SIGHUP)
-	for {
-		select {
-		case <-c:
-			event.Reloaded.Log(logger)
-		case <-ctx.Done():
-			return
-		}
-	}
-}
--- a/entry/internal/cli/build.go
+++ b/entry/internal/cli/build.go
@@ -147,7 +147,7 @@
 	e.trainer.Register(e.gate)
 	e.sweeper = claim.NewSweeper(e.store, jitter)
 	e.links = &fasthttp.Server{
-		Handler:               e.accept,
+		Handler:               acceptLinks(e.peers),
 		NoDefaultServerHeader: true,
 		ReadTimeout:           c.Timeouts.Read.Std(),
 		IdleTimeout:           c.Timeouts.Idle.Std(),
@@ -289,11 +289,14 @@
 	return nil
 }
 
-func (e *entry) accept(ctx *fasthttp.RequestCtx) {
-	if string(ctx.Path()) != link.Path {
-		ctx.SetStatusCode(fasthttp.StatusNotFound)
-		return
+// acceptLinks returns the handler of the address on which other entries open links.
+func acceptLinks(p *peer.Peers) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		if string(ctx.Path()) != link.Path {
+			ctx.SetStatusCode(fasthttp.StatusNotFound)
+			return
+		}
+		// A failed upgrade has its answer already.
+		_ = p.Accept(ctx)
 	}
-	// A failed upgrade has its answer already.
-	_ = e.peers.Accept(ctx)
 }
--- a/entry/internal/cli/platform.go
+++ b/entry/internal/cli/platform.go
@@ -9,11 +9,9 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"strconv"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/oklog/ulid/v2"
@@ -42,10 +40,6 @@
 )
 
 const (
-	// secretEnv names the environment variable with the secret that entries prove to each other.
-	secretEnv = "BULRUSHSPOKE_SECRET"
-	// storeTimeout bounds a call to the platform's store, which answers in 4 ms and in a quarter of a second when slow.
-	storeTimeout = time.Second
 	// dialTimeout bounds a new connection to a server, one lost opening packet included.
 	dialTimeout = 1200 * time.Millisecond
 	// idleMost bounds idle connections to servers; each takes a descriptor and two small buffers.
@@ -102,24 +96,30 @@
 	return func(ctx context.Context, _ io.Writer) error { return servePlatform(ctx, s) }, nil
 }
 
+// readSettings checks the settings that the platform gives at present.
+func readSettings() error {
+	_, err := platform.LoadSettings(os.Getenv(platform.SettingsEnv))
+	return err
+}
+
 // servePlatform runs the program until ctx ends.
 func servePlatform(ctx context.Context, s node.Settings) error {
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory)))
 	debug.SetGCPercent(collectPercent)
-	lines := linelog.New(os.Stdout)
+	lines, logger := program.Lines(s.Name)
 	defer lines.Close()
 	p := &onPlatform{
 		settings: s,
 		inc:      ulid.Make().String(),
 		lines:    lines,
-		logger:   slog.New(slog.NewJSONHandler(lines, nil)).With("name", s.Name),
+		logger:   logger,
 	}
 	life, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	if err := p.build(life); err != nil {
 		return err
 	}
-	go p.reload(life)
+	go program.OnHangup(life, readSettings, logger)
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
@@ -144,7 +144,7 @@
 	s := p.settings
 	p.tree = supervise.New("entry", p.logger)
 	pool := upstream.New(upstream.Limits{Dial: dialTimeout, Idle: idleMost})
-	p.store = platform.NewStore(s.Store.Address, storeTimeout, pool, p.logger)
+	p.store = platform.NewStore(s.Store.Address, program.StoreTimeout, pool, p.logger)
 	m, text, err := meter.New("entry")
 	if err != nil {
 		return err
@@ -178,7 +178,7 @@
 			Name: s.Name, Role: "entry", Inc: p.inc, Domain: s.Domain, Region: s.Region, Leaving: p.leaving.Load(),
 		}
 	}
-	identity := link.NewIdentity(s.Name, []byte(os.Getenv(secretEnv)), hello)
+	identity := link.NewIdentity(s.Name, []byte(os.Getenv(program.SecretEnv)), hello)
 	p.peers = peer.New(s.Name, identity, func() wire.Config { return wire.Config{} }, func(wire.Notice) {}, peer.Options{
 		Ack: time.Second, Resume: time.Second, Redial: redialMost,
 	}, &random{r: rand.New(rand.NewChaCha8(draw(source)))}, p.logger)
@@ -208,7 +208,7 @@
 		IdleTimeout:       clientIdle,
 		ErrorLog:          slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug),
 	}
-	p.listen("links", address, func(l net.Listener) error { return p.fast(p.acceptLink).Serve(l) })
+	p.listen("links", address, func(l net.Listener) error { return p.fast(acceptLinks(p.peers)).Serve(l) })
 	p.listen("readiness", s.Readiness, func(l net.Listener) error { return p.fast(p.answerReady).Serve(l) })
 	p.listen("ingress", s.Ingress, func(l net.Listener) error {
 		err := p.server.Serve(l)
@@ -257,15 +257,6 @@
 	}
 }
 
-func (p *onPlatform) acceptLink(ctx *fasthttp.RequestCtx) {
-	if string(ctx.Path()) != link.Path {
-		ctx.SetStatusCode(fasthttp.StatusNotFound)
-		return
-	}
-	// A failed upgrade has its answer already.
-	_ = p.peers.Accept(ctx)
-}
-
 // answerReady tells the load balancer whether this process takes clients: it must know routes and servers.
 func (p *onPlatform) answerReady(ctx *fasthttp.RequestCtx) {
 	if p.leaving.Load() || p.catalog.Config() == nil || !p.catalog.Known() {
@@ -292,25 +283,6 @@
 	}
 }
 
-// reload reads the settings again on SIGHUP. Addresses and limits of a running process stay as they are.
-func (p *onPlatform) reload(ctx context.Context) {
-	c := make(chan os.Signal, 1)
-	signal.Notify(c, syscall.SIGHUP)
-	for {
-		select {
-		case <-c:
-			_, err := platform.LoadSettings(os.Getenv(platform.SettingsEnv))
-			cause := ""
-			if err != nil {
-				cause = err.Error()
-			}
-			event.Reloaded.Log(p.logger, "cause", cause)
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 // measure exports the state of the process.
 func (p *onPlatform) measure(m *meter.Meter, pool *upstream.Pool) {
 	m.Gauge("store_calls", "Calls of the object store, waiting watches included.",
--- a/entry/internal/peer/ask.go
+++ b/entry/internal/peer/ask.go
@@ -25,22 +25,30 @@
 // Ask sends a message to an entry and stores the body of the reply in answer. Its error is an *AbsentError if the entry
 // shows no sign of life, or ctx ends.
 func (p *Peers) Ask(ctx context.Context, name, kind string, body, answer any) error {
+	_, err := p.ask(ctx, name, kind, body, answer)
+	return err
+}
+
+// ask sends a message over the present link to an entry. It returns true if the link broke, so that another one may
+// bring an answer.
+func (p *Peers) ask(ctx context.Context, name, kind string, body, answer any) (again bool, err error) {
 	short, cancel := context.WithTimeout(ctx, p.options.Resume)
 	c := p.wait(short, name)
 	cancel()
 	if c == nil {
-		return &AbsentError{entry: name, cause: "no link"}
+		return false, &AbsentError{entry: name, cause: "no link"}
 	}
+	// The answer may take as long as the caller is ready to wait, so the link itself is checked beside it.
 	go supervise.Guard(p.logger, "check", func() { _ = c.Check(p.options.Ack) })
 	r, err := c.Call(ctx, kind, body)
 	if err != nil {
-		return &AbsentError{entry: name, cause: err.Error()}
+		return ctx.Err() == nil, &AbsentError{entry: name, cause: err.Error()}
 	}
 	if err := r.Decode(answer); err != nil {
 		c.Close()
-		return &AbsentError{entry: name, cause: err.Error()}
+		return false, &AbsentError{entry: name, cause: err.Error()}
 	}
-	return nil
+	return false, nil
 }
 
 // Tell sends a message to all linked entries without waiting.
--- a/entry/internal/peer/peer.go
+++ b/entry/internal/peer/peer.go
@@ -308,26 +308,10 @@
 	var b wire.Batch
 	const tries = 2
 	for range tries {
-		short, cancel := context.WithTimeout(ctx, p.options.Resume)
-		c := p.wait(short, name)
-		cancel()
-		if c == nil {
-			return b, &AbsentError{entry: name, cause: "no link"}
+		again, err := p.ask(ctx, name, link.Pull, f, &b)
+		if !again {
+			return b, err
 		}
-		// The answer may take as long as the trainer is ready to wait, so the link itself is checked beside it.
-		go supervise.Guard(p.logger, "check", func() { _ = c.Check(p.options.Ack) })
-		r, err := c.Call(ctx, link.Pull, f)
-		if ctx.Err() != nil {
-			return b, &AbsentError{entry: name, cause: ctx.Err().Error()}
-		}
-		if err != nil {
-			continue
-		}
-		if err := r.Decode(&b); err != nil {
-			c.Close()
-			return b, &AbsentError{entry: name, cause: err.Error()}
-		}
-		return b, nil
 	}
 	return b, &AbsentError{entry: name, cause: "no answer over two links"}
 }
--- a/internal/admit/fair.go
+++ b/internal/admit/fair.go
@@ -81,8 +81,8 @@
 	reserve int // slots
 	spare   int // slots
 
-	heaps     [kinds]rankHeap
-	deadlines deadlineHeap
+	heaps     [kinds]*itemHeap
+	deadlines *itemHeap
 	waits     [2]int // by class
 	active    []*Item
 	fixed     int              // running long items that cannot be preempted
@@ -99,7 +99,10 @@
 
 // NewFair returns an empty queue; random spreads the retry-after times.
 func NewFair(c Config, random *rand.Rand) *Fair {
-	f := &Fair{config: c, random: random, others: c.Slots}
+	f := &Fair{config: c, random: random, others: c.Slots, deadlines: newDeadlineHeap()}
+	for k := range f.heaps {
+		f.heaps[k] = newRankHeap()
+	}
 	f.reserve = int(float64(c.Slots) * c.Reserve)
 	f.spare = int(float64(c.Slots) * c.Spare)
 	return f
@@ -160,9 +163,9 @@
 func (f *Fair) add(i *Item) {
 	i.state = waiting
 	f.waits[i.spec.Class]++
-	heap.Push(&f.heaps[f.kind(i)], i)
+	heap.Push(f.heaps[f.kind(i)], i)
 	if !i.spec.Deadline.IsZero() {
-		heap.Push(&f.deadlines, i)
+		heap.Push(f.deadlines, i)
 	}
 }
 
@@ -173,9 +176,9 @@
 	}
 	i.state = idle
 	f.waits[i.spec.Class]--
-	heap.Remove(&f.heaps[f.kind(i)], i.place)
+	heap.Remove(f.heaps[f.kind(i)], i.place)
 	if !i.spec.Deadline.IsZero() {
-		heap.Remove(&f.deadlines, i.expiry)
+		heap.Remove(f.deadlines, i.expiry)
 	}
 	if f.draining == i {
 		f.draining = nil
@@ -185,8 +188,7 @@
 
 // Next implements Policy.
 func (f *Fair) Next(now time.Time) (Decision, bool) {
-	if len(f.deadlines) > 0 && !now.Before(f.deadlines[0].spec.Deadline) {
-		i := f.deadlines[0]
+	if i := f.deadlines.head(); i != nil && !now.Before(i.spec.Deadline) {
 		f.Remove(i)
 		return Decision{Kind: Expire, Item: i}, true
 	}
@@ -253,7 +255,7 @@
 
 // soloTurn reports whether a solo item may be next.
 func (f *Fair) soloTurn() bool {
-	return f.others >= f.config.Slots || f.waits[Live]+f.waits[Train] == len(f.heaps[solos])
+	return f.others >= f.config.Slots || f.waits[Live]+f.waits[Train] == f.heaps[solos].Len()
 }
 
 // serve starts the first of two items of one class that can start, or makes room for it.
@@ -412,8 +414,8 @@
 			at = t
 		}
 	}
-	if len(f.deadlines) > 0 {
-		sooner(f.deadlines[0].spec.Deadline)
+	if i := f.deadlines.head(); i != nil {
+		sooner(i.spec.Deadline)
 	}
 	for _, k := range claimants {
 		if i := f.heaps[k].head(); i != nil {
--- a/internal/admit/heap.go
+++ b/internal/admit/heap.go
@@ -2,40 +2,53 @@
 
 import "container/heap"
 
-// rankHeap orders waiting items by rank.
-type rankHeap []*Item
+// itemHeap is a heap of waiting items; each item knows its place in it.
+type itemHeap struct {
+	items []*Item
+	less  func(i, j *Item) bool
+	place func(*Item) *int
+}
+
+// newRankHeap returns a heap that orders items by rank.
+func newRankHeap() *itemHeap {
+	return &itemHeap{less: (*Item).before, place: func(i *Item) *int { return &i.place }}
+}
+
+// newDeadlineHeap returns a heap that orders items by deadline; items without one must not be put in.
+func newDeadlineHeap() *itemHeap {
+	return &itemHeap{less: (*Item).due, place: func(i *Item) *int { return &i.expiry }}
+}
 
-func (h rankHeap) Len() int { return len(h) }
+func (h *itemHeap) Len() int { return len(h.items) }
 
-func (h rankHeap) Less(i, j int) bool { return h[i].before(h[j]) }
+func (h *itemHeap) Less(i, j int) bool { return h.less(h.items[i], h.items[j]) }
 
-func (h rankHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].place, h[j].place = i, j
+func (h *itemHeap) Swap(i, j int) {
+	h.items[i], h.items[j] = h.items[j], h.items[i]
+	*h.place(h.items[i]), *h.place(h.items[j]) = i, j
 }
 
 // Push implements heap.Interface.
-func (h *rankHeap) Push(x any) {
+func (h *itemHeap) Push(x any) {
 	i := x.(*Item)
-	i.place = len(*h)
-	*h = append(*h, i)
+	*h.place(i) = len(h.items)
+	h.items = append(h.items, i)
 }
 
 // Pop implements heap.Interface.
-func (h *rankHeap) Pop() any {
-	old := *h
-	n := len(old) - 1
-	i := old[n]
-	old[n] = nil
-	*h = old[:n]
+func (h *itemHeap) Pop() any {
+	n := len(h.items) - 1
+	i := h.items[n]
+	h.items[n] = nil
+	h.items = h.items[:n]
 	return i
 }
 
-func (h rankHeap) head() *Item {
-	if len(h) == 0 {
+func (h *itemHeap) head() *Item {
+	if len(h.items) == 0 {
 		return nil
 	}
-	return h[0]
+	return h.items[0]
 }
 
 func (i *Item) before(j *Item) bool {
@@ -45,41 +58,11 @@
 	return i.seq < j.seq
 }
 
-// deadlineHeap orders waiting items by deadline; items without one are not in it.
-type deadlineHeap []*Item
-
-func (h deadlineHeap) Len() int { return len(h) }
-
-func (h deadlineHeap) Less(i, j int) bool {
-	if c := h[i].spec.Deadline.Compare(h[j].spec.Deadline); c != 0 {
+func (i *Item) due(j *Item) bool {
+	if c := i.spec.Deadline.Compare(j.spec.Deadline); c != 0 {
 		return c < 0
 	}
-	return h[i].seq < h[j].seq
-}
-
-func (h deadlineHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].expiry, h[j].expiry = i, j
-}
-
-// Push implements heap.Interface.
-func (h *deadlineHeap) Push(x any) {
-	i := x.(*Item)
-	i.expiry = len(*h)
-	*h = append(*h, i)
-}
-
-// Pop implements heap.Interface.
-func (h *deadlineHeap) Pop() any {
-	old := *h
-	n := len(old) - 1
-	i := old[n]
-	old[n] = nil
-	*h = old[:n]
-	return i
+	return i.seq < j.seq
 }
 
-var (
-	_ heap.Interface = (*rankHeap)(nil)
-	_ heap.Interface = (*deadlineHeap)(nil)
-)
+var _ heap.Interface = (*itemHeap)(nil)
