Keep the platform's words out of the entry's tests

Cause: the tests of ingress and batch named headers and body fields of the platform, which only the adapter is to name.

Change: platform/platformtest speaks the clients' and servers' side; the tests use it. The assertions are the same; results are compared by their decoded state.

--- a/entry/internal/batch/batch_test.go
+++ b/entry/internal/batch/batch_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"bulrushspoke/internal/job"
 	"bulrushspoke/standin/objects"
 )
 
@@ -29,7 +30,7 @@
 	check(t, results, ids...)
 	for _, res := range results {
 		if d := cmp.Diff([]int{3}, res.Versions); d != "" {
-			t.Errorf("versions of %s (-want +got):\n%s", res.ID, d)
+			t.Errorf("versions of %s (-want +got):\n%s", res.Item, d)
 		}
 	}
 	if reply := m.Body(t.Context(), "j", "g1-5"); string(reply.Body) != "body of g1-5" {
@@ -91,11 +92,13 @@
 	r := newRig(t, e)
 	m, _ := r.manager("a", "a1")
 	r.submit(m, "j", payload(1, "bad-1", "fails-1", "late-2", "full-3"))
-	got := make(map[string]string)
+	got := make(map[string]job.State)
 	for _, res := range r.collect(m, "j", 4) {
-		got[res.ID] = res.State
+		got[res.Item] = res.State
+	}
+	want := map[string]job.State{
+		"bad-1": job.Terminated, "fails-1": job.Terminated, "late-2": job.Completed, "full-3": job.Completed,
 	}
-	want := map[string]string{"bad-1": "terminated", "fails-1": "terminated", "late-2": "completed", "full-3": "completed"}
 	if d := cmp.Diff(want, got); d != "" {
 		t.Errorf("states (-want +got):\n%s", d)
 	}
--- a/entry/internal/batch/owner_test.go
+++ b/entry/internal/batch/owner_test.go
@@ -147,7 +147,7 @@
 	for name, reader := range map[string]*Manager{"former owner": m, "other entry": other} {
 		var got []string
 		for _, res := range r.collect(reader, "j", 1) {
-			got = append(got, res.ID)
+			got = append(got, res.Item)
 		}
 		if d := cmp.Diff([]string{"g-1"}, got); d != "" {
 			t.Errorf("the %s shows (-want +got):\n%s", name, d)
--- a/entry/internal/batch/rig_test.go
+++ b/entry/internal/batch/rig_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/base64"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -18,10 +16,13 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"bulrushspoke/entry/internal/place"
+	"bulrushspoke/internal/call"
 	"bulrushspoke/internal/catalog"
+	"bulrushspoke/internal/job"
 	"bulrushspoke/internal/link"
 	"bulrushspoke/internal/upstream"
 	"bulrushspoke/platform"
+	"bulrushspoke/platform/platformtest"
 	"bulrushspoke/standin/objects"
 	"bulrushspoke/wire"
 )
@@ -65,7 +66,8 @@
 }
 
 func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get("X-Request-Id")
+	asked := platformtest.Asked(r.Header)
+	id := asked.ID
 	e.mu.Lock()
 	e.runs[id]++
 	run := e.runs[id]
@@ -79,21 +81,16 @@
 	version, gap := e.version, e.gap
 	e.mu.Unlock()
 	if status == http.StatusServiceUnavailable {
-		w.Header().Set("X-Not-Executed", "1")
+		platformtest.Answer(w.Header(), call.Answer{NotRun: true})
 		w.WriteHeader(status)
 		return
 	}
-	w.Header().Set("X-Request-Id", id)
-	w.Header().Set("X-Server-Stamp", "s")
+	platformtest.Answer(w.Header(), call.Answer{ID: id, Signed: true})
 	if status != 0 {
 		w.WriteHeader(status)
 		return
 	}
-	from := 1
-	if after := r.Header.Get("Last-Event-Id"); after != "" {
-		_, _ = fmt.Sscan(after, &from)
-		from++
-	}
+	from := asked.After + 1
 	e.mu.Lock()
 	e.starts = append(e.starts, fmt.Sprintf("%s@%d", id, from))
 	e.running++
@@ -105,7 +102,7 @@
 	}()
 	w.Header().Set("Content-Type", "text/event-stream")
 	if from <= length(id) {
-		w.Header().Set("X-Weight-Versions", fmt.Sprint(version))
+		platformtest.Answer(w.Header(), call.Answer{Version: version})
 	}
 	w.WriteHeader(http.StatusOK)
 	out := http.NewResponseController(w)
@@ -119,7 +116,7 @@
 		change := ""
 		if e.version != version {
 			version = e.version
-			change = fmt.Sprintf("x-weight-versions: %d\n", version)
+			change = platformtest.NewVersion(version)
 		}
 		e.mu.Unlock()
 		_, _ = fmt.Fprintf(w, "%sid: %d\ndata: %s.%d\n\n", change, i, id, i)
@@ -314,38 +311,22 @@
 
 // payload returns a submission with the given items, each in the group before the dash of its id.
 func payload(minVersion int, ids ...string) []byte {
-	var items []map[string]any
+	j := job.Job{Step: 1, Model: "m", MinVersion: minVersion, Groups: 1}
 	for _, id := range ids {
 		group, _, _ := strings.Cut(id, "-")
-		items = append(items, map[string]any{
-			"id": id, "path": "/p/" + id, "headers": map[string]string{"X-Model": "m"},
-			"body": base64.StdEncoding.EncodeToString([]byte("body of " + id)), "tokens": 10, "group": group,
-		})
+		j.Items = append(j.Items, job.Item{ID: id, Path: "/p/" + id, Body: []byte("body of " + id), Tokens: 10, Group: group})
 	}
-	b, err := json.Marshal(map[string]any{"step": 1, "model": "m", "min_version": minVersion, "group_count": 1, "items": items})
+	b, err := platformtest.EncodeJob(j)
 	if err != nil {
-		panic(err) // maps of strings and numbers encode
+		panic(err) // strings and numbers encode
 	}
 	return b
 }
 
-type result struct {
-	ID       string `json:"id"`
-	State    string `json:"state"`
-	Text     string `json:"text"`
-	Versions []int  `json:"versions"`
-}
-
-type answer struct {
-	Total   int      `json:"total"`
-	Next    int      `json:"next"`
-	Results []result `json:"results"`
-}
-
 // collect reads a job until it has n results or the time is up.
-func (r *rig) collect(m *Manager, id string, n int) []result {
+func (r *rig) collect(m *Manager, id string, n int) []job.Result {
 	r.t.Helper()
-	var all []result
+	var all []job.Result
 	deadline := time.Now().Add(15 * time.Second)
 	for len(all) < n && time.Now().Before(deadline) {
 		reply := m.Results(r.t.Context(), id, len(all), 100*time.Millisecond)
@@ -356,8 +337,8 @@
 		if reply.Status != http.StatusOK {
 			r.t.Fatalf("reading job %s: %d %s", id, reply.Status, reply.Cause)
 		}
-		var a answer
-		if err := json.Unmarshal(reply.Body, &a); err != nil {
+		a, err := platformtest.DecodePage(reply.Body)
+		if err != nil {
 			r.t.Fatal(err)
 		}
 		if a.Next != len(all)+len(a.Results) {
@@ -372,16 +353,16 @@
 }
 
 // check compares results with the whole texts of their items, each once.
-func check(t *testing.T, results []result, ids ...string) {
+func check(t *testing.T, results []job.Result, ids ...string) {
 	t.Helper()
 	seen := make(map[string]bool)
 	for _, r := range results {
-		if seen[r.ID] {
-			t.Errorf("item %s stands twice", r.ID)
+		if seen[r.Item] {
+			t.Errorf("item %s stands twice", r.Item)
 		}
-		seen[r.ID] = true
-		if r.State != "completed" || r.Text != text(r.ID) {
-			t.Errorf("item %s is %s with text %q", r.ID, r.State, r.Text)
+		seen[r.Item] = true
+		if r.State != job.Completed || r.Text != text(r.Item) {
+			t.Errorf("item %s has state %d and text %q", r.Item, r.State, r.Text)
 		}
 	}
 	for _, id := range ids {
--- a/entry/internal/ingress/ingress_test.go
+++ b/entry/internal/ingress/ingress_test.go
@@ -18,8 +18,10 @@
 	"github.com/google/go-cmp/cmp"
 
 	"bulrushspoke/entry/internal/place"
+	"bulrushspoke/internal/call"
 	"bulrushspoke/internal/catalog"
 	"bulrushspoke/internal/upstream"
+	"bulrushspoke/platform/platformtest"
 )
 
 // server is an upstream whose answers a test scripts on the bare connection.
@@ -76,12 +78,12 @@
 }
 
 func write(c net.Conn, head, body string) bool {
-	_, err := fmt.Fprintf(c, "HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s", head, len(body), body)
+	_, err := fmt.Fprintf(c, "HTTP/1.1 %sContent-Length: %d\r\n\r\n%s", head, len(body), body)
 	return err == nil
 }
 
 func signed(q *http.Request) string {
-	return "X-Request-Id: " + q.Header.Get("X-Request-Id") + "\r\nX-Server-Stamp: s"
+	return platformtest.Head(call.Answer{ID: platformtest.Asked(q.Header).ID, Signed: true})
 }
 
 func good(c net.Conn, q *http.Request, _ string) bool {
@@ -89,15 +91,16 @@
 }
 
 func full(c net.Conn, _ *http.Request, _ string) bool {
-	return write(c, "503 Service Unavailable\r\nX-Not-Executed: 1", "")
+	return write(c, "503 Service Unavailable\r\n"+platformtest.Head(call.Answer{NotRun: true}), "")
 }
 
 func reset(c net.Conn, _ *http.Request, _ string) bool { return false }
 
 type rig struct {
 	*httptest.Server
-	ingress *Ingress
-	catalog *catalog.Catalog
+	ingress  *Ingress
+	catalog  *catalog.Catalog
+	deadline time.Duration // that clients name; 0 for none
 }
 
 // newRig starts an ingress with one route of the given kind to the servers.
@@ -138,7 +141,7 @@
 		t.Fatal(err)
 	}
 	q.Host = "h.example"
-	q.Header.Set("X-Request-Id", "r1")
+	platformtest.Ask(q.Header, call.Request{ID: "r1", Deadline: r.deadline})
 	for n, v := range header {
 		q.Header.Set(n, v)
 	}
@@ -155,24 +158,25 @@
 func TestForwardsUnchanged(t *testing.T) {
 	s := newServer(t, good)
 	r := newRig(t, catalog.Route{Kind: catalog.Unsafe}, s)
+	r.deadline = 3 * time.Second
 	resp, body, err := r.send(t, "PUT", "/p/a%20b?x=1&y=%2F", "payload", map[string]string{
-		"X-Deadline-Ms": "3000", "X-Custom": "kept", "Te": "trailers",
+		"X-Custom": "kept", "Te": "trailers",
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	if resp.StatusCode != 200 || body != "fine" || resp.Header.Get("X-Server-Stamp") != "s" {
-		t.Errorf("the client got %d %q with stamp %q", resp.StatusCode, body, resp.Header.Get("X-Server-Stamp"))
+	if resp.StatusCode != 200 || body != "fine" || platformtest.Signature(resp.Header) != platformtest.Stamp {
+		t.Errorf("the client got %d %q with stamp %q", resp.StatusCode, body, platformtest.Signature(resp.Header))
 	}
 	q := s.requests()[0]
-	got := []string{q.Method, q.RequestURI, q.Host, q.Header.Get("X-Custom"), q.Header.Get("X-Expect-Instance"), q.Header.Get("Te")}
+	told := platformtest.Asked(q.Header)
+	got := []string{q.Method, q.RequestURI, q.Host, q.Header.Get("X-Custom"), told.Server, q.Header.Get("Te")}
 	want := []string{"PUT", "/p/a%20b?x=1&y=%2F", "h.example", "kept", "i0", ""}
 	if d := cmp.Diff(want, got); d != "" {
 		t.Errorf("the server saw (-want +got):\n%s", d)
 	}
-	var left int
-	if _, err := fmt.Sscan(q.Header.Get("X-Deadline-Ms"), &left); err != nil || left <= 0 || left > 3000 {
-		t.Errorf("the server was handed %q ms of 3000", q.Header.Get("X-Deadline-Ms"))
+	if told.Left <= 0 || told.Left > r.deadline {
+		t.Errorf("the server was handed %s of %s", told.Left, r.deadline)
 	}
 }
 
@@ -180,21 +184,21 @@
 // although another server would have served it.
 func TestAttempts(t *testing.T) {
 	truncated := func(c net.Conn, q *http.Request, _ string) bool {
-		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s\r\nContent-Length: 100\r\n\r\nhalf", signed(q))
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Length: 100\r\n\r\nhalf", signed(q))
 		return false
 	}
 	foreign := func(c net.Conn, _ *http.Request, _ string) bool {
-		return write(c, "200 OK\r\nX-Request-Id: other\r\nX-Server-Stamp: s", "stale")
+		return write(c, "200 OK\r\n"+platformtest.Head(call.Answer{ID: "other", Signed: true}), "stale")
 	}
 	unsigned := func(c net.Conn, q *http.Request, _ string) bool {
-		return write(c, "200 OK\r\nX-Request-Id: "+q.Header.Get("X-Request-Id"), "forged")
+		return write(c, "200 OK\r\n"+platformtest.Head(call.Answer{ID: platformtest.Asked(q.Header).ID}), "forged")
 	}
 	garbage := func(c net.Conn, _ *http.Request, _ string) bool {
 		_, _ = io.WriteString(c, "no answer at all\r\n\r\n")
 		return false
 	}
 	fails := func(c net.Conn, q *http.Request, _ string) bool { return write(c, "500 Oops\r\n"+signed(q), "sorry") }
-	moved := func(c net.Conn, _ *http.Request, _ string) bool { return write(c, "421 Misdirected Request", "") }
+	moved := func(c net.Conn, _ *http.Request, _ string) bool { return write(c, "421 Misdirected Request\r\n", "") }
 	for _, tc := range []struct {
 		name   string
 		kind   catalog.Kind
@@ -240,7 +244,7 @@
 			if runs := len(a.requests()) + len(b.requests()); runs != tc.runs {
 				t.Errorf("%d requests reached servers, want %d", runs, tc.runs)
 			}
-			if tc.status == 502 && resp.Header.Get("X-Server-Stamp") != "" {
+			if tc.status == 502 && platformtest.Signature(resp.Header) != "" {
 				t.Error("a failure of our own bears a server's stamp")
 			}
 		})
@@ -255,8 +259,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if resp.StatusCode != 503 || resp.Header.Get("Retry-After") == "" {
-		t.Errorf("got %d with Retry-After %q", resp.StatusCode, resp.Header.Get("Retry-After"))
+	if resp.StatusCode != 503 || platformtest.Retry(resp.Header) <= 0 {
+		t.Errorf("got %d, to come back after %s", resp.StatusCode, platformtest.Retry(resp.Header))
 	}
 	if took := time.Since(began); took > 2*time.Second {
 		t.Errorf("the refusal took %s of a timeout of 5 s", took)
@@ -332,7 +336,7 @@
 }
 
 func streamHead(c net.Conn, q *http.Request) {
-	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", signed(q))
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", signed(q))
 }
 
 // Guards against a stream in which an event is missing or stands twice after its server broke off, and against one that
@@ -342,11 +346,7 @@
 	answer := func(broken *sync.Once) script {
 		return func(c net.Conn, q *http.Request, _ string) bool {
 			streamHead(c, q)
-			from := 1
-			if n := q.Header.Get("Last-Event-Id"); n != "" {
-				_, _ = fmt.Sscan(n, &from)
-				from++
-			}
+			from := platformtest.Asked(q.Header).After + 1
 			cut := false
 			broken.Do(func() { cut = true })
 			for id := from; id <= last; id++ {
