Bound descriptors and slow bodies, and require the secret of the deployment

Cause: three gaps of the platform path. The settings' limit of descriptors was decoded and not used, so clients could take all of them. A body was read without a time limit and its memory was counted only once it stood in memory, so slow clients held connections and large bodies together exceeded their share. A deployment without BULRUSHSPOKE_SECRET started with an empty key, and anybody could have joined the links.

Change: ingress.Bound closes connections of clients beyond 0.45 of the descriptors at once; upstream.Limits.Open bounds connections to servers, and the store has a pool of its own. Bodies reserve memory before and while they are read, and one that is not there at the route's timeout gets 408; a refusal closes the connection, since net/http otherwise takes the rest of the body first. program.Secret refuses a secret under 16 bytes.

Ruled out: netutil.LimitListener, which leaves connections in the kernel's queue, where their clients wait instead of going elsewhere.

--- a/daemon/internal/cli/platform.go
+++ b/daemon/internal/cli/platform.go
@@ -42,11 +42,15 @@
 	if s.Engine == "" {
 		return nil, node.NewError("engine", "there is no upstream on this instance")
 	}
-	return func(ctx context.Context, _ io.Writer) error { return runPlatform(ctx, s) }, nil
+	secret, err := program.Secret()
+	if err != nil {
+		return nil, err
+	}
+	return func(ctx context.Context, _ io.Writer) error { return runPlatform(ctx, s, secret) }, nil
 }
 
 // runPlatform brings the engine on this instance to the weight versions that trainers name, until ctx ends.
-func runPlatform(ctx context.Context, s node.Settings) error {
+func runPlatform(ctx context.Context, s node.Settings, secret []byte) error {
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory)))
 	debug.SetGCPercent(collectPercent)
 	lines, logger := program.Lines(s.Name)
@@ -63,7 +67,7 @@
 	})
 	tree := supervise.New("daemon", logger)
 	n := naming.New(naming.Options{
-		Address: s.Engine, Service: s.Service, Port: s.Ports.First, Secret: []byte(os.Getenv(program.SecretEnv)),
+		Address: s.Engine, Service: s.Service, Port: s.Ports.First, Secret: secret,
 		Listen: net.JoinHostPort(s.IP, strconv.Itoa(s.Ports.First)),
 		Feed:   feed, Source: objects, Catalog: known, Servers: servers, Logger: logger,
 	})
--- a/entry/internal/cli/platform.go
+++ b/entry/internal/cli/platform.go
@@ -44,12 +44,20 @@
 	dialTimeout = 1200 * time.Millisecond
 	// idleMost bounds idle connections to servers; each takes a descriptor and two small buffers.
 	idleMost = 256
+	// storeIdle bounds idle connections to the store; the calls of one entry seldom overlap more.
+	storeIdle = 16
 	// collectPercent makes the garbage collector run early: the process allocates little, and memory is dear.
 	collectPercent = 20
 	// memoryShare is the part of the instance's memory that the garbage collector keeps the process within.
 	memoryShare = 0.7
 	// bodyShare is the part of it that bodies in progress, and as much again that open jobs, may take.
 	bodyShare = 0.15
+	// filesShare is the number of descriptors that the platform keeps for files.
+	filesShare = 200
+	// clientShare and serverShare are the parts of the other descriptors that connections of clients and to servers may
+	// take; a request in progress needs one of each. The rest is for the store, other entries, probes and metrics.
+	clientShare = 0.45
+	serverShare = 0.45
 	// readHeader bounds the time for a request's head; the platform's clients are bound to less.
 	readHeader = 10 * time.Second
 	// clientIdle exceeds the idle time of the platform's clients, so that no request crosses our close.
@@ -72,6 +80,7 @@
 // onPlatform is the program on the users' platform.
 type onPlatform struct {
 	settings node.Settings
+	secret   []byte // that entries prove to each other
 	inc      string
 	logger   *slog.Logger
 	lines    *linelog.Writer
@@ -93,7 +102,14 @@
 	if err != nil {
 		return nil, err
 	}
-	return func(ctx context.Context, _ io.Writer) error { return servePlatform(ctx, s) }, nil
+	var secret []byte
+	// An instance without clients has no links to other entries.
+	if s.Ingress != "" {
+		if secret, err = program.Secret(); err != nil {
+			return nil, err
+		}
+	}
+	return func(ctx context.Context, _ io.Writer) error { return servePlatform(ctx, s, secret) }, nil
 }
 
 // readSettings checks the settings that the platform gives at present.
@@ -103,13 +119,14 @@
 }
 
 // servePlatform runs the program until ctx ends.
-func servePlatform(ctx context.Context, s node.Settings) error {
+func servePlatform(ctx context.Context, s node.Settings, secret []byte) error {
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory)))
 	debug.SetGCPercent(collectPercent)
 	lines, logger := program.Lines(s.Name)
 	defer lines.Close()
 	p := &onPlatform{
 		settings: s,
+		secret:   secret,
 		inc:      ulid.Make().String(),
 		lines:    lines,
 		logger:   logger,
@@ -143,14 +160,16 @@
 func (p *onPlatform) build(life context.Context) error {
 	s := p.settings
 	p.tree = supervise.New("entry", p.logger)
-	pool := upstream.New(upstream.Limits{Dial: dialTimeout, Idle: idleMost})
-	p.store = platform.NewStore(s.Store.Address, program.StoreTimeout, pool, p.logger)
+	pool := upstream.New(upstream.Limits{Dial: dialTimeout, Idle: idleMost, Open: sockets(s.Descriptors, serverShare)})
+	// Calls of the store have connections of their own, so that requests cannot take them all.
+	calls := upstream.New(upstream.Limits{Dial: dialTimeout, Idle: storeIdle})
+	p.store = platform.NewStore(s.Store.Address, program.StoreTimeout, calls, p.logger)
 	m, text, err := meter.New("entry")
 	if err != nil {
 		return err
 	}
 	p.metrics = text
-	p.measure(m, pool)
+	p.measure(m, pool, calls)
 	p.listen("metrics", net.JoinHostPort(s.IP, strconv.Itoa(metricsPort)), func(l net.Listener) error {
 		return p.fast(p.metrics).Serve(l)
 	})
@@ -178,7 +197,7 @@
 			Name: s.Name, Role: "entry", Inc: p.inc, Domain: s.Domain, Region: s.Region, Leaving: p.leaving.Load(),
 		}
 	}
-	identity := link.NewIdentity(s.Name, []byte(os.Getenv(program.SecretEnv)), hello)
+	identity := link.NewIdentity(s.Name, p.secret, hello)
 	p.peers = peer.New(s.Name, identity, func() wire.Config { return wire.Config{} }, func(wire.Notice) {}, peer.Options{
 		Ack: time.Second, Resume: time.Second, Redial: redialMost,
 	}, &random{r: rand.New(rand.NewChaCha8(draw(source)))}, p.logger)
@@ -211,7 +230,7 @@
 	p.listen("links", address, func(l net.Listener) error { return p.fast(acceptLinks(p.peers)).Serve(l) })
 	p.listen("readiness", s.Readiness, func(l net.Listener) error { return p.fast(p.answerReady).Serve(l) })
 	p.listen("ingress", s.Ingress, func(l net.Listener) error {
-		err := p.server.Serve(l)
+		err := p.server.Serve(ingress.Bound(l, sockets(s.Descriptors, clientShare), p.logger))
 		if errors.Is(err, http.ErrServerClosed) {
 			<-life.Done()
 		}
@@ -225,6 +244,11 @@
 	return nil
 }
 
+// sockets returns the part of the descriptors that one use may take, 0 for no bound if the platform sets none.
+func sockets(descriptors int, share float64) int {
+	return int(share * float64(max(descriptors-filesShare, 0)))
+}
+
 func (p *onPlatform) follow(s catalog.Source, f catalog.Feed) {
 	p.task("news of "+f.Kind, func(ctx context.Context) error { return catalog.Follow(ctx, s, f, p.logger) })
 }
@@ -284,11 +308,11 @@
 }
 
 // measure exports the state of the process.
-func (p *onPlatform) measure(m *meter.Meter, pool *upstream.Pool) {
+func (p *onPlatform) measure(m *meter.Meter, pool, calls *upstream.Pool) {
 	m.Gauge("store_calls", "Calls of the object store, waiting watches included.",
 		func() float64 { return float64(p.store.Calls()) })
 	m.Gauge("server_connections", "Connections opened to servers and the store.",
-		func() float64 { return float64(pool.Dials()) })
+		func() float64 { return float64(pool.Dials() + calls.Dials()) })
 	m.Gauge("log_lines_dropped", "Log lines that found no room.",
 		func() float64 { return float64(p.lines.Dropped()) })
 }
--- a/entry/internal/ingress/ingress.go
+++ b/entry/internal/ingress/ingress.go
@@ -15,6 +15,7 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -120,15 +121,16 @@
 		return
 	}
 	q.route = route
-	body, reply := g.body(q)
+	reply := g.body(http.NewResponseController(w), q)
+	defer func() { g.held.Add(-q.held) }()
 	if reply.Status != 0 {
+		// A kept connection would have to take the rest of the body before the answer is sent.
+		w.Header().Set("Connection", "close")
 		g.reply(w, q, reply)
 		return
 	}
-	defer g.held.Add(-int64(len(body)))
-	q.body = body
 	if route.Kind == catalog.Batch && r.Method == http.MethodPost {
-		g.reply(w, q, g.Jobs.Submit(r.Context(), route, q.ID, body, arrived))
+		g.reply(w, q, g.Jobs.Submit(r.Context(), route, q.ID, q.body, arrived))
 		return
 	}
 	g.forward(w, q)
@@ -142,6 +144,7 @@
 	config  *catalog.Config
 	route   *catalog.Route
 	body    []byte
+	held    int64 // bytes reserved for the body
 
 	job      string // that a call concerns
 	attempts int
@@ -157,37 +160,81 @@
 	return d - now.Sub(q.arrived)
 }
 
-// body reads the whole body of a request within the limits.
-func (g *Ingress) body(q *request) ([]byte, Reply) {
+// body reads the whole body of a request within the limits and the time that is left. A reply with a status is the answer
+// to a request whose body was not taken.
+func (g *Ingress) body(c *http.ResponseController, q *request) Reply {
 	limit := int64(q.config.Limits.Body)
 	if limit <= 0 {
 		limit = defaultBody
 	}
-	if q.http.ContentLength > limit {
-		return nil, Reply{Status: http.StatusRequestEntityTooLarge, Cause: "body over the limit"}
+	length := q.http.ContentLength
+	if length > limit {
+		return Reply{Status: http.StatusRequestEntityTooLarge, Cause: "body over the limit"}
+	}
+	if length == 0 {
+		return Reply{}
 	}
-	if q.http.ContentLength == 0 {
-		return nil, Reply{}
+	err := g.hold(q, max(length, 0))
+	if err == nil {
+		err = g.read(c, q, limit)
 	}
-	if g.held.Load()+max(q.http.ContentLength, 0) > g.Memory {
-		return nil, Reply{Status: http.StatusServiceUnavailable, Retry: retryFull, Cause: "no memory for the body"}
+	var late net.Error
+	switch {
+	case errors.Is(err, errMemory):
+		return Reply{Status: http.StatusServiceUnavailable, Retry: retryFull, Cause: err.Error()}
+	case errors.As(err, &late) && late.Timeout():
+		return Reply{Status: http.StatusRequestTimeout, Cause: "body: " + err.Error()}
+	case err != nil:
+		return Reply{Status: http.StatusBadRequest, Cause: "body: " + err.Error()}
+	case int64(len(q.body)) > limit:
+		return Reply{Status: http.StatusRequestEntityTooLarge, Cause: "body over the limit"}
+	}
+	return Reply{}
+}
+
+// errMemory tells that bodies in progress take all the memory that they may.
+var errMemory = errors.New("ingress: no memory for the body")
+
+// hold reserves memory for a body until the request ends.
+func (g *Ingress) hold(q *request, n int64) error {
+	q.held += n
+	if g.held.Add(n) > g.Memory {
+		return errMemory
+	}
+	return nil
+}
+
+// read reads the body; memory for one with a length has been reserved.
+func (g *Ingress) read(c *http.ResponseController, q *request, limit int64) error {
+	if err := c.SetReadDeadline(q.arrived.Add(q.left(q.arrived))); err != nil {
+		return err
 	}
-	var body []byte
 	var err error
 	if n := q.http.ContentLength; n > 0 {
-		body = make([]byte, n)
-		_, err = io.ReadFull(q.http.Body, body)
+		q.body = make([]byte, n)
+		_, err = io.ReadFull(q.http.Body, q.body)
 	} else {
-		body, err = io.ReadAll(io.LimitReader(q.http.Body, limit+1))
+		q.body, err = io.ReadAll(io.LimitReader(&holding{ingress: g, request: q}, limit+1))
 	}
 	if err != nil {
-		return nil, Reply{Status: http.StatusBadRequest, Cause: "body: " + err.Error()}
+		return err
 	}
-	if int64(len(body)) > limit {
-		return nil, Reply{Status: http.StatusRequestEntityTooLarge, Cause: "body over the limit"}
+	return c.SetReadDeadline(time.Time{})
+}
+
+// holding reads a body of unknown length and reserves memory for what it has read.
+type holding struct {
+	ingress *Ingress
+	request *request
+}
+
+// Read implements io.Reader.
+func (h *holding) Read(b []byte) (int, error) {
+	n, err := h.request.http.Body.Read(b)
+	if held := h.ingress.hold(h.request, int64(n)); held != nil {
+		return n, held
 	}
-	g.held.Add(int64(len(body)))
-	return body, Reply{}
+	return n, err
 }
 
 func (g *Ingress) serveJob(w http.ResponseWriter, q *request, c platform.JobCall) {
--- a/internal/program/platform.go
+++ b/internal/program/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"os"
 	"os/signal"
@@ -10,6 +11,7 @@
 
 	"bulrushspoke/internal/event"
 	"bulrushspoke/internal/linelog"
+	"bulrushspoke/internal/node"
 )
 
 const (
@@ -17,8 +19,19 @@
 	SecretEnv = "BULRUSHSPOKE_SECRET"
 	// StoreTimeout bounds a call to the platform's store, which answers in 4 ms and in a quarter of a second when slow.
 	StoreTimeout = time.Second
+	// secretLeast is the shortest secret in bytes, as in our own settings files.
+	secretLeast = 16
 )
 
+// Secret returns the secret of the deployment. Its error is a *node.Error.
+func Secret() ([]byte, error) {
+	s := os.Getenv(SecretEnv)
+	if len(s) < secretLeast {
+		return nil, node.NewError(SecretEnv, fmt.Sprintf("has %d bytes and needs %d", len(s), secretLeast))
+	}
+	return []byte(s), nil
+}
+
 // Lines returns the log of a process on the platform, which never blocks, and the writer to be closed at the end.
 func Lines(name string) (*linelog.Writer, *slog.Logger) {
 	lines := linelog.New(os.Stdout)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -87,13 +87,14 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.cause }
 
-// errFull tells that the bound of connections to a server is reached.
-var errFull = errors.New("all connections to the server are in use")
+// errFull tells that the bound of connections to a server, or of all, is reached.
+var errFull = errors.New("all connections are in use")
 
 // Limits bound the set.
 type Limits struct {
 	Dial time.Duration // time for a new connection
 	Idle int           // most idle connections in all
+	Open int           // most connections in all, idle ones included; 0 for no bound
 }
 
 // Pool keeps connections to servers.
@@ -103,6 +104,7 @@
 	mu    sync.Mutex
 	hosts map[string]*host
 	idle  int
+	open  int
 	dials int64
 	sweep *time.Timer
 }
@@ -289,17 +291,14 @@
 			p.mu.Unlock()
 			return c, nil
 		}
-		h.open--
-		_ = c.Close()
+		p.close(c)
 	}
-	if t.Conns > 0 && h.open >= t.Conns {
-		if len(h.idle) == 0 {
-			p.mu.Unlock()
-			return nil, errFull
-		}
-		p.evict(h)
+	if !p.room(h, t.Conns) {
+		p.mu.Unlock()
+		return nil, errFull
 	}
 	h.open++
+	p.open++
 	p.dials++
 	p.mu.Unlock()
 	d := net.Dialer{Timeout: p.limits.Dial, Control: control, KeepAliveConfig: net.KeepAliveConfig{
@@ -308,7 +307,7 @@
 	nc, err := d.DialContext(ctx, "tcp4", t.Address)
 	if err != nil {
 		p.mu.Lock()
-		h.open--
+		p.ended(h)
 		p.mu.Unlock()
 		return nil, err
 	}
@@ -325,12 +324,45 @@
 	return errors.Join(err, failed)
 }
 
+// room reports whether one more connection to a host may be opened, and closes an idle one where that makes room; the
+// caller holds mu.
+func (p *Pool) room(h *host, most int) bool {
+	if most > 0 && h.open >= most {
+		if len(h.idle) == 0 {
+			return false
+		}
+		p.evict(h)
+	}
+	if p.limits.Open <= 0 || p.open < p.limits.Open {
+		return true
+	}
+	for _, other := range p.hosts {
+		if len(other.idle) > 0 {
+			p.evict(other)
+			return true
+		}
+	}
+	return false
+}
+
+// evict closes the oldest idle connection to a host; the caller holds mu.
 func (p *Pool) evict(h *host) {
 	c := h.idle[0]
 	h.idle = h.idle[1:]
-	h.open--
 	p.idle--
+	p.close(c)
+}
+
+// close closes a connection that is not idle; the caller holds mu.
+func (p *Pool) close(c *conn) {
 	_ = c.Close()
+	p.ended(c.host)
+}
+
+// ended counts a connection to a host that is no more; the caller holds mu.
+func (p *Pool) ended(h *host) {
+	h.open--
+	p.open--
 }
 
 // clear closes the idle connections of a host; the caller holds mu.
@@ -348,8 +380,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if keep <= 0 || p.idle >= p.limits.Idle || p.hosts[c.RemoteAddr().String()] != c.host {
-		c.host.open--
-		_ = c.Close()
+		p.close(c)
 		return
 	}
 	c.expires = now.Add(keep)
@@ -392,8 +423,7 @@
 }
 
 func (p *Pool) drop(c *conn) {
-	_ = c.Close()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	c.host.open--
+	p.close(c)
 }
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -232,3 +232,31 @@
 		t.Errorf("%d connections, want one for each incarnation", conns)
 	}
 }
+
+// Guards against a pool that takes more descriptors than it may: an idle connection to any server makes room, one in use
+// does not.
+func TestOpenBound(t *testing.T) {
+	const answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+	a, b := serve(t, answer, answer), serve(t, answer, answer)
+	p := New(Limits{Dial: time.Second, Idle: 4, Open: 1})
+	send := func(f *fake) (*Response, error) {
+		return p.Send(t.Context(), Target{Address: f.Addr().String()}, Request{Method: "GET", URI: "/", Host: "h"})
+	}
+	first, err := send(a)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var full *Error
+	if _, err := send(b); !errors.As(err, &full) || !full.Full() || full.Sent() {
+		t.Errorf("a second connection beside one in use: %v", err)
+	}
+	first.Close()
+	second, err := send(b)
+	if err != nil {
+		t.Fatalf("the idle connection has made no room: %v", err)
+	}
+	second.Close()
+	if _, err := send(a); err != nil {
+		t.Errorf("the count of open connections is wrong: %v", err)
+	}
+}
