Add a fault soak of the real programs, and notice news that was missed

The soak starts entries, daemons and a keeper as processes on the platform's interface, each with a loopback address of its own, plays the store, servers, clients and trainers around them, and injects overlapping faults from outside: signals, relays in front of store, links and clients, faults of the store, servers that misbehave, changes of the configuration.

Cause: it was paused when the reader of the configuration told of the change, and its own watch of 25 s hung on a connection that had gone silent. Nobody told it again.

Change: the reader tells its newest revision after each watch; an entry that is behind gives up its watch for a new one, and one that hears no reader for 3.5 s reads by itself.

Ruled out: shorter watches for all (a priced call each); telling again when a link opens, which leaves an entry that is cut off from the reader alone.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 TOOLS := cd tools && GOWORK=off go build -o ../bin/tools/
 BIN := $(CURDIR)/bin
 
-.PHONY: all build tools generate demo test check bench
+.PHONY: all build tools generate demo test check bench soak
 
 all: build
 
@@ -43,3 +43,8 @@
 bench:
 	go test -run '^$$' -bench . -benchmem ./internal/... ./entry/... ./daemon/...
 	go run ./bench -check
+
+# SEEDS fresh seeds of the fault soak, three at a time. Logs of runs that broke a promise are kept.
+SEEDS ?= 50
+soak: build
+	go run ./scenario/soak -bin $(BIN) -runs $(SEEDS)
--- a/entry/internal/cli/platform.go
+++ b/entry/internal/cli/platform.go
@@ -238,9 +238,9 @@
 	})
 	p.task("entries", p.peers.Serve)
 	p.task("membership", member.New(s.Name, self, p.store, p.peers, p.logger).Run)
-	feeder := platform.NewFeeder(p.catalog, p.logger)
-	p.follow(objects, relay.Spread(feeder.Fill(catalog.Feed{Kind: platform.KindConfig}), s.Name, p.peers))
-	p.follow(objects, relay.Spread(feeder.Fill(catalog.Feed{Kind: platform.KindServers}), s.Name, p.peers))
+	feeder, now := platform.NewFeeder(p.catalog, p.logger), time.Now()
+	p.follow(objects, relay.Spread(feeder.Fill(catalog.Feed{Kind: platform.KindConfig}), s.Name, p.peers, now))
+	p.follow(objects, relay.Spread(feeder.Fill(catalog.Feed{Kind: platform.KindServers}), s.Name, p.peers, now))
 	return nil
 }
 
--- a/entry/internal/relay/news.go
+++ b/entry/internal/relay/news.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"bulrushspoke/internal/catalog"
@@ -21,6 +22,9 @@
 	waitReader = 1500 * time.Millisecond
 	// waitOthers is that of the others, which learn of changes from the reader too.
 	waitOthers = 25 * time.Second
+	// silentReader is how long an entry relies on readers that it does not hear: they tell something after each of their
+	// watches, and one message may be lost.
+	silentReader = 2*(waitReader+settleReader) + 200*time.Millisecond
 )
 
 // Broadcaster reaches all other entries.
@@ -30,58 +34,150 @@
 	Tell(kind string, body any)
 }
 
-// Spread makes one entry pass the changes of a feed on to the others, so that these can watch the store less often.
-func Spread(f catalog.Feed, self string, b Broadcaster) catalog.Feed {
-	reads := func() bool {
-		for _, name := range b.Linked() {
-			if name < self {
-				return false
-			}
-		}
+// Spread makes one entry pass the changes of a feed on to the others, so that these can watch the store less often. The
+// reader also tells how far it is. An entry that misses something, since a message or the answer to its own watch was
+// lost, watches again at once; one that hears no reader reads like one.
+func Spread(f catalog.Feed, self string, b Broadcaster, now time.Time) catalog.Feed {
+	s := &spreader{feed: f, self: self, peers: b, heard: now, renew: make(chan struct{}, 1)}
+	s.silence = time.AfterFunc(silentReader, s.again)
+	f.Replace, f.Apply, f.Heard, f.Settle, f.Wait, f.Renew = s.replace, s.apply, s.reached, s.settle, s.wait, s.renew
+	b.Handle(s.kind(), s.told)
+	return f
+}
+
+// spreader is one feed of one entry.
+type spreader struct {
+	feed  catalog.Feed // as it was without spreading
+	self  string
+	peers Broadcaster
+	renew chan struct{}
+
+	mu      sync.Mutex
+	newest  int64 // revision of the newest change known
+	seen    int64 // all changes up to this revision are known
+	heard   time.Time
+	silence *time.Timer // ends the reliance on readers
+	hurry   bool        // the next watch is to show quickly how far the store is
+	spoke   bool        // something was told since the last call of the store
+}
+
+func (s *spreader) kind() string { return link.News + " " + s.feed.Kind }
+
+// reads reports whether this entry reads for others, or for itself since it hears no reader.
+func (s *spreader) reads(now time.Time) bool {
+	s.mu.Lock()
+	silent := now.Sub(s.heard) >= silentReader
+	s.mu.Unlock()
+	if silent {
 		return true
 	}
-	apply, replace := f.Apply, f.Replace
-	f.Replace = func(list []store.Record, revision int64, now time.Time) {
-		replace(list, revision, now)
-		if !reads() {
-			return
-		}
-		// The changes that this list stands for were not told.
-		n := wire.News{Kind: f.Kind, Records: make([]wire.StoreRecord, 0, len(list))}
-		for _, r := range list {
-			n.Records = append(n.Records, ToWire(store.Change{Record: r}))
+	for _, name := range s.peers.Linked() {
+		if name < s.self {
+			return false
 		}
-		b.Tell(link.News+" "+f.Kind, n)
 	}
-	f.Apply = func(c store.Change, now time.Time) {
-		apply(c, now)
-		if reads() {
-			b.Tell(link.News+" "+f.Kind, wire.News{Kind: f.Kind, Records: []wire.StoreRecord{ToWire(c)}})
-		}
+	return true
+}
+
+// know notes that a change is known.
+func (s *spreader) know(revision int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.newest, s.seen = max(s.newest, revision), max(s.seen, revision)
+}
+
+// replace takes a list. The changes that it stands for were not told.
+func (s *spreader) replace(list []store.Record, revision int64, now time.Time) {
+	s.feed.Replace(list, revision, now)
+	records := make([]wire.StoreRecord, 0, len(list))
+	for _, r := range list {
+		s.know(r.Revision)
+		records = append(records, ToWire(store.Change{Record: r}))
 	}
-	f.Settle = func() time.Duration {
-		if reads() {
-			return settleReader
-		}
-		return settleOthers
+	if s.reads(now) {
+		s.tell(records)
 	}
-	f.Wait = func() time.Duration {
-		if reads() {
-			return waitReader
-		}
-		return waitOthers
+}
+
+// apply takes a change that this entry has read itself.
+func (s *spreader) apply(c store.Change, now time.Time) {
+	s.feed.Apply(c, now)
+	s.know(c.Revision)
+	if s.reads(now) {
+		s.tell([]wire.StoreRecord{ToWire(c)})
 	}
-	b.Handle(link.News+" "+f.Kind, func(_ context.Context, m link.Frame) (string, any, error) {
-		var n wire.News
-		if err := m.Decode(&n); err != nil {
-			return "", nil, err
-		}
-		if n.Kind == f.Kind {
-			for _, w := range n.Records {
-				apply(FromWire(w), time.Now())
-			}
-		}
+}
+
+func (s *spreader) tell(records []wire.StoreRecord) {
+	s.mu.Lock()
+	s.spoke = true
+	newest := s.newest
+	s.mu.Unlock()
+	s.peers.Tell(s.kind(), wire.News{Kind: s.feed.Kind, Records: records, Newest: newest})
+}
+
+// reached notes that a call has brought everything up to a revision.
+func (s *spreader) reached(revision int64, now time.Time) {
+	s.mu.Lock()
+	s.seen, s.hurry = max(s.seen, revision), false
+	spoke := s.spoke
+	s.spoke = false
+	s.mu.Unlock()
+	if !spoke && s.reads(now) {
+		s.tell([]wire.StoreRecord{})
+	}
+}
+
+func (s *spreader) settle() time.Duration {
+	if s.reads(time.Now()) {
+		return settleReader
+	}
+	return settleOthers
+}
+
+func (s *spreader) wait() time.Duration {
+	s.mu.Lock()
+	hurry := s.hurry
+	s.mu.Unlock()
+	if hurry || s.reads(time.Now()) {
+		return waitReader
+	}
+	return waitOthers
+}
+
+// again makes this entry give up its present watch for a new one.
+func (s *spreader) again() {
+	s.mu.Lock()
+	s.hurry = true
+	s.mu.Unlock()
+	select {
+	case s.renew <- struct{}{}:
+	default: // it is being done
+	}
+}
+
+// told takes what a reader tells.
+func (s *spreader) told(_ context.Context, m link.Frame) (string, any, error) {
+	var n wire.News
+	if err := m.Decode(&n); err != nil {
+		return "", nil, err
+	}
+	if n.Kind != s.feed.Kind {
 		return "", nil, nil
-	})
-	return f
+	}
+	now := time.Now()
+	for _, w := range n.Records {
+		c := FromWire(w)
+		s.feed.Apply(c, now)
+		s.know(c.Revision)
+	}
+	s.mu.Lock()
+	s.heard = now
+	s.silence.Reset(silentReader)
+	behind := n.Newest > s.seen && !s.hurry
+	s.mu.Unlock()
+	if behind {
+		s.again()
+	}
+	return "", nil, nil
 }
--- a/entry/internal/relay/relay_test.go
+++ b/entry/internal/relay/relay_test.go
@@ -175,7 +175,7 @@
 			Kind:    "servers",
 			Replace: func([]store.Record, int64, time.Time) {},
 			Apply:   func(c store.Change, _ time.Time) { applied = append(applied, self+" "+c.Name) },
-		}, self, p)
+		}, self, p, time.Now())
 	}
 	first, second := &pair{names: []string{"b"}}, &pair{names: []string{"a"}}
 	a, b := feed("a", first), feed("b", second)
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -174,3 +174,48 @@
 		t.Errorf("changes (-want +got):\n%s", d)
 	}
 }
+
+// hanging is a store whose first watch gets no answer.
+type hanging struct {
+	watches int
+	begun   chan struct{}
+	done    context.CancelFunc
+}
+
+func (h *hanging) List(context.Context, string) ([]store.Record, int64, error) { return nil, 10, nil }
+
+func (h *hanging) Watch(ctx context.Context, _ string, after int64, _ time.Duration) ([]store.Change, int64, error) {
+	if h.watches++; h.watches == 1 {
+		close(h.begun)
+		<-ctx.Done()
+		return nil, 0, store.NewDownError(false, ctx.Err().Error())
+	}
+	h.done()
+	return []store.Change{{Record: store.Record{Name: "x", Revision: after + 1}}}, after + 1, nil
+}
+
+// Guards against a watch that cannot be given up, and one whose end for a new one counts as an outage of the store.
+func TestFollowRenews(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	s := &hanging{begun: make(chan struct{}), done: cancel}
+	renew := make(chan struct{}, 1)
+	go func() {
+		<-s.begun
+		renew <- struct{}{}
+	}()
+	var applied []int64
+	restored := false
+	_ = Follow(ctx, s, Feed{
+		Kind: "k", Renew: renew,
+		Replace:  func([]store.Record, int64, time.Time) {},
+		Apply:    func(c store.Change, _ time.Time) { applied = append(applied, c.Revision) },
+		Restored: func(time.Time) { restored = true },
+	}, quiet)
+	if d := cmp.Diff([]int64{11}, applied); d != "" {
+		t.Errorf("changes (-want +got):\n%s", d)
+	}
+	if restored {
+		t.Error("the new watch counts as the end of an outage")
+	}
+}
--- a/internal/catalog/follow.go
+++ b/internal/catalog/follow.go
@@ -40,6 +40,8 @@
 	Wait    func() time.Duration // how long one watch waits for changes; nil for the longest
 	Replace func(list []store.Record, revision int64, now time.Time)
 	Apply   func(c store.Change, now time.Time)
+	Heard   func(revision int64, now time.Time) // told after each call that brought everything up to a revision; may be nil
+	Renew   <-chan struct{}                     // makes a watch in progress be given up for a new one; may be nil
 	// Restored is told that the store answers again, before the first list after an outage is handed over.
 	Restored func(now time.Time)
 }
@@ -51,11 +53,18 @@
 		err := w.step(ctx)
 		if err == nil {
 			w.succeeded(time.Now())
-			if w.after >= 0 && f.Settle != nil {
+			if f.Heard != nil {
+				f.Heard(w.after, time.Now())
+			}
+			if f.Settle != nil {
 				sleep.For(ctx, f.Settle())
 			}
 			continue
 		}
+		if errors.Is(err, errRenewed) {
+			event.WatchRenewed.Log(logger, "kind", f.Kind, "revision", w.after)
+			continue
+		}
 		var gone *store.GoneError
 		if errors.As(err, &gone) {
 			event.HistoryGone.Log(logger, "kind", f.Kind, "after", w.after)
@@ -93,7 +102,7 @@
 	if w.feed.Wait != nil {
 		wait = w.feed.Wait()
 	}
-	changes, next, err := w.source.Watch(ctx, w.feed.Kind, w.after, wait)
+	changes, next, err := w.watch(ctx, wait)
 	if err != nil {
 		return err
 	}
@@ -105,6 +114,29 @@
 	return nil
 }
 
+// errRenewed tells that a watch was given up for a new one.
+var errRenewed = errors.New("catalog: watch renewed")
+
+// watch waits for changes until the watch is to be renewed.
+func (w *follower) watch(ctx context.Context, wait time.Duration) ([]store.Change, int64, error) {
+	call, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	if w.feed.Renew != nil {
+		go func() {
+			select {
+			case <-w.feed.Renew:
+				cancel(errRenewed)
+			case <-call.Done():
+			}
+		}()
+	}
+	changes, next, err := w.source.Watch(call, w.feed.Kind, w.after, wait)
+	if err != nil && errors.Is(context.Cause(call), errRenewed) {
+		return nil, 0, errRenewed
+	}
+	return changes, next, err
+}
+
 // recovered announces the end of an outage before its news is handed over.
 func (w *follower) recovered(now time.Time) {
 	if !w.since.IsZero() && now.Sub(w.since) >= shortestOutage && w.feed.Restored != nil {
--- a/internal/event/shared.go
+++ b/internal/event/shared.go
@@ -27,4 +27,5 @@
 	FeedLost      = define(135, slog.LevelWarn, "news of the store cannot be read")
 	FeedBack      = define(136, slog.LevelInfo, "news of the store can be read again")
 	ObjectInvalid = define(137, slog.LevelWarn, "object of the store cannot be used")
+	WatchRenewed  = define(138, slog.LevelInfo, "watch made again: another entry knows more, or none is heard")
 )
--- a/scenario/rig/rig.go
+++ b/scenario/rig/rig.go
@@ -57,9 +57,18 @@
 // Dir returns the folder of settings and logs.
 func (r *Rig) Dir() string { return r.dir }
 
-// Start starts a program under a name that no running process of the rig has. Its standard output goes to <name>.out
-// and its standard error is added to <name>.log.
+// Start starts a program under a name that no running process of the rig has, with the environment of this process and
+// an empty standard output.
 func (r *Rig) Start(name, program string, args ...string) (*Process, error) {
+	if err := os.Remove(filepath.Join(r.dir, name+".out")); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return nil, err
+	}
+	return r.StartWith(nil, name, program, args...)
+}
+
+// StartWith starts a program with an environment of its own. Its standard output is added to <name>.out and its standard
+// error to <name>.log.
+func (r *Rig) StartWith(env []string, name, program string, args ...string) (*Process, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if p, ok := r.processes[name]; ok && p.Running() {
@@ -72,12 +81,13 @@
 		return nil, err
 	}
 	defer func() { _ = log.Close() }()
-	out, err := os.Create(p.out)
+	out, err := os.OpenFile(p.out, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, err
 	}
 	defer func() { _ = out.Close() }()
 	p.cmd = exec.Command(filepath.Join(r.bin, program), args...)
+	p.cmd.Env = env
 	p.cmd.Stdout = out
 	p.cmd.Stderr = log
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -98,7 +108,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = r.Start(name, p.program, p.cmd.Args[1:]...)
+	_, err = r.StartWith(p.cmd.Env, name, p.program, p.cmd.Args[1:]...)
 	return err
 }
 
--- a/standin/objects/objects.go
+++ b/standin/objects/objects.go
@@ -21,7 +21,7 @@
 	"time"
 )
 
-// lateBy is how long after its call a late write is carried out.
+// lateBy is how long after its call a late write is carried out unless the fault says otherwise.
 const lateBy = 100 * time.Millisecond
 
 // Fault says how the store misbehaves.
@@ -30,6 +30,7 @@
 	Silent bool // every call gets no answer
 	Lose   int  // so many writes take effect without an answer
 	Late   int  // so many writes get no answer and are carried out later
+	LateBy time.Duration
 }
 
 type object struct {
@@ -283,7 +284,10 @@
 
 func (s *Store) write(w http.ResponseWriter, r *http.Request, kind string, rest []string, in object) {
 	s.mu.Lock()
-	lose, late := s.fault.Lose > 0, s.fault.Late > 0
+	lose, late, by := s.fault.Lose > 0, s.fault.Late > 0, s.fault.LateBy
+	if by == 0 {
+		by = lateBy
+	}
 	if lose {
 		s.fault.Lose--
 	}
@@ -292,7 +296,7 @@
 	}
 	s.mu.Unlock()
 	if late {
-		time.AfterFunc(lateBy, func() { s.apply(r, kind, rest, in) })
+		time.AfterFunc(by, func() { s.apply(r, kind, rest, in) })
 		<-r.Context().Done()
 		return
 	}
--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -6,7 +6,7 @@
 //	go func() { _ = web.Serve(ctx, "127.0.0.1:7501", r) }() // /control and /counts
 //	err := r.Run(ctx, listener)
 //
-// A silent connection stays open and drops every byte of both directions.
+// A silent connection stays open and drops every byte of one direction or both.
 package relay
 
 import (
@@ -31,6 +31,8 @@
 const (
 	All      = "all"
 	Existing = "existing"
+	Up       = "up"   // only what goes to the target, of all connections
+	Down     = "down" // only what comes from the target, of all connections
 )
 
 // Relay connects each connection that it accepts to one address.
@@ -41,16 +43,35 @@
 
 	mu     sync.Mutex
 	pairs  map[*pair]bool
-	silent bool // for new connections
+	silent string // kind of silence of new connections, empty for none
 	counts report.RelayCounts
 }
 
 type pair struct {
-	near   net.Conn
-	far    net.Conn
+	near net.Conn
+	far  net.Conn
+	up   direction
+	down direction
+}
+
+// direction is one way of a connection.
+type direction struct {
 	silent atomic.Bool
 }
 
+// silence makes a connection silent; it stays so.
+func (p *pair) silence(kind string) {
+	if kind == "" {
+		return
+	}
+	if kind != Down {
+		p.up.silent.Store(true)
+	}
+	if kind != Up {
+		p.down.silent.Store(true)
+	}
+}
+
 // New returns a relay to an address.
 func New(to string) *Relay {
 	return &Relay{to: to, pairs: map[*pair]bool{}}
@@ -111,9 +132,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if c.Silent != nil {
-		r.silent = *c.Silent == All
+		r.silent = *c.Silent
+		if r.silent == Existing {
+			r.silent = ""
+		}
 		for p := range r.pairs {
-			p.silent.Store(p.silent.Load() || *c.Silent != "")
+			p.silence(*c.Silent)
 		}
 	}
 	if c.Up != nil {
@@ -142,13 +166,13 @@
 	}
 	p := &pair{near: near, far: far}
 	r.mu.Lock()
-	p.silent.Store(r.silent)
+	p.silence(r.silent)
 	r.pairs[p] = true
 	r.counts.Total++
 	r.mu.Unlock()
 	var g sync.WaitGroup
-	g.Go(func() { r.pump(p, near, far, &r.up, &r.counts.Up) })
-	g.Go(func() { r.pump(p, far, near, &r.down, &r.counts.Down) })
+	g.Go(func() { r.pump(p, &p.up, near, far, &r.up, &r.counts.Up) })
+	g.Go(func() { r.pump(p, &p.down, far, near, &r.down, &r.counts.Down) })
 	g.Wait()
 	r.mu.Lock()
 	delete(r.pairs, p)
@@ -162,20 +186,20 @@
 }
 
 // pump passes bytes on until one side ends, and then closes both.
-func (r *Relay) pump(p *pair, from, to net.Conn, delay *atomic.Int64, count *int64) {
+func (r *Relay) pump(p *pair, d *direction, from, to net.Conn, delay *atomic.Int64, count *int64) {
 	queue := make(chan late, queueLength)
 	var g sync.WaitGroup
 	g.Go(func() {
 		for b := range queue {
 			time.Sleep(time.Until(b.due))
-			if p.silent.Load() {
+			if d.silent.Load() {
 				continue
 			}
 			if _, err := to.Write(b.data); err != nil {
 				p.close()
 			}
 		}
-		if !p.silent.Load() {
+		if !d.silent.Load() {
 			p.close()
 		}
 	})
@@ -183,7 +207,7 @@
 		b := make([]byte, bufferSize)
 		n, err := from.Read(b)
 		if n > 0 {
-			r.add(p, count, int64(n))
+			r.add(d, count, int64(n))
 			queue <- late{due: time.Now().Add(time.Duration(delay.Load()) * time.Millisecond), data: b[:n]}
 		}
 		if err != nil {
@@ -194,10 +218,10 @@
 	g.Wait()
 }
 
-func (r *Relay) add(p *pair, count *int64, n int64) {
+func (r *Relay) add(d *direction, count *int64, n int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if p.silent.Load() {
+	if d.silent.Load() {
 		r.counts.Silent += n
 		return
 	}
--- a/standin/report/report.go
+++ b/standin/report/report.go
@@ -124,7 +124,7 @@
 
 // RelayControl changes what a relay does to its connections.
 type RelayControl struct {
-	Silent *string `json:"silent,omitempty"` // "all" or "existing" connections drop every byte; "" ends it for new ones
+	Silent *string `json:"silent,omitempty"` // "all" or "existing" connections drop every byte, "up" or "down" all of one way; "" ends it for new ones
 	Cut    bool    `json:"cut,omitempty"`    // closes all connections
 	Up     *int64  `json:"up,omitempty"`     // milliseconds that bytes to the target are late
 	Down   *int64  `json:"down,omitempty"`   // milliseconds that bytes from the target are late
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -722,7 +722,10 @@
 	// Kind of the objects.
 	Kind string `json:"kind"`
 
-	// Changed objects.
+	// Revision of the newest change of the kind that the sender knows.
+	Newest int64 `json:"newest"`
+
+	// Changed objects; none to tell only that the sender reads.
 	Records []StoreRecord `json:"records"`
 }
 
