Explain a request from logs, and check the platform's settings

Cause: on-call engineers have logs only, and the way from an id to its cause was a grep over all files and a search by hand for what changed around it. bulrushctl could not read the settings that the platform gives an instance.

Invalid settings of the platform end the programs with 78, as those of our own do, not with 1.

Ruled out: a server that collects lines; the logs of the platform are files.

--- a/ctl/internal/cli/cli.go
+++ b/ctl/internal/cli/cli.go
@@ -18,6 +18,7 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"bulrushspoke/internal/node"
 	"bulrushspoke/internal/settings"
 	"bulrushspoke/wire"
 )
@@ -83,7 +84,7 @@
 func commands(a *app) []command {
 	return []command{
 		{
-			"check", "Check settings and profile files", "Needs no entry.\n\n" +
+			"check", "Check settings and profile files", "Needs no entry. A file that is no JSON is taken for the settings that the platform gives an instance.\n\n" +
 				"Example: bulrushctl check examples/ramdin/entry.json examples/ramdin/profiles.json",
 			&check{app: a},
 		},
@@ -118,8 +119,10 @@
 		},
 		{
 			"explain", "Tell what became of a request", "ID is the answer's header Bulrush-Request. Only the entry that " +
-				"served the request knows it.\n\n" +
-				"Example: bulrushctl explain 01JZ8Q4T1V9K5R2N7M3X6W0YBC",
+				"served the request knows it. With --log the answer comes from the logs of instances: lines of the request, item or " +
+				"job are marked by a star, between those of the time around it that changed what the instance believed.\n\n" +
+				"Example: bulrushctl explain 01JZ8Q4T1V9K5R2N7M3X6W0YBC\n" +
+				"Example: bulrushctl explain 8e3d8ec4a2be1cf9 --log front-1.log --log front-2.log",
 			&explain{app: a},
 		},
 		{
@@ -134,6 +137,7 @@
 	var usage *flags.Error
 	var exit *exitError
 	var invalid *settings.Error
+	var malformed *node.Error
 	switch {
 	case err == nil:
 		return 0
@@ -147,7 +151,7 @@
 		return exitUsage
 	case errors.As(err, &exit):
 		return exit.status
-	case errors.As(err, &invalid):
+	case errors.As(err, &invalid), errors.As(err, &malformed):
 		return settings.ExitCode
 	}
 	return exitFailed
--- a/ctl/internal/cli/config.go
+++ b/ctl/internal/cli/config.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -17,6 +18,7 @@
 	"bulrushspoke/internal/profile"
 	"bulrushspoke/internal/schema"
 	"bulrushspoke/internal/settings"
+	"bulrushspoke/platform"
 	"bulrushspoke/wire"
 )
 
@@ -25,7 +27,7 @@
 
 type check struct {
 	app  *app
-	Kind string `long:"kind" choice:"entry" choice:"daemon" choice:"profiles" description:"kind of the files; by default it is told from their content"`
+	Kind string `long:"kind" choice:"entry" choice:"daemon" choice:"profiles" choice:"instance" description:"kind of the files; by default it is told from their content"`
 	Args struct {
 		Files []string `positional-arg-name:"FILE" required:"1"`
 	} `positional-args:"yes" required:"yes"`
@@ -79,7 +81,9 @@
 // kindOf tells the kind of a file from its fields.
 func kindOf(text []byte) string {
 	var fields map[string]json.RawMessage
-	_ = json.Unmarshal(text, &fields) // a file that is no JSON is found invalid as any kind
+	if json.Unmarshal(text, &fields) != nil && !bytes.HasPrefix(bytes.TrimSpace(text), []byte("{")) {
+		return "instance"
+	}
 	if _, ok := fields["profiles"]; ok {
 		return "profiles"
 	}
@@ -97,6 +101,9 @@
 		return err
 	case "daemon":
 		return settings.Parse(text, schema.Daemon, &v)
+	case "instance":
+		_, err := platform.DecodeSettings(text)
+		return err
 	}
 	return settings.Parse(text, schema.Entry, &v)
 }
--- a/ctl/internal/cli/fleet.go
+++ b/ctl/internal/cli/fleet.go
@@ -8,6 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"bulrushspoke/ctl/internal/logs"
 	"bulrushspoke/wire"
 )
 
@@ -71,6 +72,7 @@
 
 type explain struct {
 	app  *app
+	Logs []string `long:"log" short:"l" value-name:"FILE" description:"log of an instance, in place of asking an entry; may be repeated"`
 	Args struct {
 		ID string `positional-arg-name:"ID" description:"request identifier"`
 	} `positional-args:"yes" required:"yes"`
@@ -78,6 +80,9 @@
 
 // Execute implements flags.Commander.
 func (c *explain) Execute([]string) error {
+	if len(c.Logs) > 0 {
+		return c.fromLogs()
+	}
 	var t wire.Trace
 	if err := c.app.get("/v1/explain/"+segment(c.Args.ID), &t); err != nil {
 		return err
@@ -93,6 +98,26 @@
 	})
 }
 
+// fromLogs prints the lines of logs that tell what became of a request, item or job.
+func (c *explain) fromLogs() error {
+	lines, err := logs.Find(c.Logs, c.Args.ID)
+	if err != nil {
+		return err
+	}
+	if len(lines) == 0 {
+		return &exitError{status: exitAbsent, text: "no line of the logs names " + c.Args.ID}
+	}
+	return c.app.print(lines, "\tTIME\tINSTANCE\tEVENT\tWHAT\tDETAILS", func(w io.Writer) {
+		for _, l := range lines {
+			mark := " "
+			if l.Own {
+				mark = "*"
+			}
+			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%s\n", mark, l.Time.UTC().Format("15:04:05.000"), l.Name, l.Event, l.Text, l)
+		}
+	})
+}
+
 // spans lists versions by token segment as the header Bulrush-Versions does.
 func spans(l []wire.Span) string {
 	parts := make([]string, len(l))
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -22,6 +22,7 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"bulrushspoke/internal/node"
 	"bulrushspoke/internal/settings"
 )
 
@@ -139,7 +140,8 @@
 func fail(err error, errs io.Writer) int {
 	_, _ = fmt.Fprintln(errs, err)
 	var invalid *settings.Error
-	if errors.As(err, &invalid) {
+	var malformed *node.Error
+	if errors.As(err, &invalid) || errors.As(err, &malformed) {
 		return settings.ExitCode
 	}
 	return exitFailed
--- a/scenario/soak/trainer.go
+++ b/scenario/soak/trainer.go
@@ -166,6 +166,9 @@
 			t.keep(b, groups)
 			return true
 		}
+		if next == len(b.Items) {
+			return false // items were given up
+		}
 		if t.random.IntN(3) == 0 {
 			t.body(ctx, b)
 		}
