--- a/scenario/soak/fault.go
+++ b/scenario/soak/fault.go
@@ -24,7 +24,7 @@
 	downLeast = 200 * time.Millisecond
 	downMost  = 2 * time.Second
 	faultMost = 4 * time.Second
-	drainTime = 2500 * time.Millisecond // between the entry that says so and the end of a server
+	lingers   = 1500 * time.Millisecond // of a server that has drained
 	linkDelay = 300                     // milliseconds
 	lateMost  = 3 * time.Second         // of a write that is carried out late
 )
@@ -177,16 +177,17 @@
 // replace announces that a server leaves, ends it and starts another one at its address.
 func (w *world) replace(ctx context.Context) {
 	s := w.servers[w.draw(len(w.servers))]
+	silent := w.draw(2) == 0
 	s.mu.Lock()
-	s.draining = true
+	s.draining, s.unlisted = true, silent
 	id := s.id
 	s.mu.Unlock()
-	s.publish()
-	if w.draw(2) == 0 {
-		// Some servers leave without a word.
+	if silent {
 		w.objects.Remove(platformtest.Servers, id)
 	}
-	pause(ctx, drainTime)
+	s.publish()
+	w.ledger.drains(id, time.Now())
+	pause(ctx, drainLag+lingers)
 	s.crash()
 	w.objects.Remove(platformtest.Servers, id)
 	pause(ctx, downLeast)
--- a/scenario/soak/server.go
+++ b/scenario/soak/server.go
@@ -61,6 +61,7 @@
 	starts   int
 	up       bool
 	draining bool
+	unlisted bool // it leaves without a word: its entry is gone although it serves
 	behaves  behaviour
 	versions map[string]int
 	orders   int64
@@ -79,7 +80,7 @@
 	s.mu.Lock()
 	s.starts++
 	s.id, s.born = fmt.Sprintf("%s-%s-%d", s.service, strings.ReplaceAll(s.address, ":", "-"), s.starts), now.UnixMilli()
-	s.up, s.draining, s.orders, s.fence, s.loading, s.running = true, false, 0, 0, "", 0
+	s.up, s.draining, s.unlisted, s.orders, s.fence, s.loading, s.running = true, false, false, 0, 0, "", 0
 	s.http = &http.Server{Handler: s, ReadHeaderTimeout: time.Minute, ErrorLog: silent}
 	h := s.http
 	s.mu.Unlock()
@@ -103,7 +104,7 @@
 func (s *server) publish() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.up {
+	if s.up && !s.unlisted {
 		s.world.objects.Put(platformtest.Servers, s.id, platformtest.EncodeServer(catalog.Server{
 			Service: s.service, Address: s.address, Domain: s.domain, Slots: s.slots(), Draining: s.draining, Born: s.born,
 			Versions: s.versions,
@@ -170,10 +171,10 @@
 	s.count(1)
 	defer s.count(-1)
 	if s.engine {
-		s.generate(w, r, asked, body, b)
+		s.generate(w, r, asked, id, body, b)
 		return
 	}
-	s.plain(w, r, asked, body, b)
+	s.plain(w, r, asked, id, body, b)
 }
 
 func (s *server) count(n int) {
@@ -183,7 +184,7 @@
 }
 
 // plain serves a request of a plain service.
-func (s *server) plain(w http.ResponseWriter, r *http.Request, asked platformtest.Told, body []byte, b behaviour) {
+func (s *server) plain(w http.ResponseWriter, r *http.Request, asked platformtest.Told, id string, body []byte, b behaviour) {
 	work := plainWork
 	if strings.HasSuffix(r.URL.Path, "/long") {
 		work = longWork
@@ -191,7 +192,7 @@
 	if b == slow {
 		work *= 5
 	}
-	run := s.world.ledger.ran(asked.ID, s.service, r.Method+" "+r.URL.RequestURI(), string(body), time.Now())
+	run := s.world.ledger.ran(asked.ID, id, s.service, r.Method+" "+r.URL.RequestURI(), string(body), time.Now())
 	answer := fmt.Sprintf("%s run %d by %s ", asked.ID, run, s.service)
 	answer += strings.Repeat("x", max(plainBody-len(answer), 0))
 	if !pause(r.Context(), work) {
@@ -239,10 +240,9 @@
 }
 
 // generate streams an item; its path ends with the model and the number of events.
-func (s *server) generate(w http.ResponseWriter, r *http.Request, asked platformtest.Told, body []byte, b behaviour) {
+func (s *server) generate(w http.ResponseWriter, r *http.Request, asked platformtest.Told, id string, body []byte, b behaviour) {
 	model, length := itemOf(r.URL.Path)
-	now := time.Now()
-	s.world.ledger.began(asked.ID, r.URL.Path, string(body), now)
+	s.world.ledger.began(asked.ID, id, r.URL.Path, string(body), time.Now())
 	platformtest.Answer(w.Header(), call.Answer{ID: asked.ID, Signed: true})
 	if b == failing {
 		s.world.ledger.failed(asked.ID)
--- a/scenario/soak/soak_test.go
+++ b/scenario/soak/soak_test.go
@@ -88,26 +88,36 @@
 	}{
 		{"TWICE", func(l *ledger) {
 			asked(l, true)
-			l.ran("q", "cards", "POST /safe/q", "b", now)
-			l.ran("q", "cards", "POST /safe/q", "b", now)
+			l.ran("q", "s", "cards", "POST /safe/q", "b", now)
+			l.ran("q", "s", "cards", "POST /safe/q", "b", now)
 		}},
 		{"BUDGET", func(l *ledger) {
 			asked(l, false)
 			for range plainAttempts + 1 {
-				l.ran("q", "cards", "POST /safe/q", "b", now)
+				l.ran("q", "s", "cards", "POST /safe/q", "b", now)
 			}
 		}},
-		{"UNASKED", func(l *ledger) { l.ran("other", "cards", "POST /safe/q", "b", now) }},
-		{"UNASKED", func(l *ledger) { asked(l, false); l.ran("q", "cards", "POST /safe/r", "b", now) }},
-		{"UNASKED", func(l *ledger) { l.began("i", "/items-of/m/2", "x", now) }},
+		{"UNASKED", func(l *ledger) { l.ran("other", "s", "cards", "POST /safe/q", "b", now) }},
+		{"UNASKED", func(l *ledger) { asked(l, false); l.ran("q", "s", "cards", "POST /safe/r", "b", now) }},
+		{"UNASKED", func(l *ledger) { l.began("i", "s", "/items-of/m/2", "x", now) }},
 		{"UNASKED", func(l *ledger) {
 			l.ended(accepted(l), now.Add(-2*cancelLag))
-			l.began("i", "/items-of/m/2", "x", now)
+			l.began("i", "s", "/items-of/m/2", "x", now)
+		}},
+		{"ROUTE", func(l *ledger) { asked(l, false); l.ran("q", "s", "tables", "POST /safe/q", "b", now) }},
+		{"DRAIN", func(l *ledger) {
+			asked(l, true)
+			l.drains("s", now.Add(-2*drainLag))
+			l.ran("q", "s", "cards", "POST /safe/q", "b", now)
+		}},
+		{"DRAIN", func(l *ledger) {
+			accepted(l)
+			l.drains("s", now.Add(-2*drainLag))
+			l.began("i", "s", "/items-of/m/2", "x", now)
 		}},
-		{"ROUTE", func(l *ledger) { asked(l, false); l.ran("q", "tables", "POST /safe/q", "b", now) }},
 		{"REFUSED", func(l *ledger) {
 			q := asked(l, true)
-			l.ran("q", "cards", "POST /safe/q", "b", now)
+			l.ran("q", "s", "cards", "POST /safe/q", "b", now)
 			l.got(q, 503, false, "")
 		}},
 		{"REFUSED", func(l *ledger) {
@@ -175,7 +185,7 @@
 			for i := range 4 {
 				q := &request{id: fmt.Sprint(i), line: "POST /safe/q", body: "b", route: "safe", sent: now}
 				l.asks(q)
-				l.ran(q.id, "cards", "POST /safe/q", "b", now)
+				l.ran(q.id, "s", "cards", "POST /safe/q", "b", now)
 				l.leaves(q, now)
 				l.abandoned(q.id, now.Add(2*goneLag))
 			}
