Rely on one reader of the store, and list at once what completes a step

Daemons read the list of servers at each naming of any model. A record that completes what a trainer waits for waited for others.

Change: an entry that hears the reader watches every ten seconds. The reader tells something after each call, with the revision that it knew before, in one message; an entry that has missed something watches at once, and one that hears nobody for three quarters of the deployment's bound (drain_ms, config_ms) reads by itself. A reader whose calls fail tells that it goes on trying, so an outage no longer makes every entry try. Daemons look at the servers when a version of their own model is named.

--- a/daemon/internal/rollout/rollout.go
+++ b/daemon/internal/rollout/rollout.go
@@ -88,7 +88,7 @@
 	for ctx.Err() == nil {
 		changed := r.Catalog.Changed()
 		named := r.Catalog.Versions()
-		if newest := highest(named); newest != seen {
+		if newest := r.concerns(named); newest != seen {
 			r.look(ctx)
 			seen = newest
 		}
@@ -115,6 +115,17 @@
 	return n
 }
 
+// concerns returns the highest revision of the versions that this engine may have to load: those of its model, or all
+// while it is for none.
+func (r *Rollout) concerns(named []catalog.Version) int64 {
+	for _, v := range named {
+		if v.Model == r.model {
+			return v.Revision
+		}
+	}
+	return highest(named)
+}
+
 // look reads the list of servers, which decides which models this engine is for.
 func (r *Rollout) look(ctx context.Context) {
 	list, err := r.Servers(ctx)
--- a/entry/internal/batch/list.go
+++ b/entry/internal/batch/list.go
@@ -41,7 +41,7 @@
 		if len(l.job.listable()) == 0 {
 			continue
 		}
-		sleep.For(ctx, gather)
+		l.gather(ctx)
 		for ctx.Err() == nil {
 			batch := l.job.listable()
 			if len(batch) == 0 {
@@ -54,6 +54,44 @@
 	}
 }
 
+// gather waits for more results, unless those that there are complete what the trainer waits for.
+func (l *lister) gather(ctx context.Context) {
+	t := time.NewTimer(gather)
+	defer t.Stop()
+	for {
+		if whole, listed, want := l.job.progress(); whole >= want && listed < want {
+			return
+		}
+		select {
+		case <-l.wake:
+		case <-t.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// progress returns how many groups are whole, how many of them are listed, and how many the trainer waits for.
+func (j *Job) progress() (whole, listed, want int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	open, unlisted := make(map[string]bool), make(map[string]bool)
+	for _, it := range j.items {
+		open[it.Group] = open[it.Group] || !it.done
+		unlisted[it.Group] = unlisted[it.Group] || !it.listed
+	}
+	for g := range open {
+		if !open[g] {
+			whole++
+		}
+		if !unlisted[g] {
+			listed++
+		}
+	}
+	return whole, listed, min(j.spec.Groups, len(open))
+}
+
 // listable returns the results of whole groups that are to be listed next.
 func (j *Job) listable() []job.Result {
 	j.mu.Lock()
--- a/entry/internal/batch/rig_test.go
+++ b/entry/internal/batch/rig_test.go
@@ -309,9 +309,13 @@
 	r.mesh.cut[name] = cut
 }
 
-// payload returns a submission with the given items, each in the group before the dash of its id.
-func payload(minVersion int, ids ...string) []byte {
-	j := job.Job{Step: 1, Model: "m", MinVersion: minVersion, Groups: 1}
+// payload returns a submission with the given items, each in the group before the dash of its id, of which the trainer
+// waits for one.
+func payload(minVersion int, ids ...string) []byte { return payloadFor(1, minVersion, ids...) }
+
+// payloadFor returns the same of a trainer that waits for a number of groups.
+func payloadFor(groups, minVersion int, ids ...string) []byte {
+	j := job.Job{Step: 1, Model: "m", MinVersion: minVersion, Groups: groups}
 	for _, id := range ids {
 		group, _, _ := strings.Cut(id, "-")
 		j.Items = append(j.Items, job.Item{ID: id, Path: "/p/" + id, Body: []byte("body of " + id), Tokens: 10, Group: group})
--- a/entry/internal/cli/platform.go
+++ b/entry/internal/cli/platform.go
@@ -239,8 +239,11 @@
 	p.task("entries", p.peers.Serve)
 	p.task("membership", member.New(s.Name, self, p.store, p.peers, p.logger).Run)
 	feeder, now := platform.NewFeeder(p.catalog, p.logger), time.Now()
-	p.follow(objects, relay.Spread(feeder.Fill(catalog.Feed{Kind: platform.KindConfig}), s.Name, p.peers, now))
-	p.follow(objects, relay.Spread(feeder.Fill(catalog.Feed{Kind: platform.KindServers}), s.Name, p.peers, now))
+	for kind, bound := range map[string]time.Duration{
+		platform.KindConfig: s.Bounds.Config, platform.KindServers: s.Bounds.Drain,
+	} {
+		p.follow(objects, relay.Spread(feeder.Fill(catalog.Feed{Kind: kind}), s.Name, bound, p.peers, now))
+	}
 	return nil
 }
 
--- a/entry/internal/relay/news.go
+++ b/entry/internal/relay/news.go
@@ -14,17 +14,20 @@
 const (
 	// settleReader is the pause between two watches of the entry that passes changes on to the others.
 	settleReader = 150 * time.Millisecond
-	// settleOthers is that of the others. They watch the store too, since the reader may be cut off without knowing it;
-	// a leaving server must get no new requests after a bound of two seconds and more.
-	settleOthers = time.Second
-	// waitReader bounds a watch of the entry that passes changes on: if the store loses the answer to it, the others wait
-	// for the change as long. News must be everywhere within two seconds and more.
-	waitReader = 1500 * time.Millisecond
-	// waitOthers is that of the others, which learn of changes from the reader too.
+	// settleOthers is that of the others, unless they learn that they have missed something: a watch each costs more than
+	// a message each.
+	settleOthers = 10 * time.Second
+	// waitOthers bounds their watches; the store allows 30 s.
 	waitOthers = 25 * time.Second
-	// silentReader is how long an entry relies on readers that it does not hear: they tell something after each of their
-	// watches, and one message may be lost.
-	silentReader = 2*(waitReader+settleReader) + 200*time.Millisecond
+	// silentShare is the part of the time in which news must be everywhere after which an entry that hears no reader
+	// reads by itself. The rest is for its call.
+	silentShare = 0.75
+	// spareWait is what a reader's watch leaves of that time for its answer and the message.
+	spareWait = 200 * time.Millisecond
+	// leastWait is the shortest watch of a reader, whatever the bound.
+	leastWait = 300 * time.Millisecond
+	// usualBound is assumed for a deployment that sets no bound.
+	usualBound = 2500 * time.Millisecond
 )
 
 // Broadcaster reaches all other entries.
@@ -34,23 +37,39 @@
 	Tell(kind string, body any)
 }
 
-// Spread makes one entry pass the changes of a feed on to the others, so that these can watch the store less often. The
-// reader also tells how far it is. An entry that misses something, since a message or the answer to its own watch was
-// lost, watches again at once; one that hears no reader reads like one.
-func Spread(f catalog.Feed, self string, b Broadcaster, now time.Time) catalog.Feed {
-	s := &spreader{feed: f, self: self, peers: b, heard: now, renew: make(chan struct{}, 1)}
-	s.silence = time.AfterFunc(silentReader, s.again)
-	f.Replace, f.Apply, f.Heard, f.Settle, f.Wait, f.Renew = s.replace, s.apply, s.reached, s.settle, s.wait, s.renew
+// Spread makes one entry pass the changes of a feed on to the others within a bound, so that these need not watch the
+// store. The reader tells something after each of its calls, also if there is no news. An entry that misses something,
+// since a message was lost, watches at once; one that hears no reader reads like one.
+//
+// It answers a load in which each change would otherwise cost one call for each entry.
+func Spread(f catalog.Feed, self string, bound time.Duration, b Broadcaster, now time.Time) catalog.Feed {
+	if bound <= 0 {
+		bound = usualBound
+	}
+	silent := time.Duration(silentShare * float64(bound))
+	s := &spreader{
+		feed: f, self: self, peers: b, heard: now, renew: make(chan struct{}, 1), silent: silent,
+		short: max(silent-settleReader-spareWait, leastWait),
+	}
+	s.silence = time.AfterFunc(silent, s.again)
+	f.Replace, f.Apply, f.Heard, f.Failed = s.replace, s.apply, s.reached, s.failed
+	f.Settle, f.Wait, f.Renew = s.settle, s.wait, s.renew
 	b.Handle(s.kind(), s.told)
 	return f
 }
 
 // spreader is one feed of one entry.
 type spreader struct {
-	feed  catalog.Feed // as it was without spreading
-	self  string
-	peers Broadcaster
-	renew chan struct{}
+	feed   catalog.Feed // as it was without spreading
+	self   string
+	peers  Broadcaster
+	renew  chan struct{}
+	silent time.Duration // after which a reader is not relied on
+	short  time.Duration // longest watch of a reader
+
+	// Used by the task that reads the store only.
+	changes []wire.StoreRecord // not told yet
+	before  int64              // newest change that was told
 
 	mu      sync.Mutex
 	newest  int64 // revision of the newest change known
@@ -58,7 +77,6 @@
 	heard   time.Time
 	silence *time.Timer // ends the reliance on readers
 	hurry   bool        // the next watch is to show quickly how far the store is
-	spoke   bool        // something was told since the last call of the store
 }
 
 func (s *spreader) kind() string { return link.News + " " + s.feed.Kind }
@@ -66,7 +84,7 @@
 // reads reports whether this entry reads for others, or for itself since it hears no reader.
 func (s *spreader) reads(now time.Time) bool {
 	s.mu.Lock()
-	silent := now.Sub(s.heard) >= silentReader
+	silent := now.Sub(s.heard) >= s.silent
 	s.mu.Unlock()
 	if silent {
 		return true
@@ -86,45 +104,44 @@
 	s.newest, s.seen = max(s.newest, revision), max(s.seen, revision)
 }
 
-// replace takes a list. The changes that it stands for were not told.
+// replace takes a list. What it stands for was not told, and objects that are gone do not show in it.
 func (s *spreader) replace(list []store.Record, revision int64, now time.Time) {
 	s.feed.Replace(list, revision, now)
-	records := make([]wire.StoreRecord, 0, len(list))
 	for _, r := range list {
 		s.know(r.Revision)
-		records = append(records, ToWire(store.Change{Record: r}))
-	}
-	if s.reads(now) {
-		s.tell(records)
+		s.changes = append(s.changes, ToWire(store.Change{Record: r}))
 	}
+	s.before = revision
 }
 
 // apply takes a change that this entry has read itself.
 func (s *spreader) apply(c store.Change, now time.Time) {
 	s.feed.Apply(c, now)
 	s.know(c.Revision)
-	if s.reads(now) {
-		s.tell([]wire.StoreRecord{ToWire(c)})
-	}
+	s.changes = append(s.changes, ToWire(c))
 }
 
-func (s *spreader) tell(records []wire.StoreRecord) {
+// reached notes that a call has brought everything up to a revision, and tells the others if it is for them.
+func (s *spreader) reached(revision int64, now time.Time) {
 	s.mu.Lock()
-	s.spoke = true
+	s.seen, s.hurry = max(s.seen, revision), false
 	newest := s.newest
 	s.mu.Unlock()
-	s.peers.Tell(s.kind(), wire.News{Kind: s.feed.Kind, Records: records, Newest: newest})
+	n := wire.News{Kind: s.feed.Kind, Records: s.changes, Prev: s.before}
+	if len(n.Records) == 0 {
+		n.Records, n.Prev = []wire.StoreRecord{}, newest
+	}
+	s.changes, s.before = nil, newest
+	if s.reads(now) {
+		s.peers.Tell(s.kind(), n)
+	}
 }
 
-// reached notes that a call has brought everything up to a revision.
-func (s *spreader) reached(revision int64, now time.Time) {
-	s.mu.Lock()
-	s.seen, s.hurry = max(s.seen, revision), false
-	spoke := s.spoke
-	s.spoke = false
-	s.mu.Unlock()
-	if !spoke && s.reads(now) {
-		s.tell([]wire.StoreRecord{})
+// failed tells the others that this entry goes on trying, so that they need not try too: its calls have gone through other
+// entries before they count as failed.
+func (s *spreader) failed(now time.Time) {
+	if s.reads(now) {
+		s.peers.Tell(s.kind(), wire.News{Kind: s.feed.Kind, Records: []wire.StoreRecord{}})
 	}
 }
 
@@ -140,7 +157,7 @@
 	hurry := s.hurry
 	s.mu.Unlock()
 	if hurry || s.reads(time.Now()) {
-		return waitReader
+		return s.short
 	}
 	return waitOthers
 }
@@ -166,6 +183,9 @@
 		return "", nil, nil
 	}
 	now := time.Now()
+	s.mu.Lock()
+	behind := n.Prev > s.seen && !s.hurry
+	s.mu.Unlock()
 	for _, w := range n.Records {
 		c := FromWire(w)
 		s.feed.Apply(c, now)
@@ -173,8 +193,7 @@
 	}
 	s.mu.Lock()
 	s.heard = now
-	s.silence.Reset(silentReader)
-	behind := n.Newest > s.seen && !s.hurry
+	s.silence.Reset(s.silent)
 	s.mu.Unlock()
 	if behind {
 		s.again()
--- a/entry/internal/relay/news_test.go
+++ b/entry/internal/relay/news_test.go
@@ -10,7 +10,6 @@
 	"bulrushspoke/internal/catalog"
 	"bulrushspoke/internal/link"
 	"bulrushspoke/internal/store"
-	"bulrushspoke/wire"
 )
 
 // member is one of several entries; what they tell reaches the others unless the message is lost.
@@ -51,71 +50,107 @@
 	}
 }
 
+// bound is the time in which news must be everywhere.
+const bound = 2500 * time.Millisecond
+
 func feedOf(self string, m *member, now time.Time) catalog.Feed {
 	return Spread(catalog.Feed{
 		Kind:    "config",
 		Replace: func([]store.Record, int64, time.Time) {},
 		Apply:   func(store.Change, time.Time) {},
-	}, self, m, now)
+	}, self, bound, m, now)
+}
+
+// read makes a feed take a change as from a watch.
+func read(f catalog.Feed, revision int64, now time.Time) {
+	f.Apply(store.Change{Record: store.Record{Name: "main", Revision: revision}}, now)
+	f.Heard(revision, now)
 }
 
 // Guards against an entry that misses a change for as long as its own watch hangs: the reader told of it while their link
 // was broken, and the store's answer to the watch is lost.
 func TestMissedNews(t *testing.T) {
-	now := time.Now()
-	second := &member{others: []string{"a"}}
-	first := &member{others: []string{"b"}, to: []*member{second}}
-	a, b := feedOf("a", first, now), feedOf("b", second, now)
-	change := func(revision int64) {
-		a.Apply(store.Change{Record: store.Record{Name: "main", Revision: revision}}, now)
+	for name, next := range map[string]func(a catalog.Feed, now time.Time){
+		"nothing follows":  func(a catalog.Feed, now time.Time) { a.Heard(8, now) },
+		"a change follows": func(a catalog.Feed, now time.Time) { read(a, 9, now) },
+		"a list follows": func(a catalog.Feed, now time.Time) {
+			a.Replace([]store.Record{{Name: "main", Revision: 7}}, 9, now)
+			a.Heard(9, now)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Now()
+			second := &member{others: []string{"a"}}
+			first := &member{others: []string{"b"}, to: []*member{second}}
+			a, b := feedOf("a", first, now), feedOf("b", second, now)
+			read(a, 4, now)
+			a.Heard(5, now)
+			if renewed(b) {
+				t.Error("an entry that has heard of the change watches again")
+			}
+			first.lost = true
+			read(a, 7, now)
+			first.lost = false
+			next(a, now)
+			if !renewed(b) {
+				t.Fatal("an entry that has missed a change is not told so")
+			}
+			if b.Wait() > bound {
+				t.Errorf("the new watch may hang for %s", b.Wait())
+			}
+			a.Heard(10, now)
+			if renewed(b) {
+				t.Error("the watch is made again before it had an answer")
+			}
+			b.Heard(11, now)
+			if b.Wait() != waitOthers {
+				t.Errorf("after the answer a watch takes %s", b.Wait())
+			}
+			a.Heard(11, now)
+			read(a, 12, now)
+			if renewed(b) {
+				t.Error("an entry that is up to date watches again")
+			}
+		})
 	}
+}
 
-	change(4)
-	a.Heard(5, now)
-	if renewed(b) {
-		t.Error("an entry that has heard of the change watches again")
-	}
-	first.lost = true
-	change(7)
-	a.Heard(7, now)
-	first.lost = false
-	a.Heard(8, now)
-	if !renewed(b) {
-		t.Fatal("an entry that has missed a change is not told so")
+// Guards against news that are late at an entry whose reader has fallen silent: the time without a word, the call and its
+// answer must fit into the bound. Another entry may be linked that reads for nobody.
+func TestSilentReader(t *testing.T) {
+	now := time.Now()
+	m := &member{others: []string{"a"}}
+	f := feedOf("b", m, now)
+	if f.Wait() != waitOthers || f.Settle() != settleOthers {
+		t.Errorf("right after the start a watch takes %s, and the pause %s", f.Wait(), f.Settle())
 	}
-	if b.Wait() > waitReader {
-		t.Errorf("the new watch may hang for %s", b.Wait())
+	select {
+	case <-f.Renew:
+	case <-time.After(bound):
+		t.Fatal("an entry that hears no reader goes on to wait")
 	}
-	a.Heard(8, now)
-	if renewed(b) {
-		t.Error("the watch is made again before it had an answer")
+	if d := time.Since(now); d > bound-spareWait {
+		t.Errorf("it waited %s of %s", d, bound)
 	}
-	b.Heard(9, now)
-	if b.Wait() != waitOthers {
-		t.Errorf("after the answer a watch takes %s", b.Wait())
+	if f.Wait() > bound || f.Settle() != settleReader {
+		t.Errorf("without a reader a watch takes %s, and the pause %s", f.Wait(), f.Settle())
 	}
-	a.Heard(9, now)
-	if renewed(b) {
-		t.Error("an entry that is up to date watches again")
+	a := feedOf("a", &member{others: []string{"b"}, to: []*member{m}}, time.Now())
+	a.Failed(time.Now())
+	if f.Settle() != settleOthers {
+		t.Error("an entry tries by itself although the reader tells that it goes on trying")
 	}
 }
 
-// Guards against entries that wait for a reader who does not reach them: it is linked to another that reads for nobody.
-func TestUnheardReader(t *testing.T) {
-	long := time.Now().Add(-silentReader)
-	m := &member{others: []string{"a"}}
-	f := feedOf("b", m, long)
-	if f.Wait() != waitReader || f.Settle() != settleReader {
-		t.Errorf("without a reader a watch takes %s, and the pause %s", f.Wait(), f.Settle())
-	}
-	raw, err := cbor.Marshal(wire.News{Kind: "config", Records: []wire.StoreRecord{}})
-	if err != nil {
-		t.Fatal(err)
-	}
-	if _, _, err := m.handlers[link.News+" config"](t.Context(), link.Frame{Body: raw}); err != nil {
-		t.Fatal(err)
-	}
-	if f.Wait() != waitOthers {
-		t.Errorf("with a reader a watch takes %s", f.Wait())
+// Guards against a reader that is heard too seldom to be relied on, whatever the bound of the deployment.
+func TestReaderIsHeard(t *testing.T) {
+	for _, bound := range []time.Duration{0, time.Second, 1800 * time.Millisecond, 4 * time.Second} {
+		f := Spread(catalog.Feed{Kind: "config"}, "a", bound, &member{}, time.Now())
+		if bound == 0 {
+			bound = usualBound
+		}
+		if silent := time.Duration(silentShare * float64(bound)); f.Wait()+f.Settle() >= silent {
+			t.Errorf("bound %s: the reader speaks every %s, and is relied on for %s", bound, f.Wait()+f.Settle(), silent)
+		}
 	}
 }
--- a/entry/internal/relay/relay_test.go
+++ b/entry/internal/relay/relay_test.go
@@ -175,7 +175,7 @@
 			Kind:    "servers",
 			Replace: func([]store.Record, int64, time.Time) {},
 			Apply:   func(c store.Change, _ time.Time) { applied = append(applied, self+" "+c.Name) },
-		}, self, p, time.Now())
+		}, self, bound, p, time.Now())
 	}
 	first, second := &pair{names: []string{"b"}}, &pair{names: []string{"a"}}
 	a, b := feed("a", first), feed("b", second)
@@ -184,7 +184,9 @@
 	}
 	now := time.Now()
 	a.Apply(store.Change{Record: store.Record{Name: "s", Revision: 4}}, now)
+	a.Heard(4, now)
 	b.Apply(store.Change{Record: store.Record{Name: "t", Revision: 5}}, now)
+	b.Heard(5, now)
 	if len(first.told) != 1 || len(second.told) != 0 {
 		t.Fatalf("told %d and %d times, want 1 and 0", len(first.told), len(second.told))
 	}
@@ -207,6 +209,7 @@
 	}
 	now = time.Now()
 	a.Replace([]store.Record{{Name: "u", Revision: 9}}, 9, now)
+	a.Heard(9, now)
 	if len(first.told) != 2 {
 		t.Error("what a list brought after a lost history is not told")
 	}
--- a/internal/catalog/follow.go
+++ b/internal/catalog/follow.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"bulrushspoke/internal/event"
-	"bulrushspoke/internal/sleep"
 	"bulrushspoke/internal/store"
 )
 
@@ -42,6 +41,7 @@
 	Apply   func(c store.Change, now time.Time)
 	Heard   func(revision int64, now time.Time) // told after each call that brought everything up to a revision; may be nil
 	Renew   <-chan struct{}                     // makes a watch in progress be given up for a new one; may be nil
+	Failed  func(now time.Time)                 // told after each call that failed; may be nil
 	// Restored is told that the store answers again, before the first list after an outage is handed over.
 	Restored func(now time.Time)
 }
@@ -57,7 +57,7 @@
 				f.Heard(w.after, time.Now())
 			}
 			if f.Settle != nil {
-				sleep.For(ctx, f.Settle())
+				w.pause(ctx, f.Settle())
 			}
 			continue
 		}
@@ -72,7 +72,14 @@
 			continue
 		}
 		w.failed(err, time.Now())
-		sleep.For(ctx, w.delay)
+		if f.Failed != nil {
+			f.Failed(time.Now())
+		}
+		wait := w.delay
+		if w.after >= 0 && f.Settle != nil {
+			wait = max(wait, f.Settle()) // what is known stays in force
+		}
+		w.pause(ctx, wait)
 	}
 	return ctx.Err()
 }
@@ -114,6 +121,18 @@
 	return nil
 }
 
+// pause waits until the next call is due or to be made at once.
+func (w *follower) pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-w.feed.Renew:
+		event.WatchRenewed.Log(w.logger, "kind", w.feed.Kind, "revision", w.after)
+	case <-ctx.Done():
+	}
+}
+
 // errRenewed tells that a watch was given up for a new one.
 var errRenewed = errors.New("catalog: watch renewed")
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -54,6 +54,7 @@
 type Bounds struct {
 	Grace  time.Duration // between SIGTERM and SIGKILL
 	Status time.Duration // results stay readable this long after a job was submitted
+	Config time.Duration // a configuration is in force everywhere so long after it was written
 	Drain  time.Duration // a leaving server gets no request later than this after it announced it
 	Reuse  time.Duration // an address may belong to another server this long after its server ended
 }
--- a/scenario/soak/world.go
+++ b/scenario/soak/world.go
@@ -239,7 +239,7 @@
 		Name: name, Role: "keeper", Domain: "a", Region: "r", IP: w.ip(netProcess, n), Regions: map[string]string{"a": "r"},
 		Ports: node.Ports{First: portFirst, Last: portLast}, Memory: memory, Descriptors: descriptors, Beat: beat,
 		Store:  node.Store{Address: w.address(netStore, n, portStore), Value: 1 << 20, History: 20 * time.Second},
-		Bounds: node.Bounds{Grace: grace, Status: 2 * time.Minute, Drain: 2500 * time.Millisecond, Reuse: 2 * time.Second},
+		Bounds: node.Bounds{Grace: grace, Status: 2 * time.Minute, Drain: drainLag, Config: configLag, Reuse: 2 * time.Second},
 	}
 	relays := map[string][2]string{"store " + name: {s.Store.Address, w.address(netFront, n, portStore)}}
 	program := "bulrush-entry"
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -722,8 +722,9 @@
 	// Kind of the objects.
 	Kind string `json:"kind"`
 
-	// Revision of the newest change of the kind that the sender knows.
-	Newest int64 `json:"newest"`
+	// Revision of the newest change of the kind that the sender knew before; a
+	// receiver that does not know it has missed something.
+	Prev int64 `json:"prev"`
 
 	// Changed objects; none to tell only that the sender reads.
 	Records []StoreRecord `json:"records"`
