Correct the estimates of items that come again by what was seen

An item whose estimate is far too low starts last each time, though its length is known by then.

Change: a new job takes the lengths that its items had in the job before as their estimates; the median of estimate and length tells the tokens of an event.

--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -122,11 +122,38 @@
 	for _, p := range parts {
 		j.take(p)
 	}
+	var earlier []wire.JobPart
 	for id := range j.items {
 		if p, ok := j.manager.texts.get(id); ok {
+			earlier = append(earlier, p)
 			j.take(p)
 		}
 	}
+	j.correct(earlier)
+}
+
+// correct replaces the estimates of items that have run in an earlier job by the lengths seen there; the caller holds mu.
+//
+// It answers a step that waits for an item which its estimate makes out to be short: it would start last once more.
+// Estimates are right in the middle, so that of the items together they tell how many tokens an event has.
+func (j *Job) correct(earlier []wire.JobPart) {
+	var ratios []float64
+	for _, p := range earlier {
+		if it := j.items[p.Item]; it.hint > 0 && len(p.Data) > 0 {
+			ratios = append(ratios, float64(it.hint)/float64(len(p.Data)))
+		}
+	}
+	if len(ratios) == 0 {
+		return
+	}
+	slices.Sort(ratios)
+	tokens := ratios[len(ratios)/2]
+	for _, p := range earlier {
+		it := j.items[p.Item]
+		if seen := int(tokens * float64(len(p.Data))); p.Done || seen > it.hint {
+			it.hint = seen
+		}
+	}
 }
 
 // take uses a text if its versions fit; the caller holds mu.
--- a/entry/internal/batch/run.go
+++ b/entry/internal/batch/run.go
@@ -108,8 +108,8 @@
 	return waiting
 }
 
-// pending returns the items that wait for a server, the most urgent first: groups that began elsewhere or are nearest to
-// whole, and within a group the longest.
+// pending returns the items that wait for a server, the most urgent first: those that have begun, and then those that are
+// expected to be long.
 func (j *Job) pending() []*item {
 	j.mu.Lock()
 	defer j.mu.Unlock()
