Share requests that crash their servers between entries

Cause: each entry counted the crashes of a request by itself, so one that came again through another entry crashed three servers for each of them.

Change: an entry tells the others of each broken attempt. An answer of a server clears the count everywhere: a path that many clients ask for must not be blocked because one server breaks off part of all requests. The soak sends such a request through all entries and judges how often it reaches servers.

Ruled out: counting distinct servers, since one may start again under its id.

--- a/entry/internal/cli/platform.go
+++ b/entry/internal/cli/platform.go
@@ -215,7 +215,7 @@
 		Catalog: p.catalog, Pool: pool, Tracker: tracker, Jobs: p.batch,
 		Random:   rand.New(rand.NewChaCha8(draw(source))),
 		Memory:   int64(bodyShare * float64(s.Memory)),
-		Suspects: ingress.NewSuspects(),
+		Suspects: p.suspects(),
 		Logger:   p.logger,
 		Observe: func(route string, status int, took time.Duration) {
 			waits.Record(route, strconv.Itoa(status/100*100), took.Seconds())
@@ -247,6 +247,22 @@
 	return nil
 }
 
+// suspects returns the set of requests that crash their servers, which entries tell each other of.
+func (p *onPlatform) suspects() *ingress.Suspects {
+	s := ingress.NewSuspects(func(fingerprint uint64, answered bool) {
+		p.peers.Tell(link.Crash, wire.Crash{Print: fingerprint, Answered: answered})
+	})
+	p.peers.Handle(link.Crash, func(_ context.Context, f link.Frame) (string, any, error) {
+		var c wire.Crash
+		if err := f.Decode(&c); err != nil {
+			return "", nil, err
+		}
+		s.Heard(c.Print, c.Answered, time.Now())
+		return "", nil, nil
+	})
+	return s
+}
+
 // sockets returns the part of the descriptors that one use may take, 0 for no bound if the platform sets none.
 func sockets(descriptors int, share float64) int {
 	return int(share * float64(max(descriptors-filesShare, 0)))
--- a/entry/internal/ingress/forward.go
+++ b/entry/internal/ingress/forward.go
@@ -80,6 +80,9 @@
 		a := g.try(ctx, w, q, s, sent == 0)
 		switch a.outcome {
 		case delivered:
+			if q.http.Context().Err() == nil {
+				g.Suspects.Answered(fingerprint)
+			}
 			return
 		case lost:
 			mayHaveRun = true
--- a/entry/internal/ingress/suspects.go
+++ b/entry/internal/ingress/suspects.go
@@ -17,9 +17,10 @@
 	suspectMost = 4096
 )
 
-// Suspects remembers requests at which servers broke off. It answers a caller that sends a request which crashes every
-// server again and again.
+// Suspects remembers requests at which servers broke off, here or at other entries. It answers a caller that sends a
+// request which crashes every server again and again, each time through another entry.
 type Suspects struct {
+	tell func(fingerprint uint64, answered bool)
 	mu   sync.Mutex
 	seen map[uint64]suspect
 }
@@ -29,8 +30,10 @@
 	last    time.Time
 }
 
-// NewSuspects returns an empty set.
-func NewSuspects() *Suspects { return &Suspects{seen: make(map[uint64]suspect)} }
+// NewSuspects returns an empty set; tell passes on to other entries what this one has seen, and must not wait.
+func NewSuspects(tell func(fingerprint uint64, answered bool)) *Suspects {
+	return &Suspects{tell: tell, seen: make(map[uint64]suspect)}
+}
 
 // Fingerprint identifies a request by what its server sees.
 func Fingerprint(path string, body []byte) uint64 {
@@ -44,6 +47,37 @@
 
 // Crashed counts a broken attempt.
 func (s *Suspects) Crashed(fingerprint uint64, now time.Time) {
+	s.count(fingerprint, now)
+	s.tell(fingerprint, false)
+}
+
+// Answered notes that a server has answered: the broken attempts had another cause, such as a server that breaks off part
+// of all requests.
+func (s *Suspects) Answered(fingerprint uint64) {
+	if s.clear(fingerprint) {
+		s.tell(fingerprint, true)
+	}
+}
+
+// Heard takes what another entry has seen.
+func (s *Suspects) Heard(fingerprint uint64, answered bool, now time.Time) {
+	if answered {
+		s.clear(fingerprint)
+		return
+	}
+	s.count(fingerprint, now)
+}
+
+// clear forgets a request and reports whether it was suspect.
+func (s *Suspects) clear(fingerprint uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.seen[fingerprint]
+	delete(s.seen, fingerprint)
+	return ok
+}
+
+func (s *Suspects) count(fingerprint uint64, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.seen) >= suspectMost {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -67,6 +67,7 @@
 	Store   = "store"
 	Stored  = "stored"
 	News    = "news"
+	Crash   = "crash"
 	Ping    = "ping"
 	Pong    = "pong"
 )
--- a/scenario/soak/client.go
+++ b/scenario/soak/client.go
@@ -92,6 +92,23 @@
 	return min(platformtest.Retry(a.header), backOff)
 }
 
+// poison sends a request that crashes each server which runs it, through one entry after the other.
+func (c *client) poison(ctx context.Context, body string) {
+	for pause(ctx, backOff) {
+		c.entry = c.random.IntN(c.world.size.entries)
+		c.sent++
+		q := &request{id: fmt.Sprintf("%s-%d", c.name, c.sent), entry: c.entry, route: "safe", body: body, sent: time.Now()}
+		q.line = http.MethodPost + " /safe/poison"
+		c.world.ledger.asks(q)
+		h := http.Header{}
+		platformtest.Ask(h, call.Request{ID: q.id, Deadline: clientDeadline})
+		// Whatever the answer: what counts is how many servers it reaches.
+		_, _ = exchange(ctx, c.pool, c.world.address(netClient, firstEntry+c.entry, portIngress), upstream.Request{
+			Method: http.MethodPost, URI: "/safe/poison", Host: host, Header: h, Body: []byte(body),
+		})
+	}
+}
+
 // answer is an HTTP answer.
 type answer struct {
 	status int
--- a/scenario/soak/fault.go
+++ b/scenario/soak/fault.go
@@ -17,16 +17,17 @@
 )
 
 const (
-	stormTime = 5 * time.Second // of each of the two series of faults
-	quietTime = 7 * time.Second // between them, so that rules with a time bound come to hold
-	nextLeast = 100 * time.Millisecond
-	nextMost  = 450 * time.Millisecond
-	downLeast = 200 * time.Millisecond
-	downMost  = 2 * time.Second
-	faultMost = 4 * time.Second
-	lingers   = 1500 * time.Millisecond // of a server that has drained
-	linkDelay = 300                     // milliseconds
-	lateMost  = 3 * time.Second         // of a write that is carried out late
+	stormTime  = 5 * time.Second // of each of the two series of faults
+	quietTime  = 7 * time.Second // between them, so that rules with a time bound come to hold
+	nextLeast  = 100 * time.Millisecond
+	nextMost   = 450 * time.Millisecond
+	downLeast  = 200 * time.Millisecond
+	downMost   = 2 * time.Second
+	faultMost  = 4 * time.Second
+	lingers    = 1500 * time.Millisecond // of a server that has drained
+	linkDelay  = 300                     // milliseconds
+	poisonTime = 7 * time.Second         // that a request which crashes its servers comes again
+	lateMost   = 3 * time.Second         // of a write that is carried out late
 )
 
 // fault is something that is done to the system from outside, and undone before it returns.
@@ -82,6 +83,12 @@
 			pause(ctx, w.between(downLeast, faultMost))
 			s.behave(sound)
 		}},
+		{"request crashes servers", 2, func(ctx context.Context, w *world) {
+			ctx, cancel := context.WithTimeout(ctx, poisonTime)
+			defer cancel()
+			c := newClient(w, 0, 100+w.draw(1<<20))
+			c.poison(ctx, poisonBody+c.name)
+		}},
 		{"entries of servers lapse", 1, func(ctx context.Context, w *world) { w.lapseAll(ctx) }},
 		{"configuration changes", 4, func(_ context.Context, w *world) { w.reroute() }},
 	}
@@ -164,6 +171,14 @@
 	}
 }
 
+// revive starts a server that has crashed again after a while.
+func (w *world) revive(s *server) {
+	id := s.crash()
+	time.AfterFunc(lapse, func() { w.objects.Remove(platformtest.Servers, id) })
+	time.Sleep(downLeast)
+	w.begin(s)
+}
+
 // crash ends a server without a word and starts it again under another id.
 func (w *world) crash(ctx context.Context) {
 	s := w.servers[w.draw(len(w.servers))]
--- a/scenario/soak/ledger.go
+++ b/scenario/soak/ledger.go
@@ -28,6 +28,8 @@
 	goneLag = 750 * time.Millisecond
 	// itemAttempts is the route's bound of failed runs of an item.
 	itemAttempts = 3
+	// crashesAllowed is how many servers a request may crash before it is given up, and how often it may come after that.
+	crashesAllowed = 3
 	// plainAttempts is the route's bound of servers for one request.
 	plainAttempts = 3
 )
@@ -65,7 +67,9 @@
 	events    map[string]bool // data of all events that servers made
 	holders   map[string]string
 	fences    map[string]int64
-	drained   map[string]time.Time // by server
+	drained   map[string]time.Time   // by server
+	crashes   map[string][]time.Time // of servers, by the body of the request that crashed them
+	retries   map[string]int         // crashes that should not have been
 	configs   []configured
 	disturbed map[int][]*period // by entry
 	verdicts  []string
@@ -82,7 +86,7 @@
 	return &ledger{
 		start: now, requests: map[string]*request{}, items: map[string]*item{}, batches: map[string]*batch{},
 		events: map[string]bool{}, holders: map[string]string{}, fences: map[string]int64{},
-		drained: map[string]time.Time{}, disturbed: map[int][]*period{}, counts: map[string]int{},
+		drained: map[string]time.Time{}, crashes: map[string][]time.Time{}, retries: map[string]int{}, disturbed: map[int][]*period{}, counts: map[string]int{},
 	}
 }
 
@@ -210,6 +214,21 @@
 	q.left = now
 }
 
+// poisoned judges a request that has crashed a server: entries that know of three such servers give it up.
+func (l *ledger) poisoned(body, id string, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.crashes[body] = append(l.crashes[body], now)
+	l.counts["poisoned"]++
+	q := l.requests[id]
+	if n := len(l.crashes[body]); q != nil && n > crashesAllowed && now.Sub(l.crashes[body][crashesAllowed-1]) > contact &&
+		l.inTouch(q.entry, now, now) {
+		if l.retries[body]++; l.retries[body] > crashesAllowed {
+			l.breaks("BUDGET", "request %s crashes the %dth server", id, n)
+		}
+	}
+}
+
 // answered notes a whole answer of a server.
 func (l *ledger) answered(id, answer string) {
 	l.mu.Lock()
--- a/scenario/soak/server.go
+++ b/scenario/soak/server.go
@@ -43,6 +43,9 @@
 	lateOrder           // orders get no answer and are carried out later
 )
 
+// poisonBody begins the body of a request that crashes its server.
+const poisonBody = "poison "
+
 // faultShare is the part of the answers that a misbehaving server spoils.
 const faultShare = 0.3
 
@@ -193,6 +196,11 @@
 		work *= 5
 	}
 	run := s.world.ledger.ran(asked.ID, id, s.service, r.Method+" "+r.URL.RequestURI(), string(body), time.Now())
+	if strings.HasPrefix(string(body), poisonBody) {
+		s.world.ledger.poisoned(string(body), asked.ID, time.Now())
+		go s.world.revive(s)
+		panic(http.ErrAbortHandler)
+	}
 	answer := fmt.Sprintf("%s run %d by %s ", asked.ID, run, s.service)
 	answer += strings.Repeat("x", max(plainBody-len(answer), 0))
 	if !pause(r.Context(), work) {
--- a/scenario/soak/soak_test.go
+++ b/scenario/soak/soak_test.go
@@ -97,6 +97,15 @@
 				l.ran("q", "s", "cards", "POST /safe/q", "b", now)
 			}
 		}},
+		{"BUDGET", func(l *ledger) {
+			asked(l, false)
+			for range crashesAllowed {
+				l.poisoned("b", "q", now.Add(-2*contact))
+			}
+			for range crashesAllowed + 1 {
+				l.poisoned("b", "q", now)
+			}
+		}},
 		{"UNASKED", func(l *ledger) { l.ran("other", "s", "cards", "POST /safe/q", "b", now) }},
 		{"UNASKED", func(l *ledger) { asked(l, false); l.ran("q", "s", "cards", "POST /safe/r", "b", now) }},
 		{"UNASKED", func(l *ledger) { l.began("i", "s", "/items-of/m/2", "x", now) }},
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -192,6 +192,16 @@
 	Winner ConfigAnswer `json:"winner"`
 }
 
+// Tells the other entries of a request at which a server broke off, or that a
+// server has answered since.
+type Crash struct {
+	// A server has answered the request, so it does not crash its servers.
+	Answered bool `json:"answered"`
+
+	// Fingerprint of path and body.
+	Print uint64 `json:"print"`
+}
+
 // The configuration object; its store version is the revision.
 type Document struct {
 	// Who wrote it.
