Count broken-off and resumed streams at their servers

Cause: a stream or a large answer that is broken off ends with a panic, which passed by the call that tells the tracker of the end. Its server counted one more request for ever, and as full after as many as it has slots. A resumed stream was not counted at the server that goes on with it, and its connection had no bound.

Change: the end is told in a deferred call; resume counts its attempts and bounds their connections.

Ruled out: a recover in try, which would hide other panics.

--- a/entry/internal/ingress/forward.go
+++ b/entry/internal/ingress/forward.go
@@ -160,11 +160,27 @@
 		defer t.Stop()
 		answering = func() { t.Stop() }
 	}
+	noted := false
+	defer func() {
+		if !noted {
+			g.noteCut(q, s) // an answer that was broken off ends with a panic
+		}
+	}()
 	a := g.exchange(ctx, w, q, s, left, answering)
+	noted = true
 	g.noteEnd(ctx, q, s, a, began)
 	return a
 }
 
+// noteCut tells the tracker that a server, or the client, broke off in the middle of an answer.
+func (g *Ingress) noteCut(q *request, s catalog.Server) {
+	outcome := place.Broken
+	if q.http.Context().Err() != nil {
+		outcome = place.Abandoned
+	}
+	g.Tracker.Ended(s.ID, "", outcome, 0, time.Now())
+}
+
 // noteEnd tells the tracker how the attempt went.
 func (g *Ingress) noteEnd(ctx context.Context, q *request, s catalog.Server, a attempt, began time.Time) {
 	now := time.Now()
--- a/entry/internal/ingress/ingress_test.go
+++ b/entry/internal/ingress/ingress_test.go
@@ -390,6 +390,33 @@
 	})
 }
 
+// Guards against servers that count as full for ever since streams were broken off, at the first server or at one that
+// went on with them.
+func TestBrokenStreamsMakeRoom(t *testing.T) {
+	const slots = 4 // of each server
+	breaks := func(c net.Conn, q *http.Request, _ string) bool {
+		streamHead(c, q)
+		sendEvent(c, platformtest.Asked(q.Header).After+1)
+		return false
+	}
+	for _, resumable := range []bool{false, true} {
+		a, b := newServer(t, breaks), newServer(t, breaks)
+		r := newRig(t, catalog.Route{Kind: catalog.Stream, Resumable: resumable, Attempts: 2}, a, b)
+		for range 3 * slots {
+			if _, _, err := r.send(t, "POST", "/p/x", "", nil); err == nil {
+				t.Fatal("the broken stream looks complete")
+			}
+		}
+		// The servers rest after failures, for some seconds.
+		later := time.Now().Add(10 * time.Second)
+		for _, s := range r.catalog.Servers("v") {
+			if _, ok := r.ingress.Tracker.Pick(later, []catalog.Server{s}, place.Need{Room: true}); !ok {
+				t.Errorf("resumable %t: server %s counts as full", resumable, s.ID)
+			}
+		}
+	}
+}
+
 // Guards against a request that takes one server after the other out: after three broken attempts it is given up, also
 // when it comes again, and others are served.
 func TestGivesUpCrashingRequest(t *testing.T) {
--- a/entry/internal/ingress/stream.go
+++ b/entry/internal/ingress/stream.go
@@ -27,19 +27,33 @@
 	w.WriteHeader(resp.StatusCode)
 	out := http.NewResponseController(w)
 	last := q.After
+	var resumed *catalog.Server // that goes on with the stream; nil while the first one does
+	defer func() {
+		if resumed != nil {
+			g.noteCut(q, *resumed)
+		}
+	}()
 	for resumes := 0; ; resumes++ {
 		next, err := g.pump(w, out, resp, last)
 		last = next
 		if err == nil {
 			resp.Close()
+			if resumed != nil {
+				g.Tracker.Ended(resumed.ID, "", place.Answered, 0, time.Now())
+				resumed = nil
+			}
 			g.decided(q, resp.StatusCode, "")
 			return attempt{outcome: delivered}
 		}
 		resp.Abandon()
+		if resumed != nil {
+			g.noteCut(q, *resumed)
+			resumed = nil
+		}
 		if ctx.Err() != nil || !q.route.Resumable || resumes >= resumeMost {
 			break
 		}
-		if resp = g.resume(ctx, q, s.Service, last); resp == nil {
+		if resp, resumed = g.resume(ctx, q, s.Service, last); resp == nil {
 			break
 		}
 	}
@@ -81,28 +95,35 @@
 	}
 }
 
-// resume asks servers to go on after an event until one does; nil if none will.
-func (g *Ingress) resume(ctx context.Context, q *request, service string, last int) *upstream.Response {
+// resume asks servers to go on after an event until one does, and returns its answer and the server; nil if none will. The
+// tracker is to be told of the end.
+func (g *Ingress) resume(
+	ctx context.Context, q *request, service string, last int,
+) (*upstream.Response, *catalog.Server) {
+	conns := q.config.Services[service].Conns
 	tried := make(map[string]bool)
 	for ctx.Err() == nil {
 		now := time.Now()
 		s, ok := g.Tracker.Pick(now, g.Catalog.Servers(service), place.Need{Tried: tried})
 		if !ok {
-			return nil
+			return nil, nil
 		}
 		tried[s.ID] = true
 		q.servers = append(q.servers, s.ID)
 		q.attempts++
-		resp, err := g.Pool.Send(ctx, upstream.Target{Address: s.Address, Incarnation: s.ID},
+		g.Tracker.Began(s.ID, now)
+		resp, err := g.Pool.Send(ctx, upstream.Target{Address: s.Address, Incarnation: s.ID, Conns: conns},
 			g.outgoing(q, call.Attempt{Server: s.ID, Left: q.left(now), After: last}))
 		if err != nil {
+			g.noteCut(q, s)
 			continue
 		}
 		a := g.headers.Answer(resp.StatusCode, resp.Header)
 		if resp.StatusCode == http.StatusOK && a.Signed && a.ID == q.ID && isStream(resp.Header) {
-			return resp
+			return resp, &s
 		}
 		resp.Abandon()
+		g.Tracker.Ended(s.ID, "", place.Refused, 0, time.Now())
 	}
-	return nil
+	return nil, nil
 }
