Name the soak's programs without a shadowed package

Cause: a local variable hid package program, so a constant repeated its name.

Change: the variable is called binary.

--- a/scenario/soak/world.go
+++ b/scenario/soak/world.go
@@ -242,13 +242,13 @@
 		Bounds: node.Bounds{Grace: grace, Status: 2 * time.Minute, Drain: drainLag, Config: configLag, Reuse: 2 * time.Second},
 	}
 	relays := map[string][2]string{"store " + name: {s.Store.Address, w.address(netFront, n, portStore)}}
-	program := "bulrush-entry"
+	binary := "bulrush-entry"
 	if _, ok := entryOf(name); ok {
 		s.Role, s.Ingress, s.Readiness = "entry", w.address(netProcess, n, portIngress), w.address(netProcess, n, portReady)
 		relays["link "+name] = [2]string{w.address(netLink, n, portFirst), w.address(netProcess, n, portFirst)}
 		relays["client "+name] = [2]string{w.address(netClient, n, portIngress), s.Ingress}
 	} else if name != "keeper" {
-		program = "bulrush-daemon"
+		binary = "bulrush-daemon"
 		s.Role, s.Engine, s.Service = "daemon", w.address(netProcess, n, portServer), "engines"
 	}
 	for name, ends := range relays {
@@ -264,12 +264,11 @@
 	if err := os.WriteFile(path, platformtest.EncodeSettings(s), 0o600); err != nil {
 		return err
 	}
-	_, err := w.rig.StartWith([]string{platform.SettingsEnv + "=" + path, secretEnv + "=" + secret}, name, program, "--platform")
+	env := []string{platform.SettingsEnv + "=" + path, program.SecretEnv + "=" + secret}
+	_, err := w.rig.StartWith(env, name, binary, "--platform")
 	return err
 }
 
-const secretEnv = program.SecretEnv
-
 // serve serves an address until ctx ends.
 func serve(ctx context.Context, address string, h http.Handler) error {
 	l, err := net.Listen("tcp4", address)
