Keep one copy of what the soak and the scenarios do alike

The soak had its own pause beside sleep.For, two ways to crash a server, two to read a page, two to set a fault of one process's store, and a build of the programs beside that of the scenarios; it cut a zero off an address to get its network, and kept a value that nobody read and a field that is the same for all servers.

Change: sleep.For, one crash, one fetch, one during, rig.Build for both tests, network as a function; the dead value and the field are gone. Product code is untouched.

--- a/scenario/rig/rig.go
+++ b/scenario/rig/rig.go
@@ -102,6 +102,19 @@
 	return p, nil
 }
 
+// Build compiles programs of the repository at root into a folder; modules names the folder of each program's module.
+func Build(root, bin string, modules map[string]string, flags ...string) error {
+	for program, module := range modules {
+		args := append([]string{"build", "-o", filepath.Join(bin, program)}, flags...)
+		c := exec.Command("go", append(args, "./"+module)...)
+		c.Dir = root
+		if out, err := c.CombinedOutput(); err != nil {
+			return fmt.Errorf("rig: build %s: %w\n%s", program, err, out)
+		}
+	}
+	return nil
+}
+
 // Restart starts the program of a name that has ended once more, with the same arguments.
 func (r *Rig) Restart(name string) error {
 	p, err := r.Process(name)
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -5,8 +5,6 @@
 	"errors"
 	"fmt"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"testing"
 	"time"
 
@@ -53,20 +51,13 @@
 
 // build compiles the programs that the scripts start.
 func build() error {
-	for program, module := range map[string]string{
-		"bulrush-entry": "entry", "bulrush-daemon": "daemon", "bulrush-standin": "standin",
-	} {
-		args := []string{"build", "-o", filepath.Join(bin, program)}
-		if race {
-			args = append(args, "-race")
-		}
-		c := exec.Command("go", append(args, "./"+module)...)
-		c.Dir = ".."
-		if out, err := c.CombinedOutput(); err != nil {
-			return fmt.Errorf("build %s: %w\n%s", program, err, out)
-		}
+	var flags []string
+	if race {
+		flags = append(flags, "-race")
 	}
-	return nil
+	return rig.Build("..", bin, map[string]string{
+		"bulrush-entry": "entry", "bulrush-daemon": "daemon", "bulrush-standin": "standin",
+	}, flags...)
 }
 
 func TestScripts(t *testing.T) {
--- a/scenario/soak/fault.go
+++ b/scenario/soak/fault.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -59,23 +60,19 @@
 		{"store writes late", 3, outage(objects.Fault{Late: 8, LateBy: lateMost})},
 		{"store forgets", 2, func(_ context.Context, w *world) { w.objects.Compact() }},
 		{"store refuses one", 3, func(ctx context.Context, w *world) {
-			f := w.fronts[w.any()]
-			f.refuse.Store(true)
-			pause(ctx, w.between(downLeast, faultMost))
-			f.refuse.Store(false)
+			w.during(ctx, &w.fronts[w.any()].refuse)
 		}},
 		{"store slow for one", 2, func(ctx context.Context, w *world) {
-			f := w.fronts[w.any()]
-			f.slow.Store(true)
-			pause(ctx, w.between(downLeast, faultMost))
-			f.slow.Store(false)
+			w.during(ctx, &w.fronts[w.any()].slow)
 		}},
 		{"store cut from one", 4, func(ctx context.Context, w *world) { w.cut(ctx, "store "+w.any(), false) }},
 		{"links cut", 4, func(ctx context.Context, w *world) { w.cut(ctx, "link "+entryName(w.draw(w.size.entries)), false) }},
 		{"clients cut", 2, func(ctx context.Context, w *world) {
 			w.cut(ctx, "client "+entryName(w.draw(w.size.entries)), true)
 		}},
-		{"server crashes", 4, func(ctx context.Context, w *world) { w.crash(ctx) }},
+		{"server crashes", 4, func(ctx context.Context, w *world) {
+			w.crash(ctx, w.servers[w.draw(len(w.servers))], w.between(downLeast, downMost))
+		}},
 		{"server replaced", 3, func(ctx context.Context, w *world) { w.replace(ctx) }},
 		{"server misbehaves", 8, func(ctx context.Context, w *world) {
 			s := w.servers[w.draw(len(w.servers))]
@@ -108,6 +105,13 @@
 	}
 }
 
+// during sets a fault of a process's store for a while.
+func (w *world) during(ctx context.Context, fault *atomic.Bool) {
+	fault.Store(true)
+	pause(ctx, w.between(downLeast, faultMost))
+	fault.Store(false)
+}
+
 func (w *world) daemon() string { return fmt.Sprintf("daemon%d", w.draw(w.size.engines)) }
 
 // any returns an entry or, less often, a daemon.
@@ -171,19 +175,9 @@
 	}
 }
 
-// revive starts a server that has crashed again after a while.
-func (w *world) revive(s *server) {
-	id := s.crash()
-	time.AfterFunc(lapse, func() { w.objects.Remove(platformtest.Servers, id) })
-	time.Sleep(downLeast)
-	w.begin(s)
-}
-
 // crash ends a server without a word and starts it again under another id.
-func (w *world) crash(ctx context.Context) {
-	s := w.servers[w.draw(len(w.servers))]
+func (w *world) crash(ctx context.Context, s *server, down time.Duration) {
 	id := s.crash()
-	down := w.between(downLeast, downMost)
 	time.AfterFunc(lapse, func() { w.objects.Remove(platformtest.Servers, id) })
 	pause(ctx, down)
 	w.begin(s)
--- a/scenario/soak/ledger.go
+++ b/scenario/soak/ledger.go
@@ -86,7 +86,8 @@
 	return &ledger{
 		start: now, requests: map[string]*request{}, items: map[string]*item{}, batches: map[string]*batch{},
 		events: map[string]bool{}, holders: map[string]string{}, fences: map[string]int64{},
-		drained: map[string]time.Time{}, crashes: map[string][]time.Time{}, retries: map[string]int{}, disturbed: map[int][]*period{}, counts: map[string]int{},
+		drained: map[string]time.Time{}, crashes: map[string][]time.Time{}, retries: map[string]int{},
+		disturbed: map[int][]*period{}, counts: map[string]int{},
 	}
 }
 
--- a/scenario/soak/server.go
+++ b/scenario/soak/server.go
@@ -15,6 +15,7 @@
 
 	"bulrushspoke/internal/call"
 	"bulrushspoke/internal/catalog"
+	"bulrushspoke/internal/sleep"
 	"bulrushspoke/platform"
 	"bulrushspoke/platform/platformtest"
 )
@@ -55,7 +56,6 @@
 	service string
 	address string
 	engine  bool
-	domain  string
 
 	mu       sync.Mutex
 	random   *rand.Rand
@@ -109,7 +109,7 @@
 	defer s.mu.Unlock()
 	if s.up && !s.unlisted {
 		s.world.objects.Put(platformtest.Servers, s.id, platformtest.EncodeServer(catalog.Server{
-			Service: s.service, Address: s.address, Domain: s.domain, Slots: s.slots(), Draining: s.draining, Born: s.born,
+			Service: s.service, Address: s.address, Domain: domain, Slots: s.slots(), Draining: s.draining, Born: s.born,
 			Versions: s.versions,
 		}, s.orders))
 	}
@@ -198,7 +198,7 @@
 	run := s.world.ledger.ran(asked.ID, id, s.service, r.Method+" "+r.URL.RequestURI(), string(body), time.Now())
 	if strings.HasPrefix(string(body), poisonBody) {
 		s.world.ledger.poisoned(string(body), asked.ID, time.Now())
-		go s.world.revive(s)
+		go s.world.crash(context.Background(), s, downLeast)
 		panic(http.ErrAbortHandler)
 	}
 	answer := fmt.Sprintf("%s run %d by %s ", asked.ID, run, s.service)
@@ -366,12 +366,6 @@
 
 // pause waits and reports whether the client is still there.
 func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	sleep.For(ctx, d)
+	return ctx.Err() == nil
 }
--- a/scenario/soak/soak_test.go
+++ b/scenario/soak/soak_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -12,6 +11,7 @@
 
 	"bulrushspoke/internal/job"
 	"bulrushspoke/platform"
+	"bulrushspoke/scenario/rig"
 )
 
 // regressions are seeds that broke a promise once, with the cause.
@@ -33,12 +33,9 @@
 		t.Skip("plays half a minute for each seed")
 	}
 	bin := t.TempDir()
-	for program, module := range map[string]string{"bulrush-entry": "entry", "bulrush-daemon": "daemon"} {
-		c := exec.Command("go", "build", "-o", filepath.Join(bin, program), "./"+module)
-		c.Dir = filepath.Join("..", "..")
-		if out, err := c.CombinedOutput(); err != nil {
-			t.Fatalf("build %s: %v\n%s", program, err, out)
-		}
+	root := filepath.Join("..", "..")
+	if err := rig.Build(root, bin, map[string]string{"bulrush-entry": "entry", "bulrush-daemon": "daemon"}); err != nil {
+		t.Fatal(err)
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), testLimit)
 	defer cancel()
--- a/scenario/soak/trainer.go
+++ b/scenario/soak/trainer.go
@@ -197,24 +197,28 @@
 // page reads the results from a position on through any entry.
 func (t *trainer) page(ctx context.Context, b *batch, after int) (job.Page, bool) {
 	entry, asked := t.entry(), time.Now()
-	uri, name, value := platformtest.ResultsURI(b.ID, after, readWait)
-	a, err := t.call(ctx, entry, upstream.Request{Method: http.MethodGet, URI: uri, Header: http.Header{name: {value}}}, "")
-	switch {
-	case err != nil:
-		return job.Page{}, false
-	case a.status == http.StatusNotFound:
+	p, status, err := t.fetch(ctx, b, entry, after, readWait)
+	if status == http.StatusNotFound {
 		t.world.ledger.absent(b, entry, asked)
-		return job.Page{}, false
-	case a.status != http.StatusOK:
-		return job.Page{}, false
 	}
-	p, err := platformtest.DecodePage(a.body)
-	if err != nil {
+	return p, err == nil && status == http.StatusOK
+}
+
+// fetch reads the results from a position on through an entry, and has them judged if the entry answers with some.
+func (t *trainer) fetch(
+	ctx context.Context, b *batch, entry, after int, wait time.Duration,
+) (p job.Page, status int, err error) {
+	uri, name, value := platformtest.ResultsURI(b.ID, after, wait)
+	a, err := t.call(ctx, entry, upstream.Request{Method: http.MethodGet, URI: uri, Header: http.Header{name: {value}}}, "")
+	if err != nil || a.status != http.StatusOK {
+		return job.Page{}, a.status, err
+	}
+	if p, err = platformtest.DecodePage(a.body); err != nil {
 		t.world.ledger.broken("MIXED", "a page of job %s: %v", b.ID, err)
-		return job.Page{}, false
+		return job.Page{}, a.status, err
 	}
 	t.world.ledger.page(b, after, p)
-	return p, true
+	return p, a.status, nil
 }
 
 // body reads the body of any item through any entry.
@@ -257,18 +261,11 @@
 func (t *trainer) whole(ctx context.Context, b *batch, entry int) {
 	next := 0
 	for {
-		uri, _, _ := platformtest.ResultsURI(b.ID, next, 0)
-		a, err := t.call(ctx, entry, upstream.Request{Method: http.MethodGet, URI: uri}, "")
-		if err != nil || a.status != http.StatusOK {
-			t.world.ledger.broken("LOST", "at the end job %s cannot be read from entry %d: %d %v", b.ID, entry, a.status, err)
-			return
-		}
-		p, err := platformtest.DecodePage(a.body)
-		if err != nil {
-			t.world.ledger.broken("MIXED", "a page of job %s: %v", b.ID, err)
+		p, status, err := t.fetch(ctx, b, entry, next, 0)
+		if err != nil || status != http.StatusOK {
+			t.world.ledger.broken("LOST", "at the end job %s cannot be read from entry %d: %d %v", b.ID, entry, status, err)
 			return
 		}
-		t.world.ledger.page(b, next, p)
 		if next = p.Next; len(p.Results) == 0 {
 			break
 		}
--- a/scenario/soak/world.go
+++ b/scenario/soak/world.go
@@ -66,6 +66,8 @@
 	watchEvery  = 50 * time.Millisecond
 	slowStore   = 250 * time.Millisecond
 	host        = "soak.example"
+	domain      = "a" // of all instances; distance is no matter of the promises
+	region      = "r"
 	secret      = "secret-of-the-soak"
 )
 
@@ -116,7 +118,7 @@
 	}
 	// Entries find each other by what they write to the store; the others get the address of a relay.
 	if r.Method == http.MethodGet && strings.HasPrefix(r.URL.Path, "/objects/members") {
-		w = &rewriter{ResponseWriter: w, from: f.world.ip(netProcess, 0), to: f.world.ip(netLink, 0)}
+		w = &rewriter{ResponseWriter: w, from: f.world.network(netProcess), to: f.world.network(netLink)}
 	}
 	f.world.objects.ServeHTTP(w, r)
 }
@@ -129,8 +131,7 @@
 
 // Write implements http.ResponseWriter.
 func (w *rewriter) Write(b []byte) (int, error) {
-	from, to := strings.TrimSuffix(w.from, "0"), strings.TrimSuffix(w.to, "0")
-	if _, err := w.ResponseWriter.Write(bytes.ReplaceAll(b, []byte(from), []byte(to))); err != nil {
+	if _, err := w.ResponseWriter.Write(bytes.ReplaceAll(b, []byte(w.from), []byte(w.to))); err != nil {
 		return 0, err
 	}
 	return len(b), nil
@@ -165,7 +166,10 @@
 	return w, nil
 }
 
-func (w *world) ip(network, n int) string { return fmt.Sprintf("127.%d.%d.%d", w.number, network, n) }
+// network returns the beginning of all addresses of a network.
+func (w *world) network(n int) string { return fmt.Sprintf("127.%d.%d.", w.number, n) }
+
+func (w *world) ip(network, n int) string { return w.network(network) + strconv.Itoa(n) }
 
 func (w *world) address(network, n, port int) string {
 	return net.JoinHostPort(w.ip(network, n), strconv.Itoa(port))
@@ -205,7 +209,7 @@
 
 func (w *world) addServer(service, address string, engine bool) {
 	s := &server{
-		world: w, service: service, address: address, engine: engine, domain: "a",
+		world: w, service: service, address: address, engine: engine,
 		random: rand.New(rand.NewPCG(uint64(w.draw(1<<30)), uint64(len(w.servers)))),
 	}
 	if engine {
@@ -236,7 +240,7 @@
 		return err
 	}
 	s := node.Settings{
-		Name: name, Role: "keeper", Domain: "a", Region: "r", IP: w.ip(netProcess, n), Regions: map[string]string{"a": "r"},
+		Name: name, Role: "keeper", Domain: domain, Region: region, IP: w.ip(netProcess, n), Regions: map[string]string{domain: region},
 		Ports: node.Ports{First: portFirst, Last: portLast}, Memory: memory, Descriptors: descriptors, Beat: beat,
 		Store:  node.Store{Address: w.address(netStore, n, portStore), Value: 1 << 20, History: 20 * time.Second},
 		Bounds: node.Bounds{Grace: grace, Status: 2 * time.Minute, Drain: drainLag, Config: configLag, Reuse: 2 * time.Second},
@@ -355,14 +359,11 @@
 	}
 	c.Services["engines"] = engines
 	plain := catalog.Route{Host: host, Timeout: 4 * time.Second, Objective: 200 * time.Millisecond, Attempts: plainAttempts}
-	for name, service := range map[string]string{"safe": "cards", "once": "cards"} {
-		r := plain
-		r.Name, r.Prefix, r.Shares = name, "/"+name+"/", []catalog.Share{{Service: service, Weight: 1}}
-		if name == "safe" {
-			r.Kind = catalog.Safe
-		}
-		c.Routes = append(c.Routes, r)
-	}
+	plain.Shares = []catalog.Share{{Service: "cards", Weight: 1}}
+	safe, once := plain, plain
+	safe.Name, safe.Prefix, safe.Kind = "safe", "/safe/", catalog.Safe
+	once.Name, once.Prefix = "once", "/once/"
+	c.Routes = append(c.Routes, safe, once)
 	c.Routes = append(c.Routes, catalog.Route{
 		Name: "items", Host: host, Prefix: "/items-of/", Kind: catalog.Batch, Timeout: 10 * time.Second,
 		Objective: 400 * time.Millisecond, Attempts: itemAttempts, Resumable: true, Due: 7500 * time.Millisecond, Queue: time.Minute,
@@ -378,13 +379,12 @@
 	w.ledger.configure(services, time.Now())
 }
 
-// name names the next weight version of a model and returns it.
-func (w *world) name(model string) int {
+// name names the next weight version of a model.
+func (w *world) name(model string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.versions[model] = max(w.versions[model], 1) + 1
 	w.objects.Put(platformtest.Versions, model, platformtest.EncodeVersion(model, w.versions[model]))
-	return w.versions[model]
 }
 
 // named returns the newest weight version of a model.
