Score items by their reward calls, and take servers' own notice

Servers that say in their answers that they leave went on getting work until the store said so.

Change: an item's text is complete, then its call goes out through the route of its host and path; the signature of a whole 2xx answer to the call's own id is listed with the text. entry/internal/reward decides when a call is sent, how long an attempt may take and when it is given up; batch/score.go sends it. A complete text that waits for its score is handed over and kept like any other, so a new owner sends the call only. catalog.Leaves takes a server out of use at its own notice, for its incarnation; the last server of a service serves a second longer. The id of an answer is compared before its mark "not run" is believed.

Found on the way: an item that was given up in the middle of its text was handed over as complete, and a later job or owner would have listed the part. TestTextOfItemGivenUpIsNotWhole shows it.

Ruled out: sending every call at once.

--- a/entry/internal/batch/batch.go
+++ b/entry/internal/batch/batch.go
@@ -75,6 +75,11 @@
 	Incarnation(name string) string
 }
 
+// Random draws numbers; it is safe for several tasks.
+type Random interface {
+	IntN(n int) int
+}
+
 // Handlers takes the functions that answer messages of other entries.
 type Handlers interface {
 	Handle(kind string, f func(context.Context, link.Frame) (string, any, error))
@@ -93,6 +98,7 @@
 	Value   int           // largest value of the store in bytes
 	Memory  int64         // bytes that the payloads of open jobs may take
 	Logger  *slog.Logger
+	Random  Random
 	Outage  func(now time.Time) time.Duration // how long the store has not answered; 0 if it does
 }
 
--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"bulrushspoke/entry/internal/reward"
 	"bulrushspoke/internal/job"
 	"bulrushspoke/internal/supervise"
 	"bulrushspoke/wire"
@@ -50,10 +51,13 @@
 	hint     int      // estimated output tokens
 	data     []string // data of the events so far
 	versions []int
-	failures int // answers of 500
-	moves    int // from slow servers
-	running  bool
-	done     bool // the outcome is known
+	failures int  // answers of 500
+	moves    int  // from slow servers
+	running  bool // an attempt of the item or of its reward call is in flight
+	whole    bool // the text is complete and waits for its score
+	call     reward.Call
+	scorer   string // server of the last reward call
+	done     bool   // the outcome is known
 	listed   bool
 }
 
@@ -74,6 +78,9 @@
 	}
 	for i, it := range spec.Items {
 		j.size += int64(len(it.Body))
+		if it.Reward != nil {
+			j.size += int64(len(it.Reward.Body))
+		}
 		j.items[it.ID] = &item{Item: it, index: i, hint: hint(it)}
 	}
 	for _, r := range records {
@@ -159,7 +166,7 @@
 // take uses a text if its versions fit; the caller holds mu.
 func (j *Job) take(p wire.JobPart) {
 	it := j.items[p.Item]
-	if it == nil || it.done || len(p.Data) <= len(it.data) {
+	if it == nil || it.done || it.whole || len(p.Data) <= len(it.data) {
 		return
 	}
 	for _, v := range p.Versions {
@@ -169,15 +176,26 @@
 	}
 	it.data, it.versions = p.Data, p.Versions
 	if p.Done {
-		j.complete(it)
+		j.complete(it, time.Now())
 	}
 }
 
-// complete moves the text of an item to the results to be listed; the caller holds mu.
-func (j *Job) complete(it *item) {
-	it.done = true
+// complete notes that the text of an item is whole: it is to be scored if the item has a reward call, and to be listed
+// else. From here on the text does not change, so that its score is of this text. The caller holds mu.
+func (j *Job) complete(it *item, now time.Time) {
+	if it.Reward == nil {
+		j.list(it, "")
+		return
+	}
+	it.whole = true
+	it.call.Asked(now)
+}
+
+// list moves the text of an item to the results to be listed; the caller holds mu.
+func (j *Job) list(it *item, score string) {
+	it.done, it.whole = true, true
 	j.ready = append(j.ready, job.Result{
-		Item: it.ID, State: job.Completed, Text: strings.Join(it.data, "\n"), Versions: it.versions,
+		Item: it.ID, State: job.Completed, Text: strings.Join(it.data, "\n"), Versions: it.versions, Score: score,
 	})
 }
 
@@ -195,7 +213,7 @@
 	for _, it := range j.items {
 		if !it.listed && len(it.data) > 0 {
 			l = append(l, wire.JobPart{
-				Item: it.ID, Data: slices.Clone(it.data), Versions: slices.Clone(it.versions), Done: it.done,
+				Item: it.ID, Data: slices.Clone(it.data), Versions: slices.Clone(it.versions), Done: it.whole,
 			})
 		}
 	}
--- a/entry/internal/batch/payload.go
+++ b/entry/internal/batch/payload.go
@@ -130,11 +130,11 @@
 	if v == nil {
 		v = []int{}
 	}
-	return wire.JobResult{Item: r.Item, Void: r.State == job.Terminated, Text: r.Text, Versions: v}
+	return wire.JobResult{Item: r.Item, Void: r.State == job.Terminated, Text: r.Text, Versions: v, Score: r.Score}
 }
 
 func fromResult(w wire.JobResult) job.Result {
-	r := job.Result{Item: w.Item, Text: w.Text, Versions: w.Versions}
+	r := job.Result{Item: w.Item, Text: w.Text, Versions: w.Versions, Score: w.Score}
 	if w.Void {
 		r.State = job.Terminated
 	}
--- a/entry/internal/batch/rig_test.go
+++ b/entry/internal/batch/rig_test.go
@@ -38,13 +38,15 @@
 	answer  func(id string, run int) int // status of a run; 0 streams the item
 	cut     func(id string, run int) int // event in the middle of which the run breaks off; 0 for none
 	runs    map[string]int
-	starts  []string // id and first event of each run that streamed
+	starts  []string       // id and first event of each run that streamed
+	events  map[string]int // newest event of each item
+	leaving bool           // its answers say so
 	running int
 }
 
 func newEngine(t *testing.T, version int) *engine {
 	t.Helper()
-	e := &engine{version: version, runs: make(map[string]int)}
+	e := &engine{version: version, runs: make(map[string]int), events: make(map[string]int)}
 	e.Server = httptest.NewServer(e)
 	t.Cleanup(e.CloseClientConnections)
 	return e
@@ -79,13 +81,14 @@
 		cut = e.cut(id, run)
 	}
 	version, gap := e.version, e.gap
+	platformtest.Answer(w.Header(), call.Answer{Leaving: e.leaving})
 	e.mu.Unlock()
 	if status == http.StatusServiceUnavailable {
 		platformtest.Answer(w.Header(), call.Answer{NotRun: true})
 		w.WriteHeader(status)
 		return
 	}
-	platformtest.Answer(w.Header(), call.Answer{ID: id, Signed: true})
+	platformtest.Answer(w.Header(), call.Answer{ID: id, Signature: platformtest.Stamp})
 	if status != 0 {
 		w.WriteHeader(status)
 		return
@@ -114,6 +117,7 @@
 		}
 		e.mu.Lock()
 		change := ""
+		e.events[id] = max(e.events[id], i)
 		if e.version != version {
 			version = e.version
 			change = platformtest.NewVersion(version)
@@ -227,6 +231,12 @@
 	return m.incs[name]
 }
 
+// first draws the first of what there is.
+type first struct{}
+
+// IntN implements Random.
+func (first) IntN(int) int { return 0 }
+
 // rig is a store, engines and any number of managers.
 type rig struct {
 	t       *testing.T
@@ -235,6 +245,8 @@
 	engines []*engine
 	mesh    *mesh
 	route   catalog.Route
+	routes  []catalog.Route // beside route
+	scorer  *scorer         // nil if nothing is scored
 }
 
 func newRig(t *testing.T, engines ...*engine) *rig {
@@ -259,7 +271,7 @@
 func (r *rig) manager(name, inc string) (*Manager, context.CancelFunc) {
 	r.t.Helper()
 	c := catalog.New(quiet)
-	c.ApplyConfig(catalog.Config{Revision: 1, Routes: []catalog.Route{r.route}})
+	c.ApplyConfig(catalog.Config{Revision: 1, Routes: append([]catalog.Route{r.route}, r.routes...)})
 	r.serve(c)
 	pool := upstream.New(upstream.Limits{Dial: time.Second, Idle: 16})
 	life, stop := context.WithCancel(r.t.Context())
@@ -269,7 +281,7 @@
 		Self: wire.Member{Inc: inc}, Name: name,
 		Store: platform.NewStore(r.address, 200*time.Millisecond, pool, quiet), Peers: peers, Catalog: c, Pool: pool,
 		Tracker: place.New(home, rand.New(rand.NewPCG(1, 1))), Keep: time.Minute, Value: 1 << 20, Memory: 1 << 24, Logger: quiet,
-		Outage: func(time.Time) time.Duration { return 0 },
+		Outage: func(time.Time) time.Duration { return 0 }, Random: first{},
 	})
 	m.Register(peers)
 	r.mesh.mu.Lock()
@@ -284,6 +296,15 @@
 	for i := range r.engines {
 		c.ApplyServer(r.entry(i, int64(i+1)))
 	}
+	if r.scorer == nil {
+		return
+	}
+	for i := range 2 { // the service has two servers
+		c.ApplyServer(catalog.Server{
+			ID: fmt.Sprintf("w%d", i), Revision: 50, Service: "w", Domain: "d", Slots: 6,
+			Address: strings.TrimPrefix(r.scorer.URL, "http://"),
+		})
+	}
 }
 
 // entry is what an engine says of itself in the list of servers.
--- a/entry/internal/batch/run.go
+++ b/entry/internal/batch/run.go
@@ -80,9 +80,12 @@
 		notify(listing)
 		return j.left()
 	}
-	waiting := 0
+	waiting := j.score(ctx, c, now, listing)
 	servers := j.manager.Catalog.Servers(route.Shares[0].Service)
 	for _, it := range pending {
+		if it.whole {
+			continue
+		}
 		s, ok := j.manager.Tracker.Pick(now, servers, place.Need{
 			Model: j.spec.Model, MinVersion: j.spec.MinVersion, Room: true,
 		})
@@ -90,16 +93,7 @@
 			waiting++
 			continue
 		}
-		j.mu.Lock()
-		it.running = true
-		j.mu.Unlock()
-		j.manager.Tracker.Began(s.ID, now)
-		go supervise.Guard(j.manager.Logger, "item", func() {
-			j.attempt(ctx, it, s, route)
-			j.manager.free()
-			notify(j.wake)
-			notify(listing)
-		})
+		j.begin(it, s, listing, now, func() { j.attempt(ctx, it, s, route) })
 	}
 	if j.left() < 0 {
 		notify(listing)
@@ -108,7 +102,26 @@
 	return waiting
 }
 
-// pending returns the items that wait for a server, the most urgent first: those that have begun, and then those that are
+// begin runs an attempt of an item or of its reward call at a server.
+func (j *Job) begin(it *item, s catalog.Server, listing chan struct{}, now time.Time, attempt func()) {
+	j.mu.Lock()
+	it.running = true
+	j.mu.Unlock()
+	j.manager.Tracker.Began(s.ID, now)
+	go supervise.Guard(j.manager.Logger, "item", func() {
+		defer func() {
+			j.mu.Lock()
+			it.running = false
+			j.mu.Unlock()
+			j.manager.free()
+			notify(j.wake)
+			notify(listing)
+		}()
+		attempt()
+	})
+}
+
+// pending returns the items that wait for a server or for a score, the most urgent first: those that have begun, and then those that are
 // expected to be long.
 func (j *Job) pending() []*item {
 	j.mu.Lock()
@@ -191,8 +204,7 @@
 	}
 	j.manager.Tracker.Ended(s.ID, j.spec.Model, v.outcome, took, now)
 	j.mu.Lock()
-	it.running = false
-	total, done := len(it.data), it.done
+	total, done := len(it.data), it.whole || it.done
 	j.mu.Unlock()
 	event.ItemAttempt.Log(j.manager.Logger, "job", j.spec.ID, "request", it.ID, "server", s.ID, "status", v.status,
 		"cause", v.cause, "hint", it.hint, "events", v.events, "total", total, "done", done, "version", v.version, "min", j.spec.MinVersion,
@@ -221,11 +233,7 @@
 		left = max(route.Queue-now.Sub(j.submitted), time.Second)
 	}
 	codec.Attempt(h, call.Attempt{Server: s.ID, Left: left, After: after})
-	conns := 0
-	if c := j.manager.Catalog.Config(); c != nil {
-		conns = c.Services[s.Service].Conns
-	}
-	resp, err := j.manager.Pool.Send(ctx, upstream.Target{Address: s.Address, Incarnation: s.ID, Conns: conns},
+	resp, err := j.manager.Pool.Send(ctx, j.target(s),
 		upstream.Request{Method: http.MethodPost, URI: it.Path, Host: j.host, Header: h, Body: it.Body})
 	if err != nil {
 		if ctx.Err() != nil {
@@ -235,17 +243,24 @@
 		return verdict{outcome: place.Broken, cause: err.Error()}
 	}
 	answer := codec.Answer(resp.StatusCode, resp.Header)
+	meaning := answer.Meaning(it.ID)
+	if answer.Leaving && meaning != call.Foreign {
+		j.manager.Catalog.Leaves(s, time.Now())
+	}
 	v := verdict{status: resp.StatusCode, version: answer.Version}
-	if resp.StatusCode == http.StatusOK && answer.ID == it.ID && answer.Signed {
+	if resp.StatusCode == http.StatusOK && meaning == call.Genuine {
 		return j.read(it, s, resp, watch, after, v, route)
 	}
+	if meaning == call.Foreign {
+		resp.Abandon()
+		v.outcome, v.cause = place.Broken, causeForeign
+		return v
+	}
 	resp.Discard()
 	v.outcome = place.Refused
 	switch {
-	case answer.NotRun:
+	case meaning == call.NotRun:
 		v.cause = "the server refused"
-	case answer.ID != it.ID || !answer.Signed:
-		v.outcome, v.cause = place.Broken, "the answer is not the item's"
 	case resp.StatusCode == http.StatusUnprocessableEntity:
 		v.outcome, v.cause = place.Answered, "the item can never be done"
 		j.mu.Lock()
@@ -266,6 +281,15 @@
 	return v
 }
 
+// target returns where the requests to a server are sent.
+func (j *Job) target(s catalog.Server) upstream.Target {
+	t := upstream.Target{Address: s.Address, Incarnation: s.ID}
+	if c := j.manager.Catalog.Config(); c != nil {
+		t.Conns = c.Services[s.Service].Conns
+	}
+	return t
+}
+
 // read takes the events of an answer until it ends.
 func (j *Job) read(
 	it *item, s catalog.Server, resp *upstream.Response, watch *time.Timer, after int, v verdict, route *catalog.Route,
@@ -288,7 +312,7 @@
 			resp.Close()
 			j.mu.Lock()
 			if !it.done {
-				j.complete(it)
+				j.complete(it, time.Now())
 			}
 			j.mu.Unlock()
 			v.outcome = place.Answered
@@ -300,7 +324,6 @@
 			return v
 		}
 		now := time.Now()
-		watch.Reset(nextEvent)
 		if e.Version > 0 {
 			version = e.Version
 		}
@@ -316,6 +339,7 @@
 		if version < j.spec.MinVersion || route.SingleVersion && after > 0 && !j.single(it, version) {
 			return j.restart(it, resp, v)
 		}
+		watch.Reset(nextEvent)
 		after++
 		v.events++
 		if !last.IsZero() {
@@ -347,7 +371,11 @@
 	return v
 }
 
-const causeMoved = "the server is slow; the item moves"
+// Causes of attempts that ended without an outcome.
+const (
+	causeMoved   = "the server is slow; the item moves"
+	causeForeign = "the answer belongs to another request or bears no signature"
+)
 
 // movable reports whether an item is to go on at a faster server. It answers a load in which a few slowed servers hold
 // the last items of a step while others have free slots.
--- /dev/null
+++ b/entry/internal/batch/score_test.go
@@ -0,0 +1,435 @@
+package batch
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bulrushspoke/internal/call"
+	"bulrushspoke/internal/catalog"
+	"bulrushspoke/internal/job"
+	"bulrushspoke/platform/platformtest"
+)
+
+// scorer is a plain service that scores texts. A test may change how it answers.
+type scorer struct {
+	*httptest.Server
+	engine *engine
+
+	mu     sync.Mutex
+	answer func(w http.ResponseWriter, r *http.Request, id string, run int) bool // true if it has answered
+	calls  map[string]int
+	early  []string // calls that came before the engine had made the whole text
+}
+
+func newScorer(t *testing.T, e *engine) *scorer {
+	t.Helper()
+	s := &scorer{engine: e, calls: make(map[string]int)}
+	s.Server = httptest.NewServer(s)
+	t.Cleanup(s.CloseClientConnections)
+	return s
+}
+
+func (s *scorer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	asked := platformtest.Asked(r.Header)
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	item := strings.TrimPrefix(asked.ID, "call-")
+	s.mu.Lock()
+	s.calls[asked.ID]++
+	run, answer := s.calls[asked.ID], s.answer
+	if s.engine.made(item) < length(item) {
+		s.early = append(s.early, asked.ID)
+	}
+	s.mu.Unlock()
+	proper := r.Method == http.MethodPost && r.Host == "scores" && r.URL.Path == "/score/"+item && string(body) == "score "+item
+	if !proper || asked.Left <= 0 || asked.Server == "" {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if answer != nil && answer(w, r, asked.ID, run) {
+		return
+	}
+	platformtest.Answer(w.Header(), call.Answer{ID: asked.ID, Signature: score(asked.ID)})
+	_, _ = io.WriteString(w, "scored")
+}
+
+// score is the signature of the answer to a call.
+func score(call string) string { return "signed " + call }
+
+func (s *scorer) count(call string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls[call]
+}
+
+func (s *scorer) set(f func(w http.ResponseWriter, r *http.Request, id string, run int) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answer = f
+}
+
+// made returns the number of the newest event of an item that the engine has made.
+func (e *engine) made(id string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.events[id]
+}
+
+// scoring adds a service that scores to a rig.
+func (r *rig) scoring(s *scorer) {
+	r.scorer = s
+	r.routes = append(r.routes, catalog.Route{
+		Name: "score", Host: "scores", Prefix: "/score/", Kind: catalog.Safe, Attempts: 3,
+		Objective: 100 * time.Millisecond, Timeout: time.Second, Shares: []catalog.Share{{Service: "w", Weight: 1}},
+	})
+}
+
+// scored returns a submission of items that are to be scored.
+func scored(ids ...string) []byte {
+	j := job.Job{Step: 1, Model: "m", MinVersion: 1, Groups: 1}
+	for _, id := range ids {
+		group, _, _ := strings.Cut(id, "-")
+		j.Items = append(j.Items, job.Item{
+			ID: id, Path: "/p/" + id, Body: []byte("body of " + id), Tokens: 10, Group: group,
+			Reward: &job.Reward{ID: "call-" + id, Host: "scores", Path: "/score/" + id, Body: []byte("score " + id)},
+		})
+	}
+	b, err := platformtest.EncodeJob(j)
+	if err != nil {
+		panic(err) // strings and numbers encode
+	}
+	return b
+}
+
+// checkScores compares the scores of results with the signatures of the answers to their calls.
+func checkScores(t *testing.T, s *scorer, results []job.Result) {
+	t.Helper()
+	for _, r := range results {
+		if want := score("call-" + r.Item); r.State == job.Completed && r.Score != want {
+			t.Errorf("score of %s is %q, want %q", r.Item, r.Score, want)
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.early) > 0 {
+		t.Errorf("calls that came before their text was whole: %v", s.early)
+	}
+}
+
+// Guards against results without their score, against scores of other calls, and against calls that come before the text
+// is whole or bear other bytes than the trainer's.
+func TestScores(t *testing.T) {
+	e := newEngine(t, 1)
+	e.gap = 2 * time.Millisecond
+	s := newScorer(t, e)
+	r := newRig(t, e)
+	r.scoring(s)
+	m, _ := r.manager("a", "a1")
+	ids := []string{"g-1", "g-5", "h-9", "h-30", "i-3"}
+	r.submit(m, "j", scored(ids...))
+	results := r.collect(m, "j", len(ids))
+	check(t, results, ids...)
+	checkScores(t, s, results)
+	other, _ := r.manager("b", "b1")
+	m.Peers.(member).mesh.mu.Lock()
+	m.Peers.(member).mesh.cut["a"] = true
+	m.Peers.(member).mesh.mu.Unlock()
+	if d := cmp.Diff(results, r.collect(other, "j", len(ids))); d != "" {
+		t.Errorf("another entry shows other results (-owner +other):\n%s", d)
+	}
+}
+
+// Guards against a score that is not the server's whole, signed answer to the call itself: refusals, answers to other
+// calls, unsigned, encoded and broken ones, and silence.
+func TestScoreOfDoubtfulAnswers(t *testing.T) {
+	sign := func(w http.ResponseWriter, id string) {
+		platformtest.Answer(w.Header(), call.Answer{ID: id, Signature: score(id)})
+	}
+	for name, spoil := range map[string]func(w http.ResponseWriter, r *http.Request, id string){
+		"refused": func(w http.ResponseWriter, _ *http.Request, id string) {
+			platformtest.Answer(w.Header(), call.Answer{ID: id, NotRun: true})
+			w.WriteHeader(http.StatusServiceUnavailable)
+		},
+		"of another call": func(w http.ResponseWriter, _ *http.Request, _ string) { sign(w, "call-other") },
+		"refusal of another call": func(w http.ResponseWriter, _ *http.Request, _ string) {
+			platformtest.Answer(w.Header(), call.Answer{ID: "call-other", NotRun: true})
+			w.WriteHeader(http.StatusServiceUnavailable)
+		},
+		"unsigned": func(w http.ResponseWriter, _ *http.Request, id string) {
+			platformtest.Answer(w.Header(), call.Answer{ID: id})
+		},
+		"encoded": func(w http.ResponseWriter, _ *http.Request, id string) {
+			sign(w, id)
+			w.Header().Set("Content-Encoding", "gzip")
+		},
+		"cut off": func(w http.ResponseWriter, _ *http.Request, id string) {
+			sign(w, id)
+			w.Header().Set("Content-Length", "100")
+			w.WriteHeader(http.StatusOK)
+			_, _ = io.WriteString(w, "part")
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		},
+		"lost":   func(http.ResponseWriter, *http.Request, string) { panic(http.ErrAbortHandler) },
+		"silent": func(_ http.ResponseWriter, r *http.Request, _ string) { <-r.Context().Done() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e := newEngine(t, 1)
+			s := newScorer(t, e)
+			s.set(func(w http.ResponseWriter, r *http.Request, id string, run int) bool {
+				if run > 2 {
+					return false
+				}
+				spoil(w, r, id)
+				return true
+			})
+			r := newRig(t, e)
+			r.scoring(s)
+			m, _ := r.manager("a", "a1")
+			r.submit(m, "j", scored("g-2", "g-3"))
+			results := r.collect(m, "j", 2)
+			check(t, results, "g-2", "g-3")
+			checkScores(t, s, results)
+		})
+	}
+}
+
+// Guards against an item that is given up before its reward call has failed as often as its route allows, or never.
+func TestRewardCallFails(t *testing.T) {
+	e := newEngine(t, 1)
+	s := newScorer(t, e)
+	s.set(func(w http.ResponseWriter, _ *http.Request, id string, run int) bool {
+		platformtest.Answer(w.Header(), call.Answer{ID: id, Signature: "failed " + id})
+		switch {
+		case strings.HasPrefix(id, "call-fails"), run <= 2 && strings.HasPrefix(id, "call-late"):
+			w.WriteHeader(http.StatusInternalServerError)
+		case run <= 5 && strings.HasPrefix(id, "call-denied"):
+			w.WriteHeader(http.StatusNotFound)
+		default:
+			return false
+		}
+		return true
+	})
+	r := newRig(t, e)
+	r.scoring(s)
+	m, _ := r.manager("a", "a1")
+	r.submit(m, "j", scored("fails-2", "late-2", "denied-2"))
+	got := make(map[string]job.State)
+	results := r.collect(m, "j", 3)
+	for _, res := range results {
+		got[res.Item] = res.State
+		if res.State == job.Terminated && (res.Text != "" || res.Score != "") {
+			t.Errorf("the item given up has text %q and score %q", res.Text, res.Score)
+		}
+	}
+	want := map[string]job.State{"fails-2": job.Terminated, "late-2": job.Completed, "denied-2": job.Completed}
+	if d := cmp.Diff(want, got); d != "" {
+		t.Errorf("states (-want +got):\n%s", d)
+	}
+	if n := s.count("call-fails-2"); n != 3 {
+		t.Errorf("the failing call was sent %d times, want 3", n)
+	}
+}
+
+// Guards against a generation that is repeated since only its score was missing: the owner dies or hands over while a
+// call waits for its answer, and the new owner sends the call again.
+func TestRewardCallOfNewOwner(t *testing.T) {
+	for _, planned := range []bool{true, false} {
+		t.Run(fmt.Sprintf("planned %t", planned), func(t *testing.T) {
+			t.Parallel()
+			e := newEngine(t, 1)
+			s := newScorer(t, e)
+			silent := func(_ http.ResponseWriter, r *http.Request, _ string, _ int) bool {
+				<-r.Context().Done()
+				return true
+			}
+			s.set(silent)
+			r := newRig(t, e)
+			r.scoring(s)
+			m, crash := r.manager("a", "a1")
+			other, _ := r.manager("b", "b1")
+			r.submit(m, "j", scored("g-40"))
+			deadline := time.Now().Add(10 * time.Second)
+			for s.count("call-g-40") == 0 || !planned && len(r.store.Names(KindTexts)) == 0 {
+				if time.Now().After(deadline) {
+					t.Fatal("no call was sent, or no text kept")
+				}
+				time.Sleep(5 * time.Millisecond)
+			}
+			s.set(nil)
+			if planned {
+				m.Handover(t.Context())
+			} else {
+				crash()
+				r.cut("a", true)
+			}
+			results := r.collect(other, "j", 1)
+			check(t, results, "g-40")
+			checkScores(t, s, results)
+			if starts := e.started(); len(starts) != 1 {
+				t.Errorf("runs began at %v, want one", starts)
+			}
+		})
+	}
+}
+
+// Guards against an item given up in the middle of its text that a new owner, or a later job, takes for whole.
+func TestTextOfItemGivenUpIsNotWhole(t *testing.T) {
+	e := newEngine(t, 1)
+	e.answer = func(id string, run int) int {
+		if id == "g-9" && run > 1 && run < 5 {
+			return http.StatusInternalServerError
+		}
+		return 0
+	}
+	e.cut = func(id string, run int) int {
+		if id == "g-9" && run == 1 {
+			return 4
+		}
+		return 0
+	}
+	e.gap = 2 * time.Millisecond
+	r := newRig(t, e)
+	m, _ := r.manager("a", "a1")
+	r.submit(m, "j", payload(1, "g-9", "g-5000"))
+	deadline := time.Now().Add(10 * time.Second)
+	for !itemDone(m.local("j"), "g-9") {
+		if time.Now().After(deadline) {
+			t.Fatal("the failing item is not given up")
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	for _, p := range m.local("j").parts() {
+		if p.Item == "g-9" && p.Done {
+			t.Errorf("a part of %d events is handed over as whole", len(p.Data))
+		}
+	}
+	if reply := m.End(t.Context(), "j"); reply.Status != http.StatusOK {
+		t.Fatal(reply)
+	}
+	r.submit(m, "k", payload(1, "g-9"))
+	check(t, r.collect(m, "k", 1), "g-9")
+}
+
+// Guards against calls for a job that has ended.
+func TestNoRewardCallAfterEnd(t *testing.T) {
+	e := newEngine(t, 1)
+	s := newScorer(t, e)
+	s.set(func(w http.ResponseWriter, _ *http.Request, id string, _ int) bool {
+		platformtest.Answer(w.Header(), call.Answer{ID: id, NotRun: true})
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return true
+	})
+	r := newRig(t, e)
+	r.scoring(s)
+	m, _ := r.manager("a", "a1")
+	r.submit(m, "j", scored("g-2"))
+	deadline := time.Now().Add(10 * time.Second)
+	for s.count("call-g-2") < 2 {
+		if time.Now().After(deadline) {
+			t.Fatal("a refused call is not sent again")
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	if reply := m.End(t.Context(), "j"); reply.Status != http.StatusOK {
+		t.Fatal(reply)
+	}
+	before := s.count("call-g-2")
+	time.Sleep(600 * time.Millisecond)
+	if n := s.count("call-g-2"); n > before+1 { // one may have been on its way
+		t.Errorf("%d calls after the end of the job", n-before)
+	}
+}
+
+// Guards against an item that is lost because the route of its reward call is away for a while.
+func TestRewardRouteComesBack(t *testing.T) {
+	e := newEngine(t, 1)
+	s := newScorer(t, e)
+	r := newRig(t, e)
+	r.scorer = s
+	m, _ := r.manager("a", "a1")
+	r.submit(m, "j", scored("g-2"))
+	time.Sleep(300 * time.Millisecond)
+	if n := s.count("call-g-2"); n != 0 {
+		t.Fatalf("%d calls without a route", n)
+	}
+	r.scoring(s)
+	m.Catalog.ApplyConfig(catalog.Config{Revision: 2, Routes: append([]catalog.Route{r.route}, r.routes...)})
+	results := r.collect(m, "j", 1)
+	check(t, results, "g-2")
+	checkScores(t, s, results)
+}
+
+// Guards against a second copy of an answer that comes when the connection is idle or in use again.
+func TestLateSecondAnswer(t *testing.T) {
+	e := newEngine(t, 1)
+	s := newScorer(t, e)
+	s.set(func(w http.ResponseWriter, _ *http.Request, id string, _ int) bool {
+		c, out, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return false
+		}
+		answer := "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" +
+			platformtest.Head(call.Answer{ID: id, Signature: score(id)}) + "\r\n"
+		go func() {
+			defer func() { _ = c.Close() }()
+			_, _ = out.WriteString(answer)
+			_ = out.Flush()
+			time.Sleep(10 * time.Millisecond)
+			_, _ = out.WriteString(answer)
+			_ = out.Flush()
+			time.Sleep(50 * time.Millisecond)
+		}()
+		return true
+	})
+	r := newRig(t, e)
+	r.scoring(s)
+	m, _ := r.manager("a", "a1")
+	var ids []string
+	for i := range 12 {
+		ids = append(ids, fmt.Sprintf("g%d-%d", i, i+1))
+	}
+	e.gap = 3 * time.Millisecond
+	r.submit(m, "j", scored(ids...))
+	results := r.collect(m, "j", len(ids))
+	check(t, results, ids...)
+	checkScores(t, s, results)
+}
+
+// Guards against work for a server that says itself that it leaves, whatever the list of servers says of it.
+func TestLeavingEngineGetsNoItems(t *testing.T) {
+	leaving, staying := newEngine(t, 1), newEngine(t, 1)
+	leaving.leaving = true
+	leaving.gap = 5 * time.Millisecond
+	staying.gap = 5 * time.Millisecond
+	r := newRig(t, leaving, staying)
+	m, _ := r.manager("a", "a1")
+	var ids []string
+	for i := range 16 {
+		ids = append(ids, fmt.Sprintf("g%d-%d", i, 5))
+	}
+	r.submit(m, "j", payload(1, ids...))
+	check(t, r.collect(m, "j", len(ids)), ids...)
+	before := len(leaving.started())
+	if before == 0 {
+		t.Fatal("the leaving engine was never asked")
+	}
+	m.Catalog.ApplyServer(r.entry(0, 100)) // still ready there
+	r.submit(m, "k", payload(1, "k-1", "k-2", "k-3", "k-4", "k-5", "k-6"))
+	check(t, r.collect(m, "k", 6), "k-1", "k-2", "k-3", "k-4", "k-5", "k-6")
+	if n := len(leaving.started()); n > before {
+		t.Errorf("%d items went to the engine that leaves: %v", n-before, slices.Clone(leaving.started()[before:]))
+	}
+}
--- a/entry/internal/cli/build.go
+++ b/entry/internal/cli/build.go
@@ -65,6 +65,13 @@
 	return r.r.Float64()
 }
 
+// IntN returns a number from 0 to below n.
+func (r *random) IntN(n int) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.r.IntN(n)
+}
+
 // seeds draws independent seeds from the seed of the settings, or from the system if that is 0.
 func seeds(seed uint64) *rand.ChaCha8 {
 	var s [32]byte
--- a/entry/internal/cli/platform.go
+++ b/entry/internal/cli/platform.go
@@ -198,22 +198,23 @@
 		}
 	}
 	identity := link.NewIdentity(s.Name, p.secret, hello)
+	chance := &random{r: rand.New(rand.NewChaCha8(draw(source)))}
 	p.peers = peer.New(s.Name, identity, func() wire.Config { return wire.Config{} }, func(wire.Notice) {}, peer.Options{
 		Ack: time.Second, Resume: time.Second, Redial: redialMost,
-	}, &random{r: rand.New(rand.NewChaCha8(draw(source)))}, p.logger)
+	}, chance, p.logger)
 	objects := relay.New(p.store, p.peers, p.logger)
 	objects.Register(p.peers)
 	p.batch = batch.New(life, batch.Options{
 		Self: self, Name: s.Name, Store: objects, Peers: p.peers, Catalog: p.catalog, Pool: pool, Tracker: tracker,
 		Keep: s.Bounds.Status, Value: s.Store.Value, Memory: int64(bodyShare * float64(s.Memory)), Logger: p.logger,
-		Outage: objects.Outage,
+		Outage: objects.Outage, Random: chance,
 	})
 	p.batch.Register(p.peers)
 	p.peers.OnJoin(p.batch.Joined)
 	waits := m.Histogram("request", "s", "Time from arrival to the answer.")
 	p.ingress = ingress.New(ingress.Options{
 		Catalog: p.catalog, Pool: pool, Tracker: tracker, Jobs: p.batch,
-		Random:   rand.New(rand.NewChaCha8(draw(source))),
+		Random:   chance,
 		Memory:   int64(bodyShare * float64(s.Memory)),
 		Suspects: p.suspects(),
 		Logger:   p.logger,
--- a/entry/internal/ingress/forward.go
+++ b/entry/internal/ingress/forward.go
@@ -60,7 +60,7 @@
 		g.reply(w, q, Reply{Status: http.StatusBadGateway, Cause: "the request broke several servers"})
 		return
 	}
-	service := g.service(q.route)
+	service := q.route.Draw(g.Random.IntN)
 	tried := make(map[string]bool)
 	mayHaveRun := false
 	last := attempt{outcome: notRun, cause: "no server"}
@@ -120,30 +120,11 @@
 	}
 }
 
-// service draws the service of a request by the weights of its route.
-func (g *Ingress) service(r *catalog.Route) string {
-	if len(r.Shares) == 1 {
-		return r.Shares[0].Service
-	}
-	total := 0
-	for _, s := range r.Shares {
-		total += s.Weight
-	}
-	if total <= 0 {
-		return r.Shares[0].Service
-	}
-	g.mu.Lock()
-	n := g.Random.IntN(total)
-	g.mu.Unlock()
-	for _, s := range r.Shares {
-		if n -= s.Weight; n < 0 {
-			return s.Service
-		}
-	}
-	return r.Shares[0].Service
-}
-
-const causeReset = "the server broke the connection"
+// Causes of lost attempts.
+const (
+	causeReset   = "the server broke the connection"
+	causeForeign = "the answer belongs to another request or bears no signature"
+)
 
 // try sends the request to one server once.
 func (g *Ingress) try(
@@ -210,16 +191,17 @@
 	}
 	answering()
 	answer := g.headers.Answer(resp.StatusCode, resp.Header)
+	meaning := answer.Meaning(q.ID)
+	if answer.Leaving && meaning != call.Foreign {
+		g.Catalog.Leaves(s, time.Now())
+	}
 	switch {
-	case answer.NotRun:
+	case meaning == call.NotRun:
 		resp.Discard()
 		return attempt{outcome: notRun, cause: "the server refused: " + strconv.Itoa(resp.StatusCode)}
-	case answer.ID != q.ID:
-		resp.Abandon()
-		return attempt{outcome: lost, cause: "the answer belongs to another request"}
-	case !answer.Signed, resp.Header.Get("Content-Encoding") != "":
+	case meaning == call.Foreign, resp.Header.Get("Content-Encoding") != "":
 		resp.Abandon()
-		return attempt{outcome: lost, cause: "the answer is not signed"}
+		return attempt{outcome: lost, cause: causeForeign}
 	case isStream(resp.Header) && resp.StatusCode == http.StatusOK:
 		return g.stream(ctx, w, q, s, resp)
 	case resp.ContentLength > wholeAnswer:
--- a/entry/internal/ingress/ingress.go
+++ b/entry/internal/ingress/ingress.go
@@ -14,11 +14,9 @@
 	"errors"
 	"io"
 	"log/slog"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -61,13 +59,18 @@
 	Cause  string        // for the log
 }
 
+// Random draws numbers; it is safe for several tasks.
+type Random interface {
+	IntN(n int) int
+}
+
 // Options are the parts that an Ingress works with.
 type Options struct {
 	Catalog  *catalog.Catalog
 	Pool     *upstream.Pool
 	Tracker  *place.Tracker
 	Jobs     Jobs
-	Random   *rand.Rand
+	Random   Random
 	Memory   int64 // bytes that bodies in progress may take
 	Observe  func(route string, status int, took time.Duration)
 	Logger   *slog.Logger
@@ -80,7 +83,6 @@
 	headers platform.Headers
 	leaving atomic.Bool
 	held    atomic.Int64 // bytes of bodies in progress
-	mu      sync.Mutex   // guards Random
 }
 
 // New returns an Ingress.
--- a/entry/internal/ingress/ingress_test.go
+++ b/entry/internal/ingress/ingress_test.go
@@ -83,7 +83,7 @@
 }
 
 func signed(q *http.Request) string {
-	return platformtest.Head(call.Answer{ID: platformtest.Asked(q.Header).ID, Signed: true})
+	return platformtest.Head(call.Answer{ID: platformtest.Asked(q.Header).ID, Signature: platformtest.Stamp})
 }
 
 func good(c net.Conn, q *http.Request, _ string) bool {
@@ -188,7 +188,7 @@
 		return false
 	}
 	foreign := func(c net.Conn, _ *http.Request, _ string) bool {
-		return write(c, "200 OK\r\n"+platformtest.Head(call.Answer{ID: "other", Signed: true}), "stale")
+		return write(c, "200 OK\r\n"+platformtest.Head(call.Answer{ID: "other", Signature: platformtest.Stamp}), "stale")
 	}
 	unsigned := func(c net.Conn, q *http.Request, _ string) bool {
 		return write(c, "200 OK\r\n"+platformtest.Head(call.Answer{ID: platformtest.Asked(q.Header).ID}), "forged")
--- a/entry/internal/ingress/stream.go
+++ b/entry/internal/ingress/stream.go
@@ -119,7 +119,11 @@
 			continue
 		}
 		a := g.headers.Answer(resp.StatusCode, resp.Header)
-		if resp.StatusCode == http.StatusOK && a.Signed && a.ID == q.ID && isStream(resp.Header) {
+		meaning := a.Meaning(q.ID)
+		if a.Leaving && meaning != call.Foreign {
+			g.Catalog.Leaves(s, time.Now())
+		}
+		if resp.StatusCode == http.StatusOK && meaning == call.Genuine && isStream(resp.Header) {
 			return resp, &s
 		}
 		resp.Abandon()
--- a/entry/internal/place/place.go
+++ b/entry/internal/place/place.go
@@ -13,6 +13,7 @@
 package place
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -65,6 +66,8 @@
 	Tried      map[string]bool
 	Room       bool // only servers with a free slot as far as this process knows
 	Fast       bool // only servers that are not slow
+	// Spare is the part of a server's slots that is to stay free, for a need that asks for room.
+	Spare float64
 }
 
 // Outcome is how an attempt ended.
@@ -127,7 +130,7 @@
 		}
 		st := t.state[s.ID]
 		avoided := st != nil && (now.Before(st.avoid) || now.Before(st.refusals[n.Model].until))
-		if n.Room && (avoided || st != nil && st.inflight >= s.Slots) {
+		if n.Room && (avoided || st != nil && st.inflight >= n.slots(s)) {
 			continue
 		}
 		if n.Fast && st != nil && st.slow(slowest, now) {
@@ -153,6 +156,11 @@
 	return servers[best], true
 }
 
+// slots returns how many slots of a server the need may fill, one at the least.
+func (n Need) slots(s catalog.Server) int {
+	return max(s.Slots-int(math.Ceil(n.Spare*float64(s.Slots))), 1)
+}
+
 // fits reports whether a server may run the work at all.
 func fits(s catalog.Server, n Need) bool {
 	if n.Model == "" {
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -26,8 +26,36 @@
 
 // Answer is what a server says of its answer beside status and body.
 type Answer struct {
-	ID      string // the request that is answered
-	Signed  bool   // the answer bears the server's signature
-	NotRun  bool   // the server states that it did not run the request
-	Version int    // weight version that the answer begins under; 0 if none was named
+	ID        string // the request that is answered
+	Signature string // of the server; empty if the answer bears none
+	NotRun    bool   // the server states that it did not run the request
+	Leaving   bool   // the server states that it is about to leave
+	Version   int    // weight version that the answer begins under; 0 if none was named
+}
+
+// Meaning is what an answer says of the request that it was received for.
+type Meaning int
+
+// Meanings of answers.
+const (
+	// Foreign answers belong to another request, or to no server; they say nothing of this request.
+	Foreign Meaning = iota
+	// NotRun answers prove that the server has not run the request and will not.
+	NotRun
+	// Genuine answers are the server's own to this request.
+	Genuine
+)
+
+// Meaning returns what the answer says of the request with the given id. The id is compared before anything else is
+// believed: the answer to an earlier request on the same connection may arrive late.
+func (a Answer) Meaning(id string) Meaning {
+	switch {
+	case a.ID != id && a.ID != "":
+		return Foreign
+	case a.NotRun:
+		return NotRun
+	case a.ID != id || a.Signature == "":
+		return Foreign
+	}
+	return Genuine
 }
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -16,6 +16,21 @@
 // outage: entries of live servers are back within about two seconds.
 const lapseGrace = 2 * time.Second
 
+const (
+	// lastUse is how long the last server of a service stays in use after its own notice that it leaves; it goes on
+	// serving for some seconds.
+	lastUse = time.Second
+	// noticeTime is how long a notice is remembered; a server that leaves is gone by then.
+	noticeTime = 10 * time.Minute
+)
+
+// notice is a server's own word that it is about to leave. It holds for one incarnation.
+type notice struct {
+	born int64
+	at   time.Time
+	last bool // in use still, since its service has no other server
+}
+
 // Catalog holds what is known. It is safe for concurrent use.
 type Catalog struct {
 	logger *slog.Logger
@@ -26,6 +41,7 @@
 	servers  map[string]Server
 	lapsed   map[string]time.Time // when a missing server is given up
 	restored time.Time            // end of the last outage of the store
+	notices  map[string]notice    // by id of the server
 	versions map[string]Version
 	changed  chan struct{}
 	known    atomic.Bool
@@ -43,6 +59,7 @@
 		logger:   logger,
 		servers:  make(map[string]Server),
 		lapsed:   make(map[string]time.Time),
+		notices:  make(map[string]notice),
 		versions: make(map[string]Version),
 		changed:  make(chan struct{}),
 	}
@@ -165,6 +182,50 @@
 	c.arrange()
 }
 
+// Leaves takes a server's own notice that it is about to leave: it gets no new work from now on, whatever its entry says.
+// The last server of a service stays in use for a moment.
+func (c *Catalog) Leaves(s Server, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n, ok := c.notices[s.ID]; ok && n.born == s.Born {
+		return
+	}
+	if held, ok := c.servers[s.ID]; ok && held.Born != s.Born {
+		return // of a former incarnation
+	}
+	for id, n := range c.notices {
+		if now.Sub(n.at) > noticeTime {
+			delete(c.notices, id)
+		}
+	}
+	c.notices[s.ID] = notice{born: s.Born, at: now}
+	event.ServerLeaves.Log(c.logger, "server", s.ID, "born", s.Born)
+	c.arrange()
+	if held, ok := c.servers[s.ID]; !ok || held.Draining || len(c.view.Load().byService[s.Service]) > 0 {
+		return
+	}
+	c.notices[s.ID] = notice{born: s.Born, at: now, last: true}
+	c.arrange()
+	time.AfterFunc(lastUse, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.notices[s.ID].born == s.Born {
+			c.notices[s.ID] = notice{born: s.Born, at: now}
+			c.arrange()
+		}
+	})
+}
+
+// leaves reports whether a server has said that it is about to leave, and whether it is to be used for want of another;
+// the caller holds mu.
+func (c *Catalog) leaves(s Server) (leaving, last bool) {
+	n, ok := c.notices[s.ID]
+	if !ok || n.born != s.Born {
+		return false, false
+	}
+	return true, n.last
+}
+
 func (c *Catalog) put(s Server) {
 	held, ok := c.servers[s.ID]
 	if ok && held.Revision > s.Revision {
@@ -210,11 +271,22 @@
 // arrange publishes the servers; the caller holds mu.
 func (c *Catalog) arrange() {
 	v := &view{byService: make(map[string][]Server), byID: make(map[string]Server, len(c.servers))}
+	var last []Server
 	for _, id := range slices.Sorted(maps.Keys(c.servers)) {
 		s := c.servers[id]
 		v.byID[id] = s
-		if !s.Draining {
+		leaving, only := c.leaves(s)
+		switch {
+		case s.Draining:
+		case !leaving:
 			v.byService[s.Service] = append(v.byService[s.Service], s)
+		case only:
+			last = append(last, s)
+		}
+	}
+	for _, s := range last {
+		if len(v.byService[s.Service]) == 0 {
+			v.byService[s.Service] = []Server{s}
 		}
 	}
 	c.view.Store(v)
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -219,3 +219,43 @@
 		t.Error("the new watch counts as the end of an outage")
 	}
 }
+
+// Guards against new work for a server that says itself that it leaves: a later entry that still calls it ready changes
+// nothing, another incarnation under its id is a new server, and the last server of a service serves a moment longer.
+func TestLeaves(t *testing.T) {
+	c := New(quiet)
+	old := Server{ID: "s", Revision: 1, Service: "v", Born: 1}
+	other := Server{ID: "o", Revision: 2, Service: "v", Born: 1}
+	c.ApplyServer(old)
+	c.ApplyServer(other)
+	c.Leaves(old, start)
+	inUse := func(want ...string) {
+		t.Helper()
+		if d := cmp.Diff(want, ids(c, "v")); d != "" {
+			t.Errorf("servers in use (-want +got):\n%s", d)
+		}
+	}
+	inUse("o")
+	again := old
+	again.Revision = 3
+	c.ApplyServer(again)
+	c.ReplaceServers([]Server{again, other}, 3, start)
+	inUse("o")
+	if _, ok := c.Server("s"); !ok {
+		t.Error("the leaving server is unknown")
+	}
+	c.Leaves(other, start)
+	inUse("o")
+	deadline := time.Now().Add(5 * lastUse)
+	for len(c.Servers("v")) > 0 {
+		if time.Now().After(deadline) {
+			t.Fatal("the last server is still in use")
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	again.Revision, again.Born = 4, 2
+	c.ApplyServer(again)
+	inUse("s")
+	c.Leaves(old, start) // an answer of the former incarnation comes late
+	inUse("s")
+}
--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -57,6 +57,24 @@
 // Repeatable reports whether a request may run more than once.
 func (r *Route) Repeatable() bool { return r.Kind == Safe || r.Kind == Batch || r.Resumable }
 
+// Draw returns one of the route's services by their weights; draw returns a random number below its argument.
+func (r *Route) Draw(draw func(int) int) string {
+	total := 0
+	for _, s := range r.Shares {
+		total += s.Weight
+	}
+	if len(r.Shares) == 1 || total <= 0 {
+		return r.Shares[0].Service
+	}
+	n := draw(total)
+	for _, s := range r.Shares {
+		if n -= s.Weight; n < 0 {
+			return s.Service
+		}
+	}
+	return r.Shares[0].Service
+}
+
 // Service is a set of interchangeable servers.
 type Service struct {
 	Name   string
--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -23,6 +23,7 @@
 	ItemAttempt        = define(1046, slog.LevelInfo, "attempt of an item ended")
 	ItemGivenUp        = define(1047, slog.LevelWarn, "item given up")
 	TextsKept          = define(1048, slog.LevelInfo, "texts of a former owner taken up")
+	RewardAttempt      = define(1049, slog.LevelInfo, "attempt of a reward call ended")
 	JobsSwept          = define(1051, slog.LevelInfo, "old jobs removed from the store")
 	Retired            = define(1050, slog.LevelInfo, "instance is to be taken away; nothing on it needs to be kept")
 )
--- a/internal/event/shared.go
+++ b/internal/event/shared.go
@@ -23,6 +23,7 @@
 	ServerKnown   = define(131, slog.LevelInfo, "server became known")
 	ServerChanged = define(132, slog.LevelInfo, "server changed its state or incarnation")
 	ServerGone    = define(133, slog.LevelInfo, "server is gone")
+	ServerLeaves  = define(139, slog.LevelInfo, "server says itself that it leaves")
 	HistoryGone   = define(134, slog.LevelWarn, "store dropped the history of a watch; the list is read again")
 	FeedLost      = define(135, slog.LevelWarn, "news of the store cannot be read")
 	FeedBack      = define(136, slog.LevelInfo, "news of the store can be read again")
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -16,6 +16,15 @@
 	Body   []byte
 	Tokens int // prompt tokens and the most output tokens
 	Group  string
+	Reward *Reward // nil if the item has no score
+}
+
+// Reward is the call that scores the text of an item. It may be repeated.
+type Reward struct {
+	ID   string
+	Host string
+	Path string
+	Body []byte
 }
 
 // Job is a batch job as its trainer submitted it.
@@ -43,6 +52,7 @@
 	State    State
 	Text     string // data of all events, separated by line feeds
 	Versions []int  // weight versions that generated the text, ascending
+	Score    string // what the reward call answered; empty if the item has none
 }
 
 // Page is a part of a job's results.
@@ -81,7 +91,25 @@
 		case seen[it.ID]:
 			return NewFormatError(fmt.Sprintf("item %s stands twice", it.ID))
 		}
+		if err := it.Reward.validate(it.ID); err != nil {
+			return err
+		}
 		seen[it.ID] = true
 	}
 	return nil
 }
+
+// validate checks the reward call of an item; an item may have none.
+func (r *Reward) validate(item string) error {
+	switch {
+	case r == nil:
+		return nil
+	case r.ID == "":
+		return NewFormatError(fmt.Sprintf("the reward call of item %s has no id", item))
+	case r.Host == "":
+		return NewFormatError(fmt.Sprintf("the reward call of item %s has no host", item))
+	case r.Path == "" || r.Path[0] != '/':
+		return NewFormatError(fmt.Sprintf("the reward call of item %s has no path", item))
+	}
+	return nil
+}
--- a/scenario/soak/server.go
+++ b/scenario/soak/server.go
@@ -207,7 +207,7 @@
 		s.world.ledger.abandoned(asked.ID, time.Now())
 		return
 	}
-	platformtest.Answer(w.Header(), call.Answer{ID: asked.ID, Signed: true})
+	platformtest.Answer(w.Header(), call.Answer{ID: asked.ID, Signature: platformtest.Stamp})
 	switch b {
 	case failing:
 		w.WriteHeader(http.StatusInternalServerError)
@@ -241,7 +241,7 @@
 		return
 	}
 	s.world.ledger.answered(id, answer)
-	head := "HTTP/1.1 200 OK\r\n" + platformtest.Head(call.Answer{ID: id, Signed: true})
+	head := "HTTP/1.1 200 OK\r\n" + platformtest.Head(call.Answer{ID: id, Signature: platformtest.Stamp})
 	_, _ = fmt.Fprintf(out, "%sContent-Length: %d\r\n\r\n%s", head, len(answer), answer)
 	_, _ = fmt.Fprintf(out, "%sContent-Length: 5\r\n\r\nstale", head)
 	_ = out.Flush()
@@ -251,7 +251,7 @@
 func (s *server) generate(w http.ResponseWriter, r *http.Request, asked platformtest.Told, id string, body []byte, b behaviour) {
 	model, length := itemOf(r.URL.Path)
 	s.world.ledger.began(asked.ID, id, r.URL.Path, string(body), time.Now())
-	platformtest.Answer(w.Header(), call.Answer{ID: asked.ID, Signed: true})
+	platformtest.Answer(w.Header(), call.Answer{ID: asked.ID, Signature: platformtest.Stamp})
 	if b == failing {
 		s.world.ledger.failed(asked.ID)
 		w.WriteHeader(http.StatusInternalServerError)
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -622,6 +622,9 @@
 	// Id of the item.
 	Item string `json:"item"`
 
+	// What the reward call answered; empty if the item has none.
+	Score string `json:"score"`
+
 	// Data of all events, separated by line feeds.
 	Text string `json:"text"`
 
