Bound what servers send, and use no idle connection on which bytes came

Cause: a server that sent its answer a second time while the connection was idle had the copy taken for the answer of the next request (asked for /two, got the answer of /one). A head without end was read until the context ended (1.6 GB in 3.9 s), interim answers likewise; the rest of a refusal that never came held the request up until its deadline.

Change: before an idle connection is used again it is asked whether anything has arrived, its end included, by a read that does not wait. Heads are bounded by 64 KB with all interim answers, of which eight are taken; the rest of an answer that is not needed is awaited for 200 ms. A server that stalls in the middle of a short answer counts as silent like one that sends none.

Tests: endless heads, bodies, chunk extensions and trailers; TestLateCopyOnIdleConnection and TestDiscardEnds failed before.

--- a/entry/internal/ingress/forward.go
+++ b/entry/internal/ingress/forward.go
@@ -179,7 +179,7 @@
 	}
 }
 
-// exchange sends the request and passes on its answer; answering is called when the answer begins.
+// exchange sends the request and passes on its answer; answering is called when the client begins to get it.
 func (g *Ingress) exchange(
 	ctx context.Context, w http.ResponseWriter, q *request, s catalog.Server, left time.Duration, answering func(),
 ) attempt {
@@ -189,7 +189,6 @@
 	if err != nil {
 		return broken(err)
 	}
-	answering()
 	answer := g.headers.Answer(resp.StatusCode, resp.Header)
 	meaning := answer.Meaning(q.ID)
 	if answer.Leaving && meaning != call.Foreign {
@@ -203,11 +202,13 @@
 		resp.Abandon()
 		return attempt{outcome: lost, cause: causeForeign}
 	case isStream(resp.Header) && resp.StatusCode == http.StatusOK:
+		answering()
 		return g.stream(ctx, w, q, s, resp)
 	case resp.ContentLength > wholeAnswer:
+		answering()
 		return g.relay(w, q, resp, nil)
 	}
-	return g.whole(w, q, resp)
+	return g.whole(w, q, resp, answering)
 }
 
 // outgoing returns the request as one server gets it.
@@ -237,7 +238,7 @@
 }
 
 // whole reads an answer of moderate size and delivers it, so that a spoilt one can be asked for again.
-func (g *Ingress) whole(w http.ResponseWriter, q *request, resp *upstream.Response) attempt {
+func (g *Ingress) whole(w http.ResponseWriter, q *request, resp *upstream.Response, answering func()) attempt {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, wholeAnswer+1))
 	if err != nil {
 		resp.Abandon()
@@ -246,6 +247,7 @@
 		}
 		return attempt{outcome: lost, cause: err.Error()}
 	}
+	answering()
 	if len(body) > wholeAnswer {
 		return g.relay(w, q, resp, body)
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -42,6 +42,13 @@
 	probeAfter = time.Second
 	probeEvery = 500 * time.Millisecond
 	probeCount = 2
+	// maxHead bounds the head of an answer in bytes, interim answers included: bytes without end are no answer. Servers'
+	// heads take a few hundred bytes.
+	maxHead = 64 << 10
+	// maxInterim bounds the interim answers before the final one.
+	maxInterim = 8
+	// discardTime bounds the reading of the rest of an answer that is not needed.
+	discardTime = 200 * time.Millisecond
 	// sweepPeriod is the time between two looks at expired idle connections.
 	sweepPeriod = time.Second
 )
@@ -87,6 +94,12 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.cause }
 
+// Errors for bytes that are no answer.
+var (
+	errEndless = errors.New("the head of the answer has no end")
+	errInterim = errors.New("too many interim answers")
+)
+
 // errFull tells that the bound of connections to a server, or of all, is reached.
 var errFull = errors.New("all connections are in use")
 
@@ -120,6 +133,40 @@
 	reader  *bufio.Reader
 	host    *host
 	expires time.Time
+	bounded bool // while a head is read
+	left    int  // bytes that may still be read then
+}
+
+// Read implements io.Reader. It gives up a head that exceeds its bound.
+func (c *conn) Read(b []byte) (int, error) {
+	if !c.bounded {
+		return c.Conn.Read(b)
+	}
+	if c.left <= 0 {
+		return 0, errEndless
+	}
+	n, err := c.Conn.Read(b[:min(len(b), c.left)])
+	c.left -= n
+	return n, err
+}
+
+// quiet reports whether nothing has arrived on an idle connection, neither bytes nor its end. What arrives there is no
+// answer to the next request: a server may send an answer twice.
+func (c *conn) quiet() bool {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var failed error
+	err = raw.Read(func(fd uintptr) bool {
+		_, failed = syscall.Read(int(fd), make([]byte, 1))
+		return true // does not wait
+	})
+	return err == nil && errors.Is(failed, syscall.EAGAIN)
 }
 
 // New returns an empty pool.
@@ -158,7 +205,7 @@
 		whole = n == 0 && errors.Is(err, io.EOF)
 	}
 	ended := r.stop()
-	if whole && ended && r.conn.reader.Buffered() == 0 {
+	if whole && ended && r.conn.reader.Buffered() == 0 && r.conn.SetReadDeadline(time.Time{}) == nil {
 		r.pool.put(r.conn, r.Header.Get("Keep-Alive"), time.Now())
 		return
 	}
@@ -168,7 +215,7 @@
 // Discard reads what is left of a short answer, so that the connection can be used again, and closes the answer.
 func (r *Response) Discard() {
 	const short = 16 << 10 // a longer rest costs more than a new connection
-	if r.Framed() && r.ContentLength <= short {
+	if r.Framed() && r.ContentLength <= short && r.conn.SetReadDeadline(time.Now().Add(discardTime)) == nil {
 		// An error shows in Close.
 		_, _ = io.CopyN(io.Discard, r.Body, short)
 	}
@@ -187,7 +234,7 @@
 
 // Send sends a request and reads the head of the answer. Its error is always an *Error.
 func (p *Pool) Send(ctx context.Context, t Target, q Request) (*Response, error) {
-	c, err := p.get(ctx, t, q.Fresh)
+	c, err := p.get(ctx, t, q.Fresh, time.Now())
 	if err != nil {
 		return nil, &Error{cause: err, full: errors.Is(err, errFull), reset: errors.Is(err, syscall.ECONNREFUSED)}
 	}
@@ -198,7 +245,7 @@
 		p.drop(c)
 		return nil, &Error{cause: given(ctx, err), sent: wrote, reset: broken(err)}
 	}
-	resp, err := readHead(c.reader, q.Method)
+	resp, err := c.readHead(q.Method)
 	if err != nil {
 		stop()
 		p.drop(c)
@@ -216,9 +263,11 @@
 }
 
 // readHead reads the head of the final answer.
-func readHead(r *bufio.Reader, method string) (*http.Response, error) {
-	for {
-		resp, err := http.ReadResponse(r, &http.Request{Method: method})
+func (c *conn) readHead(method string) (*http.Response, error) {
+	c.bounded, c.left = true, maxHead
+	defer func() { c.bounded = false }()
+	for range maxInterim + 1 {
+		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
 		}
@@ -226,6 +275,7 @@
 			return resp, nil
 		}
 	}
+	return nil, errInterim
 }
 
 // broken reports whether the peer ended the connection.
@@ -270,8 +320,7 @@
 }
 
 // get returns an idle connection to the incarnation or opens one.
-func (p *Pool) get(ctx context.Context, t Target, fresh bool) (*conn, error) {
-	now := time.Now()
+func (p *Pool) get(ctx context.Context, t Target, fresh bool, now time.Time) (*conn, error) {
 	p.mu.Lock()
 	h := p.hosts[t.Address]
 	if h == nil {
@@ -287,7 +336,7 @@
 		c := h.idle[len(h.idle)-1]
 		h.idle = h.idle[:len(h.idle)-1]
 		p.idle--
-		if now.Before(c.expires) {
+		if now.Before(c.expires) && c.quiet() {
 			p.mu.Unlock()
 			return c, nil
 		}
@@ -311,7 +360,9 @@
 		p.mu.Unlock()
 		return nil, err
 	}
-	return &conn{Conn: nc, reader: bufio.NewReaderSize(nc, readBuffer), host: h}, nil
+	c := &conn{Conn: nc, host: h}
+	c.reader = bufio.NewReaderSize(c, readBuffer)
+	return c, nil
 }
 
 // control makes the kernel give up a connection whose data is not acknowledged.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -260,3 +260,161 @@
 		t.Errorf("the count of open connections is wrong: %v", err)
 	}
 }
+
+// Guards against the answer to an earlier request, sent a second time while the connection is idle, that is taken for the
+// answer to the next one.
+func TestLateCopyOnIdleConnection(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	copied := make(chan struct{}, 2)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				r := bufio.NewReader(c)
+				for {
+					q, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					answer := "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n" + q.RequestURI
+					_, _ = io.WriteString(c, answer)
+					time.Sleep(20 * time.Millisecond)
+					_, _ = io.WriteString(c, answer)
+					copied <- struct{}{}
+				}
+			}()
+		}
+	}()
+	p := New(Limits{Dial: time.Second, Idle: 4})
+	for _, uri := range []string{"/one", "/two"} {
+		r, err := p.Send(t.Context(), Target{Address: l.Addr().String()}, Request{Method: "GET", URI: uri, Host: "h"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := read(t, r); got != uri {
+			t.Errorf("asked for %s, got the answer of %s", uri, got)
+		}
+		<-copied
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// Guards against a server that sends bytes without end in place of an answer's head: the request ends soon, and little
+// is kept of them.
+func TestEndlessHead(t *testing.T) {
+	for name, tc := range map[string]struct{ first, again string }{
+		"line":    {"HTTP/1.1 200 OK\r\nX-A: ", strings.Repeat("a", 4096)},
+		"lines":   {"HTTP/1.1 200 OK\r\n", "X-A: a\r\n"},
+		"status":  {"", strings.Repeat("a", 4096)},
+		"interim": {"", "HTTP/1.1 102 Processing\r\n\r\n"},
+		"blank":   {"", "\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp4", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = l.Close() }()
+			sent := make(chan int, 1)
+			go func() {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				n, _ := io.WriteString(c, tc.first)
+				for err == nil && n < 1<<28 {
+					var m int
+					m, err = io.WriteString(c, tc.again)
+					n += m
+				}
+				sent <- n
+			}()
+			p := New(Limits{Dial: time.Second, Idle: 4})
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			r, err := p.Send(ctx, Target{Address: l.Addr().String()}, Request{Method: "GET", URI: "/", Host: "h"})
+			if err == nil {
+				r.Abandon()
+			}
+			if ctx.Err() != nil || err == nil && name != "lines" {
+				t.Errorf("ended with %v", err)
+			}
+			if n := <-sent; n > 64<<20 { // the buffers of both sides, with a wide margin
+				t.Errorf("%d bytes were taken", n)
+			}
+		})
+	}
+}
+
+// Guards against bodies, trailers and chunk extensions without end that a reader with a bound of its own goes on reading.
+func TestEndlessBody(t *testing.T) {
+	const most = 1 << 16
+	for name, tc := range map[string]struct{ first, again string }{
+		"chunks":    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n"},
+		"extension": {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;", strings.Repeat("a", 4096)},
+		"trailer":   {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "A: " + strings.Repeat("a", 4096) + "\r\n"},
+		"no length": {"HTTP/1.1 200 OK\r\n\r\n", strings.Repeat("a", 4096)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp4", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = l.Close() }()
+			go func() {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				n, err := io.WriteString(c, tc.first)
+				for err == nil && n < 1<<28 {
+					var m int
+					m, err = io.WriteString(c, tc.again)
+					n += m
+				}
+			}()
+			p := New(Limits{Dial: time.Second, Idle: 4})
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			r, err := p.Send(ctx, Target{Address: l.Addr().String()}, Request{Method: "GET", URI: "/", Host: "h"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			n, err := io.Copy(io.Discard, io.LimitReader(r.Body, most))
+			r.Close()
+			if ctx.Err() != nil || err == nil && n < most {
+				t.Errorf("read %d bytes, %v", n, err)
+			}
+		})
+	}
+}
+
+// Guards against a refusal whose body never ends, which would hold up the request that was refused.
+func TestDiscardEnds(t *testing.T) {
+	f := serve(t, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 100\r\n\r\npart", ok)
+	p := New(Limits{Dial: time.Second, Idle: 4})
+	r, err := post(t, p, f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	began := time.Now()
+	r.Discard()
+	if took := time.Since(began); took > 10*discardTime {
+		t.Errorf("the rest was awaited for %s", took)
+	}
+	again, err := post(t, p, f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := read(t, again); got != "ok" {
+		t.Errorf("the next answer is %q", got)
+	}
+}
