Read ended jobs back page by page, and load them whoever waits

Cause: on the large deployment one entry owns all jobs of a trainer and answers every reader with pages of up to 900 KB.

Loading goes on when its reader leaves. Of an ended job only the results are loaded; its items are read when asked for.

Ruled out: small pages always, since a trainer that reads twice a second would fall behind; more copies of ended jobs, which cost memory and calls.

--- a/entry/internal/batch/answer.go
+++ b/entry/internal/batch/answer.go
@@ -23,7 +23,7 @@
 		if j == nil {
 			return link.Page, wire.JobPage{Results: []wire.JobResult{}}, nil
 		}
-		return link.Page, toPage(j.page(ctx, q.After, time.Duration(q.Wait)*time.Millisecond)), nil
+		return link.Page, toPage(j.page(ctx, q.After, time.Duration(q.Wait)*time.Millisecond, q.Most)), nil
 	})
 	h.Handle(link.End, func(_ context.Context, f link.Frame) (string, any, error) {
 		var q wire.JobEnd
@@ -62,7 +62,7 @@
 			return "", nil, err
 		}
 		b := wire.JobBody{Body: []byte{}}
-		if j := m.local(q.Job); j != nil {
+		if j := m.local(q.Job); j != nil && len(j.spec.Items) > 0 {
 			reply := itemBody(j.spec, q.Item)
 			b.Known, b.Found = true, reply.Status == http.StatusOK
 			b.Body = append(b.Body, reply.Body...)
--- a/entry/internal/batch/batch.go
+++ b/entry/internal/batch/batch.go
@@ -29,6 +29,7 @@
 	"bulrushspoke/internal/job"
 	"bulrushspoke/internal/link"
 	"bulrushspoke/internal/store"
+	"bulrushspoke/internal/supervise"
 	"bulrushspoke/internal/upstream"
 	"bulrushspoke/wire"
 )
@@ -52,6 +53,8 @@
 	retryMost  = 4 * time.Second
 	// adoptTime bounds a handover: the adopting entry makes five calls to a store that may be slow.
 	adoptTime = 3 * time.Second
+	// fetchTime bounds the loading of a job from a store that may be slow.
+	fetchTime = 10 * time.Second
 	// retryBusy is when a client may come back while a job changes hands.
 	retryBusy = 300 * time.Millisecond
 	// storeTries bounds conditional updates that lose against others.
@@ -97,6 +100,7 @@
 	Keep    time.Duration // how long a job stays in memory after its submission
 	Value   int           // largest value of the store in bytes
 	Memory  int64         // bytes that the payloads of open jobs may take
+	Link    float64       // of the instance, in bytes a second; 0 if unknown
 	Logger  *slog.Logger
 	Random  Random
 	Outage  func(now time.Time) time.Duration // how long the store has not answered; 0 if it does
@@ -112,6 +116,7 @@
 	owners map[string]wire.JobState // jobs that other entries own
 	taking map[string]chan struct{} // jobs that a task of this entry takes over; closed when it is done
 	texts  *texts
+	pace   *pacer
 	freed  chan struct{} // closed when a slot of a server becomes free
 	closed bool
 }
@@ -125,6 +130,7 @@
 		owners:  make(map[string]wire.JobState),
 		taking:  make(map[string]chan struct{}),
 		texts:   newTexts(),
+		pace:    newPacer(o.Link),
 		freed:   make(chan struct{}),
 	}
 }
@@ -143,10 +149,10 @@
 func (m *Manager) Results(ctx context.Context, id string, after int, wait time.Duration) ingress.Reply {
 	for range storeTries {
 		if j := m.local(id); j != nil {
-			p := j.page(ctx, after, wait)
+			p := j.page(ctx, after, wait, maxPage)
 			if len(p.Results) == 0 && p.Next < p.Total {
 				m.refresh(ctx, j, time.Now())
-				p = j.page(ctx, after, 0)
+				p = j.page(ctx, after, 0, maxPage)
 			}
 			return page(p)
 		}
@@ -156,9 +162,12 @@
 		}
 		denied := false
 		if s.Owner != m.Name {
-			p, err := m.askPage(ctx, s, wire.JobRead{Job: id, After: after, Wait: wait.Milliseconds()}, wait)
+			q := wire.JobRead{Job: id, After: after, Wait: wait.Milliseconds(), Most: m.pace.most(time.Now())}
+			p, err := m.askPage(ctx, s, q, wait)
 			if err == nil && p.Known {
-				return page(fromPage(p))
+				got := fromPage(p)
+				m.pace.sent(size(got), time.Now())
+				return page(got)
 			}
 			if ctx.Err() != nil {
 				return unavailable("client left")
@@ -166,13 +175,30 @@
 			denied = err == nil && !s.Ended && s.Inc == m.Peers.Incarnation(s.Owner)
 			m.forget(id)
 		}
-		if reply := m.take(ctx, id, nil, denied); reply.Status != 0 {
+		if reply := m.fetch(ctx, id, denied); reply.Status != 0 {
 			return reply
 		}
 	}
 	return unavailable("the job is changing hands")
 }
 
+// fetch takes a job over for a reader. It goes on if the reader leaves, so that the job is here when the reader comes
+// again.
+func (m *Manager) fetch(ctx context.Context, id string, force bool) ingress.Reply {
+	done := make(chan ingress.Reply, 1)
+	go supervise.Guard(m.Logger, "fetch", func() {
+		life, cancel := context.WithTimeout(m.life, fetchTime)
+		defer cancel()
+		done <- m.take(life, id, nil, force)
+	})
+	select {
+	case reply := <-done:
+		return reply
+	case <-ctx.Done():
+		return unavailable("client left")
+	}
+}
+
 func (m *Manager) askPage(
 	ctx context.Context, s wire.JobState, q wire.JobRead, wait time.Duration,
 ) (wire.JobPage, error) {
@@ -213,7 +239,7 @@
 
 // Body returns the body of an item.
 func (m *Manager) Body(ctx context.Context, id, item string) ingress.Reply {
-	if j := m.local(id); j != nil {
+	if j := m.local(id); j != nil && len(j.spec.Items) > 0 {
 		return itemBody(j.spec, item)
 	}
 	s, reply := m.find(ctx, id)
--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -17,9 +17,6 @@
 // seconds.
 const lookEvery = time.Second
 
-// maxPage bounds the text in one page of results in bytes; the platform allows 1 MB in all.
-const maxPage = 900 << 10
-
 // Job is a job that this entry runs, or has loaded after its end.
 type Job struct {
 	manager   *Manager
@@ -29,6 +26,7 @@
 	path      string
 	submitted time.Time
 	size      int64
+	total     int  // items
 	launched  bool // ran here; guarded by the mu of the manager
 
 	mu      sync.Mutex
@@ -61,7 +59,7 @@
 	listed   bool
 }
 
-// newJob returns a job with the results of the given records.
+// newJob returns a job with the results of the given records. The items of one that has ended may be left out.
 func newJob(m *Manager, spec job.Job, s wire.JobState, records []wire.JobRecord) *Job {
 	j := &Job{
 		manager:   m,
@@ -71,6 +69,7 @@
 		path:      s.Path,
 		submitted: time.UnixMilli(s.At),
 		items:     make(map[string]*item, len(spec.Items)),
+		total:     s.Total,
 		ended:     s.Ended,
 		stopped:   s.Ended,
 		changed:   make(chan struct{}),
@@ -285,16 +284,18 @@
 	j.changed = make(chan struct{})
 }
 
-// page returns the results from a position on, waiting for the first while the job runs here.
-func (j *Job) page(ctx context.Context, after int, wait time.Duration) job.Page {
+// page returns the results from a position on, waiting for the first while the job runs here, with at most most bytes of
+// text beside the first.
+func (j *Job) page(ctx context.Context, after int, wait time.Duration, most int) job.Page {
 	deadline := time.NewTimer(wait)
 	defer deadline.Stop()
 	for {
 		j.mu.Lock()
-		p := j.slice(after)
+		p := j.slice(after, min(most, j.manager.pace.most(time.Now())))
 		changed, stopped := j.changed, j.stopped
 		j.mu.Unlock()
 		if len(p.Results) > 0 || wait <= 0 || stopped || p.Next >= p.Total {
+			j.manager.pace.sent(size(p), time.Now())
 			return p
 		}
 		select {
@@ -307,14 +308,14 @@
 	}
 }
 
-// slice returns a page; the caller holds mu.
-func (j *Job) slice(after int) job.Page {
+// slice returns a page with at most most bytes of text beside the first result; the caller holds mu.
+func (j *Job) slice(after, most int) job.Page {
 	after = min(after, len(j.results))
-	p := job.Page{Total: len(j.spec.Items), Next: after}
-	size := 0
+	p := job.Page{Total: j.total, Next: after}
+	sum := 0
 	for _, r := range j.results[after:] {
-		size += len(r.Text) + len(r.Item)
-		if len(p.Results) > 0 && size > maxPage {
+		sum += len(r.Text) + len(r.Item)
+		if len(p.Results) > 0 && sum > most {
 			break
 		}
 		p.Results = append(p.Results, r)
@@ -322,3 +323,12 @@
 	}
 	return p
 }
+
+// size returns the bytes of text in a page.
+func size(p job.Page) int {
+	sum := 0
+	for _, r := range p.Results {
+		sum += len(r.Text) + len(r.Item)
+	}
+	return sum
+}
--- a/entry/internal/batch/owner.go
+++ b/entry/internal/batch/owner.go
@@ -10,6 +10,7 @@
 
 	"bulrushspoke/entry/internal/ingress"
 	"bulrushspoke/internal/event"
+	"bulrushspoke/internal/job"
 	"bulrushspoke/internal/link"
 	"bulrushspoke/internal/store"
 	"bulrushspoke/wire"
@@ -109,11 +110,15 @@
 	return unavailable("the job is changing hands")
 }
 
-// load reads a job from the store and, if it has not ended, goes on running it.
+// load reads a job from the store and, if it has not ended, goes on running it. Of an ended job only the results are read:
+// its items are seldom asked for.
 func (m *Manager) load(ctx context.Context, id string, s wire.JobState, parts []wire.JobPart) ingress.Reply {
-	spec, err := m.submitted(ctx, id)
-	if err != nil {
-		return unavailable(err.Error())
+	spec := job.Job{ID: id}
+	if !s.Ended {
+		var err error
+		if spec, err = m.submitted(ctx, id); err != nil {
+			return unavailable(err.Error())
+		}
 	}
 	records, err := m.records(ctx, id)
 	if err != nil {
--- /dev/null
+++ b/entry/internal/batch/pace_test.go
@@ -0,0 +1,128 @@
+package batch
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"bulrushspoke/standin/objects"
+)
+
+// readers plays readers that all want whole jobs of one instance at once, page by page over its link, in virtual time.
+// Pages stand in line at the link; a reader gives a page up after patience, as the platform's clients do, and asks again.
+// It returns how many readers have their job at the end, and the pages given up.
+func readers(n, job int, link float64, most func(now time.Time) int, sent func(size int, now time.Time)) (whole, late int) {
+	const (
+		patience = 1500 * time.Millisecond
+		length   = 10 * time.Second
+	)
+	now := time.Date(2026, 6, 1, 12, 0, 0, 0, time.UTC)
+	end := now.Add(length)
+	free := now // when the link has sent all that stands in line
+	got := make([]int, n)
+	next := make([]time.Time, n)
+	for i := range next {
+		next[i] = now
+	}
+	for {
+		first := -1
+		for i := range next {
+			if got[i] < job && (first < 0 || next[i].Before(next[first])) {
+				first = i
+			}
+		}
+		if first < 0 || next[first].After(end) {
+			break
+		}
+		now = next[first]
+		size := min(most(now), job-got[first])
+		sent(size, now)
+		if free.Before(now) {
+			free = now
+		}
+		free = free.Add(time.Duration(float64(size) / link * float64(time.Second)))
+		if free.Sub(now) > patience {
+			late++
+			next[first] = now.Add(patience)
+			continue
+		}
+		got[first] += size
+		next[first] = free
+	}
+	for i := range got {
+		if got[i] >= job {
+			whole++
+		}
+	}
+	return whole, late
+}
+
+// Plays forty readers that want ended jobs of 1.3 MB from one instance with a link of 60 Mbit/s within the ten seconds in
+// which they are read at the end of a day. The baseline is a page of full size for each read.
+func TestSmallPagesReachAllReaders(t *testing.T) {
+	const (
+		n    = 40
+		job  = 1300 << 10
+		link = 60e6 / 8
+	)
+	base, baseLate := readers(n, job, link, func(time.Time) int { return maxPage }, func(int, time.Time) {})
+	p := newPacer(link)
+	whole, late := readers(n, job, link, p.most, p.sent)
+	t.Logf("%d of %d readers have their job and %d pages came late, by the baseline %d and %d", whole, n, late, base, baseLate)
+	if whole < n || late > 0 || baseLate == 0 {
+		t.Errorf("%d of %d readers have their job and %d pages came late, by the baseline %d and %d", whole, n, late, base, baseLate)
+	}
+}
+
+// Guards against small pages for a lone reader: a trainer reads twice a second.
+func TestLoneReaderGetsLargePages(t *testing.T) {
+	p := newPacer(60e6 / 8)
+	now := time.Date(2026, 6, 1, 12, 0, 0, 0, time.UTC)
+	for range 10 {
+		if got := p.most(now); got < maxPage {
+			t.Fatalf("a page may hold %d bytes", got)
+		}
+		p.sent(300<<10, now)
+		now = now.Add(500 * time.Millisecond)
+	}
+}
+
+// Guards against a job that can never be read, since each reader leaves before it is loaded and the next one begins anew.
+func TestLoadingOutlivesReader(t *testing.T) {
+	e := newEngine(t, 1)
+	r := newRig(t, e)
+	m, crash := r.manager("a", "a1")
+	var ids []string
+	for i := range 20 {
+		ids = append(ids, fmt.Sprintf("g%d-2", i))
+	}
+	r.submit(m, "j", payload(1, ids...))
+	want := r.collect(m, "j", len(ids))
+	if reply := m.End(t.Context(), "j"); reply.Status != http.StatusOK {
+		t.Fatal(reply)
+	}
+	crash()
+	r.cut("a", true)
+	other, _ := r.manager("b", "b1")
+	r.store.Fault(objects.Fault{Slow: 150 * time.Millisecond})
+	for tries := 0; ; tries++ {
+		if tries == 20 {
+			t.Fatal("the job is never loaded")
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 250*time.Millisecond)
+		reply := other.Results(ctx, "j", 0, 0)
+		cancel()
+		if reply.Status == http.StatusOK {
+			break
+		}
+	}
+	check(t, r.collect(other, "j", len(ids)), ids...)
+	if len(want) != len(ids) {
+		t.Errorf("%d results", len(want))
+	}
+	if reply := other.Body(t.Context(), "j", ids[0]); string(reply.Body) != "body of "+ids[0] {
+		t.Errorf("body is %d %q", reply.Status, reply.Body)
+	}
+}
--- a/entry/internal/cli/platform.go
+++ b/entry/internal/cli/platform.go
@@ -206,7 +206,7 @@
 	objects.Register(p.peers)
 	p.batch = batch.New(life, batch.Options{
 		Self: self, Name: s.Name, Store: objects, Peers: p.peers, Catalog: p.catalog, Pool: pool, Tracker: tracker,
-		Keep: s.Bounds.Status, Value: s.Store.Value, Memory: int64(bodyShare * float64(s.Memory)), Logger: p.logger,
+		Keep: s.Bounds.Status, Value: s.Store.Value, Memory: int64(bodyShare * float64(s.Memory)), Logger: p.logger, Link: s.Link,
 		Outage: objects.Outage, Random: chance,
 	})
 	p.batch.Register(p.peers)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,7 +32,8 @@
 
 	Store Store
 
-	Memory      int64 // bytes that the process may use
+	Memory      int64   // bytes that the process may use
+	Link        float64 // of the instance, in bytes a second; 0 if it is not told
 	Descriptors int
 	Beat        time.Duration // how often servers renew their entry in the store
 	Bounds      Bounds
--- a/standin/objects/objects.go
+++ b/standin/objects/objects.go
@@ -31,6 +31,7 @@
 	Lose   int  // so many writes take effect without an answer
 	Late   int  // so many writes get no answer and are carried out later
 	LateBy time.Duration
+	Slow   time.Duration // every call waits so long first
 }
 
 type object struct {
@@ -194,6 +195,7 @@
 		<-r.Context().Done()
 		return
 	}
+	time.Sleep(f.Slow)
 	if r.Method == http.MethodGet {
 		s.read(w, r, kind, parts[1:])
 		return
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -595,6 +595,9 @@
 	// Id of the job.
 	Job string `json:"job"`
 
+	// Bytes of text that the answer may hold; one result is returned in any case.
+	Most int `json:"most"`
+
 	// Milliseconds that the answer may wait for a result.
 	Wait int64 `json:"wait"`
 }
