--- a/daemon/internal/cli/run.go
+++ b/daemon/internal/cli/run.go
@@ -188,7 +188,7 @@
 	treeDone := p.tree.ServeBackground(background)
 	identity := link.NewIdentity(p.config.Name, []byte(p.config.Secret), p.links.Hello)
 	s := &fasthttp.Server{
-		Handler:               p.handler(identity),
+		Handler:               supervise.Handler(p.logger, p.handler(identity)),
 		ReadTimeout:           readTimeout,
 		MaxRequestBodySize:    maxBody,
 		NoDefaultServerHeader: true,
--- a/daemon/internal/naming/naming.go
+++ b/daemon/internal/naming/naming.go
@@ -28,6 +28,7 @@
 	"bulrushspoke/internal/event"
 	"bulrushspoke/internal/sleep"
 	"bulrushspoke/internal/store"
+	"bulrushspoke/internal/supervise"
 	"bulrushspoke/wire"
 )
 
@@ -210,14 +211,18 @@
 		if err != nil {
 			return // the socket is closed
 		}
-		l, ok := open(n.Secret, b[:size])
-		if !ok {
-			event.DatagramFailed.Log(n.Logger, "from", from.String(), "cause", "no valid proof")
-			continue
-		}
-		for _, v := range l {
-			n.Catalog.ApplyVersion(catalog.Version{Model: v.Model, Number: v.Version, Revision: v.Rev})
-		}
+		supervise.Guard(n.Logger, "datagram", func() { n.take(b[:size], from) })
+	}
+}
+
+func (n *Naming) take(b []byte, from net.Addr) {
+	l, ok := open(n.Secret, b)
+	if !ok {
+		event.DatagramFailed.Log(n.Logger, "from", from.String(), "cause", "no valid proof")
+		return
+	}
+	for _, v := range l {
+		n.Catalog.ApplyVersion(catalog.Version{Model: v.Model, Number: v.Version, Revision: v.Rev})
 	}
 }
 
--- a/entry/internal/cli/build.go
+++ b/entry/internal/cli/build.go
@@ -154,7 +154,7 @@
 	e.trainer.Register(e.gate)
 	e.sweeper = claim.NewSweeper(e.store, jitter)
 	e.links = &fasthttp.Server{
-		Handler:               acceptLinks(e.peers),
+		Handler:               supervise.Handler(logger, acceptLinks(e.peers)),
 		NoDefaultServerHeader: true,
 		ReadTimeout:           c.Timeouts.Read.Std(),
 		IdleTimeout:           c.Timeouts.Idle.Std(),
--- a/entry/internal/gate/gate.go
+++ b/entry/internal/gate/gate.go
@@ -29,6 +29,7 @@
 
 	"bulrushspoke/internal/event"
 	"bulrushspoke/internal/refusal"
+	"bulrushspoke/internal/supervise"
 	"bulrushspoke/wire"
 )
 
@@ -94,7 +95,7 @@
 	g.routes.NotFound = g.absent(refusal.NotFound, "no such path")
 	g.routes.MethodNotAllowed = g.absent(refusal.NotFound, "no such method for this path")
 	g.server = &fasthttp.Server{
-		Handler:               g.routes.Handler,
+		Handler:               supervise.Handler(g.logger, g.routes.Handler),
 		ErrorHandler:          g.unreadable,
 		NoDefaultServerHeader: true,
 		ReadBufferSize:        limits.Header,
--- a/internal/supervise/supervise.go
+++ b/internal/supervise/supervise.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/thejerf/suture/v4"
+	"github.com/valyala/fasthttp"
 
 	"bulrushspoke/internal/event"
 )
@@ -70,3 +71,18 @@
 	}()
 	f()
 }
+
+// Handler runs h for each request and answers 500 if it panics, in place of ending the process.
+func Handler(logger *slog.Logger, h fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		served := false
+		Guard(logger, "http handler", func() {
+			h(ctx)
+			served = true
+		})
+		if !served {
+			ctx.Error("internal error", fasthttp.StatusInternalServerError)
+			ctx.SetConnectionClose()
+		}
+	}
+}
--- /dev/null
+++ b/internal/supervise/supervise_test.go
@@ -0,0 +1,42 @@
+package supervise
+
+import (
+	"log/slog"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttputil"
+)
+
+// Guards against a request whose handler panics and takes the process down, or leaves its client without an answer.
+func TestHandlerPanics(t *testing.T) {
+	logger := slog.New(slog.DiscardHandler)
+	l := fasthttputil.NewInmemoryListener()
+	s := &fasthttp.Server{Handler: Handler(logger, func(ctx *fasthttp.RequestCtx) {
+		if string(ctx.Path()) == "/panic" {
+			panic("malformed")
+		}
+		ctx.SetBodyString("fine")
+	})}
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Shutdown() })
+	client := &http.Client{
+		Transport: &http.Transport{Dial: func(string, string) (net.Conn, error) { return l.Dial() }},
+		Timeout:   5 * time.Second,
+	}
+	for path, want := range map[string]int{"/panic": http.StatusInternalServerError, "/": http.StatusOK} {
+		for range 2 {
+			resp, err := client.Get("http://h" + path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = resp.Body.Close()
+			if resp.StatusCode != want {
+				t.Errorf("%s answered %d", path, resp.StatusCode)
+			}
+		}
+	}
+}
