Resume a stream that has stalled, whatever bytes it sends

Cause: a stream that may be resumed was left at its server until the client's deadline if the server stopped making events, also if it went on sending lines without an event.

Change: such a stream goes on at another server after 1.5 s without an event, and later after one second or eight times its longest pause so far, so that a slow stream that is sound is not cut. Bytes that are no event do not count.

Tests: TestStalledStream hung before; TestLeavingServer; refusals that belong to another request prove nothing (TestAttempts).

--- a/entry/internal/ingress/ingress_test.go
+++ b/entry/internal/ingress/ingress_test.go
@@ -190,6 +190,9 @@
 	foreign := func(c net.Conn, _ *http.Request, _ string) bool {
 		return write(c, "200 OK\r\n"+platformtest.Head(call.Answer{ID: "other", Signature: platformtest.Stamp}), "stale")
 	}
+	foreignRefusal := func(c net.Conn, _ *http.Request, _ string) bool {
+		return write(c, "503 Service Unavailable\r\n"+platformtest.Head(call.Answer{ID: "other", NotRun: true}), "")
+	}
 	unsigned := func(c net.Conn, q *http.Request, _ string) bool {
 		return write(c, "200 OK\r\n"+platformtest.Head(call.Answer{ID: platformtest.Asked(q.Header).ID}), "forged")
 	}
@@ -210,6 +213,8 @@
 		{"safe, reset", catalog.Safe, reset, 200, 2},
 		{"safe, truncated", catalog.Safe, truncated, 200, 2},
 		{"safe, foreign answer", catalog.Safe, foreign, 200, 2},
+		{"safe, refusal of another request", catalog.Safe, foreignRefusal, 200, 2},
+		{"unsafe, refusal of another request", catalog.Unsafe, foreignRefusal, 502, 1},
 		{"safe, unsigned", catalog.Safe, unsigned, 200, 2},
 		{"safe, garbage", catalog.Safe, garbage, 200, 2},
 		{"safe, failed", catalog.Safe, fails, 200, 2},
@@ -439,3 +444,79 @@
 		t.Errorf("another request: %v %v", resp, err)
 	}
 }
+
+// Guards against requests for a server after it has said itself that it leaves, though the list of servers calls it ready.
+func TestLeavingServer(t *testing.T) {
+	leaves := func(c net.Conn, q *http.Request, _ string) bool {
+		return write(c, "200 OK\r\n"+signed(q)+platformtest.Head(call.Answer{Leaving: true}), "fine")
+	}
+	a, b := newServer(t, leaves), newServer(t, good)
+	r := newRig(t, catalog.Route{Kind: catalog.Safe}, a, b)
+	for range 20 {
+		if resp, _, err := r.send(t, "GET", "/p/", "", nil); err != nil || resp.StatusCode != 200 {
+			t.Fatalf("%v, %v", resp, err)
+		}
+	}
+	if n := len(a.requests()); n > 1 {
+		t.Errorf("%d requests reached the server after its notice", n-1)
+	}
+	if len(b.requests()) < 19 {
+		t.Errorf("the other server got %d requests", len(b.requests()))
+	}
+}
+
+// Guards against a stream that has stalled but sends bytes now and then, and holds its client until the deadline.
+func TestStalledStream(t *testing.T) {
+	head := func(q *http.Request) string {
+		return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n" + signed(q) + "\r\n"
+	}
+	stalls := func(c net.Conn, q *http.Request, _ string) bool {
+		_, err := io.WriteString(c, head(q)+"id: 1\ndata: a\n\n")
+		for err == nil {
+			time.Sleep(20 * time.Millisecond)
+			_, err = io.WriteString(c, ": \n")
+		}
+		return false
+	}
+	goesOn := func(c net.Conn, q *http.Request, _ string) bool {
+		text := "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+		if platformtest.Asked(q.Header).After == 1 {
+			text = "id: 2\ndata: b\n\n"
+		}
+		_, _ = io.WriteString(c, head(q)+text)
+		return false
+	}
+	a, b := newServer(t, stalls), newServer(t, goesOn)
+	r := newRig(t, catalog.Route{Kind: catalog.Stream, Resumable: true, Timeout: 20 * time.Second, Attempts: 2}, a, b)
+	r.deadline = 20 * time.Second
+	for range 4 { // whichever is asked first
+		resp, body, err := r.send(t, "POST", "/p/", "x", nil)
+		if err != nil || resp.StatusCode != 200 || body != "id: 1\ndata: a\n\nid: 2\ndata: b\n\n" {
+			t.Fatalf("the client got %q, %v", body, err)
+		}
+	}
+	if len(a.requests()) == 0 {
+		t.Error("the stalling server was never asked")
+	}
+}
+
+// Guards against a slow stream that is cut although it is sound.
+func TestStallFollowsPace(t *testing.T) {
+	now := time.Date(2026, 6, 1, 12, 0, 0, 0, time.UTC)
+	s := newStall(func() {}, now)
+	s.timer.Stop()
+	for range 3 {
+		now = now.Add(1200 * time.Millisecond)
+		s.progress(now)
+	}
+	s.timer.Stop()
+	if got := s.allowed(); got < 3*time.Second {
+		t.Errorf("a stream with an event in 1.2 s is cut after %s", got)
+	}
+	quick := newStall(func() {}, now)
+	quick.progress(now.Add(50 * time.Millisecond))
+	quick.timer.Stop()
+	if got := quick.allowed(); got != stallLeast {
+		t.Errorf("a stream with an event in 50 ms is cut after %s", got)
+	}
+}
--- a/entry/internal/ingress/stream.go
+++ b/entry/internal/ingress/stream.go
@@ -18,6 +18,37 @@
 // end.
 const resumeMost = 8
 
+const (
+	// stallFirst is how long a stream that may be resumed may bring no event before it goes on at another server, until
+	// its own pace is known. Clients leave after two seconds at the earliest.
+	stallFirst = 1500 * time.Millisecond
+	// stallLeast and stallFactor times its longest pause so far bound the pauses after that: a slow stream is sound.
+	stallLeast  = time.Second
+	stallFactor = 8
+)
+
+// stall ends a stream that brings no event any more. Only whole events are progress, whatever other bytes come.
+type stall struct {
+	timer   *time.Timer
+	last    time.Time
+	longest time.Duration // pause between two events so far
+}
+
+// newStall calls cut once no event has come for too long.
+func newStall(cut func(), now time.Time) *stall {
+	return &stall{timer: time.AfterFunc(stallFirst, cut), last: now}
+}
+
+// progress notes an event.
+func (s *stall) progress(now time.Time) {
+	s.longest = max(s.longest, now.Sub(s.last))
+	s.last = now
+	s.timer.Reset(s.allowed())
+}
+
+// allowed returns how long the next event may take.
+func (s *stall) allowed() time.Duration { return max(stallFactor*s.longest, stallLeast) }
+
 // stream passes the events of an answer on as they come. Where the route allows it, a broken stream goes on at another
 // server; else the client's connection is broken off, so that the answer does not look complete.
 func (g *Ingress) stream(
@@ -34,7 +65,7 @@
 		}
 	}()
 	for resumes := 0; ; resumes++ {
-		next, err := g.pump(w, out, resp, last)
+		next, err := g.pump(w, out, q, resp, last)
 		last = next
 		if err == nil {
 			resp.Close()
@@ -66,8 +97,14 @@
 
 // pump passes on the events after last and returns the number of the newest; the error is nil at the end of the stream.
 func (g *Ingress) pump(
-	w http.ResponseWriter, out *http.ResponseController, resp *upstream.Response, last int,
+	w http.ResponseWriter, out *http.ResponseController, q *request, resp *upstream.Response, last int,
 ) (int, error) {
+	progress := func(time.Time) {}
+	if q.route.Resumable {
+		s := newStall(resp.Cut, time.Now())
+		defer s.timer.Stop()
+		progress = s.progress
+	}
 	in := events.NewReader(resp.Body, g.headers.VersionLine())
 	for {
 		e, err := in.Next()
@@ -89,6 +126,7 @@
 		if err := out.Flush(); err != nil {
 			return last, err
 		}
+		progress(time.Now())
 		if e.ID != 0 {
 			last = e.ID
 		}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -232,6 +232,9 @@
 	r.pool.drop(r.conn)
 }
 
+// Cut breaks the answer off while another task reads it; the reader is to abandon it.
+func (r *Response) Cut() { _ = r.conn.Close() }
+
 // Send sends a request and reads the head of the answer. Its error is always an *Error.
 func (p *Pool) Send(ctx context.Context, t Target, q Request) (*Response, error) {
 	c, err := p.get(ctx, t, q.Fresh, time.Now())
