Run jobs on entries with processor time, and leave silent engines early

Cause: the owner of a job was chosen by a hash alone. A job whose owner died was run from then on by whoever was asked for it. Engines that hang held an item for 2.5 s and were asked again 0.1 s later.

Old events and lines without an event are no progress.

Tried and taken back: filling fast engines first and moving items off engines that are slower for good.

--- a/entry/internal/batch/answer.go
+++ b/entry/internal/batch/answer.go
@@ -74,7 +74,8 @@
 		if err := f.Decode(&q); err != nil {
 			return "", nil, err
 		}
-		reply := m.take(ctx, q.Job, q.Parts, true)
-		return link.Replied, wire.JobReply{Done: reply.Status == 0}, nil
+		reply := m.take(ctx, q.Job, q.Parts, !q.Gone)
+		// A job that was only said to have no owner may have turned out to have one.
+		return link.Replied, wire.JobReply{Done: reply.Status == 0 && (!q.Gone || m.local(q.Job) != nil)}, nil
 	})
 }
--- a/entry/internal/batch/batch.go
+++ b/entry/internal/batch/batch.go
@@ -74,7 +74,7 @@
 	Ask(ctx context.Context, name, kind string, body, answer any) error
 	Tell(kind string, body any)
 	Linked() []string
-	Near(domain string) []string
+	Near(domain string) []wire.Hello
 	Incarnation(name string) string
 }
 
@@ -92,6 +92,7 @@
 type Options struct {
 	Self    wire.Member
 	Name    string
+	Cores   float64 // processor time of the instance; 0 if unknown
 	Store   Store
 	Peers   Peers
 	Catalog *catalog.Catalog
@@ -175,20 +176,25 @@
 			denied = err == nil && !s.Ended && s.Inc == m.Peers.Incarnation(s.Owner)
 			m.forget(id)
 		}
-		if reply := m.fetch(ctx, id, denied); reply.Status != 0 {
+		if reply := m.fetch(ctx, s, id, denied); reply.Status != 0 {
 			return reply
 		}
 	}
 	return unavailable("the job is changing hands")
 }
 
-// fetch takes a job over for a reader. It goes on if the reader leaves, so that the job is here when the reader comes
-// again.
-func (m *Manager) fetch(ctx context.Context, id string, force bool) ingress.Reply {
+// fetch brings a job that has no owner to one, or loads it if it has ended, for a reader. It goes on if the reader
+// leaves, so that the job is there when the reader comes again.
+func (m *Manager) fetch(ctx context.Context, s wire.JobState, id string, force bool) ingress.Reply {
 	done := make(chan ingress.Reply, 1)
 	go supervise.Guard(m.Logger, "fetch", func() {
 		life, cancel := context.WithTimeout(m.life, fetchTime)
 		defer cancel()
+		if m.giveTo(life, s, id) {
+			m.forget(id)
+			done <- ingress.Reply{}
+			return
+		}
 		done <- m.take(life, id, nil, force)
 	})
 	select {
@@ -199,6 +205,20 @@
 	}
 }
 
+// giveTo asks the entry that is to run the jobs of a model to take one over that is open and has no owner. It returns
+// false if that is this entry, or if it does not take the job.
+func (m *Manager) giveTo(ctx context.Context, s wire.JobState, id string) bool {
+	owner := choose(s.Model, m.candidates())
+	if s.Ended || owner.name == "" || owner.name == m.Name || owner.name == s.Owner && owner.inc == s.Inc {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, adoptTime)
+	defer cancel()
+	var done wire.JobReply
+	q := wire.JobAdopt{Job: id, Epoch: s.Epoch, Parts: []wire.JobPart{}, Gone: true}
+	return m.Peers.Ask(ctx, owner.name, link.Adopt, q, &done) == nil && done.Done
+}
+
 func (m *Manager) askPage(
 	ctx context.Context, s wire.JobState, q wire.JobRead, wait time.Duration,
 ) (wire.JobPage, error) {
--- a/entry/internal/batch/owner.go
+++ b/entry/internal/batch/owner.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -251,17 +252,22 @@
 		return
 	}
 	var wg sync.WaitGroup
+	candidates := m.candidates()
 	for i, j := range open {
-		wg.Go(func() { m.handOver(ctx, j, peers, i) })
+		order := slices.Concat(peers[i%len(peers):], peers[:i%len(peers)])
+		if first := choose(j.spec.Model, candidates).name; first != "" {
+			order = slices.Insert(order, 0, first)
+		}
+		wg.Go(func() { m.handOver(ctx, j, order) })
 	}
 	wg.Wait()
 }
 
-func (m *Manager) handOver(ctx context.Context, j *Job, peers []string, first int) {
+// handOver gives a job to the first of the entries that takes it.
+func (m *Manager) handOver(ctx context.Context, j *Job, peers []string) {
 	j.stop()
 	parts := j.parts()
-	for i := range peers {
-		name := peers[(first+i)%len(peers)]
+	for _, name := range peers {
 		short, cancel := context.WithTimeout(ctx, adoptTime)
 		var done wire.JobReply
 		err := m.Peers.Ask(short, name, link.Adopt, wire.JobAdopt{Job: j.spec.ID, Epoch: j.epoch, Parts: parts}, &done)
--- a/entry/internal/batch/owner_test.go
+++ b/entry/internal/batch/owner_test.go
@@ -165,10 +165,10 @@
 			a, stopA := r.manager("a", "a1")
 			b, stopB := r.manager("b", "b1")
 			receiver, owner, stopReceiver, stopOwner := a, b, stopA, stopB
-			if got, _ := a.owner("m", 1); got == "a" {
+			if choose("m", a.candidates()).name == "a" {
 				receiver, owner, stopReceiver, stopOwner = b, a, stopB, stopA
 			}
-			if got, _ := receiver.owner("m", 1); got != owner.Name {
+			if got := choose("m", receiver.candidates()).name; got != owner.Name {
 				t.Fatalf("%s gives the job to %s", receiver.Name, got)
 			}
 			reader := receiver
--- a/entry/internal/batch/rig_test.go
+++ b/entry/internal/batch/rig_test.go
@@ -152,7 +152,8 @@
 	incs     map[string]string
 	cut      map[string]bool
 
-	delegates bool // jobs are run by the owner of their model
+	delegates bool               // jobs are run by the owner of their model
+	cores     map[string]float64 // of each entry
 }
 
 // member is what one manager sees of the mesh.
@@ -215,11 +216,15 @@
 }
 
 // Near returns no entry unless a test lets jobs be run by others than their receiver.
-func (m member) Near(string) []string {
+func (m member) Near(string) []wire.Hello {
 	if !m.delegates {
 		return nil
 	}
-	return m.Linked()
+	var l []wire.Hello
+	for _, name := range m.Linked() {
+		l = append(l, wire.Hello{Name: name, Inc: m.Incarnation(name), Cores: m.cores[name]})
+	}
+	return l
 }
 
 func (m member) Incarnation(name string) string {
--- a/entry/internal/batch/run.go
+++ b/entry/internal/batch/run.go
@@ -220,8 +220,8 @@
 	j.mu.Unlock()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	watch := time.AfterFunc(firstEvent, cancel)
-	defer watch.Stop()
+	watch := j.watch(s, cancel)
+	defer watch.stop()
 	codec := platform.Headers{}
 	h := make(http.Header, len(it.Header)+4)
 	for name, value := range it.Header {
@@ -237,8 +237,7 @@
 		upstream.Request{Method: http.MethodPost, URI: it.Path, Host: j.host, Header: h, Body: it.Body})
 	if err != nil {
 		if ctx.Err() != nil {
-			// It waited for a slot too long.
-			return verdict{outcome: place.Refused, cause: "no event in time"}
+			return verdict{outcome: place.Silent, cause: causeSilent}
 		}
 		return verdict{outcome: place.Broken, cause: err.Error()}
 	}
@@ -292,7 +291,7 @@
 
 // read takes the events of an answer until it ends.
 func (j *Job) read(
-	it *item, s catalog.Server, resp *upstream.Response, watch *time.Timer, after int, v verdict, route *catalog.Route,
+	it *item, s catalog.Server, resp *upstream.Response, watch *watch, after int, v verdict, route *catalog.Route,
 ) verdict {
 	// An answer without events, to an item whose last event is here already, names no version.
 	if v.version < j.spec.MinVersion && (v.version > 0 || after == 0) {
@@ -321,6 +320,9 @@
 		if err != nil {
 			resp.Abandon()
 			v.outcome, v.cause = place.Broken, err.Error()
+			if watch.fired() {
+				v.outcome, v.cause = place.Silent, causeSilent
+			}
 			return v
 		}
 		now := time.Now()
@@ -339,7 +341,7 @@
 		if version < j.spec.MinVersion || route.SingleVersion && after > 0 && !j.single(it, version) {
 			return j.restart(it, resp, v)
 		}
-		watch.Reset(nextEvent)
+		watch.progress(now)
 		after++
 		v.events++
 		if !last.IsZero() {
@@ -374,19 +376,24 @@
 // Causes of attempts that ended without an outcome.
 const (
 	causeMoved   = "the server is slow; the item moves"
+	causeSilent  = "no event in time"
 	causeForeign = "the answer belongs to another request or bears no signature"
 )
 
+// elsewhere names what an item needs of another server to go on there.
+func (j *Job) elsewhere(s catalog.Server) place.Need {
+	return place.Need{
+		Model: j.spec.Model, MinVersion: j.spec.MinVersion, Room: true, Fast: true, Tried: map[string]bool{s.ID: true},
+	}
+}
+
 // movable reports whether an item is to go on at a faster server. It answers a load in which a few slowed servers hold
 // the last items of a step while others have free slots.
 func (j *Job) movable(it *item, s catalog.Server, now time.Time) bool {
 	if !j.manager.Tracker.Slow(s.ID, now) {
 		return false
 	}
-	_, ok := j.manager.Tracker.Pick(now, j.manager.Catalog.Servers(s.Service), place.Need{
-		Model: j.spec.Model, MinVersion: j.spec.MinVersion, Room: true, Fast: true, Tried: map[string]bool{s.ID: true},
-	})
-	if !ok {
+	if _, ok := j.manager.Tracker.Pick(now, j.manager.Catalog.Servers(s.Service), j.elsewhere(s)); !ok {
 		return false
 	}
 	j.mu.Lock()
--- a/entry/internal/batch/submit.go
+++ b/entry/internal/batch/submit.go
@@ -7,8 +7,6 @@
 	"net/http"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"bulrushspoke/entry/internal/ingress"
 	"bulrushspoke/internal/catalog"
 	"bulrushspoke/internal/event"
@@ -34,8 +32,11 @@
 	if m.open()+int64(len(body)) > m.Memory {
 		return m.refused(id, http.StatusTooManyRequests, retryBusy, "no memory for the job")
 	}
-	owner, inc := m.owner(spec.Model, len(body))
-	if owner == "" {
+	owner := choose(spec.Model, m.candidates())
+	if len(body) > maxDelegated && !m.leaving() {
+		owner = candidate{name: m.Name, inc: m.Self.Inc}
+	}
+	if owner.name == "" {
 		return m.refused(id, http.StatusServiceUnavailable, retryBusy, "this entry is about to leave")
 	}
 	if err := m.putPayload(ctx, id, body); err != nil {
@@ -43,7 +44,8 @@
 		return m.refused(id, http.StatusServiceUnavailable, retryAfter(m.Outage(now)), err.Error())
 	}
 	state := wire.JobState{
-		Owner: owner, Inc: inc, Epoch: 1, Host: r.Host, Path: r.Prefix, Total: len(spec.Items), At: now.UnixMilli(),
+		Owner: owner.name, Inc: owner.inc, Epoch: 1, Host: r.Host, Path: r.Prefix, Total: len(spec.Items),
+		At: now.UnixMilli(), Model: spec.Model,
 	}
 	held, err := m.createState(ctx, id, state)
 	if err != nil {
@@ -53,7 +55,7 @@
 	case held.Ended || held.Epoch > 1:
 	case held.Owner == m.Name && held.Inc == m.Self.Inc:
 		m.start(newJob(m, spec, held, nil), nil)
-	case held.Owner == owner && held.Inc == inc:
+	case held.Owner == owner.name && held.Inc == owner.inc:
 		go supervise.Guard(m.Logger, "delegate", func() { m.delegate(id, held, body) })
 	}
 	event.JobAccepted.Log(m.Logger, "job", id, "step", spec.Step, "model", spec.Model, "min", spec.MinVersion,
@@ -64,35 +66,27 @@
 // maxDelegated is the largest payload that is given to another entry, in bytes; a link carries frames of 4 MB.
 const maxDelegated = 2 << 20
 
-// owner chooses the entry that is to run the jobs of a model: one in this failure domain, the same for each job of its
-// trainer. It knows the pace of the model's engines and the texts of groups that come again. An entry that is about to
-// leave names any other one, and nobody if there is none.
-func (m *Manager) owner(model string, size int) (name, inc string) {
-	var best uint64
-	near := m.Peers.Near(m.Self.Domain)
-	if m.leaving() {
-		if len(near) == 0 {
-			near = m.Peers.Linked()
-		}
-	} else {
-		name, inc, best = m.Name, m.Self.Inc, rank(model, m.Name)
-		if size > maxDelegated {
-			return name, inc
+// candidates returns the entries that may run jobs: those in this failure domain. An entry that is about to leave names
+// any other ones.
+func (m *Manager) candidates() []candidate {
+	var l []candidate
+	for _, h := range m.Peers.Near(m.Self.Domain) {
+		l = append(l, candidate{name: h.Name, inc: h.Inc, cores: h.Cores})
+	}
+	if !m.leaving() {
+		return append(l, candidate{name: m.Name, inc: m.Self.Inc, cores: m.Cores})
+	}
+	if len(l) > 0 {
+		return l
+	}
+	for _, name := range m.Peers.Linked() {
+		if inc := m.Peers.Incarnation(name); inc != "" {
+			l = append(l, candidate{name: name, inc: inc})
 		}
 	}
-	for _, n := range near {
-		if r := rank(model, n); r >= best {
-			if i := m.Peers.Incarnation(n); i != "" {
-				name, inc, best = n, i, r
-			}
-		}
-	}
-	return name, inc
+	return l
 }
 
-// rank orders the entries for a model.
-func rank(model, name string) uint64 { return xxhash.Sum64String(model + "\x00" + name) }
-
 // delegate gives an accepted job to its owner, and takes it over if the owner does not take it.
 func (m *Manager) delegate(id string, s wire.JobState, body []byte) {
 	ctx, cancel := context.WithTimeout(m.life, askTime)
--- /dev/null
+++ b/entry/internal/batch/watch_test.go
@@ -0,0 +1,103 @@
+package batch
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"bulrushspoke/internal/call"
+	"bulrushspoke/platform/platformtest"
+)
+
+// Guards against an attempt that waits for an engine without events although another has room, one that is ended although
+// there is none, and one that never ends.
+func TestWatch(t *testing.T) {
+	const long = time.Minute
+	for name, tc := range map[string]struct {
+		room bool
+		most time.Duration
+		ends bool
+	}{
+		"room elsewhere":    {room: true, most: long, ends: true},
+		"no room elsewhere": {most: long},
+		"too long":          {most: 50 * time.Millisecond, ends: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			var looks atomic.Int64
+			w := &watch{
+				cancel: cancel,
+				elsewhere: func(time.Time) bool {
+					looks.Add(1)
+					return tc.room
+				},
+				patience: func(time.Time) time.Duration { return 10 * time.Millisecond },
+				since:    time.Now(),
+				most:     tc.most,
+			}
+			w.mu.Lock()
+			w.timer = time.AfterFunc(0, w.expire)
+			w.mu.Unlock()
+			defer w.stop()
+			if tc.ends {
+				select {
+				case <-ctx.Done():
+				case <-time.After(10 * time.Second):
+					t.Fatal("the attempt goes on")
+				}
+				if !w.fired() {
+					t.Error("the watch does not know that it has ended the attempt")
+				}
+				return
+			}
+			for looks.Load() < 3 {
+				if ctx.Err() != nil {
+					t.Fatal("the attempt was ended although no other engine has room")
+				}
+				time.Sleep(time.Millisecond)
+			}
+		})
+	}
+}
+
+// Guards against bytes that count as progress although they are no new event: an engine that sends the same event again
+// and again, and one that sends lines without an event.
+func TestEventsOnlyAreProgress(t *testing.T) {
+	for name, again := range map[string]string{"old event": "id: 1\ndata: g-2.1\n\n", "comment": ": ping\n\n"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			stalled, sound := newEngine(t, 1), newEngine(t, 1)
+			var asked atomic.Int64
+			stalled.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				asked.Add(1)
+				id := platformtest.Asked(r.Header).ID
+				platformtest.Answer(w.Header(), call.Answer{ID: id, Signature: platformtest.Stamp, Version: 1})
+				w.Header().Set("Content-Type", "text/event-stream")
+				for r.Context().Err() == nil {
+					if _, err := w.Write([]byte(again)); err != nil {
+						return
+					}
+					_ = http.NewResponseController(w).Flush()
+					time.Sleep(20 * time.Millisecond)
+				}
+			})
+			r := newRig(t, stalled)
+			m, _ := r.manager("a", "a1")
+			r.submit(m, "j", payload(1, "g-2"))
+			deadline := time.Now().Add(10 * time.Second)
+			for asked.Load() == 0 {
+				if time.Now().After(deadline) {
+					t.Fatal("the item is not sent")
+				}
+				time.Sleep(time.Millisecond)
+			}
+			r.engines = append(r.engines, sound)
+			m.Catalog.ApplyServer(r.entry(1, 200))
+			check(t, r.collect(m, "j", 1), "g-2")
+		})
+	}
+}
--- a/entry/internal/cli/platform.go
+++ b/entry/internal/cli/platform.go
@@ -136,7 +136,7 @@
 	if err := p.build(life); err != nil {
 		return err
 	}
-	go program.OnHangup(life, readSettings, logger)
+	go supervise.Guard(logger, "reload", func() { program.OnHangup(life, readSettings, logger) })
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
@@ -195,6 +195,7 @@
 	hello := func() wire.Hello {
 		return wire.Hello{
 			Name: s.Name, Role: "entry", Inc: p.inc, Domain: s.Domain, Region: s.Region, Leaving: p.leaving.Load(),
+			Cores: s.Cores,
 		}
 	}
 	identity := link.NewIdentity(s.Name, p.secret, hello)
@@ -205,7 +206,7 @@
 	objects := relay.New(p.store, p.peers, p.logger)
 	objects.Register(p.peers)
 	p.batch = batch.New(life, batch.Options{
-		Self: self, Name: s.Name, Store: objects, Peers: p.peers, Catalog: p.catalog, Pool: pool, Tracker: tracker,
+		Self: self, Name: s.Name, Cores: s.Cores, Store: objects, Peers: p.peers, Catalog: p.catalog, Pool: pool, Tracker: tracker,
 		Keep: s.Bounds.Status, Value: s.Store.Value, Memory: int64(bodyShare * float64(s.Memory)), Logger: p.logger, Link: s.Link,
 		Outage: objects.Outage, Random: chance,
 	})
@@ -292,7 +293,7 @@
 
 func (p *onPlatform) fast(h fasthttp.RequestHandler) *fasthttp.Server {
 	return &fasthttp.Server{
-		Handler:               h,
+		Handler:               supervise.Handler(p.logger, h),
 		NoDefaultServerHeader: true,
 		ReadTimeout:           readHeader,
 		IdleTimeout:           clientIdle,
--- a/entry/internal/peer/ask.go
+++ b/entry/internal/peer/ask.go
@@ -5,6 +5,7 @@
 
 	"bulrushspoke/internal/link"
 	"bulrushspoke/internal/supervise"
+	"bulrushspoke/wire"
 )
 
 // Handle names the function that answers messages of a kind, each in a task of its own. It returns the kind and body of
@@ -63,15 +64,16 @@
 	return names
 }
 
-// Near returns the names of the linked entries in a failure domain that are not about to leave, in order.
-func (p *Peers) Near(domain string) []string {
-	var names []string
+// Near returns what the linked entries in a failure domain that are not about to leave say of themselves, in order of
+// their names.
+func (p *Peers) Near(domain string) []wire.Hello {
+	var l []wire.Hello
 	for _, c := range p.all() {
 		if h := c.Peer(); h.Domain == domain && !h.Leaving {
-			names = append(names, h.Name)
+			l = append(l, h)
 		}
 	}
-	return names
+	return l
 }
 
 // Incarnation returns the incarnation of the process behind the newest link to an entry; empty if there is none.
--- a/entry/internal/place/place.go
+++ b/entry/internal/place/place.go
@@ -48,6 +48,12 @@
 	paceLeast = 3
 	// slowFactor is how many times slower than the median a slow server is.
 	slowFactor = 1.4
+	// alive is how recent the newest event of an engine must be for it to count as merely busy.
+	alive = time.Second
+	// silentFactor times the median pace is how long an engine may make no event before others with room are preferred,
+	// within silentLeast and the caller's own bound.
+	silentFactor = 12
+	silentLeast  = 600 * time.Millisecond
 	// forget is how long an unused server is remembered.
 	forget = time.Minute
 )
@@ -79,6 +85,7 @@
 	Refused           // the server had no room
 	Broken            // no whole answer came
 	Abandoned         // this process gave it up; says nothing of the server
+	Silent            // no event came in time: the server is busy, or hangs
 )
 
 // Tracker remembers how servers did.
@@ -265,11 +272,20 @@
 		}
 		s.refusals[model] = r
 	case Broken:
-		s.failures++
-		s.avoid = now.Add(min(failing<<min(s.failures-1, 8), failingMost))
+		s.fail(now)
+	case Silent:
+		if now.Sub(s.paced) > alive {
+			s.fail(now)
+		}
 	}
 }
 
+// fail notes a failure of a server.
+func (s *state) fail(now time.Time) {
+	s.failures++
+	s.avoid = now.Add(min(failing<<min(s.failures-1, 8), failingMost))
+}
+
 // Paced tells the time between two events that a server made for one stream.
 func (t *Tracker) Paced(id string, gap time.Duration, now time.Time) {
 	t.mu.Lock()
@@ -304,6 +320,13 @@
 	return s != nil && s.slow(t.slowest(now), now)
 }
 
+// Patience returns how long an engine may make no event before others with room are preferred, most at the longest.
+func (t *Tracker) Patience(most time.Duration, now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return min(max(silentFactor*t.median(now), silentLeast), most)
+}
+
 // hasPace reports whether a server has a present pace.
 func (s *state) hasPace(now time.Time) bool { return s.pace > 0 && now.Sub(s.paced) <= paceTime }
 
@@ -314,6 +337,11 @@
 
 // slowest returns the pace beyond which a server is slow at present, 0 if too few servers have one.
 func (t *Tracker) slowest(now time.Time) time.Duration {
+	return time.Duration(slowFactor * float64(t.median(now)))
+}
+
+// median returns the present pace in the middle of those of all servers, 0 if too few have one.
+func (t *Tracker) median(now time.Time) time.Duration {
 	var paces []time.Duration
 	for _, o := range t.state {
 		if o.hasPace(now) {
@@ -324,7 +352,7 @@
 		return 0
 	}
 	slices.Sort(paces)
-	return time.Duration(slowFactor * float64(paces[(len(paces)-1)/2]))
+	return paces[(len(paces)-1)/2]
 }
 
 // forgetOld drops servers that have not been used for long.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,6 +32,7 @@
 
 	Store Store
 
+	Cores       float64 // processor time in cores; 0 if it is not told
 	Memory      int64   // bytes that the process may use
 	Link        float64 // of the instance, in bytes a second; 0 if it is not told
 	Descriptors int
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -442,6 +442,9 @@
 
 // First message of each side of a link.
 type Hello struct {
+	// Processor time of the sender's instance in cores; 0 if unknown.
+	Cores float64 `json:"cores"`
+
 	// Failure domain of the sender.
 	Domain string `json:"domain"`
 
@@ -505,6 +508,10 @@
 	// Epoch of the present owner.
 	Epoch int `json:"epoch"`
 
+	// True if the sender is not the owner but has found it out of reach: the job is
+	// taken only if the receiver finds so, too.
+	Gone bool `json:"gone"`
+
 	// Id of the job.
 	Job string `json:"job"`
 
@@ -668,6 +675,9 @@
 	// Incarnation of the owner's process.
 	Inc string `json:"inc"`
 
+	// Model that the items run on.
+	Model string `json:"model"`
+
 	// Instance that runs the job.
 	Owner string `json:"owner"`
 
