Encode pages of results once, at the owner

Cause: each page went from the owner to the reader's entry as values, which decoded them and encoded them again for the client.

Change: the owner encodes the page, and the reader's entry passes the bytes on.

Soak: servers that leave say so in their answers, and second copies of an answer may come late, when the connection is in use again.

--- a/entry/internal/batch/answer.go
+++ b/entry/internal/batch/answer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bulrushspoke/internal/link"
+	"bulrushspoke/platform"
 	"bulrushspoke/wire"
 )
 
@@ -21,9 +22,14 @@
 			j = m.own(ctx, q.Job)
 		}
 		if j == nil {
-			return link.Page, wire.JobPage{Results: []wire.JobResult{}}, nil
+			return link.Page, wire.JobPage{Body: []byte{}}, nil
 		}
-		return link.Page, toPage(j.page(ctx, q.After, time.Duration(q.Wait)*time.Millisecond, q.Most)), nil
+		// The reader's entry passes the page on as it is: it may have little processor time.
+		body, err := platform.EncodePage(j.page(ctx, q.After, time.Duration(q.Wait)*time.Millisecond, q.Most))
+		if err != nil {
+			return "", nil, err
+		}
+		return link.Page, wire.JobPage{Known: true, Body: body}, nil
 	})
 	h.Handle(link.End, func(_ context.Context, f link.Frame) (string, any, error) {
 		var q wire.JobEnd
--- a/entry/internal/batch/batch.go
+++ b/entry/internal/batch/batch.go
@@ -166,9 +166,8 @@
 			q := wire.JobRead{Job: id, After: after, Wait: wait.Milliseconds(), Most: m.pace.most(time.Now())}
 			p, err := m.askPage(ctx, s, q, wait)
 			if err == nil && p.Known {
-				got := fromPage(p)
-				m.pace.sent(size(got), time.Now())
-				return page(got)
+				m.pace.sent(len(p.Body), time.Now())
+				return ingress.Reply{Status: http.StatusOK, Body: p.Body, JSON: true}
 			}
 			if ctx.Err() != nil {
 				return unavailable("client left")
--- a/entry/internal/batch/payload.go
+++ b/entry/internal/batch/payload.go
@@ -109,22 +109,6 @@
 	return ingress.Reply{Status: http.StatusOK, Body: body, JSON: true}
 }
 
-func toPage(p job.Page) wire.JobPage {
-	w := wire.JobPage{Known: true, Total: p.Total, Next: p.Next, Results: make([]wire.JobResult, 0, len(p.Results))}
-	for _, r := range p.Results {
-		w.Results = append(w.Results, toResult(r))
-	}
-	return w
-}
-
-func fromPage(w wire.JobPage) job.Page {
-	p := job.Page{Total: w.Total, Next: w.Next}
-	for _, r := range w.Results {
-		p.Results = append(p.Results, fromResult(r))
-	}
-	return p
-}
-
 func toResult(r job.Result) wire.JobResult {
 	v := r.Versions
 	if v == nil {
--- a/scenario/soak/server.go
+++ b/scenario/soak/server.go
@@ -207,7 +207,7 @@
 		s.world.ledger.abandoned(asked.ID, time.Now())
 		return
 	}
-	platformtest.Answer(w.Header(), call.Answer{ID: asked.ID, Signature: platformtest.Stamp})
+	platformtest.Answer(w.Header(), call.Answer{ID: asked.ID, Signature: platformtest.Stamp, Leaving: s.leaves()})
 	switch b {
 	case failing:
 		w.WriteHeader(http.StatusInternalServerError)
@@ -225,7 +225,17 @@
 	}
 }
 
-// garble sends bytes that are no answer, or a whole answer with another one behind it.
+// leaves reports whether the server has announced that it leaves.
+func (s *server) leaves() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.draining || s.unlisted
+}
+
+// lateCopy is how long after an answer its second copy comes, when the connection may be in use again.
+const lateCopy = 20 * time.Millisecond
+
+// garble sends bytes that are no answer, or a whole answer and the same once more, at once or later.
 func (s *server) garble(w http.ResponseWriter, id, answer string) {
 	c, out, err := http.NewResponseController(w).Hijack()
 	if err != nil {
@@ -233,7 +243,7 @@
 	}
 	defer func() { _ = c.Close() }()
 	s.mu.Lock()
-	extra := s.random.IntN(2) == 0
+	extra, late := s.random.IntN(2) == 0, s.random.IntN(2) == 0
 	s.mu.Unlock()
 	if !extra {
 		_, _ = out.WriteString("\x00\x01 no answer\r\n\r\n")
@@ -243,6 +253,10 @@
 	s.world.ledger.answered(id, answer)
 	head := "HTTP/1.1 200 OK\r\n" + platformtest.Head(call.Answer{ID: id, Signature: platformtest.Stamp})
 	_, _ = fmt.Fprintf(out, "%sContent-Length: %d\r\n\r\n%s", head, len(answer), answer)
+	if late {
+		_ = out.Flush()
+		time.Sleep(lateCopy)
+	}
 	_, _ = fmt.Fprintf(out, "%sContent-Length: 5\r\n\r\nstale", head)
 	_ = out.Flush()
 }
@@ -251,7 +265,7 @@
 func (s *server) generate(w http.ResponseWriter, r *http.Request, asked platformtest.Told, id string, body []byte, b behaviour) {
 	model, length := itemOf(r.URL.Path)
 	s.world.ledger.began(asked.ID, id, r.URL.Path, string(body), time.Now())
-	platformtest.Answer(w.Header(), call.Answer{ID: asked.ID, Signature: platformtest.Stamp})
+	platformtest.Answer(w.Header(), call.Answer{ID: asked.ID, Signature: platformtest.Stamp, Leaving: s.leaves()})
 	if b == failing {
 		s.world.ledger.failed(asked.ID)
 		w.WriteHeader(http.StatusInternalServerError)
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -564,19 +564,13 @@
 	Owner string `json:"owner"`
 }
 
-// Results of a job.
+// Results of a job, encoded as their reader gets them.
 type JobPage struct {
+	// The page in the encoding of the reader's interface.
+	Body []byte `json:"body"`
+
 	// False if the asked process does not own the job.
 	Known bool `json:"known"`
-
-	// Position after the last result.
-	Next int `json:"next"`
-
-	// Results in order of their positions.
-	Results []JobResult `json:"results"`
-
-	// Number of items.
-	Total int `json:"total"`
 }
 
 // The part of an item's text that exists so far.
