Read the log before showing a reader less than it holds

Cause: an entry that believes to own a job answered from what it knew, also to a reader that held later positions: `next` fell back before the position asked for. It can believe so late, after a pause in which another entry has taken the job over and listed results.

Change: if a reader is ahead, the log is read first; 503 if it cannot be, and the job is given up if another owner has written there. A job is not begun at an epoch that has passed. `next` is never before the position asked for.

--- a/entry/internal/batch/answer.go
+++ b/entry/internal/batch/answer.go
@@ -24,6 +24,12 @@
 		if j == nil {
 			return link.Page, wire.JobPage{Body: []byte{}}, nil
 		}
+		if !m.sure(ctx, j, q.After, time.Now()) {
+			return link.Page, wire.JobPage{Known: true, Body: []byte{}}, nil
+		}
+		if m.local(q.Job) != j {
+			return link.Page, wire.JobPage{Body: []byte{}}, nil
+		}
 		// The reader's entry passes the page on as it is: it may have little processor time.
 		body, err := platform.EncodePage(j.page(ctx, q.After, time.Duration(q.Wait)*time.Millisecond, q.Most))
 		if err != nil {
--- a/entry/internal/batch/batch.go
+++ b/entry/internal/batch/batch.go
@@ -150,6 +150,12 @@
 func (m *Manager) Results(ctx context.Context, id string, after int, wait time.Duration) ingress.Reply {
 	for range storeTries {
 		if j := m.local(id); j != nil {
+			if !m.sure(ctx, j, after, time.Now()) {
+				return unavailable("the log of the job cannot be read")
+			}
+			if m.local(id) != j {
+				continue
+			}
 			p := j.page(ctx, after, wait, maxPage)
 			if len(p.Results) == 0 && p.Next < p.Total {
 				m.refresh(ctx, j, time.Now())
@@ -165,6 +171,9 @@
 		if s.Owner != m.Name {
 			q := wire.JobRead{Job: id, After: after, Wait: wait.Milliseconds(), Most: m.pace.most(time.Now())}
 			p, err := m.askPage(ctx, s, q, wait)
+			if err == nil && p.Known && len(p.Body) == 0 {
+				return unavailable("the owner cannot read the log of the job")
+			}
 			if err == nil && p.Known {
 				m.pace.sent(len(p.Body), time.Now())
 				return ingress.Reply{Status: http.StatusOK, Body: p.Body, JSON: true}
--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -37,6 +37,7 @@
 	ended   bool         // by the trainer
 	stopped bool         // nothing runs here any more
 	looked  time.Time    // when the log was last read after the job stopped
+	checked time.Time    // when the log was last read for a reader that was ahead
 	cancel  context.CancelFunc
 	changed chan struct{} // closed when results are listed or the job stops
 	wake    chan struct{} // tells the tasks of the job that an item changed
@@ -112,6 +113,14 @@
 	return true
 }
 
+// behind reports whether a reader holds positions that this entry does not know of, and the log has not been read since
+// shortly before.
+func (j *Job) behind(after int, now time.Time) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return after > len(j.results) && now.Sub(j.checked) >= lookEvery
+}
+
 // catchUp takes the records that this entry has not seen.
 func (j *Job) catchUp(records []wire.JobRecord) {
 	j.mu.Lock()
@@ -310,8 +319,10 @@
 
 // slice returns a page with at most most bytes of text beside the first result; the caller holds mu.
 func (j *Job) slice(after, most int) job.Page {
-	after = min(after, len(j.results))
 	p := job.Page{Total: j.total, Next: after}
+	if after >= len(j.results) {
+		return p
+	}
 	sum := 0
 	for _, r := range j.results[after:] {
 		sum += len(r.Text) + len(r.Item)
--- a/entry/internal/batch/owner.go
+++ b/entry/internal/batch/owner.go
@@ -223,6 +223,31 @@
 	}
 }
 
+// sure reports whether what this entry knows of a job may be shown to a reader that holds the positions before after. If
+// the reader is ahead, another owner may have listed them: this process may have been paused, or have been given the job
+// late. The log tells.
+func (m *Manager) sure(ctx context.Context, j *Job, after int, now time.Time) bool {
+	if !j.behind(after, now) {
+		return true
+	}
+	records, err := m.records(ctx, j.spec.ID)
+	if err != nil {
+		return false // the client has logged it
+	}
+	j.mu.Lock()
+	known := j.records
+	j.checked = now
+	j.mu.Unlock()
+	j.catchUp(records)
+	for _, r := range records[min(known, len(records)):] {
+		if r.Writer != m.Self.Inc && !j.over() {
+			m.lost(j)
+			break
+		}
+	}
+	return true
+}
+
 // refresh reads records that reached the store after this entry last looked. A stopped job writes none itself, but a
 // write without an answer may be carried out seconds later.
 func (m *Manager) refresh(ctx context.Context, j *Job, now time.Time) {
--- a/entry/internal/batch/owner_test.go
+++ b/entry/internal/batch/owner_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"bulrushspoke/platform/platformtest"
 	"bulrushspoke/standin/objects"
 	"bulrushspoke/wire"
 )
@@ -292,3 +293,71 @@
 		t.Errorf("the refused job stands in the store: %v", got)
 	}
 }
+
+// Guards against an entry that shows less of a job than was read of it before: it was paused when the job was given to it,
+// another one has taken the job over and listed results meanwhile, and it wakes and begins to run the job.
+func TestLateStartKnowsItsPlace(t *testing.T) {
+	e := newEngine(t, 1)
+	r := newRig(t, e)
+	paused, _ := r.manager("a", "a1")
+	other, _ := r.manager("b", "b1")
+	body := payload(1, "g-1", "h-2", "i-900")
+	state := wire.JobState{
+		Owner: "a", Inc: "a1", Epoch: 1, Host: "h", Path: "/p/", Total: 3, At: time.Now().UnixMilli(), Model: "m",
+	}
+	if err := other.putPayload(t.Context(), "j", body); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := other.createState(t.Context(), "j", state); err != nil {
+		t.Fatal(err)
+	}
+	e.set(func(e *engine) { e.gap = 5 * time.Millisecond })
+	r.cut("a", true)
+	read := r.collect(other, "j", 2)
+	e.set(func(e *engine) { e.gap = time.Hour })
+	if !paused.begin(wire.JobStart{Job: "j", State: state, Payload: body}) {
+		t.Fatal("the entry that was cut off knows of the new owner")
+	}
+	if got := r.collect(paused, "j", 0); len(got) > 0 {
+		t.Fatalf("it has %d results", len(got))
+	}
+	reply := paused.Results(t.Context(), "j", 2, 0)
+	if reply.Status == http.StatusOK {
+		page, err := platformtest.DecodePage(reply.Body)
+		if err != nil || page.Next < 2 {
+			t.Errorf("a reader that holds 2 results is told of %d, %v", page.Next, err)
+		}
+	}
+	r.cut("a", false)
+	if d := cmp.Diff(read, r.collect(paused, "j", 2)); d != "" {
+		t.Errorf("the former owner shows other results (-read +shown):\n%s", d)
+	}
+}
+
+// Guards against a reader that asks beyond what is listed and is told to go on before its place.
+func TestReadAhead(t *testing.T) {
+	e := newEngine(t, 1)
+	e.gap = time.Hour
+	r := newRig(t, e)
+	m, _ := r.manager("a", "a1")
+	other, _ := r.manager("b", "b1")
+	r.submit(m, "j", payload(1, "g-5", "h-9"))
+	for _, reader := range []*Manager{m, other} {
+		reply := reader.Results(t.Context(), "j", 1, 0)
+		page, err := platformtest.DecodePage(reply.Body)
+		if err != nil || page.Next != 1 || len(page.Results) > 0 {
+			t.Errorf("%s answers %+v, %v", reader.Name, page, err)
+		}
+	}
+	if m.local("j") == nil {
+		t.Error("the owner has given the job up")
+	}
+	r.store.Fault(objects.Fault{Refuse: true})
+	time.Sleep(lookEvery)
+	if reply := m.Results(t.Context(), "j", 2, 0); reply.Status != http.StatusServiceUnavailable {
+		t.Errorf("an owner that cannot be sure answers %d", reply.Status)
+	}
+	if reply := other.Results(t.Context(), "j", 2, 0); reply.Status != http.StatusServiceUnavailable {
+		t.Errorf("an entry whose owner cannot be sure answers %d", reply.Status)
+	}
+}
--- a/entry/internal/batch/submit.go
+++ b/entry/internal/batch/submit.go
@@ -106,12 +106,19 @@
 // begin runs a job that another entry has accepted for this one.
 func (m *Manager) begin(q wire.JobStart) bool {
 	spec, err := platform.DecodeJob(q.Job, q.Payload)
-	if err != nil || q.State.Owner != m.Name || q.State.Inc != m.Self.Inc {
+	if err != nil || q.State.Owner != m.Name || q.State.Inc != m.Self.Inc || m.outdated(q) {
 		return false
 	}
 	return m.start(newJob(m, spec, q.State, nil), nil)
 }
 
+// outdated reports whether a job that is given to this entry has had another owner since.
+func (m *Manager) outdated(q wire.JobStart) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.owners[q.Job].Epoch > q.State.Epoch
+}
+
 // refuseAmbiguous answers a submission whose state object may have been written: nothing may be promised then.
 func (m *Manager) refuseAmbiguous(id string, err error, now time.Time) ingress.Reply {
 	var down *store.DownError
--- a/scenario/soak/soak_test.go
+++ b/scenario/soak/soak_test.go
@@ -19,11 +19,12 @@
 	seed  uint64
 	cause string
 }{
+	{2, "an entry that was given a job late, after another had taken it over, showed less of it than was read before"},
 	{302, "an entry missed a configuration: it was paused while another told it of the change, and its own watch had gone silent"},
 }
 
 // firstSeeds are played each time beside the regressions, two by two.
-var firstSeeds = []uint64{1, 2}
+var firstSeeds = []uint64{1}
 
 const testLimit = 3 * time.Minute
 
@@ -48,13 +49,20 @@
 			t.Run(fmt.Sprint(seed), func(t *testing.T) {
 				t.Parallel()
 				network := firstNetwork + (os.Getpid()+i)%(lastNetwork-firstNetwork+1)
-				o, err := play(ctx, bin, t.TempDir(), network, seed, size{entries: 3, engines: 4, plain: 2, models: 2})
+				logs, err := os.MkdirTemp("", "soak")
+				if err != nil {
+					t.Fatal(err)
+				}
+				o, err := play(ctx, bin, logs, network, seed, size{entries: 3, engines: 4, plain: 2, models: 2})
 				if err != nil {
 					t.Fatal(err)
 				}
 				t.Log(o)
 				if len(o.verdicts) > 0 {
-					t.Fail()
+					t.Fatalf("the logs are kept in %s", logs)
+				}
+				if err := os.RemoveAll(logs); err != nil {
+					t.Error(err)
 				}
 			})
 		}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -566,7 +566,8 @@
 
 // Results of a job, encoded as their reader gets them.
 type JobPage struct {
-	// The page in the encoding of the reader's interface.
+	// The page in the encoding of the reader's interface; empty if the owner cannot
+	// be sure of it.
 	Body []byte `json:"body"`
 
 	// False if the asked process does not own the job.
