--- a/entry/internal/batch/score_test.go
+++ b/entry/internal/batch/score_test.go
@@ -142,9 +142,7 @@
 	check(t, results, ids...)
 	checkScores(t, s, results)
 	other, _ := r.manager("b", "b1")
-	m.Peers.(member).mesh.mu.Lock()
-	m.Peers.(member).mesh.cut["a"] = true
-	m.Peers.(member).mesh.mu.Unlock()
+	r.cut("a", true)
 	if d := cmp.Diff(results, r.collect(other, "j", len(ids))); d != "" {
 		t.Errorf("another entry shows other results (-owner +other):\n%s", d)
 	}
--- a/entry/internal/reward/reward_test.go
+++ b/entry/internal/reward/reward_test.go
@@ -67,7 +67,9 @@
 // Guards against calls of a group that is far from whole before those of one that waits for its last score.
 func TestSort(t *testing.T) {
 	l := []Waiting{
-		{Item: "a1", Group: "a", Index: 0}, {Item: "a2", Group: "a", Index: 1}, {Item: "b1", Group: "b", Index: 2},
+		{Item: "a1", Group: "a", Index: 0},
+		{Item: "a2", Group: "a", Index: 1},
+		{Item: "b1", Group: "b", Index: 2},
 		{Item: "c1", Group: "c", Index: 3},
 	}
 	Sort(l, map[string]int{"a": 4, "b": 2, "c": 1})
--- a/internal/supervise/supervise_test.go
+++ b/internal/supervise/supervise_test.go
@@ -1,6 +1,7 @@
 package supervise
 
 import (
+	"context"
 	"log/slog"
 	"net"
 	"net/http"
@@ -24,7 +25,7 @@
 	go func() { _ = s.Serve(l) }()
 	t.Cleanup(func() { _ = s.Shutdown() })
 	client := &http.Client{
-		Transport: &http.Transport{Dial: func(string, string) (net.Conn, error) { return l.Dial() }},
+		Transport: &http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) { return l.Dial() }},
 		Timeout:   5 * time.Second,
 	}
 	for path, want := range map[string]int{"/panic": http.StatusInternalServerError, "/": http.StatusOK} {
