Bound the text of an item

Cause: an engine that sends proper events without end for one item filled the owner's memory until the item's time was up, two minutes on routes that set none.

Test: TestEndlessText; without the bound the item had no result after 15 s.

--- a/entry/internal/batch/run.go
+++ b/entry/internal/batch/run.go
@@ -32,6 +32,11 @@
 	moveAfter = 8
 	// moveMost bounds the moves of one item.
 	moveMost = 6
+	// maxText bounds the text of an item in bytes, its events included: a longer one could not be listed, and an engine
+	// may send events without end.
+	maxText = maxRecord
+	// eventCost is what an event takes beside its data, in bytes.
+	eventCost = 32
 	// itemTime bounds one item on routes that set no time of their own.
 	itemTime = 2 * time.Minute
 )
@@ -304,6 +309,7 @@
 	}
 	in := events.NewReader(resp.Body, platform.Headers{}.VersionLine())
 	version := v.version
+	size := j.textSize(it)
 	var last time.Time // when the newest event came
 	for {
 		e, err := in.Next()
@@ -341,6 +347,11 @@
 		if version < j.spec.MinVersion || route.SingleVersion && after > 0 && !j.single(it, version) {
 			return j.restart(it, resp, v)
 		}
+		if size += len(e.Data) + eventCost; size > maxText {
+			v = j.restart(it, resp, v)
+			v.outcome, v.cause = place.Broken, "the text has no end"
+			return v
+		}
 		watch.progress(now)
 		after++
 		v.events++
@@ -363,6 +374,17 @@
 	}
 }
 
+// textSize returns what the text of an item takes so far, in bytes.
+func (j *Job) textSize(it *item) int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	size := 0
+	for _, d := range it.data {
+		size += len(d) + eventCost
+	}
+	return size
+}
+
 // restart drops the text of an item, which begins anew under the present weights.
 func (j *Job) restart(it *item, resp *upstream.Response, v verdict) verdict {
 	resp.Abandon()
--- a/entry/internal/batch/watch_test.go
+++ b/entry/internal/batch/watch_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -64,6 +66,41 @@
 	}
 }
 
+// Guards against an engine that sends proper events without end, which would fill the memory of the owner.
+func TestEndlessText(t *testing.T) {
+	endless, sound := newEngine(t, 1), newEngine(t, 1)
+	data := strings.Repeat("a", 16<<10)
+	var most atomic.Int64
+	endless.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		id := platformtest.Asked(r.Header).ID
+		platformtest.Answer(w.Header(), call.Answer{ID: id, Signature: platformtest.Stamp, Version: 1})
+		w.Header().Set("Content-Type", "text/event-stream")
+		for n := int64(1); r.Context().Err() == nil; n++ {
+			if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, data); err != nil {
+				return
+			}
+			most.Store(max(most.Load(), n))
+		}
+	})
+	r := newRig(t, endless)
+	m, _ := r.manager("a", "a1")
+	r.submit(m, "j", payload(1, "g-2"))
+	deadline := time.Now().Add(10 * time.Second)
+	for most.Load() < maxText/int64(len(data)) {
+		if time.Now().After(deadline) {
+			t.Fatal("the engine is not asked")
+		}
+		time.Sleep(time.Millisecond)
+	}
+	r.engines = append(r.engines, sound)
+	m.Catalog.ApplyServer(r.entry(1, 200))
+	m.Catalog.RemoveServer("i0", 200, time.Now())
+	check(t, r.collect(m, "j", 1), "g-2")
+	if n := most.Load() * int64(len(data)); n > 32<<20 { // the buffers of both sides, with a wide margin
+		t.Errorf("%d bytes were taken in one run", n)
+	}
+}
+
 // Guards against bytes that count as progress although they are no new event: an engine that sends the same event again
 // and again, and one that sends lines without an event.
 func TestEventsOnlyAreProgress(t *testing.T) {
