Keep a sound stream whose client takes it slowly

Cause: the time for which the next event of a stream may be awaited ran on while an event was being passed to the client, so that a stream of a route that may be resumed was cut at its server and asked for again when its client read slowly. Introduced with the bound on stalled streams.

Change: only the wait for the server counts.

Test: TestSlowReaderKeepsStream; the stream was asked for twice before.

--- a/entry/internal/ingress/ingress_test.go
+++ b/entry/internal/ingress/ingress_test.go
@@ -500,6 +500,40 @@
 	}
 }
 
+// Guards against a sound stream that is cut because its client takes it slowly.
+func TestSlowReaderKeepsStream(t *testing.T) {
+	const events = 400
+	data := strings.Repeat("a", 64<<10)
+	streams := func(c net.Conn, q *http.Request, _ string) bool {
+		_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n"+signed(q)+"\r\n")
+		for i := platformtest.Asked(q.Header).After + 1; i <= events && err == nil; i++ {
+			_, err = fmt.Fprintf(c, "id: %d\ndata: %s\n\n", i, data)
+		}
+		return false
+	}
+	a, b := newServer(t, streams), newServer(t, streams)
+	r := newRig(t, catalog.Route{Kind: catalog.Stream, Resumable: true, Timeout: 20 * time.Second, Attempts: 2}, a, b)
+	q, err := http.NewRequestWithContext(t.Context(), http.MethodPost, r.URL+"/p/", strings.NewReader("x"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	q.Host = "h.example"
+	platformtest.Ask(q.Header, call.Request{ID: "r1", Deadline: 20 * time.Second})
+	resp, err := r.Client().Do(q)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	time.Sleep(2 * stallFirst)
+	n, err := io.Copy(io.Discard, resp.Body)
+	if err != nil || n < events*int64(len(data)) {
+		t.Errorf("the client got %d bytes, %v", n, err)
+	}
+	if runs := len(a.requests()) + len(b.requests()); runs != 1 {
+		t.Errorf("the stream was asked for %d times", runs)
+	}
+}
+
 // Guards against a slow stream that is cut although it is sound.
 func TestStallFollowsPace(t *testing.T) {
 	now := time.Date(2026, 6, 1, 12, 0, 0, 0, time.UTC)
@@ -507,14 +541,16 @@
 	s.timer.Stop()
 	for range 3 {
 		now = now.Add(1200 * time.Millisecond)
-		s.progress(now)
+		s.came(now)
+		now = now.Add(time.Minute) // the client takes its time
+		s.wait(now)
 	}
 	s.timer.Stop()
-	if got := s.allowed(); got < 3*time.Second {
+	if got := s.allowed(); got < 3*time.Second || got > time.Minute {
 		t.Errorf("a stream with an event in 1.2 s is cut after %s", got)
 	}
 	quick := newStall(func() {}, now)
-	quick.progress(now.Add(50 * time.Millisecond))
+	quick.came(now.Add(50 * time.Millisecond))
 	quick.timer.Stop()
 	if got := quick.allowed(); got != stallLeast {
 		t.Errorf("a stream with an event in 50 ms is cut after %s", got)
--- a/entry/internal/ingress/stream.go
+++ b/entry/internal/ingress/stream.go
@@ -27,11 +27,12 @@
 	stallFactor = 8
 )
 
-// stall ends a stream that brings no event any more. Only whole events are progress, whatever other bytes come.
+// stall ends a stream whose server brings no event any more. Only whole events are progress, whatever other bytes come,
+// and the time in which the client takes an event does not count.
 type stall struct {
 	timer   *time.Timer
-	last    time.Time
-	longest time.Duration // pause between two events so far
+	last    time.Time     // when the server was last waited for
+	longest time.Duration // wait for an event so far
 }
 
 // newStall calls cut once no event has come for too long.
@@ -39,9 +40,14 @@
 	return &stall{timer: time.AfterFunc(stallFirst, cut), last: now}
 }
 
-// progress notes an event.
-func (s *stall) progress(now time.Time) {
+// came notes an event, which is now passed on.
+func (s *stall) came(now time.Time) {
+	s.timer.Stop()
 	s.longest = max(s.longest, now.Sub(s.last))
+}
+
+// wait notes that the next event is waited for.
+func (s *stall) wait(now time.Time) {
 	s.last = now
 	s.timer.Reset(s.allowed())
 }
@@ -99,11 +105,11 @@
 func (g *Ingress) pump(
 	w http.ResponseWriter, out *http.ResponseController, q *request, resp *upstream.Response, last int,
 ) (int, error) {
-	progress := func(time.Time) {}
+	came, wait := func(time.Time) {}, func(time.Time) {}
 	if q.route.Resumable {
 		s := newStall(resp.Cut, time.Now())
 		defer s.timer.Stop()
-		progress = s.progress
+		came, wait = s.came, s.wait
 	}
 	in := events.NewReader(resp.Body, g.headers.VersionLine())
 	for {
@@ -120,13 +126,14 @@
 		if e.ID > last+1 && last > 0 {
 			return last, errGap
 		}
+		came(time.Now())
 		if _, err := w.Write(e.Raw); err != nil {
 			return last, err
 		}
 		if err := out.Flush(); err != nil {
 			return last, err
 		}
-		progress(time.Now())
+		wait(time.Now())
 		if e.ID != 0 {
 			last = e.ID
 		}
