--- a/entry/internal/batch/run.go
+++ b/entry/internal/batch/run.go
@@ -85,12 +85,11 @@
 		notify(listing)
 		return j.left()
 	}
+	// Chosen before reward calls begin, whose outcome changes their items.
+	texts := slices.DeleteFunc(pending, func(it *item) bool { return it.whole })
 	waiting := j.score(ctx, c, now, listing)
 	servers := j.manager.Catalog.Servers(route.Shares[0].Service)
-	for _, it := range pending {
-		if it.whole {
-			continue
-		}
+	for _, it := range texts {
 		s, ok := j.manager.Tracker.Pick(now, servers, place.Need{
 			Model: j.spec.Model, MinVersion: j.spec.MinVersion, Room: true,
 		})
