Read an answer's meaning and its server's notice in one place

Cause: forwarded requests, resumed streams, items and reward calls each compared an answer's id and noted a server that leaves with the same four lines, and two packages held the same cause for the log.

Change: catalog.Heard does it for all four, call.CauseForeign is the cause. Behaviour is the same.

Checks: the linter, and the tests of catalog, ingress and batch.

--- a/entry/internal/batch/run.go
+++ b/entry/internal/batch/run.go
@@ -125,8 +125,8 @@
 	})
 }
 
-// pending returns the items that wait for a server or for a score, the most urgent first: those that have begun, and then those that are
-// expected to be long.
+// pending returns the items that wait for a server or for a score, the most urgent first: those that have begun, and then
+// those that are expected to be long.
 func (j *Job) pending() []*item {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -246,17 +246,14 @@
 		return verdict{outcome: place.Broken, cause: err.Error()}
 	}
 	answer := codec.Answer(resp.StatusCode, resp.Header)
-	meaning := answer.Meaning(it.ID)
-	if answer.Leaving && meaning != call.Foreign {
-		j.manager.Catalog.Leaves(s, time.Now())
-	}
+	meaning := j.manager.Catalog.Heard(s, answer, it.ID, time.Now())
 	v := verdict{status: resp.StatusCode, version: answer.Version}
 	if resp.StatusCode == http.StatusOK && meaning == call.Genuine {
 		return j.read(it, s, resp, watch, after, v, route)
 	}
 	if meaning == call.Foreign {
 		resp.Abandon()
-		v.outcome, v.cause = place.Broken, causeForeign
+		v.outcome, v.cause = place.Broken, call.CauseForeign
 		return v
 	}
 	resp.Discard()
@@ -396,9 +393,8 @@
 
 // Causes of attempts that ended without an outcome.
 const (
-	causeMoved   = "the server is slow; the item moves"
-	causeSilent  = "no event in time"
-	causeForeign = "the answer belongs to another request or bears no signature"
+	causeMoved  = "the server is slow; the item moves"
+	causeSilent = "no event in time"
 )
 
 // elsewhere names what an item needs of another server to go on there.
--- a/entry/internal/batch/score.go
+++ b/entry/internal/batch/score.go
@@ -120,10 +120,7 @@
 		return "", verdict{outcome: place.Broken, cause: err.Error()}, lostOrRefused(err)
 	}
 	answer := codec.Answer(resp.StatusCode, resp.Header)
-	meaning := answer.Meaning(r.ID)
-	if answer.Leaving && meaning != call.Foreign {
-		j.manager.Catalog.Leaves(s, time.Now())
-	}
+	meaning := j.manager.Catalog.Heard(s, answer, r.ID, time.Now())
 	v := verdict{status: resp.StatusCode}
 	switch {
 	case meaning == call.NotRun:
@@ -132,7 +129,7 @@
 		return "", v, reward.Refused
 	case meaning == call.Foreign, resp.Header.Get("Content-Encoding") != "":
 		resp.Abandon()
-		v.outcome, v.cause = place.Broken, causeForeign
+		v.outcome, v.cause = place.Broken, call.CauseForeign
 		return "", v, reward.Lost
 	case resp.StatusCode/100 != http.StatusOK/100:
 		resp.Discard()
--- a/entry/internal/ingress/forward.go
+++ b/entry/internal/ingress/forward.go
@@ -120,11 +120,7 @@
 	}
 }
 
-// Causes of lost attempts.
-const (
-	causeReset   = "the server broke the connection"
-	causeForeign = "the answer belongs to another request or bears no signature"
-)
+const causeReset = "the server broke the connection"
 
 // try sends the request to one server once.
 func (g *Ingress) try(
@@ -190,17 +186,14 @@
 		return broken(err)
 	}
 	answer := g.headers.Answer(resp.StatusCode, resp.Header)
-	meaning := answer.Meaning(q.ID)
-	if answer.Leaving && meaning != call.Foreign {
-		g.Catalog.Leaves(s, time.Now())
-	}
+	meaning := g.Catalog.Heard(s, answer, q.ID, time.Now())
 	switch {
 	case meaning == call.NotRun:
 		resp.Discard()
 		return attempt{outcome: notRun, cause: "the server refused: " + strconv.Itoa(resp.StatusCode)}
 	case meaning == call.Foreign, resp.Header.Get("Content-Encoding") != "":
 		resp.Abandon()
-		return attempt{outcome: lost, cause: causeForeign}
+		return attempt{outcome: lost, cause: call.CauseForeign}
 	case isStream(resp.Header) && resp.StatusCode == http.StatusOK:
 		answering()
 		return g.stream(ctx, w, q, s, resp)
--- a/entry/internal/ingress/stream.go
+++ b/entry/internal/ingress/stream.go
@@ -164,10 +164,7 @@
 			continue
 		}
 		a := g.headers.Answer(resp.StatusCode, resp.Header)
-		meaning := a.Meaning(q.ID)
-		if a.Leaving && meaning != call.Foreign {
-			g.Catalog.Leaves(s, time.Now())
-		}
+		meaning := g.Catalog.Heard(s, a, q.ID, time.Now())
 		if resp.StatusCode == http.StatusOK && meaning == call.Genuine && isStream(resp.Header) {
 			return resp, &s
 		}
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -33,6 +33,9 @@
 	Version   int    // weight version that the answer begins under; 0 if none was named
 }
 
+// CauseForeign tells in logs that an answer was foreign.
+const CauseForeign = "the answer belongs to another request or bears no signature"
+
 // Meaning is what an answer says of the request that it was received for.
 type Meaning int
 
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"bulrushspoke/internal/call"
 	"bulrushspoke/internal/event"
 )
 
@@ -182,6 +183,16 @@
 	c.arrange()
 }
 
+// Heard takes an answer that a server gave to the request with the given id. It returns what the answer says of the request,
+// and notes the server's own notice that it leaves.
+func (c *Catalog) Heard(s Server, a call.Answer, id string, now time.Time) call.Meaning {
+	m := a.Meaning(id)
+	if a.Leaving && m != call.Foreign {
+		c.Leaves(s, now)
+	}
+	return m
+}
+
 // Leaves takes a server's own notice that it is about to leave: it gets no new work from now on, whatever its entry says.
 // The last server of a service stays in use for a moment.
 func (c *Catalog) Leaves(s Server, now time.Time) {
