Give each engine two models and every second version of each

Cause: an engine was for one model and loaded each of its versions. The second of two steps that a late trainer asks within a second allows no version that the engines of its model had, and its items had a third of the engines to choose from, by a hash of ids that changed with each restart. A daemon that started anew with a list of servers from before an outage ordered versions of other models, and kept that decision until the next version.

Change: models and turns follow from the address of an engine; it loads the versions of its turn, so as many loads serve twice the engines. A list that does not hold the engine as it is is read again after a second, and decisions are made anew when the engines change. A version that stays the newest for longer than usual is loaded out of turn, for steps that allow their own version only.

Ruled out: all engines for all models (27 loads for each round of versions take 12 s at two loads at once, versions come each 4 s).

--- a/daemon/internal/rollout/rollout.go
+++ b/daemon/internal/rollout/rollout.go
@@ -13,6 +13,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"bulrushspoke/internal/catalog"
@@ -34,6 +35,9 @@
 	quietShare = 0.6
 	// repair is the time between two checks that the engine still has its versions: an engine may be replaced.
 	repair = 5 * time.Second
+	// lookAgain is the time between two looks at a list of servers that does not hold this engine as it is: entries come
+	// back within about two seconds of an outage.
+	lookAgain = time.Second
 )
 
 // Engine takes orders.
@@ -56,13 +60,16 @@
 // Rollout gives orders to one engine.
 type Rollout struct {
 	Options
-	server  string // incarnation of the engine; empty if unknown
-	servers []catalog.Server
-	fence   int64
-	model   string               // that the engine is for; empty before the first decision
-	turns   map[string]scheduled // by model
-	loading *load
-	took    time.Duration // of the shortest load seen; 0 before the first
+	server   string // incarnation of the engine; empty if unknown
+	servers  []catalog.Server
+	looked   time.Time // when the list was last read
+	doubtful bool      // the list does not hold this engine as it is
+	fence    int64
+	models   []string             // that the engine is for; empty before the first decision
+	turns    map[string]scheduled // by model
+	paces    map[string]*cadence  // by model
+	loading  *load
+	took     time.Duration // of the shortest load seen; 0 before the first
 }
 
 // scheduled is when a version is to be loaded.
@@ -80,7 +87,9 @@
 }
 
 // New returns a Rollout.
-func New(o Options) *Rollout { return &Rollout{Options: o, turns: make(map[string]scheduled)} }
+func New(o Options) *Rollout {
+	return &Rollout{Options: o, turns: make(map[string]scheduled), paces: make(map[string]*cadence)}
+}
 
 // Run gives orders until ctx ends.
 func (r *Rollout) Run(ctx context.Context) error {
@@ -88,14 +97,18 @@
 	for ctx.Err() == nil {
 		changed := r.Catalog.Changed()
 		named := r.Catalog.Versions()
-		if newest := r.concerns(named); newest != seen {
-			r.look(ctx)
+		now := time.Now()
+		if newest := r.concerns(named); newest != seen || r.doubtful && now.Sub(r.looked) >= lookAgain {
+			r.look(ctx, now)
 			seen = newest
 		}
 		wait := repair
 		if len(named) > 0 {
 			wait = r.step(ctx, named, time.Now())
 		}
+		if r.doubtful {
+			wait = min(wait, lookAgain)
+		}
 		t := time.NewTimer(wait)
 		select {
 		case <-changed:
@@ -115,32 +128,51 @@
 	return n
 }
 
-// concerns returns the highest revision of the versions that this engine may have to load: those of its model, or all
-// while it is for none.
+// concerns returns the highest revision of the versions that this engine may have to load: those of its models, or
+// all while it is for none.
 func (r *Rollout) concerns(named []catalog.Version) int64 {
+	if len(r.models) == 0 {
+		return highest(named)
+	}
+	var own []catalog.Version
 	for _, v := range named {
-		if v.Model == r.model {
-			return v.Revision
+		if slices.Contains(r.models, v.Model) {
+			own = append(own, v)
 		}
 	}
-	return highest(named)
+	return highest(own)
 }
 
 // look reads the list of servers, which decides which models this engine is for.
-func (r *Rollout) look(ctx context.Context) {
+func (r *Rollout) look(ctx context.Context, now time.Time) {
+	r.looked = now
 	list, err := r.Servers(ctx)
 	if err != nil {
 		return // the client has logged it; the last list goes on to count
 	}
-	r.servers = r.servers[:0]
+	before := addresses(r.servers)
+	r.servers, r.doubtful = nil, true
 	for _, s := range list {
 		if s.Service == r.Service && !s.Draining {
 			r.servers = append(r.servers, s)
 		}
 		if s.Address == r.Address {
-			r.server = s.ID
+			r.server, r.doubtful = s.ID, false
 		}
 	}
+	if !slices.Equal(before, addresses(r.servers)) {
+		clear(r.turns)
+	}
+}
+
+// addresses returns the addresses of servers in order.
+func addresses(servers []catalog.Server) []string {
+	l := make([]string, 0, len(servers))
+	for _, s := range servers {
+		l = append(l, s.Address)
+	}
+	slices.Sort(l)
+	return l
 }
 
 // step gives at most one order and returns how long to wait for the next look.
@@ -157,8 +189,9 @@
 	if len(report.Versions) == 0 {
 		return repair
 	}
-	v := newView(named, r.servers, r.server, report.Versions)
+	v := newView(named, r.servers, r.Address, report.Versions)
 	r.assign(v)
+	r.follow(named, now)
 	wait := repair
 	for _, n := range named {
 		if have, ok := report.Versions[n.Model]; !ok || have >= n.Number || !v.serves(v.self, n.Model) {
@@ -182,11 +215,23 @@
 	return wait
 }
 
-// assign notes which model the engine is for.
+// assign notes which models the engine is for.
 func (r *Rollout) assign(v view) {
-	if m := v.model[v.self]; m != r.model {
-		event.EngineAssigned.Log(r.Logger, "model", m, "before", r.model, "engines", len(v.engines))
-		r.model = m
+	if m := v.shares[v.self]; !slices.Equal(m, r.models) {
+		event.EngineAssigned.Log(r.Logger, "models", m, "before", r.models, "engines", len(v.engines))
+		r.models = m
+	}
+}
+
+// follow notes when versions are named.
+func (r *Rollout) follow(named []catalog.Version, now time.Time) {
+	for _, n := range named {
+		c := r.paces[n.Model]
+		if c == nil {
+			c = &cadence{}
+			r.paces[n.Model] = c
+		}
+		c.named(n.Number, now)
 	}
 }
 
@@ -203,10 +248,14 @@
 
 // schedule returns when this engine is to load a version; false if it leaves the version out.
 func (r *Rollout) schedule(v view, n catalog.Version, now time.Time) (scheduled, bool) {
-	if s, ok := r.turns[n.Model]; ok && s.version == n.Number {
+	overdue := r.paces[n.Model].overdue(now)
+	if s, ok := r.turns[n.Model]; ok && s.version == n.Number && (!s.at.IsZero() || !overdue) {
 		return s, !s.at.IsZero()
 	}
 	t := v.turnFor(n.Model)
+	if !t.load && overdue {
+		t = turn{load: true, quiet: true}
+	}
 	s := scheduled{version: n.Number, quiet: t.quiet}
 	if t.load {
 		took := r.took
@@ -251,7 +300,8 @@
 		"revision", v.Revision, "fence", r.fence, "orders", report.Orders, "server", r.server, "outcome", int(outcome))
 	switch outcome {
 	case platform.OrderMisplaced:
-		r.server = server
+		// The list is older than the engine, and most likely than others that were replaced with it.
+		r.server, r.doubtful = server, true
 		return 0
 	case platform.OrderAccepted:
 		r.loading = &load{model: v.Model, version: v.Number, began: now}
--- a/daemon/internal/rollout/rollout_test.go
+++ b/daemon/internal/rollout/rollout_test.go
@@ -25,37 +25,51 @@
 	return l
 }
 
-// Guards against a model without engines, and against engines that change their model, and so their weights, whenever
-// another one comes or goes.
-func TestAssign(t *testing.T) {
+// Guards against a model without engines, and against engines that change their models, and so their weights, whenever
+// another one comes or goes, or when they start anew under another id.
+func TestShare(t *testing.T) {
 	for _, n := range []int{4, 11, 12, 49, 300} {
 		for _, models := range [][]string{{"a", "b"}, {"a", "b", "c"}} {
 			l := engines(n, nil)
-			before := assign(l, models)
-			count := make(map[string]int)
-			for _, m := range before {
-				count[m]++
+			before := share(l, models)
+			for turn := range skip + 1 {
+				count := make(map[string]int)
+				for _, own := range before {
+					count[own[turn]]++
+				}
+				for _, m := range models {
+					if even := n / len(models); count[m] < even || count[m] > even+1 {
+						t.Errorf("%d engines, %d models: %s has %d at turn %d", n, len(models), m, count[m], turn)
+					}
+				}
 			}
-			for _, m := range models {
-				if even := n / len(models); count[m] < even || count[m] > even+1 {
-					t.Errorf("%d engines, %d models: %s has %d", n, len(models), m, count[m])
+			for address, own := range before {
+				if own[0] == own[1] {
+					t.Errorf("the engine at %s has one model twice", address)
 				}
 			}
-			after := assign(l[1:], models)
-			moved := 0
-			for id, m := range after {
-				if before[id] != m {
-					moved++
+			after := share(l[1:], models)
+			moved := make([]int, skip+1)
+			for address, own := range after {
+				for turn, m := range own {
+					if before[address][turn] != m {
+						moved[turn]++
+					}
 				}
 			}
-			if moved > len(models) {
-				t.Errorf("%d engines, %d models: %d changed their model when one left", n, len(models), moved)
+			for turn, count := range moved {
+				if count > len(models) {
+					t.Errorf("%d engines, %d models: %d changed their model at turn %d when one left", n, len(models), count, turn)
+				}
 			}
 			shuffled := slices.Clone(l)
 			slices.Reverse(shuffled)
-			for id, m := range assign(shuffled, models) {
-				if before[id] != m {
-					t.Fatal("the order of the list decides")
+			for i := range shuffled {
+				shuffled[i].ID = fmt.Sprintf("i-new-%d", i)
+			}
+			for address, own := range share(shuffled, models) {
+				if !slices.Equal(before[address], own) {
+					t.Fatal("the order of the list or the ids decide")
 				}
 			}
 		}
@@ -73,7 +87,7 @@
 	l[3].Versions = map[string]int{"m": 5}
 	urgent, rounds := make(map[int]int), make(map[int]int)
 	for i, e := range l {
-		turn := newView(named, l, e.ID, e.Versions).turnFor("m")
+		turn := newView(named, l, e.Address, e.Versions).turnFor("m")
 		switch {
 		case i < 3 && (!turn.load || turn.quiet):
 			t.Errorf("an engine two versions behind has turn %+v", turn)
@@ -159,7 +173,7 @@
 	now := start
 	for i := 2; i <= 5; i++ {
 		c.ApplyVersion(catalog.Version{Model: "m", Number: i, Revision: int64(10 * i)})
-		r.look(t.Context())
+		r.look(t.Context(), now)
 		for range 60 {
 			now = now.Add(r.step(t.Context(), c.Versions(), now))
 			if e.report.Versions["m"] == i {
@@ -192,8 +206,8 @@
 	e := &fakeEngine{report: platform.Report{Versions: map[string]int{"m": 1}}, answer: platform.OrderMisplaced}
 	r, c := newRollout(e, 1)
 	c.ApplyVersion(catalog.Version{Model: "m", Number: 3, Revision: 10})
-	r.look(t.Context())
 	now := start
+	r.look(t.Context(), now)
 	for range 5 {
 		now = now.Add(r.step(t.Context(), c.Versions(), now))
 	}
@@ -210,8 +224,8 @@
 	e := &fakeEngine{report: platform.Report{Versions: map[string]int{"m": 1}, Running: 8}, answer: platform.OrderAccepted}
 	r, c := newRollout(e, 1)
 	c.ApplyVersion(catalog.Version{Model: "m", Number: 2, Revision: 10})
-	r.look(t.Context())
 	now := start
+	r.look(t.Context(), now)
 	for now.Sub(start) < 10*time.Second {
 		now = now.Add(r.step(t.Context(), c.Versions(), now))
 	}
--- a/internal/event/daemon.go
+++ b/internal/event/daemon.go
@@ -21,7 +21,7 @@
 	OrderGiven      = define(2050, slog.LevelInfo, "order given to the engine")
 	OrderUnanswered = define(2051, slog.LevelWarn, "order to the engine got no answer")
 	OrderDone       = define(2053, slog.LevelInfo, "engine has carried an order out")
-	EngineAssigned  = define(2054, slog.LevelInfo, "engine is for another model")
+	EngineAssigned  = define(2054, slog.LevelInfo, "engine is for other models")
 	NamingRole      = define(2055, slog.LevelInfo, "daemon begins or ceases to watch the named versions")
 	DatagramFailed  = define(2056, slog.LevelWarn, "datagram to or from another daemon failed")
 	EngineUnheard   = define(2052, slog.LevelWarn, "engine does not report")
--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -25,5 +25,7 @@
 	TextsKept          = define(1048, slog.LevelInfo, "texts of a former owner taken up")
 	RewardAttempt      = define(1049, slog.LevelInfo, "attempt of a reward call ended")
 	JobsSwept          = define(1051, slog.LevelInfo, "old jobs removed from the store")
+	MoveFailed         = define(1052, slog.LevelInfo, "item stays at its server: the one that it was to move to did not go on")
+	StepWhole          = define(1053, slog.LevelInfo, "step has all that its trainer waits for")
 	Retired            = define(1050, slog.LevelInfo, "instance is to be taken away; nothing on it needs to be kept")
 )
