Place items by when they end, and move them without a gap

Cause: a step waits for its longest items, and these lost 1.0 to 2.0 s beyond the pace of the fastest engine: they began at slow engines, stayed while an engine was disturbed for a second, moved when the disturbance was over, or left one engine before another had taken them. The cost of another region was counted for each event, so that items of one region hardly used the other's engines. Entries knew their own requests only.

Change: place estimates when work ends at each engine, from its expected rest (forecast), the engine's usual pace and what disturbs it at present. Short items go to slower engines while twice their time is less than the longest needs. An item goes on elsewhere if that saves more than moving takes; its engine goes on until the other one makes events, so a refusal costs nothing. Entries tell each other what they have in flight and the pace that they see (occupancy). A line (event 1053) and the metric step_part tell where the time of each step went.

The test of slow servers asks Pick instead of a function that is gone; what it checks is the same. The cause 'the server is slow; the item moves' is now 'the item moves to a faster server'.

--- a/entry/internal/batch/batch.go
+++ b/entry/internal/batch/batch.go
@@ -22,6 +22,7 @@
 	"sync"
 	"time"
 
+	"bulrushspoke/entry/internal/forecast"
 	"bulrushspoke/entry/internal/ingress"
 	"bulrushspoke/entry/internal/place"
 	"bulrushspoke/internal/catalog"
@@ -83,6 +84,11 @@
 	IntN(n int) int
 }
 
+// Histogram counts seconds by model and part of a step.
+type Histogram interface {
+	Record(model, part string, seconds float64)
+}
+
 // Handlers takes the functions that answer messages of other entries.
 type Handlers interface {
 	Handle(kind string, f func(context.Context, link.Frame) (string, any, error))
@@ -105,6 +111,7 @@
 	Logger  *slog.Logger
 	Random  Random
 	Outage  func(now time.Time) time.Duration // how long the store has not answered; 0 if it does
+	Steps   Histogram
 }
 
 // Manager keeps the jobs that this entry knows.
@@ -118,6 +125,7 @@
 	taking map[string]chan struct{} // jobs that a task of this entry takes over; closed when it is done
 	texts  *texts
 	pace   *pacer
+	events *forecast.Forecast
 	freed  chan struct{} // closed when a slot of a server becomes free
 	closed bool
 }
@@ -132,6 +140,7 @@
 		taking:  make(map[string]chan struct{}),
 		texts:   newTexts(),
 		pace:    newPacer(o.Link),
+		events:  forecast.New(),
 		freed:   make(chan struct{}),
 	}
 }
--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -29,18 +29,22 @@
 	total     int  // items
 	launched  bool // ran here; guarded by the mu of the manager
 
-	mu      sync.Mutex
-	items   map[string]*item
-	results []job.Result
-	records int          // records read or written
-	ready   []job.Result // to be listed
-	ended   bool         // by the trainer
-	stopped bool         // nothing runs here any more
-	looked  time.Time    // when the log was last read after the job stopped
-	checked time.Time    // when the log was last read for a reader that was ahead
-	cancel  context.CancelFunc
-	changed chan struct{} // closed when results are listed or the job stops
-	wake    chan struct{} // tells the tasks of the job that an item changed
+	mu       sync.Mutex
+	items    map[string]*item
+	results  []job.Result
+	records  int          // records read or written
+	ready    []job.Result // to be listed
+	ended    bool         // by the trainer
+	stopped  bool         // nothing runs here any more
+	looked   time.Time    // when the log was last read after the job stopped
+	checked  time.Time    // when the log was last read for a reader that was ahead
+	began    time.Time    // when this entry began to run it
+	measured time.Time    // when restMost was determined
+	restMost int          // events that the longest open item is expected to make yet
+	told     bool         // that the step has all that its trainer waits for
+	cancel   context.CancelFunc
+	changed  chan struct{} // closed when results are listed or the job stops
+	wake     chan struct{} // tells the tasks of the job that an item changed
 }
 
 // item is one item of a job; its fields are guarded by the mu of the job.
@@ -50,8 +54,10 @@
 	hint     int      // estimated output tokens
 	data     []string // data of the events so far
 	versions []int
-	failures int  // answers of 500
-	moves    int  // from slow servers
+	failures int // answers of 500
+	moves    int // between servers
+	events   int // in the whole text
+	path     path
 	running  bool // an attempt of the item or of its reward call is in flight
 	whole    bool // the text is complete and waits for its score
 	call     reward.Call
@@ -191,8 +197,9 @@
 // complete notes that the text of an item is whole: it is to be scored if the item has a reward call, and to be listed
 // else. From here on the text does not change, so that its score is of this text. The caller holds mu.
 func (j *Job) complete(it *item, now time.Time) {
+	it.path.whole = now
 	if it.Reward == nil {
-		j.list(it, "")
+		j.list(it, "", now)
 		return
 	}
 	it.whole = true
@@ -200,16 +207,17 @@
 }
 
 // list moves the text of an item to the results to be listed; the caller holds mu.
-func (j *Job) list(it *item, score string) {
+func (j *Job) list(it *item, score string, now time.Time) {
 	it.done, it.whole = true, true
+	it.path.done, it.events = now, len(it.data)
 	j.ready = append(j.ready, job.Result{
 		Item: it.ID, State: job.Completed, Text: strings.Join(it.data, "\n"), Versions: it.versions, Score: score,
 	})
 }
 
 // void gives an item up; the caller holds mu.
-func (j *Job) void(it *item) {
-	it.done = true
+func (j *Job) void(it *item, now time.Time) {
+	it.done, it.path.done = true, now
 	j.ready = append(j.ready, job.Result{Item: it.ID, State: job.Terminated})
 }
 
@@ -237,7 +245,7 @@
 		cancel()
 		return
 	}
-	j.cancel = cancel
+	j.cancel, j.began = cancel, time.Now()
 	j.mu.Unlock()
 	listing := make(chan struct{}, 1)
 	listing <- struct{}{}
--- a/entry/internal/batch/list.go
+++ b/entry/internal/batch/list.go
@@ -146,6 +146,7 @@
 		j.mu.Unlock()
 		event.ResultsListed.Log(j.manager.Logger, "job", j.spec.ID, "record", n, "results", len(held.Results),
 			"total", total, "ms", time.Since(began).Milliseconds())
+		j.account(batch, time.Now())
 		if held.Writer != j.manager.Self.Inc {
 			go supervise.Guard(j.manager.Logger, "lost job", func() { j.manager.lost(j) })
 			return false
--- a/entry/internal/batch/rig_test.go
+++ b/entry/internal/batch/rig_test.go
@@ -236,6 +236,19 @@
 	return m.incs[name]
 }
 
+// steps keeps the parts of steps that were recorded.
+type steps struct {
+	mu    sync.Mutex
+	parts map[string]float64 // seconds by part, of the newest step
+}
+
+// Record implements Histogram.
+func (s *steps) Record(_, part string, seconds float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.parts[part] = seconds
+}
+
 // first draws the first of what there is.
 type first struct{}
 
@@ -252,6 +265,7 @@
 	route   catalog.Route
 	routes  []catalog.Route // beside route
 	scorer  *scorer         // nil if nothing is scored
+	steps   *steps
 }
 
 func newRig(t *testing.T, engines ...*engine) *rig {
@@ -260,7 +274,7 @@
 	server := httptest.NewServer(s)
 	t.Cleanup(server.CloseClientConnections)
 	return &rig{
-		t: t, store: s, address: strings.TrimPrefix(server.URL, "http://"), engines: engines,
+		t: t, store: s, steps: &steps{parts: make(map[string]float64)}, address: strings.TrimPrefix(server.URL, "http://"), engines: engines,
 		mesh: &mesh{
 			handlers: make(map[string]map[string]func(context.Context, link.Frame) (string, any, error)),
 			incs:     make(map[string]string), cut: make(map[string]bool),
@@ -286,7 +300,7 @@
 		Self: wire.Member{Inc: inc}, Name: name,
 		Store: platform.NewStore(r.address, 200*time.Millisecond, pool, quiet), Peers: peers, Catalog: c, Pool: pool,
 		Tracker: place.New(home, rand.New(rand.NewPCG(1, 1))), Keep: time.Minute, Value: 1 << 20, Memory: 1 << 24, Logger: quiet,
-		Outage: func(time.Time) time.Duration { return 0 }, Random: first{},
+		Outage: func(time.Time) time.Duration { return 0 }, Random: first{}, Steps: r.steps,
 	})
 	m.Register(peers)
 	r.mesh.mu.Lock()
--- a/entry/internal/batch/run.go
+++ b/entry/internal/batch/run.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"bulrushspoke/entry/internal/forecast"
 	"bulrushspoke/entry/internal/place"
 	"bulrushspoke/internal/call"
 	"bulrushspoke/internal/catalog"
@@ -27,16 +28,13 @@
 	firstEvent = 2500 * time.Millisecond
 	// nextEvent is how long an engine may pause between two events; a change of weights takes about a second.
 	nextEvent = 2 * time.Second
-	// moveAfter is how many events an item must have made at a slow server before it moves to another, and between two
-	// looks: moving costs the reading of its prompt and text, a few milliseconds.
-	moveAfter = 8
-	// moveMost bounds the moves of one item.
-	moveMost = 6
 	// maxText bounds the text of an item in bytes, its events included: a longer one could not be listed, and an engine
 	// may send events without end.
 	maxText = maxRecord
 	// eventCost is what an event takes beside its data, in bytes.
 	eventCost = 32
+	// measureEvery is the time between two looks at how long the items of a step will take yet.
+	measureEvery = 100 * time.Millisecond
 	// itemTime bounds one item on routes that set no time of their own.
 	itemTime = 2 * time.Minute
 )
@@ -81,7 +79,7 @@
 	route, ok := c.Match(j.host, j.path)
 	pending := j.pending()
 	if !ok || j.expired(route, now) {
-		j.giveUp(pending, ok)
+		j.giveUp(pending, ok, now)
 		notify(listing)
 		return j.left()
 	}
@@ -90,14 +88,16 @@
 	waiting := j.score(ctx, c, now, listing)
 	servers := j.manager.Catalog.Servers(route.Shares[0].Service)
 	for _, it := range texts {
-		s, ok := j.manager.Tracker.Pick(now, servers, place.Need{
-			Model: j.spec.Model, MinVersion: j.spec.MinVersion, Room: true,
-		})
+		s, ok := j.manager.Tracker.Pick(now, servers, j.need(it, now))
 		if !ok {
 			waiting++
 			continue
 		}
-		j.begin(it, s, listing, now, func() { j.attempt(ctx, it, s, route) })
+		j.begin(it, s, listing, now, func() {
+			for next := (&leg{server: s, began: now}); next != nil; {
+				next = j.attempt(ctx, it, next, route)
+			}
+		})
 	}
 	if j.left() < 0 {
 		notify(listing)
@@ -165,7 +165,7 @@
 }
 
 // giveUp ends items whose time has passed or whose route is gone.
-func (j *Job) giveUp(pending []*item, routed bool) {
+func (j *Job) giveUp(pending []*item, routed bool, now time.Time) {
 	cause := "its time has passed"
 	if !routed {
 		cause = "its route is gone"
@@ -173,7 +173,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	for _, it := range pending {
-		j.void(it)
+		j.void(it, now)
 		event.ItemGivenUp.Log(j.manager.Logger, "job", j.spec.ID, "request", it.ID, "cause", cause)
 	}
 }
@@ -192,40 +192,34 @@
 	status  int
 	version int
 	events  int
+	next    *leg // where the item goes on; nil if it has to wait for a server
 }
 
-// attempt runs an item on one server.
-func (j *Job) attempt(ctx context.Context, it *item, s catalog.Server, route *catalog.Route) {
-	began := time.Now()
-	v := j.send(ctx, it, s, route, began)
+// attempt runs an item on one server and returns where it goes on.
+func (j *Job) attempt(ctx context.Context, it *item, l *leg, route *catalog.Route) *leg {
+	v := j.send(ctx, it, l, route)
 	now := time.Now()
 	if ctx.Err() != nil {
 		v.outcome, v.cause = place.Abandoned, "the job ended"
 	}
-	var took time.Duration
+	took := now.Sub(l.began)
+	var pace time.Duration
 	if v.events > 0 {
-		took = now.Sub(began) / time.Duration(v.events)
+		pace = took / time.Duration(v.events)
 	}
-	j.manager.Tracker.Ended(s.ID, j.spec.Model, v.outcome, took, now)
+	j.manager.Tracker.Ended(l.server.ID, j.spec.Model, v.outcome, pace, now)
 	j.mu.Lock()
 	total, done := len(it.data), it.whole || it.done
+	it.path.attempt(l.began, took, v.events > 0)
 	j.mu.Unlock()
-	event.ItemAttempt.Log(j.manager.Logger, "job", j.spec.ID, "request", it.ID, "server", s.ID, "status", v.status,
+	event.ItemAttempt.Log(j.manager.Logger, "job", j.spec.ID, "request", it.ID, "server", l.server.ID, "status", v.status,
 		"cause", v.cause, "hint", it.hint, "events", v.events, "total", total, "done", done, "version", v.version, "min", j.spec.MinVersion,
-		"ms", now.Sub(began).Milliseconds())
+		"ms", took.Milliseconds())
+	return v.next
 }
 
-// send sends the item and reads its events.
-func (j *Job) send(
-	ctx context.Context, it *item, s catalog.Server, route *catalog.Route, now time.Time,
-) verdict {
-	j.mu.Lock()
-	after := len(it.data)
-	j.mu.Unlock()
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	watch := j.watch(s, cancel)
-	defer watch.stop()
+// request returns the request that lets an item go on after the given event at a server.
+func (j *Job) request(it *item, s catalog.Server, route *catalog.Route, after int, now time.Time) upstream.Request {
 	codec := platform.Headers{}
 	h := make(http.Header, len(it.Header)+4)
 	for name, value := range it.Header {
@@ -237,8 +231,25 @@
 		left = max(route.Queue-now.Sub(j.submitted), time.Second)
 	}
 	codec.Attempt(h, call.Attempt{Server: s.ID, Left: left, After: after})
-	resp, err := j.manager.Pool.Send(ctx, j.target(s),
-		upstream.Request{Method: http.MethodPost, URI: it.Path, Host: j.host, Header: h, Body: it.Body})
+	return upstream.Request{Method: http.MethodPost, URI: it.Path, Host: j.host, Header: h, Body: it.Body}
+}
+
+// send sends the item, unless its answer has begun already, and reads its events.
+func (j *Job) send(ctx context.Context, it *item, l *leg, route *catalog.Route) verdict {
+	s := l.server
+	if l.resp != nil {
+		return j.follow(ctx, it, l, route)
+	}
+	j.mu.Lock()
+	after := len(it.data)
+	j.mu.Unlock()
+	life := ctx
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	watch := j.watch(s, cancel)
+	defer watch.stop()
+	codec := platform.Headers{}
+	resp, err := j.manager.Pool.Send(ctx, j.target(s), j.request(it, s, route, after, l.began))
 	if err != nil {
 		if ctx.Err() != nil {
 			return verdict{outcome: place.Silent, cause: causeSilent}
@@ -249,7 +260,8 @@
 	meaning := j.manager.Catalog.Heard(s, answer, it.ID, time.Now())
 	v := verdict{status: resp.StatusCode, version: answer.Version}
 	if resp.StatusCode == http.StatusOK && meaning == call.Genuine {
-		return j.read(it, s, resp, watch, after, v, route)
+		l.resp, l.in = resp, events.NewReader(resp.Body, codec.VersionLine())
+		return j.read(life, it, l, watch, after, v, route)
 	}
 	if meaning == call.Foreign {
 		resp.Abandon()
@@ -264,13 +276,13 @@
 	case resp.StatusCode == http.StatusUnprocessableEntity:
 		v.outcome, v.cause = place.Answered, "the item can never be done"
 		j.mu.Lock()
-		j.void(it)
+		j.void(it, time.Now())
 		j.mu.Unlock()
 	case resp.StatusCode == http.StatusInternalServerError:
 		v.outcome, v.cause = place.Answered, "the run failed"
 		j.mu.Lock()
 		if it.failures++; it.failures >= route.Attempts {
-			j.void(it)
+			j.void(it, time.Now())
 			event.ItemGivenUp.Log(j.manager.Logger, "job", j.spec.ID, "request", it.ID, "cause", "its runs fail",
 				"failures", it.failures)
 		}
@@ -290,10 +302,11 @@
 	return t
 }
 
-// read takes the events of an answer until it ends.
+// read takes the events of an answer until it ends, or the item goes on elsewhere.
 func (j *Job) read(
-	it *item, s catalog.Server, resp *upstream.Response, watch *watch, after int, v verdict, route *catalog.Route,
+	ctx context.Context, it *item, l *leg, watch *watch, after int, v verdict, route *catalog.Route,
 ) verdict {
+	s, resp := l.server, l.resp
 	// An answer without events, to an item whose last event is here already, names no version.
 	if v.version < j.spec.MinVersion && (v.version > 0 || after == 0) {
 		resp.Abandon()
@@ -303,22 +316,30 @@
 	if after > 0 && v.version > 0 && route.SingleVersion && !j.single(it, v.version) {
 		return j.restart(it, resp, v)
 	}
-	in := events.NewReader(resp.Body, platform.Headers{}.VersionLine())
+	var moving *move
+	defer func() { j.settle(it, moving) }()
 	version := v.version
 	size := j.textSize(it)
 	var last time.Time // when the newest event came
 	for {
-		e, err := in.Next()
+		e, err := l.event()
 		if errors.Is(err, io.EOF) {
 			resp.Close()
 			j.mu.Lock()
 			if !it.done {
 				j.complete(it, time.Now())
 			}
+			made := len(it.data)
 			j.mu.Unlock()
+			j.manager.events.Ended(j.spec.Model, it.hint, made)
 			v.outcome = place.Answered
 			return v
 		}
+		if next := moving.take(); next != nil {
+			resp.Abandon()
+			v.outcome, v.cause, v.next = place.Answered, causeMoved, next
+			return v
+		}
 		if err != nil {
 			resp.Abandon()
 			v.outcome, v.cause = place.Broken, err.Error()
@@ -362,10 +383,8 @@
 			slices.Sort(it.versions)
 		}
 		j.mu.Unlock()
-		if v.events%moveAfter == 0 && j.movable(it, s, now) {
-			resp.Abandon()
-			v.outcome, v.cause = place.Answered, causeMoved
-			return v
+		if moving.over() && (v.events%moveAfter == 0 || j.manager.Tracker.Disturbed(s.ID, now)) {
+			moving = j.move(ctx, it, l, route, now)
 		}
 	}
 }
@@ -393,10 +412,21 @@
 
 // Causes of attempts that ended without an outcome.
 const (
-	causeMoved  = "the server is slow; the item moves"
-	causeSilent = "no event in time"
+	causeMoved    = "the item moves to a faster server"
+	causeSilent   = "no event in time"
+	causeUnwanted = "the item does not need it any more"
 )
 
+// need names what an item needs of a server.
+func (j *Job) need(it *item, now time.Time) place.Need {
+	within := j.within(now)
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return place.Need{
+		Model: j.spec.Model, MinVersion: j.spec.MinVersion, Room: true, Rest: j.rest(it), Within: within,
+	}
+}
+
 // elsewhere names what an item needs of another server to go on there.
 func (j *Job) elsewhere(s catalog.Server) place.Need {
 	return place.Need{
@@ -404,22 +434,25 @@
 	}
 }
 
-// movable reports whether an item is to go on at a faster server. It answers a load in which a few slowed servers hold
-// the last items of a step while others have free slots.
-func (j *Job) movable(it *item, s catalog.Server, now time.Time) bool {
-	if !j.manager.Tracker.Slow(s.ID, now) {
-		return false
-	}
-	if _, ok := j.manager.Tracker.Pick(now, j.manager.Catalog.Servers(s.Service), j.elsewhere(s)); !ok {
-		return false
-	}
+// rest returns how many events an item is expected to make yet; the caller holds mu.
+func (j *Job) rest(it *item) int {
+	return forecast.Rest(j.manager.events.Events(j.spec.Model, it.hint, it.Tokens), len(it.data))
+}
+
+// within returns how long the step is expected to take yet, by its longest item at the fastest engine.
+func (j *Job) within(now time.Time) time.Duration {
+	fastest := j.manager.Tracker.Fastest()
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if it.moves >= moveMost {
-		return false
+	if now.Sub(j.measured) >= measureEvery {
+		j.measured, j.restMost = now, 0
+		for _, it := range j.items {
+			if !it.done && !it.whole {
+				j.restMost = max(j.restMost, j.rest(it))
+			}
+		}
 	}
-	it.moves++
-	return true
+	return time.Duration(j.restMost) * fastest
 }
 
 // single reports whether an item's text has been made by the given version only.
--- a/entry/internal/batch/score.go
+++ b/entry/internal/batch/score.go
@@ -91,9 +91,9 @@
 	switch {
 	case v.outcome == place.Abandoned:
 	case score != "":
-		j.list(it, score)
+		j.list(it, score, now)
 	case it.call.Ended(o, route.Attempts, now):
-		j.void(it)
+		j.void(it, now)
 		event.ItemGivenUp.Log(j.manager.Logger, "job", j.spec.ID, "request", it.ID, "cause", "its reward calls fail",
 			"call", it.Reward.ID)
 	}
--- a/entry/internal/cli/platform.go
+++ b/entry/internal/cli/platform.go
@@ -21,6 +21,7 @@
 	"bulrushspoke/entry/internal/batch"
 	"bulrushspoke/entry/internal/ingress"
 	"bulrushspoke/entry/internal/member"
+	"bulrushspoke/entry/internal/occupancy"
 	"bulrushspoke/entry/internal/peer"
 	"bulrushspoke/entry/internal/place"
 	"bulrushspoke/entry/internal/relay"
@@ -209,8 +210,12 @@
 		Self: self, Name: s.Name, Cores: s.Cores, Store: objects, Peers: p.peers, Catalog: p.catalog, Pool: pool, Tracker: tracker,
 		Keep: s.Bounds.Status, Value: s.Store.Value, Memory: int64(bodyShare * float64(s.Memory)), Logger: p.logger, Link: s.Link,
 		Outage: objects.Outage, Random: chance,
+		Steps: m.Histogram("step_part", "s", "Parts of the time until a step has what its trainer waits for, of its last item."),
 	})
 	p.batch.Register(p.peers)
+	sharer := occupancy.New(s.Name, tracker, p.peers)
+	sharer.Register()
+	p.task("occupancy", sharer.Run)
 	p.peers.OnJoin(p.batch.Joined)
 	waits := m.Histogram("request", "s", "Time from arrival to the answer.")
 	p.ingress = ingress.New(ingress.Options{
--- /dev/null
+++ b/entry/internal/forecast/forecast.go
@@ -0,0 +1,79 @@
+// Package forecast estimates how many events the items of a model make.
+//
+// # Usage
+//
+//	f := forecast.New()
+//	total := f.Events("m", hint, most) // before and while the item runs
+//	rest := forecast.Rest(total, made) // made events are here
+//	f.Ended("m", hint, made)           // its text is whole
+//
+// Trainers estimate tokens; engines send events of several tokens. Estimates are right in the middle, though far off for
+// single items, so that the whole items of a model together tell how many estimated tokens an event stands for.
+package forecast
+
+import (
+	"slices"
+	"sync"
+)
+
+const (
+	// window is how many of the newest whole items of a model count.
+	window = 128
+	// restLeast is how many events an item is expected to make yet, however long its text is.
+	restLeast = 3
+	// outlived is the part of its text that an item which has outlived its estimate is expected to make yet.
+	outlived = 1.0 / 3
+)
+
+// Forecast knows the whole items of each model. It is safe for several tasks.
+type Forecast struct {
+	mu     sync.Mutex
+	models map[string]*model
+}
+
+// model holds the ratios of estimated tokens to events, the oldest first.
+type model struct {
+	ratios []float64
+	median float64
+}
+
+// New returns a Forecast that has seen no item.
+func New() *Forecast { return &Forecast{models: make(map[string]*model)} }
+
+// Ended tells that an item with an estimate of hint tokens has made its last event.
+func (f *Forecast) Ended(name string, hint, events int) {
+	if hint <= 0 || events <= 0 {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.models[name]
+	if m == nil {
+		m = &model{}
+		f.models[name] = m
+	}
+	m.ratios = append(m.ratios, float64(hint)/float64(events))
+	if len(m.ratios) > window {
+		m.ratios = slices.Delete(m.ratios, 0, len(m.ratios)-window)
+	}
+	sorted := slices.Sorted(slices.Values(m.ratios))
+	m.median = sorted[len(sorted)/2]
+}
+
+// Events returns how many events an item with an estimate of hint tokens makes, which are most tokens at the longest (0
+// if unknown). Before the first whole item of a model an event counts as one token, so that items can be compared.
+func (f *Forecast) Events(name string, hint, most int) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	tokens := 1.0
+	if m := f.models[name]; m != nil {
+		tokens = m.median
+	}
+	if most > 0 {
+		hint = min(hint, most)
+	}
+	return int(float64(hint) / tokens)
+}
+
+// Rest returns how many events an item is expected to make yet, given its estimate and the events that it has made.
+func Rest(total, made int) int { return max(total-made, int(outlived*float64(made)), restLeast) }
--- /dev/null
+++ b/entry/internal/forecast/forecast_test.go
@@ -0,0 +1,59 @@
+package forecast
+
+import "testing"
+
+// Guards against estimates in tokens that are taken for events, and against single items that distort the others.
+func TestEvents(t *testing.T) {
+	f := New()
+	if got := f.Events("m", 600, 0); got != 600 {
+		t.Errorf("an item of 600 tokens makes %d events before any was seen", got)
+	}
+	for range 40 {
+		f.Ended("m", 600, 10)
+	}
+	for range 15 {
+		f.Ended("m", 600, 100)
+	}
+	if got := f.Events("m", 1200, 0); got != 20 {
+		t.Errorf("an item of 1200 tokens makes %d events, want 20", got)
+	}
+	if got := f.Events("m", 60_000, 1200); got != 20 {
+		t.Errorf("an item of at most 1200 tokens makes %d events", got)
+	}
+	if got := f.Events("other", 600, 0); got != 600 {
+		t.Errorf("the items of another model count: %d events", got)
+	}
+	f.Ended("m", 0, 5)
+	f.Ended("m", 5, 0)
+	if got := f.Events("m", 600, 0); got != 10 {
+		t.Errorf("items without an estimate or events count: %d", got)
+	}
+}
+
+// Guards against ratios of long ago that outweigh the present ones, and against memory that grows with every item.
+func TestWindow(t *testing.T) {
+	f := New()
+	for range 10 * window {
+		f.Ended("m", 100, 1)
+	}
+	for range window/2 + 1 {
+		f.Ended("m", 100, 10)
+	}
+	if got := f.Events("m", 100, 0); got != 10 {
+		t.Errorf("%d events after more than half of the window had 10", got)
+	}
+	if n := len(f.models["m"].ratios); n > window {
+		t.Errorf("%d ratios are kept", n)
+	}
+}
+
+// Guards against an item that has outlived its estimate and counts as done.
+func TestRest(t *testing.T) {
+	for _, tc := range []struct{ total, made, want int }{
+		{100, 0, 100}, {100, 40, 60}, {100, 99, 33}, {20, 90, 30}, {0, 0, restLeast},
+	} {
+		if got := Rest(tc.total, tc.made); got != tc.want {
+			t.Errorf("Rest(%d, %d) = %d, want %d", tc.total, tc.made, got, tc.want)
+		}
+	}
+}
--- a/entry/internal/place/place.go
+++ b/entry/internal/place/place.go
@@ -9,13 +9,13 @@
 //
 // It answers a load in which a few of many servers are slowed or full while the rest have room: the estimated wait of a
 // server is its own time per request, scaled by how full this process has made it, and a server that turned a request
-// away is left alone for a moment.
+// away is left alone for a moment. Work that makes events for seconds is placed by when it is expected to end (finish.go),
+// from the paces that this process sees (pace.go) and from what other entries tell of the engines (foreign.go).
 package place
 
 import (
 	"math"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -37,23 +37,8 @@
 	// failing is how long a server that broke a connection is passed over, doubled with each failure in a row.
 	failing     = 300 * time.Millisecond
 	failingMost = 3 * time.Second
-	// paceTime is how long the present pace of a server is believed without a new event.
-	paceTime = 3 * time.Second
-	// paceSpan is the time over which the present pace is averaged; unseen neighbours slow a server for about as long,
-	// which is no reason to leave it.
-	paceSpan = 800 * time.Millisecond
-	// usualSpan is the time over which the usual pace is averaged: servers differ for good.
-	usualSpan = 10 * time.Second
-	// paceLeast is how many servers must have a pace before one counts as slow.
-	paceLeast = 3
-	// slowFactor is how many times slower than the median a slow server is.
-	slowFactor = 1.4
 	// alive is how recent the newest event of an engine must be for it to count as merely busy.
 	alive = time.Second
-	// silentFactor times the median pace is how long an engine may make no event before others with room are preferred,
-	// within silentLeast and the caller's own bound.
-	silentFactor = 12
-	silentLeast  = 600 * time.Millisecond
 	// forget is how long an unused server is remembered.
 	forget = time.Minute
 )
@@ -72,6 +57,10 @@
 	Tried      map[string]bool
 	Room       bool // only servers with a free slot as far as this process knows
 	Fast       bool // only servers that are not slow
+	// Rest is how many events the work is expected to make yet; 0 for work that makes none.
+	Rest int
+	// Within is the time within which the work may end without harm; 0 if it is to end as soon as it can.
+	Within time.Duration
 	// Spare is the part of a server's slots that is to stay free, for a need that asks for room.
 	Spare float64
 }
@@ -91,21 +80,22 @@
 // Tracker remembers how servers did.
 type Tracker struct {
 	home Home
+	busy chan struct{} // receives when work begins at an engine
 
 	mu     sync.Mutex
 	random *rand.Rand
 	state  map[string]*state
+	others map[string]foreign // by entry
 }
 
 type state struct {
 	inflight int
+	engine   bool          // it has run work that makes events
 	time     time.Duration // moving average of one request's time
 	avoid    time.Time     // passed over until then
 	failures int           // in a row
 	refusals map[string]refusal
-	pace     time.Duration // present time between two events of a stream; 0 if none was seen
-	usual    time.Duration // the same over a longer time
-	paced    time.Time     // when they were last updated
+	pace     pace
 	last     time.Time
 }
 
@@ -117,14 +107,21 @@
 
 // New returns a Tracker that knows no server yet.
 func New(h Home, random *rand.Rand) *Tracker {
-	return &Tracker{home: h, random: random, state: make(map[string]*state)}
+	return &Tracker{
+		home: h, busy: make(chan struct{}, 1), random: random, state: make(map[string]*state),
+		others: make(map[string]foreign),
+	}
 }
 
-// Pick returns the server with the least estimated wait. Servers to be passed over are taken only if no other is left,
-// and never when the need asks for room.
+// Pick returns the server with the least estimated wait, or for work with time to spare a slower one that is less needed.
+// Servers to be passed over are taken only if no other is left, and never when the need asks for room.
 func (t *Tracker) Pick(now time.Time, servers []catalog.Server, n Need) (catalog.Server, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.pick(now, servers, n)
+}
+
+func (t *Tracker) pick(now time.Time, servers []catalog.Server, n Need) (catalog.Server, bool) {
 	best, second := -1, -1
 	var slowest time.Duration
 	if n.Fast {
@@ -132,19 +129,15 @@
 	}
 	var bestCost, secondCost float64
 	for i, s := range servers {
-		if n.Tried[s.ID] || !fits(s, n) {
+		if n.Room && !t.open(now, s, n) || n.Tried[s.ID] || !fits(s, n) {
 			continue
 		}
 		st := t.state[s.ID]
-		avoided := st != nil && (now.Before(st.avoid) || now.Before(st.refusals[n.Model].until))
-		if n.Room && (avoided || st != nil && st.inflight >= n.slots(s)) {
-			continue
-		}
-		if n.Fast && st != nil && st.slow(slowest, now) {
+		if n.Fast && st != nil && st.pace.slow(slowest, now) {
 			continue
 		}
-		cost := t.cost(now, s, st)
-		if avoided {
+		cost := t.cost(now, s, n)
+		if st.avoided(n.Model, now) {
 			if second < 0 || cost < secondCost {
 				second, secondCost = i, cost
 			}
@@ -160,9 +153,25 @@
 	if best < 0 {
 		return catalog.Server{}, false
 	}
+	if n.Room && n.Within > 0 {
+		best = t.spared(now, servers, n, best)
+	}
+	if n.Rest > 0 {
+		t.at(servers[best].ID, now).engine = true
+	}
 	return servers[best], true
 }
 
+// open reports whether a server may take the work at once.
+func (t *Tracker) open(now time.Time, s catalog.Server, n Need) bool {
+	return !n.Tried[s.ID] && fits(s, n) && !t.state[s.ID].avoided(n.Model, now) && t.inflight(s.ID, now) < n.slots(s)
+}
+
+// avoided reports whether a server is passed over for work for a model.
+func (s *state) avoided(model string, now time.Time) bool {
+	return s != nil && (now.Before(s.avoid) || now.Before(s.refusals[model].until))
+}
+
 // slots returns how many slots of a server the need may fill, one at the least.
 func (n Need) slots(s catalog.Server) int {
 	return max(s.Slots-int(math.Ceil(n.Spare*float64(s.Slots))), 1)
@@ -178,21 +187,25 @@
 }
 
 // cost estimates the wait for an answer in seconds, with a small random part that spreads equal servers.
-func (t *Tracker) cost(now time.Time, s catalog.Server, st *state) float64 {
+func (t *Tracker) cost(now time.Time, s catalog.Server, n Need) float64 {
+	if n.Rest > 0 {
+		return t.wait(now, s, n)
+	}
+	st := t.state[s.ID]
 	var own time.Duration
 	inflight := 0
 	if st != nil {
 		inflight = st.inflight
 	}
 	switch {
-	case st != nil && st.pace > 0 && now.Sub(st.paced) < paceTime:
-		own = st.pace
-	case st != nil && st.usual > 0:
-		own = st.usual
+	case st != nil && st.pace.known(now):
+		own = st.pace.present
+	case st != nil && st.pace.usual > 0:
+		own = st.pace.usual
 	case st != nil && st.time > 0:
 		own = st.time
 	default:
-		own = t.typical(s)
+		own = t.typical(s.Versions != nil)
 	}
 	fill := float64(inflight) / float64(max(s.Slots, 1))
 	c := own.Seconds() * (1 + fill + 4*max(fill-1+1/float64(max(s.Slots, 1)), 0))
@@ -206,38 +219,35 @@
 	return c * (1 + spread*t.random.Float64())
 }
 
-// typical is the time assumed of a server that has not answered yet: the mean of the usual paces of the others if it is
-// an engine.
-func (t *Tracker) typical(s catalog.Server) time.Duration {
-	if s.Versions == nil {
-		return firstTime
-	}
-	var sum time.Duration
-	n := 0
-	for _, o := range t.state {
-		if o.usual > 0 {
-			sum += o.usual
-			n++
-		}
-	}
-	if n == 0 {
-		return firstTime
-	}
-	return sum / time.Duration(n)
-}
-
 // Began counts an attempt at a server.
 func (t *Tracker) Began(id string, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.began(id, now)
+}
+
+func (t *Tracker) began(id string, now time.Time) {
+	s := t.at(id, now)
+	s.inflight++
+	s.last = now
+	if !s.engine {
+		return
+	}
+	select {
+	case t.busy <- struct{}{}:
+	default:
+	}
+}
+
+// at returns the state of a server, a new one if it is unknown.
+func (t *Tracker) at(id string, now time.Time) *state {
 	s := t.state[id]
 	if s == nil {
 		t.forgetOld(now)
-		s = &state{}
+		s = &state{last: now}
 		t.state[id] = s
 	}
-	s.inflight++
-	s.last = now
+	return s
 }
 
 // Ended tells how an attempt for a model ended and how long it took; a time of 0 says nothing of the server's speed.
@@ -274,7 +284,7 @@
 	case Broken:
 		s.fail(now)
 	case Silent:
-		if now.Sub(s.paced) > alive {
+		if now.Sub(s.pace.at) > alive {
 			s.fail(now)
 		}
 	}
@@ -286,75 +296,6 @@
 	s.avoid = now.Add(min(failing<<min(s.failures-1, 8), failingMost))
 }
 
-// Paced tells the time between two events that a server made for one stream.
-func (t *Tracker) Paced(id string, gap time.Duration, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s := t.state[id]
-	if s == nil {
-		return
-	}
-	if s.usual == 0 {
-		s.usual = gap
-	}
-	if s.pace == 0 || now.Sub(s.paced) > paceTime {
-		s.pace, s.paced = gap, now
-		return
-	}
-	since := now.Sub(s.paced)
-	s.pace += part(gap-s.pace, since, paceSpan)
-	s.usual += part(gap-s.usual, since, usualSpan)
-	s.paced = now
-}
-
-// part returns how much of a difference a moving average over span takes up after the given time.
-func part(difference, since, span time.Duration) time.Duration {
-	return time.Duration(float64(difference) * float64(since) / float64(since+span))
-}
-
-// Slow reports whether a server makes events much slower than most others at present.
-func (t *Tracker) Slow(id string, now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s := t.state[id]
-	return s != nil && s.slow(t.slowest(now), now)
-}
-
-// Patience returns how long an engine may make no event before others with room are preferred, most at the longest.
-func (t *Tracker) Patience(most time.Duration, now time.Time) time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return min(max(silentFactor*t.median(now), silentLeast), most)
-}
-
-// hasPace reports whether a server has a present pace.
-func (s *state) hasPace(now time.Time) bool { return s.pace > 0 && now.Sub(s.paced) <= paceTime }
-
-// slow reports whether the present pace of a server exceeds the slowest that is usual; 0 sets no bound.
-func (s *state) slow(slowest time.Duration, now time.Time) bool {
-	return s.hasPace(now) && slowest > 0 && s.pace > slowest
-}
-
-// slowest returns the pace beyond which a server is slow at present, 0 if too few servers have one.
-func (t *Tracker) slowest(now time.Time) time.Duration {
-	return time.Duration(slowFactor * float64(t.median(now)))
-}
-
-// median returns the present pace in the middle of those of all servers, 0 if too few have one.
-func (t *Tracker) median(now time.Time) time.Duration {
-	var paces []time.Duration
-	for _, o := range t.state {
-		if o.hasPace(now) {
-			paces = append(paces, o.pace)
-		}
-	}
-	if len(paces) < paceLeast {
-		return 0
-	}
-	slices.Sort(paces)
-	return paces[(len(paces)-1)/2]
-}
-
 // forgetOld drops servers that have not been used for long.
 func (t *Tracker) forgetOld(now time.Time) {
 	for id, s := range t.state {
--- a/entry/internal/place/place_test.go
+++ b/entry/internal/place/place_test.go
@@ -127,24 +127,28 @@
 			tr.Paced(id, gap, at)
 		}
 	}
+	slow := func(id string, at time.Time) bool {
+		_, ok := tr.Pick(at, []catalog.Server{{ID: id, Domain: "a", Slots: 8}}, Need{Fast: true})
+		return !ok
+	}
 	pace("a0", 40*time.Millisecond, start)
 	pace("a1", 140*time.Millisecond, start)
-	if tr.Slow("a1", start) {
+	if slow("a1", start) {
 		t.Error("slow among two")
 	}
 	pace("a2", 42*time.Millisecond, start)
 	pace("a3", 45*time.Millisecond, start)
-	if !tr.Slow("a1", start) {
+	if !slow("a1", start) {
 		t.Error("3.5 times the pace of the others is not slow")
 	}
-	if tr.Slow("a3", start) || tr.Slow("unknown", start) {
+	if slow("a3", start) || slow("unknown", start) {
 		t.Error("a usual pace is slow")
 	}
 	l := servers(2, 8, "a")
 	if s, ok := tr.Pick(start, l, Need{Fast: true}); !ok || s.ID != "a0" {
 		t.Errorf("picked %q in place of the fast one", s.ID)
 	}
-	if tr.Slow("a1", start.Add(paceTime+time.Second)) {
+	if slow("a1", start.Add(paceTime+time.Second)) {
 		t.Error("an old pace counts")
 	}
 }
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -68,6 +68,7 @@
 	Stored  = "stored"
 	News    = "news"
 	Crash   = "crash"
+	Taken   = "taken"
 	Ping    = "ping"
 	Pong    = "pong"
 )
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -763,6 +763,25 @@
 	Targets []Target `json:"targets,omitempty,omitzero"`
 }
 
+// Tells the other entries what an entry has in flight at engines and how fast it
+// sees them make events.
+type Occupancy struct {
+	// Requests in flight by the id of the engine; engines with none are left out.
+	Counts OccupancyCounts `json:"counts"`
+
+	// Name of the entry.
+	Entry string `json:"entry"`
+
+	// Present time between two events in microseconds by the id of the engine.
+	Paces OccupancyPaces `json:"paces"`
+}
+
+// Requests in flight by the id of the engine; engines with none are left out.
+type OccupancyCounts map[string]int
+
+// Present time between two events in microseconds by the id of the engine.
+type OccupancyPaces map[string]int
+
 // Process that runs a step.
 type Owner struct {
 	// Entry incarnation.
