--- a/entry/internal/batch/batch.go
+++ b/entry/internal/batch/batch.go
@@ -319,6 +319,13 @@
 	return notFound("no such item")
 }
 
+// knownEnded reports whether another entry's job is known to have ended, which lasts.
+func (m *Manager) knownEnded(id string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.owners[id].Ended
+}
+
 // End ends a job for good.
 func (m *Manager) End(ctx context.Context, id string) ingress.Reply {
 	j := m.local(id)
@@ -328,6 +335,9 @@
 		}
 		j.stop()
 	}
+	if j == nil && m.knownEnded(id) {
+		return ingress.Reply{Status: http.StatusOK}
+	}
 	for range storeTries {
 		s, revision, err := m.state(ctx, id)
 		var absent *store.AbsentError
@@ -349,6 +359,10 @@
 		}
 		if j != nil {
 			j.finish()
+		} else {
+			m.mu.Lock()
+			m.owners[id] = s
+			m.mu.Unlock()
 		}
 		m.Peers.Tell(link.End, wire.JobEnd{Job: id})
 		event.JobEnded.Log(m.Logger, "job", id, "owner", s.Owner, "epoch", s.Epoch)
--- a/entry/internal/batch/batch_test.go
+++ b/entry/internal/batch/batch_test.go
@@ -177,6 +177,27 @@
 	}
 }
 
+// Guards against calls of the store for a job that is known to have ended: trainers and other clients send its end again.
+func TestEndAgainAsksNobody(t *testing.T) {
+	r := newRig(t, newEngine(t, 1))
+	m, _ := r.manager("a", "a1")
+	other, _ := r.manager("b", "b1")
+	r.submit(m, "j", payload(1, "g-1"))
+	r.collect(m, "j", 1)
+	if reply := other.End(t.Context(), "j"); reply.Status != http.StatusOK {
+		t.Fatalf("end: %d %s", reply.Status, reply.Cause)
+	}
+	before := r.store.Calls(http.MethodGet, KindState)
+	for _, member := range []*Manager{m, other} {
+		if reply := member.End(t.Context(), "j"); reply.Status != http.StatusOK {
+			t.Errorf("the end again: %d %s", reply.Status, reply.Cause)
+		}
+	}
+	if got := r.store.Calls(http.MethodGet, KindState); got != before {
+		t.Errorf("%d calls for a job that is known to have ended", got-before)
+	}
+}
+
 // Guards against a refusal of a job that runs, and against an acceptance that does not last: what is answered to a
 // submission must be true whatever the store does.
 func TestSubmitInOutage(t *testing.T) {
