Use no server whose address its successor has taken

Cause: after a loss of power the entries of the former engines stood beside those of their successors for three heartbeats.

Change: of the entries of one service at one address only that of the newest start counts. An entry of another service does not supersede, since it may come from a writer that knows no better.

Test: TestSuccessorAtAddress; without the change it lists the former server.

--- a/daemon/internal/rollout/rollout.go
+++ b/daemon/internal/rollout/rollout.go
@@ -152,7 +152,7 @@
 	}
 	before := addresses(r.servers)
 	r.servers, r.doubtful = nil, true
-	for _, s := range list {
+	for _, s := range catalog.Current(list) {
 		if s.Service == r.Service && !s.Draining {
 			r.servers = append(r.servers, s)
 		}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -279,13 +279,32 @@
 	c.arrange()
 }
 
+// Current leaves out servers whose address another one of their service has taken since: the entry of one that crashed
+// stays until it has missed some heartbeats, and until then that of its successor stands beside it. Entries of other
+// services don't count, as they may come from a writer that knows no better.
+func Current(servers []Server) []Server {
+	type place struct{ service, address string }
+	newest := make(map[place]Server, len(servers))
+	for _, s := range servers {
+		p := place{service: s.Service, address: s.Address}
+		if o, ok := newest[p]; !ok || s.after(o) {
+			newest[p] = s
+		}
+	}
+	return slices.DeleteFunc(slices.Clone(servers), func(s Server) bool {
+		return s.Address != "" && newest[place{service: s.Service, address: s.Address}].ID != s.ID
+	})
+}
+
 // arrange publishes the servers; the caller holds mu.
 func (c *Catalog) arrange() {
 	v := &view{byService: make(map[string][]Server), byID: make(map[string]Server, len(c.servers))}
-	var last []Server
+	var last, all []Server
 	for _, id := range slices.Sorted(maps.Keys(c.servers)) {
-		s := c.servers[id]
-		v.byID[id] = s
+		all = append(all, c.servers[id])
+		v.byID[id] = c.servers[id]
+	}
+	for _, s := range Current(all) {
 		leaving, only := c.leaves(s)
 		switch {
 		case s.Draining:
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -259,3 +259,27 @@
 	c.Leaves(old, start) // an answer of the former incarnation comes late
 	inUse("s")
 }
+
+// Guards against requests to a server that has crashed while its successor answers at its address.
+func TestSuccessorAtAddress(t *testing.T) {
+	c := New(quiet)
+	old := Server{ID: "old", Revision: 5, Service: "v", Address: "10.0.0.1:80", Born: 1000}
+	other := Server{ID: "other", Revision: 6, Service: "v", Address: "10.0.0.2:80", Born: 1000}
+	next := Server{ID: "next", Revision: 9, Service: "v", Address: old.Address, Born: 2000}
+	stranger := Server{ID: "stranger", Revision: 10, Service: "unknown", Address: other.Address, Born: 3000}
+	for _, s := range []Server{old, other, next, stranger} {
+		c.ApplyServer(s)
+	}
+	if d := cmp.Diff([]string{"next", "other"}, ids(c, "v")); d != "" {
+		t.Errorf("servers (-want +got):\n%s", d)
+	}
+	old.Revision = 12 // a late change of its entry
+	c.ApplyServer(old)
+	if d := cmp.Diff([]string{"next", "other"}, ids(c, "v")); d != "" {
+		t.Errorf("after a late change of the crashed one (-want +got):\n%s", d)
+	}
+	c.RemoveServer("next", 20, start)
+	if d := cmp.Diff([]string{"old", "other"}, ids(c, "v")); d != "" {
+		t.Errorf("after the successor has gone (-want +got):\n%s", d)
+	}
+}
--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -140,6 +140,14 @@
 	Versions map[string]int // weight version of each model
 }
 
+// after reports whether a server started after another one, or was listed later if either start is unknown.
+func (s Server) after(o Server) bool {
+	if s.Born > 0 && o.Born > 0 && s.Born != o.Born {
+		return s.Born > o.Born
+	}
+	return s.Revision > o.Revision
+}
+
 // Version is the newest weight version that a trainer named.
 type Version struct {
 	Model    string
