--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -54,9 +54,10 @@
 	hint     int      // estimated output tokens
 	data     []string // data of the events so far
 	versions []int
-	failures int // answers of 500
-	moves    int // between servers
-	events   int // in the whole text
+	failures int       // answers of 500
+	moves    int       // between servers
+	events   int       // in the whole text
+	moved    time.Time // when the last move began
 	path     path
 	running  bool // an attempt of the item or of its reward call is in flight
 	whole    bool // the text is complete and waits for its score
--- a/entry/internal/batch/move.go
+++ b/entry/internal/batch/move.go
@@ -21,7 +21,10 @@
 	// moveAfter is how many events an item makes between two looks whether it ends earlier at another server.
 	moveAfter = 8
 	// moveMost bounds the moves of one item.
-	moveMost = 12
+	moveMost = 16
+	// moveRest is the least time between two moves of an item: while the new server reads its text, the events of others
+	// there are late, which is no reason for them to leave.
+	moveRest = 500 * time.Millisecond
 	// moveTime bounds the time until the new server makes its first event; a disturbance ends in about as long.
 	moveTime = 600 * time.Millisecond
 )
@@ -131,14 +134,14 @@
 
 // move begins to move an item if it ends earlier at another server, and returns nil if it does not.
 func (j *Job) move(ctx context.Context, it *item, present *leg, route *catalog.Route, now time.Time) *move {
-	need := j.need(it, now)
-	need.Tried = map[string]bool{present.server.ID: true}
 	j.mu.Lock()
-	allowed := it.moves < moveMost
+	allowed := it.moves < moveMost && now.Sub(it.moved) >= moveRest
 	j.mu.Unlock()
 	if !allowed {
 		return nil
 	}
+	need := j.need(it, now)
+	need.Tried = map[string]bool{present.server.ID: true}
 	s, ok := j.manager.Tracker.Better(now, present.server, j.manager.Catalog.Servers(present.server.Service), need)
 	if !ok {
 		return nil
@@ -146,7 +149,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	l := &leg{server: s, began: now, cancel: cancel}
 	j.mu.Lock()
-	it.moves++
+	it.moves, it.moved = it.moves+1, now
 	l.after, l.versions = len(it.data), slices.Clone(it.versions)
 	j.mu.Unlock()
 	m := &move{cancel: cancel}
