Expect long texts of items that outlive their estimates

Cause: an item that had made more events than estimated was expected to make a third of its text yet. One item in twelve is several times longer than the others, so one that has outlived its estimate is most likely one of these; it stayed at a slow engine until late.

Change: an item is expected to make as many events yet as it has made.

--- a/entry/internal/forecast/forecast.go
+++ b/entry/internal/forecast/forecast.go
@@ -21,8 +21,9 @@
 	window = 128
 	// restLeast is how many events an item is expected to make yet, however long its text is.
 	restLeast = 3
-	// outlived is the part of its text that an item which has outlived its estimate is expected to make yet.
-	outlived = 1.0 / 3
+	// outlived is the part of its text that an item is expected to make yet at least: few items are many times longer than
+	// the rest, and one that has outlived its estimate is most likely one of them.
+	outlived = 1.0
 )
 
 // Forecast knows the whole items of each model. It is safe for several tasks.
