Keep a leg that has begun until it is taken, and two servers at most 350 ms

Cause, found by reading: once a move had ended, another could begin before the leg of the first was taken; the leg and its slot were forgotten. It needs an event that comes more than half a second after the one before.

Change: a move is over once its leg is taken. The first event of the new server is waited for 350 ms, since the platform allows two servers of one request for 400 ms; an answer of failure is no foreign answer.

Test: TestMoveIsOverOnceTaken; with the former condition it fails at 'over before its leg is taken'.

--- a/entry/internal/batch/move.go
+++ b/entry/internal/batch/move.go
@@ -25,8 +25,9 @@
 	// moveRest is the least time between two moves of an item: while the new server reads its text, the events of others
 	// there are late, which is no reason for them to leave.
 	moveRest = 500 * time.Millisecond
-	// moveTime bounds the time until the new server makes its first event; a disturbance ends in about as long.
-	moveTime = 600 * time.Millisecond
+	// moveTime bounds the time until the new server makes its first event, and with it the time for which two servers run
+	// one item.
+	moveTime = 350 * time.Millisecond
 )
 
 // leg is the part of an item's way that one server runs.
@@ -74,7 +75,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.ended
+	return m.ended && m.next == nil
 }
 
 // take returns the leg that has begun, nil if none has. The caller runs it.
@@ -208,9 +209,12 @@
 	case meaning == call.NotRun:
 		resp.Discard()
 		return place.Refused, "the server refused"
-	case meaning != call.Genuine || resp.StatusCode != http.StatusOK:
+	case meaning == call.Foreign:
 		resp.Abandon()
 		return place.Broken, call.CauseForeign
+	case resp.StatusCode != http.StatusOK:
+		resp.Discard()
+		return place.Refused, causeFailed
 	}
 	in := events.NewReader(resp.Body, codec.VersionLine())
 	e, err := in.Next()
--- a/entry/internal/batch/move_test.go
+++ b/entry/internal/batch/move_test.go
@@ -147,3 +147,33 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 }
+
+// Guards against a leg that has begun and is forgotten, with its slot, when another move begins before it is taken.
+func TestMoveIsOverOnceTaken(t *testing.T) {
+	m := &move{cancel: func() {}}
+	if m.over() {
+		t.Error("over while it is in flight")
+	}
+	l := &leg{}
+	if !m.offer(l) {
+		t.Fatal("the leg is not wanted")
+	}
+	m.end()
+	if m.over() {
+		t.Error("over before its leg is taken")
+	}
+	if m.take() != l || !m.over() {
+		t.Error("not over after its leg was taken")
+	}
+	if m.drop() != nil {
+		t.Error("a leg that was taken is dropped")
+	}
+	dropped := &move{cancel: func() {}}
+	dropped.offer(l)
+	if dropped.drop() != l {
+		t.Error("a leg that was not taken is not given back")
+	}
+	if dropped.offer(l) {
+		t.Error("a leg is offered to a move that was dropped")
+	}
+}
--- a/entry/internal/batch/run.go
+++ b/entry/internal/batch/run.go
@@ -288,7 +288,7 @@
 		}
 		j.mu.Unlock()
 	default:
-		v.cause = "the server failed"
+		v.cause = causeFailed
 	}
 	return v
 }
@@ -415,6 +415,7 @@
 	causeMoved    = "the item moves to a faster server"
 	causeSilent   = "no event in time"
 	causeUnwanted = "the item does not need it any more"
+	causeFailed   = "the server failed"
 )
 
 // need names what an item needs of a server.
--- a/entry/internal/batch/score.go
+++ b/entry/internal/batch/score.go
@@ -133,7 +133,7 @@
 		return "", v, reward.Lost
 	case resp.StatusCode/100 != http.StatusOK/100:
 		resp.Discard()
-		v.outcome, v.cause = place.Answered, "the server failed"
+		v.outcome, v.cause = place.Answered, causeFailed
 		if resp.StatusCode == http.StatusInternalServerError {
 			return "", v, reward.Failed
 		}
