See no disturbance when this process is late

Change: if most engines seem disturbed at once, none counts as disturbed, and other entries are told no paces.

Test: TestOwnDelayIsNoDisturbance, fails without the change.

--- a/entry/internal/place/finish.go
+++ b/entry/internal/place/finish.go
@@ -45,7 +45,7 @@
 // lost estimates the time that work loses to what disturbs an engine, as this entry sees it or another one tells.
 func (t *Tracker) lost(id string, now time.Time) time.Duration {
 	st := t.state[id]
-	if st == nil || st.pace.usual == 0 {
+	if st == nil || st.pace.usual == 0 || t.late(now) {
 		return 0
 	}
 	if now.Sub(st.pace.at) < told {
--- a/entry/internal/place/foreign.go
+++ b/entry/internal/place/foreign.go
@@ -35,7 +35,7 @@
 			continue
 		}
 		l.Counts[id] = s.inflight
-		if s.pace.present > 0 && now.Sub(s.pace.at) < told {
+		if s.pace.present > 0 && now.Sub(s.pace.at) < told && !t.late(now) {
 			l.Paces[id] = s.pace.present
 		}
 	}
--- a/entry/internal/place/load_test.go
+++ b/entry/internal/place/load_test.go
@@ -267,6 +267,53 @@
 	}
 }
 
+// Guards against items that leave their engines because this process had no processor time for a moment and takes the
+// events of all late.
+func TestOwnDelayIsNoDisturbance(t *testing.T) {
+	tr := tracker()
+	l := servers(5, 8, "a")
+	now := start
+	step := func(gap func(i int) time.Duration) {
+		now = now.Add(3 * playedPace)
+		for i, s := range l {
+			tr.Paced(s.ID, gap(i), now)
+		}
+	}
+	for _, s := range l {
+		tr.Began(s.ID, now)
+	}
+	for range 30 {
+		step(func(int) time.Duration { return playedPace })
+	}
+	for range 4 {
+		step(func(int) time.Duration { return 3 * playedPace })
+	}
+	need := Need{Model: "m", Room: true, Rest: 60, Tried: map[string]bool{"a0": true}}
+	if tr.Disturbed("a0", now) {
+		t.Error("an engine is disturbed when all are late")
+	}
+	if s, ok := tr.Better(now, l[0], l, need); ok {
+		t.Errorf("work moves to %q when all are late", s.ID)
+	}
+	if got := tr.Load(now).Paces; len(got) > 0 {
+		t.Errorf("other entries are told of %v", got)
+	}
+	for range 12 {
+		step(func(int) time.Duration { return playedPace })
+	}
+	for range 4 {
+		step(func(i int) time.Duration {
+			if i == 0 {
+				return 3 * playedPace
+			}
+			return playedPace
+		})
+	}
+	if s, ok := tr.Better(now, l[0], l, need); !ok || s.ID == "a0" {
+		t.Error("work stays at the one engine that is disturbed")
+	}
+}
+
 // Guards against more work at an engine than it runs at once, sent by entries of which each knows its own, and against
 // counts of an entry that tells nothing any more.
 func TestForeignWorkTakesRoom(t *testing.T) {
--- a/entry/internal/place/pace.go
+++ b/entry/internal/place/pace.go
@@ -16,6 +16,8 @@
 	usualStep  = 0.02
 	usualFirst = 0.15
 	usualCount = 20
+	// lookEvery is the time between two looks whether this process is late, less than the pause between two events.
+	lookEvery = 20 * time.Millisecond
 	// paceLeast is how many servers must have a pace before one counts as slow.
 	paceLeast = 3
 	// slowFactor is how many times slower than the median, or than it usually is, a slow server is.
@@ -118,7 +120,26 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.state[id]
-	return s != nil && s.pace.lost(now) > 0
+	return s != nil && s.pace.lost(now) > 0 && !t.late(now)
+}
+
+// late reports whether most engines seem disturbed at once: then this process is, which takes their events late.
+func (t *Tracker) late(now time.Time) bool {
+	if now.Sub(t.looked) < lookEvery {
+		return t.behind
+	}
+	seen, disturbed := 0, 0
+	for _, s := range t.state {
+		if now.Sub(s.pace.at) >= told {
+			continue
+		}
+		seen++
+		if s.pace.lost(now) > 0 {
+			disturbed++
+		}
+	}
+	t.looked, t.behind = now, seen >= paceLeast && 2*disturbed > seen
+	return t.behind
 }
 
 // Fastest returns the least usual pace of all engines, 0 if none is known.
--- a/entry/internal/place/place.go
+++ b/entry/internal/place/place.go
@@ -86,6 +86,8 @@
 	random *rand.Rand
 	state  map[string]*state
 	others map[string]foreign // by entry
+	looked time.Time          // when behind was determined
+	behind bool               // this process takes events late
 }
 
 type state struct {
