Test that engines of before an outage decide nothing for long

TestListOfFormerEngines fails without the doubt about a list and without the new decisions when the engines change; both came with the shares by address, without a test of their own.

--- a/daemon/internal/rollout/load_test.go
+++ b/daemon/internal/rollout/load_test.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"context"
 	"slices"
 	"testing"
 	"time"
@@ -217,3 +218,33 @@
 		t.Error("a version twice as old as usual is not overdue")
 	}
 }
+
+// Guards against decisions by a list of engines from before an outage, which would hold until the next version.
+func TestListOfFormerEngines(t *testing.T) {
+	e := &fakeEngine{report: platform.Report{Versions: map[string]int{"m": 1}}, answer: platform.OrderMisplaced}
+	r, c := newRollout(e, 3)
+	now := start
+	c.ApplyVersion(catalog.Version{Model: "m", Number: 3, Revision: 10})
+	r.look(t.Context(), now)
+	r.step(t.Context(), c.Versions(), now)
+	if !r.doubtful {
+		t.Error("the list is believed although another incarnation of the engine has answered")
+	}
+	if len(r.turns) == 0 {
+		t.Fatal("nothing was decided")
+	}
+	l := engines(5, map[string]int{"m": 1})
+	r.Servers = func(context.Context) ([]catalog.Server, error) { return l, nil }
+	r.look(t.Context(), now)
+	if len(r.turns) > 0 {
+		t.Error("decisions of three engines hold for five")
+	}
+	if r.doubtful {
+		t.Error("a list that holds the engine is not believed")
+	}
+	r.Servers = func(context.Context) ([]catalog.Server, error) { return l[1:], nil }
+	r.look(t.Context(), now)
+	if !r.doubtful {
+		t.Error("a list without the engine is believed")
+	}
+}
