Give each call of the fault trial its own request

A call is given up after four seconds; at a paused entry it goes on later, with the variable of the loop. The fault is in the test, which is as old as the package; no code under test is concerned.

Change: each call has its own copy. What is checked, and the schedules, are the same.

--- a/entry/internal/trainer/chaos_test.go
+++ b/entry/internal/trainer/chaos_test.go
@@ -212,9 +212,11 @@
 		}
 		r.Version = w.running(0)
 		if !opened {
-			r.Cursor = cursor
+			// A call that was given up may still wait at a paused entry, and reads its request later.
+			request := r
+			request.Cursor = cursor
 			_, err := within(ctx, n, func(ctx context.Context) (wire.StepStatus, error) {
-				return n.trainer.Open(ctx, testIdentity, r)
+				return n.trainer.Open(ctx, testIdentity, request)
 			})
 			if opened = err == nil; !opened {
 				time.Sleep(100 * time.Millisecond)
