Keep one copy of what placing, items and rollout do alike

What a server is away was worked out twice in place; items, moves and reward calls each sent a request and read its answer's meaning with the same lines (Job.post does it for the three); the load test of versions repeated the rule for the time of a load (turn.at). The daemons hashed an address twice at each comparison of a sort, once for each engine now; a step that was accounted for counts its groups no more at each record. A comment claimed a share of estimates that was never measured.

Run: make check, and under the race detector the tests of batch, place, reward, ingress, occupancy and rollout.

--- a/daemon/internal/rollout/choose.go
+++ b/daemon/internal/rollout/choose.go
@@ -70,6 +70,15 @@
 	after int  // rounds of loads that come before
 }
 
+// at returns when the engine loads, given how long a load takes.
+func (t turn) at(now time.Time, took time.Duration) time.Time {
+	now = now.Add(time.Duration(t.after) * took)
+	if t.quiet {
+		now = now.Add(quietAfter)
+	}
+	return now
+}
+
 // turnFor returns this engine's turn for the newest version of a model.
 //
 // It answers a load in which trainers name versions faster than the weight store can bring them to all engines at once,
--- a/daemon/internal/rollout/load_test.go
+++ b/daemon/internal/rollout/load_test.go
@@ -109,11 +109,7 @@
 			e.decided[n.Model] = n.Number
 			delete(e.due, n.Model)
 			if t := p.turn(v, n.Model); t.load {
-				at := now.Add(time.Duration(t.after) * loadTime)
-				if t.quiet {
-					at = at.Add(quietAfter)
-				}
-				e.due[n.Model] = at
+				e.due[n.Model] = t.at(now, loadTime)
 			}
 		}
 		if at, ok := e.due[n.Model]; ok && e.model == "" && !now.Before(at) {
--- a/daemon/internal/rollout/rollout.go
+++ b/daemon/internal/rollout/rollout.go
@@ -262,10 +262,7 @@
 		if took == 0 {
 			took = firstLoad
 		}
-		s.at = now.Add(time.Duration(t.after) * took)
-		if t.quiet {
-			s.at = s.at.Add(quietAfter)
-		}
+		s.at = t.at(now, took)
 	}
 	r.turns[n.Model] = s
 	return s, t.load
--- a/daemon/internal/rollout/share.go
+++ b/daemon/internal/rollout/share.go
@@ -34,13 +34,17 @@
 // is possible.
 func assign(engines []catalog.Server, models []string, shares map[string][]string) {
 	groups := make([][]string, len(models))
-	addresses := make([]string, 0, len(engines))
+	type hashed struct {
+		address string
+		hash    uint64
+	}
+	order := make([]hashed, 0, len(engines))
 	for _, e := range engines {
-		addresses = append(addresses, e.Address)
+		order = append(order, hashed{address: e.Address, hash: hash(e.Address, len(shares[e.Address]))})
 	}
-	slices.SortFunc(addresses, func(a, b string) int { return cmp.Compare(hash(a, shares), hash(b, shares)) })
-	for _, a := range addresses {
-		i := int(hash(a, shares) % uint64(len(models)))
+	slices.SortFunc(order, func(a, b hashed) int { return cmp.Compare(a.hash, b.hash) })
+	for _, h := range order {
+		a, i := h.address, int(h.hash%uint64(len(models)))
 		for slices.Contains(shares[a], models[i]) {
 			i = (i + 1) % len(models)
 		}
@@ -55,9 +59,9 @@
 	}
 }
 
-// hash orders the engines for the next model that each is to get.
-func hash(address string, shares map[string][]string) uint64 {
-	return xxhash.Sum64String(strconv.Itoa(len(shares[address])) + " " + address)
+// hash orders the engines for the model that each is to get at a turn.
+func hash(address string, turn int) uint64 {
+	return xxhash.Sum64String(strconv.Itoa(turn) + " " + address)
 }
 
 // level moves one engine from a group to one with at least two fewer that may have it; false if there is none.
--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -29,22 +29,22 @@
 	total     int  // items
 	launched  bool // ran here; guarded by the mu of the manager
 
-	mu       sync.Mutex
-	items    map[string]*item
-	results  []job.Result
-	records  int          // records read or written
-	ready    []job.Result // to be listed
-	ended    bool         // by the trainer
-	stopped  bool         // nothing runs here any more
-	looked   time.Time    // when the log was last read after the job stopped
-	checked  time.Time    // when the log was last read for a reader that was ahead
-	began    time.Time    // when this entry began to run it
-	measured time.Time    // when restMost was determined
-	restMost int          // events that the longest open item is expected to make yet
-	told     bool         // that the step has all that its trainer waits for
-	cancel   context.CancelFunc
-	changed  chan struct{} // closed when results are listed or the job stops
-	wake     chan struct{} // tells the tasks of the job that an item changed
+	mu        sync.Mutex
+	items     map[string]*item
+	results   []job.Result
+	records   int          // records read or written
+	ready     []job.Result // to be listed
+	ended     bool         // by the trainer
+	stopped   bool         // nothing runs here any more
+	looked    time.Time    // when the log was last read after the job stopped
+	checked   time.Time    // when the log was last read for a reader that was ahead
+	began     time.Time    // when this entry began to run it
+	measured  time.Time    // when restMost was determined
+	restMost  int          // events that the longest open item is expected to make yet
+	accounted bool         // event.StepWhole was logged
+	cancel    context.CancelFunc
+	changed   chan struct{} // closed when results are listed or the job stops
+	wake      chan struct{} // tells the tasks of the job that an item changed
 }
 
 // item is one item of a job; its fields are guarded by the mu of the job.
@@ -56,7 +56,6 @@
 	versions []int
 	failures int       // answers of 500
 	moves    int       // between servers
-	events   int       // in the whole text
 	moved    time.Time // when the last move began
 	path     path
 	running  bool // an attempt of the item or of its reward call is in flight
@@ -210,7 +209,7 @@
 // list moves the text of an item to the results to be listed; the caller holds mu.
 func (j *Job) list(it *item, score string, now time.Time) {
 	it.done, it.whole = true, true
-	it.path.done, it.events = now, len(it.data)
+	it.path.done, it.path.events = now, len(it.data)
 	j.ready = append(j.ready, job.Result{
 		Item: it.ID, State: job.Completed, Text: strings.Join(it.data, "\n"), Versions: it.versions, Score: score,
 	})
--- a/entry/internal/batch/list.go
+++ b/entry/internal/batch/list.go
@@ -76,6 +76,11 @@
 func (j *Job) progress() (whole, listed, want int) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	return j.groups()
+}
+
+// groups is progress for a caller that holds mu.
+func (j *Job) groups() (whole, listed, want int) {
 	open, unlisted := make(map[string]bool), make(map[string]bool)
 	for _, it := range j.items {
 		open[it.Group] = open[it.Group] || !it.done
--- a/entry/internal/batch/move.go
+++ b/entry/internal/batch/move.go
@@ -163,8 +163,8 @@
 	defer m.end()
 	late := time.AfterFunc(moveTime, l.cancel)
 	outcome, cause := j.open(ctx, it, l, route)
-	intime := late.Stop()
-	if cause == "" && intime && m.offer(l) {
+	inTime := late.Stop()
+	if cause == "" && inTime && m.offer(l) {
 		present.Cut()
 		return
 	}
@@ -175,7 +175,7 @@
 	switch {
 	case !m.wanted():
 		outcome, cause = place.Abandoned, causeUnwanted
-	case !intime:
+	case !inTime:
 		outcome, cause = place.Silent, causeSilent
 	}
 	j.stays(it, l, outcome, cause)
@@ -199,30 +199,29 @@
 
 // open sends an item to the server of a leg and waits for the first event there. An empty cause tells that it has come.
 func (j *Job) open(ctx context.Context, it *item, l *leg, route *catalog.Route) (outcome place.Outcome, cause string) {
-	codec := platform.Headers{}
-	resp, err := j.manager.Pool.Send(ctx, j.target(l.server), j.request(it, l.server, route, l.after, l.began))
+	r, err := j.post(ctx, l.server, it.ID, j.request(it, l.server, route, l.after, l.began))
 	if err != nil {
 		return place.Broken, err.Error()
 	}
-	answer := codec.Answer(resp.StatusCode, resp.Header)
-	switch meaning := j.manager.Catalog.Heard(l.server, answer, it.ID, time.Now()); {
-	case meaning == call.NotRun:
+	resp := r.resp
+	switch {
+	case r.meaning == call.NotRun:
 		resp.Discard()
 		return place.Refused, "the server refused"
-	case meaning == call.Foreign:
+	case r.meaning == call.Foreign:
 		resp.Abandon()
 		return place.Broken, call.CauseForeign
 	case resp.StatusCode != http.StatusOK:
 		resp.Discard()
 		return place.Refused, causeFailed
 	}
-	in := events.NewReader(resp.Body, codec.VersionLine())
+	in := events.NewReader(resp.Body, platform.Headers{}.VersionLine())
 	e, err := in.Next()
 	if err != nil {
 		resp.Abandon()
 		return place.Broken, err.Error()
 	}
-	version := answer.Version
+	version := r.answer.Version
 	if e.Version > 0 {
 		version = e.Version
 	}
@@ -230,7 +229,7 @@
 		resp.Abandon()
 		return place.Refused, "the answer does not continue the text"
 	}
-	l.resp, l.in, l.first, l.version = resp, in, &e, answer.Version
+	l.resp, l.in, l.first, l.version = resp, in, &e, r.answer.Version
 	return place.Answered, ""
 }
 
--- a/entry/internal/batch/path.go
+++ b/entry/internal/batch/path.go
@@ -14,6 +14,7 @@
 	empty    time.Duration // attempts that brought none
 	attempts int
 	whole    time.Time // the text was whole
+	events   int       // in the whole text
 	done     time.Time // the result was known, its score included
 }
 
@@ -44,13 +45,16 @@
 // account tells once where the time of a step went: when the results that its trainer waits for are listed, by the one
 // that was known last.
 func (j *Job) account(listed []job.Result, now time.Time) {
-	whole, groups, want := j.progress()
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if j.told || groups < want {
+	if j.accounted {
 		return
 	}
-	j.told = true
+	whole, groups, want := j.groups()
+	if groups < want {
+		return
+	}
+	j.accounted = true
 	var last *item
 	for _, r := range listed {
 		if it := j.items[r.Item]; it != nil && (last == nil || it.path.done.After(last.path.done)) {
@@ -64,7 +68,7 @@
 	if p.whole.IsZero() {
 		p.whole = p.done // given up
 	}
-	making := min(time.Duration(last.events)*j.manager.Tracker.Fastest(), p.making)
+	making := min(time.Duration(p.events)*j.manager.Tracker.Fastest(), p.making)
 	parts := []struct {
 		name string
 		time time.Duration
@@ -79,7 +83,7 @@
 	}
 	fields := []any{
 		"job", j.spec.ID, "step", j.spec.Step, "model", j.spec.Model, "groups", want, "whole", whole, "request", last.ID,
-		"events", last.events, "attempts", p.attempts, "moves", last.moves, "ms", now.Sub(j.began).Milliseconds(),
+		"events", p.events, "attempts", p.attempts, "moves", last.moves, "ms", now.Sub(j.began).Milliseconds(),
 	}
 	for _, part := range parts {
 		fields = append(fields, part.name, part.time.Milliseconds())
--- a/entry/internal/batch/run.go
+++ b/entry/internal/batch/run.go
@@ -248,19 +248,17 @@
 	defer cancel()
 	watch := j.watch(s, cancel)
 	defer watch.stop()
-	codec := platform.Headers{}
-	resp, err := j.manager.Pool.Send(ctx, j.target(s), j.request(it, s, route, after, l.began))
+	r, err := j.post(ctx, s, it.ID, j.request(it, s, route, after, l.began))
 	if err != nil {
 		if ctx.Err() != nil {
 			return verdict{outcome: place.Silent, cause: causeSilent}
 		}
 		return verdict{outcome: place.Broken, cause: err.Error()}
 	}
-	answer := codec.Answer(resp.StatusCode, resp.Header)
-	meaning := j.manager.Catalog.Heard(s, answer, it.ID, time.Now())
-	v := verdict{status: resp.StatusCode, version: answer.Version}
+	resp, meaning := r.resp, r.meaning
+	v := verdict{status: resp.StatusCode, version: r.answer.Version}
 	if resp.StatusCode == http.StatusOK && meaning == call.Genuine {
-		l.resp, l.in = resp, events.NewReader(resp.Body, codec.VersionLine())
+		l.resp, l.in = resp, events.NewReader(resp.Body, platform.Headers{}.VersionLine())
 		return j.read(life, it, l, watch, after, v, route)
 	}
 	if meaning == call.Foreign {
@@ -293,6 +291,23 @@
 	return v
 }
 
+// reply is the begun answer of a server and what it says of the request.
+type reply struct {
+	resp    *upstream.Response
+	answer  call.Answer
+	meaning call.Meaning
+}
+
+// post sends the request with an id to a server and reads the head of its answer.
+func (j *Job) post(ctx context.Context, s catalog.Server, id string, q upstream.Request) (reply, error) {
+	resp, err := j.manager.Pool.Send(ctx, j.target(s), q)
+	if err != nil {
+		return reply{}, err
+	}
+	answer := platform.Headers{}.Answer(resp.StatusCode, resp.Header)
+	return reply{resp: resp, answer: answer, meaning: j.manager.Catalog.Heard(s, answer, id, time.Now())}, nil
+}
+
 // target returns where the requests to a server are sent.
 func (j *Job) target(s catalog.Server) upstream.Target {
 	t := upstream.Target{Address: s.Address, Incarnation: s.ID}
--- a/entry/internal/batch/score.go
+++ b/entry/internal/batch/score.go
@@ -114,13 +114,12 @@
 	h := make(http.Header)
 	codec.Identify(h, r.ID)
 	codec.Attempt(h, call.Attempt{Server: s.ID, Left: allowed})
-	resp, err := j.manager.Pool.Send(ctx, j.target(s),
+	a, err := j.post(ctx, s, r.ID,
 		upstream.Request{Method: http.MethodPost, URI: r.Path, Host: r.Host, Header: h, Body: r.Body})
 	if err != nil {
 		return "", verdict{outcome: place.Broken, cause: err.Error()}, lostOrRefused(err)
 	}
-	answer := codec.Answer(resp.StatusCode, resp.Header)
-	meaning := j.manager.Catalog.Heard(s, answer, r.ID, time.Now())
+	resp, meaning := a.resp, a.meaning
 	v := verdict{status: resp.StatusCode}
 	switch {
 	case meaning == call.NotRun:
@@ -147,7 +146,7 @@
 	}
 	resp.Close()
 	v.outcome = place.Answered
-	return answer.Signature, v, 0
+	return a.answer.Signature, v, 0
 }
 
 // lostOrRefused returns the outcome of an attempt that got no answer.
--- a/entry/internal/place/finish.go
+++ b/entry/internal/place/finish.go
@@ -13,8 +13,7 @@
 	// paceClass is how many times slower than another a server is that work does not go to for its own sake: paces of
 	// equal servers differ by less.
 	paceClass = 1.15
-	// doubt is how many times longer than expected work may turn out that is sent to a slow server. Two thirds of the
-	// estimates are wrong by less.
+	// doubt is how many times longer than expected work may turn out that is sent to a slow server.
 	doubt = 2
 	// crowding is how much slower a full engine makes events than an empty one.
 	crowding = 0.05
@@ -24,14 +23,7 @@
 
 // finish estimates how long work that makes rest events takes at a server.
 func (t *Tracker) finish(now time.Time, s catalog.Server, rest int) time.Duration {
-	f := time.Duration(rest)*t.usual(s) + t.lost(s.ID, now)
-	switch {
-	case t.home.Regions[s.Domain] != t.home.Region:
-		f += crossRegion
-	case s.Domain != t.home.Domain:
-		f += crossDomain
-	}
-	return f
+	return time.Duration(rest)*t.usual(s) + t.lost(s.ID, now) + t.way(s)
 }
 
 // usual returns the usual pace of an engine.
@@ -73,8 +65,9 @@
 // It answers a load in which a step waits for its longest items while short ones take the slots of the fast engines.
 func (t *Tracker) spared(now time.Time, servers []catalog.Server, n Need, best int) int {
 	chosen, least := best, 0.0
+	slower := paceClass * float64(t.usual(servers[best]))
 	for i, s := range servers {
-		if !t.open(now, s, n) || t.lost(s.ID, now) > 0 || float64(t.usual(s)) < paceClass*float64(t.usual(servers[best])) ||
+		if !n.suits(s) || !t.open(now, s, n) || t.lost(s.ID, now) > 0 || float64(t.usual(s)) < slower ||
 			doubt*t.finish(now, s, n.Rest) > n.Within {
 			continue
 		}
--- a/entry/internal/place/foreign.go
+++ b/entry/internal/place/foreign.go
@@ -30,12 +30,13 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	l := Load{Counts: make(map[string]int), Paces: make(map[string]time.Duration)}
+	late := t.late(now)
 	for id, s := range t.state {
 		if s.inflight == 0 || !s.engine {
 			continue
 		}
 		l.Counts[id] = s.inflight
-		if s.pace.present > 0 && now.Sub(s.pace.at) < told && !t.late(now) {
+		if s.pace.present > 0 && now.Sub(s.pace.at) < told && !late {
 			l.Paces[id] = s.pace.present
 		}
 	}
--- a/entry/internal/place/load_test.go
+++ b/entry/internal/place/load_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -187,11 +188,7 @@
 }
 
 func sortByGuess(l []*run) {
-	for i := range l {
-		for k := i; k > 0 && l[k].guess > l[k-1].guess; k-- {
-			l[k], l[k-1] = l[k-1], l[k]
-		}
-	}
+	slices.SortStableFunc(l, func(a, b *run) int { return b.guess - a.guess })
 }
 
 // Plays steps on engines that differ for good and are disturbed now and then, against the choice by present paces alone:
--- a/entry/internal/place/place.go
+++ b/entry/internal/place/place.go
@@ -131,7 +131,7 @@
 	}
 	var bestCost, secondCost float64
 	for i, s := range servers {
-		if n.Room && !t.open(now, s, n) || n.Tried[s.ID] || !fits(s, n) {
+		if !n.suits(s) || n.Room && !t.open(now, s, n) {
 			continue
 		}
 		st := t.state[s.ID]
@@ -164,9 +164,9 @@
 	return servers[best], true
 }
 
-// open reports whether a server may take the work at once.
+// open reports whether a server that suits the work may take it at once.
 func (t *Tracker) open(now time.Time, s catalog.Server, n Need) bool {
-	return !n.Tried[s.ID] && fits(s, n) && !t.state[s.ID].avoided(n.Model, now) && t.inflight(s.ID, now) < n.slots(s)
+	return !t.state[s.ID].avoided(n.Model, now) && t.inflight(s.ID, now) < n.slots(s)
 }
 
 // avoided reports whether a server is passed over for work for a model.
@@ -179,8 +179,11 @@
 	return max(s.Slots-int(math.Ceil(n.Spare*float64(s.Slots))), 1)
 }
 
-// fits reports whether a server may run the work at all.
-func fits(s catalog.Server, n Need) bool {
+// suits reports whether a server may run the work at all.
+func (n Need) suits(s catalog.Server) bool {
+	if n.Tried[s.ID] {
+		return false
+	}
 	if n.Model == "" {
 		return true
 	}
@@ -211,14 +214,21 @@
 	}
 	fill := float64(inflight) / float64(max(s.Slots, 1))
 	c := own.Seconds() * (1 + fill + 4*max(fill-1+1/float64(max(s.Slots, 1)), 0))
+	c += t.way(s).Seconds()
+	const spread = 0.1 // of the estimate
+	return c * (1 + spread*t.random.Float64())
+}
+
+// way is what reaching a server takes.
+func (t *Tracker) way(s catalog.Server) time.Duration {
 	switch {
 	case t.home.Regions[s.Domain] != t.home.Region:
-		c += crossRegion.Seconds()
+		return crossRegion
 	case s.Domain != t.home.Domain:
-		c += crossDomain.Seconds()
+		return crossDomain
+	default:
+		return 0
 	}
-	const spread = 0.1 // of the estimate
-	return c * (1 + spread*t.random.Float64())
 }
 
 // Began counts an attempt at a server.
