Cut a repeated answer of a step where the first one was cut

Cause: choose cut an answer to max samples without counting those that had gone stale. Ruled out by its trace: an outage that was seen where answers are lost only, and a second owner with another record. The new test fails on the old code in three of its five cases.

--- a/entry/internal/trainer/decide_test.go
+++ b/entry/internal/trainer/decide_test.go
@@ -2,9 +2,14 @@
 
 import (
 	"context"
+	"slices"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"bulrushspoke/entry/internal/cursor"
+	"bulrushspoke/wire"
 )
 
 // Guards against a pause of this process that is taken for an outage of the store: samples would be shown that another
@@ -74,3 +79,46 @@
 		}
 	}
 }
+
+// Guards against an answer that reaches further when it is repeated, since samples of it have gone stale in between.
+func TestRepeatedAnswerKeepsItsCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const most = 4
+		w := newWorld(7, 1)
+		defer w.close()
+		spec := wire.Spec{Run: "r", Step: 1, Model: testModel, Version: 1, Staleness: testBound, Slots: 9, Digest: 1}
+		s := w.nodes[0].trainer.newStep(key{run: "r", step: 1}, spec, []wire.Group{{Name: "g", Samples: 9}}, nil)
+		b := &batch{shown: true}
+		for i, version := range []int64{1, 4, 1, 4, 4, 1, 1, 1, 4} {
+			sample := &wire.Sample{
+				Group: "g", Index: i, ID: strconv.Itoa(i), Spans: []wire.Span{{Version: version}},
+			}
+			s.cells[i].sample = sample
+			b.items = append(b.items, item{slot: i, sample: sample})
+		}
+		s.batches = []*batch{b}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for _, c := range []struct {
+			name    string
+			version int64
+			held    []int
+			want    []string
+		}{
+			{name: "first", version: 1, want: []string{"0", "1", "2", "3"}},
+			{name: "two have gone stale", version: 4, want: []string{"1", "3"}},
+			{name: "again", version: 4, want: []string{"1", "3"}},
+			{name: "next, of which three have gone stale", version: 4, held: []int{0, 1, 2, 3}, want: []string{"4"}},
+			{name: "only stale ones before the cut", version: 4, held: []int{0, 1, 3, 4}, want: []string{"8"}},
+		} {
+			set := cursor.New(spec.Digest, spec.Slots)
+			for _, i := range c.held {
+				set.Add(i)
+			}
+			s.current.Store(c.version)
+			if got := ids(s.choose(set, most).Samples, c.version); !slices.Equal(got, c.want) {
+				t.Errorf("%s: answer holds %v, want %v", c.name, got, c.want)
+			}
+		}
+	})
+}
--- a/entry/internal/trainer/pull.go
+++ b/entry/internal/trainer/pull.go
@@ -84,17 +84,26 @@
 		if !b.shown || len(a.Samples) > 0 {
 			break
 		}
+		// The cut counts withdrawn samples too: an answer that is repeated must not reach further than it did at first.
+		counted := 0
 		for _, it := range b.items {
-			if set.Has(it.slot) || s.cells[it.slot].sample != it.sample {
+			if set.Has(it.slot) {
+				continue
+			}
+			if counted == most {
+				if len(a.Samples) > 0 {
+					break
+				}
+				counted = 0
+			}
+			counted++
+			if s.cells[it.slot].sample != it.sample {
 				continue
 			}
 			if oldest(it.sample.Spans) < s.floor() {
 				s.withdraw(it.slot)
 				continue
 			}
-			if len(a.Samples) == most {
-				break
-			}
 			sample := *it.sample
 			sample.Age = max(0, a.Checked-oldest(sample.Spans))
 			a.Samples = append(a.Samples, sample)
