Remember the removal of a server, so that older news don't bring it back

Cause: the catalog dropped a removed server with its revision. Both new tests fail without the change.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -25,6 +25,16 @@
 	noticeTime = 10 * time.Minute
 )
 
+// removalTime is how long a removal is remembered. News that were read before it come later by an outage of the store or
+// the pause of a process, which last minutes at most.
+const removalTime = 10 * time.Minute
+
+// removal is the newest removal of an entry.
+type removal struct {
+	revision int64
+	at       time.Time
+}
+
 // notice is a server's own word that it is about to leave. It holds for one incarnation.
 type notice struct {
 	born int64
@@ -41,6 +51,7 @@
 	mu       sync.Mutex
 	servers  map[string]Server
 	lapsed   map[string]time.Time // when a missing server is given up
+	removed  map[string]removal   // by id of the server
 	restored time.Time            // end of the last outage of the store
 	notices  map[string]notice    // by id of the server
 	versions map[string]Version
@@ -60,6 +71,7 @@
 		logger:   logger,
 		servers:  make(map[string]Server),
 		lapsed:   make(map[string]time.Time),
+		removed:  make(map[string]removal),
 		notices:  make(map[string]notice),
 		versions: make(map[string]Version),
 		changed:  make(chan struct{}),
@@ -157,7 +169,7 @@
 	}
 	for id, s := range c.servers {
 		if !present[id] && s.Revision < revision {
-			c.remove(id, now)
+			c.remove(id, revision, now)
 		}
 	}
 	c.arrange()
@@ -176,10 +188,10 @@
 func (c *Catalog) RemoveServer(id string, revision int64, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if s, ok := c.servers[id]; !ok || s.Revision > revision {
+	if s, ok := c.servers[id]; ok && s.Revision > revision {
 		return
 	}
-	c.remove(id, now)
+	c.remove(id, revision, now)
 	c.arrange()
 }
 
@@ -242,6 +254,11 @@
 	if ok && held.Revision > s.Revision {
 		return
 	}
+	// A watch that goes on after an outage repeats what others have told meanwhile, and must not undo the removal.
+	if gone, ok := c.removed[s.ID]; ok && gone.revision >= s.Revision {
+		return
+	}
+	delete(c.removed, s.ID)
 	delete(c.lapsed, s.ID)
 	c.servers[s.ID] = s
 	switch {
@@ -252,8 +269,18 @@
 	}
 }
 
-// remove takes a server out of use, at once or after the grace that follows an outage.
-func (c *Catalog) remove(id string, now time.Time) {
+// remove takes a server out of use, at once or after the grace that follows an outage; entries up to the revision of the
+// removal don't bring it back.
+func (c *Catalog) remove(id string, revision int64, now time.Time) {
+	for other, r := range c.removed {
+		if now.Sub(r.at) > removalTime {
+			delete(c.removed, other)
+		}
+	}
+	c.removed[id] = removal{revision: max(revision, c.removed[id].revision), at: now}
+	if _, ok := c.servers[id]; !ok {
+		return
+	}
 	if until := c.restored.Add(lapseGrace); now.Before(until) && !c.servers[id].Draining {
 		if _, ok := c.lapsed[id]; !ok {
 			c.lapsed[id] = until
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -74,6 +75,77 @@
 	}
 }
 
+// Guards against a removed server that older news bring back: a watch that goes on after an outage repeats what other
+// processes have told meanwhile, and a list may have been read before the removal.
+func TestRemovedServerStaysAway(t *testing.T) {
+	entry := Server{ID: "s", Service: "v", Revision: 30}
+	older := Server{ID: "s", Service: "v", Revision: 212}
+	newer := Server{ID: "s", Service: "v", Revision: 300}
+	for name, tc := range map[string]struct {
+		unknown bool // nothing is known of the server before
+		change  func(*Catalog)
+	}{
+		"repeated by a watch": {change: func(c *Catalog) {
+			c.RemoveServer("s", 246, start)
+			c.ApplyServer(older)
+		}},
+		"repeated by a watch after an outage": {change: func(c *Catalog) {
+			c.RemoveServer("s", 246, start)
+			c.Restored(start.Add(4 * time.Second))
+			c.ApplyServer(older)
+			c.RemoveServer("s", 246, start.Add(4*time.Second))
+		}},
+		"removal heard first": {unknown: true, change: func(c *Catalog) {
+			c.RemoveServer("s", 246, start)
+			c.ApplyServer(older)
+		}},
+		"older list": {change: func(c *Catalog) {
+			c.RemoveServer("s", 246, start)
+			c.ReplaceServers([]Server{older}, 220, start)
+		}},
+		"missing in a list": {change: func(c *Catalog) {
+			c.ReplaceServers(nil, 246, start)
+			c.ApplyServer(older)
+		}},
+		"older removal again": {change: func(c *Catalog) {
+			c.RemoveServer("s", 246, start)
+			c.RemoveServer("s", 40, start)
+			c.ApplyServer(older)
+		}},
+	} {
+		c := New(quiet)
+		if !tc.unknown {
+			c.ApplyServer(entry)
+		}
+		tc.change(c)
+		if got := ids(c, "v"); got != nil {
+			t.Errorf("%s: the server is in use again", name)
+		}
+		c.ApplyServer(newer)
+		if got := ids(c, "v"); got == nil {
+			t.Errorf("%s: a newer entry doesn't bring the server back", name)
+		}
+	}
+}
+
+// Guards against news of before a removal that end the grace in which a missing server is given up.
+func TestOlderNewsKeepNoLapsedServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := New(quiet)
+		c.ApplyServer(Server{ID: "s", Service: "v", Revision: 30})
+		c.Restored(time.Now())
+		c.RemoveServer("s", 246, time.Now())
+		if ids(c, "v") == nil {
+			t.Fatal("the server is given up without grace")
+		}
+		c.ApplyServer(Server{ID: "s", Service: "v", Revision: 212})
+		time.Sleep(lapseGrace + time.Second)
+		if ids(c, "v") != nil {
+			t.Fatal("the server is still in use after its grace")
+		}
+	})
+}
+
 // Guards against servers that are given up because the store lost their entries during its outage, and against those
 // that are kept for good.
 func TestEntriesLapseDuringOutage(t *testing.T) {
