Hold results until the next decision of their trainer

Cause: a trainer reads twice a second, each read waiting for results, and acts on what it has read when the next read would be due. The owner now learns how often the trainers of a model read, and lists what is ready shortly before the next decision, at once if it is all that the trainer waits for, and before the results are due. Groups that come again from an earlier job count among those that the trainer waits for.

--- a/entry/internal/batch/batch.go
+++ b/entry/internal/batch/batch.go
@@ -119,15 +119,16 @@
 	Options
 	life context.Context
 
-	mu     sync.Mutex
-	jobs   map[string]*Job
-	owners map[string]wire.JobState // jobs that other entries own
-	taking map[string]chan struct{} // jobs that a task of this entry takes over; closed when it is done
-	texts  *texts
-	pace   *pacer
-	events *forecast.Forecast
-	freed  chan struct{} // closed when a slot of a server becomes free
-	closed bool
+	mu      sync.Mutex
+	jobs    map[string]*Job
+	owners  map[string]wire.JobState // jobs that other entries own
+	taking  map[string]chan struct{} // jobs that a task of this entry takes over; closed when it is done
+	texts   *texts
+	pace    *pacer
+	events  *forecast.Forecast
+	rhythms *rhythms
+	freed   chan struct{} // closed when a slot of a server becomes free
+	closed  bool
 }
 
 // New returns a Manager whose jobs run until life ends.
@@ -141,6 +142,7 @@
 		texts:   newTexts(),
 		pace:    newPacer(o.Link),
 		events:  forecast.New(),
+		rhythms: newRhythms(),
 		freed:   make(chan struct{}),
 	}
 }
--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -32,19 +32,24 @@
 	mu        sync.Mutex
 	items     map[string]*item
 	results   []job.Result
-	records   int          // records read or written
-	ready     []job.Result // to be listed
-	ended     bool         // by the trainer
-	stopped   bool         // nothing runs here any more
-	looked    time.Time    // when the log was last read after the job stopped
-	checked   time.Time    // when the log was last read for a reader that was ahead
-	began     time.Time    // when this entry began to run it
-	measured  time.Time    // when restMost was determined
-	restMost  int          // events that the longest open item is expected to make yet
-	accounted bool         // event.StepWhole was logged
+	records   int             // records read or written
+	ready     []job.Result    // to be listed
+	ended     bool            // by the trainer
+	stopped   bool            // nothing runs here any more
+	looked    time.Time       // when the log was last read after the job stopped
+	checked   time.Time       // when the log was last read for a reader that was ahead
+	began     time.Time       // when this entry began to run it
+	measured  time.Time       // when restMost was determined
+	restMost  int             // events that the longest item which the trainer waits for is expected to make yet
+	only      bool            // the trainer waits for groups that come again only
+	carried   map[string]bool // groups that come again from an earlier job
+	accounted bool            // event.StepWhole was logged
+	reader    reader
+	flushing  bool // results are to be listed at once
 	cancel    context.CancelFunc
 	changed   chan struct{} // closed when results are listed or the job stops
 	wake      chan struct{} // tells the tasks of the job that an item changed
+	listing   chan struct{} // tells the lister that there may be results to list
 }
 
 // item is one item of a job; its fields are guarded by the mu of the job.
@@ -81,6 +86,8 @@
 		stopped:   s.Ended,
 		changed:   make(chan struct{}),
 		wake:      make(chan struct{}, 1),
+		listing:   make(chan struct{}, 1),
+		carried:   make(map[string]bool),
 	}
 	for i, it := range spec.Items {
 		j.size += int64(len(it.Body))
@@ -147,6 +154,7 @@
 	for id := range j.items {
 		if p, ok := j.manager.texts.get(id); ok {
 			earlier = append(earlier, p)
+			j.carried[j.items[id].Group] = true
 			j.take(p)
 		}
 	}
@@ -247,10 +255,9 @@
 	}
 	j.cancel, j.began = cancel, time.Now()
 	j.mu.Unlock()
-	listing := make(chan struct{}, 1)
-	listing <- struct{}{}
-	l := &lister{job: j, wake: listing}
-	go supervise.Guard(j.manager.Logger, "job", func() { j.run(ctx, listing) })
+	notify(j.listing)
+	l := &lister{job: j}
+	go supervise.Guard(j.manager.Logger, "job", func() { j.run(ctx) })
 	go supervise.Guard(j.manager.Logger, "lister", func() { l.run(ctx) })
 	go supervise.Guard(j.manager.Logger, "keeper", func() { (&keeper{job: j}).run(ctx) })
 }
@@ -304,6 +311,61 @@
 // page returns the results from a position on, waiting for the first while the job runs here, with at most most bytes of
 // text beside the first.
 func (j *Job) page(ctx context.Context, after int, wait time.Duration, most int) job.Page {
+	if !j.asked(after, wait > 0, time.Now()) {
+		return j.await(ctx, after, wait, most)
+	}
+	if wait <= 0 {
+		j.flush(ctx)
+	}
+	p := j.await(ctx, after, wait, most)
+	j.given(p.Next, time.Now())
+	return p
+}
+
+// asked notes that a read begins, and reports whether it comes from the client that takes the results in their order.
+func (j *Job) asked(after int, waits bool, now time.Time) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if !j.reader.leads(after, waits, j.manager.rhythms.of(j.spec.Model), now) {
+		return false
+	}
+	if gap := j.reader.begin(now); gap > 0 {
+		j.manager.rhythms.note(j.spec.Model, gap)
+	}
+	return true
+}
+
+// given notes that a read of that client has been answered.
+func (j *Job) given(next int, now time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.reader.end(next, now)
+}
+
+// flush has the results listed that wait for others, for a client that does not wait itself.
+func (j *Job) flush(ctx context.Context) {
+	if len(j.listable()) == 0 {
+		return
+	}
+	j.mu.Lock()
+	j.flushing = true
+	changed, stopped := j.changed, j.stopped
+	j.mu.Unlock()
+	if stopped {
+		return
+	}
+	notify(j.listing)
+	t := time.NewTimer(flushTime)
+	defer t.Stop()
+	select {
+	case <-changed:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// await is page without notice of who reads.
+func (j *Job) await(ctx context.Context, after int, wait time.Duration, most int) job.Page {
 	deadline := time.NewTimer(wait)
 	defer deadline.Stop()
 	for {
--- a/entry/internal/batch/list.go
+++ b/entry/internal/batch/list.go
@@ -26,15 +26,14 @@
 
 // lister writes the results of a job to its log.
 type lister struct {
-	job  *Job
-	wake chan struct{}
+	job *Job
 }
 
 // run lists results until ctx ends. A trainer uses whole groups only, so results wait until their group is whole.
 func (l *lister) run(ctx context.Context) {
 	for {
 		select {
-		case <-l.wake:
+		case <-l.job.listing:
 		case <-ctx.Done():
 			return
 		}
@@ -54,16 +53,17 @@
 	}
 }
 
-// gather waits for more results, unless those that there are complete what the trainer waits for.
+// gather waits for more results, unless those that there are complete what the trainer waits for, or are asked for.
 func (l *lister) gather(ctx context.Context) {
-	t := time.NewTimer(gather)
+	now := time.Now()
+	t := time.NewTimer(l.job.gathers(now).Sub(now))
 	defer t.Stop()
 	for {
-		if whole, listed, want := l.job.progress(); whole >= want && listed < want {
+		if l.job.urgent() {
 			return
 		}
 		select {
-		case <-l.wake:
+		case <-l.job.listing:
 		case <-t.C:
 			return
 		case <-ctx.Done():
@@ -72,29 +72,42 @@
 	}
 }
 
-// progress returns how many groups are whole, how many of them are listed, and how many the trainer waits for.
-func (j *Job) progress() (whole, listed, want int) {
+// urgent reports whether results are to be listed at once.
+func (j *Job) urgent() bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	return j.groups()
+	if j.flushing {
+		j.flushing = false
+		return true
+	}
+	return j.lacking(undone) == 0 && j.lacking(unlisted) > 0
 }
 
-// groups is progress for a caller that holds mu.
-func (j *Job) groups() (whole, listed, want int) {
-	open, unlisted := make(map[string]bool), make(map[string]bool)
-	for _, it := range j.items {
-		open[it.Group] = open[it.Group] || !it.done
-		unlisted[it.Group] = unlisted[it.Group] || !it.listed
+// gathers returns until when results that are ready now wait for others.
+func (j *Job) gathers(now time.Time) time.Time {
+	usual := now.Add(gather)
+	every := j.manager.rhythms.of(j.spec.Model)
+	j.mu.Lock()
+	by := j.reader.hold(every, now)
+	j.mu.Unlock()
+	if by.Before(usual) || j.due(now, by.Add(listTime)) {
+		return usual
 	}
-	for g := range open {
-		if !open[g] {
-			whole++
-		}
-		if !unlisted[g] {
-			listed++
-		}
+	return by
+}
+
+// due reports whether the results of the job are due between two times.
+func (j *Job) due(from, to time.Time) bool {
+	c := j.manager.Catalog.Config()
+	if c == nil {
+		return false
+	}
+	r, ok := c.Match(j.host, j.path)
+	if !ok || r.Due <= 0 {
+		return false
 	}
-	return whole, listed, min(j.spec.Groups, len(open))
+	at := j.submitted.Add(r.Due)
+	return !at.Before(from) && at.Before(to)
 }
 
 // listable returns the results of whole groups that are to be listed next.
--- a/entry/internal/batch/path.go
+++ b/entry/internal/batch/path.go
@@ -50,8 +50,7 @@
 	if j.accounted {
 		return
 	}
-	whole, groups, want := j.groups()
-	if groups < want {
+	if j.lacking(unlisted) > 0 {
 		return
 	}
 	j.accounted = true
@@ -82,7 +81,7 @@
 		{partList, now.Sub(p.done)},
 	}
 	fields := []any{
-		"job", j.spec.ID, "step", j.spec.Step, "model", j.spec.Model, "groups", want, "whole", whole, "request", last.ID,
+		"job", j.spec.ID, "step", j.spec.Step, "model", j.spec.Model, "groups", j.spec.Groups, "carried", len(j.carried), "request", last.ID,
 		"events", p.events, "attempts", p.attempts, "moves", last.moves, "ms", now.Sub(j.began).Milliseconds(),
 	}
 	for _, part := range parts {
--- /dev/null
+++ b/entry/internal/batch/reader.go
@@ -0,0 +1,127 @@
+package batch
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// restLeast is the shortest pause between two reads that the client made of its own accord; a shorter one is the way
+	// there and back.
+	restLeast = 50 * time.Millisecond
+	// rhythmReads is the number of reads from which the rhythm of a client is taken, and rhythmLeast the fewest.
+	rhythmReads = 9
+	rhythmLeast = 3
+	// rhythmMost bounds the rhythm that is reckoned with: results of a client that reads less often are listed as they
+	// come.
+	rhythmMost = time.Second
+	// listTime is kept free for the write and the way back to the client.
+	listTime = 60 * time.Millisecond
+	// flushTime bounds how long a read that doesn't wait is kept for results that are ready and not listed.
+	flushTime = 100 * time.Millisecond
+	// rhythmModels bounds the models whose rhythms are kept.
+	rhythmModels = 256
+)
+
+// rhythms holds how often the trainers of each model read. It is safe for concurrent use.
+type rhythms struct {
+	mu    sync.Mutex
+	all   rhythm
+	model map[string]*rhythm
+}
+
+func newRhythms() *rhythms { return &rhythms{model: make(map[string]*rhythm)} }
+
+// note takes the time between the begins of two reads of a trainer that rested between them.
+func (r *rhythms) note(model string, gap time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m, ok := r.model[model]
+	if !ok {
+		if len(r.model) >= rhythmModels {
+			clear(r.model)
+		}
+		m = &rhythm{}
+		r.model[model] = m
+	}
+	m.note(gap)
+	r.all.note(gap)
+}
+
+// of returns how often the trainers of a model read, or all trainers while these are unknown; 0 if all are.
+func (r *rhythms) of(model string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if m, ok := r.model[model]; ok && m.every > 0 {
+		return m.every
+	}
+	return r.all.every
+}
+
+// rhythm is the median of the last gaps between reads.
+type rhythm struct {
+	gaps  []time.Duration // the newest last
+	every time.Duration   // 0 until there are enough
+}
+
+func (r *rhythm) note(gap time.Duration) {
+	r.gaps = append(r.gaps, gap)
+	r.gaps = r.gaps[max(len(r.gaps)-rhythmReads, 0):]
+	if len(r.gaps) >= rhythmLeast {
+		sorted := slices.Sorted(slices.Values(r.gaps))
+		r.every = sorted[len(sorted)/2]
+	}
+}
+
+// reader is what an owner knows of the client that takes the results of a job in their order, most of its reads waiting
+// for new ones.
+type reader struct {
+	front    int       // first position that it has not been given
+	asked    time.Time // begin of its newest read
+	answered time.Time // end of that read, zero while it waits
+}
+
+// leads reports whether a read from a position is one of that client, which reads every so often. Now and then it goes
+// back some positions, or does not wait; such a read may come from anyone, unless it is the one that is due.
+func (r *reader) leads(after int, waits bool, every time.Duration, now time.Time) bool {
+	if after >= r.front && (waits || r.front > 0) {
+		return true
+	}
+	rest := now.Sub(r.asked)
+	return !r.answered.IsZero() && rest > every*4/5 && rest < every*6/5
+}
+
+// begin notes that a read of the client begins, and returns the time since the one before if the client has rested in
+// between, or else 0.
+func (r *reader) begin(now time.Time) time.Duration {
+	gap := time.Duration(0)
+	if !r.answered.IsZero() && now.Sub(r.answered) >= restLeast {
+		gap = now.Sub(r.asked)
+	}
+	r.asked, r.answered = now, time.Time{}
+	return gap
+}
+
+// end notes that a read of the client has been answered up to a position.
+func (r *reader) end(next int, now time.Time) { r.front, r.answered = max(r.front, next), now }
+
+// hold returns until when results that are ready now may wait for others without reaching the client's next decision any
+// later; zero if they are to be listed as they come. The client reads every so often.
+//
+// It answers a load in which the results of a step come one after the other, and the client reads a few times a second:
+// an answer ends its read, it rests until its next one, and what comes meanwhile waits for two rests more, with which the
+// step ends later. Held until shortly before the rest would be over, they come in one answer, and in one record.
+func (r *reader) hold(every time.Duration, now time.Time) time.Time {
+	if every <= 0 || every > rhythmMost || r.asked.IsZero() {
+		return time.Time{}
+	}
+	by := r.asked.Add(every - listTime)
+	if !r.answered.IsZero() {
+		by = by.Add(every)
+	}
+	if by.Before(now) {
+		return time.Time{}
+	}
+	return by
+}
--- a/entry/internal/batch/run.go
+++ b/entry/internal/batch/run.go
@@ -40,10 +40,10 @@
 )
 
 // run starts items as servers have room until all are done or ctx ends.
-func (j *Job) run(ctx context.Context, listing chan struct{}) {
+func (j *Job) run(ctx context.Context) {
 	for {
 		freed, changed := j.manager.freedChan(), j.manager.Catalog.Changed()
-		waiting := j.schedule(ctx, listing)
+		waiting := j.schedule(ctx)
 		if waiting < 0 {
 			return
 		}
@@ -70,7 +70,7 @@
 }
 
 // schedule starts as many items as servers have room for and returns how many wait; negative if all are done.
-func (j *Job) schedule(ctx context.Context, listing chan struct{}) int {
+func (j *Job) schedule(ctx context.Context) int {
 	now := time.Now()
 	c := j.manager.Catalog.Config()
 	if c == nil {
@@ -80,12 +80,12 @@
 	pending := j.pending()
 	if !ok || j.expired(route, now) {
 		j.giveUp(pending, ok, now)
-		notify(listing)
+		notify(j.listing)
 		return j.left()
 	}
 	// Chosen before reward calls begin, whose outcome changes their items.
 	texts := slices.DeleteFunc(pending, func(it *item) bool { return it.whole })
-	waiting := j.score(ctx, c, now, listing)
+	waiting := j.score(ctx, c, now)
 	servers := j.manager.Catalog.Servers(route.Shares[0].Service)
 	for _, it := range texts {
 		s, ok := j.manager.Tracker.Pick(now, servers, j.need(it, now))
@@ -93,21 +93,21 @@
 			waiting++
 			continue
 		}
-		j.begin(it, s, listing, now, func() {
+		j.begin(it, s, now, func() {
 			for next := (&leg{server: s, began: now}); next != nil; {
 				next = j.attempt(ctx, it, next, route)
 			}
 		})
 	}
 	if j.left() < 0 {
-		notify(listing)
+		notify(j.listing)
 		return -1
 	}
 	return waiting
 }
 
 // begin runs an attempt of an item or of its reward call at a server.
-func (j *Job) begin(it *item, s catalog.Server, listing chan struct{}, now time.Time, attempt func()) {
+func (j *Job) begin(it *item, s catalog.Server, now time.Time, attempt func()) {
 	j.mu.Lock()
 	it.running = true
 	j.mu.Unlock()
@@ -119,7 +119,7 @@
 			j.mu.Unlock()
 			j.manager.free()
 			notify(j.wake)
-			notify(listing)
+			notify(j.listing)
 		}()
 		attempt()
 	})
@@ -438,6 +438,9 @@
 	within := j.within(now)
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	if j.spare(it) {
+		within = spareTime
+	}
 	return place.Need{
 		Model: j.spec.Model, MinVersion: j.spec.MinVersion, Room: true, Rest: j.rest(it), Within: within,
 	}
@@ -455,18 +458,15 @@
 	return forecast.Rest(j.manager.events.Events(j.spec.Model, it.hint, it.Tokens), len(it.data))
 }
 
-// within returns how long the step is expected to take yet, by its longest item at the fastest engine.
+// within returns how long the step is expected to take yet, by the longest item that its trainer waits for at the fastest
+// engine.
 func (j *Job) within(now time.Time) time.Duration {
 	fastest := j.manager.Tracker.Fastest()
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if now.Sub(j.measured) >= measureEvery {
-		j.measured, j.restMost = now, 0
-		for _, it := range j.items {
-			if !it.done && !it.whole {
-				j.restMost = max(j.restMost, j.rest(it))
-			}
-		}
+		j.measured = now
+		j.measure()
 	}
 	return time.Duration(j.restMost) * fastest
 }
--- a/entry/internal/batch/score.go
+++ b/entry/internal/batch/score.go
@@ -21,7 +21,7 @@
 const maxScored = 1 << 20
 
 // score sends as many reward calls as servers have room for and returns how many wait.
-func (j *Job) score(ctx context.Context, c *catalog.Config, now time.Time, listing chan struct{}) int {
+func (j *Job) score(ctx context.Context, c *catalog.Config, now time.Time) int {
 	waiting := 0
 	for _, it := range j.unscored() {
 		route, ok := c.Match(it.Reward.Host, it.Reward.Path)
@@ -36,7 +36,7 @@
 			continue
 		}
 		it.scorer = s.ID
-		j.begin(it, s, listing, now, func() { j.ask(ctx, it, s, route) })
+		j.begin(it, s, now, func() { j.ask(ctx, it, s, route) })
 	}
 	return waiting
 }
