--- a/entry/internal/batch/list.go
+++ b/entry/internal/batch/list.go
@@ -83,15 +83,14 @@
 	return j.lacking(undone) == 0 && j.lacking(unlisted) > 0
 }
 
-// gathers returns until when results that are ready now wait for others.
+// gathers returns until when results that are ready now wait for others. Results that are due are not held.
 func (j *Job) gathers(now time.Time) time.Time {
-	usual := now.Add(gather)
 	every := j.manager.rhythms.of(j.spec.Model)
 	j.mu.Lock()
 	by := j.reader.hold(every, now)
 	j.mu.Unlock()
-	if by.Before(usual) || j.due(now, by.Add(listTime)) {
-		return usual
+	if j.due(now, by.Add(listTime)) {
+		return now.Add(gather)
 	}
 	return by
 }
--- a/entry/internal/batch/reader.go
+++ b/entry/internal/batch/reader.go
@@ -106,22 +106,24 @@
 // end notes that a read of the client has been answered up to a position.
 func (r *reader) end(next int, now time.Time) { r.front, r.answered = max(r.front, next), now }
 
-// hold returns until when results that are ready now may wait for others without reaching the client's next decision any
-// later; zero if they are to be listed as they come. The client reads every so often.
+// hold returns until when results that are ready now wait for others: not so long that they reach the next decision of
+// the client any later, which reads every so often, 0 if unknown.
 //
-// It answers a load in which the results of a step come one after the other, and the client reads a few times a second:
-// an answer ends its read, it rests until its next one, and what comes meanwhile waits for two rests more, with which the
-// step ends later. Held until shortly before the rest would be over, they come in one answer, and in one record.
+// It answers a load in which the results of a step come one after the other, and the client reads a few times a second
+// and decides when it would read again: an answer ends its read, it rests until the next one, and what comes meanwhile
+// waits for that read and for the rest after it. Held until shortly before the rest would be over, results come in one
+// answer, and in one record.
 func (r *reader) hold(every time.Duration, now time.Time) time.Time {
+	usual := now.Add(gather)
 	if every <= 0 || every > rhythmMost || r.asked.IsZero() {
-		return time.Time{}
+		return usual
 	}
 	by := r.asked.Add(every - listTime)
 	if !r.answered.IsZero() {
 		by = by.Add(every)
 	}
-	if by.Before(now) {
-		return time.Time{}
+	if by.Before(usual) {
+		return usual
 	}
 	return by
 }
