Tell all entries when the store answers again

Cause: servers whose entries lapse in an outage of the store stay in use for two seconds, in which they register again. Found while a removed server that came back was traced, where the opposite held: an entry whose own connection had failed took that for an outage and kept a removed server for two seconds. Change: the reader's news tell the end of an outage, and an entry whose reader has had answers all the while does not take its own failed calls for one. Ruled out: servers that had not registered again (all had within 1.2 s). TestEndOfOutageIsTold fails without it in two of four cases.

--- a/entry/internal/relay/news.go
+++ b/entry/internal/relay/news.go
@@ -52,7 +52,7 @@
 		short: max(silent-settleReader-spareWait, leastWait),
 	}
 	s.silence = time.AfterFunc(silent, s.again)
-	f.Replace, f.Apply, f.Heard, f.Failed = s.replace, s.apply, s.reached, s.failed
+	f.Replace, f.Apply, f.Heard, f.Failed, f.Restored = s.replace, s.apply, s.reached, s.failed, s.restored
 	f.Settle, f.Wait, f.Renew = s.settle, s.wait, s.renew
 	b.Handle(s.kind(), s.told)
 	return f
@@ -70,11 +70,13 @@
 	// Used by the task that reads the store only.
 	changes []wire.StoreRecord // not told yet
 	before  int64              // newest change that was told
+	back    bool               // the store answers again, which is not told yet
 
 	mu      sync.Mutex
 	newest  int64 // revision of the newest change known
 	seen    int64 // all changes up to this revision are known
 	heard   time.Time
+	read    bool        // the reader heard last has had an answer of the store
 	silence *time.Timer // ends the reliance on readers
 	hurry   bool        // the next watch is to show quickly how far the store is
 }
@@ -114,6 +116,19 @@
 	s.before = revision
 }
 
+// restored notes that the store answers this entry again. That is no end of an outage of the store if a reader has had
+// answers all the while: only the calls of this entry have failed.
+func (s *spreader) restored(now time.Time) {
+	s.mu.Lock()
+	own := s.read && now.Sub(s.heard) < s.silent
+	s.mu.Unlock()
+	if own || s.feed.Restored == nil {
+		return
+	}
+	s.back = true
+	s.feed.Restored(now)
+}
+
 // apply takes a change that this entry has read itself.
 func (s *spreader) apply(c store.Change, now time.Time) {
 	s.feed.Apply(c, now)
@@ -127,11 +142,11 @@
 	s.seen, s.hurry = max(s.seen, revision), false
 	newest := s.newest
 	s.mu.Unlock()
-	n := wire.News{Kind: s.feed.Kind, Records: s.changes, Prev: s.before}
+	n := wire.News{Kind: s.feed.Kind, Records: s.changes, Prev: s.before, Back: s.back}
 	if len(n.Records) == 0 {
 		n.Records, n.Prev = []wire.StoreRecord{}, newest
 	}
-	s.changes, s.before = nil, newest
+	s.changes, s.before, s.back = nil, newest, false
 	if s.reads(now) {
 		s.peers.Tell(s.kind(), n)
 	}
@@ -185,7 +200,11 @@
 	now := time.Now()
 	s.mu.Lock()
 	behind := n.Prev > s.seen && !s.hurry
+	s.read = n.Prev > 0 || len(n.Records) > 0
 	s.mu.Unlock()
+	if n.Back && s.feed.Restored != nil {
+		s.feed.Restored(now)
+	}
 	for _, w := range n.Records {
 		c := FromWire(w)
 		s.feed.Apply(c, now)
--- a/entry/internal/relay/news_test.go
+++ b/entry/internal/relay/news_test.go
@@ -115,6 +115,50 @@
 	}
 }
 
+// Guards against servers that are given up after an outage of the store by entries that are told of their missing entries,
+// without the grace that the reader allows, and against that grace where only the calls of one entry have failed.
+func TestEndOfOutageIsTold(t *testing.T) {
+	for name, tc := range map[string]struct {
+		play func(a, b catalog.Feed, now time.Time)
+		want bool // the second entry takes it for the end of an outage
+	}{
+		"told by the reader": {want: true, play: func(a, _ catalog.Feed, now time.Time) {
+			a.Failed(now)
+			a.Restored(now)
+			read(a, 7, now)
+		}},
+		"told once": {play: func(a, _ catalog.Feed, now time.Time) {
+			a.Heard(6, now)
+			read(a, 7, now)
+		}},
+		"noticed while the reader still fails": {want: true, play: func(a, b catalog.Feed, now time.Time) {
+			a.Failed(now)
+			b.Failed(now)
+			b.Restored(now)
+		}},
+		"own calls failed": {play: func(a, b catalog.Feed, now time.Time) {
+			b.Failed(now)
+			read(a, 7, now)
+			b.Restored(now)
+		}},
+	} {
+		now := time.Now()
+		second := &member{others: []string{"a"}}
+		restored := false
+		feed := func(self string, m *member, note func(time.Time)) catalog.Feed {
+			return Spread(catalog.Feed{
+				Kind: "servers", Apply: func(store.Change, time.Time) {}, Restored: note,
+			}, self, bound, m, now)
+		}
+		a := feed("a", &member{others: []string{"b"}, to: []*member{second}}, func(time.Time) {})
+		b := feed("b", second, func(time.Time) { restored = true })
+		read(a, 4, now)
+		if tc.play(a, b, now); restored != tc.want {
+			t.Errorf("%s: taken for the end of an outage: %t, want %t", name, restored, tc.want)
+		}
+	}
+}
+
 // Guards against news that are late at an entry whose reader has fallen silent: the time without a word, the call and its
 // answer must fit into the bound. Another entry may be linked that reads for nobody.
 func TestSilentReader(t *testing.T) {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -740,6 +740,9 @@
 
 // Changes of the store that an entry has read.
 type News struct {
+	// The store answers the sender again after an outage.
+	Back bool `json:"back"`
+
 	// Kind of the objects.
 	Kind string `json:"kind"`
 
