Send a late reward call to another server as well

Change: after twice the usual time of a route's calls a second server is asked too, the first score counts and the other attempt is cut. One such attempt for ten successes at most. Ruled out: waiting for room, as calls begin within milliseconds of their text. TestLateCallGoesToAnotherServer fails without it.

--- a/entry/internal/batch/batch.go
+++ b/entry/internal/batch/batch.go
@@ -25,6 +25,7 @@
 	"bulrushspoke/entry/internal/forecast"
 	"bulrushspoke/entry/internal/ingress"
 	"bulrushspoke/entry/internal/place"
+	"bulrushspoke/entry/internal/reward"
 	"bulrushspoke/internal/catalog"
 	"bulrushspoke/internal/event"
 	"bulrushspoke/internal/job"
@@ -127,6 +128,7 @@
 	pace    *pacer
 	events  *forecast.Forecast
 	rhythms *rhythms
+	times   *reward.Times
 	freed   chan struct{} // closed when a slot of a server becomes free
 	closed  bool
 }
@@ -143,6 +145,7 @@
 		pace:    newPacer(o.Link),
 		events:  forecast.New(),
 		rhythms: newRhythms(),
+		times:   reward.NewTimes(),
 		freed:   make(chan struct{}),
 	}
 }
--- a/entry/internal/batch/rig_test.go
+++ b/entry/internal/batch/rig_test.go
@@ -318,10 +318,10 @@
 	if r.scorer == nil {
 		return
 	}
-	for i := range 2 { // the service has two servers
+	for i, server := range []*httptest.Server{r.scorer.Server, r.scorer.second} {
 		c.ApplyServer(catalog.Server{
 			ID: fmt.Sprintf("w%d", i), Revision: 50, Service: "w", Domain: "d", Slots: 6,
-			Address: strings.TrimPrefix(r.scorer.URL, "http://"),
+			Address: strings.TrimPrefix(server.URL, "http://"),
 		})
 	}
 }
--- a/entry/internal/batch/score.go
+++ b/entry/internal/batch/score.go
@@ -13,6 +13,7 @@
 	"bulrushspoke/internal/catalog"
 	"bulrushspoke/internal/event"
 	"bulrushspoke/internal/job"
+	"bulrushspoke/internal/supervise"
 	"bulrushspoke/internal/upstream"
 	"bulrushspoke/platform"
 )
@@ -73,39 +74,106 @@
 	return l
 }
 
-// ask sends the reward call of an item to one server once.
+// scoring is how an attempt of a reward call at a server ended.
+type scoring struct {
+	server  catalog.Server
+	began   time.Time
+	score   string
+	verdict verdict
+	outcome reward.Outcome
+}
+
+// ask sends the reward call of an item to a server, and to another one as well if the first is late. The first score
+// counts.
 func (j *Job) ask(ctx context.Context, it *item, s catalog.Server, route *catalog.Route) {
-	began := time.Now()
+	life, cancel := context.WithCancel(ctx)
+	defer cancel()
 	allowed := it.call.Allow(route.Objective, route.Timeout)
-	score, v, o := j.exchange(ctx, it.Reward, s, allowed)
-	now := time.Now()
-	if ctx.Err() != nil {
-		v.outcome, v.cause = place.Abandoned, "the job ended"
+	replies := make(chan scoring, 2)
+	open, scored := 1, false
+	go supervise.Guard(j.manager.Logger, "reward call", func() { j.exchange(life, it.Reward, s, allowed, replies) })
+	late := time.NewTimer(j.manager.times.Late(route.Name, allowed))
+	defer late.Stop()
+	for open > 0 {
+		select {
+		case r := <-replies:
+			open--
+			switch {
+			case ctx.Err() != nil:
+				r.verdict.outcome, r.verdict.cause = place.Abandoned, "the job ended"
+			case scored && r.score == "":
+				r.verdict.outcome, r.verdict.cause = place.Abandoned, causeUnwanted
+			}
+			j.answered(it, r, route, allowed)
+			if r.score != "" {
+				scored = true
+				cancel()
+			}
+		case now := <-late.C:
+			if other, ok := j.second(it, s, route, now); ok && !scored {
+				open++
+				go supervise.Guard(j.manager.Logger, "reward call", func() {
+					j.exchange(life, it.Reward, other, allowed, replies)
+				})
+			}
+		}
+	}
+}
+
+// second counts an attempt of an item's reward call at another server as begun, if one has room.
+func (j *Job) second(it *item, first catalog.Server, route *catalog.Route, now time.Time) (catalog.Server, bool) {
+	need := it.call.Need(now, map[string]bool{first.ID: true})
+	need.Room = true
+	s, ok := j.manager.Tracker.Pick(now, j.manager.Catalog.Servers(first.Service), need)
+	if !ok || !j.manager.times.Second(route.Name) {
+		return s, false
 	}
+	j.manager.Tracker.Began(s.ID, now)
+	return s, true
+}
+
+// answered takes the end of an attempt of an item's reward call.
+func (j *Job) answered(it *item, r scoring, route *catalog.Route, allowed time.Duration) {
+	now := time.Now()
+	v := r.verdict
 	var took time.Duration
 	if v.outcome == place.Answered {
-		took = now.Sub(began)
+		took = now.Sub(r.began)
 	}
-	j.manager.Tracker.Ended(s.ID, "", v.outcome, took, now)
+	j.manager.Tracker.Ended(r.server.ID, "", v.outcome, took, now)
 	j.mu.Lock()
 	switch {
-	case v.outcome == place.Abandoned:
-	case score != "":
-		j.list(it, score, now)
-	case it.call.Ended(o, route.Attempts, now):
+	case v.outcome == place.Abandoned || it.done:
+	case r.score != "":
+		j.manager.times.Note(route.Name, took)
+		j.list(it, r.score, now)
+	case it.call.Ended(r.outcome, route.Attempts, now):
 		j.void(it, now)
 		event.ItemGivenUp.Log(j.manager.Logger, "job", j.spec.ID, "request", it.ID, "cause", "its reward calls fail",
 			"call", it.Reward.ID)
 	}
 	tries := it.call.Tries()
 	j.mu.Unlock()
-	event.RewardAttempt.Log(j.manager.Logger, "job", j.spec.ID, "request", it.ID, "call", it.Reward.ID, "server", s.ID,
-		"status", v.status, "cause", v.cause, "scored", score != "", "tries", tries, "allowed", allowed.Milliseconds(),
-		"ms", now.Sub(began).Milliseconds())
+	notify(j.listing)
+	event.RewardAttempt.Log(j.manager.Logger, "job", j.spec.ID, "request", it.ID, "call", it.Reward.ID, "server", r.server.ID,
+		"status", v.status, "cause", v.cause, "scored", r.score != "", "tries", tries, "allowed", allowed.Milliseconds(),
+		"ms", now.Sub(r.began).Milliseconds())
 }
 
-// exchange sends a reward call and returns the score, empty if the answer holds none.
+// exchange sends a reward call to a server and hands over how that ended, in any case.
 func (j *Job) exchange(
+	ctx context.Context, c *job.Reward, s catalog.Server, allowed time.Duration, replies chan<- scoring,
+) {
+	r := scoring{
+		server: s, began: time.Now(), outcome: reward.Lost,
+		verdict: verdict{outcome: place.Broken, cause: "the attempt has ended unexpectedly"},
+	}
+	defer func() { replies <- r }()
+	r.score, r.verdict, r.outcome = j.call(ctx, c, s, allowed)
+}
+
+// call sends a reward call and returns the score, empty if the answer holds none.
+func (j *Job) call(
 	ctx context.Context, r *job.Reward, s catalog.Server, allowed time.Duration,
 ) (string, verdict, reward.Outcome) {
 	ctx, cancel := context.WithTimeout(ctx, allowed)
--- a/entry/internal/batch/score_test.go
+++ b/entry/internal/batch/score_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"bulrushspoke/entry/internal/reward"
 	"bulrushspoke/internal/call"
 	"bulrushspoke/internal/catalog"
 	"bulrushspoke/internal/job"
@@ -22,6 +23,7 @@
 // scorer is a plain service that scores texts. A test may change how it answers.
 type scorer struct {
 	*httptest.Server
+	second *httptest.Server // the service's other server
 	engine *engine
 
 	mu     sync.Mutex
@@ -33,8 +35,9 @@
 func newScorer(t *testing.T, e *engine) *scorer {
 	t.Helper()
 	s := &scorer{engine: e, calls: make(map[string]int)}
-	s.Server = httptest.NewServer(s)
+	s.Server, s.second = httptest.NewServer(s), httptest.NewServer(s)
 	t.Cleanup(s.CloseClientConnections)
+	t.Cleanup(s.second.CloseClientConnections)
 	return s
 }
 
@@ -431,3 +434,58 @@
 		t.Errorf("%d items went to the engine that leaves: %v", n-before, slices.Clone(leaving.started()[before:]))
 	}
 }
+
+// Guards against the score of a last text that waits until a silent server is given up: once it is later than usual the
+// call goes to another server as well, whose score counts, and the first attempt is ended.
+func TestLateCallGoesToAnotherServer(t *testing.T) {
+	e := newEngine(t, 1)
+	s := newScorer(t, e)
+	var mu sync.Mutex
+	waiting, beside := make(map[string]string), 0
+	left := make(chan struct{}, 1)
+	s.set(func(_ http.ResponseWriter, r *http.Request, id string, run int) bool {
+		if id != "call-late-2" {
+			return false
+		}
+		server := platformtest.Asked(r.Header).Server
+		mu.Lock()
+		if first, ok := waiting[id]; ok && first != server {
+			beside++
+		}
+		waiting[id] = server
+		mu.Unlock()
+		if run > 1 {
+			return false
+		}
+		<-r.Context().Done()
+		mu.Lock()
+		delete(waiting, id)
+		mu.Unlock()
+		left <- struct{}{}
+		return true
+	})
+	r := newRig(t, e)
+	r.scoring(s)
+	r.routes[0].Objective, r.routes[0].Timeout = 10*time.Second, 20*time.Second
+	m, _ := r.manager("a", "a1")
+	var usual []string
+	for i := range int(1/reward.SecondShare) + 5 {
+		usual = append(usual, fmt.Sprintf("u%d-1", i))
+	}
+	r.submit(m, "j", scored(usual...))
+	r.collect(m, "j", len(usual))
+	r.submit(m, "j2", scored("late-2"))
+	results := r.collect(m, "j2", 1)
+	check(t, results, "late-2")
+	checkScores(t, s, results)
+	select {
+	case <-left:
+	case <-time.After(5 * time.Second):
+		t.Error("the first attempt goes on")
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if beside != 1 || s.count("call-late-2") != 2 {
+		t.Errorf("%d attempts beside the first and %d in all, want 1 and 2", beside, s.count("call-late-2"))
+	}
+}
