--- a/entry/internal/batch/list.go
+++ b/entry/internal/batch/list.go
@@ -26,7 +26,8 @@
 
 // lister writes the results of a job to its log.
 type lister struct {
-	job *Job
+	job  *Job
+	held time.Duration // how long the results of the next record have waited for others
 }
 
 // run lists results until ctx ends. A trainer uses whole groups only, so results wait until their group is whole.
@@ -58,6 +59,7 @@
 	now := time.Now()
 	t := time.NewTimer(l.job.gathers(now).Sub(now))
 	defer t.Stop()
+	defer func() { l.held = time.Since(now) }()
 	for {
 		if l.job.urgent() {
 			return
@@ -162,7 +164,8 @@
 		total := len(j.results)
 		j.mu.Unlock()
 		event.ResultsListed.Log(j.manager.Logger, "job", j.spec.ID, "record", n, "results", len(held.Results),
-			"total", total, "ms", time.Since(began).Milliseconds())
+			"total", total, "held", l.held.Milliseconds(), "every", j.manager.rhythms.of(j.spec.Model).Milliseconds(),
+			"ms", time.Since(began).Milliseconds())
 		j.account(batch, time.Now())
 		if held.Writer != j.manager.Self.Inc {
 			go supervise.Guard(j.manager.Logger, "lost job", func() { j.manager.lost(j) })
--- a/entry/internal/reward/times.go
+++ b/entry/internal/reward/times.go
@@ -14,7 +14,7 @@
 	// timesRoutes bounds the routes that are remembered.
 	timesRoutes = 256
 	// lateFactor is how many times its usual time a call may take before it is sent to another server as well.
-	lateFactor = 2
+	lateFactor = 3
 	// lateLeast bounds that time from below.
 	lateLeast = 50 * time.Millisecond
 	// secondMost bounds the second attempts that are saved up.
