Test moves to servers that send bytes without end

In a head of one or many lines, in a line of the body, and in comments: an item that is to move there goes on where it is, and each attempt is left in time. Nothing had to be mended.

--- a/entry/internal/batch/move_test.go
+++ b/entry/internal/batch/move_test.go
@@ -1,7 +1,9 @@
 package batch
 
 import (
+	"errors"
 	"net/http"
+	"os"
 	"slices"
 	"strings"
 	"testing"
@@ -177,3 +179,57 @@
 		t.Error("a leg is offered to a move that was dropped")
 	}
 }
+
+// Guards against a server that an item is to move to and that sends bytes without end which are no event, in the head of
+// its answer or in the body: the item goes on where it is, and the connection is closed in time.
+func TestMoveToEndlessBytes(t *testing.T) {
+	for name, begin := range map[string]string{
+		"head":     "HTTP/1.1 200 OK\r\nX-Filler: ",
+		"headers":  "HTTP/1.1 200 OK\r\n",
+		"line":     "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: ",
+		"comments": "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			fill := strings.Repeat("x", 1<<10)
+			switch name {
+			case "headers":
+				fill = "X-Filler: " + fill + "\r\n"
+			case "comments":
+				fill = ": " + fill + "\n\n"
+			}
+			r, m, slow, fast := slowAndFast(t, false)
+			closed := make(chan struct{}, moveMost)
+			fast.set(func(e *engine) {
+				e.spill = func(w http.ResponseWriter, id string, _ int) bool {
+					if id != "a-80" {
+						return false
+					}
+					c, _, err := http.NewResponseController(w).Hijack()
+					if err != nil {
+						panic(err) // the server of a test can hand its connection over
+					}
+					defer func() { _ = c.Close() }()
+					_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+					_, err = c.Write([]byte(begin))
+					for err == nil {
+						_, err = c.Write([]byte(fill))
+					}
+					if !errors.Is(err, os.ErrDeadlineExceeded) {
+						closed <- struct{}{}
+					}
+					return true
+				}
+			})
+			r.submit(m, "job", payload(5, "a-80"))
+			check(t, r.collect(m, "job", 1), "a-80")
+			if got := starts(slow, "a-80"); !slices.Equal(got, []string{"a-80@1"}) {
+				t.Errorf("the slow engine ran %v, want one run to the end", got)
+			}
+			// An attempt that is left in time is followed by others before the item ends.
+			if n := len(closed); n < 2 {
+				t.Errorf("%d connections with endless bytes were closed while the item ran, want several", n)
+			}
+		})
+	}
+}
--- a/entry/internal/batch/rig_test.go
+++ b/entry/internal/batch/rig_test.go
@@ -34,9 +34,10 @@
 	*httptest.Server
 	mu      sync.Mutex
 	version int
-	gap     time.Duration                // between two events
-	answer  func(id string, run int) int // status of a run; 0 streams the item
-	cut     func(id string, run int) int // event in the middle of which the run breaks off; 0 for none
+	gap     time.Duration                                        // between two events
+	answer  func(id string, run int) int                         // status of a run; 0 streams the item
+	cut     func(id string, run int) int                         // event in the middle of which the run breaks off; 0 for none
+	spill   func(w http.ResponseWriter, id string, run int) bool // true if it has answered by itself
 	runs    map[string]int
 	starts  []string       // id and first event of each run that streamed
 	events  map[string]int // newest event of each item
@@ -80,9 +81,12 @@
 	if e.cut != nil {
 		cut = e.cut(id, run)
 	}
-	version, gap := e.version, e.gap
+	version, gap, spill := e.version, e.gap, e.spill
 	platformtest.Answer(w.Header(), call.Answer{Leaving: e.leaving})
 	e.mu.Unlock()
+	if spill != nil && spill(w, id, run) {
+		return
+	}
 	if status == http.StatusServiceUnavailable {
 		platformtest.Answer(w.Header(), call.Answer{NotRun: true})
 		w.WriteHeader(status)
