--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -29,27 +29,27 @@
 	total     int  // items
 	launched  bool // ran here; guarded by the mu of the manager
 
-	mu        sync.Mutex
-	items     map[string]*item
-	results   []job.Result
-	records   int             // records read or written
-	ready     []job.Result    // to be listed
-	ended     bool            // by the trainer
-	stopped   bool            // nothing runs here any more
-	looked    time.Time       // when the log was last read after the job stopped
-	checked   time.Time       // when the log was last read for a reader that was ahead
-	began     time.Time       // when this entry began to run it
-	measured  time.Time       // when restMost was determined
-	restMost  int             // events that the longest item which the trainer waits for is expected to make yet
-	only      bool            // the trainer waits for groups that come again only
-	carried   map[string]bool // groups that come again from an earlier job
-	accounted bool            // event.StepWhole was logged
-	reader    reader
-	flushing  bool // results are to be listed at once
-	cancel    context.CancelFunc
-	changed   chan struct{} // closed when results are listed or the job stops
-	wake      chan struct{} // tells the tasks of the job that an item changed
-	listing   chan struct{} // tells the lister that there may be results to list
+	mu          sync.Mutex
+	items       map[string]*item
+	results     []job.Result
+	records     int             // records read or written
+	ready       []job.Result    // to be listed
+	ended       bool            // by the trainer
+	stopped     bool            // nothing runs here any more
+	looked      time.Time       // when the log was last read after the job stopped
+	checked     time.Time       // when the log was last read for a reader that was ahead
+	began       time.Time       // when this entry began to run it
+	measured    time.Time       // when restMost was determined
+	restMost    int             // events that the longest item which the trainer waits for is expected to make yet
+	carried     map[string]bool // groups that come again from an earlier job
+	carriedOnly bool            // the trainer waits for no other groups
+	accounted   bool            // event.StepWhole was logged
+	reader      reader          // the client that takes the results in their order
+	flushing    bool            // results are to be listed at once
+	cancel      context.CancelFunc
+	changed     chan struct{} // closed when results are listed or the job stops
+	wake        chan struct{} // tells the tasks of the job that an item changed
+	listing     chan struct{} // tells the lister that there may be results to list
 }
 
 // item is one item of a job; its fields are guarded by the mu of the job.
--- a/entry/internal/batch/list.go
+++ b/entry/internal/batch/list.go
@@ -166,6 +166,7 @@
 		event.ResultsListed.Log(j.manager.Logger, "job", j.spec.ID, "record", n, "results", len(held.Results),
 			"total", total, "held", l.held.Milliseconds(), "every", j.manager.rhythms.of(j.spec.Model).Milliseconds(),
 			"ms", time.Since(began).Milliseconds())
+		l.held = 0
 		j.account(batch, time.Now())
 		if held.Writer != j.manager.Self.Inc {
 			go supervise.Guard(j.manager.Logger, "lost job", func() { j.manager.lost(j) })
--- a/entry/internal/batch/reader_test.go
+++ b/entry/internal/batch/reader_test.go
@@ -237,9 +237,9 @@
 			j.items[step.done].done = true
 		}
 		j.measure()
-		if got := j.lacking(undone); got != step.lacking || j.only != step.only {
+		if got := j.lacking(undone); got != step.lacking || j.carriedOnly != step.only {
 			t.Errorf("after %q the trainer waits for %d groups, for the one that comes again only: %t; want %d and %t",
-				step.done, got, j.only, step.lacking, step.only)
+				step.done, got, j.carriedOnly, step.lacking, step.only)
 		}
 	}
 }
--- a/entry/internal/batch/score.go
+++ b/entry/internal/batch/score.go
@@ -110,7 +110,10 @@
 				cancel()
 			}
 		case now := <-late.C:
-			if other, ok := j.second(it, s, route, now); ok && !scored {
+			if scored {
+				continue
+			}
+			if other, ok := j.second(it, s, route, now); ok {
 				open++
 				go supervise.Guard(j.manager.Logger, "reward call", func() {
 					j.exchange(life, it.Reward, other, allowed, replies)
--- a/entry/internal/batch/wanted.go
+++ b/entry/internal/batch/wanted.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// spareTime is the time that items have of groups which the trainer does not wait for.
+// spareTime is the time that is left to items which the trainer does not wait for.
 const spareTime = time.Minute
 
 // lacking returns how many groups the trainer waits for yet, of which an item is open; the caller holds mu. It waits for
@@ -44,7 +44,7 @@
 			}
 		}
 	}
-	j.only = carried > 0 && j.lacking(undone) <= carried
+	j.carriedOnly = carried > 0 && j.lacking(undone) <= carried
 	j.restMost = 0
 	for _, it := range j.items {
 		if !it.done && !it.whole && !j.spare(it) {
@@ -54,4 +54,4 @@
 }
 
 // spare reports whether the trainer does not wait for an item any more; the caller holds mu.
-func (j *Job) spare(it *item) bool { return j.only && !j.carried[it.Group] }
+func (j *Job) spare(it *item) bool { return j.carriedOnly && !j.carried[it.Group] }
