--- a/entry/internal/batch/batch.go
+++ b/entry/internal/batch/batch.go
@@ -127,7 +127,7 @@
 	texts   *texts
 	pace    *pacer
 	events  *forecast.Forecast
-	rhythms *rhythms
+	rhythms rhythms
 	times   *reward.Times
 	freed   chan struct{} // closed when a slot of a server becomes free
 	closed  bool
--- a/entry/internal/batch/reader.go
+++ b/entry/internal/batch/reader.go
@@ -1,9 +1,10 @@
 package batch
 
 import (
-	"slices"
-	"sync"
+	"cmp"
 	"time"
+
+	"bulrushspoke/entry/internal/typical"
 )
 
 const (
@@ -20,58 +21,25 @@
 	listTime = 60 * time.Millisecond
 	// flushTime bounds how long a read that doesn't wait is kept for results that are ready and not listed.
 	flushTime = 100 * time.Millisecond
-	// rhythmModels bounds the models whose rhythms are kept.
-	rhythmModels = 256
 )
 
-// rhythms holds how often the trainers of each model read. It is safe for concurrent use.
-type rhythms struct {
-	mu    sync.Mutex
-	all   rhythm
-	model map[string]*rhythm
-}
-
-func newRhythms() *rhythms { return &rhythms{model: make(map[string]*rhythm)} }
+// allModels stands for the trainers of all models.
+const allModels = ""
 
-// note takes the time between the begins of two reads of a trainer that rested between them.
-func (r *rhythms) note(model string, gap time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	m, ok := r.model[model]
-	if !ok {
-		if len(r.model) >= rhythmModels {
-			clear(r.model)
-		}
-		m = &rhythm{}
-		r.model[model] = m
-	}
-	m.note(gap)
-	r.all.note(gap)
-}
+// rhythms holds how often the trainers of each model read: the time between the begins of two reads of a trainer that
+// rested between them. It is safe for concurrent use.
+type rhythms struct{ gaps *typical.Durations }
 
-// of returns how often the trainers of a model read, or all trainers while these are unknown; 0 if all are.
-func (r *rhythms) of(model string) time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if m, ok := r.model[model]; ok && m.every > 0 {
-		return m.every
-	}
-	return r.all.every
-}
+func newRhythms() rhythms { return rhythms{gaps: typical.New(rhythmReads, rhythmLeast)} }
 
-// rhythm is the median of the last gaps between reads.
-type rhythm struct {
-	gaps  []time.Duration // the newest last
-	every time.Duration   // 0 until there are enough
+func (r rhythms) note(model string, gap time.Duration) {
+	r.gaps.Note(model, gap)
+	r.gaps.Note(allModels, gap)
 }
 
-func (r *rhythm) note(gap time.Duration) {
-	r.gaps = append(r.gaps, gap)
-	r.gaps = r.gaps[max(len(r.gaps)-rhythmReads, 0):]
-	if len(r.gaps) >= rhythmLeast {
-		sorted := slices.Sorted(slices.Values(r.gaps))
-		r.every = sorted[len(sorted)/2]
-	}
+// of returns how often the trainers of a model read, or all trainers while these are unknown; 0 if all are.
+func (r rhythms) of(model string) time.Duration {
+	return cmp.Or(r.gaps.Of(model), r.gaps.Of(allModels))
 }
 
 // reader is what an owner knows of the client that takes the results of a job in their order, most of its reads waiting
--- a/entry/internal/batch/reader_test.go
+++ b/entry/internal/batch/reader_test.go
@@ -15,7 +15,7 @@
 // follower is a trainer that reads the results of one job in virtual time, as the lister of its owner writes them.
 type follower struct {
 	reader  reader
-	rhythms *rhythms
+	rhythms rhythms
 	held    bool // results are held
 	every   time.Duration
 	wait    time.Duration
