--- a/entry/internal/batch/reader.go
+++ b/entry/internal/batch/reader.go
@@ -8,18 +8,17 @@
 )
 
 const (
-	// restLeast is the shortest pause between two reads that the client made of its own accord; a shorter one is the way
-	// there and back.
+	// restLeast is the shortest time between an answer and the next read that counts as a rest of the client; a shorter
+	// one is the way there and back.
 	restLeast = 50 * time.Millisecond
 	// rhythmReads is the number of reads from which the rhythm of a client is taken, and rhythmLeast the fewest.
 	rhythmReads = 9
 	rhythmLeast = 3
-	// rhythmMost bounds the rhythm that is reckoned with: results of a client that reads less often are listed as they
-	// come.
+	// rhythmMost is the longest rhythm for which results are held: a client that reads less often would get them too late.
 	rhythmMost = time.Second
 	// listTime is kept free for the write and the way back to the client.
 	listTime = 60 * time.Millisecond
-	// flushTime bounds how long a read that doesn't wait is kept for results that are ready and not listed.
+	// flushTime bounds how long a read that doesn't ask to wait is kept while held results are listed for it.
 	flushTime = 100 * time.Millisecond
 )
 
