Keep frames of other attempts while a test reads one

The test reads the end of one attempt and drops what comes of others meanwhile; two attempts that end one after the other are told by tasks of their own, so the second end may come first and was dropped. The daemon is not changed, and the test checks what it did.

--- a/daemon/internal/cli/program_test.go
+++ b/daemon/internal/cli/program_test.go
@@ -72,6 +72,7 @@
 	*link.Conn
 	t      *testing.T
 	frames chan link.Frame
+	passed []link.Frame                  // of other attempts, seen while one was read
 	wait   atomic.Pointer[chan struct{}] // the reading task waits for it once a result arrives
 }
 
@@ -161,39 +162,63 @@
 	}
 }
 
-// read collects the output of an attempt from an offset on and fails on a gap or a repeat.
+// read collects the output of an attempt from an offset on and fails on a gap or a repeat. What comes of other attempts
+// meanwhile is kept for their reads: attempts that end one after the other are told by tasks of their own.
 func (e *entryLink) read(id string, from int) result {
 	e.t.Helper()
 	var r result
+	kept := e.passed
+	e.passed = nil
 	for {
-		f := e.next(link.Chunk, link.Done, link.Refuse)
-		switch f.Kind {
-		case link.Chunk:
-			var c wire.Chunk
-			_ = f.Decode(&c)
-			if c.Attempt != id {
-				continue
-			}
-			if c.Offset != from+len(r.tokens) {
-				e.t.Fatalf("chunk at offset %d, want %d", c.Offset, from+len(r.tokens))
-			}
-			r.tokens = append(r.tokens, c.Tokens...)
-			r.spans = append(r.spans, c.Spans...)
-		case link.Done:
-			r.done = &wire.Done{}
-			_ = f.Decode(r.done)
-			if r.done.Attempt == id {
-				return r
-			}
-		case link.Refuse:
-			r.refuse = &wire.Refuse{}
-			_ = f.Decode(r.refuse)
-			if r.refuse.Attempt == id {
-				r.tokens = append(r.tokens, r.refuse.Tokens...)
-				return r
-			}
+		var f link.Frame
+		if len(kept) > 0 {
+			f, kept = kept[0], kept[1:]
+		} else {
+			f = e.next(link.Chunk, link.Done, link.Refuse)
+		}
+		if e.take(f, id, from, &r) {
+			e.passed = append(e.passed, kept...)
+			return r
+		}
+	}
+}
+
+// take adds a frame to the output of an attempt, and reports whether that is at its end.
+func (e *entryLink) take(f link.Frame, id string, from int, r *result) bool {
+	e.t.Helper()
+	switch f.Kind {
+	case link.Chunk:
+		var c wire.Chunk
+		_ = f.Decode(&c)
+		if c.Attempt != id {
+			break
+		}
+		if c.Offset != from+len(r.tokens) {
+			e.t.Fatalf("chunk at offset %d, want %d", c.Offset, from+len(r.tokens))
+		}
+		r.tokens = append(r.tokens, c.Tokens...)
+		r.spans = append(r.spans, c.Spans...)
+		return false
+	case link.Done:
+		var d wire.Done
+		_ = f.Decode(&d)
+		if d.Attempt != id {
+			break
+		}
+		r.done = &d
+		return true
+	case link.Refuse:
+		var refused wire.Refuse
+		_ = f.Decode(&refused)
+		if refused.Attempt != id {
+			break
 		}
+		r.refuse = &refused
+		r.tokens = append(r.tokens, refused.Tokens...)
+		return true
 	}
+	e.passed = append(e.passed, f)
+	return false
 }
 
 func completion(id string, tokens int) wire.Work {
