--- a/entry/internal/batch/batch.go
+++ b/entry/internal/batch/batch.go
@@ -267,10 +267,15 @@
 	case err != nil:
 		return s, unavailable(err.Error())
 	}
+	m.remember(id, s)
+	return s, ingress.Reply{}
+}
+
+// remember notes the state of a job that another entry owns.
+func (m *Manager) remember(id string, s wire.JobState) {
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.owners[id] = s
-	m.mu.Unlock()
-	return s, ingress.Reply{}
 }
 
 func (m *Manager) forget(id string) {
@@ -365,9 +370,7 @@
 		if j != nil {
 			j.finish()
 		} else {
-			m.mu.Lock()
-			m.owners[id] = s
-			m.mu.Unlock()
+			m.remember(id, s)
 		}
 		m.Peers.Tell(link.End, wire.JobEnd{Job: id})
 		event.JobEnded.Log(m.Logger, "job", id, "owner", s.Owner, "epoch", s.Epoch)
--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -39,8 +39,8 @@
 	looked      time.Time       // when the log was last read after the job stopped
 	checked     time.Time       // when the log was last read for a reader that was ahead
 	began       time.Time       // when this entry began to run it
-	measured    time.Time       // when restMost was determined
-	restMost    int             // events that the longest item which the trainer waits for is expected to make yet
+	measured    time.Time       // when remaining was determined
+	remaining   time.Duration   // that the items which the trainer waits for are expected to take yet
 	carried     map[string]bool // groups that come again from an earlier job
 	carriedOnly bool            // the trainer waits for no other groups
 	accounted   bool            // event.StepWhole was logged
@@ -355,11 +355,10 @@
 		return
 	}
 	notify(j.listing)
-	t := time.NewTimer(flushTime)
-	defer t.Stop()
+	ctx, cancel := context.WithTimeout(ctx, flushTime)
+	defer cancel()
 	select {
 	case <-changed:
-	case <-t.C:
 	case <-ctx.Done():
 	}
 }
--- a/entry/internal/batch/list.go
+++ b/entry/internal/batch/list.go
@@ -82,7 +82,7 @@
 		j.flushing = false
 		return true
 	}
-	return j.lacking(undone) == 0 && j.lacking(unlisted) > 0
+	return j.whole(undone) && !j.whole(unlisted)
 }
 
 // gathers returns until when results that are ready now wait for others. Results that are due are not held.
--- a/entry/internal/batch/move.go
+++ b/entry/internal/batch/move.go
@@ -207,7 +207,7 @@
 	switch {
 	case r.meaning == call.NotRun:
 		resp.Discard()
-		return place.Refused, "the server refused"
+		return place.Refused, causeRefused
 	case r.meaning == call.Foreign:
 		resp.Abandon()
 		return place.Broken, call.CauseForeign
--- a/entry/internal/batch/owner.go
+++ b/entry/internal/batch/owner.go
@@ -84,9 +84,7 @@
 		if err != nil {
 			return unavailable(err.Error())
 		}
-		m.mu.Lock()
-		m.owners[id] = s
-		m.mu.Unlock()
+		m.remember(id, s)
 		if s.Owner != m.Name && !force && m.Peers.Incarnation(s.Owner) == s.Inc {
 			return ingress.Reply{} // the owner can be asked again
 		}
--- a/entry/internal/batch/path.go
+++ b/entry/internal/batch/path.go
@@ -47,10 +47,7 @@
 func (j *Job) account(listed []job.Result, now time.Time) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if j.accounted {
-		return
-	}
-	if j.lacking(unlisted) > 0 {
+	if j.accounted || !j.whole(unlisted) {
 		return
 	}
 	j.accounted = true
--- a/entry/internal/batch/reader.go
+++ b/entry/internal/batch/reader.go
@@ -27,9 +27,11 @@
 
 // rhythms holds how often the trainers of each model read: the time between the begins of two reads of a trainer that
 // rested between them. It is safe for concurrent use.
-type rhythms struct{ gaps *typical.Durations }
+type rhythms struct {
+	gaps *typical.Values[time.Duration]
+}
 
-func newRhythms() rhythms { return rhythms{gaps: typical.New(rhythmReads, rhythmLeast)} }
+func newRhythms() rhythms { return rhythms{gaps: typical.New[time.Duration](rhythmReads, rhythmLeast)} }
 
 func (r rhythms) note(model string, gap time.Duration) {
 	r.gaps.Note(model, gap)
--- a/entry/internal/batch/reader_test.go
+++ b/entry/internal/batch/reader_test.go
@@ -237,7 +237,7 @@
 			j.items[step.done].done = true
 		}
 		j.measure()
-		if got := j.lacking(undone); got != step.lacking || j.carriedOnly != step.only {
+		if got, _ := j.lacking(undone); got != step.lacking || j.carriedOnly != step.only {
 			t.Errorf("after %q the trainer waits for %d groups, for the one that comes again only: %t; want %d and %t",
 				step.done, got, j.carriedOnly, step.lacking, step.only)
 		}
--- a/entry/internal/batch/run.go
+++ b/entry/internal/batch/run.go
@@ -200,7 +200,7 @@
 	v := j.send(ctx, it, l, route)
 	now := time.Now()
 	if ctx.Err() != nil {
-		v.outcome, v.cause = place.Abandoned, "the job ended"
+		v.outcome, v.cause = place.Abandoned, causeEnded
 	}
 	took := now.Sub(l.began)
 	var pace time.Duration
@@ -270,7 +270,7 @@
 	v.outcome = place.Refused
 	switch {
 	case meaning == call.NotRun:
-		v.cause = "the server refused"
+		v.cause = causeRefused
 	case resp.StatusCode == http.StatusUnprocessableEntity:
 		v.outcome, v.cause = place.Answered, "the item can never be done"
 		j.mu.Lock()
@@ -431,13 +431,19 @@
 	causeSilent   = "no event in time"
 	causeUnwanted = "the item does not need it any more"
 	causeFailed   = "the server failed"
+	causeRefused  = "the server refused"
+	causeEnded    = "the job ended"
 )
 
 // need names what an item needs of a server.
 func (j *Job) need(it *item, now time.Time) place.Need {
-	within := j.within(now)
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	if now.Sub(j.measured) >= measureEvery {
+		j.measured = now
+		j.measure()
+	}
+	within := j.remaining
 	if j.spare(it) {
 		within = spareTime
 	}
@@ -458,19 +464,6 @@
 	return forecast.Rest(j.manager.events.Events(j.spec.Model, it.hint, it.Tokens), len(it.data))
 }
 
-// within returns how long the step is expected to take yet, by the longest item that its trainer waits for at the fastest
-// engine.
-func (j *Job) within(now time.Time) time.Duration {
-	fastest := j.manager.Tracker.Fastest()
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	if now.Sub(j.measured) >= measureEvery {
-		j.measured = now
-		j.measure()
-	}
-	return time.Duration(j.restMost) * fastest
-}
-
 // single reports whether an item's text has been made by the given version only.
 func (j *Job) single(it *item, version int) bool {
 	j.mu.Lock()
--- a/entry/internal/batch/score.go
+++ b/entry/internal/batch/score.go
@@ -90,8 +90,12 @@
 	defer cancel()
 	allowed := it.call.Allow(route.Objective, route.Timeout)
 	replies := make(chan scoring, 2)
-	open, scored := 1, false
-	go supervise.Guard(j.manager.Logger, "reward call", func() { j.exchange(life, it.Reward, s, allowed, replies) })
+	open, scored := 0, false
+	send := func(s catalog.Server) {
+		open++
+		go supervise.Guard(j.manager.Logger, "reward call", func() { j.exchange(life, it.Reward, s, allowed, replies) })
+	}
+	send(s)
 	late := time.NewTimer(j.manager.times.Late(route.Name, allowed))
 	defer late.Stop()
 	for open > 0 {
@@ -100,7 +104,7 @@
 			open--
 			switch {
 			case ctx.Err() != nil:
-				r.verdict.outcome, r.verdict.cause = place.Abandoned, "the job ended"
+				r.verdict.outcome, r.verdict.cause = place.Abandoned, causeEnded
 			case scored && r.score == "":
 				r.verdict.outcome, r.verdict.cause = place.Abandoned, causeUnwanted
 			}
@@ -114,10 +118,7 @@
 				continue
 			}
 			if other, ok := j.second(it, s, route, now); ok {
-				open++
-				go supervise.Guard(j.manager.Logger, "reward call", func() {
-					j.exchange(life, it.Reward, other, allowed, replies)
-				})
+				send(other)
 			}
 		}
 	}
@@ -195,7 +196,7 @@
 	switch {
 	case meaning == call.NotRun:
 		resp.Discard()
-		v.outcome, v.cause = place.Refused, "the server refused"
+		v.outcome, v.cause = place.Refused, causeRefused
 		return "", v, reward.Refused
 	case meaning == call.Foreign, resp.Header.Get("Content-Encoding") != "":
 		resp.Abandon()
--- a/entry/internal/batch/submit.go
+++ b/entry/internal/batch/submit.go
@@ -94,9 +94,7 @@
 	var done wire.JobReply
 	err := m.Peers.Ask(ctx, s.Owner, link.Start, wire.JobStart{Job: id, State: s, Payload: body}, &done)
 	if err == nil && done.Done {
-		m.mu.Lock()
-		m.owners[id] = s
-		m.mu.Unlock()
+		m.remember(id, s)
 		return
 	}
 	// Any read of the job by a client finds it without an owner, too, if the store does not answer now.
--- a/entry/internal/forecast/forecast.go
+++ b/entry/internal/forecast/forecast.go
@@ -12,8 +12,9 @@
 package forecast
 
 import (
-	"slices"
-	"sync"
+	"cmp"
+
+	"bulrushspoke/entry/internal/typical"
 )
 
 const (
@@ -28,52 +29,26 @@
 
 // Forecast knows the whole items of each model. It is safe for several tasks.
 type Forecast struct {
-	mu     sync.Mutex
-	models map[string]*model
-}
-
-// model holds the ratios of estimated tokens to events, the oldest first.
-type model struct {
-	ratios []float64
-	median float64
+	tokens *typical.Values[float64] // of the estimate for each event
 }
 
 // New returns a Forecast that has seen no item.
-func New() *Forecast { return &Forecast{models: make(map[string]*model)} }
+func New() *Forecast { return &Forecast{tokens: typical.New[float64](window, 1)} }
 
 // Ended tells that an item with an estimate of hint tokens has made its last event.
 func (f *Forecast) Ended(name string, hint, events int) {
-	if hint <= 0 || events <= 0 {
-		return
+	if hint > 0 && events > 0 {
+		f.tokens.Note(name, float64(hint)/float64(events))
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	m := f.models[name]
-	if m == nil {
-		m = &model{}
-		f.models[name] = m
-	}
-	m.ratios = append(m.ratios, float64(hint)/float64(events))
-	if len(m.ratios) > window {
-		m.ratios = slices.Delete(m.ratios, 0, len(m.ratios)-window)
-	}
-	sorted := slices.Sorted(slices.Values(m.ratios))
-	m.median = sorted[len(sorted)/2]
 }
 
 // Events returns how many events an item with an estimate of hint tokens makes, which are most tokens at the longest (0
 // if unknown). Before the first whole item of a model an event counts as one token, so that items can be compared.
 func (f *Forecast) Events(name string, hint, most int) int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	tokens := 1.0
-	if m := f.models[name]; m != nil {
-		tokens = m.median
-	}
 	if most > 0 {
 		hint = min(hint, most)
 	}
-	return int(float64(hint) / tokens)
+	return int(float64(hint) / cmp.Or(f.tokens.Of(name), 1))
 }
 
 // Rest returns how many events an item is expected to make yet, given its estimate and the events that it has made.
--- a/entry/internal/forecast/forecast_test.go
+++ b/entry/internal/forecast/forecast_test.go
@@ -30,7 +30,7 @@
 	}
 }
 
-// Guards against ratios of long ago that outweigh the present ones, and against memory that grows with every item.
+// Guards against ratios of long ago that outweigh the present ones.
 func TestWindow(t *testing.T) {
 	f := New()
 	for range 10 * window {
@@ -42,9 +42,6 @@
 	if got := f.Events("m", 100, 0); got != 10 {
 		t.Errorf("%d events after more than half of the window had 10", got)
 	}
-	if n := len(f.models["m"].ratios); n > window {
-		t.Errorf("%d ratios are kept", n)
-	}
 }
 
 // Guards against an item that has outlived its estimate and counts as done.
--- a/entry/internal/reward/times.go
+++ b/entry/internal/reward/times.go
@@ -27,7 +27,7 @@
 
 // Times holds how long successful calls took, by route. It is safe for concurrent use.
 type Times struct {
-	took *typical.Durations
+	took *typical.Values[time.Duration]
 
 	mu    sync.Mutex
 	spare map[string]float64 // second attempts that are allowed
@@ -35,7 +35,7 @@
 
 // NewTimes returns a Times that has seen no call.
 func NewTimes() *Times {
-	return &Times{took: typical.New(timesKept, timesLeast), spare: make(map[string]float64)}
+	return &Times{took: typical.New[time.Duration](timesKept, timesLeast), spare: make(map[string]float64)}
 }
 
 // Note takes the time of a successful call.
--- a/entry/internal/typical/typical.go
+++ b/entry/internal/typical/typical.go
@@ -1,66 +1,67 @@
-// Package typical keeps the usual value of durations by name: the median of the last ones.
+// Package typical keeps the usual value of what is measured by name: the median of the last values.
 //
 // # Usage
 //
-//	d := typical.New(31, 5) // of the last 31, known from the fifth on
-//	d.Note("route", took)
-//	usual := d.Of("route") // 0 while unknown
+//	v := typical.New[time.Duration](31, 5) // of the last 31, known from the fifth on
+//	v.Note("route", took)
+//	usual := v.Of("route") // 0 while unknown
 package typical
 
 import (
+	"cmp"
 	"slices"
 	"sync"
-	"time"
 )
 
 // namesMost bounds the names that are remembered; they are forgotten together, and learnt again from a few values.
 const namesMost = 256
 
-// Durations is safe for concurrent use.
-type Durations struct {
+// Values is safe for concurrent use.
+type Values[T cmp.Ordered] struct {
 	kept  int
 	least int
 
 	mu    sync.Mutex
-	names map[string]*series
+	names map[string]*series[T]
 }
 
-type series struct {
-	last  []time.Duration // the newest last
-	usual time.Duration   // 0 until there are enough
+type series[T cmp.Ordered] struct {
+	last  []T // the newest last
+	usual T   // the zero value until there are enough
 }
 
-// New returns a Durations that takes the last kept values of a name into account, once it has least of them.
-func New(kept, least int) *Durations {
-	return &Durations{kept: kept, least: least, names: make(map[string]*series)}
+// New returns a Values that takes the last kept values of a name into account, once it has least of them.
+func New[T cmp.Ordered](kept, least int) *Values[T] {
+	return &Values[T]{kept: kept, least: least, names: make(map[string]*series[T])}
 }
 
 // Note takes a value.
-func (d *Durations) Note(name string, value time.Duration) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	s, ok := d.names[name]
+func (v *Values[T]) Note(name string, value T) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s, ok := v.names[name]
 	if !ok {
-		if len(d.names) >= namesMost {
-			clear(d.names)
+		if len(v.names) >= namesMost {
+			clear(v.names)
 		}
-		s = &series{}
-		d.names[name] = s
+		s = &series[T]{}
+		v.names[name] = s
 	}
 	s.last = append(s.last, value)
-	s.last = s.last[max(len(s.last)-d.kept, 0):]
-	if len(s.last) >= d.least {
+	s.last = s.last[max(len(s.last)-v.kept, 0):]
+	if len(s.last) >= v.least {
 		sorted := slices.Sorted(slices.Values(s.last))
 		s.usual = sorted[len(sorted)/2]
 	}
 }
 
-// Of returns the usual value of a name, 0 while it is unknown.
-func (d *Durations) Of(name string) time.Duration {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if s, ok := d.names[name]; ok {
+// Of returns the usual value of a name, the zero value while it is unknown.
+func (v *Values[T]) Of(name string) T {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if s, ok := v.names[name]; ok {
 		return s.usual
 	}
-	return 0
+	var unknown T
+	return unknown
 }
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -23,12 +23,11 @@
 	lastUse = time.Second
 	// noticeTime is how long a notice is remembered; a server that leaves is gone by then.
 	noticeTime = 10 * time.Minute
+	// removalTime is how long a removal is remembered. News that were read before it come later by an outage of the store
+	// or the pause of a process, which last minutes at most.
+	removalTime = 10 * time.Minute
 )
 
-// removalTime is how long a removal is remembered. News that were read before it come later by an outage of the store or
-// the pause of a process, which last minutes at most.
-const removalTime = 10 * time.Minute
-
 // removal is the newest removal of an entry.
 type removal struct {
 	revision int64
@@ -216,11 +215,7 @@
 	if held, ok := c.servers[s.ID]; ok && held.Born != s.Born {
 		return // of a former incarnation
 	}
-	for id, n := range c.notices {
-		if now.Sub(n.at) > noticeTime {
-			delete(c.notices, id)
-		}
-	}
+	maps.DeleteFunc(c.notices, func(_ string, n notice) bool { return now.Sub(n.at) > noticeTime })
 	c.notices[s.ID] = notice{born: s.Born, at: now}
 	event.ServerLeaves.Log(c.logger, "server", s.ID, "born", s.Born)
 	c.arrange()
@@ -272,11 +267,7 @@
 // remove takes a server out of use, at once or after the grace that follows an outage; entries up to the revision of the
 // removal don't bring it back.
 func (c *Catalog) remove(id string, revision int64, now time.Time) {
-	for other, r := range c.removed {
-		if now.Sub(r.at) > removalTime {
-			delete(c.removed, other)
-		}
-	}
+	maps.DeleteFunc(c.removed, func(_ string, r removal) bool { return now.Sub(r.at) > removalTime })
 	c.removed[id] = removal{revision: max(revision, c.removed[id].revision), at: now}
 	if _, ok := c.servers[id]; !ok {
 		return
