Log the request rates that servers state as their limit

Nothing read the header, so neither logs nor metrics showed which entry knew of a limit, and three hypotheses could not be told apart.

Change: the adapter decodes the header; RecordAnswer passes it to internal/ratelimit, which logs 140 to 142 and exports the gauge limited_servers. A limit ends with an answer without one to a request sent after the limit became known, or with the incarnation. No decision uses it yet.

Ruled out as the cause: sums over entries, retries, moves and tests of a configuration.

--- a/entry/internal/batch/run.go
+++ b/entry/internal/batch/run.go
@@ -300,12 +300,14 @@
 
 // post sends the request with the given id to a server and reads the headers of the response.
 func (j *Job) post(ctx context.Context, s catalog.Server, id string, q upstream.Request) (serverReply, error) {
+	sentAt := time.Now()
 	resp, err := j.manager.Pool.Send(ctx, j.target(s), q)
 	if err != nil {
 		return serverReply{}, err
 	}
 	answer := platform.Headers{}.Answer(resp.StatusCode, resp.Header)
-	return serverReply{resp: resp, answer: answer, meaning: j.manager.Catalog.RecordAnswer(s, answer, id, time.Now())}, nil
+	meaning := j.manager.Catalog.RecordAnswer(s, answer, id, sentAt, time.Now())
+	return serverReply{resp: resp, answer: answer, meaning: meaning}, nil
 }
 
 // target returns the address and connection settings of a server.
--- a/entry/internal/cli/platform.go
+++ b/entry/internal/cli/platform.go
@@ -191,6 +191,8 @@
 func (p *platformEntry) buildEntry(lifetime context.Context, pool *upstream.Pool, m *meter.Meter) error {
 	s := p.settings
 	p.catalog = catalog.New(p.logger)
+	m.Gauge("limited_servers", "Servers that state a limit of their request rate.",
+		func() float64 { return float64(p.catalog.Limits().Limited()) })
 	source := newSeedSource(0)
 	tracker := place.New(place.Home{Domain: s.Domain, Region: s.Region, Regions: s.Regions},
 		rand.New(rand.NewChaCha8(nextSeed(source))))
--- a/entry/internal/ingress/forward.go
+++ b/entry/internal/ingress/forward.go
@@ -183,12 +183,13 @@
 ) attempt {
 	svc := q.config.Services[s.Service]
 	target := upstream.Target{Address: s.Address, Incarnation: s.ID, Conns: svc.MaxConns}
+	sentAt := time.Now()
 	resp, err := g.Pool.Send(ctx, target, g.upstreamRequest(q, call.Attempt{Server: s.ID, Timeout: left}))
 	if err != nil {
 		return sendFailure(err)
 	}
 	answer := g.headers.Answer(resp.StatusCode, resp.Header)
-	meaning := g.Catalog.RecordAnswer(s, answer, q.ID, time.Now())
+	meaning := g.Catalog.RecordAnswer(s, answer, q.ID, sentAt, time.Now())
 	switch {
 	case meaning == call.NotRun:
 		resp.Discard()
--- a/entry/internal/ingress/stream.go
+++ b/entry/internal/ingress/stream.go
@@ -166,7 +166,7 @@
 			continue
 		}
 		a := g.headers.Answer(resp.StatusCode, resp.Header)
-		meaning := g.Catalog.RecordAnswer(s, a, q.ID, time.Now())
+		meaning := g.Catalog.RecordAnswer(s, a, q.ID, now, time.Now())
 		if resp.StatusCode == http.StatusOK && meaning == call.Genuine && isEventStream(resp.Header) {
 			return resp, &s
 		}
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -32,6 +32,15 @@
 	NotRun    bool   // the server states that it did not run the request
 	Leaving   bool   // the server states that it is about to shut down
 	Version   int    // weight version that the answer starts with; 0 if none was given
+	Limit     Limit  // what the server states about the rate of requests that it accepts
+}
+
+// Limit is a server's statement about the rate of requests that it accepts from all senders together. The zero value means
+// that the answer states no limit.
+type Limit struct {
+	Stated  bool    // the answer states a limit
+	Invalid bool    // the stated value is not a rate
+	Rate    float64 // requests a second, finite and not negative; only set if the limit is valid
 }
 
 // CauseForeign is the log text for answers whose Meaning is Foreign.
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -11,6 +11,7 @@
 
 	"bulrushspoke/internal/call"
 	"bulrushspoke/internal/event"
+	"bulrushspoke/internal/ratelimit"
 )
 
 // missingGrace is how long a server whose entry is missing after an outage of the store stays in use. The entries of
@@ -44,6 +45,7 @@
 // Catalog holds the newest known objects. It is safe for concurrent use.
 type Catalog struct {
 	logger *slog.Logger
+	limits *ratelimit.Limiter
 	config atomic.Pointer[Config]
 	view   atomic.Pointer[view]
 
@@ -68,6 +70,7 @@
 func New(logger *slog.Logger) *Catalog {
 	c := &Catalog{
 		logger:   logger,
+		limits:   ratelimit.New(logger),
 		servers:  make(map[string]Server),
 		missing:  make(map[string]time.Time),
 		removed:  make(map[string]removal),
@@ -79,6 +82,9 @@
 	return c
 }
 
+// Limits returns the limiter with the limits that the servers state. Those of former incarnations are dropped.
+func (c *Catalog) Limits() *ratelimit.Limiter { return c.limits }
+
 // Config returns the newest configuration, or nil if none is known.
 func (c *Catalog) Config() *Config { return c.config.Load() }
 
@@ -194,13 +200,21 @@
 	c.publish()
 }
 
-// RecordAnswer returns the meaning of an answer of server s for the request with the given id, and records the server's statement
-// that it is about to leave.
-func (c *Catalog) RecordAnswer(s Server, a call.Answer, id string, now time.Time) call.Meaning {
+// RecordAnswer returns the meaning of an answer of server s for the request with the given id, sent at the given time. It
+// records what the server states about itself: that it is about to leave, or a limit of its request rate.
+func (c *Catalog) RecordAnswer(s Server, a call.Answer, id string, sentAt, now time.Time) call.Meaning {
 	m := a.Meaning(id)
-	if a.Leaving && m != call.Foreign {
+	if m == call.Foreign {
+		return m
+	}
+	if a.Leaving {
 		c.MarkLeaving(s, now)
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if held, ok := c.servers[s.ID]; ok && held.StartedAt == s.StartedAt {
+		c.limits.Record(s.ID, a.Limit, sentAt, now)
+	}
 	return m
 }
 
@@ -262,6 +276,9 @@
 	case !ok:
 		event.ServerKnown.Log(c.logger, "server", s.ID, "address", s.Address, "revision", s.Revision, "draining", s.Draining)
 	case held.Draining != s.Draining || held.StartedAt != s.StartedAt:
+		if held.StartedAt != s.StartedAt {
+			c.limits.Forget(s.ID)
+		}
 		event.ServerChanged.Log(c.logger, "server", s.ID, "revision", s.Revision, "draining", s.Draining, "born", s.StartedAt)
 	}
 }
@@ -283,6 +300,7 @@
 	}
 	delete(c.servers, id)
 	delete(c.missing, id)
+	c.limits.Forget(id)
 	event.ServerGone.Log(c.logger, "server", id)
 }
 
@@ -295,6 +313,7 @@
 	}
 	delete(c.servers, id)
 	delete(c.missing, id)
+	c.limits.Forget(id)
 	event.ServerGone.Log(c.logger, "server", id, "cause", "entry did not reappear after an outage of the store")
 	c.publish()
 }
