--- /dev/null
+++ b/entry/internal/ingress/limit_test.go
@@ -0,0 +1,46 @@
+package ingress
+
+import (
+	"net"
+	"net/http"
+	"strconv"
+	"testing"
+
+	"bulrushspoke/internal/call"
+	"bulrushspoke/internal/catalog"
+	"bulrushspoke/platform/platformtest"
+)
+
+// limitedTo responds like a server that states a limit of its request rate.
+func limitedTo(rate float64) script {
+	return func(c net.Conn, q *http.Request, _ string) bool {
+		return write(c, "200 OK\r\n"+platformtest.RawResponseHeaders(call.Answer{
+			ID: platformtest.DecodeServerRequest(q.Header).ID, Signature: platformtest.Signature,
+			Limit: call.Limit{Stated: true, Rate: rate},
+		}), "fine")
+	}
+}
+
+// Guards against a server that gets more requests than one and a half times its stated limit and five, and against
+// rejections that do not say when to come back.
+func TestRequestsStayWithinStatedLimit(t *testing.T) {
+	const rate, window = 2.0, 4.0
+	s := newServer(t, limitedTo(rate))
+	r := newRig(t, catalog.Route{Kind: catalog.Safe, MaxAttempts: 2}, s)
+	for range 60 {
+		resp, _, err := r.send(t, "GET", "/p/", "", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if resp.StatusCode == http.StatusOK {
+			continue
+		}
+		after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+		if resp.StatusCode != http.StatusServiceUnavailable || err != nil || after <= 0 {
+			t.Fatalf("rejected with %d and Retry-After %q", resp.StatusCode, resp.Header.Get("Retry-After"))
+		}
+	}
+	if got, most := len(s.requests()), int(1.5*rate*window+5); got > most {
+		t.Errorf("the server got %d requests in less than 4 s, allowed are %d", got, most)
+	}
+}
