Keep requests within the rates that servers state as their limit

Callers saw: nothing at once; a server in need that states Server-Limit got far more than that and stayed in need.

Cause: no decision read the limit, and none of the entry's decisions could, since a limit holds for the sum of all entries. The class: a bound on a shared resource that each process can see only a part of (as with the slots of engines that several entries use, which internal/occupancy solves the same way).

Change: internal/ratelimit holds a leaky bucket for each limited server. place.Tracker asks it in pick and PickFaster, which all sends go through, and picks and counts in one step (Start). entry/internal/usage reports to the other entries what an entry has sent, and peer.Share divides the rate among entries that cannot hear each other. A rejected client gets 503 with the time until its turn; items and reward calls wait and leave that place free; moves and hedges need spare rate.

Why it works: each send is counted by all, and what two entries send at the same moment drains before the next one.

Ruled out: a fixed part for each entry (1.3 a second among 20 entries serves one request in 15 s at each); holding a request at the entry until its turn (it would wait instead of trying another entry or giving up).

--- /dev/null
+++ b/entry/internal/batch/limit_test.go
@@ -0,0 +1,72 @@
+package batch
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"bulrushspoke/internal/call"
+	"bulrushspoke/platform/platformtest"
+)
+
+const (
+	// limitedRate is the limit that the servers state in requests a second, and limitedMost what each may get in 4 s.
+	limitedRate = 2.0
+	limitedMost = 1.5*limitedRate*4 + 5
+	// limitedTime is the time after which the requests are counted. It is below the window of limitedMost.
+	limitedTime = 1500 * time.Millisecond
+)
+
+func itemIDs(n int) []string {
+	ids := make([]string, n)
+	for i := range ids {
+		ids[i] = fmt.Sprintf("g%d-1", i)
+	}
+	return ids
+}
+
+// Guards against an engine that gets more items than its stated limit allows, and against items that stay behind when the
+// limit has ended.
+func TestItemsStayWithinStatedLimit(t *testing.T) {
+	e := newEngine(t, 1)
+	e.limit = call.Limit{Stated: true, Rate: limitedRate}
+	r := newRig(t, e)
+	m, _ := r.manager("a", "a1")
+	ids := itemIDs(40)
+	r.submit(m, "j", payloadFor(len(ids), 1, ids...))
+	time.Sleep(limitedTime)
+	if got := len(e.started()); float64(got) > limitedMost {
+		t.Errorf("the engine got %d items in less than 4 s, allowed are %.0f", got, limitedMost)
+	}
+	e.set(func(e *engine) { e.limit = call.Limit{} })
+	checkTexts(t, r.collect(m, "j", len(ids)), ids...)
+}
+
+// Guards against plain servers that get more reward calls than their stated limits allow, and against calls that stay
+// behind when the limits have ended.
+func TestRewardCallsStayWithinStatedLimit(t *testing.T) {
+	e := newEngine(t, 1)
+	s := newScorer(t, e)
+	s.set(func(w http.ResponseWriter, _ *http.Request, _ string, _ int) bool {
+		platformtest.SetResponseHeaders(w.Header(), call.Answer{Limit: call.Limit{Stated: true, Rate: limitedRate}})
+		return false
+	})
+	r := newRig(t, e)
+	r.addScorer(s)
+	m, _ := r.manager("a", "a1")
+	ids := itemIDs(80)
+	r.submit(m, "j", scoredPayload(ids...))
+	time.Sleep(limitedTime)
+	got := 0
+	for _, id := range ids {
+		got += s.count("call-" + id)
+	}
+	if most := 2 * limitedMost; float64(got) > most {
+		t.Errorf("two servers got %d calls in less than 4 s, allowed are %.0f", got, most)
+	}
+	s.set(nil)
+	results := r.collect(m, "j", len(ids))
+	checkTexts(t, results, ids...)
+	checkScores(t, s, results)
+}
--- a/entry/internal/batch/rig_test.go
+++ b/entry/internal/batch/rig_test.go
@@ -42,6 +42,7 @@
 	starts  []string       // id and first event of each streamed run
 	events  map[string]int // last event of each item
 	leaving bool           // announced in its responses
+	limit   call.Limit     // stated in its responses
 	running int
 }
 
@@ -82,7 +83,7 @@
 		cut = e.cut(id, run)
 	}
 	version, gap, spill := e.version, e.gap, e.hijack
-	platformtest.SetResponseHeaders(w.Header(), call.Answer{Leaving: e.leaving})
+	platformtest.SetResponseHeaders(w.Header(), call.Answer{Leaving: e.leaving, Limit: e.limit})
 	e.mu.Unlock()
 	if spill != nil && spill(w, id, run) {
 		return
@@ -303,7 +304,7 @@
 	m := New(life, Options{
 		Self: wire.Member{Inc: inc}, Name: name,
 		Store: platform.NewStore(r.address, 200*time.Millisecond, pool, discardLogger), Peers: peers, Catalog: c, Pool: pool,
-		Tracker: place.New(home, rand.New(rand.NewPCG(1, 1))), Retention: time.Minute, MaxObjectBytes: 1 << 20, MaxOpenBytes: 1 << 24, Logger: discardLogger,
+		Tracker: place.New(home, c.Limits(), rand.New(rand.NewPCG(1, 1))), Retention: time.Minute, MaxObjectBytes: 1 << 20, MaxOpenBytes: 1 << 24, Logger: discardLogger,
 		Outage: func(time.Time) time.Duration { return 0 }, Random: firstChoice{}, Steps: r.steps,
 	})
 	m.Register(peers)
--- a/entry/internal/batch/run.go
+++ b/entry/internal/batch/run.go
@@ -88,12 +88,12 @@
 	waiting := j.sendRewardCalls(ctx, c, now)
 	servers := j.manager.Catalog.Servers(route.Shares[0].Service)
 	for _, it := range texts {
-		s, ok := j.manager.Tracker.Pick(now, servers, j.need(it, now))
+		s, ok := j.manager.Tracker.Start(now, servers, j.need(it, now))
 		if !ok {
 			waiting++
 			continue
 		}
-		j.startAttempt(it, s, now, func() {
+		j.startAttempt(it, func() {
 			for next := (&segment{server: s, startedAt: now}); next != nil; {
 				next = j.runAttempt(ctx, it, next, route)
 			}
@@ -106,12 +106,11 @@
 	return waiting
 }
 
-// startAttempt runs an attempt of an item or of its reward call at a server.
-func (j *Job) startAttempt(it *item, s catalog.Server, now time.Time, run func()) {
+// startAttempt runs an attempt of an item or of its reward call that is started in the tracker.
+func (j *Job) startAttempt(it *item, run func()) {
 	j.mu.Lock()
 	it.running = true
 	j.mu.Unlock()
-	j.manager.Tracker.Began(s.ID, now)
 	go supervise.Guard(j.manager.Logger, "item", func() {
 		defer func() {
 			j.mu.Lock()
--- a/entry/internal/batch/score.go
+++ b/entry/internal/batch/score.go
@@ -32,13 +32,13 @@
 			continue
 		}
 		servers := j.manager.Catalog.Servers(route.PickService(j.manager.Random.IntN))
-		s, ok := j.manager.Tracker.Pick(now, servers, it.call.Need(now, it.failedScorer(servers)))
+		s, ok := j.manager.Tracker.Start(now, servers, it.call.Need(now, it.failedScorer(servers)))
 		if !ok {
 			waiting++
 			continue
 		}
 		it.scorer = s.ID
-		j.startAttempt(it, s, now, func() { j.runRewardCall(ctx, it, s, route) })
+		j.startAttempt(it, func() { j.runRewardCall(ctx, it, s, route) })
 	}
 	return waiting
 }
@@ -129,7 +129,7 @@
 // returns false if there is none or if too many calls are hedged.
 func (j *Job) secondServer(it *item, first catalog.Server, route *catalog.Route, now time.Time) (catalog.Server, bool) {
 	need := it.call.Need(now, map[string]bool{first.ID: true})
-	need.RequireSlot = true
+	need.RequireSlot, need.Optional = true, true
 	s, ok := j.manager.Tracker.Pick(now, j.manager.Catalog.Servers(first.Service), need)
 	if !ok || !j.manager.rewardTimes.TakeHedge(route.Name) {
 		return s, false
--- a/entry/internal/cli/platform.go
+++ b/entry/internal/cli/platform.go
@@ -27,6 +27,7 @@
 	"bulrushspoke/entry/internal/relay"
 	"bulrushspoke/entry/internal/retire"
 	"bulrushspoke/entry/internal/sweep"
+	"bulrushspoke/entry/internal/usage"
 	"bulrushspoke/internal/catalog"
 	"bulrushspoke/internal/event"
 	"bulrushspoke/internal/linelog"
@@ -195,7 +196,7 @@
 		func() float64 { return float64(p.catalog.Limits().Limited()) })
 	source := newSeedSource(0)
 	tracker := place.New(place.Home{Domain: s.Domain, Region: s.Region, Regions: s.Regions},
-		rand.New(rand.NewChaCha8(nextSeed(source))))
+		p.catalog.Limits(), rand.New(rand.NewChaCha8(nextSeed(source))))
 	address := net.JoinHostPort(s.IP, strconv.Itoa(s.Ports.First))
 	self := wire.Member{Address: address, Inc: p.inc, Domain: s.Domain, Region: s.Region}
 	hello := func() wire.Hello {
@@ -221,7 +222,14 @@
 	shared := occupancy.New(s.Name, tracker, p.peers)
 	shared.Register()
 	p.task("occupancy", shared.Run)
-	p.peers.OnConnect(p.batch.PeerConnected)
+	limits := usage.New(p.catalog, p.peers)
+	limits.Register()
+	p.catalog.Limits().SetShare(p.peers.Share)
+	p.task("limits", limits.Run)
+	p.peers.OnConnect(func(name string) {
+		limits.Greet(time.Now())
+		p.batch.PeerConnected(name)
+	})
 	requestTime := m.Histogram("request", "s", "Time from arrival to the answer.")
 	p.ingress = ingress.New(ingress.Options{
 		Catalog: p.catalog, Pool: pool, Tracker: tracker, Jobs: p.batch,
--- a/entry/internal/ingress/forward.go
+++ b/entry/internal/ingress/forward.go
@@ -45,11 +45,12 @@
 
 // attempt is one request sent to one server.
 type attempt struct {
-	outcome outcome
-	cause   string
-	status  int
-	header  http.Header
-	body    []byte
+	outcome    outcome
+	cause      string
+	retryAfter time.Duration // time until a server may take the request, 0 if unknown
+	status     int
+	header     http.Header
+	body       []byte
 }
 
 // forward sends a request to servers until one responds or no further attempt is allowed.
@@ -64,21 +65,25 @@
 	service := q.route.PickService(g.Random.IntN)
 	tried := make(map[string]bool)
 	mayHaveRun := false
-	last := attempt{outcome: notRun, cause: "no server available"}
+	last := attempt{outcome: notRun, cause: causeNoServer}
 	for sent := 0; sent < q.route.MaxAttempts && (!mayHaveRun || q.route.Repeatable()); {
 		now := time.Now()
 		left := q.remaining(now)
 		if sent > 0 && left < minAttemptTime || ctx.Err() != nil {
 			break
 		}
-		s, ok := g.Tracker.Pick(now, g.Catalog.Servers(service), place.Need{Tried: tried})
+		servers, need := g.Catalog.Servers(service), place.Need{Tried: tried}
+		s, ok := g.Tracker.Start(now, servers, need)
 		if !ok {
+			if wait, limited := g.Tracker.Reject(now, servers, need); limited && last.outcome == notRun {
+				last = attempt{outcome: notRun, cause: causeLimits, retryAfter: max(wait, minRetryAfter)}
+			}
 			break
 		}
 		tried[s.ID] = true
 		q.servers = append(q.servers, s.ID)
 		q.attempts++
-		a := g.try(ctx, w, q, s, sent == 0)
+		a := g.try(ctx, w, q, s, now, sent == 0)
 		switch a.outcome {
 		case delivered:
 			if q.http.Context().Err() == nil {
@@ -114,21 +119,26 @@
 		g.reply(w, q, Reply{Status: http.StatusGatewayTimeout, Cause: last.cause})
 	case mayHaveRun:
 		g.reply(w, q, Reply{Status: http.StatusBadGateway, Cause: last.cause})
+	case last.retryAfter > 0:
+		g.reply(w, q, Reply{Status: http.StatusServiceUnavailable, RetryAfter: last.retryAfter, Cause: last.cause})
 	case len(q.servers) == 0:
-		g.reply(w, q, Reply{Status: http.StatusServiceUnavailable, RetryAfter: retryNoServer, Cause: "no server available"})
+		g.reply(w, q, Reply{Status: http.StatusServiceUnavailable, RetryAfter: retryNoServer, Cause: last.cause})
 	default:
 		g.reply(w, q, Reply{Status: http.StatusServiceUnavailable, RetryAfter: retryNoCapacity, Cause: last.cause})
 	}
 }
 
-const causeReset = "connection reset by the server"
+// Causes of attempts that did not succeed.
+const (
+	causeReset    = "connection reset by the server"
+	causeNoServer = "no server available"
+	causeLimits   = "all servers are at the limits of their request rates"
+)
 
-// try makes one attempt at a server and reports its outcome to the tracker.
+// try makes one attempt, started in the tracker, at a server and reports its outcome to the tracker.
 func (g *Ingress) try(
-	ctx context.Context, w http.ResponseWriter, q *request, s catalog.Server, first bool,
+	ctx context.Context, w http.ResponseWriter, q *request, s catalog.Server, start time.Time, first bool,
 ) attempt {
-	start := time.Now()
-	g.Tracker.Began(s.ID, start)
 	left := q.remaining(start)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/entry/internal/ingress/ingress.go
+++ b/entry/internal/ingress/ingress.go
@@ -41,6 +41,8 @@
 	retryNoServer = 500 * time.Millisecond
 	// retryNoCapacity is the Retry-After if no capacity is free: queues of short requests drain in that time.
 	retryNoCapacity = 150 * time.Millisecond
+	// minRetryAfter is the minimum Retry-After of requests that are rejected because of the servers' limits.
+	minRetryAfter = 10 * time.Millisecond
 )
 
 // Jobs handles the calls for batch jobs.
--- a/entry/internal/ingress/ingress_test.go
+++ b/entry/internal/ingress/ingress_test.go
@@ -127,7 +127,7 @@
 	home := place.Home{Domain: "d", Region: "r", Regions: map[string]string{"d": "r"}}
 	g := New(Options{
 		Catalog: c, Pool: upstream.New(upstream.Limits{Dial: time.Second, Idle: 8}),
-		Tracker: place.New(home, rand.New(rand.NewPCG(1, 1))), Random: rand.New(rand.NewPCG(1, 1)),
+		Tracker: place.New(home, c.Limits(), rand.New(rand.NewPCG(1, 1))), Random: rand.New(rand.NewPCG(1, 1)),
 		MaxBodyMemory: 1 << 20, Suspects: NewSuspects(func(uint64, bool) {}), Logger: logger,
 	})
 	s := httptest.NewServer(g)
--- a/entry/internal/ingress/stream.go
+++ b/entry/internal/ingress/stream.go
@@ -151,14 +151,13 @@
 	tried := make(map[string]bool)
 	for ctx.Err() == nil {
 		now := time.Now()
-		s, ok := g.Tracker.Pick(now, g.Catalog.Servers(service), place.Need{Tried: tried})
+		s, ok := g.Tracker.Start(now, g.Catalog.Servers(service), place.Need{Tried: tried})
 		if !ok {
 			return nil, nil
 		}
 		tried[s.ID] = true
 		q.servers = append(q.servers, s.ID)
 		q.attempts++
-		g.Tracker.Began(s.ID, now)
 		resp, err := g.Pool.Send(ctx, upstream.Target{Address: s.Address, Incarnation: s.ID, Conns: conns},
 			g.upstreamRequest(q, call.Attempt{Server: s.ID, Timeout: q.remaining(now), ResumeAfter: last}))
 		if err != nil {
--- a/entry/internal/occupancy/occupancy_test.go
+++ b/entry/internal/occupancy/occupancy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"math/rand/v2"
 	"sync"
 	"testing"
@@ -12,6 +13,7 @@
 	"bulrushspoke/entry/internal/place"
 	"bulrushspoke/internal/catalog"
 	"bulrushspoke/internal/link"
+	"bulrushspoke/internal/ratelimit"
 	"bulrushspoke/wire"
 )
 
@@ -46,7 +48,8 @@
 }
 
 func newTracker() *place.Tracker {
-	return place.New(place.Home{Domain: "d", Region: "r", Regions: map[string]string{"d": "r"}}, rand.New(rand.NewPCG(1, 1)))
+	return place.New(place.Home{Domain: "d", Region: "r", Regions: map[string]string{"d": "r"}},
+		ratelimit.New(slog.New(slog.DiscardHandler)), rand.New(rand.NewPCG(1, 1)))
 }
 
 // Guards against an entry that sends work to an engine that another entry has filled, that considers the engine full after
--- a/entry/internal/peer/peer.go
+++ b/entry/internal/peer/peer.go
@@ -36,6 +36,10 @@
 // last link closed.
 const unlistedRetention = time.Minute
 
+// presumedGoneAfter is how long an entry without a link is presumed to be running: it may have been removed for good, or be
+// cut off from this entry only.
+const presumedGoneAfter = 15 * time.Second
+
 // Handler handles messages of other entries.
 type Handler interface {
 	ForwardedPull(ctx context.Context, f wire.ForwardedPull) wire.ForwardedPullAnswer
@@ -86,7 +90,7 @@
 	address string // empty if only a link that it opened is known
 	links   []*link.Conn
 	stop    context.CancelFunc
-	lostAt  time.Time
+	lostAt  time.Time // when the last link closed or, if there was none, when the entry became known
 }
 
 // New returns the Peers of the entry with the given name. The function config returns the current configuration, and onNotice
@@ -239,7 +243,7 @@
 		seen[i.Name] = true
 		e := p.entries[i.Name]
 		if e == nil {
-			e = &entry{name: i.Name}
+			e = &entry{name: i.Name, lostAt: now}
 			p.entries[i.Name] = e
 		}
 		e.address = i.Address
--- a/entry/internal/peer/peer_test.go
+++ b/entry/internal/peer/peer_test.go
@@ -137,3 +137,20 @@
 		t.Fatalf("pull to an unknown entry: %v", err)
 	}
 }
+
+// Guards against an entry that uses the part of the others while it cannot hear them, and against one that leaves it unused
+// once they are gone.
+func TestShare(t *testing.T) {
+	a := start(t, "a", 1)
+	now := time.Now()
+	if got := a.Share(now); got != 1 {
+		t.Errorf("the share of a lone entry is %.2f", got)
+	}
+	a.SetInstances([]wire.Instance{{Name: "b", Role: role}, {Name: "c", Role: role}, {Name: "d", Role: "daemon"}}, now)
+	if got := a.Share(now); got != 1.0/3 {
+		t.Errorf("the share beside two entries without a link is %.2f", got)
+	}
+	if got := a.Share(now.Add(presumedGoneAfter)); got != 1 {
+		t.Errorf("the share is %.2f though the others are gone", got)
+	}
+}
--- a/entry/internal/peer/request.go
+++ b/entry/internal/peer/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"bulrushspoke/internal/link"
 	"bulrushspoke/internal/supervise"
@@ -64,6 +65,24 @@
 	return names
 }
 
+// Share returns which part of the entries that are presumed to be running, from 0 to 1, are this entry and those that it has
+// links to.
+func (p *Peers) Share(now time.Time) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	connected, running := 1, 1
+	for _, e := range p.entries {
+		switch {
+		case e.newestLink() != nil:
+			connected++
+			running++
+		case now.Sub(e.lostAt) < presumedGoneAfter:
+			running++
+		}
+	}
+	return float64(connected) / float64(running)
+}
+
 // InDomain returns the hello messages of the connected entries in a failure domain, except those that are shutting down, sorted
 // by name.
 func (p *Peers) InDomain(domain string) []wire.Hello {
--- a/entry/internal/place/finish.go
+++ b/entry/internal/place/finish.go
@@ -69,7 +69,7 @@
 	chosen, least := best, 0.0
 	minInterval := speedClassRatio * float64(t.baseline(servers[best]))
 	for i, s := range servers {
-		if !n.allows(s) || !t.hasRoom(now, s, n) || t.expectedLoss(s.ID, now) > 0 ||
+		if !n.allows(s) || !t.hasRoom(now, s, n) || !t.limits.Allows(s.ID, n.priority(), n.Reserve, now) || t.expectedLoss(s.ID, now) > 0 ||
 			float64(t.baseline(s)) < minInterval || estimateMargin*t.completionTime(now, s, n.RemainingEvents) > n.TimeBudget {
 			continue
 		}
@@ -94,6 +94,7 @@
 	if estimateMargin*remaining <= n.TimeBudget {
 		return catalog.Server{}, false
 	}
+	n.Optional = true
 	s, ok := t.pick(now, servers, n)
 	if !ok || remaining-t.completionTime(now, s, n.RemainingEvents) < moveCost {
 		return catalog.Server{}, false
@@ -103,6 +104,6 @@
 		(t.expectedLoss(present.ID, now) == 0 || t.expectedLoss(s.ID, now) > 0) {
 		return catalog.Server{}, false
 	}
-	t.began(s.ID, now)
+	t.began(s.ID, n.priority(), now)
 	return s, true
 }
--- a/entry/internal/place/load_test.go
+++ b/entry/internal/place/load_test.go
@@ -57,7 +57,7 @@
 func simulate(seed uint64, policy func(*Tracker) strategy) (took, floor time.Duration) {
 	const steps = 12
 	random := rand.New(rand.NewPCG(seed, 7))
-	t := New(Home{Domain: "a", Region: "east", Regions: map[string]string{"a": "east"}}, rand.New(rand.NewPCG(seed, 8)))
+	t := New(Home{Domain: "a", Region: "east", Regions: map[string]string{"a": "east"}}, noLimits(), rand.New(rand.NewPCG(seed, 8)))
 	engines := servers(simEngines, simSlots, "a")
 	type phase struct {
 		slowed bool
--- a/entry/internal/place/place.go
+++ b/entry/internal/place/place.go
@@ -2,15 +2,17 @@
 //
 // # Usage
 //
-//	t := place.New(place.Home{Domain: "a", Region: "east", Regions: regions}, rand)
-//	s, ok := t.Pick(now, servers, place.Need{Model: "m", MinVersion: 6})
-//	t.Began(s.ID, now)
+//	t := place.New(place.Home{Domain: "a", Region: "east", Regions: regions}, limiter, rand)
+//	s, ok := t.Start(now, servers, place.Need{Model: "m", MinVersion: 6})
 //	t.Ended(s.ID, "m", place.Answered, took, time.Now())
 //
 // The estimated wait at a server is its own time per request, scaled by the load that this process has put on it. A
 // server that refused a request is skipped for a short back-off. This keeps requests off the few servers of a fleet
 // that are slowed or full while the others have capacity.
 //
+// A server that states a limit of its request rate gets no more than that (package ratelimit). Work that may wait leaves
+// places to live requests.
+//
 // Streaming work that runs for seconds is placed by its expected completion time (finish.go), which is derived from
 // the event intervals that this process observes (interval.go) and from the load that other entries report (remote.go).
 package place
@@ -22,6 +24,7 @@
 	"time"
 
 	"bulrushspoke/internal/catalog"
+	"bulrushspoke/internal/ratelimit"
 )
 
 const (
@@ -60,14 +63,16 @@
 	Model       string // empty for a plain service
 	MinVersion  int    // oldest weight version allowed
 	Tried       map[string]bool
-	RequireSlot bool // only servers with a free slot, as far as this process knows
+	RequireSlot bool // only servers with a free slot, as far as this process knows; the work may wait
+	Optional    bool // work that is useful only at servers with capacity to spare
 	ExcludeSlow bool // only servers that are not slow at present
 	// RemainingEvents is the number of events the work is still expected to generate, 0 for work that streams no events.
 	RemainingEvents int
 	// TimeBudget is the time in which the work may finish without delaying anything else, 0 if it should finish as early as
 	// possible.
 	TimeBudget time.Duration
-	// Reserve is the fraction of a server's slots to keep free. It applies only to a need that asks for room.
+	// Reserve is the fraction of a server's slots, and of its limit, to keep free. It applies only to a need that asks for
+	// room.
 	Reserve float64
 }
 
@@ -86,6 +91,7 @@
 // Tracker records the load, speed and failures of servers. It is safe for concurrent use.
 type Tracker struct {
 	home        Home
+	limits      *ratelimit.Limiter
 	workStarted chan struct{} // signalled when work starts at an engine
 
 	mu           sync.Mutex
@@ -113,14 +119,45 @@
 	count int // consecutive
 }
 
-// New returns a Tracker that has no state of any server.
-func New(h Home, random *rand.Rand) *Tracker {
+// New returns a Tracker that has no state of any server and keeps requests within the limits.
+func New(h Home, limits *ratelimit.Limiter, random *rand.Rand) *Tracker {
 	return &Tracker{
-		home: h, workStarted: make(chan struct{}, 1), random: random, state: make(map[string]*state),
+		home: h, limits: limits, workStarted: make(chan struct{}, 1), random: random, state: make(map[string]*state),
 		remote: make(map[string]remoteLoad),
 	}
 }
 
+// Start picks a server and records an attempt there as started.
+func (t *Tracker) Start(now time.Time, servers []catalog.Server, n Need) (catalog.Server, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.pick(now, servers, n)
+	if ok {
+		t.began(s.ID, n.priority(), now)
+	}
+	return s, ok
+}
+
+// Reject returns when a client may come back whose request no server takes because of the servers' limits, and keeps a
+// place for it. It returns false if no server with a limit could run the request.
+func (t *Tracker) Reject(now time.Time, servers []catalog.Server, n Need) (time.Duration, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	first, least := "", time.Duration(0)
+	for _, s := range servers {
+		if !n.allows(s) {
+			continue
+		}
+		if wait, limited := t.limits.Delay(s.ID, now); limited && (first == "" || wait < least) {
+			first, least = s.ID, wait
+		}
+	}
+	if first == "" {
+		return 0, false
+	}
+	return t.limits.Reject(first, now), true
+}
+
 // Pick returns the server with the lowest estimated wait. Work with a time budget may go to a slower server, which
 // leaves the faster ones to work that needs them. Servers in back-off are used only if no other is left, and never if
 // the need asks for room.
@@ -138,7 +175,7 @@
 	}
 	var bestCost, fallbackCost float64
 	for i, s := range servers {
-		if !n.allows(s) || n.RequireSlot && !t.hasRoom(now, s, n) {
+		if !n.allows(s) || n.RequireSlot && !t.hasRoom(now, s, n) || !t.limits.Allows(s.ID, n.priority(), n.Reserve, now) {
 			continue
 		}
 		st := t.state[s.ID]
@@ -187,6 +224,18 @@
 	return max(s.Slots-int(math.Ceil(n.Reserve*float64(s.Slots))), 1)
 }
 
+// priority returns the priority of the work under a limit.
+func (n Need) priority() ratelimit.Priority {
+	switch {
+	case n.Optional:
+		return ratelimit.Optional
+	case n.RequireSlot:
+		return ratelimit.Background
+	default:
+		return ratelimit.Live
+	}
+}
+
 // allows reports whether a server may run the work, regardless of its load.
 func (n Need) allows(s catalog.Server) bool {
 	if n.Tried[s.ID] {
@@ -239,14 +288,15 @@
 	}
 }
 
-// Began records that an attempt at a server has started.
+// Began records that an attempt at a server has started that Start has not picked.
 func (t *Tracker) Began(id string, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.began(id, now)
+	t.began(id, ratelimit.Background, now)
 }
 
-func (t *Tracker) began(id string, now time.Time) {
+func (t *Tracker) began(id string, p ratelimit.Priority, now time.Time) {
+	t.limits.Take(id, p, now)
 	s := t.serverState(id, now)
 	s.inflight++
 	s.lastUsed = now
--- a/entry/internal/place/place_test.go
+++ b/entry/internal/place/place_test.go
@@ -2,18 +2,22 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"testing"
 	"time"
 
 	"bulrushspoke/internal/catalog"
+	"bulrushspoke/internal/ratelimit"
 )
 
 var start = time.Date(2026, 6, 1, 12, 0, 0, 0, time.UTC)
 
+func noLimits() *ratelimit.Limiter { return ratelimit.New(slog.New(slog.DiscardHandler)) }
+
 func tracker() *Tracker {
 	return New(Home{Domain: "a", Region: "east", Regions: map[string]string{"a": "east", "b": "east", "c": "west"}},
-		rand.New(rand.NewPCG(1, 2)))
+		noLimits(), rand.New(rand.NewPCG(1, 2)))
 }
 
 func servers(n, slots int, domain string) []catalog.Server {
--- a/entry/internal/reward/reward_test.go
+++ b/entry/internal/reward/reward_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -12,6 +13,7 @@
 
 	"bulrushspoke/entry/internal/place"
 	"bulrushspoke/internal/catalog"
+	"bulrushspoke/internal/ratelimit"
 )
 
 var start = time.Date(2026, 6, 1, 12, 0, 0, 0, time.UTC)
@@ -129,7 +131,7 @@
 		simulated      = 20 * time.Second
 	)
 	random := rand.New(rand.NewPCG(seed, 1))
-	tr := place.New(place.Home{Domain: "a", Region: "r", Regions: map[string]string{"a": "r"}}, random)
+	tr := place.New(place.Home{Domain: "a", Region: "r", Regions: map[string]string{"a": "r"}}, ratelimit.New(slog.New(slog.DiscardHandler)), random)
 	var list []catalog.Server
 	free, queue := make(map[string]int), make(map[string][]request)
 	for i := range servers {
@@ -236,7 +238,7 @@
 
 // Guards against calls that starve behind live requests which fill all slots but the reserved ones.
 func TestCallsAreNotStarved(t *testing.T) {
-	tr := place.New(place.Home{Domain: "a", Region: "r", Regions: map[string]string{"a": "r"}}, rand.New(rand.NewPCG(1, 1)))
+	tr := place.New(place.Home{Domain: "a", Region: "r", Regions: map[string]string{"a": "r"}}, ratelimit.New(slog.New(slog.DiscardHandler)), rand.New(rand.NewPCG(1, 1)))
 	list := []catalog.Server{{ID: "s", Domain: "a", Slots: 6}}
 	for range 8 {
 		tr.Began("s", start)
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -75,6 +75,7 @@
 	News    = "news"
 	Crash   = "crash"
 	Taken   = "taken"
+	Limits  = "limits"
 	Ping    = "ping"
 	Pong    = "pong"
 )
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -696,6 +696,13 @@
 	Parts []JobPart `json:"parts"`
 }
 
+// Reports the rate limits of servers and what an entry has used of them since its
+// last report.
+type Limits struct {
+	// One element for each server.
+	Servers []ServerLimit `json:"servers"`
+}
+
 // Objects of one kind in the store, or the changes returned by a watch.
 type Listing struct {
 	// Objects ordered by name.
@@ -1039,6 +1046,34 @@
 	Version int64 `json:"version"`
 }
 
+// Limit of one server, as an entry knows it, and its use by this entry.
+type ServerLimit struct {
+	// Start of the server's incarnation in Unix milliseconds; 0 if unknown.
+	Born int `json:"born"`
+
+	// The server states no limit any more.
+	Ended bool `json:"ended"`
+
+	// The server has just stated this rate.
+	Fresh bool `json:"fresh"`
+
+	// Requests of all entries that still count against the limit; 0 in reports of
+	// changes.
+	Level float64 `json:"level"`
+
+	// Change of the number of rejected requests that are expected to return.
+	Promised int `json:"promised"`
+
+	// Requests a second that the server takes from all entries together.
+	Rate float64 `json:"rate"`
+
+	// Number of requests sent since the last report.
+	Sent int `json:"sent"`
+
+	// Server ID.
+	Server string `json:"server"`
+}
+
 // Identifies a sample of a step.
 type Slot struct {
 	// Group within the step.
