Run samples again, however often their servers crash

Trainers saw: after a burst of crashes a sound sample was not placed again for 10 minutes, and a pull was refused as poison once nothing else was missing, although the servers were calm and had room.

Cause: the dispatcher counts two crashes of a server with a piece of content alone on it, and refuses the content. A burst of crashes meets that condition with any sample. The class: an effect attributed to what was near it, with a penalty that cannot be appealed. Shared prompts made it worse: the samples of a group have one fingerprint.

Change: samples are owed and never refused for crashes. Live requests are treated as before.

--- a/entry/internal/trainer/produce.go
+++ b/entry/internal/trainer/produce.go
@@ -337,14 +337,14 @@
 	s.backOff(a.slot, r)
 }
 
-// backOff delays the next attempt of a slot; the mutex must be held. Only a poison request or a sample that is too
-// large counts as a permanent failure of the slot; any other cause is temporary.
+// backOff delays the next attempt of a slot; the mutex must be held. Only a sample that is too large counts as a permanent
+// failure of the slot; any other cause is temporary.
 func (s *Step) backOff(i int, r *refusal.Error) {
 	c := &s.slots[i]
 	d := min(minRetryPause<<min(c.failures, 6), maxRetryPause)
 	d += time.Duration(s.trainer.randomInt64N(int64(d)))
 	c.failures++
-	if r.Code() == refusal.Poison || r.Code() == refusal.TooLarge {
+	if r.Code() == refusal.TooLarge {
 		c.permanentFailure = r
 		d = max(d, maxRetryPause)
 	}
