Take the text of an error within a stream as a break

Clients saw, and items got: the text or the whole head of an error in the middle of a stream, or in place of an event's data, and the stream ended as if it were complete.

Cause: a server that fails within a stream may go on with an error's text, in its own body or, where the body has no length, as the next head on the connection. The reader of events ignored fields that it did not know, as browsers do, so any text up to an empty line was an event, and the ingress forwarded events without an id as they were. The class: input that is not understood passes as content. An error status of the next server was never forwarded; resume takes only signed streams.

Change: an unknown field is malformed (internal/sse), and after an event with an id, one without is a break; only comments may stand between. The stream then goes on at another server, or is cut if the route does not allow it.

Left: an error whose text follows "data:" of a cut event, and ends with an empty line and no further line, cannot be told from data.

--- a/entry/internal/ingress/stream.go
+++ b/entry/internal/ingress/stream.go
@@ -99,8 +99,11 @@
 	panic(http.ErrAbortHandler)
 }
 
-// errGap means that the sequence of event ids has a gap.
-var errGap = errors.New("ingress: gap in the event ids")
+// Errors of the sequence of events.
+var (
+	errGap  = errors.New("ingress: gap in the event ids")
+	errNoID = errors.New("ingress: event without an id in a stream with ids")
+)
 
 // copyEvents forwards all events except those with an id up to last, and returns the highest id sent. The error is nil at
 // the end of the stream.
@@ -122,6 +125,9 @@
 		if err != nil {
 			return last, err
 		}
+		if e.ID == 0 && last > 0 && !e.Comment {
+			return last, errNoID
+		}
 		if e.ID != 0 && e.ID <= last {
 			continue
 		}
--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -10,7 +10,8 @@
 //	}
 //
 // Only complete events are returned. A stream that ends within an event yields io.ErrUnexpectedEOF, and an event that is
-// malformed or larger than MaxEvent yields ErrFormat.
+// malformed or larger than MaxEvent yields ErrFormat. Unlike a browser, the Reader takes unknown fields as malformed: a server
+// that fails within a stream may go on with the text of an error, whose lines look like such fields.
 package sse
 
 import (
@@ -32,6 +33,7 @@
 	ID      int    // position in the stream, from 1; 0 if the event has none
 	Data    string // values of the data fields, joined by line feeds
 	Version int    // weight version from this event on; 0 if it does not change
+	Comment bool   // there are no fields, only comments
 	Raw     []byte // bytes as received, including the terminating empty line; valid until the next call of Next
 }
 
@@ -70,7 +72,7 @@
 
 // Next returns the next complete event, or io.EOF if the stream ends after one.
 func (r *Reader) Next() (Event, error) {
-	var e Event
+	e := Event{Comment: true}
 	var data []string
 	r.raw = r.raw[:0]
 	for {
@@ -90,13 +92,17 @@
 		}
 		name, value, _ := strings.Cut(text, ":")
 		value = strings.TrimPrefix(value, " ")
+		e.Comment = e.Comment && name == ""
 		switch name {
+		case "", "event", "retry":
 		case "id":
 			e.ID, err = strconv.Atoi(value)
 		case "data":
 			data = append(data, value)
 		case r.version:
 			e.Version, err = strconv.Atoi(value)
+		default:
+			err = ErrFormat
 		}
 		if err != nil {
 			return Event{}, ErrFormat
--- a/internal/sse/sse_test.go
+++ b/internal/sse/sse_test.go
@@ -34,6 +34,12 @@
 			name: "line longer than the buffer", text: "id: 1\ndata: " + long + "\n\n",
 			want: []Event{{ID: 1, Data: long}}, err: io.EOF,
 		},
+		{
+			name: "comment", text: ": ping\n\nid: 1\n: note\ndata: a\n\n",
+			want: []Event{{Comment: true}, {ID: 1, Data: "a"}}, err: io.EOF,
+		},
+		{name: "error in an event", text: "id: 1\ndaHTTP/1.1 500 Internal Server Error\r\n\r\noverloaded\n\n", err: ErrFormat},
+		{name: "error with headers", text: "id: 1\ndata:HTTP/1.1 500 Error\r\nContent-Type: text/plain\r\n\r\n", err: ErrFormat},
 		{name: "non-numeric id", text: "id: one\ndata: a\n\n", err: ErrFormat},
 	} {
 		t.Run(c.name, func(t *testing.T) {
