--- a/entry/internal/ingress/forward.go
+++ b/entry/internal/ingress/forward.go
@@ -75,7 +75,7 @@
 		servers, need := g.Catalog.Servers(service), place.Need{Tried: tried}
 		s, ok := g.Tracker.Start(now, servers, need)
 		if !ok {
-			if wait, limited := g.Tracker.Reject(now, servers, need); limited && last.outcome == notRun {
+			if wait, limited := g.Tracker.Reject(now, servers, need, left); limited && last.outcome == notRun {
 				last = attempt{outcome: notRun, cause: causeLimits, retryAfter: max(wait, minRetryAfter)}
 			}
 			break
--- a/entry/internal/place/place.go
+++ b/entry/internal/place/place.go
@@ -139,8 +139,10 @@
 }
 
 // Reject returns when a client may come back whose request no server takes because of the servers' limits, and keeps a
-// place for it. It returns false if no server with a limit could run the request.
-func (t *Tracker) Reject(now time.Time, servers []catalog.Server, n Need) (time.Duration, bool) {
+// place for it if that is within the given time. It returns false if no server with a limit could run the request.
+func (t *Tracker) Reject(
+	now time.Time, servers []catalog.Server, n Need, within time.Duration,
+) (time.Duration, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	first, least := "", time.Duration(0)
@@ -155,7 +157,7 @@
 	if first == "" {
 		return 0, false
 	}
-	return t.limits.Reject(first, now), true
+	return t.limits.Reject(first, within, now), true
 }
 
 // Pick returns the server with the lowest estimated wait. Work with a time budget may go to a slower server, which
--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -7,7 +7,7 @@
 //	if l.Allows(id, ratelimit.Live, 0, now) {
 //		l.Take(id, ratelimit.Live, now) // for each request that is sent
 //	} else {
-//		wait := l.Reject(id, now) // for each request that is rejected: when to come back
+//		wait := l.Reject(id, remaining, now) // for each request that is rejected: when to come back
 //	}
 //	for _, r := range l.TakeReports() { … } // to be sent to the other senders, which call Apply
 //	l.Forget(id)                            // the incarnation of the server has ended
@@ -40,8 +40,8 @@
 	minRate = 0.2
 	// maxRate is the rate above which a limit is ignored.
 	maxRate = 1e6
-	// maxDebt is the time after which a server gets a request in any case. Places beyond that are not promised to rejected
-	// requests, and reports of other senders do not add to it.
+	// maxDebt is the time after which a server gets a request in any case. Places beyond that are not promised, and reports
+	// of other senders do not add to it.
 	maxDebt = time.Minute
 	// endedRetention is the time after the end of a limit in which reports of senders that do not know of the end yet are
 	// ignored.
@@ -266,8 +266,9 @@
 	return time.Duration(max(seconds, 0) * float64(time.Second))
 }
 
-// Reject promises the next free place at a server to a live request that is rejected, and returns the time until then.
-func (l *Limiter) Reject(id string, now time.Time) time.Duration {
+// Reject returns the time until a live request that is rejected may be sent to a server, after those rejected before it. It
+// promises that place if the request can return within the given time.
+func (l *Limiter) Reject(id string, within time.Duration, now time.Time) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	k := l.active(id)
@@ -275,7 +276,7 @@
 		return 0
 	}
 	wait := l.delay(k, now)
-	if wait < maxDebt {
+	if wait <= min(within, maxDebt) {
 		k.promised++
 		k.report.Promised++
 		l.changed(k)
--- a/internal/ratelimit/ratelimit_test.go
+++ b/internal/ratelimit/ratelimit_test.go
@@ -54,7 +54,7 @@
 				continue
 			}
 			if !l.Allows("s", Live, 0, now) {
-				l.Reject("s", now)
+				l.Reject("s", time.Second, now)
 				continue
 			}
 			l.Take("s", Live, now)
@@ -186,7 +186,7 @@
 	l.Record("s", stated(1), at(0), at(0))
 	var waits []float64
 	for range 3 {
-		waits = append(waits, l.Reject("s", at(0)).Seconds())
+		waits = append(waits, l.Reject("s", 5*time.Second, at(0)).Seconds())
 	}
 	if d := cmp.Diff([]float64{1, 2, 3}, waits); d != "" {
 		t.Errorf("seconds until the rejected requests may return (-want +got):\n%s", d)
@@ -211,9 +211,12 @@
 	l := limiter()
 	l.Record("s", stated(1), at(0), at(0))
 	for range 3 {
-		l.Reject("s", at(0))
+		l.Reject("s", 5*time.Second, at(0))
+	}
+	if wait := l.Reject("s", time.Second, at(0)); wait != 4*time.Second {
+		t.Errorf("a request that cannot return in time is told %s, want 4s", wait)
 	}
 	if !l.Allows("s", Background, 0, at(4.1)) {
-		t.Error("places are kept for requests that have not returned")
+		t.Error("places are kept for requests that have not returned or cannot return in time")
 	}
 }
