Skip the lock of the limits while no server states one

Each choice of a server asks the limiter for every candidate. While no limit is in force, an atomic counter answers; it also is the gauge limited_servers.

--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -25,6 +25,7 @@
 	"log/slog"
 	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"bulrushspoke/internal/call"
@@ -75,7 +76,8 @@
 
 // Limiter holds the limits of servers and their use. It is safe for concurrent use.
 type Limiter struct {
-	logger *slog.Logger
+	logger  *slog.Logger
+	inForce atomic.Int64 // number of limits in force, so that servers without one cost no lock
 
 	mu         sync.Mutex
 	share      func(now time.Time) float64
@@ -162,6 +164,7 @@
 		k = &limit{rate: rate, knownAt: now, drainedAt: now, report: Report{Server: id}}
 		k.level = k.capacity(l.share(now))
 		l.limits[id] = k
+		l.inForce.Add(1)
 	} else {
 		share := l.drain(k, now)
 		former := k.capacity(share)
@@ -178,6 +181,7 @@
 // end marks the limit of a server as ended; the caller holds mu.
 func (l *Limiter) end(id string, k *limit, now time.Time) {
 	k.endedAt = now
+	l.inForce.Add(-1)
 	k.report = Report{Server: id}
 	event.LimitEnded.Log(l.logger, "server", id, "rate", k.rate)
 }
@@ -213,6 +217,9 @@
 // Allows reports whether a request may be sent to a server now. A background request leaves the reserve, a fraction of the
 // bucket, to live ones.
 func (l *Limiter) Allows(id string, p Priority, reserve float64, now time.Time) bool {
+	if l.inForce.Load() == 0 {
+		return true
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	k := l.active(id)
@@ -232,6 +239,9 @@
 
 // Take counts a request that is sent to a server.
 func (l *Limiter) Take(id string, p Priority, now time.Time) {
+	if l.inForce.Load() == 0 {
+		return
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	k := l.active(id)
@@ -288,22 +298,15 @@
 func (l *Limiter) Forget(id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.active(id) != nil {
+		l.inForce.Add(-1)
+	}
 	delete(l.limits, id)
 	delete(l.invalid, id)
 }
 
 // Limited returns the number of servers with a limit.
-func (l *Limiter) Limited() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	n := 0
-	for id := range l.limits {
-		if l.active(id) != nil {
-			n++
-		}
-	}
-	return n
-}
+func (l *Limiter) Limited() int { return int(l.inForce.Load()) }
 
 // valid reports whether the numbers of a report are usable.
 func (r Report) valid() bool {
