Soak: servers state limits of their request rate

A server of each plain service states a limit through both series of faults and the time between them; the checker counts what entries send that have passed on the limit and were undisturbed in the last 4 s.

--- a/scenario/soak/checker.go
+++ b/scenario/soak/checker.go
@@ -66,12 +66,13 @@
 	requests      map[string]*request
 	items         map[string]*itemRecord
 	jobs          map[string]*submittedJob
-	sentEvents    map[string]bool        // data of all events that engines sent
-	holders       map[string]string      // of the last order, by engine
-	fencingTokens map[string]int64       // highest of the orders, by engine
-	drainStarts   map[string]time.Time   // by server
-	crashTimes    map[string][]time.Time // server crashes, by body of the request
-	excessCrashes map[string]int         // crashes that entries should have prevented, by body of the request
+	sentEvents    map[string]bool         // data of all events that engines sent
+	holders       map[string]string       // of the last order, by engine
+	fencingTokens map[string]int64        // highest of the orders, by engine
+	drainStarts   map[string]time.Time    // by server
+	limits        map[string]*statedLimit // by server
+	crashTimes    map[string][]time.Time  // server crashes, by body of the request
+	excessCrashes map[string]int          // crashes that entries should have prevented, by body of the request
 	configs       []appliedConfig
 	disturbances  map[int][]*disturbance // by index of the entry, or storeIndex
 	violations    []string
@@ -88,7 +89,7 @@
 	return &checker{
 		start: now, requests: map[string]*request{}, items: map[string]*itemRecord{}, jobs: map[string]*submittedJob{},
 		sentEvents: map[string]bool{}, holders: map[string]string{}, fencingTokens: map[string]int64{},
-		drainStarts: map[string]time.Time{}, crashTimes: map[string][]time.Time{}, excessCrashes: map[string]int{},
+		drainStarts: map[string]time.Time{}, limits: map[string]*statedLimit{}, crashTimes: map[string][]time.Time{}, excessCrashes: map[string]int{},
 		disturbances: map[int][]*disturbance{}, counts: map[string]int{},
 	}
 }
--- a/scenario/soak/run.go
+++ b/scenario/soak/run.go
@@ -81,6 +81,7 @@
 		trainers = append(trainers, t)
 		g.Go(func() { t.run(workloadCtx) })
 	}
+	g.Go(func() { e.limitServers(workloadCtx, seed) })
 	e.injectFaults(ctx, faultSeriesTime, recordFault)
 	pause(ctx, quietTime)
 	e.injectFaults(ctx, faultSeriesTime, recordFault)
--- a/scenario/soak/server.go
+++ b/scenario/soak/server.go
@@ -71,6 +71,7 @@
 	fencingToken   int64  // of the last accepted order
 	loadingModel   string // model whose weights are being loaded, empty for none
 	running        int
+	limit          call.Limit // stated in its responses
 	http           *http.Server
 }
 
@@ -84,6 +85,7 @@
 	s.incarnation++
 	s.id, s.startedAt = fmt.Sprintf("%s-%s-%d", s.service, strings.ReplaceAll(s.address, ":", "-"), s.incarnation), now.UnixMilli()
 	s.up, s.draining, s.deregistered, s.acceptedOrders, s.fencingToken, s.loadingModel, s.running = true, false, false, 0, 0, "", 0
+	s.recordLimit()
 	s.http = &http.Server{Handler: s, ReadHeaderTimeout: time.Minute, ErrorLog: discardLog}
 	h := s.http
 	s.mu.Unlock()
@@ -158,6 +160,7 @@
 		s.handleOrder(w, r, id)
 		return
 	}
+	s.env.checker.recordArrival(reqInfo.ID, id, time.Now())
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -168,7 +171,7 @@
 		return
 	}
 	if !hasSlot || s.engine && s.isLoading(r.URL.Path) {
-		platformtest.SetResponseHeaders(w.Header(), call.Answer{ID: reqInfo.ID, NotRun: true})
+		platformtest.SetResponseHeaders(w.Header(), call.Answer{ID: reqInfo.ID, NotRun: true, Limit: s.stated(reqInfo.ID)})
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -208,7 +211,9 @@
 		s.env.checker.recordCancelSeen(reqInfo.ID, time.Now())
 		return
 	}
-	platformtest.SetResponseHeaders(w.Header(), call.Answer{ID: reqInfo.ID, Signature: platformtest.Signature, Leaving: s.leaving()})
+	platformtest.SetResponseHeaders(w.Header(), call.Answer{
+		ID: reqInfo.ID, Signature: platformtest.Signature, Leaving: s.leaving(), Limit: s.stated(reqInfo.ID),
+	})
 	switch b {
 	case failing:
 		w.WriteHeader(http.StatusInternalServerError)
--- a/scenario/soak/soak_test.go
+++ b/scenario/soak/soak_test.go
@@ -129,6 +129,14 @@
 			c.recordDrain("s", now.Add(-2*drainLag))
 			c.recordItemRun("i", "s", "/items-of/m/2", "x", now)
 		}},
+		{"LIMIT", func(c *checker) {
+			newRequest(c, false)
+			c.recordLimit("s", 1, now.Add(-2*limitSettle))
+			c.recordTold("q", "s", now.Add(-limitSettle))
+			for range int(limitFactor*limitWindow.Seconds()) + limitSlack + 1 {
+				c.recordArrival("q", "s", now)
+			}
+		}},
 		{"REFUSED", func(c *checker) {
 			q := newRequest(c, true)
 			c.recordRun("q", "s", "cards", "POST /safe/q", "b", now)
