Look for late records of a stopped job in forwarded reads, too

Cause: an owner that took the job over had loaded its log 7 ms before the former owner listed 12 more, and the job ended. A read at the owner itself reads the log of a stopped job again; one that another entry forwards did not.

Change: both go through readPage.

Evidence: TestForwardedReadSeesRecordAfterEnd failed before: 0 of 1 results after 15 s of reading.

--- a/entry/internal/batch/answer.go
+++ b/entry/internal/batch/answer.go
@@ -31,7 +31,7 @@
 			return link.Page, wire.JobPage{Body: []byte{}}, nil
 		}
 		// Encoded here, since the entry that passes the page on may have little CPU time.
-		body, err := platform.EncodePage(j.page(ctx, q.After, time.Duration(q.Wait)*time.Millisecond, q.Most))
+		body, err := platform.EncodePage(m.readPage(ctx, j, q.After, time.Duration(q.Wait)*time.Millisecond, q.Most))
 		if err != nil {
 			return "", nil, err
 		}
--- a/entry/internal/batch/batch.go
+++ b/entry/internal/batch/batch.go
@@ -180,12 +180,7 @@
 			if m.local(id) != j {
 				continue
 			}
-			p := j.page(ctx, after, wait, maxPageBytes)
-			if len(p.Results) == 0 && p.Next < p.Total {
-				m.refreshStopped(ctx, j, time.Now())
-				p = j.page(ctx, after, 0, maxPageBytes)
-			}
-			return pageReply(p)
+			return pageReply(m.readPage(ctx, j, after, wait, maxPageBytes))
 		}
 		s, reply := m.find(ctx, id)
 		if reply.Status != 0 {
@@ -215,6 +210,17 @@
 	return unavailable("the job is changing owners")
 }
 
+// readPage returns the results of a local job from position after on, up to most bytes. If there are none yet, it waits for
+// up to wait, and then looks for records of a stopped job that were written late.
+func (m *Manager) readPage(ctx context.Context, j *Job, after int, wait time.Duration, most int) job.Page {
+	p := j.page(ctx, after, wait, most)
+	if len(p.Results) > 0 || p.Next >= p.Total {
+		return p
+	}
+	m.refreshStopped(ctx, j, time.Now())
+	return j.page(ctx, after, 0, most)
+}
+
 // fetch makes a job readable for a client: it has an open job without an owner taken over, or loads an ended one. The
 // work continues after the client has disconnected, so that the job is loaded when the client retries.
 func (m *Manager) fetch(ctx context.Context, s wire.JobState, id string, force bool) ingress.Reply {
--- a/entry/internal/batch/owner_test.go
+++ b/entry/internal/batch/owner_test.go
@@ -158,6 +158,29 @@
 	}
 }
 
+// Guards against an entry that passes on fewer results of an ended job than its log holds, because a record was written to
+// the store after the end and the owner does not read its log again.
+func TestForwardedReadSeesRecordAfterEnd(t *testing.T) {
+	r := newRig(t, newEngine(t, 1))
+	m, _ := r.manager("a", "a1")
+	other, _ := r.manager("b", "b1")
+	r.submit(m, "j", payload(1, "g-1", "h-1000000"))
+	r.store.SetFault(objects.Fault{DelayedWrites: 1})
+	deadline := time.Now().Add(5 * time.Second)
+	for r.store.Calls("POST", KindRecords+"j") == 0 && time.Now().Before(deadline) {
+		time.Sleep(time.Millisecond)
+	}
+	if reply := m.End(t.Context(), "j"); reply.Status != http.StatusOK {
+		t.Fatal(reply)
+	}
+	if reply := other.Results(t.Context(), "j", 0, 0); reply.Status != http.StatusOK {
+		t.Fatal(reply)
+	}
+	if got := r.collect(other, "j", 1); got[0].Item != "g-1" {
+		t.Errorf("the first result is that of %s, want g-1", got[0].Item)
+	}
+}
+
 // Guards against a delegated job that nobody runs: without faults, if the owner is shutting down, if it has crashed,
 // and if the receiver crashes before it has delegated the job.
 func TestDelegates(t *testing.T) {
