Do not flood the last server that takes reward calls

Cause: a reward call that has waited for two seconds was sent to any server, also to one that had just refused, again every 50 ms. The class: retries without a bound of their own, which a shortage turns into load.

Change: an overdue call may fill the places kept for live requests, and queue up to as many again, but waits while a server is in back-off. An entry halves what it sends to a plain server at once when that refuses, and widens it with each answer, so that entries that do not know of each other's calls find a share. The delay after consecutive refusals of a call doubles, up to 0.8 s. Under a limit an overdue call ranks with live requests.

--- a/entry/internal/place/place.go
+++ b/entry/internal/place/place.go
@@ -44,6 +44,8 @@
 	// consecutive failure.
 	failureBackoff    = 300 * time.Millisecond
 	maxFailureBackoff = 3 * time.Second
+	// maxWindow is the window of a plain server from which on it counts as unlimited; few servers have more slots.
+	maxWindow = 64
 	// livenessWindow is the maximum age of an engine's newest event for a silent attempt to count as a busy engine, not
 	// as a failure.
 	livenessWindow = time.Second
@@ -65,14 +67,15 @@
 	Tried       map[string]bool
 	RequireSlot bool // only servers with a free slot, as far as this process knows; the work may wait
 	Optional    bool // work that is useful only at servers with capacity to spare
+	Overdue     bool // work that has waited long enough to compete with requests whose clients wait
 	ExcludeSlow bool // only servers that are not slow at present
 	// RemainingEvents is the number of events the work is still expected to generate, 0 for work that streams no events.
 	RemainingEvents int
 	// TimeBudget is the time in which the work may finish without delaying anything else, 0 if it should finish as early as
 	// possible.
 	TimeBudget time.Duration
-	// Reserve is the fraction of a server's slots, and of its limit, to keep free. It applies only to a need that asks for
-	// room.
+	// Reserve is the fraction of a server's slots, and of its limit, to keep free; if negative, so many more requests than
+	// slots may be there. It applies only to a need that asks for room.
 	Reserve float64
 }
 
@@ -109,6 +112,7 @@
 	avoidUntil  time.Time     // skipped until then
 	failures    int           // consecutive
 	refusals    map[string]refusal
+	window      float64 // requests that a plain server takes from this process at once, 0 if it has refused none lately
 	intervals   intervals
 	lastUsed    time.Time
 }
@@ -213,7 +217,29 @@
 // hasRoom reports whether a server is not in back-off and has a slot for the work. The caller checks that the need
 // allows the server.
 func (t *Tracker) hasRoom(now time.Time, s catalog.Server, n Need) bool {
-	return !t.state[s.ID].avoided(n.Model, now) && t.inflight(s.ID, now) < n.usableSlots(s)
+	st := t.state[s.ID]
+	return !st.avoided(n.Model, now) && t.inflight(s.ID, now) < min(n.usableSlots(s), st.windowSize())
+}
+
+// windowSize returns the number of requests that may wait or run at a server at once, as far as it has shown by refusals.
+func (s *state) windowSize() int {
+	if s == nil || s.window == 0 {
+		return math.MaxInt
+	}
+	return int(s.window)
+}
+
+// refuse halves the window of a plain server that has refused a request: others send to it as well.
+func (s *state) refuse() { s.window = max(float64(s.inflight)/2, 1) }
+
+// widen adds about one request to the window of a plain server for each window of answers.
+func (s *state) widen() {
+	if s.window == 0 {
+		return
+	}
+	if s.window += 1 / s.window; s.window > maxWindow {
+		s.window = 0
+	}
 }
 
 // avoided reports whether a server is in back-off for a model.
@@ -231,7 +257,7 @@
 	switch {
 	case n.Optional:
 		return ratelimit.Optional
-	case n.RequireSlot:
+	case n.RequireSlot && !n.Overdue:
 		return ratelimit.Background
 	default:
 		return ratelimit.Live
@@ -337,6 +363,7 @@
 		s.failures = 0
 		s.avoidUntil = time.Time{}
 		delete(s.refusals, model)
+		s.widen()
 		if took > 0 {
 			if s.serviceTime == 0 {
 				s.serviceTime = took
@@ -348,6 +375,9 @@
 		if now.Before(r.until) {
 			return // refusals of concurrent requests count once
 		}
+		if !s.engine {
+			s.refuse()
+		}
 		r.until = now.Add(min(refusalBackoff<<min(r.count, 8), maxRefusalBackoff))
 		r.count++
 		if s.refusals == nil {
--- a/entry/internal/reward/reward.go
+++ b/entry/internal/reward/reward.go
@@ -30,8 +30,12 @@
 	yieldTime = 2 * time.Second
 	// reservedShare is the fraction of a server's slots that calls leave to live requests.
 	reservedShare = 1.0 / 3
-	// refusalDelay is the delay of the next attempt after a refusal. The queue of a plain server drains in less.
-	refusalDelay = 50 * time.Millisecond
+	// overdueShare is the fraction of a server's slots up to which overdue calls may queue there beyond the slots.
+	overdueShare = 1.0
+	// minRefusalDelay is the delay of the next attempt after a refusal. The queue of a plain server drains in less. It
+	// doubles with each consecutive refusal up to maxRefusalDelay.
+	minRefusalDelay = 50 * time.Millisecond
+	maxRefusalDelay = 800 * time.Millisecond
 	// minRetryDelay is the delay before the next attempt after one that failed or was lost; it doubles with each further
 	// one up to maxRetryDelay. The first retry has no delay, as it goes to another server.
 	minRetryDelay = 50 * time.Millisecond
@@ -55,6 +59,7 @@
 	nextAttempt time.Time
 	failures    int // answers that count towards the limit of the call
 	attempts    int // unsuccessful attempts that may have been executed
+	refusals    int // consecutive
 }
 
 // Ready records that the text is complete. A call that was asked before starts anew.
@@ -83,7 +88,7 @@
 // Need returns what the next attempt requires of a server, which depends on how long the call has waited.
 func (c *Call) Need(now time.Time, tried map[string]bool) place.Need {
 	if now.Sub(c.readyAt) > yieldTime {
-		return place.Need{Tried: tried}
+		return place.Need{Tried: tried, RequireSlot: true, Reserve: -overdueShare, Overdue: true}
 	}
 	return place.Need{Tried: tried, RequireSlot: true, Reserve: reservedShare}
 }
@@ -91,16 +96,18 @@
 // Ended records how an attempt ended. It returns true if the call must be given up, which is after maxFailures
 // failures reported by servers.
 func (c *Call) Ended(o Outcome, maxFailures int, now time.Time) bool {
+	const doublings = 8
 	if o == Refused {
-		c.nextAttempt = now.Add(refusalDelay)
+		c.nextAttempt = now.Add(min(minRefusalDelay<<min(c.refusals, doublings), maxRefusalDelay))
+		c.refusals++
 		return false
 	}
+	c.refusals = 0
 	if o == Failed {
 		c.failures++
 	}
 	c.nextAttempt = now
 	if c.attempts > 0 {
-		const doublings = 8
 		c.nextAttempt = now.Add(min(minRetryDelay<<min(c.attempts-1, doublings), maxRetryDelay))
 	}
 	c.attempts++
--- a/entry/internal/reward/reward_test.go
+++ b/entry/internal/reward/reward_test.go
@@ -87,6 +87,7 @@
 
 // request is a request to a simulated server.
 type request struct {
+	entry    int // that sent it
 	server   string
 	live     bool
 	arrival  time.Duration
