Leave a request at its server while no other server takes it

Callers saw: 502 for lookups that their server would have answered in time (225 in 34 s with 34 of 35 plain servers limited, "upstream: sent true: context canceled" in 1031).

Cause: the first attempt of a repeatable request is cancelled at half of its time in favour of another server, whether or not there is one. With limits in force there often is none; with a single server there never was.

Change: the attempt is cancelled only if a server that was not tried takes the request then.

Evidence: TestRequestStaysAtOnlyServerThatTakesIt failed before in both cases with 502.

--- a/entry/internal/ingress/forward.go
+++ b/entry/internal/ingress/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"strings"
@@ -20,7 +21,7 @@
 	// the request can be retried if the response is truncated.
 	maxBufferedResponse = 256 << 10
 	// firstAttemptShare is the share of the remaining time after which the first attempt of a repeatable request is cancelled
-	// in favour of another server, unless its response can be sent to the client by then.
+	// in favour of another server, if there is one that takes it, unless its response can be sent to the client by then.
 	firstAttemptShare = 0.5
 	// minAttemptTime is the remaining time below which no further attempt is made: about the service time of a short request
 	// and the network round trip.
@@ -83,7 +84,11 @@
 		tried[s.ID] = true
 		q.servers = append(q.servers, s.ID)
 		q.attempts++
-		a := g.try(ctx, w, q, s, now, sent == 0)
+		var elsewhere func(now time.Time) bool
+		if sent == 0 && q.route.Repeatable() && q.route.MaxAttempts > 1 {
+			elsewhere = g.takenElsewhere(service, maps.Clone(tried))
+		}
+		a := g.try(ctx, w, q, s, now, elsewhere)
 		switch a.outcome {
 		case delivered:
 			if q.http.Context().Err() == nil {
@@ -135,16 +140,30 @@
 	causeLimits   = "all servers are at the limits of their request rates"
 )
 
-// try makes one attempt, started in the tracker, at a server and reports its outcome to the tracker.
+// takenElsewhere returns a function that reports whether a server of a service that was not tried takes a request.
+func (g *Ingress) takenElsewhere(service string, tried map[string]bool) func(now time.Time) bool {
+	return func(now time.Time) bool {
+		_, ok := g.Tracker.Pick(now, g.Catalog.Servers(service), place.Need{Tried: tried})
+		return ok
+	}
+}
+
+// try makes one attempt, started in the tracker, at a server and reports its outcome to the tracker. The attempt is
+// cancelled early if elsewhere, which may be nil, then reports that another server takes the request.
 func (g *Ingress) try(
-	ctx context.Context, w http.ResponseWriter, q *request, s catalog.Server, start time.Time, first bool,
+	ctx context.Context, w http.ResponseWriter, q *request, s catalog.Server, start time.Time,
+	elsewhere func(now time.Time) bool,
 ) attempt {
 	left := q.remaining(start)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	onResponse := func() {}
-	if q.route.Repeatable() && q.route.MaxAttempts > 1 && first {
-		t := time.AfterFunc(time.Duration(firstAttemptShare*float64(left)), cancel)
+	if elsewhere != nil {
+		t := time.AfterFunc(time.Duration(firstAttemptShare*float64(left)), func() {
+			if elsewhere(time.Now()) {
+				cancel()
+			}
+		})
 		defer t.Stop()
 		onResponse = func() { t.Stop() }
 	}
--- a/entry/internal/ingress/limit_test.go
+++ b/entry/internal/ingress/limit_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"testing"
+	"time"
 
 	"bulrushspoke/internal/call"
 	"bulrushspoke/internal/catalog"
@@ -44,3 +45,25 @@
 		t.Errorf("the server got %d requests in less than 4 s, allowed are %d", got, most)
 	}
 }
+
+// Guards against a request that is taken from its server halfway to its deadline although no other server takes it: there
+// is none, or the limit of the other one is used up.
+func TestRequestStaysAtOnlyServerThatTakesIt(t *testing.T) {
+	slow := func(c net.Conn, q *http.Request, _ string) bool {
+		time.Sleep(600 * time.Millisecond)
+		return respondOK(c, q, "")
+	}
+	limited := newServer(t, limitedTo(0.2))
+	for name, servers := range map[string][]*server{"only server": {newServer(t, slow)}, "limited": {newServer(t, slow), limited}} {
+		r := newRig(t, catalog.Route{Kind: catalog.Safe, MaxAttempts: 2}, servers...)
+		r.deadline = time.Second
+		if name == "limited" {
+			now := time.Now()
+			r.catalog.Limits().Record("i1", call.Limit{Stated: true, Rate: 0.2}, now, now)
+		}
+		resp, body, err := r.send(t, "GET", "/p/", "", nil)
+		if err != nil || resp.StatusCode != http.StatusOK || body != "fine" {
+			t.Errorf("%s: got %v, %q, %v", name, resp, body, err)
+		}
+	}
+}
