--- a/entry/internal/ingress/forward.go
+++ b/entry/internal/ingress/forward.go
@@ -84,11 +84,11 @@
 		tried[s.ID] = true
 		q.servers = append(q.servers, s.ID)
 		q.attempts++
-		var elsewhere func(now time.Time) bool
+		var otherAvailable func(now time.Time) bool
 		if sent == 0 && q.route.Repeatable() && q.route.MaxAttempts > 1 {
-			elsewhere = g.takenElsewhere(service, maps.Clone(tried))
+			otherAvailable = g.otherServerAvailable(service, maps.Clone(tried))
 		}
-		a := g.try(ctx, w, q, s, now, elsewhere)
+		a := g.try(ctx, w, q, s, now, otherAvailable)
 		switch a.outcome {
 		case delivered:
 			if q.http.Context().Err() == nil {
@@ -140,8 +140,8 @@
 	causeLimits   = "all servers are at the limits of their request rates"
 )
 
-// takenElsewhere returns a function that reports whether a server of a service that was not tried takes a request.
-func (g *Ingress) takenElsewhere(service string, tried map[string]bool) func(now time.Time) bool {
+// otherServerAvailable returns a function that reports whether a server of a service that was not tried takes a request.
+func (g *Ingress) otherServerAvailable(service string, tried map[string]bool) func(now time.Time) bool {
 	return func(now time.Time) bool {
 		_, ok := g.Tracker.Pick(now, g.Catalog.Servers(service), place.Need{Tried: tried})
 		return ok
@@ -149,18 +149,18 @@
 }
 
 // try makes one attempt, started in the tracker, at a server and reports its outcome to the tracker. The attempt is
-// cancelled early if elsewhere, which may be nil, then reports that another server takes the request.
+// cancelled early if otherAvailable, which may be nil, then reports that another server takes the request.
 func (g *Ingress) try(
 	ctx context.Context, w http.ResponseWriter, q *request, s catalog.Server, start time.Time,
-	elsewhere func(now time.Time) bool,
+	otherAvailable func(now time.Time) bool,
 ) attempt {
 	left := q.remaining(start)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	onResponse := func() {}
-	if elsewhere != nil {
+	if otherAvailable != nil {
 		t := time.AfterFunc(time.Duration(firstAttemptShare*float64(left)), func() {
-			if elsewhere(time.Now()) {
+			if otherAvailable(time.Now()) {
 				cancel()
 			}
 		})
--- a/entry/internal/place/place.go
+++ b/entry/internal/place/place.go
@@ -229,11 +229,11 @@
 	return int(s.window)
 }
 
-// refuse halves the window of a plain server that has refused a request: others send to it as well.
-func (s *state) refuse() { s.window = max(float64(s.inflight)/2, 1) }
+// narrowWindow halves the window of a plain server that has refused a request: others send to it as well.
+func (s *state) narrowWindow() { s.window = max(float64(s.inflight)/2, 1) }
 
-// widen adds about one request to the window of a plain server for each window of answers.
-func (s *state) widen() {
+// widenWindow adds about one request to the window of a plain server for each window of answers.
+func (s *state) widenWindow() {
 	if s.window == 0 {
 		return
 	}
@@ -363,7 +363,7 @@
 		s.failures = 0
 		s.avoidUntil = time.Time{}
 		delete(s.refusals, model)
-		s.widen()
+		s.widenWindow()
 		if took > 0 {
 			if s.serviceTime == 0 {
 				s.serviceTime = took
@@ -376,7 +376,7 @@
 			return // refusals of concurrent requests count once
 		}
 		if !s.engine {
-			s.refuse()
+			s.narrowWindow()
 		}
 		r.until = now.Add(min(refusalBackoff<<min(r.count, 8), maxRefusalBackoff))
 		r.count++
--- a/entry/internal/reward/storm_test.go
+++ b/entry/internal/reward/flood_test.go
@@ -18,9 +18,9 @@
 	waiting []*Call
 }
 
-// storm lets several entries send their calls to the one server that has no limit, after the time in which calls yield. It
+// flood lets several entries send their calls to the one server that has no limit, after the time in which calls yield. It
 // returns how many calls the server has answered and how many it has refused, as its slots and its queue were full.
-func storm(seed uint64) (answered, refused int) {
+func flood(seed uint64) (answered, refused int) {
 	const (
 		entries, callsEach = 20, 200
 		slots, queueLength = 6, 24
@@ -107,7 +107,7 @@
 func TestLateCallsDoNotFloodLastServer(t *testing.T) {
 	const possible = 20 * 6 / 0.08 // calls in the simulated time, if all slots were always in use
 	for seed := range uint64(5) {
-		answered, refused := storm(seed)
+		answered, refused := flood(seed)
 		t.Logf("seed %d: %d answered, %d refused", seed, answered, refused)
 		if refused > answered {
 			t.Errorf("seed %d: %d calls refused for %d answered", seed, refused, answered)
