Hedge reward calls only at servers with a free slot, overdue ones too

Cause: since an overdue call may queue at a server beyond its slots, and its hedge inherited that. A hedge adds load and must not wait in a queue.

Change: the hedge keeps no negative reserve, as before.

--- a/entry/internal/batch/score.go
+++ b/entry/internal/batch/score.go
@@ -129,7 +129,7 @@
 // returns false if there is none or if too many calls are hedged.
 func (j *Job) secondServer(it *item, first catalog.Server, route *catalog.Route, now time.Time) (catalog.Server, bool) {
 	need := it.call.Need(now, map[string]bool{first.ID: true})
-	need.RequireSlot, need.Optional = true, true
+	need.RequireSlot, need.Optional, need.Reserve = true, true, max(need.Reserve, 0)
 	s, ok := j.manager.Tracker.Pick(now, j.manager.Catalog.Servers(first.Service), need)
 	if !ok || !j.manager.rewardTimes.TakeHedge(route.Name) {
 		return s, false
