--- a/entry/internal/cli/platform.go
+++ b/entry/internal/cli/platform.go
@@ -227,7 +227,7 @@
 	p.catalog.Limits().SetShare(p.peers.Share)
 	p.task("limits", limits.Run)
 	p.peers.OnConnect(func(name string) {
-		limits.Greet(time.Now())
+		limits.SendSnapshot(time.Now())
 		p.batch.PeerConnected(name)
 	})
 	requestTime := m.Histogram("request", "s", "Time from arrival to the answer.")
--- a/entry/internal/dispatch/race.go
+++ b/entry/internal/dispatch/race.go
@@ -348,7 +348,7 @@
 	s, blocked := rc.d.suspects.recordCrash(time.Now(), rc.work.Print, alone)
 	rc.probe = rc.probe && !a.work.Solo
 	rc.d.shareSuspect(s)
-	if !blocked || rc.owed() {
+	if !blocked || rc.mustComplete() {
 		event.ContentSuspect.Log(rc.d.logger, "request", rc.work.Request, "server", a.work.Server, "print", rc.work.Print)
 		return nil
 	}
--- a/entry/internal/dispatch/run.go
+++ b/entry/internal/dispatch/run.go
@@ -167,14 +167,14 @@
 	return nil
 }
 
-// owed reports whether the job must be done whatever happens to its servers. Samples are requested by trainers for later
-// and never crash servers by themselves, unlike live requests.
-func (r *jobRun) owed() bool { return r.work.Class == Train }
+// mustComplete reports whether the job is retried until it succeeds, however often its servers crash. This holds for the
+// samples of trainers; live requests may be refused.
+func (r *jobRun) mustComplete() bool { return r.work.Class == Train }
 
-// admit waits until the content of the job may run, and refuses content that crashes servers unless it is owed.
+// admit waits until the content of the job may run, and refuses content that crashes servers unless it must complete.
 func (r *jobRun) admit(ctx context.Context) error {
 	for {
-		s := r.d.suspects.admit(time.Now(), r.work.Print, r.owed())
+		s := r.d.suspects.admit(time.Now(), r.work.Print, r.mustComplete())
 		if s.blockedFor > 0 {
 			return refusal.New(refusal.Poison, r.ran, "dispatch: this request crashes the servers that run it").WithRetryAfter(s.blockedFor)
 		}
--- a/entry/internal/dispatch/suspect.go
+++ b/entry/internal/dispatch/suspect.go
@@ -60,16 +60,16 @@
 	wait       <-chan struct{} // another solo run is in progress; ask again once the channel is closed
 }
 
-// admit returns how to treat content. Work that is owed is never refused, since its crashes may have had another cause: it
+// admit returns how to treat content. Work that must complete is never refused, since its crashes may have had another cause: it
 // runs alone until it succeeds.
-func (s *suspects) admit(now time.Time, fingerprint uint64, owed bool) admission {
+func (s *suspects) admit(now time.Time, fingerprint uint64, mustComplete bool) admission {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.find(now, fingerprint)
 	switch {
 	case e == nil:
 		return admission{}
-	case e.crashes >= crashLimit && !owed:
+	case e.crashes >= crashLimit && !mustComplete:
 		return admission{blockedFor: e.expires.Sub(now)}
 	case e.probing:
 		return admission{wait: e.changed}
--- a/entry/internal/place/place.go
+++ b/entry/internal/place/place.go
@@ -44,7 +44,7 @@
 	// consecutive failure.
 	failureBackoff    = 300 * time.Millisecond
 	maxFailureBackoff = 3 * time.Second
-	// maxWindow is the window of a plain server from which on it counts as unlimited; few servers have more slots.
+	// maxWindow is the window from which on a plain server is no longer restricted.
 	maxWindow = 64
 	// livenessWindow is the maximum age of an engine's newest event for a silent attempt to count as a busy engine, not
 	// as a failure.
@@ -112,7 +112,7 @@
 	avoidUntil  time.Time     // skipped until then
 	failures    int           // consecutive
 	refusals    map[string]refusal
-	window      float64 // requests that a plain server takes from this process at once, 0 if it has refused none lately
+	window      float64 // requests that a plain server takes from this process at once, 0 for no restriction
 	intervals   intervals
 	lastUsed    time.Time
 }
@@ -316,7 +316,7 @@
 	}
 }
 
-// Began records that an attempt at a server has started that Start has not picked.
+// Began records that an attempt has started at a server that was chosen by Pick.
 func (t *Tracker) Began(id string, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/entry/internal/usage/usage.go
+++ b/entry/internal/usage/usage.go
@@ -5,7 +5,7 @@
 //	s := usage.New(catalog, peers)
 //	s.Register()
 //	err := s.Run(ctx)
-//	s.Greet(time.Now()) // for each entry that has just become reachable
+//	s.SendSnapshot(time.Now()) // whenever an entry has become reachable
 //
 // A limit applies to the requests of all entries together. Each entry reports its own requests to servers with a limit, in
 // requests since its last report, and applies the reports of the others. Nothing is sent while no server has a limit.
@@ -89,8 +89,8 @@
 	}
 }
 
-// Greet tells the other entries all limits that this entry knows, for those that have just become reachable.
-func (s *Sharer) Greet(now time.Time) { s.send(s.catalog.Limits().Snapshot(now)) }
+// SendSnapshot sends all limits that this entry knows to the other entries.
+func (s *Sharer) SendSnapshot(now time.Time) { s.send(s.catalog.Limits().Snapshot(now)) }
 
 func (s *Sharer) send(reports []ratelimit.Report) {
 	var m wire.Limits
--- a/entry/internal/usage/usage_test.go
+++ b/entry/internal/usage/usage_test.go
@@ -95,7 +95,7 @@
 	here.Limits().Take("s", ratelimit.Live, now)
 	eventually(t, "the other entry does not count the request", func() bool { return full() > before+time.Second })
 	late, _ := newEntry(m)
-	s.Greet(time.Now())
+	s.SendSnapshot(time.Now())
 	if wait, limited := late.Limits().Delay("s", now); !limited || wait < time.Second {
 		t.Errorf("an entry that starts later waits %s (limited: %t)", wait, limited)
 	}
