Review: the end of a batch job is lost while another front takes the job over

Cause: a front that takes a job over goes on from the state that it read before, while it loads the job, and passes over the message that the job has ended.

Done: a script that kills the front that runs a job while the store is slow and sends the end request right after another front has taken the job over. The case of the failed item tells fronts apart by their writes to the store now, since they pass the addresses of engines on to each other.

--- a/review/harness/engine.go
+++ b/review/harness/engine.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"maps"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -154,8 +153,7 @@
 		g.mu.Unlock()
 	}()
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	local, _ := r.Context().Value(http.LocalAddrContextKey).(net.Addr)
-	g.env.arrived(id, g.id, local.String(), after, time.Now())
+	g.env.arrived(id, g.id, after, time.Now())
 	h.Set("X-Server-Stamp", "s."+g.id)
 	last := r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:]
 	if last == "reject" {
--- a/review/harness/env.go
+++ b/review/harness/env.go
@@ -41,7 +41,6 @@
 	netKeep  = 3
 	netStore = 5  // the store, one address for each process
 	netProxy = 10 // the other fronts, as front n sees them: 10 + n
-	netVia   = 30 // the engines, as front n sees them: 30 + n
 )
 
 // Bounds of the data sheet of saule-rollout.
@@ -100,7 +99,6 @@
 type arrival struct {
 	item   string
 	engine string
-	from   int // front that sent it
 	after  int
 	at     time.Time
 }
@@ -185,11 +183,6 @@
 		if err := serve(g.address, g); err != nil {
 			return err
 		}
-		for f := range fronts {
-			if err := serve(fmt.Sprintf("%s:%d", e.ip(netVia+f, i+1), portApp), g); err != nil {
-				return err
-			}
-		}
 		go g.steps()
 		g.publish()
 		e.engines = append(e.engines, g)
@@ -267,12 +260,9 @@
 
 // startProcess writes the settings of a process and starts it with the command of the deploy file.
 func (e *env) startProcess(name, program, class, zone string, network, n int, share string, memory int, extra string, observer int) error {
-	at := &endpoint{store: e.store}
+	at := &endpoint{store: e.store, process: name}
 	if observer >= 0 {
-		at.rewrite = map[string][2]string{
-			"members": {e.prefix(netFront), e.prefix(netProxy + observer)},
-			"servers": {e.prefix(netSide), e.prefix(netVia + observer)},
-		}
+		at.from, at.to = e.prefix(netFront), e.prefix(netProxy+observer)
 	}
 	address := fmt.Sprintf("%s:%d", e.ip(netStore, network*50+n-50), portStore)
 	if err := serve(address, at); err != nil {
@@ -380,17 +370,11 @@
 }
 
 // arrived records that a server began to work on an item.
-func (e *env) arrived(item, engine, local string, after int, now time.Time) {
-	from := -1
-	for i := range fronts {
-		if strings.HasPrefix(local, e.prefix(netVia+i)) {
-			from = i
-		}
-	}
+func (e *env) arrived(item, engine string, after int, now time.Time) {
 	e.mu.Lock()
-	e.arrivals = append(e.arrivals, arrival{item: item, engine: engine, from: from, after: after, at: now})
+	e.arrivals = append(e.arrivals, arrival{item: item, engine: engine, after: after, at: now})
 	e.mu.Unlock()
-	e.note("run item=%s server=%s after=%d from=%s", item, engine, after, frontName(from))
+	e.note("run item=%s server=%s after=%d", item, engine, after)
 }
 
 func (e *env) finished(item string) {
--- a/review/harness/faileditem.go
+++ b/review/harness/faileditem.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"sync"
 	"time"
 )
 
 // failedItem hands in one batch job with an item that can never be done: each server answers it with 422. With trouble,
-// fronts are stopped and started in turn, first the one that sent the item last, each of them once.
+// three fronts are stopped and started in turn, each of them once, first the one that last wrote the job's object to the
+// store under a condition.
 func failedItem(e *env) error {
 	if err := e.start(4); err != nil {
 		return err
@@ -16,11 +18,22 @@
 	bad.last, bad.events = "reject", 0
 	items[0] = bad
 	id := e.newID()
+	var mu sync.Mutex
+	writers := []string{} // of the job's object, in order
+	e.store.mu.Lock()
+	e.store.onWrite = func(process, kind, name string, _ []byte) {
+		if kind == "jobs" && name == id {
+			e.note("%s writes the object of the job", process)
+			mu.Lock()
+			defer mu.Unlock()
+			writers = append(writers, process)
+		}
+	}
+	e.store.mu.Unlock()
 	if s := e.submit(frontA, id, models[0], 0, 1, 6, items); s != 202 {
 		return fmt.Errorf("%w: submit answered %d", errSetup, s)
 	}
 	accepted := time.Now()
-	stopped := map[int]bool{}
 	runs := func() []arrival {
 		e.mu.Lock()
 		defer e.mu.Unlock()
@@ -32,34 +45,35 @@
 		}
 		return l
 	}
-	seen := 0
-	after := 0
+	disturbed := map[string]bool{}
+	seen, after := 0, 0
 	for time.Since(accepted) < 10*time.Second {
 		_, results := e.readPage(frontD, id, after)
 		after += len(results)
 		l := runs()
-		if e.trouble && len(l) > seen && len(stopped) < 3 {
+		mu.Lock()
+		last := writers[len(writers)-1]
+		mu.Unlock()
+		if e.trouble && len(l) > seen && len(disturbed) < 3 && !disturbed[last] {
 			seen = len(l)
-			if i := l[len(l)-1].from; !stopped[i] {
-				stopped[i] = true
-				go func() { _ = e.restart(i) }()
+			disturbed[last] = true
+			for i := range fronts {
+				if frontName(i) == last {
+					go func() { _ = e.restart(i) }()
+				}
 			}
 		}
 		time.Sleep(200 * time.Millisecond)
 	}
 	l := runs()
 	for i, a := range l {
-		e.note("run %d of the item: from %s at server %s, %.3f s after the 202", i+1, frontName(a.from), a.engine, a.at.Sub(accepted).Seconds())
-	}
-	// A machine is in touch if it had no SIGTERM and no start for contact_ms; the fourth front had neither.
-	late := 0
-	for i, a := range l {
-		if i >= 3 && !stopped[a.from] {
-			late++
-		}
+		e.note("run %d of the item at server %s, %.3f s after the 202", i+1, a.engine, a.at.Sub(accepted).Seconds())
 	}
-	if late > 0 {
-		e.breaks("BUDGET: item %s of job %s, answered 422 three times, reached a server again %d times from a front that was never stopped", bad.id, id, late)
+	mu.Lock()
+	defer mu.Unlock()
+	// The front that ran the job at the fourth run is in touch if it was neither stopped nor started.
+	if len(l) >= 4 && len(writers) >= 4 && !disturbed[writers[3]] {
+		e.breaks("BUDGET: item %s of job %s, answered 422 three times, reached a server again; the job was then with %s, which was never stopped", bad.id, id, writers[3])
 	}
 	return nil
 }
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -21,6 +21,7 @@
 	"resent-end":    {resentEnd, options{slots: 12, eventInterval: 2 * time.Millisecond, maxQueue: 40}},
 	"lost-end":      {lostEnd, options{slots: 12, eventInterval: 60 * time.Millisecond, maxQueue: 40}},
 	"removed-route": {removedRoute, options{slots: 12, eventInterval: 40 * time.Millisecond, maxQueue: 40}},
+	"late-end":      {lateEnd, options{slots: 12, eventInterval: 60 * time.Millisecond, maxQueue: 40}},
 	"failed-item":   {failedItem, options{slots: 12, eventInterval: 60 * time.Millisecond, maxQueue: 40}},
 }
 
--- a/review/harness/store.go
+++ b/review/harness/store.go
@@ -23,8 +23,8 @@
 	history  []change
 	changed  chan struct{}
 	delay    atomic.Int64 // time of an answer in nanoseconds
-	// onWrite, if set, is called with each applied write, without mu.
-	onWrite func(kind, name string, spec []byte)
+	// onWrite, if set, is called with each applied write and the process that made it, without mu.
+	onWrite func(process, kind, name string, spec []byte)
 }
 
 type metadata struct {
@@ -112,11 +112,12 @@
 	s.changed = make(chan struct{})
 }
 
-// endpoint serves the store to one process. In what it reads, prefixes of addresses are replaced, by kind: a front reaches
-// the other fronts through the proxies of this test, and the engines at addresses that tell which front has sent a request.
+// endpoint serves the store to one process. If from is set, addresses in the list of members are replaced, so that the
+// process reaches the other fronts through the proxies of this test.
 type endpoint struct {
-	store   *store
-	rewrite map[string][2]string
+	store    *store
+	process  string
+	from, to string
 }
 
 func (e *endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -137,7 +138,7 @@
 	if r.Method == http.MethodGet {
 		status, v = s.read(r, parts[0], parts[1:])
 	} else {
-		status, v = s.write(r, parts[0], parts[1:], body)
+		status, v = s.write(e.process, r, parts[0], parts[1:], body)
 	}
 	if status == 0 {
 		return
@@ -146,8 +147,8 @@
 	if err != nil {
 		panic(err)
 	}
-	if p, ok := e.rewrite[parts[0]]; ok && r.Method == http.MethodGet {
-		out = bytes.ReplaceAll(out, []byte(p[0]), []byte(p[1]))
+	if e.from != "" && r.Method == http.MethodGet && parts[0] == "members" {
+		out = bytes.ReplaceAll(out, []byte(e.from), []byte(e.to))
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
@@ -218,7 +219,7 @@
 	}
 }
 
-func (s *store) write(r *http.Request, kind string, path []string, body []byte) (int, any) {
+func (s *store) write(process string, r *http.Request, kind string, path []string, body []byte) (int, any) {
 	var in object
 	if r.Method != http.MethodDelete {
 		if err := json.Unmarshal(body, &in); err != nil {
@@ -230,7 +231,7 @@
 	f := s.onWrite
 	s.mu.Unlock()
 	if f != nil && status == http.StatusOK {
-		f(kind, o.Metadata.Name, o.Spec)
+		f(process, kind, o.Metadata.Name, o.Spec)
 	}
 	return status, o
 }
