--- a/review/harness/resentend.go
+++ b/review/harness/resentend.go
@@ -5,8 +5,9 @@
 	"time"
 )
 
-// resentEnd plays the first steps of two trainers, one after the other. Front A runs the jobs. In each step another client sends the end request once more,
-// at front D, after the trainer's has been acknowledged by front B. With trouble, front D is restarted in each step.
+// resentEnd plays the first steps of two trainers, one after the other. Front A runs the jobs. In each step another client
+// sends the end request once more, at front D, after the trainer's has been acknowledged by front B. With trouble, front D is
+// restarted in each step.
 func resentEnd(e *env) error {
 	if err := e.start(11); err != nil {
 		return err
