Drop events that arrive after a batch job has stopped

Cause: markEnded drops the texts of a job, but an attempt goes on to read the events in its buffers and appended them to the empty text. A second end message, from an entry that does not know of the end, put that text into the cache in place of the good one, and the next job resumed from it. The length of such a text is right by chance only, and nothing compared it with the ids of its events.

Change: an attempt may change the text of an item only while the job runs, the item is open, and the text has exactly the events that the attempt has received. This also covers the end of a response, texts of items that another owner has listed, and jobs that are handed over. markEnded returns early for a job that has ended.

Ruled out: moves between servers (a text shorter than the move's start was refused already) and two end requests at the same time, which add nothing once no event is added after the stop.

--- a/entry/internal/batch/answer.go
+++ b/entry/internal/batch/answer.go
@@ -43,7 +43,7 @@
 			return "", nil, err
 		}
 		if j := m.local(q.Job); j != nil {
-			j.markEnded()
+			j.markEnded(time.Now())
 		}
 		m.mu.Lock()
 		if s, ok := m.owners[q.Job]; ok {
--- a/entry/internal/batch/batch.go
+++ b/entry/internal/batch/batch.go
@@ -384,7 +384,7 @@
 			}
 		}
 		if j != nil {
-			j.markEnded()
+			j.markEnded(time.Now())
 		} else {
 			m.cacheState(id, s)
 		}
--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -282,11 +282,14 @@
 	j.notifyReaders()
 }
 
-// markEnded stops a job that the trainer has ended, and caches its unlisted texts for a later job.
-func (j *Job) markEnded() {
+// markEnded stops a job that the trainer has ended, and caches its unlisted texts for a later job. It may be repeated.
+func (j *Job) markEnded(now time.Time) {
 	j.stop()
+	if j.hasEnded() {
+		return
+	}
 	for _, p := range j.unlistedParts() {
-		j.manager.texts.put(p, time.Now())
+		j.manager.texts.put(p, now)
 	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/entry/internal/batch/run.go
+++ b/entry/internal/batch/run.go
@@ -341,13 +341,9 @@
 		e, err := current.nextEvent()
 		if errors.Is(err, io.EOF) {
 			resp.Close()
-			j.mu.Lock()
-			if !it.done {
-				j.complete(it, time.Now())
+			if j.completeText(it, after, time.Now()) {
+				j.manager.lengths.RecordCompleted(j.spec.Model, it.hint, after)
 			}
-			made := len(it.data)
-			j.mu.Unlock()
-			j.manager.lengths.RecordCompleted(j.spec.Model, it.hint, made)
 			v.outcome = place.Answered
 			return v
 		}
@@ -386,25 +382,55 @@
 			return v
 		}
 		watch.progress(now)
+		if !j.appendEvent(it, after, e.Data, version) {
+			resp.Abandon()
+			v.outcome, v.cause = place.Abandoned, causeEnded
+			return v
+		}
 		after++
 		v.events++
 		if !last.IsZero() {
 			j.manager.Tracker.ObserveInterval(s.ID, now.Sub(last), now)
 		}
 		last = now
-		j.mu.Lock()
-		it.data = append(it.data, e.Data)
-		if !slices.Contains(it.versions, version) {
-			it.versions = append(it.versions, version)
-			slices.Sort(it.versions)
-		}
-		j.mu.Unlock()
 		if pendingMove.hasFinished() && (v.events%moveCheckEvents == 0 || j.manager.Tracker.Slowed(s.ID, now)) {
 			pendingMove = j.move(ctx, it, current, route, now)
 		}
 	}
 }
 
+// extendable reports whether an attempt that has received the first n events of an item may still change its text; the
+// caller holds mu. Events that are left in the buffers of an attempt must not be added once the job has stopped, since
+// its texts may have been dropped or passed on by then.
+func (j *Job) extendable(it *item, n int) bool { return !j.stopped && !it.done && len(it.data) == n }
+
+// appendEvent adds the event after the first n to the text of an item. It returns false if the text may not be changed.
+func (j *Job) appendEvent(it *item, n int, data string, version int) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if !j.extendable(it, n) {
+		return false
+	}
+	it.data = append(it.data, data)
+	if !slices.Contains(it.versions, version) {
+		it.versions = append(it.versions, version)
+		slices.Sort(it.versions)
+	}
+	return true
+}
+
+// completeText notes that the text of an item is complete with n events. It returns false if the text may not be
+// changed.
+func (j *Job) completeText(it *item, n int, now time.Time) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if !j.extendable(it, n) {
+		return false
+	}
+	j.complete(it, now)
+	return true
+}
+
 // textSize returns the memory of the text of an item so far, in bytes.
 func (j *Job) textSize(it *item) int {
 	j.mu.Lock()
