Read the state of open batch jobs from the store at their owner

Cause: an entry that takes an end request writes it to the store and tells the other entries once, without an answer. An owner that has no link to that entry at this moment never learns of the end, since it does not read the state again. The message that a job has a new owner is lost in the same way; a former owner notices only when it lists a result.

Change: the owner of an open job reads its state once a second, and stops the job if it has ended or has a newer owner. Whatever has been acknowledged is in the store, so this does not depend on any other entry. Jobs whose items are all done are read every ten seconds; before, the memory of a job whose end was missed was never released.

Ruled out: a repeated message by the entry that took the end, once it is connected again. If that entry stops, nobody repeats it.

Cost: one read per second and open job, as many as the checkpoints write; 400 jobs take a fifth of the reads that the store of the smallest deployment allows.

--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -38,6 +38,7 @@
 	stopped        bool            // this entry runs no more attempts
 	refreshedAt    time.Time       // last read of the log after the job stopped
 	checkedAt      time.Time       // last read of the log for a client that was ahead of it
+	stateReadAt    time.Time       // last read of the state, or last attempt without an answer
 	startedAt      time.Time       // when this entry started to run the job
 	estimatedAt    time.Time       // when remaining was computed
 	remaining      time.Duration   // expected time until the items that the trainer waits for are done
@@ -71,8 +72,9 @@
 	listed   bool
 }
 
-// newJob returns a job with the results of the given records. The items of an ended job may be left out.
-func newJob(m *Manager, spec job.Job, s wire.JobState, records []wire.JobRecord) *Job {
+// newJob returns a job with the results of the given records, whose state was read from the store at the given time. The
+// items of an ended job may be left out.
+func newJob(m *Manager, spec job.Job, s wire.JobState, records []wire.JobRecord, readAt time.Time) *Job {
 	j := &Job{
 		manager:   m,
 		spec:      spec,
@@ -86,8 +88,11 @@
 		stopped:   s.Ended,
 		changed:   make(chan struct{}),
 		wake:      make(chan struct{}, 1),
-		listWake:  make(chan struct{}, 1),
-		carried:   make(map[string]bool),
+
+		stateReadAt: readAt,
+
+		listWake: make(chan struct{}, 1),
+		carried:  make(map[string]bool),
 	}
 	for i, it := range spec.Items {
 		j.size += int64(len(it.Body))
@@ -260,6 +265,7 @@
 	l := &lister{job: j}
 	go supervise.Guard(j.manager.Logger, "job", func() { j.run(ctx) })
 	go supervise.Guard(j.manager.Logger, "lister", func() { l.run(ctx) })
+	go supervise.Guard(j.manager.Logger, "state", func() { stateWatcher{job: j}.run(ctx) })
 	go supervise.Guard(j.manager.Logger, "keeper", func() { (&checkpointer{job: j}).run(ctx) })
 }
 
--- a/entry/internal/batch/owner.go
+++ b/entry/internal/batch/owner.go
@@ -129,7 +129,7 @@
 	if !s.Ended && len(parts) == 0 {
 		parts = m.loadCheckpoint(ctx, id)
 	}
-	if !m.start(newJob(m, spec, s, records), parts) && !s.Ended {
+	if !m.start(newJob(m, spec, s, records, time.Now()), parts) && !s.Ended {
 		return unavailable("this entry is shutting down")
 	}
 	return ingress.Reply{}
--- a/entry/internal/batch/reader_test.go
+++ b/entry/internal/batch/reader_test.go
@@ -221,7 +221,7 @@
 		group, _, _ := strings.Cut(id, "-")
 		spec.Items = append(spec.Items, job.Item{ID: id, Group: group})
 	}
-	j := newJob(m, spec, wire.JobState{Total: len(spec.Items)}, nil)
+	j := newJob(m, spec, wire.JobState{Total: len(spec.Items)}, nil, time.Now())
 	j.carried["again"] = true
 	for _, step := range []struct {
 		done    string
--- a/entry/internal/batch/submit.go
+++ b/entry/internal/batch/submit.go
@@ -47,6 +47,7 @@
 		Owner: owner.name, Inc: owner.inc, Epoch: 1, Host: r.Host, Path: r.Prefix, Total: len(spec.Items),
 		At: now.UnixMilli(), Model: spec.Model,
 	}
+	createdAt := time.Now()
 	held, err := m.createState(ctx, id, state)
 	if err != nil {
 		return m.refuseAmbiguous(id, err, now)
@@ -54,7 +55,7 @@
 	switch {
 	case held.Ended || held.Epoch > 1:
 	case held.Owner == m.Name && held.Inc == m.Self.Inc:
-		m.start(newJob(m, spec, held, nil), nil)
+		m.start(newJob(m, spec, held, nil, createdAt), nil)
 	case held.Owner == owner.name && held.Inc == owner.inc:
 		go supervise.Guard(m.Logger, "delegate", func() { m.delegate(id, held, body) })
 	}
@@ -107,7 +108,7 @@
 	if err != nil || q.State.Owner != m.Name || q.State.Inc != m.Self.Inc || m.outdated(q) {
 		return false
 	}
-	return m.start(newJob(m, spec, q.State, nil), nil)
+	return m.start(newJob(m, spec, q.State, nil, time.Now()), nil)
 }
 
 // outdated reports whether a delegated job has had another owner since.
--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -27,5 +27,6 @@
 	OldJobsRemoved          = define(1051, slog.LevelInfo, "old jobs removed from the store")
 	MoveFailed              = define(1052, slog.LevelInfo, "item stays at its server: the server that it was to move to did not continue it")
 	StepCompleted           = define(1053, slog.LevelInfo, "all results that the trainer waits for are listed")
+	JobEndFound             = define(1054, slog.LevelInfo, "end of a batch job found in the store")
 	InstanceRetiring        = define(1050, slog.LevelInfo, "instance is to be removed; it holds nothing that must be kept")
 )
