Check the age of a job's state before items start

Cause: the new owner reads the state of the job, then its payload, results and texts, and starts the job on the state that it read first. The message of the end comes in between and finds no job to stop. The same holds for a job that is passed to its owner by message, for an end that is taken by the entry that is just about to run the job, and for an owner that was paused: it starts items before it has looked.

Change: a job keeps the time at which its state was read, which for a job that was taken over is before it was loaded. Reads follow from that time on, at once for a job that came by message, and no item, reward call or move starts on a state older than 2.5 s. A read that gets no answer counts, so that an unavailable store does not stop the job. An entry that has written an end looks again whether it runs the job itself.

Ruled out: marking the cached state when the message comes, which helps only if the message comes, and reading the state once more at the end of the load, which leaves the other three cases.

--- a/entry/internal/batch/batch.go
+++ b/entry/internal/batch/batch.go
@@ -383,7 +383,8 @@
 				return unavailable(err.Error())
 			}
 		}
-		if j != nil {
+		// This entry may have started to run the job in the meantime.
+		if j := m.local(id); j != nil {
 			j.markEnded(time.Now())
 		} else {
 			m.cacheState(id, s)
--- a/entry/internal/batch/ended_test.go
+++ b/entry/internal/batch/ended_test.go
@@ -1,10 +1,15 @@
 package batch
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"testing"
 	"time"
+
+	"bulrushspoke/internal/store"
+	"bulrushspoke/platform"
+	"bulrushspoke/wire"
 )
 
 // await polls until the condition holds, and fails the test after 10 s.
@@ -118,6 +123,126 @@
 	awaitEnd(t, owner, "j", e, acknowledged)
 }
 
+// gatedStore delays the reads of objects of one kind until the gate opens.
+type gatedStore struct {
+	Store
+	kind    string
+	reached chan struct{} // receives a value for each read that waits
+	gate    chan struct{} // closed to let the reads pass
+}
+
+func newGatedStore(s Store, kind string) *gatedStore {
+	return &gatedStore{Store: s, kind: kind, reached: make(chan struct{}, 16), gate: make(chan struct{})}
+}
+
+// Get implements Store.
+func (s *gatedStore) Get(ctx context.Context, kind, name string) (store.Record, error) {
+	if kind == s.kind {
+		s.reached <- struct{}{}
+		select {
+		case <-s.gate:
+		case <-ctx.Done():
+			return store.Record{}, store.NewUnavailableError(false, ctx.Err().Error())
+		}
+	}
+	return s.Store.Get(ctx, kind, name)
+}
+
+// Guards against a new owner that runs all items of a job that was ended while it loaded the job, although it received
+// the message of the end.
+func TestEndDuringTakeover(t *testing.T) {
+	t.Parallel()
+	e := slowEngine(t)
+	r := newRig(t, e)
+	owner, crash := r.manager("a", "a1")
+	next, _ := r.manager("c", "c1")
+	other, _ := r.manager("d", "d1")
+	gated := newGatedStore(next.Store, KindPayload)
+	next.Store = gated
+	r.submit(owner, "j", payload(1, manyItems()...))
+	await(t, "items start", func() bool { return len(e.started()) > 0 })
+	crash()
+	r.cut("a", true)
+	taken := make(chan int)
+	go func() { taken <- next.Results(t.Context(), "j", 0, 0).Status }()
+	<-gated.reached
+	if reply := other.End(t.Context(), "j"); reply.Status != http.StatusOK {
+		t.Fatal(reply)
+	}
+	acknowledged := time.Now()
+	close(gated.gate)
+	if status := <-taken; status != http.StatusOK {
+		t.Fatalf("the new owner replies with %d", status)
+	}
+	awaitEnd(t, next, "j", e, acknowledged)
+}
+
+// Guards against an ended job that is run because the message that passes it to its owner arrives after the end.
+func TestEndBeforeDelegation(t *testing.T) {
+	t.Parallel()
+	e := slowEngine(t)
+	r := newRig(t, e)
+	owner, _ := r.manager("a", "a1")
+	other, _ := r.manager("b", "b1")
+	var ids []string
+	for n := range 100 {
+		ids = append(ids, fmt.Sprintf("g%d-500", n))
+	}
+	body := payload(1, ids...)
+	s := wire.JobState{
+		Owner: "a", Inc: "a1", Epoch: 1, Host: "h", Path: "/p/", Total: len(ids), At: time.Now().UnixMilli(), Model: "m",
+	}
+	if err := other.putPayload(t.Context(), "j", body); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := other.createState(t.Context(), "j", s); err != nil {
+		t.Fatal(err)
+	}
+	if reply := other.End(t.Context(), "j"); reply.Status != http.StatusOK {
+		t.Fatal(reply)
+	}
+	if !owner.startDelegated(wire.JobStart{Job: "j", State: s, Payload: body}) {
+		t.Fatal("the owner refuses the job")
+	}
+	// The delegation may arrive long after the end, so that the owner has to find out soon after it has started.
+	await(t, "the owner learns of the end", owner.local("j").hasEnded)
+	started := len(e.started())
+	if most := 8; started > most {
+		t.Errorf("%d items of an ended job reached a server, want at most one for each of its %d slots", started, most)
+	}
+}
+
+// Guards against an owner that starts items after a pause, during which its job may have ended, before it has read the
+// state of the job.
+func TestNoItemStartsOnOutdatedState(t *testing.T) {
+	t.Parallel()
+	e := newEngine(t, 1)
+	r := newRig(t, e)
+	m, _ := r.manager("a", "a1")
+	spec, err := platform.DecodeJob("j", payload(1, "g-1", "h-1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Now()
+	s := wire.JobState{Host: "h", Path: "/p/", Total: 2, At: now.UnixMilli()}
+	j := newJob(m, spec, s, nil, now.Add(-2*maxStateAge))
+	if waiting := j.schedule(t.Context()); waiting != 2 {
+		t.Errorf("%d items wait, want 2", waiting)
+	}
+	select {
+	case <-j.stateWake:
+	default:
+		t.Error("no read of the state was requested")
+	}
+	time.Sleep(50 * time.Millisecond)
+	if l := e.started(); len(l) > 0 {
+		t.Errorf("items %q have started", l)
+	}
+	j.noteStateRead(time.Now())
+	j.schedule(t.Context())
+	await(t, "items start once the state has been read", func() bool { return len(e.started()) == 2 })
+}
+
 // Guards against a former owner that runs on: the message of the entry that took its job over did not reach it, and it
 // has no results to list, which would show it the records of the new owner.
 func TestFormerOwnerWithoutLinkStops(t *testing.T) {
--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -50,6 +50,7 @@
 	cancel         context.CancelFunc
 	changed        chan struct{} // closed when results are listed or the job stops
 	wake           chan struct{} // signals run that an attempt has ended
+	stateWake      chan struct{} // signals the stateWatcher that an attempt waits for it
 	listWake       chan struct{} // signals the lister that there may be results to list
 }
 
@@ -88,6 +89,7 @@
 		stopped:   s.Ended,
 		changed:   make(chan struct{}),
 		wake:      make(chan struct{}, 1),
+		stateWake: make(chan struct{}, 1),
 
 		stateReadAt: readAt,
 
--- a/entry/internal/batch/move.go
+++ b/entry/internal/batch/move.go
@@ -139,7 +139,7 @@
 	j.mu.Lock()
 	allowed := it.moves < maxMoves && now.Sub(it.moved) >= minMoveInterval
 	j.mu.Unlock()
-	if !allowed {
+	if !allowed || !j.stateCurrent(now) {
 		return nil
 	}
 	need := j.need(it, now)
--- a/entry/internal/batch/owner.go
+++ b/entry/internal/batch/owner.go
@@ -82,6 +82,7 @@
 		return ingress.Reply{}
 	}
 	for range maxUpdateAttempts {
+		readAt := time.Now()
 		s, revision, err := m.readState(ctx, id)
 		if err != nil {
 			return unavailable(err.Error())
@@ -106,14 +107,14 @@
 			}
 			event.JobOwnershipAcquired.Log(m.Logger, "job", id, "epoch", s.Epoch)
 		}
-		return m.load(ctx, id, s, parts)
+		return m.load(ctx, id, s, parts, readAt)
 	}
 	return unavailable("the job is changing owners")
 }
 
-// load reads a job from the store and resumes it unless it has ended. Of an ended job only the results are read, since
-// its items are seldom requested.
-func (m *Manager) load(ctx context.Context, id string, s wire.JobState, parts []wire.JobPart) ingress.Reply {
+// load reads a job, whose state was read at the given time, from the store and resumes it unless it has ended. Of an
+// ended job only the results are read, since its items are seldom requested.
+func (m *Manager) load(ctx context.Context, id string, s wire.JobState, parts []wire.JobPart, readAt time.Time) ingress.Reply {
 	spec := job.Job{ID: id}
 	if !s.Ended {
 		var err error
@@ -129,7 +130,7 @@
 	if !s.Ended && len(parts) == 0 {
 		parts = m.loadCheckpoint(ctx, id)
 	}
-	if !m.start(newJob(m, spec, s, records, time.Now()), parts) && !s.Ended {
+	if !m.start(newJob(m, spec, s, records, readAt), parts) && !s.Ended {
 		return unavailable("this entry is shutting down")
 	}
 	return ingress.Reply{}
--- a/entry/internal/batch/run.go
+++ b/entry/internal/batch/run.go
@@ -83,6 +83,9 @@
 		notify(j.listWake)
 		return j.openStatus()
 	}
+	if len(pending) > 0 && !j.stateCurrent(now) {
+		return len(pending)
+	}
 	// Selected before reward calls start, since these change their items when they end.
 	texts := slices.DeleteFunc(pending, func(it *item) bool { return it.textDone })
 	waiting := j.sendRewardCalls(ctx, c, now)
--- a/entry/internal/batch/state.go
+++ b/entry/internal/batch/state.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"bulrushspoke/internal/event"
-	"bulrushspoke/internal/sleep"
 	"bulrushspoke/wire"
 )
 
@@ -17,6 +16,9 @@
 	doneCheckInterval = 10 * time.Second
 	// stateCheckTimeout bounds such a read, so that a store that does not answer does not keep items from starting.
 	stateCheckTimeout = 1200 * time.Millisecond
+	// maxStateAge is the time since the last read after which no attempt starts until the state has been read again. It is
+	// exceeded only if the process has been paused or the job took long to load.
+	maxStateAge = 2500 * time.Millisecond
 )
 
 // stateWatcher compares a job with its state in the store while this entry runs it.
@@ -28,15 +30,26 @@
 	job *Job
 }
 
-// run reads the state at intervals until ctx ends.
+// run reads the state at intervals, and early if an attempt waits for it, until ctx ends.
 func (w stateWatcher) run(ctx context.Context) {
 	for {
-		now := time.Now()
-		sleep.For(ctx, w.job.nextStateCheck(now).Sub(now))
+		w.pause(ctx, time.Now())
 		if ctx.Err() != nil {
 			return
 		}
 		w.check(ctx, time.Now())
+		notify(w.job.wake)
+	}
+}
+
+// pause waits until the next read is due or an attempt waits for it.
+func (w stateWatcher) pause(ctx context.Context, now time.Time) {
+	t := time.NewTimer(w.job.nextStateCheck(now).Sub(now))
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-w.job.stateWake:
+	case <-ctx.Done():
 	}
 }
 
@@ -79,3 +92,14 @@
 	defer j.mu.Unlock()
 	return j.stateReadAt.Add(stateCheckInterval)
 }
+
+// stateCurrent reports whether the state was read recently enough to start an attempt, and has it read otherwise.
+func (j *Job) stateCurrent(now time.Time) bool {
+	j.mu.Lock()
+	current := now.Sub(j.stateReadAt) <= maxStateAge
+	j.mu.Unlock()
+	if !current {
+		notify(j.stateWake)
+	}
+	return current
+}
--- a/entry/internal/batch/submit.go
+++ b/entry/internal/batch/submit.go
@@ -108,7 +108,8 @@
 	if err != nil || q.State.Owner != m.Name || q.State.Inc != m.Self.Inc || m.outdated(q) {
 		return false
 	}
-	return m.start(newJob(m, spec, q.State, nil, time.Now()), nil)
+	// The message may have taken long, so the first read of the state is due at once.
+	return m.start(newJob(m, spec, q.State, nil, time.Now().Add(-stateCheckInterval)), nil)
 }
 
 // outdated reports whether a delegated job has had another owner since.
