Serve batch jobs whose route has been removed

Cause: whether a request is a call for a job was decided by the newest configuration alone; without such a route it was matched like any other request. A job outlives the route that accepted it.

Change: if no route matches, a call for a job goes to the jobs, which answer 404 only if the store has no such job. If another route matches, it does so on hosts that had a route of batch jobs in a configuration known to this process, and goes on to the route if the job does not exist. On other hosts a matching route comes first, so that a plain service does not depend on the store.

Not covered: an entry that was started after the removal, on a host where another route covers the paths of the calls.

Related calls: a repeated submission is answered 404 like any request for a removed route; items are given up when their route is removed, which the platform asks for.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -18,6 +18,9 @@
 // running servers reappear within about two seconds after the outage.
 const missingGrace = 2 * time.Second
 
+// maxFormerHosts bounds the hosts that are remembered after their route of batch jobs was removed.
+const maxFormerHosts = 1024
+
 const (
 	// lastServerGrace is how long the last server of a service stays in use after its own notice that it is about to leave:
 	// it goes on serving for some seconds.
@@ -56,6 +59,7 @@
 	restored time.Time            // end of the last outage of the store
 	notices  map[string]notice    // by server ID
 	versions map[string]Version
+	former   []string // hosts that had a route of batch jobs, oldest first
 	changed  chan struct{}
 	listed   atomic.Bool
 }
@@ -137,12 +141,32 @@
 	if held := c.config.Load(); held != nil && held.Revision >= n.Revision {
 		return false
 	}
+	if held := c.config.Load(); held != nil {
+		c.rememberBatchHosts(held)
+	}
 	c.config.Store(&n)
 	c.notifyChanged()
 	event.ConfigApplied.Log(c.logger, "revision", n.Revision, "version", n.Version, "routes", len(n.Routes))
 	return true
 }
 
+// rememberBatchHosts notes the hosts of a configuration that have a route of batch jobs; the caller holds mu.
+func (c *Catalog) rememberBatchHosts(n *Config) {
+	for i := range n.Routes {
+		if r := &n.Routes[i]; r.Kind == Batch && !slices.Contains(c.former, r.Host) {
+			c.former = append(c.former, r.Host)
+		}
+	}
+	c.former = slices.Delete(c.former, 0, max(len(c.former)-maxFormerHosts, 0))
+}
+
+// HadBatchRoute reports whether a former configuration had a route of batch jobs for the host.
+func (c *Catalog) HadBatchRoute(host string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Contains(c.former, host)
+}
+
 // ApplyVersion stores a weight version and reports whether it is newer than the stored one; older ones are ignored.
 func (c *Catalog) ApplyVersion(v Version) bool {
 	c.mu.Lock()
