Keep items from moving to a service that their route has left

A move to a faster server takes its candidates from the service that the item was first sent to, so that an item of some seconds reaches servers of that service long after the configuration has moved or removed the route. The same candidates tell whether a stalled attempt has room elsewhere.

Change: both use the service of the current configuration.

--- a/entry/internal/batch/move.go
+++ b/entry/internal/batch/move.go
@@ -139,7 +139,7 @@
 	j.mu.Lock()
 	allowed := it.moves < maxMoves && now.Sub(it.moved) >= minMoveInterval
 	j.mu.Unlock()
-	if !allowed || !j.stateCurrent(now) {
+	if !allowed || !j.stateCurrent(now) || j.service() != current.server.Service {
 		return nil
 	}
 	need := j.need(it, now)
@@ -159,6 +159,19 @@
 	return m
 }
 
+// service returns the service that runs the items of the job in the current configuration, empty if there is none.
+func (j *Job) service() string {
+	c := j.manager.Catalog.Config()
+	if c == nil {
+		return ""
+	}
+	r, ok := c.Match(j.host, j.path)
+	if !ok {
+		return ""
+	}
+	return r.Shares[0].Service
+}
+
 // runMove sends an item to the server that it is to move to. Once that sends events, the current response is cut.
 func (j *Job) runMove(ctx context.Context, it *item, m *move, next *segment, current *upstream.Response, route *catalog.Route) {
 	defer m.finish()
--- a/entry/internal/batch/move_test.go
+++ b/entry/internal/batch/move_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"bulrushspoke/internal/catalog"
 )
 
 // slowAndFast returns a rig whose first engine generates events twenty times slower than the second, and a manager that
@@ -233,3 +235,30 @@
 		})
 	}
 }
+
+// Guards against items that move to another server of a service that their route has left.
+func TestNoMoveOnceRouteHasChanged(t *testing.T) {
+	t.Parallel()
+	r, m, slow, fast := slowAndFast(t, false)
+	slow.set(func(e *engine) { e.gap = 30 * time.Millisecond })
+	fast.set(refuse("a-150", 1000))
+	tries := func() int {
+		fast.mu.Lock()
+		defer fast.mu.Unlock()
+		return fast.runs["a-150"]
+	}
+	r.submit(m, "job", payload(5, "a-150"))
+	await(t, "a move is tried", func() bool { return tries() > 0 })
+	moved := r.route
+	moved.Shares = []catalog.Share{{Service: "other", Weight: 1}}
+	same := r.server(0, 98) // a server of the new service, so that an interrupted item can go on
+	same.ID, same.Service = "other", "other"
+	m.Catalog.ApplyServer(same)
+	m.Catalog.ApplyConfig(catalog.Config{Revision: 2, Routes: []catalog.Route{moved}})
+	time.Sleep(moveTimeout) // a try may be in flight
+	before := tries()
+	checkTexts(t, r.collect(m, "job", 1), "a-150")
+	if n := tries() - before; n > 0 {
+		t.Errorf("%d moves to the former service were tried", n)
+	}
+}
--- a/entry/internal/batch/watch.go
+++ b/entry/internal/batch/watch.go
@@ -31,7 +31,7 @@
 	w := &stallWatch{
 		cancel: cancel,
 		roomElsewhere: func(now time.Time) bool {
-			_, ok := tracker.Pick(now, j.manager.Catalog.Servers(s.Service), j.needElsewhere(s))
+			_, ok := tracker.Pick(now, j.manager.Catalog.Servers(j.service()), j.needElsewhere(s))
 			return ok
 		},
 		stallTimeout: func(now time.Time) time.Duration { return tracker.StallTimeout(firstEventTimeout, now) },
