Do not share cached texts between batch jobs

Two jobs with the same item, of which the first has ended but is not known to have, would write their events to the same memory and mix their texts.

Change: a restored text has no room beyond its end, and its versions, which are sorted in place, are a copy.

Evidence: TestJobsDoNotShareCachedTexts failed before (the first job had the event and the version of the second) and passes now. Not seen outside of the test.

--- a/entry/internal/batch/ended_test.go
+++ b/entry/internal/batch/ended_test.go
@@ -262,3 +262,32 @@
 		t.Error("the new owner does not run the job")
 	}
 }
+
+// Guards against mixed texts of two jobs that resume the same item from the cache at the same time: the first one may
+// still run here when the second one is submitted.
+func TestJobsDoNotShareCachedTexts(t *testing.T) {
+	r := newRig(t, newEngine(t, 1))
+	m, _ := r.manager("a", "a1")
+	data := append(make([]string, 0, 8), "one", "two")
+	m.texts.put(wire.JobPart{Item: "g-9", Data: data, Versions: append(make([]int, 0, 8), 1)}, time.Now())
+	spec, err := platform.DecodeJob("j", payload(1, "g-9"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	jobs := []*Job{newJob(m, spec, wire.JobState{}, nil, time.Now()), newJob(m, spec, wire.JobState{}, nil, time.Now())}
+	for n, j := range jobs {
+		j.resume(nil)
+		if !j.appendEvent(j.items["g-9"], 2, fmt.Sprintf("three of job %d", n), 2+n) {
+			t.Fatal("the text cannot be extended")
+		}
+	}
+	for n, j := range jobs {
+		it := j.items["g-9"]
+		if want := fmt.Sprintf("three of job %d", n); it.data[2] != want {
+			t.Errorf("job %d has the event %q, want %q", n, it.data[2], want)
+		}
+		if it.versions[1] != 2+n {
+			t.Errorf("job %d has the versions %v", n, it.versions)
+		}
+	}
+}
--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -204,7 +204,8 @@
 			return
 		}
 	}
-	it.data, it.versions = p.Data, p.Versions
+	// Other jobs may resume from the same part.
+	it.data, it.versions = slices.Clip(p.Data), slices.Clone(p.Versions)
 	if p.Done {
 		j.complete(it, time.Now())
 	}
