Bound what a peer's answer may cost in memory

Other operators reported a faulty server that sends bytes without end, until the machine that had called it ran out of memory. It can happen here: the short calls of the daemon to its engine and the client of the own store kept a body without end (up to 7.1 GB allocated within the time limit of a call), and reserved whatever Content-Length claimed (8.6 GB at once, and calls that took 4.6 to 11.9 s with limits of 1 and 2 s). The dialler of links kept a status line or header without end (3.8 GB), which any process can send that runs at the address of a former peer; bulrushctl kept bodies.

Change: each of these clients has a limit for the body, which also bounds what a claimed length reserves; the dialler of links reads at most 16 KB until the upgrade is complete.

Ruled out by the same test: the entry's forwarding, its pool of connections, the clients of the platform's store and engines, the daemon's calls and streams, and the list of instances, which had limits.

--- a/ctl/internal/cli/client.go
+++ b/ctl/internal/cli/client.go
@@ -13,6 +13,9 @@
 	"bulrushspoke/wire"
 )
 
+// maxResponseBytes bounds the body of a response.
+const maxResponseBytes = 16 << 20
+
 // call sends a request without retries and decodes a response with status 200 into target. It returns the status and the
 // body of other responses as well, with an error.
 func (a *app) call(method, path string, header map[string]string, body []byte, target any) (int, []byte, error) {
@@ -26,7 +29,7 @@
 		req.Header.Set(k, v)
 	}
 	req.SetBody(body)
-	c := fasthttp.Client{MaxIdemponentCallAttempts: 1}
+	c := fasthttp.Client{MaxIdemponentCallAttempts: 1, MaxResponseBodySize: maxResponseBytes}
 	if err := c.DoTimeout(req, resp, a.Timeout); err != nil {
 		return 0, nil, a.noResponseError(method, err)
 	}
--- a/daemon/internal/engine/engine.go
+++ b/daemon/internal/engine/engine.go
@@ -39,6 +39,8 @@
 	cancelGrace = 2 * time.Second
 	// maxEventBytes is the size limit of one line of a stream.
 	maxEventBytes = 1 << 20
+	// maxAnswerBytes is the size limit of the body of the answer to a short call.
+	maxAnswerBytes = 64 << 10
 	// maxErrorBytes is the size limit of the body of an error response, which is copied into the refusal.
 	maxErrorBytes = 512
 )
@@ -98,6 +100,7 @@
 		client: &fasthttp.Client{
 			ReadTimeout:               commandTimeout,
 			WriteTimeout:              commandTimeout,
+			MaxResponseBodySize:       maxAnswerBytes,
 			MaxIdemponentCallAttempts: 1,
 			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		},
--- a/internal/link/open.go
+++ b/internal/link/open.go
@@ -7,6 +7,7 @@
 	"crypto/sha256"
 	"fmt"
 	"log/slog"
+	"net"
 	"time"
 
 	"github.com/fasthttp/websocket"
@@ -25,6 +26,8 @@
 const (
 	handshakeTimeout = 2 * time.Second
 	nonceBytes       = 16
+	// maxHeadBytes bounds the head of the answer to the request for an upgrade, in bytes.
+	maxHeadBytes = 16 << 10
 	// maxHandshakeBytes bounds the size of a frame from a peer that has not authenticated yet.
 	maxHandshakeBytes = 4 << 10
 )
@@ -61,7 +64,18 @@
 func Dial(ctx context.Context, address string, id *Identity, h Handler, logger *slog.Logger) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
-	d := websocket.Dialer{HandshakeTimeout: handshakeTimeout}
+	var limited *limitedConn
+	d := websocket.Dialer{
+		HandshakeTimeout: handshakeTimeout,
+		NetDialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			limited = &limitedConn{Conn: c, left: maxHeadBytes}
+			return limited, nil
+		},
+	}
 	socket, resp, err := d.DialContext(ctx, "ws://"+address+Path, nil)
 	if resp != nil && resp.Body != nil {
 		_ = resp.Body.Close()
@@ -69,6 +83,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "link: dial")
 	}
+	limited.lift()
 	c, err := handshake(socket, id, sideDial, h, logger)
 	if err != nil {
 		_ = socket.Close()
@@ -82,6 +97,40 @@
 	return c, nil
 }
 
+// HeadError reports an answer whose head exceeds its limit: the process at the address is no peer.
+type HeadError struct {
+	limit int
+}
+
+// Error implements error.
+func (e *HeadError) Error() string {
+	return fmt.Sprintf("link: the head of the answer has more than %d bytes", e.limit)
+}
+
+// limitedConn is a connection from which only a number of bytes can be read until the limit is lifted. It is read by one
+// goroutine.
+type limitedConn struct {
+	net.Conn
+	left   int
+	lifted bool
+}
+
+// Read implements io.Reader.
+func (c *limitedConn) Read(b []byte) (int, error) {
+	if c.lifted {
+		return c.Conn.Read(b)
+	}
+	if c.left <= 0 {
+		return 0, &HeadError{limit: maxHeadBytes}
+	}
+	n, err := c.Conn.Read(b[:min(len(b), c.left)])
+	c.left -= n
+	return n, err
+}
+
+// lift removes the limit.
+func (c *limitedConn) lift() { c.lifted = true }
+
 var upgrader = websocket.FastHTTPUpgrader{
 	HandshakeTimeout: handshakeTimeout,
 	CheckOrigin:      func(*fasthttp.RequestCtx) bool { return true },
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -35,7 +35,12 @@
 // MaxValueBytes is the largest value that the store accepts, in bytes.
 const MaxValueBytes = 1 << 20
 
-const maxConnections = 64
+const (
+	maxConnections = 64
+	// maxResponseBytes bounds the body of a response, against a peer that answers without end. The largest responses are
+	// those of a watch that starts with all objects of a kind.
+	maxResponseBytes = 16 << 20
+)
 
 // Object is a value with the store version of its last write.
 type Object struct {
@@ -110,7 +115,8 @@
 		timeout: timeout,
 		logger:  logger,
 		http: &fasthttp.Client{
-			MaxConnsPerHost: maxConnections,
+			MaxConnsPerHost:     maxConnections,
+			MaxResponseBodySize: maxResponseBytes,
 			// Retrying a write would hide from the caller that the first response was lost.
 			MaxIdemponentCallAttempts: 1,
 			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
