--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -163,6 +163,11 @@
 // are sent less often, because each of them is a message exchange.
 var tcpKeepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
 
+// keptAlive is a connection that the kernel probes while it is idle.
+type keptAlive interface {
+	SetKeepAliveConfig(config net.KeepAliveConfig) error
+}
+
 func newConn(socket *websocket.Conn, peer wire.Hello, handler Handler, logger *slog.Logger) *Conn {
 	c := &Conn{
 		socket:  socket,
@@ -175,7 +180,7 @@
 		pending: make(map[uint64]chan Frame),
 	}
 	c.lastRead.Store(time.Now().UnixNano())
-	if t, ok := socket.NetConn().(*net.TCPConn); ok {
+	if t, ok := socket.NetConn().(keptAlive); ok {
 		// On failure, an unresponsive peer is detected later, at the next message.
 		_ = t.SetKeepAliveConfig(tcpKeepAlive)
 	}
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -148,3 +149,27 @@
 		t.Fatalf("the dialler's link is still open after 5 s")
 	}
 }
+
+// Guards against a dialled link whose kernel does not probe the peer, so that a peer that has vanished stays connected.
+func TestDialledLinkIsProbed(t *testing.T) {
+	address, _ := listen(t, "s")
+	c := open(t, address)
+	sc, ok := c.socket.NetConn().(syscall.Conn)
+	if !ok {
+		t.Fatalf("the connection is a %T", c.socket.NetConn())
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var idle int
+	var failed error
+	if err := raw.Control(func(fd uintptr) {
+		idle, failed = syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_KEEPIDLE)
+	}); err != nil || failed != nil {
+		t.Fatal(err, failed)
+	}
+	if want := int(tcpKeepAlive.Idle.Seconds()); idle != want {
+		t.Errorf("the connection is probed after %d s, want %d", idle, want)
+	}
+}
--- a/internal/link/open.go
+++ b/internal/link/open.go
@@ -72,7 +72,12 @@
 			if err != nil {
 				return nil, err
 			}
-			limited = &limitedConn{Conn: c, left: maxHeadBytes}
+			t, ok := c.(*net.TCPConn)
+			if !ok {
+				_ = c.Close()
+				return nil, net.UnknownNetworkError(network)
+			}
+			limited = &limitedConn{TCPConn: t, left: maxHeadBytes}
 			return limited, nil
 		},
 	}
@@ -110,7 +115,7 @@
 // limitedConn is a connection from which only a number of bytes can be read until the limit is lifted. It is read by one
 // goroutine.
 type limitedConn struct {
-	net.Conn
+	*net.TCPConn
 	left   int
 	lifted bool
 }
@@ -118,12 +123,12 @@
 // Read implements io.Reader.
 func (c *limitedConn) Read(b []byte) (int, error) {
 	if c.lifted {
-		return c.Conn.Read(b)
+		return c.TCPConn.Read(b)
 	}
 	if c.left <= 0 {
 		return 0, &HeadError{limit: maxHeadBytes}
 	}
-	n, err := c.Conn.Read(b[:min(len(b), c.left)])
+	n, err := c.TCPConn.Read(b[:min(len(b), c.left)])
 	c.left -= n
 	return n, err
 }
