Answer each request before a planned stop ends

Other operators reported requests that came late in the grace period of a planned stop, were passed on, and were cut off without an answer at its end. It happens here: an entry takes requests for 2.5 s after SIGTERM, or for as long as the handover of its jobs takes (3.5 s with a slow store), whatever time they may need, and the process ends while they are open. Neither the time of a request nor that of the stop was compared, and nobody answered what was open at the end.

Change: a request that must not be repeated is passed on only if its deadline and the timeout of its route end before the stop does; otherwise it is rejected at once with 503, which is true, as no server has seen it, and a short Retry-After, as other entries take it. Repeatable requests are taken, since most end early. What is still open 0.3 s before the end is answered with 502 or 504. The handover no longer delays the end of accepting.

Streams that are open at the end are cut as before, since their status has been sent, and look incomplete.

Evidence: TestStopAnswersEachRequest runs an entry against stand-ins. Before: requests sent 0.2, 1.5 and 2.3 s after the start of the stop were passed on and had no answer when the process ended, nor had two requests from before the stop. With the change it passes.

--- a/entry/internal/cli/platform.go
+++ b/entry/internal/cli/platform.go
@@ -67,6 +67,8 @@
 	// clientIdleTimeout exceeds the idle timeout of the platform's clients, so that no request is sent on a connection
 	// that this side is closing.
 	clientIdleTimeout = 60 * time.Second
+	// responseMargin is left for the responses to the requests that are open at the end of a graceful stop.
+	responseMargin = 300 * time.Millisecond
 	// shutdownMargin is the part of the grace period before SIGKILL that is left for the end of the process.
 	shutdownMargin = time.Second
 	// unreadyDelay is how long the load balancer takes to notice that a process is leaving: two probes a second apart.
@@ -328,23 +330,32 @@
 	}
 }
 
-// stop reports the process as unready, hands over the jobs and finishes the requests in flight.
+// stop reports the process as unready, hands over the jobs and finishes the requests in flight. The listener closes as
+// soon as the load balancer has noticed, however long the handover takes.
 func (p *platformEntry) stop() {
 	p.leaving.Store(true)
 	if p.server == nil {
 		return
 	}
-	p.ingress.Drain()
-	began := time.Now()
-	ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
-	p.batch.Handover(ctx)
-	cancel()
-	time.Sleep(unreadyDelay - min(time.Since(began), unreadyDelay))
-	ctx, cancel = context.WithTimeout(context.Background(), p.settings.Bounds.Grace-time.Since(began)-shutdownMargin)
+	now := time.Now()
+	end := now.Add(p.settings.Bounds.Grace - shutdownMargin)
+	p.ingress.Drain(end.Add(-responseMargin), now)
+	handedOver := make(chan struct{})
+	go func() {
+		defer close(handedOver)
+		supervise.Guard(p.logger, "handover", func() {
+			ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
+			defer cancel()
+			p.batch.Handover(ctx)
+		})
+	}()
+	time.Sleep(unreadyDelay)
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	if err := p.server.Shutdown(ctx); err != nil {
 		event.ShutdownTimedOut.Log(p.logger, "cause", err.Error())
 	}
+	<-handedOver
 }
 
 // registerMetrics exports gauges of the process.
--- a/entry/internal/ingress/forward.go
+++ b/entry/internal/ingress/forward.go
@@ -56,7 +56,9 @@
 
 // forward sends a request to servers until one responds or no further attempt is allowed.
 func (g *Ingress) forward(w http.ResponseWriter, q *request) {
-	ctx, cancel := context.WithDeadline(q.http.Context(), q.arrived.Add(q.remaining(q.arrived)))
+	work, stop := g.workContext(q)
+	defer stop()
+	ctx, cancel := context.WithDeadline(work, q.arrived.Add(q.remaining(q.arrived)))
 	defer cancel()
 	fingerprint := Fingerprint(q.http.URL.RequestURI(), q.body)
 	if g.Suspects.Blocked(fingerprint, time.Now()) {
@@ -73,6 +75,12 @@
 		if sent > 0 && left < minAttemptTime || ctx.Err() != nil {
 			break
 		}
+		if !g.fits(q, now) {
+			if last.outcome == notRun {
+				last = attempt{outcome: notRun, cause: causeLeaving, retryAfter: retryLeaving}
+			}
+			break
+		}
 		servers, need := g.Catalog.Servers(service), place.Need{Tried: tried}
 		s, ok := g.Tracker.Start(now, servers, need)
 		if !ok {
@@ -137,6 +145,7 @@
 const (
 	causeReset    = "connection reset by the server"
 	causeNoServer = "no server available"
+	causeLeaving  = "the entry is leaving and the request may take too long"
 	causeLimits   = "all servers are at the limits of their request rates"
 )
 
--- a/entry/internal/ingress/ingress.go
+++ b/entry/internal/ingress/ingress.go
@@ -41,6 +41,9 @@
 	retryNoServer = 500 * time.Millisecond
 	// retryNoCapacity is the Retry-After if no capacity is free: queues of short requests drain in that time.
 	retryNoCapacity = 150 * time.Millisecond
+	// retryLeaving is the Retry-After of requests that do not fit into the rest of a graceful stop: other entries take them
+	// now.
+	retryLeaving = 50 * time.Millisecond
 	// minRetryAfter is the minimum Retry-After of requests that are rejected because of the servers' limits.
 	minRetryAfter = 10 * time.Millisecond
 )
@@ -83,21 +86,57 @@
 // Ingress handles client requests.
 type Ingress struct {
 	Options
-	headers  platform.Headers
-	draining atomic.Bool
-	reserved atomic.Int64 // bytes reserved for request bodies
+	headers    platform.Headers
+	drainUntil atomic.Pointer[time.Time] // when each request must have its response; nil while the process is not leaving
+	drained    context.Context           // ends at that time
+	endDrain   context.CancelFunc
+	reserved   atomic.Int64 // bytes reserved for request bodies
 }
 
 // New returns an Ingress.
-func New(o Options) *Ingress { return &Ingress{Options: o} }
+func New(o Options) *Ingress {
+	g := &Ingress{Options: o}
+	g.drained, g.endDrain = context.WithCancel(context.Background())
+	return g
+}
+
+// Drain begins a graceful stop. Each connection closes after its next response, so that clients reconnect to another
+// entry. Requests that may take longer than the given time are rejected, unless they may be repeated, and those that are
+// still open at that time get a response that says that they failed.
+func (g *Ingress) Drain(until, now time.Time) {
+	g.drainUntil.Store(&until)
+	time.AfterFunc(until.Sub(now), g.endDrain)
+}
 
-// Drain makes each connection close after its next response, so that clients reconnect to another entry.
-func (g *Ingress) Drain() { g.draining.Store(true) }
+// fits reports whether a request may be passed on now. During a graceful stop it must end in time, since its client must
+// not repeat it after a failure that does not say that it was not run. A repeatable one mostly ends earlier than its
+// deadline, and its client retries it otherwise.
+func (g *Ingress) fits(q *request, now time.Time) bool {
+	until := g.drainUntil.Load()
+	if until == nil {
+		return true
+	}
+	if q.route.Kind == catalog.Safe {
+		return now.Before(*until)
+	}
+	return !now.Add(q.remaining(now)).After(*until)
+}
+
+// workContext returns the context of the work on a request, which ends when the client leaves and when a graceful stop
+// has no time left.
+func (g *Ingress) workContext(q *request) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(q.http.Context())
+	stop := context.AfterFunc(g.drained, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
 
 // ServeHTTP implements http.Handler.
 func (g *Ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
-	if g.draining.Load() {
+	if g.drainUntil.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	q := &request{
@@ -136,7 +175,9 @@
 		return
 	}
 	if route.Kind == catalog.Batch && r.Method == http.MethodPost {
-		g.reply(w, q, g.Jobs.Submit(r.Context(), route, q.ID, q.body, arrived))
+		ctx, cancel := g.workContext(q)
+		defer cancel()
+		g.reply(w, q, g.Jobs.Submit(ctx, route, q.ID, q.body, arrived))
 		return
 	}
 	g.forward(w, q)
@@ -253,7 +294,8 @@
 	if routed && !reserved && !g.Catalog.HadBatchRoute(host) {
 		return Reply{}, false
 	}
-	ctx := q.http.Context()
+	ctx, cancel := g.workContext(q)
+	defer cancel()
 	var reply Reply
 	switch c.Operation {
 	case platform.ReadResults:
