Do not present an answer without framing as whole

Other operators reported clients that got a 200 with an empty or short body, framed as whole, of a server that had stopped in its head. A head that is cut at any byte is no success here (now held by tests for each route kind, items, reward calls and the daemon's calls, which passed before). The same harm came from answers without a length or chunks, which end with their connection: a server that dies after the head, or later, looks finished. The entry passed such an answer on with a Content-Length or a last chunk. Item texts and resumable streams that ended so between two events counted as complete, an empty one as an item without text.

Change: a plain answer without framing stays without framing, so that the client knows as much as the entry; if the server's connection is reset, the client's is, too. An item, or a stream that may be resumed, is complete once a server that is asked to go on from its last event has no further one. Streams that may not be resumed end as before.

TestSlowReaderKeepsStream used a server without framing, whose stream is now confirmed by a second request. Its server sends chunks instead; the checks are the same.

--- a/entry/internal/batch/run.go
+++ b/entry/internal/batch/run.go
@@ -344,10 +344,16 @@
 		e, err := current.nextEvent()
 		if errors.Is(err, io.EOF) {
 			resp.Close()
+			v.outcome = place.Answered
+			// A response that ends with its connection may be that of an engine that has died between two events. The text is
+			// complete once an engine that is asked to go on has no further event.
+			if !resp.Framed() && (v.events > 0 || after == 0) {
+				v.cause = causeUncertain
+				return v
+			}
 			if j.completeText(it, after, time.Now()) {
 				j.manager.lengths.RecordCompleted(j.spec.Model, it.hint, after)
 			}
-			v.outcome = place.Answered
 			return v
 		}
 		if next := pendingMove.accept(); next != nil {
@@ -457,12 +463,13 @@
 
 // Causes of attempts and moves that did not complete their item.
 const (
-	causeMoved    = "the item moves to a faster server"
-	causeSilent   = "no event in time"
-	causeUnwanted = "the item does not need it any more"
-	causeFailed   = "the server failed"
-	causeRefused  = "the server refused"
-	causeEnded    = "the job ended"
+	causeMoved     = "the item moves to a faster server"
+	causeSilent    = "no event in time"
+	causeUnwanted  = "the item does not need it any more"
+	causeFailed    = "the server failed"
+	causeRefused   = "the server refused"
+	causeEnded     = "the job ended"
+	causeUncertain = "the end of the text is to be confirmed"
 )
 
 // need returns the requirements of an item on a server.
--- a/entry/internal/ingress/forward.go
+++ b/entry/internal/ingress/forward.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"maps"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -52,6 +53,7 @@
 	status     int
 	header     http.Header
 	body       []byte
+	unframed   bool // the body ended with the connection
 }
 
 // forward sends a request to servers until one responds or no further attempt is allowed.
@@ -287,7 +289,7 @@
 		return g.relay(w, q, resp, body)
 	}
 	resp.Close()
-	a := attempt{outcome: delivered, status: resp.StatusCode, header: resp.Header, body: body}
+	a := attempt{outcome: delivered, status: resp.StatusCode, header: resp.Header, body: body, unframed: !resp.Framed()}
 	if resp.StatusCode >= http.StatusInternalServerError && q.route.Repeatable() {
 		a.outcome, a.cause = failed, "server error: status "+strconv.Itoa(resp.StatusCode)
 		return a
@@ -299,7 +301,11 @@
 // writeBuffered sends a buffered response.
 func (g *Ingress) writeBuffered(w http.ResponseWriter, q *request, a attempt) {
 	g.copyResponseHeader(w, a.header)
-	w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	if a.unframed {
+		endWithConnection(w)
+	} else {
+		w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	}
 	w.WriteHeader(a.status)
 	cause := ""
 	if _, err := w.Write(a.body); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
@@ -326,6 +332,23 @@
 	}
 }
 
+// endWithConnection makes a response end with the client's connection. That of a server which did so may be incomplete,
+// and a length or a last chunk would tell the client otherwise.
+func endWithConnection(w http.ResponseWriter) { w.Header().Set("Transfer-Encoding", "identity") }
+
+// reset closes the client's connection with a reset, which tells the client that a response that ends with its
+// connection is incomplete.
+func reset(w http.ResponseWriter) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return // the connection is closed already
+	}
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0) // fails only if the connection is closed already
+	}
+	_ = c.Close()
+}
+
 // relay copies a large response to the client as it arrives; first holds the bytes already read. If the response is
 // truncated, the client's connection is closed, so that the response does not appear complete.
 func (g *Ingress) relay(w http.ResponseWriter, q *request, resp *upstream.Response, first []byte) attempt {
@@ -333,6 +356,9 @@
 	if resp.ContentLength >= 0 {
 		w.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
 	}
+	if !resp.Framed() {
+		endWithConnection(w)
+	}
 	w.WriteHeader(resp.StatusCode)
 	_, err := w.Write(first)
 	if err == nil {
@@ -341,6 +367,9 @@
 	if err != nil {
 		resp.Abandon()
 		g.recordRequest(q, resp.StatusCode, "response aborted: "+err.Error())
+		if !resp.Framed() {
+			reset(w)
+		}
 		panic(http.ErrAbortHandler)
 	}
 	resp.Close()
--- a/entry/internal/ingress/ingress_test.go
+++ b/entry/internal/ingress/ingress_test.go
@@ -508,10 +508,14 @@
 	const events = 400
 	data := strings.Repeat("a", 64<<10)
 	streams := func(c net.Conn, q *http.Request, _ string) bool {
-		_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n"+signed(q)+"\r\n")
-		for i := platformtest.DecodeServerRequest(q.Header).ResumeAfter + 1; i <= events && err == nil; i++ {
-			_, err = fmt.Fprintf(c, "id: %d\ndata: %s\n\n", i, data)
+		streamHead(c, q)
+		for i := platformtest.DecodeServerRequest(q.Header).ResumeAfter + 1; i <= events; i++ {
+			text := fmt.Sprintf("id: %d\ndata: %s\n\n", i, data)
+			if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text); err != nil {
+				return false
+			}
 		}
+		_, _ = io.WriteString(c, "0\r\n\r\n")
 		return false
 	}
 	a, b := newServer(t, streams), newServer(t, streams)
--- a/entry/internal/ingress/stream.go
+++ b/entry/internal/ingress/stream.go
@@ -58,6 +58,10 @@
 
 // stream forwards the events of a response as they arrive. If the stream breaks, it is resumed at another server if the
 // route allows it; otherwise the client's connection is closed, so that the response does not appear complete.
+//
+// A response that ends with its connection may be that of a server that has died between two events. If the stream can
+// be resumed, it is complete once a server that is asked to go on has no further event. The response to the client has
+// chunks in any case, so that it can be seen to be broken.
 func (g *Ingress) stream(
 	ctx context.Context, w http.ResponseWriter, q *request, s catalog.Server, resp *upstream.Response,
 ) attempt {
@@ -73,8 +77,9 @@
 	}()
 	for resumes := 0; ; resumes++ {
 		next, err := g.copyEvents(w, out, q, resp, last)
+		certain := resp.Framed() || !q.route.Resumable || next == last || next == 0
 		last = next
-		if err == nil {
+		if err == nil && certain {
 			resp.Close()
 			if resumed != nil {
 				g.Tracker.Ended(resumed.ID, "", place.Answered, 0, time.Now())
