Pass on the failures of items with their batch job

A server got an item a fourth time after three answers of 422 (review/5, BUDGET), under the fourth owner of its job.

Cause: an item that is given up was listed only once its group was complete. Until then its result, like the number of failed runs, was known to the owner alone: handovers and checkpoints carry items with text only.

Change: an item that is given up is listed at once. Handovers and checkpoints also carry the failures of items, and a handover those that are given up and not listed yet.

Ruled out: checkpoints alone, which are a second apart and of which a new owner may read an old one.

--- a/entry/internal/batch/batch.go
+++ b/entry/internal/batch/batch.go
@@ -430,7 +430,7 @@
 		return true
 	}
 	m.Peers.Broadcast(link.Owner, wire.JobOwner{Job: j.spec.ID, Owner: m.Name, Inc: m.Self.Inc, Epoch: j.epoch})
-	j.resume(parts)
+	j.resume(parts, time.Now())
 	j.launch(m.baseCtx)
 	return true
 }
--- a/entry/internal/batch/ended_test.go
+++ b/entry/internal/batch/ended_test.go
@@ -276,7 +276,7 @@
 	}
 	jobs := []*Job{newJob(m, spec, wire.JobState{}, nil, time.Now()), newJob(m, spec, wire.JobState{}, nil, time.Now())}
 	for n, j := range jobs {
-		j.resume(nil)
+		j.resume(nil, time.Now())
 		if !j.appendEvent(j.items["g-9"], 2, fmt.Sprintf("three of job %d", n), 2+n) {
 			t.Fatal("the text cannot be extended")
 		}
--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -70,6 +70,7 @@
 	call     reward.Call
 	scorer   string // server of the last reward call
 	done     bool   // the result is known
+	void     bool   // the item was given up
 	listed   bool
 }
 
@@ -151,10 +152,11 @@
 }
 
 // resume restores the texts that another owner or an earlier job has generated.
-func (j *Job) resume(parts []wire.JobPart) {
+func (j *Job) resume(parts []wire.JobPart, now time.Time) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	for _, p := range parts {
+		j.restoreFailures(p, now)
 		j.restoreText(p)
 	}
 	var earlier []wire.JobPart
@@ -193,6 +195,18 @@
 	}
 }
 
+// restoreFailures restores the failures of an item, and gives it up if the former owner has done so; the caller holds mu.
+func (j *Job) restoreFailures(p wire.JobPart, now time.Time) {
+	it := j.items[p.Item]
+	if it == nil || it.done {
+		return
+	}
+	it.failures = max(it.failures, p.Failures)
+	if p.Void {
+		j.terminate(it, now)
+	}
+}
+
 // restoreText restores the text of an item unless it contains weight versions that are too old; the caller holds mu.
 func (j *Job) restoreText(p wire.JobPart) {
 	it := j.items[p.Item]
@@ -234,21 +248,23 @@
 
 // terminate gives an item up and adds its result without a text; the caller holds mu.
 func (j *Job) terminate(it *item, now time.Time) {
-	it.done, it.timing.done = true, now
+	it.done, it.void, it.timing.done = true, true, now
 	j.ready = append(j.ready, job.Result{Item: it.ID, State: job.Terminated})
 }
 
-// unlistedParts returns the texts, complete or not, that are not listed yet.
+// unlistedParts returns what is known of items that are not listed yet: their texts, complete or not, their failures, and
+// whether they were given up.
 func (j *Job) unlistedParts() []wire.JobPart {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	l := []wire.JobPart{}
 	for _, it := range j.items {
-		if !it.listed && len(it.data) > 0 {
-			l = append(l, wire.JobPart{
-				Item: it.ID, Data: slices.Clone(it.data), Versions: slices.Clone(it.versions), Done: it.textDone,
-			})
+		if it.listed || len(it.data) == 0 && it.failures == 0 && !it.void {
+			continue
 		}
+		p := wire.JobPart{Item: it.ID, Data: []string{}, Versions: []int{}, Done: it.textDone, Failures: it.failures, Void: it.void}
+		p.Data, p.Versions = append(p.Data, it.data...), append(p.Versions, it.versions...)
+		l = append(l, p)
 	}
 	return l
 }
@@ -298,7 +314,9 @@
 		return
 	}
 	for _, p := range j.unlistedParts() {
-		j.manager.texts.put(p, now)
+		if len(p.Data) > 0 {
+			j.manager.texts.put(p, now)
+		}
 	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/entry/internal/batch/keep.go
+++ b/entry/internal/batch/keep.go
@@ -22,7 +22,7 @@
 	maxCheckpointBytes = 700 << 10
 )
 
-// checkpointer writes the unlisted texts of a job to the store periodically.
+// checkpointer writes the unlisted texts of a job, and the failures of its items, to the store periodically.
 //
 // When the owner of a job is lost in the middle of a step, or all entries at once, the longest items, which decide when
 // the step is complete, resume instead of starting again.
@@ -30,6 +30,7 @@
 	job      *Job
 	revision int64 // of the object in the store; 0 before the first write
 	events   int   // number of events in the last checkpoint
+	failures int   // number of failures in the last checkpoint
 }
 
 // run writes checkpoints until ctx ends.
@@ -40,14 +41,18 @@
 			return
 		}
 		parts, events := k.job.longestParts()
-		if events < k.events+minCheckpointEvents && events+minCheckpointEvents > k.events {
+		failures := 0
+		for _, p := range parts {
+			failures += p.Failures
+		}
+		if events < k.events+minCheckpointEvents && events+minCheckpointEvents > k.events && failures <= k.failures {
 			continue
 		}
 		if err := k.write(ctx, parts); err != nil {
 			// Logged by the store client. Checkpoints are optional: they only avoid generating texts again.
 			continue
 		}
-		k.events = events
+		k.events, k.failures = events, failures
 	}
 }
 
--- a/entry/internal/batch/list.go
+++ b/entry/internal/batch/list.go
@@ -30,8 +30,8 @@
 	held time.Duration // how long the results of the next record have waited for others
 }
 
-// run lists results until ctx ends. Trainers use complete groups only, so the results of a group are listed once all of
-// its items are done.
+// run lists results until ctx ends. Trainers use complete groups only, so the texts of a group are listed once all of its
+// items are done.
 func (l *lister) run(ctx context.Context) {
 	for {
 		select {
@@ -113,7 +113,8 @@
 	return !at.Before(from) && at.Before(to)
 }
 
-// listable returns the results to be listed next, which are those of complete groups.
+// listable returns the results to be listed next, which are those of complete groups and of items that were given up.
+// Only the log tells another owner that an item must not run again.
 func (j *Job) listable() []job.Result {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -126,7 +127,7 @@
 	var l []job.Result
 	size := 0
 	for _, r := range j.ready {
-		if open[j.items[r.Item].Group] {
+		if open[j.items[r.Item].Group] && r.State != job.Terminated {
 			continue
 		}
 		size += len(r.Text)
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -587,11 +587,17 @@
 	// True if the output is complete.
 	Done bool `json:"done"`
 
+	// Number of runs that failed.
+	Failures int `json:"failures"`
+
 	// Item ID.
 	Item string `json:"item"`
 
 	// Weight versions that generated the events, ascending.
 	Versions []int `json:"versions"`
+
+	// True if the item was given up.
+	Void bool `json:"void"`
 }
 
 // Requests results from the owner of a job.
