--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -91,11 +91,10 @@
 		changed:   make(chan struct{}),
 		wake:      make(chan struct{}, 1),
 		stateWake: make(chan struct{}, 1),
+		listWake:  make(chan struct{}, 1),
+		carried:   make(map[string]bool),
 
 		stateReadAt: readAt,
-
-		listWake: make(chan struct{}, 1),
-		carried:  make(map[string]bool),
 	}
 	for i, it := range spec.Items {
 		j.size += int64(len(it.Body))
--- a/entry/internal/ingress/ingress.go
+++ b/entry/internal/ingress/ingress.go
@@ -101,16 +101,17 @@
 }
 
 // Drain begins a graceful stop. Each connection closes after its next response, so that clients reconnect to another
-// entry. Requests that may take longer than the given time are rejected, unless they may be repeated, and those that are
-// still open at that time get a response that says that they failed.
+// entry. Requests that may take longer than until the given time are rejected, unless they are safe to repeat, and those
+// that are still open at that time get a response that says that they failed.
 func (g *Ingress) Drain(until, now time.Time) {
 	g.drainUntil.Store(&until)
 	time.AfterFunc(until.Sub(now), g.endDrain)
 }
 
 // fits reports whether a request may be passed on now. During a graceful stop it must end in time, since its client must
-// not repeat it after a failure that does not say that it was not run. A repeatable one mostly ends earlier than its
-// deadline, and its client retries it otherwise.
+// not repeat it after a failure that does not say that it was not run. Streams must end in time as well, as a started
+// response cannot be replaced by a failure. Safe requests mostly end earlier than their deadline, and their clients retry
+// them otherwise.
 func (g *Ingress) fits(q *request, now time.Time) bool {
 	until := g.drainUntil.Load()
 	if until == nil {
