--- a/entry/internal/relay/news_test.go
+++ b/entry/internal/relay/news_test.go
@@ -198,3 +198,24 @@
 		}
 	}
 }
+
+// Guards against changes that arrive late at an entry which has a path to the store itself: its leader has none for
+// seconds and goes on sending that it keeps trying.
+func TestFailingLeaderDoesNotHideChanges(t *testing.T) {
+	now := time.Now()
+	follower := &fakeEntry{connected: []string{"a"}}
+	f := newFeed("b", follower, now)
+	leader := newFeed("a", &fakeEntry{connected: []string{"b"}, receivers: []*fakeEntry{follower}}, now)
+	leader.OnSuccess(5, now)
+	deadline := time.After(maxDelay)
+	for {
+		select {
+		case <-f.Renew:
+			return
+		case <-time.After(maxDelay / 10):
+			leader.OnFailure(time.Now())
+		case <-deadline:
+			t.Fatal("the entry relies on a leader that has read nothing for longer than a change may take")
+		}
+	}
+}
