--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -224,6 +224,38 @@
 	}
 }
 
+// extendable reports whether an attempt that has received the first n events of an item may still change its text; the
+// caller holds mu. Events that are left in the buffers of an attempt must not be added once the job has stopped, since
+// its texts may have been dropped or passed on by then.
+func (j *Job) extendable(it *item, n int) bool { return !j.stopped && !it.done && len(it.data) == n }
+
+// appendEvent adds the event after the first n to the text of an item. It returns false if the text may not be changed.
+func (j *Job) appendEvent(it *item, n int, data string, version int) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if !j.extendable(it, n) {
+		return false
+	}
+	it.data = append(it.data, data)
+	if !slices.Contains(it.versions, version) {
+		it.versions = append(it.versions, version)
+		slices.Sort(it.versions)
+	}
+	return true
+}
+
+// completeText notes that the text of an item is complete with n events. It returns false if the text may not be
+// changed.
+func (j *Job) completeText(it *item, n int, now time.Time) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if !j.extendable(it, n) {
+		return false
+	}
+	j.complete(it, now)
+	return true
+}
+
 // complete notes that the text of an item is complete: the item is scored next if it has a reward call, and listed
 // otherwise. The text does not change any more, so that its score is a score of this text. The caller holds mu.
 func (j *Job) complete(it *item, now time.Time) {
--- a/entry/internal/batch/run.go
+++ b/entry/internal/batch/run.go
@@ -408,38 +408,6 @@
 	}
 }
 
-// extendable reports whether an attempt that has received the first n events of an item may still change its text; the
-// caller holds mu. Events that are left in the buffers of an attempt must not be added once the job has stopped, since
-// its texts may have been dropped or passed on by then.
-func (j *Job) extendable(it *item, n int) bool { return !j.stopped && !it.done && len(it.data) == n }
-
-// appendEvent adds the event after the first n to the text of an item. It returns false if the text may not be changed.
-func (j *Job) appendEvent(it *item, n int, data string, version int) bool {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	if !j.extendable(it, n) {
-		return false
-	}
-	it.data = append(it.data, data)
-	if !slices.Contains(it.versions, version) {
-		it.versions = append(it.versions, version)
-		slices.Sort(it.versions)
-	}
-	return true
-}
-
-// completeText notes that the text of an item is complete with n events. It returns false if the text may not be
-// changed.
-func (j *Job) completeText(it *item, n int, now time.Time) bool {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	if !j.extendable(it, n) {
-		return false
-	}
-	j.complete(it, now)
-	return true
-}
-
 // textSize returns the memory of the text of an item so far, in bytes.
 func (j *Job) textSize(it *item) int {
 	j.mu.Lock()
--- a/entry/internal/batch/state.go
+++ b/entry/internal/batch/state.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"bulrushspoke/internal/event"
+	"bulrushspoke/internal/store"
 	"bulrushspoke/wire"
 )
 
@@ -61,7 +63,11 @@
 	defer cancel()
 	s, _, err := m.readState(ctx, j.spec.ID)
 	if err != nil {
-		j.noteStateRead(time.Now()) // logged by the store client
+		j.noteStateRead(time.Now())
+		var down *store.UnavailableError
+		if !errors.As(err, &down) { // an unavailable store is logged by its client
+			event.ObjectInvalid.Log(m.Logger, "kind", KindState, "name", j.spec.ID, "cause", err.Error())
+		}
 		return
 	}
 	j.noteStateRead(now)
--- a/entry/internal/ingress/stream.go
+++ b/entry/internal/ingress/stream.go
@@ -77,6 +77,7 @@
 	}()
 	for resumes := 0; ; resumes++ {
 		next, err := g.copyEvents(w, out, q, resp, last)
+		// Without event ids nobody can be asked to go on.
 		certain := resp.Framed() || !q.route.Resumable || next == last || next == 0
 		last = next
 		if err == nil && certain {
