Log which record of a batch job is applied, by whom it was written and whether it fits

The hypotheses cannot be told apart by the existing lines: 1045 has only the total of the owner, and nothing tells of a record that was learnt in another way than by an own write.

1045 names the first position of its record. 1055 names each record that another process or an earlier write brought, with its writer and how it was learnt; 1056 what a load found. 1057 and the counter job_log_faults report a record that is missing, that does not stand where its writer meant it to, or that repeats an item. No change of behaviour.

--- a/entry/internal/batch/batch.go
+++ b/entry/internal/batch/batch.go
@@ -101,6 +101,11 @@
 	Record(model, part string, seconds float64)
 }
 
+// Counter counts events by the value of its label.
+type Counter interface {
+	Add(n int64, values ...string)
+}
+
 // Handlers registers the handlers of messages from other entries.
 type Handlers interface {
 	Handle(kind string, f func(context.Context, link.Frame) (string, any, error))
@@ -124,6 +129,7 @@
 	Random         Random
 	Outage         func(now time.Time) time.Duration // how long the store has been unavailable; 0 if it is available
 	Steps          Histogram
+	LogFaults      Counter // inconsistencies found in the logs of jobs, by kind
 }
 
 // Manager holds the jobs that this entry runs or has loaded.
--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -111,6 +111,7 @@
 
 // applyRecord adds the results of a record in the store; the caller holds mu or has the only reference.
 func (j *Job) applyRecord(r wire.JobRecord) {
+	j.reportInconsistent(r)
 	j.records++
 	for _, w := range r.Results {
 		j.results = append(j.results, fromResult(w))
@@ -145,8 +146,9 @@
 func (j *Job) applyNewRecords(records []wire.JobRecord) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	for _, r := range records[min(j.records, len(records)):] {
-		j.applyRecord(r)
+	for n := j.records; n < len(records); n++ {
+		j.logApplied(n, records[n], fromRead)
+		j.applyRecord(records[n])
 	}
 }
 
--- a/entry/internal/batch/list.go
+++ b/entry/internal/batch/list.go
@@ -162,12 +162,15 @@
 			continue
 		}
 		j.mu.Lock()
+		if held.Writer != j.manager.Self.Inc {
+			j.logApplied(n, held, fromConflict)
+		}
 		j.applyRecord(held)
 		j.notifyReaders()
 		total := len(j.results)
 		j.mu.Unlock()
-		event.ResultsListed.Log(j.manager.Logger, "job", j.spec.ID, "record", n, "results", len(held.Results),
-			"total", total, "held", l.held.Milliseconds(), "every", j.manager.readIntervals.typical(j.spec.Model).Milliseconds(),
+		event.ResultsListed.Log(j.manager.Logger, "job", j.spec.ID, "record", n, "first", held.First,
+			"results", len(held.Results), "total", total, "held", l.held.Milliseconds(), "every", j.manager.readIntervals.typical(j.spec.Model).Milliseconds(),
 			"ms", time.Since(began).Milliseconds())
 		l.held = 0
 		j.logStep(batch, time.Now())
--- a/entry/internal/batch/owner.go
+++ b/entry/internal/batch/owner.go
@@ -126,6 +126,8 @@
 	if err != nil {
 		return unavailable(err.Error())
 	}
+	event.LogLoaded.Log(m.Logger, "job", id, "epoch", s.Epoch, "ended", s.Ended, "records", len(records),
+		"results", countResults(records))
 	m.evictState(id)
 	if !s.Ended && len(parts) == 0 {
 		parts = m.loadCheckpoint(ctx, id)
@@ -146,6 +148,8 @@
 	records := make([]wire.JobRecord, 0, len(list))
 	for i, r := range list {
 		if r.Name != recordName(i) {
+			m.LogFaults.Add(1, faultMissing)
+			event.LogInconsistent.Log(m.Logger, "job", id, "record", i, "next", r.Name, "cause", faultMissing)
 			return nil, fmt.Errorf("batch: record %d of job %s is missing", i, id)
 		}
 		var rec wire.JobRecord
--- a/entry/internal/batch/rig_test.go
+++ b/entry/internal/batch/rig_test.go
@@ -254,6 +254,19 @@
 	s.parts[part] = seconds
 }
 
+// faults counts the reported inconsistencies of logs by kind.
+type faults struct {
+	mu    sync.Mutex
+	kinds map[string]int64
+}
+
+// Add implements Counter.
+func (f *faults) Add(n int64, values ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.kinds[values[0]] += n
+}
+
 // firstChoice always draws 0.
 type firstChoice struct{}
 
@@ -271,6 +284,7 @@
 	routes  []catalog.Route // in addition to route
 	scorer  *scorer         // nil if no items are scored
 	steps   *steps
+	faults  *faults
 }
 
 func newRig(t *testing.T, engines ...*engine) *rig {
@@ -279,7 +293,7 @@
 	server := httptest.NewServer(s)
 	t.Cleanup(server.CloseClientConnections)
 	return &rig{
-		t: t, store: s, steps: &steps{parts: make(map[string]float64)}, address: strings.TrimPrefix(server.URL, "http://"), engines: engines,
+		t: t, store: s, steps: &steps{parts: make(map[string]float64)}, faults: &faults{kinds: make(map[string]int64)}, address: strings.TrimPrefix(server.URL, "http://"), engines: engines,
 		mesh: &mesh{
 			handlers: make(map[string]map[string]func(context.Context, link.Frame) (string, any, error)),
 			incs:     make(map[string]string), cut: make(map[string]bool),
@@ -305,7 +319,7 @@
 		Self: wire.Member{Inc: inc}, Name: name,
 		Store: platform.NewStore(r.address, 200*time.Millisecond, pool, discardLogger), Peers: peers, Catalog: c, Pool: pool,
 		Tracker: place.New(home, c.Limits(), rand.New(rand.NewPCG(1, 1))), Retention: time.Minute, MaxObjectBytes: 1 << 20, MaxOpenBytes: 1 << 24, Logger: discardLogger,
-		Outage: func(time.Time) time.Duration { return 0 }, Random: firstChoice{}, Steps: r.steps,
+		Outage: func(time.Time) time.Duration { return 0 }, Random: firstChoice{}, Steps: r.steps, LogFaults: r.faults,
 	})
 	m.Register(peers)
 	r.mesh.mu.Lock()
--- a/entry/internal/cli/platform.go
+++ b/entry/internal/cli/platform.go
@@ -218,7 +218,8 @@
 		Self: self, Name: s.Name, Cores: s.Cores, Store: objects, Peers: p.peers, Catalog: p.catalog, Pool: pool, Tracker: tracker,
 		Retention: s.Bounds.ResultRetention, MaxObjectBytes: s.Store.MaxValueBytes, MaxOpenBytes: int64(bodyShare * float64(s.MemoryBytes)), Logger: p.logger, LinkRate: s.Bandwidth,
 		Outage: objects.Outage, Random: jitter,
-		Steps: m.Histogram("step_part", "s", "Parts of the time until a step has what its trainer waits for, of its last item."),
+		Steps:     m.Histogram("step_part", "s", "Parts of the time until a step has what its trainer waits for, of its last item."),
+		LogFaults: m.Counter("job_log_faults", "Inconsistencies found in the logs of batch jobs.", "kind"),
 	})
 	p.batch.Register(p.peers)
 	shared := occupancy.New(s.Name, tracker, p.peers)
--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -28,5 +28,8 @@
 	MoveFailed              = define(1052, slog.LevelInfo, "item stays at its server: the server that it was to move to did not continue it")
 	StepCompleted           = define(1053, slog.LevelInfo, "all results that the trainer waits for are listed")
 	JobEndFound             = define(1054, slog.LevelInfo, "end of a batch job found in the store")
+	RecordApplied           = define(1055, slog.LevelInfo, "record of another write applied to a batch job")
+	LogLoaded               = define(1056, slog.LevelInfo, "log of a batch job loaded")
+	LogInconsistent         = define(1057, slog.LevelWarn, "log of a batch job is inconsistent")
 	InstanceRetiring        = define(1050, slog.LevelInfo, "instance is to be removed; it holds nothing that must be kept")
 )
