Apply each record of a job's log once, by its number

Callers saw items at two positions (TWICE) and, once the owner's memory was gone, jobs that could not be read (LOST).

Cause: applyRecord took any record for the next one. A read of the log for a client that is ahead of the owner (ensureCurrent), or for readers of a stopped job (refreshStopped), brings a record whose own write still waits for an answer. The write then applied it once more when it was answered, or when its repetition met the record. The results of the record stood twice, the counter of records was one too high, the next record was written with a number skipped, and from then on readRecords failed everywhere else.

A record is now applied under its number, and ignored if it is known. Both ways to learn of it may come in any order.

Ruled out: holding back reads of the log while a write is in flight; it would leave the client without an answer for as long as the store does not give one, and does not cover the repetition of a write.

--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -103,14 +103,18 @@
 		}
 		j.items[it.ID] = &item{Item: it, index: i, hint: lengthHint(it)}
 	}
-	for _, r := range records {
-		j.applyRecord(r)
+	for n, r := range records {
+		j.applyRecord(n, r)
 	}
 	return j
 }
 
-// applyRecord adds the results of a record in the store; the caller holds mu or has the only reference.
-func (j *Job) applyRecord(r wire.JobRecord) {
+// applyRecord adds the results of record n in the store, and returns false if it has been applied before: the write of a
+// record and a read of the log may both bring it, in either order. The caller holds mu or has the only reference.
+func (j *Job) applyRecord(n int, r wire.JobRecord) bool {
+	if n < j.records {
+		return false
+	}
 	j.reportInconsistent(r)
 	j.records++
 	for _, w := range r.Results {
@@ -121,6 +125,7 @@
 		}
 	}
 	j.ready = slices.DeleteFunc(j.ready, func(r job.Result) bool { return j.items[r.Item].listed })
+	return true
 }
 
 // refreshDue reports whether the log of a stopped job should be read again, and notes the time if so.
@@ -148,7 +153,7 @@
 	defer j.mu.Unlock()
 	for n := j.records; n < len(records); n++ {
 		j.logApplied(n, records[n], fromRead)
-		j.applyRecord(records[n])
+		j.applyRecord(n, records[n])
 	}
 }
 
--- a/entry/internal/batch/list.go
+++ b/entry/internal/batch/list.go
@@ -162,10 +162,9 @@
 			continue
 		}
 		j.mu.Lock()
-		if held.Writer != j.manager.Self.Inc {
+		if j.applyRecord(n, held) && held.Writer != j.manager.Self.Inc {
 			j.logApplied(n, held, fromConflict)
 		}
-		j.applyRecord(held)
 		j.notifyReaders()
 		total := len(j.results)
 		j.mu.Unlock()
