Choose the results and the number of a record at one moment

Callers could read an item at two positions that every entry agrees on, since the log itself holds it twice.

Cause: the lister took the results to be listed under one lock and the number of the record under the next. A record applied in between, by a read of the log for a client, lists some of these results; the write then takes the number after it, finds the place free and lists them again. The claim of the package comment, that a writer has read all records below its own, held for the number, not for the results.

nextRecord takes both under one lock. A record that is applied later makes the write fail on its number, and the next draft leaves out what it lists.

TestWriterSkipsItemsListedMeanwhile failed before; it follows the new signature, with the same order of steps and the same expectation, and goes on to list the rest. logStep gets the record that was written in place of the draft, which may differ from it.

--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -413,7 +413,7 @@
 
 // flush has results that are held back listed, for a client that does not wait itself.
 func (j *Job) flush(ctx context.Context) {
-	if len(j.listable()) == 0 {
+	if !j.hasListable() {
 		return
 	}
 	j.mu.Lock()
--- a/entry/internal/batch/list.go
+++ b/entry/internal/batch/list.go
@@ -39,16 +39,16 @@
 		case <-ctx.Done():
 			return
 		}
-		if len(l.job.listable()) == 0 {
+		if !l.job.hasListable() {
 			continue
 		}
 		l.waitForMore(ctx)
 		for ctx.Err() == nil {
-			batch := l.job.listable()
-			if len(batch) == 0 {
+			n, record := l.job.nextRecord()
+			if len(record.Results) == 0 {
 				break
 			}
-			if !l.write(ctx, batch) {
+			if !l.write(ctx, n, record) {
 				return
 			}
 		}
@@ -113,11 +113,29 @@
 	return !at.Before(from) && at.Before(to)
 }
 
-// listable returns the results to be listed next, which are those of complete groups and of items that were given up.
-// Only the log tells another owner that an item must not run again.
-func (j *Job) listable() []job.Result {
+// hasListable reports whether there are results to be listed.
+func (j *Job) hasListable() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return len(j.listable()) > 0
+}
+
+// nextRecord returns the number and the content of the record to be written next, without results if there are none to
+// list. Both follow from the same records, so that the new one cannot repeat an item of those before it.
+func (j *Job) nextRecord() (int, wire.JobRecord) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	results := j.listable()
+	r := wire.JobRecord{Writer: j.manager.Self.Inc, First: len(j.results), Results: make([]wire.JobResult, 0, len(results))}
+	for _, result := range results {
+		r.Results = append(r.Results, toResult(result))
+	}
+	return j.records, r
+}
+
+// listable returns the results to be listed next, which are those of complete groups and of items that were given up; the
+// caller holds mu. Only the log tells another owner that an item must not run again.
+func (j *Job) listable() []job.Result {
 	open := make(map[string]bool)
 	for _, it := range j.items {
 		if !it.done {
@@ -139,17 +157,11 @@
 	return l
 }
 
-// write appends a record with the given results to the log. It returns false if the job has another owner.
-func (l *lister) write(ctx context.Context, batch []job.Result) bool {
+// write writes record n of the log, and applies it or what the store has in its place. It returns false if the job has
+// another owner.
+func (l *lister) write(ctx context.Context, n int, rec wire.JobRecord) bool {
 	j := l.job
 	began := time.Now()
-	j.mu.Lock()
-	n, first := j.records, len(j.results)
-	j.mu.Unlock()
-	rec := wire.JobRecord{Writer: j.manager.Self.Inc, First: first, Results: make([]wire.JobResult, 0, len(batch))}
-	for _, r := range batch {
-		rec.Results = append(rec.Results, toResult(r))
-	}
 	value, err := json.Marshal(rec)
 	if err != nil {
 		event.RequestFailed.Log(j.manager.Logger, "job", j.spec.ID, "cause", err.Error())
@@ -172,7 +184,7 @@
 			"results", len(held.Results), "total", total, "held", l.held.Milliseconds(), "every", j.manager.readIntervals.typical(j.spec.Model).Milliseconds(),
 			"ms", time.Since(began).Milliseconds())
 		l.held = 0
-		j.logStep(batch, time.Now())
+		j.logStep(held.Results, time.Now())
 		if held.Writer != j.manager.Self.Inc {
 			go supervise.Guard(j.manager.Logger, "lost job", func() { j.manager.dropLost(j) })
 			return false
--- a/entry/internal/batch/log_test.go
+++ b/entry/internal/batch/log_test.go
@@ -161,12 +161,15 @@
 	j.queueResult(j.items["g-1"], "", time.Now())
 	j.queueResult(j.items["h-2"], "", time.Now())
 	l := &lister{job: j}
-	batch := j.listable()
+	n, record := j.nextRecord()
 	r.putRecord(0, wire.JobRecord{Writer: "b1"}, "g-1")
 	if !m.ensureCurrent(t.Context(), j, 1, time.Now()) {
 		t.Fatal("the log cannot be read")
 	}
-	l.write(t.Context(), batch)
+	l.write(t.Context(), n, record)
+	for n, record = j.nextRecord(); len(record.Results) > 0; n, record = j.nextRecord() {
+		l.write(t.Context(), n, record)
+	}
 	if d := cmp.Diff([]string{"g-1", "h-2"}, r.storedItems()); d != "" {
 		t.Errorf("items in the log (-want +got):\n%s", d)
 	}
@@ -219,8 +222,8 @@
 		t.Fatal("the log cannot be read")
 	}
 	j.giveUp(pending, false, time.Now())
-	if l := j.listable(); len(l) > 0 {
-		t.Errorf("the listed item is to be listed again: %v", l)
+	if _, record := j.nextRecord(); len(record.Results) > 0 {
+		t.Errorf("the listed item is to be listed again: %v", record.Results)
 	}
 }
 
--- a/entry/internal/batch/path.go
+++ b/entry/internal/batch/path.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"bulrushspoke/internal/event"
-	"bulrushspoke/internal/job"
+	"bulrushspoke/wire"
 )
 
 // timing records how the time of an item was spent.
@@ -43,7 +43,7 @@
 
 // logStep logs and records once how the time of a step was spent: when the results that its trainer waits for are
 // listed, for the one of them that was known last.
-func (j *Job) logStep(listed []job.Result, now time.Time) {
+func (j *Job) logStep(listed []wire.JobResult, now time.Time) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.stepLogged || !j.stepComplete(unlisted) {
--- a/entry/internal/batch/reader_test.go
+++ b/entry/internal/batch/reader_test.go
@@ -191,7 +191,7 @@
 	}
 	j := m.local("j")
 	deadline := time.Now().Add(5 * time.Second)
-	for len(j.listable()) == 0 {
+	for !j.hasListable() {
 		if time.Now().After(deadline) {
 			t.Fatal("the second item does not complete")
 		}
