Add one result for each item, whoever learns of it first

Callers could read an item at two positions, once with its text and once as terminated.

Cause: an attempt that ends with 422 or with the last tolerated 500, and the give-up of items whose time or route is gone, added a result without a look at the item. A record that a former self of the owner wrote seconds late, or that a read of the log brought, may have listed the item since the attempt began or since the item was found pending.

All results now pass settle, which takes an item once. Texts and scores had checks of their own at each caller, which stay: they also decide whether a text may change.

--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -277,17 +277,35 @@
 
 // queueResult adds the text of an item to the results to be listed; the caller holds mu.
 func (j *Job) queueResult(it *item, score string, now time.Time) {
-	it.done, it.textDone = true, true
-	it.timing.done, it.timing.events = now, len(it.data)
+	if !j.settle(it, now) {
+		return
+	}
+	it.textDone = true
+	it.timing.events = len(it.data)
 	j.ready = append(j.ready, job.Result{
 		Item: it.ID, State: job.Completed, Text: strings.Join(it.data, "\n"), Versions: it.versions, Score: score,
 	})
 }
 
-// terminate gives an item up and adds its result without a text; the caller holds mu.
-func (j *Job) terminate(it *item, now time.Time) {
-	it.done, it.void, it.timing.done = true, true, now
+// terminate gives an item up and adds its result without a text; it returns false if the item has a result already. The
+// caller holds mu.
+func (j *Job) terminate(it *item, now time.Time) bool {
+	if !j.settle(it, now) {
+		return false
+	}
+	it.void = true
 	j.ready = append(j.ready, job.Result{Item: it.ID, State: job.Terminated})
+	return true
+}
+
+// settle notes that the result of an item is known. It returns false if it was known before: a record that was written
+// late may list an item while an attempt of it is in flight. The caller holds mu.
+func (j *Job) settle(it *item, now time.Time) bool {
+	if it.done {
+		return false
+	}
+	it.done, it.timing.done = true, now
+	return true
 }
 
 // unlistedParts returns what is known of items that are not listed yet: their texts, complete or not, their failures, and
--- a/entry/internal/batch/run.go
+++ b/entry/internal/batch/run.go
@@ -175,8 +175,9 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	for _, it := range pending {
-		j.terminate(it, now)
-		event.ItemGivenUp.Log(j.manager.Logger, "job", j.spec.ID, "request", it.ID, "cause", cause)
+		if j.terminate(it, now) {
+			event.ItemGivenUp.Log(j.manager.Logger, "job", j.spec.ID, "request", it.ID, "cause", cause)
+		}
 	}
 }
 
@@ -281,8 +282,7 @@
 	case resp.StatusCode == http.StatusInternalServerError:
 		v.outcome, v.cause = place.Answered, "the engine failed"
 		j.mu.Lock()
-		if it.failures++; it.failures >= route.MaxAttempts {
-			j.terminate(it, time.Now())
+		if it.failures++; it.failures >= route.MaxAttempts && j.terminate(it, time.Now()) {
 			event.ItemGivenUp.Log(j.manager.Logger, "job", j.spec.ID, "request", it.ID, "cause", "its runs fail",
 				"failures", it.failures)
 		}
