--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -33,6 +33,7 @@
 	items          map[string]*item
 	results        []job.Result
 	records        int             // number of records read or written
+	repeated       int             // number of results of items that have an earlier one
 	ready          []job.Result    // results to be listed
 	ended          bool            // by the trainer, for good
 	stopped        bool            // this entry runs no more attempts
@@ -120,6 +121,9 @@
 	for _, w := range r.Results {
 		j.results = append(j.results, fromResult(w))
 		if it := j.items[w.Item]; it != nil {
+			if it.listed {
+				j.repeated++
+			}
 			it.done, it.listed = true, true
 			it.data = nil
 		}
@@ -457,9 +461,9 @@
 	for {
 		j.mu.Lock()
 		p := j.pageFrom(after, min(maxBytes, j.manager.pageLimit.maxBytes(time.Now())))
-		changed, stopped := j.changed, j.stopped
+		changed, stopped, last := j.changed, j.stopped, j.total+j.repeated
 		j.mu.Unlock()
-		if len(p.Results) > 0 || wait <= 0 || stopped || p.Next >= p.Total {
+		if len(p.Results) > 0 || wait <= 0 || stopped || p.Next >= last {
 			j.manager.pageLimit.add(textBytes(p), time.Now())
 			return p
 		}
--- a/entry/internal/batch/log_test.go
+++ b/entry/internal/batch/log_test.go
@@ -11,6 +11,7 @@
 
 	"bulrushspoke/internal/job"
 	"bulrushspoke/internal/store"
+	"bulrushspoke/platform/platformtest"
 	"bulrushspoke/wire"
 )
 
@@ -273,3 +274,27 @@
 		})
 	}
 }
+
+// Guards against positions that move because a log of an earlier version lists an item in two records, and against a client
+// that is not told to wait for the results beyond the repeated one.
+func TestLogWithRepeatedItemKeepsItsPositions(t *testing.T) {
+	e, release := blockItem(t, "i-3")
+	r := newRig(t, e)
+	m, _ := r.manager("a", "a1")
+	r.putJob(m, false, "g-1", "h-2", "i-3")
+	r.putRecord(0, wire.JobRecord{Writer: "gone1"}, "g-1")
+	r.putRecord(1, wire.JobRecord{Writer: "gone2", First: 2}, "g-1", "h-2")
+	want := []string{"g-1", "g-1", "h-2"}
+	if d := cmp.Diff(want, listedItems(r.collect(m, "j", len(want)))); d != "" {
+		t.Errorf("results (-want +got):\n%s", d)
+	}
+	time.AfterFunc(100*time.Millisecond, release)
+	reply := m.Results(t.Context(), "j", len(want), 5*time.Second)
+	page, err := platformtest.DecodePage(reply.Body)
+	if err != nil || len(page.Results) != 1 || page.Results[0].Item != "i-3" {
+		t.Errorf("the read of the last result returns %+v, %v", page, err)
+	}
+	if got := r.faults.kinds[faultRepeated]; got != 1 {
+		t.Errorf("%d repeated items are reported, want 1", got)
+	}
+}
