Tell a later owner of a job from a late write of an earlier one

Callers of a job whose owner changed got no results for as long as nobody read it: items that were open stayed where they were.

Cause: an owner took any record of another process for the proof that it had lost the job, and any record of its own process for its own. A former owner's write that is applied seconds late proves nothing of the kind, but the rightful owner stopped and dropped the job; the next read loaded it again. The other way round, an entry that got a job back in the same incarnation would not have seen that its former self is not the owner any more.

A record names the epoch at which its writer owned the job, as the state does, and only a higher one tells of a later owner. Records without an epoch, of earlier versions, are judged as before. The log stays correct whoever appends to it; the epoch decides about the work only.

--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -151,14 +151,16 @@
 	return after > len(j.results) && now.Sub(j.checkedAt) >= logCheckInterval
 }
 
-// applyNewRecords adds the records that this entry has not seen, given the whole log.
-func (j *Job) applyNewRecords(records []wire.JobRecord) {
+// applyNewRecords adds the records that this entry has not seen, given the whole log, and returns them.
+func (j *Job) applyNewRecords(records []wire.JobRecord) []wire.JobRecord {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	for n := j.records; n < len(records); n++ {
+	first := min(j.records, len(records))
+	for n := first; n < len(records); n++ {
 		j.logApplied(n, records[n], fromRead)
 		j.applyRecord(n, records[n])
 	}
+	return records[first:]
 }
 
 // resume restores the texts that another owner or an earlier job has generated.
--- a/entry/internal/batch/list.go
+++ b/entry/internal/batch/list.go
@@ -126,7 +126,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	results := j.listable()
-	r := wire.JobRecord{Writer: j.manager.Self.Inc, First: len(j.results), Results: make([]wire.JobResult, 0, len(results))}
+	r := wire.JobRecord{Writer: j.manager.Self.Inc, Epoch: j.epoch, First: len(j.results), Results: make([]wire.JobResult, 0, len(results))}
 	for _, result := range results {
 		r.Results = append(r.Results, toResult(result))
 	}
@@ -174,7 +174,7 @@
 			continue
 		}
 		j.mu.Lock()
-		if j.applyRecord(n, held) && held.Writer != j.manager.Self.Inc {
+		if j.applyRecord(n, held) && !j.wrote(held) {
 			j.logApplied(n, held, fromConflict)
 		}
 		j.notifyReaders()
@@ -185,7 +185,7 @@
 			"ms", time.Since(began).Milliseconds())
 		l.held = 0
 		j.logStep(held.Results, time.Now())
-		if held.Writer != j.manager.Self.Inc {
+		if j.lostTo(held) {
 			go supervise.Guard(j.manager.Logger, "lost job", func() { j.manager.dropLost(j) })
 			return false
 		}
--- a/entry/internal/batch/log_test.go
+++ b/entry/internal/batch/log_test.go
@@ -298,3 +298,50 @@
 		t.Errorf("%d repeated items are reported, want 1", got)
 	}
 }
+
+// Guards against an owner that drops its job, whose items nobody runs then, because a write of a former owner arrives late.
+func TestOwnerKeepsItsJobAfterLateRecord(t *testing.T) {
+	e, release := blockItem(t, "g-2")
+	r := newRig(t, e)
+	m, _ := r.manager("a", "a1")
+	r.putJob(m, false, "g-1", "g-2")
+	if reply := m.Results(t.Context(), "j", 0, 0); reply.Status != http.StatusOK {
+		t.Fatalf("takeover: %d %s", reply.Status, reply.Cause)
+	}
+	j := m.local("j")
+	await(t, "one item is done", func() bool { return itemDone(j, "g-1") })
+	r.putRecord(0, wire.JobRecord{Writer: "gone1", Epoch: 1}, "g-1")
+	release()
+	await(t, "the owner lists the rest", func() bool { return len(r.store.Names(KindRecords+"j")) > 1 })
+	if m.local("j") != j {
+		t.Error("the owner has dropped the job")
+	}
+	if d := cmp.Diff([]string{"g-1", "g-2"}, r.storedItems()); d != "" {
+		t.Errorf("items in the log (-want +got):\n%s", d)
+	}
+}
+
+// Guards against a former owner that goes on with its job after a later owner has written to the log.
+func TestFormerOwnerStopsAtLaterRecord(t *testing.T) {
+	for name, later := range map[string]wire.JobRecord{
+		"other process": {Writer: "b1", Epoch: 2}, "same process": {Writer: "a1", Epoch: 2}, "earlier version": {Writer: "b1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e, release := blockItem(t, "h-2")
+			defer release()
+			r := newRig(t, e)
+			m, _ := r.manager("a", "a1")
+			r.submit(m, "j", payload(1, "g-1", "h-2"))
+			r.collect(m, "j", 1)
+			j := m.local("j")
+			later.First = 1
+			r.putRecord(1, later, "h-2")
+			if reply := m.Results(t.Context(), "j", 2, 0); reply.Status != http.StatusOK {
+				t.Fatalf("read ahead: %d %s", reply.Status, reply.Cause)
+			}
+			if m.local("j") == j {
+				t.Error("the former owner keeps the job")
+			}
+		})
+	}
+}
--- a/entry/internal/batch/owner.go
+++ b/entry/internal/batch/owner.go
@@ -175,6 +175,20 @@
 	}
 }
 
+// wrote reports whether a record was written by this process as the owner that it is now.
+func (j *Job) wrote(r wire.JobRecord) bool {
+	return r.Writer == j.manager.Self.Inc && r.Epoch == j.epoch
+}
+
+// lostTo reports whether a record shows that the job has a later owner. A record of an earlier owner that was written late
+// does not. Records without an epoch, of earlier versions, count as those of a later owner unless this process wrote them.
+func (j *Job) lostTo(r wire.JobRecord) bool {
+	if r.Epoch == 0 {
+		return r.Writer != j.manager.Self.Inc
+	}
+	return r.Epoch > j.epoch
+}
+
 // dropLost stops and removes a job that has another owner according to its log.
 func (m *Manager) dropLost(j *Job) {
 	m.mu.Lock()
@@ -220,15 +234,10 @@
 		return false // logged by the store client
 	}
 	j.mu.Lock()
-	known := j.records
 	j.checkedAt = now
 	j.mu.Unlock()
-	j.applyNewRecords(records)
-	for _, r := range records[min(known, len(records)):] {
-		if r.Writer != m.Self.Inc && !j.hasEnded() {
-			m.dropLost(j)
-			break
-		}
+	if slices.ContainsFunc(j.applyNewRecords(records), j.lostTo) && !j.hasEnded() {
+		m.dropLost(j)
 	}
 	return true
 }
--- a/entry/internal/batch/report.go
+++ b/entry/internal/batch/report.go
@@ -21,7 +21,7 @@
 // logApplied logs a record that this process has not written and is about to apply.
 func (j *Job) logApplied(n int, r wire.JobRecord, from string) {
 	event.RecordApplied.Log(j.manager.Logger, "job", j.spec.ID, "record", n, "first", r.First, "results", len(r.Results),
-		"writer", r.Writer, "from", from, "epoch", j.epoch)
+		"writer", r.Writer, "epoch", r.Epoch, "from", from)
 }
 
 // reportInconsistent reports what in the next record contradicts the results so far; the caller holds mu or has the only
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -618,6 +618,10 @@
 
 // Store object that holds results of a job at consecutive positions.
 type JobRecord struct {
+	// Epoch at which the writer owned the job; 0 in records of versions before it was
+	// added.
+	Epoch int `json:"epoch"`
+
 	// Position of the first result.
 	First int `json:"first"`
 
