--- a/entry/internal/batch/log_test.go
+++ b/entry/internal/batch/log_test.go
@@ -345,3 +345,25 @@
 		})
 	}
 }
+
+// Guards against a job that nobody runs after a handover: the entry that was to adopt it still held it as a former owner.
+func TestFormerOwnerAdoptsItsJob(t *testing.T) {
+	e, release := blockItem(t, "h-2")
+	defer release()
+	r := newRig(t, e)
+	former, _ := r.manager("a", "a1")
+	owner, _ := r.manager("b", "b1")
+	r.submit(former, "j", payload(1, "g-1", "h-2"))
+	r.collect(former, "j", 1)
+	r.cut("a", true)
+	r.collect(owner, "j", 1)
+	r.cut("a", false)
+	owner.Handover(t.Context())
+	j := former.local("j")
+	if j == nil {
+		t.Fatal("the entry has not adopted the job")
+	}
+	if j.epoch != 3 {
+		t.Errorf("the job has epoch %d at the adopting entry, want 3", j.epoch)
+	}
+}
