Replace an outdated job by the one of a later epoch

Callers got no results of a job until a client read it again.

Cause: start kept whatever job of the same id the entry held. A message to start a job that was delegated long ago, and that arrives while this entry loads the job as its new owner, put the earlier epoch in place and let the loaded one go; within a second the entry found its own later epoch in the store and dropped what it ran.

A job of a later epoch now replaces one of an earlier epoch, which stops. TestLateDelegationDoesNotReplaceTakeover failed before (epoch 1 in place of 2).

--- a/entry/internal/batch/batch.go
+++ b/entry/internal/batch/batch.go
@@ -421,13 +421,19 @@
 	return n
 }
 
-// start adds a job and runs it unless it has ended. It returns false if this entry is shutting down.
+// start adds a job and runs it unless it has ended. It returns false if this entry is shutting down. A job that this entry
+// holds already stays, unless the new one belongs to a later epoch: a message to start an earlier one may arrive while the
+// later one is loaded.
 func (m *Manager) start(j *Job, parts []wire.JobPart) bool {
 	m.mu.Lock()
-	if m.jobs[j.spec.ID] != nil || m.closed {
+	held := m.jobs[j.spec.ID]
+	if m.closed || held != nil && held.epoch >= j.epoch {
 		defer m.mu.Unlock()
 		return !m.closed
 	}
+	if held != nil {
+		held.stop()
+	}
 	m.jobs[j.spec.ID] = j
 	j.launched = !j.hasEnded()
 	m.sweep(time.Now())
--- a/entry/internal/batch/log_test.go
+++ b/entry/internal/batch/log_test.go
@@ -30,6 +30,19 @@
 	return revision, err
 }
 
+// listStore calls listed after each list call.
+type listStore struct {
+	Store
+	listed func()
+}
+
+// List implements Store.
+func (s listStore) List(ctx context.Context, kind string) ([]store.Record, int64, error) {
+	l, revision, err := s.Store.List(ctx, kind)
+	s.listed()
+	return l, revision, err
+}
+
 // blockItem returns an engine that does not answer the given item until release is called.
 func blockItem(t *testing.T, item string) (e *engine, release func()) {
 	t.Helper()
@@ -367,3 +380,24 @@
 		t.Errorf("the job has epoch %d at the adopting entry, want 3", j.epoch)
 	}
 }
+
+// Guards against a job that stays at the epoch of a delegation that arrives late, while a takeover of this entry loads it.
+func TestLateDelegationDoesNotReplaceTakeover(t *testing.T) {
+	e, release := blockItem(t, "g-1")
+	defer release()
+	r := newRig(t, e)
+	m, _ := r.manager("a", "a1")
+	r.putJob(m, false, "g-1", "h-2")
+	state := wire.JobState{Owner: "a", Inc: "a1", Epoch: 1, Host: "h", Path: "/p/", Total: 2, At: time.Now().UnixMilli(), Model: "m"}
+	body := payload(1, "g-1", "h-2")
+	m.Store = listStore{Store: m.Store, listed: func() {
+		m.startDelegated(wire.JobStart{Job: "j", State: state, Payload: body})
+	}}
+	if reply := m.takeOver(t.Context(), "j", nil, true); reply.Status != 0 {
+		t.Fatalf("takeover: %d %s", reply.Status, reply.Cause)
+	}
+	if epoch := m.local("j").epoch; epoch != 2 {
+		t.Errorf("the job has epoch %d after the takeover, want 2", epoch)
+	}
+	r.collect(m, "j", 1)
+}
