--- a/ctl/internal/cli/cli.go
+++ b/ctl/internal/cli/cli.go
@@ -120,7 +120,8 @@
 		{
 			"explain", "Show what happened to a request", "ID is the value of the response header Bulrush-Request. Only the entry that " +
 				"served the request knows it. With --log, log files of instances are searched instead: lines about the request, item " +
-				"or job are marked with a star, among lines from around that time about the state of the instance.\n\n" +
+				"or job are marked with a star, among lines from around that time about the state of the instance. For a batch job " +
+				"the records of its results follow, with a verdict on whether the lines contradict each other.\n\n" +
 				"Example: bulrushctl explain 01JZ8Q4T1V9K5R2N7M3X6W0YBC\n" +
 				"Example: bulrushctl explain 8e3d8ec4a2be1cf9 --log front-1.log --log front-2.log",
 			&explain{app: a},
--- a/ctl/internal/cli/fleet.go
+++ b/ctl/internal/cli/fleet.go
@@ -4,7 +4,9 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"strconv"
 	"strings"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -98,7 +100,7 @@
 	})
 }
 
-// fromLogs prints the log lines about a request, item or job.
+// fromLogs prints the log lines about a request, item or job, and what they tell about the records of a job.
 func (c *explain) fromLogs() error {
 	lines, err := logs.Find(c.Logs, c.Args.ID)
 	if err != nil {
@@ -107,17 +109,76 @@
 	if len(lines) == 0 {
 		return &exitError{status: exitNotFound, text: "no log line mentions " + c.Args.ID}
 	}
-	return c.app.print(lines, "\tTIME\tINSTANCE\tEVENT\tWHAT\tDETAILS", func(w io.Writer) {
+	log, err := logs.Job(c.Logs, c.Args.ID)
+	if err != nil {
+		return err
+	}
+	if c.app.JSON {
+		return c.app.encode(struct {
+			Lines []logs.Line  `json:"lines"`
+			Log   *logs.JobLog `json:"log,omitempty"`
+		}{lines, log})
+	}
+	err = c.app.print(lines, "\tTIME\tINSTANCE\tEVENT\tWHAT\tDETAILS", func(w io.Writer) {
 		for _, l := range lines {
 			marker := " "
 			if l.Match {
 				marker = "*"
 			}
-			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%s\n", marker, l.Time.UTC().Format("15:04:05.000"), l.Name, l.Event, l.Text, l)
+			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%s\n", marker, clock(l.Time), l.Name, l.Event, l.Text, l)
 		}
 	})
+	if err != nil || log == nil {
+		return err
+	}
+	return c.app.printJobLog(log)
 }
 
+// printJobLog prints the records of a batch job and the changes of its owner between them.
+func (a *app) printJobLog(log *logs.JobLog) error {
+	_, _ = fmt.Fprintln(a.out)
+	err := a.print(log, "RECORD\tTIME\tWRITER\tPROCESS\tEPOCH\tFIRST\tRESULTS\tNAMED BY", func(w io.Writer) {
+		changes := log.Changes
+		for _, r := range log.Records {
+			if len(r.Named) == 0 {
+				_, _ = fmt.Fprintf(w, "%d\t-\t-\t-\t-\t-\t-\tno line\n", r.Number)
+				continue
+			}
+			for len(changes) > 0 && changes[0].Time.Before(r.Time) {
+				printChange(w, changes[0])
+				changes = changes[1:]
+			}
+			epoch := "-"
+			if r.Epoch != 0 {
+				epoch = strconv.Itoa(r.Epoch)
+			}
+			_, _ = fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%s\t%d\t%d\t%s\n", r.Number, clock(r.Time), r.Writer, r.Process, epoch, r.First, r.Results,
+				strings.Join(r.Named, ", "))
+		}
+		for _, l := range changes {
+			printChange(w, l)
+		}
+	})
+	if err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(a.out, "\n%s\n", log.Verdict)
+	for _, text := range log.Contradictions {
+		_, _ = fmt.Fprintf(a.out, "  contradiction: %s\n", text)
+	}
+	for _, text := range log.Gaps {
+		_, _ = fmt.Fprintf(a.out, "  missing lines: %s\n", text)
+	}
+	return nil
+}
+
+func printChange(w io.Writer, l logs.Line) {
+	_, _ = fmt.Fprintf(w, "-\t%s\t%s\t\t%s\t\t\t%s: %s\n", clock(l.Time), l.Name, l.Details["epoch"], l.Text, l)
+}
+
+// clock formats a time of day.
+func clock(t time.Time) string { return t.UTC().Format("15:04:05.000") }
+
 // spans formats token segments with their weight versions as in the header Bulrush-Versions.
 func spans(l []wire.Span) string {
 	parts := make([]string, len(l))
--- a/ctl/internal/logs/logs.go
+++ b/ctl/internal/logs/logs.go
@@ -7,10 +7,16 @@
 // The result holds the lines of the request and of its job. Added to them are lines of the same instances, from 10 s before
 // the first of them to 10 s after the last, about the state of the instance: start and stop, store, links, configuration, and
 // the servers that the request used. Lines that are not JSON log lines of the programs are skipped.
+//
+//	log, err := logs.Job(files, "619e670985624b9c")
+//
+// The result tells what the lines say about the records that hold the results of a batch job, what contradicts, and where
+// lines are missing.
 package logs
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"maps"
@@ -142,7 +148,14 @@
 	return l.Event >= firstStateEvent && l.Event <= lastStateEvent || l.Event == configApplied
 }
 
-// forEachLine calls f for each log line of the programs in the files; other lines are skipped.
+// Texts of lines without an event, which mark a place where lines are missing.
+const (
+	linesDropped = "log lines dropped" // written by the programs
+	lineCut      = "incomplete lines"
+)
+
+// forEachLine calls f for each log line of the programs in the files; other lines are skipped. Lines that are missing are
+// represented by one with the event 0.
 func forEachLine(files []string, f func(Line)) error {
 	for _, name := range files {
 		if err := scanFile(name, f); err != nil {
@@ -170,13 +183,11 @@
 
 // decode parses a line; a log collector may have added a prefix before the JSON object.
 func decode(text []byte) (Line, bool) {
-	start := strings.IndexByte(string(text), '{')
-	if start < 0 {
-		return Line{}, false
-	}
+	start := max(0, bytes.IndexByte(text, '{'))
 	var fields map[string]json.RawMessage
 	if json.Unmarshal(text[start:], &fields) != nil {
-		return Line{}, false
+		ofProgram := bytes.HasPrefix(text[start:], []byte(`{"time":"`)) || bytes.Contains(text, []byte(`,"event":`))
+		return Line{Text: lineCut}, ofProgram
 	}
 	l := Line{Details: map[string]string{}}
 	targets := map[string]any{"time": &l.Time, "name": &l.Name, "event": &l.Event, "msg": &l.Text}
@@ -195,5 +206,5 @@
 			l.Details[name] = s
 		}
 	}
-	return l, l.Event != 0
+	return l, l.Event != 0 || l.Text == linesDropped
 }
