--- a/ctl/internal/logs/job.go
+++ b/ctl/internal/logs/job.go
@@ -211,7 +211,7 @@
 	}
 }
 
-// addSighting notes what a line tells about a record. A line of a process about its own write leaves out the writer.
+// addSighting notes what a line tells about a record. A line about an own write leaves out the writer in earlier versions.
 func (s *jobSummary) addSighting(l Line, key string) {
 	n := l.number("record")
 	v := sighting{line: l, key: key, Record: Record{
--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -33,7 +33,7 @@
 	items          map[string]*item
 	results        []job.Result
 	records        int             // number of records read or written
-	repeated       int             // number of results of items that have an earlier one
+	positions      map[string]int  // first position of each listed item
 	ready          []job.Result    // results to be listed
 	ended          bool            // by the trainer, for good
 	stopped        bool            // this entry runs no more attempts
@@ -94,6 +94,7 @@
 		stateWake: make(chan struct{}, 1),
 		listWake:  make(chan struct{}, 1),
 		carried:   make(map[string]bool),
+		positions: make(map[string]int),
 
 		stateReadAt: readAt,
 	}
@@ -119,11 +120,11 @@
 	j.reportInconsistent(r)
 	j.records++
 	for _, w := range r.Results {
+		if _, ok := j.positions[w.Item]; !ok {
+			j.positions[w.Item] = len(j.results)
+		}
 		j.results = append(j.results, fromResult(w))
 		if it := j.items[w.Item]; it != nil {
-			if it.listed {
-				j.repeated++
-			}
 			it.done, it.listed = true, true
 			it.data = nil
 		}
@@ -151,6 +152,9 @@
 	return after > len(j.results) && now.Sub(j.checkedAt) >= logCheckInterval
 }
 
+// repeated returns the number of positions that hold an item for a second time; the caller holds mu.
+func (j *Job) repeated() int { return len(j.results) - len(j.positions) }
+
 // applyNewRecords adds the records that this entry has not seen, given the whole log, and returns them.
 func (j *Job) applyNewRecords(records []wire.JobRecord) []wire.JobRecord {
 	j.mu.Lock()
@@ -463,7 +467,7 @@
 	for {
 		j.mu.Lock()
 		p := j.pageFrom(after, min(maxBytes, j.manager.pageLimit.maxBytes(time.Now())))
-		changed, stopped, last := j.changed, j.stopped, j.total+j.repeated
+		changed, stopped, last := j.changed, j.stopped, j.total+j.repeated()
 		j.mu.Unlock()
 		if len(p.Results) > 0 || wait <= 0 || stopped || p.Next >= last {
 			j.manager.pageLimit.add(textBytes(p), time.Now())
--- a/entry/internal/batch/list.go
+++ b/entry/internal/batch/list.go
@@ -181,8 +181,8 @@
 		total := len(j.results)
 		j.mu.Unlock()
 		event.ResultsListed.Log(j.manager.Logger, "job", j.spec.ID, "record", n, "first", held.First,
-			"results", len(held.Results), "total", total, "held", l.held.Milliseconds(), "every", j.manager.readIntervals.typical(j.spec.Model).Milliseconds(),
-			"ms", time.Since(began).Milliseconds())
+			"writer", held.Writer, "epoch", held.Epoch, "results", len(held.Results), "total", total,
+			"held", l.held.Milliseconds(), "every", j.manager.readIntervals.typical(j.spec.Model).Milliseconds(), "ms", time.Since(began).Milliseconds())
 		l.held = 0
 		j.logStep(held.Results, time.Now())
 		if j.lostTo(held) {
--- a/entry/internal/batch/log.go
+++ b/entry/internal/batch/log.go
@@ -73,6 +73,7 @@
 		if _, err := m.Store.Create(ctx, KindRecords+id, recordName(n), value); err != nil {
 			return err // also if another writer was faster: the log is read again then
 		}
+		event.RecordRestored.Log(m.Logger, "job", id, "record", n, "first", records[n].First, "results", len(records[n].Results))
 	}
 	return nil
 }
--- a/entry/internal/batch/report.go
+++ b/entry/internal/batch/report.go
@@ -32,34 +32,14 @@
 		j.reportFault(faultPosition, "record", j.records, "first", r.First, "known", known, "writer", r.Writer,
 			"epoch", r.Epoch)
 	}
-	listed := j.listedAt(r)
 	for i, w := range r.Results {
-		if earlier, ok := listed[w.Item]; ok {
+		if earlier, ok := j.positions[w.Item]; ok {
 			j.reportFault(faultRepeated, "record", j.records, "request", w.Item, "position", known+i, "earlier", earlier,
 				"writer", r.Writer, "epoch", r.Epoch)
 		}
 	}
 }
 
-// listedAt returns the first positions of the items of a record that stand in the results so far; the caller holds mu or
-// has the only reference. The items of a job that was loaded after its end are unknown.
-func (j *Job) listedAt(r wire.JobRecord) map[string]int {
-	sought := make(map[string]bool)
-	for _, w := range r.Results {
-		if it := j.items[w.Item]; it == nil || it.listed {
-			sought[w.Item] = true
-		}
-	}
-	positions := make(map[string]int)
-	for at := 0; at < len(j.results) && len(sought) > 0; at++ {
-		if id := j.results[at].Item; sought[id] {
-			positions[id] = at
-			delete(sought, id)
-		}
-	}
-	return positions
-}
-
 func (j *Job) reportFault(kind string, fields ...any) {
 	j.manager.LogFaults.Add(1, kind)
 	event.LogInconsistent.Log(j.manager.Logger, append([]any{"job", j.spec.ID, "cause", kind}, fields...)...)
--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -31,5 +31,6 @@
 	RecordApplied           = define(1055, slog.LevelInfo, "record of another write applied to a batch job")
 	LogLoaded               = define(1056, slog.LevelInfo, "log of a batch job loaded")
 	LogInconsistent         = define(1057, slog.LevelWarn, "log of a batch job is inconsistent")
+	RecordRestored          = define(1058, slog.LevelInfo, "missing record of a batch job restored in the store")
 	InstanceRetiring        = define(1050, slog.LevelInfo, "instance is to be removed; it holds nothing that must be kept")
 )
