Do not count a verdict after the end of its step

A tester whose verdict reached an entry after the end of the step got counted: true there, a second time for a verdict that had counted before, and also for another verdict on the same slot. The object stayed in the store for good.

Cause: RecordVerdict checks that the step is open when it looks it up, which an entry does from the store only once, and creates verdict/<slot> later. The end deletes the verdicts of a step, so that nothing stands against the create.

The spec is now read after the create, as Append of a step's log does. The end marker is written before the verdicts are listed for deletion: a verdict that is created before it is deleted with the step, and one that is created after it finds the marker, is deleted and answered with a conflict. A read that fails leaves the outcome unknown. A verdict costs one read more.

Ruled out: dropping what an entry knows of a step when it ends, since the end may come between the look and the create, and no message tells of it.

TestVerdictAfterTheEnd failed before (counted: true, 2 objects left) and passes now. go test ./internal/trainer in entry: ok, 0.8 s.

--- a/entry/internal/trainer/trainer_test.go
+++ b/entry/internal/trainer/trainer_test.go
@@ -167,6 +167,35 @@
 	})
 }
 
+// Guards against a verdict that counts a second time at an entry that has not learnt of the end of the step.
+func TestVerdictAfterTheEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(1, 2)
+		defer cl.close()
+		ctx := context.Background()
+		if _, err := cl.entries[0].trainer.Open(ctx, testIdentity, testRequest(1, 2)); err != nil {
+			t.Fatalf("open: %v", err)
+		}
+		v := wire.VerdictRequest{ID: "crew-1", Run: "r", Step: 1, Group: "g0", Index: 1, Value: 0.75}
+		if a, err := cl.entries[1].trainer.RecordVerdict(ctx, testIdentity, v); err != nil || !a.Counted {
+			t.Fatalf("verdict gives %v, %v", a, err)
+		}
+		if _, err := cl.entries[0].trainer.End(ctx, testIdentity, "r", 1, "cancelled"); err != nil {
+			t.Fatalf("end: %v", err)
+		}
+		time.Sleep(10 * time.Second)
+		for _, id := range []string{"crew-1", "crew-2"} {
+			v.ID = id
+			if a, err := cl.entries[1].trainer.RecordVerdict(ctx, testIdentity, v); !refused(err, refusal.Conflict) {
+				t.Errorf("verdict %s after the end gives %v, %v, want a conflict", id, a, err)
+			}
+		}
+		if left := cl.objectCount(); left != 1 {
+			t.Errorf("%d objects are left, want the end marker alone", left)
+		}
+	})
+}
+
 // Guards against an owner that keeps generating samples after the step was cancelled through another entry.
 func TestCancelAtAnotherEntry(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/entry/internal/trainer/verdict.go
+++ b/entry/internal/trainer/verdict.go
@@ -25,10 +25,11 @@
 		return empty, badRequest("a verdict needs an id of up to %d bytes, a run, step, group and index", maxVerdictIDBytes)
 	}
 	k := stepKey{run: q.Run, step: q.Step}
-	spec, owner, err := t.lookUp(ctx, k, t.info(k))
+	info := t.info(k)
+	spec, owner, err := t.lookUp(ctx, k, info)
 	var ended *steplog.EndedError
 	if errors.As(err, &ended) {
-		return empty, refusal.New(refusal.Conflict, refusal.NotRun, "trainer: step is %s", ended.Record().State)
+		return empty, verdictAfterEnd(ended)
 	}
 	if err != nil {
 		return empty, err
@@ -36,10 +37,23 @@
 	if spec.Workspace != id.Workspace {
 		return empty, notFoundError(k)
 	}
-	a, err := t.countVerdict(ctx, q)
-	if err != nil || !a.Counted {
+	a, version, err := t.countVerdict(ctx, q)
+	if err != nil {
 		return a, err
 	}
+	// What is known of the step may be older than its end, with which all verdicts are deleted.
+	_, err = steplog.New(t.options.Store, k.run, k.step).ReadSpec(ctx)
+	if errors.As(err, &ended) {
+		t.forgetEnded(k, info)
+		_ = t.options.Store.Delete(ctx, steplog.VerdictObjects, verdictName(q), version)
+		return empty, verdictAfterEnd(ended)
+	}
+	if err != nil {
+		return empty, verdictUnknown(err)
+	}
+	if !a.Counted {
+		return a, nil
+	}
 	v := wire.Verdict{ID: q.ID, Value: q.Value, Slot: wire.Slot{Run: q.Run, Step: q.Step, Group: q.Group, Index: q.Index}}
 	if t.ownedStep(k) != nil || owner.Owner == nil || *owner.Owner == t.options.Self {
 		t.VerdictCounted(v)
@@ -51,40 +65,53 @@
 	return a, nil
 }
 
-// countVerdict creates the verdict of a slot if there is none. After a lost reply, the object is read back.
-func (t *Trainer) countVerdict(ctx context.Context, q wire.VerdictRequest) (wire.VerdictAnswer, error) {
-	name := fmt.Sprintf("%s.%d.%s.%d", q.Run, q.Step, q.Group, q.Index)
+func verdictAfterEnd(e *steplog.EndedError) error {
+	return refusal.New(refusal.Conflict, refusal.NotRun, "trainer: step is %s", e.Record().State)
+}
+
+func verdictUnknown(err error) error {
+	return refusal.New(refusal.StoreDown, refusal.Unknown, "trainer: verdict may be counted: %v", err).
+		WithRetryAfter(storeRetryAfter)
+}
+
+func verdictName(q wire.VerdictRequest) string {
+	return fmt.Sprintf("%s.%d.%s.%d", q.Run, q.Step, q.Group, q.Index)
+}
+
+// countVerdict creates the verdict of a slot if there is none, and returns the store version of the object. After a lost
+// reply, the object is read back.
+func (t *Trainer) countVerdict(ctx context.Context, q wire.VerdictRequest) (wire.VerdictAnswer, int64, error) {
+	name := verdictName(q)
 	own := wire.StoredVerdict{ID: q.ID, Value: q.Value, Writer: t.options.NewID()}
 	value, err := json.Marshal(own)
 	if err != nil {
-		return wire.VerdictAnswer{}, eris.Wrap(err, "trainer: encode verdict")
+		return wire.VerdictAnswer{}, 0, eris.Wrap(err, "trainer: encode verdict")
 	}
-	_, err = t.options.Store.Create(ctx, steplog.VerdictObjects, name, value)
+	version, err := t.options.Store.Create(ctx, steplog.VerdictObjects, name, value)
 	var down *store.UnavailableError
 	var conflict *store.ConflictError
 	var winner store.Object
 	switch {
 	case err == nil:
-		return wire.VerdictAnswer{ID: q.ID, Counted: true}, nil
+		return wire.VerdictAnswer{ID: q.ID, Counted: true}, version, nil
 	case errors.As(err, &conflict):
 		winner = conflict.Current()
 	case errors.As(err, &down) && down.Ambiguous():
 		if winner, err = t.options.Store.Get(ctx, steplog.VerdictObjects, name); err != nil {
-			return wire.VerdictAnswer{}, refusal.New(refusal.StoreDown, refusal.Unknown,
-				"trainer: verdict may be counted: %v", err).WithRetryAfter(storeRetryAfter)
+			return wire.VerdictAnswer{}, 0, verdictUnknown(err)
 		}
 	default:
-		return wire.VerdictAnswer{}, refusalOrStoreError(err)
+		return wire.VerdictAnswer{}, 0, refusalOrStoreError(err)
 	}
 	var counted wire.StoredVerdict
 	if err := json.Unmarshal(winner.Value, &counted); err != nil {
-		return wire.VerdictAnswer{}, eris.Wrap(err, "trainer: decode verdict")
+		return wire.VerdictAnswer{}, 0, eris.Wrap(err, "trainer: decode verdict")
 	}
 	if counted.ID != q.ID {
-		return wire.VerdictAnswer{}, refusal.New(refusal.Conflict, refusal.NotRun,
+		return wire.VerdictAnswer{}, 0, refusal.New(refusal.Conflict, refusal.NotRun,
 			"trainer: verdict %s counts for this sample", counted.ID)
 	}
-	return wire.VerdictAnswer{ID: q.ID, Counted: counted.Writer == own.Writer}, nil
+	return wire.VerdictAnswer{ID: q.ID, Counted: counted.Writer == own.Writer}, winner.Version, nil
 }
 
 // VerdictCounted records a counted verdict, which becomes the score of a sample that is not accepted yet.
