Write the end of a step that its entry has lost

A trainer that cancelled a step, or pulled with the cursor of the whole step, at a former owner got the confirmation, and the step went on: its new owner generated all samples that its log lacked, and its objects stayed in the store.

Cause: the end is confirmed on what the entry believes to own, and its record is queued. The append finds the record of the new owner, and the entry drops its queue with the end in it; End took the emptied queue for a written end.

An end needs no owner: at an entry that never had the step, End appends the record behind whatever the log holds. An entry that stops between its answer to the last pull and the record still loses the end; the step then has no owner and costs no engine.

A step that was ended in an outage and finds another spec in the log leaves that one alone: it is another step of the same name.

Ruled out: confirming the last pull only after the record, which would make trainers wait for the store at each step, in an outage until its end.

--- a/entry/internal/trainer/end.go
+++ b/entry/internal/trainer/end.go
@@ -5,6 +5,7 @@
 	"errors"
 
 	"bulrushspoke/entry/internal/steplog"
+	"bulrushspoke/internal/event"
 	"bulrushspoke/internal/store"
 	"bulrushspoke/wire"
 )
@@ -43,8 +44,8 @@
 	return a, err
 }
 
-// End ends a step with the given state and may be repeated. At an entry that does not own the step, the end record is
-// appended to the log, where the owner finds it within ownershipCheckInterval.
+// End ends a step with the given state and may be repeated. At an entry that does not own the step, or has lost it, the
+// end record is appended to the log, where the owner finds it within ownershipCheckInterval.
 func (t *Trainer) End(ctx context.Context, id Identity, run string, step int, state string) (wire.StepStatus, error) {
 	if err := t.refuseIfClosed(); err != nil {
 		return wire.StepStatus{}, err
@@ -56,33 +57,73 @@
 		}
 		s.end(state)
 		s.waitUntilEnded(ctx, outageThreshold)
-		return s.Status(), nil
+		if !s.isAbandoned() {
+			return s.Status(), nil
+		}
 	}
 	log := steplog.New(t.options.Store, run, step)
 	ls := &logState{}
-	record := newEndRecord(t.options.NewID(), 0, state)
+	err := ls.read(ctx, log)
+	if err == nil && (ls.spec == nil || ls.spec.Workspace != id.Workspace) {
+		return wire.StepStatus{}, notFoundError(k)
+	}
+	if err == nil {
+		err = ls.appendEnd(ctx, log, newEndRecord(t.options.NewID(), 0, state))
+	}
+	var ended *steplog.EndedError
+	if errors.As(err, &ended) {
+		return endedStatus(id, k, ended.Record())
+	}
+	if err != nil {
+		return wire.StepStatus{}, stepStoreError(k, err)
+	}
+	return t.deleteLog(ctx, log, ls, *ls.end), nil
+}
+
+// appendEnd reads the log to its end and appends the record, whoever owns the step. Afterwards ls holds the end record,
+// which is another one if the step has been ended before.
+func (ls *logState) appendEnd(ctx context.Context, log *steplog.Log, record wire.Record) error {
 	for {
-		err := ls.read(ctx, log)
-		if err == nil && (ls.spec == nil || ls.spec.Workspace != id.Workspace) {
-			return wire.StepStatus{}, notFoundError(k)
+		if err := ls.read(ctx, log); err != nil {
+			return err
 		}
-		if err == nil && ls.end != nil {
-			return t.deleteLog(ctx, log, ls, *ls.end), nil
+		if ls.end != nil {
+			return nil
 		}
+		record.Epoch = ls.owner.Epoch
+		err := log.Append(ctx, record)
+		var taken *steplog.PositionTakenError
 		if err == nil {
-			record.Epoch = ls.owner.Epoch
-			err = log.Append(ctx, record)
+			ls.end = &record
+			return nil
 		}
-		var taken *steplog.PositionTakenError
+		if !errors.As(err, &taken) {
+			return err
+		}
+	}
+}
+
+// endAsFormerOwner ends a step that another entry owns by now. It is called by the log task.
+func (s *Step) endAsFormerOwner(state string) {
+	ctx, cancel := context.WithTimeout(context.Background(), deleteLogTimeout)
+	defer cancel()
+	ls := &logState{}
+	record := newEndRecord(s.trainer.options.NewID(), 0, state)
+	for {
+		err := ls.appendEnd(ctx, s.log, record)
+		var down *store.UnavailableError
 		var ended *steplog.EndedError
 		switch {
 		case err == nil:
-			return t.deleteLog(ctx, log, ls, record), nil
+			s.trainer.deleteLog(ctx, s.log, &logState{spec: &s.spec}, *ls.end)
+			return
 		case errors.As(err, &ended):
-			return endedStatus(id, k, ended.Record())
-		case !errors.As(err, &taken):
-			return wire.StepStatus{}, stepStoreError(k, err)
+			return
+		case !errors.As(err, &down) || ctx.Err() != nil:
+			event.StepEndLost.Log(s.trainer.options.Logger, "run", s.key.run, "step", s.key.step, "state", state, "cause", err.Error())
+			return
 		}
+		s.wait(ctx, nil, storeRetryPause)
 	}
 }
 
--- a/entry/internal/trainer/owner.go
+++ b/entry/internal/trainer/owner.go
@@ -212,10 +212,19 @@
 	return wire.PullAnswer{Checked: checked, Cursor: r.Cursor, Done: true, Samples: []wire.Sample{}}, false, nil
 }
 
-// loseOwnership stops the work on a step that this entry no longer owns.
+// loseOwnership stops the work on a step that this entry no longer owns. An end that the trainer has been told of is
+// written to the log all the same.
 func (t *Trainer) loseOwnership(s *Step, cause error) {
 	event.StepOwnershipLost.Log(t.options.Logger, "run", s.key.run, "step", s.key.step, "cause", cause.Error())
 	s.abandon()
+	s.mu.Lock()
+	state := s.state
+	s.mu.Unlock()
+	// A log that holds another spec is that of another step.
+	var taken *steplog.PositionTakenError
+	if state != stateOpen && (errors.As(cause, &taken) || errors.Is(cause, errNotOwner)) {
+		s.endAsFormerOwner(state)
+	}
 }
 
 // joinLog reconciles a step that was opened during an outage with its log. This entry becomes the owner, samples in the
--- a/entry/internal/trainer/step.go
+++ b/entry/internal/trainer/step.go
@@ -238,6 +238,12 @@
 	s.trainer.releaseStep(s)
 }
 
+func (s *Step) isAbandoned() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.abandoned
+}
+
 // end ends the step with a state, because the trainer needs no further samples.
 func (s *Step) end(state string) {
 	s.mu.Lock()
--- a/entry/internal/trainer/trainer_test.go
+++ b/entry/internal/trainer/trainer_test.go
@@ -8,6 +8,8 @@
 	"testing/synctest"
 	"time"
 
+	"bulrushspoke/entry/internal/cursor"
+	"bulrushspoke/entry/internal/steplog"
 	"bulrushspoke/internal/refusal"
 	"bulrushspoke/wire"
 )
@@ -224,6 +226,95 @@
 	})
 }
 
+// Guards against an end that is acknowledged by an entry that has lost the step, and never reaches the log.
+func TestEndAtFormerOwner(t *testing.T) {
+	for name, end := range map[string]func(t *testing.T, cl *cluster){
+		"cancel": func(t *testing.T, cl *cluster) {
+			t.Helper()
+			a, err := cl.entries[0].trainer.End(context.Background(), testIdentity, "r", 1, "cancelled")
+			if err != nil || a.State != "cancelled" {
+				t.Fatalf("end gives %v, %v", a, err)
+			}
+		},
+		"last pull": func(t *testing.T, cl *cluster) {
+			t.Helper()
+			full := fullCursor(t, testRequest(100, 4))
+			a, err := cl.entries[0].trainer.PullSamples(context.Background(), testIdentity, "r", 1, wire.PullRequest{Cursor: full})
+			if err != nil || !a.Done {
+				t.Fatalf("last pull gives %v, %v", a, err)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cl := newCluster(1, 2)
+				defer cl.close()
+				ctx := context.Background()
+				if _, err := cl.entries[0].trainer.Open(ctx, testIdentity, testRequest(100, 4)); err != nil {
+					t.Fatalf("open: %v", err)
+				}
+				cl.entries[0].pause()
+				if _, err := cl.entries[1].trainer.PullSamples(ctx, testIdentity, "r", 1, wire.PullRequest{Wait: 100}); err != nil {
+					t.Fatalf("pull: %v", err)
+				}
+				if len(cl.entries[1].trainer.Steps()) != 1 {
+					t.Fatal("the second entry did not take over the step")
+				}
+				cl.entries[0].resume()
+				end(t, cl)
+				time.Sleep(2 * ownershipCheckInterval)
+				if left := cl.entries[1].trainer.Steps(); len(left) != 0 {
+					t.Errorf("the new owner still runs %v", left)
+				}
+				if left := cl.objectCount(); left != 1 {
+					t.Errorf("%d objects are left, want the end marker alone", left)
+				}
+			})
+		})
+	}
+}
+
+// Guards against the end of another step of the same name: an entry ended a step of its own in an outage, and finds another
+// spec in the log.
+func TestEndInOutageSparesAnotherSpec(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(1, 2)
+		defer cl.close()
+		ctx := context.Background()
+		cl.disruptStore("down", 10*time.Second)
+		if _, err := cl.entries[1].trainer.Open(ctx, testIdentity, testRequest(1, 2)); err != nil {
+			t.Fatalf("open in the outage: %v", err)
+		}
+		if _, err := cl.entries[1].trainer.End(ctx, testIdentity, "r", 1, "cancelled"); err != nil {
+			t.Fatalf("end in the outage: %v", err)
+		}
+		cl.entries[1].pause()
+		time.Sleep(10 * time.Second)
+		if _, err := cl.entries[0].trainer.Open(ctx, testIdentity, testRequest(100, 4)); err != nil {
+			t.Fatalf("open: %v", err)
+		}
+		cl.entries[1].resume()
+		time.Sleep(2 * ownershipCheckInterval)
+		if len(cl.entries[1].trainer.Steps()) != 0 || len(cl.entries[0].trainer.Steps()) != 1 {
+			t.Errorf("the entries run %v and %v, want the second step alone", cl.entries[1].trainer.Steps(), cl.entries[0].trainer.Steps())
+		}
+	})
+}
+
+// fullCursor returns the cursor that holds every slot of a step.
+func fullCursor(t *testing.T, r wire.StepRequest) string {
+	t.Helper()
+	slots := 0
+	for _, g := range r.Groups {
+		slots += g.Samples
+	}
+	set := cursor.New(steplog.Digest(r.Groups), slots)
+	for i := range slots {
+		set.Add(i)
+	}
+	return set.String()
+}
+
 // Guards against a step that exceeds a limit and is accepted, or refused with the wrong code.
 func TestLimits(t *testing.T) {
 	l := Limits{Groups: 3, Samples: 10, Tokens: 100, SpecBytes: 100}
