Do not refuse a publication as not run after an unanswered write

A trainer whose publication of weights met a store that left the first write unanswered and answered the second with 503, or with a higher version of another publisher, was told that it did not run. The version may have been in force, or come into force seconds later.

Cause: Publish judged by its last write alone. A read that does not show the first one says nothing: the store may apply it later.

After an unanswered write all refusals of the call say unknown.

Ruled out: a target that decreases, since both writes name the same store version, and a late one meets a conflict once another has been applied.

TestUnansweredPublishMayBeInForce failed before in three of five cases ("replaced", "sent, then down", "sent, then busy": ran no) and passes now.

--- a/entry/internal/weights/weights.go
+++ b/entry/internal/weights/weights.go
@@ -133,8 +133,8 @@
 }
 
 // Publish makes version the target of the model. It returns nil if that version is the target already, and a conflict
-// if it is lower than the target. Errors are *refusal.Error; store_down with ran unknown means that the target may be
-// in force.
+// if it is lower than the target. Errors are *refusal.Error; ran unknown means that the version may be in force or have
+// been.
 func (t *Targets) Publish(ctx context.Context, model string, version int64) error {
 	desired := wire.Weights{Model: model, Version: version, Writer: t.newID()}
 	value, err := json.Marshal(desired)
@@ -146,6 +146,8 @@
 	if err != nil && !errors.As(err, &absent) {
 		return storeRefusal(err, refusal.NotRun)
 	}
+	// Once a write is unanswered, the version may be in force for a while, or later.
+	ran := refusal.NotRun
 	for range maxAttempts {
 		if o.Version != 0 {
 			current, err := decode(o)
@@ -157,7 +159,7 @@
 				return nil
 			}
 			if current.Version > version {
-				return refusal.New(refusal.Conflict, refusal.NotRun, "weights: %s is at version %d already", model, current.Version)
+				return refusal.New(refusal.Conflict, ran, "weights: %s is at version %d already", model, current.Version)
 			}
 		}
 		fence, err := t.put(ctx, model, value, o.Version)
@@ -169,14 +171,15 @@
 		case errors.As(err, &conflict):
 			o = conflict.Current()
 		case ambiguous(err):
+			ran = refusal.Unknown
 			if o, err = t.readBack(ctx, model); err != nil {
-				return storeRefusal(err, refusal.Unknown)
+				return storeRefusal(err, ran)
 			}
 		default:
-			return storeRefusal(err, refusal.NotRun)
+			return storeRefusal(err, ran)
 		}
 	}
-	return refusal.New(refusal.Busy, refusal.NotRun, "weights: %s is being changed by others", model).WithRetryAfter(time.Second)
+	return refusal.New(refusal.Busy, ran, "weights: %s is being changed by others", model).WithRetryAfter(time.Second)
 }
 
 func (t *Targets) put(ctx context.Context, model string, value []byte, version int64) (int64, error) {
--- a/entry/internal/weights/weights_test.go
+++ b/entry/internal/weights/weights_test.go
@@ -14,11 +14,14 @@
 )
 
 // fakeStore is an in-memory store of one object. beforeWrite runs once, before the next write; loseAnswer makes the
-// next write take effect and return an ambiguous error.
+// next write take effect and return an ambiguous error. errors holds the errors of the next writes, which have no effect
+// yet.
 type fakeStore struct {
 	object      store.Object
 	beforeWrite func()
 	loseAnswer  bool
+	afterWrite  func()
+	errors      []error
 }
 
 func (m *fakeStore) Get(context.Context, string, string) (store.Object, error) {
@@ -37,10 +40,18 @@
 		m.beforeWrite = nil
 		f()
 	}
+	if len(m.errors) > 0 {
+		err := m.errors[0]
+		m.errors = m.errors[1:]
+		return 0, err
+	}
 	if m.object.Version != version {
 		return 0, store.NewConflictError(kind, name, m.object)
 	}
 	m.object = store.Object{Value: value, Version: version + 1}
+	if f := m.afterWrite; f != nil {
+		f()
+	}
 	if m.loseAnswer {
 		m.loseAnswer = false
 		return 0, store.NewUnavailableError(true, "lost")
@@ -114,6 +125,37 @@
 	}
 }
 
+// Guards against a publisher that is told "not run" although an earlier write of the same call may still take effect.
+func TestUnansweredPublishMayBeInForce(t *testing.T) {
+	lost, down := store.NewUnavailableError(true, "lost"), store.NewUnavailableError(false, "status 503")
+	busy := store.NewConflictError(kind, "plan", store.Object{})
+	for name, tc := range map[string]struct {
+		errors []error
+		higher bool // another publisher replaces the version that was written
+		code   refusal.Code
+		ran    refusal.Ran
+	}{
+		"never sent":        {errors: []error{down}, code: refusal.StoreDown, ran: refusal.NotRun},
+		"sent, then down":   {errors: []error{lost, down}, code: refusal.StoreDown, ran: refusal.Unknown},
+		"sent, then busy":   {errors: []error{lost, busy, busy, busy, busy, busy, busy, busy}, code: refusal.Busy, ran: refusal.Unknown},
+		"replaced":          {higher: true, code: refusal.Conflict, ran: refusal.Unknown},
+		"never in the race": {errors: []error{busy, busy, busy, busy, busy, busy, busy, busy}, code: refusal.Busy, ran: refusal.NotRun},
+	} {
+		m := &fakeStore{errors: tc.errors}
+		if tc.higher {
+			m.loseAnswer = true
+			m.afterWrite = func() {
+				m.object = store.Object{Value: []byte(`{"model":"plan","version":9,"writer":"x"}`), Version: 2}
+			}
+		}
+		err := newTargets(m, &announcements{}).Publish(context.Background(), "plan", 3)
+		var r *refusal.Error
+		if !errors.As(err, &r) || r.Code() != tc.code || r.Ran() != tc.ran {
+			t.Errorf("%s: got %v, want %s with ran %s", name, err, tc.code, tc.ran)
+		}
+	}
+}
+
 // Guards against a late notice that restores an older target.
 func TestLateNotice(t *testing.T) {
 	announced := &announcements{}
