Renew a watch that was answered before a missed change

A configuration or a server list could reach an entry 10 s late although it was linked to its leader and to the store.

Cause: a message of the leader that shows a gap does not renew a short watch in progress, because that watch is expected to return the missed change. Its answer may have left the store before the change. It cleared the renewal all the same, while the later change in the message already counted as the revision up to which all is known, so that no later message showed the gap. The same holds if the follower takes the renewal as its watch ends.

An entry keeps the newest revision that messages have shown to be missing, and an answer below it renews the watch once more. That watch begins after the message, so one is enough.

Ruled out: not raising the known revision by a message with a gap, which would renew the watch at each message until the answer.

--- a/entry/internal/relay/news.go
+++ b/entry/internal/relay/news.go
@@ -78,6 +78,7 @@
 	mu            sync.Mutex
 	newestChange  int64 // revision of the newest known change
 	completeTo    int64 // revision up to which all changes are known
+	missedTo      int64 // newest revision that messages have shown to be missing since the last call; 0 if none
 	leaderHeardAt time.Time
 	leaderStoreUp bool        // the last leader to send a message had a response from the store
 	leaderTimer   *time.Timer // renews the watch when the leader times out
@@ -145,9 +146,14 @@
 // caughtUp records that all changes up to a revision are known. A leader sends the unsent changes to the followers.
 func (s *sharedFeed) caughtUp(revision int64, now time.Time) {
 	s.mu.Lock()
-	s.completeTo, s.shortWatch = max(s.completeTo, revision), false
+	// A call that was answered before a missed change does not count; the next one begins after it.
+	behind := revision < s.missedTo
+	s.completeTo, s.shortWatch, s.missedTo = max(s.completeTo, revision), false, 0
 	newestChange := s.newestChange
 	s.mu.Unlock()
+	if behind {
+		s.renewWatch()
+	}
 	n := wire.News{Kind: s.feed.Kind, Records: s.unsent, Prev: s.previous, Back: s.restoredUnsent}
 	if len(n.Records) == 0 {
 		n.Records, n.Prev = []wire.StoreRecord{}, newestChange
@@ -205,7 +211,11 @@
 	}
 	now := time.Now()
 	s.mu.Lock()
-	missedChange := n.Prev > s.completeTo && !s.shortWatch
+	missed := n.Prev > s.completeTo
+	if missed {
+		s.missedTo = max(s.missedTo, n.Prev)
+	}
+	renew := missed && !s.shortWatch
 	s.leaderStoreUp = n.Prev > 0 || len(n.Records) > 0
 	s.mu.Unlock()
 	if n.Back && s.feed.OnRestored != nil {
@@ -220,7 +230,7 @@
 	s.leaderHeardAt = now
 	s.leaderTimer.Reset(s.leaderTimeout)
 	s.mu.Unlock()
-	if missedChange {
+	if renew {
 		s.renewWatch()
 	}
 	return "", nil, nil
--- a/entry/internal/relay/news_test.go
+++ b/entry/internal/relay/news_test.go
@@ -115,6 +115,39 @@
 	}
 }
 
+// Guards against a change that is counted as known because a later one has arrived: the leader's message about it was lost,
+// and the entry's own watch was answered before it.
+func TestMissedNewsDuringWatch(t *testing.T) {
+	now := time.Now()
+	second := &fakeEntry{connected: []string{"a"}}
+	first := &fakeEntry{connected: []string{"b"}, receivers: []*fakeEntry{second}}
+	a, b := newFeed("a", first, now), newFeed("b", second, now)
+	applyChange(a, 4, now)
+	lose := func(revision int64) {
+		first.dropMessages = true
+		applyChange(a, revision, now)
+		first.dropMessages = false
+	}
+	lose(5)
+	applyChange(a, 6, now)
+	if !watchRenewed(b) {
+		t.Fatal("the watch is not renewed although the entry has missed a change")
+	}
+	lose(7)
+	applyChange(a, 8, now)
+	applyChange(b, 5, now)
+	if !watchRenewed(b) {
+		t.Fatal("the watch is not renewed although it was answered before the missed change")
+	}
+	if b.Wait() > maxDelay {
+		t.Errorf("the new watch may wait for %s", b.Wait())
+	}
+	applyChange(b, 8, now)
+	if watchRenewed(b) || b.Wait() != followerWatchWait {
+		t.Error("the watch is renewed again although the entry is up to date")
+	}
+}
+
 // Guards against followers that remove servers right after a store outage because their objects are missing, without the
 // grace period that the leader applies, and against applying that grace period when only the calls of one entry failed.
 func TestEndOfOutageIsTold(t *testing.T) {
