Repeat a failed call for a missed change at once

An entry that had missed a message of its leader could be without the change for 10 s more after one failed call to the store.

Cause: the renewal of the watch is used up by the call that fails. A follower then pauses as if it had missed nothing, since a follower need not hurry while its leader keeps trying; but the leader has the change already and sends it once.

A follower pauses like a leader as long as messages have shown changes to be missing that no call has returned. Followers that have missed nothing pause as before, so an outage of the store costs no more calls.

--- a/entry/internal/relay/news.go
+++ b/entry/internal/relay/news.go
@@ -172,8 +172,12 @@
 	}
 }
 
+// pause returns the pause after a call. A follower whose call for a missed change has failed repeats it like a leader.
 func (s *sharedFeed) pause() time.Duration {
-	if s.isLeader(time.Now()) {
+	s.mu.Lock()
+	missing := s.missedTo > 0
+	s.mu.Unlock()
+	if missing || s.isLeader(time.Now()) {
 		return leaderPause
 	}
 	return followerPause
--- a/entry/internal/relay/news_test.go
+++ b/entry/internal/relay/news_test.go
@@ -148,6 +148,30 @@
 	}
 }
 
+// Guards against a missed change that stays unknown because the call for it failed once.
+func TestMissedNewsAfterFailure(t *testing.T) {
+	now := time.Now()
+	second := &fakeEntry{connected: []string{"a"}}
+	first := &fakeEntry{connected: []string{"b"}, receivers: []*fakeEntry{second}}
+	a, b := newFeed("a", first, now), newFeed("b", second, now)
+	applyChange(a, 4, now)
+	first.dropMessages = true
+	applyChange(a, 5, now)
+	first.dropMessages = false
+	a.OnSuccess(6, now)
+	if !watchRenewed(b) {
+		t.Fatal("the watch is not renewed although the entry has missed a change")
+	}
+	b.OnFailure(now)
+	if b.Interval() > maxDelay {
+		t.Errorf("the next call begins after %s", b.Interval())
+	}
+	b.OnSuccess(6, now)
+	if b.Interval() != followerPause {
+		t.Errorf("the pause after the response is %s", b.Interval())
+	}
+}
+
 // Guards against followers that remove servers right after a store outage because their objects are missing, without the
 // grace period that the leader applies, and against applying that grace period when only the calls of one entry failed.
 func TestEndOfOutageIsTold(t *testing.T) {
