Read the log anew when an open of a step is repeated

A trainer whose open reached an entry that had been paused since before another entry opened and ended the step got the state open instead of the end, and the entry ran the step until its first record.

Cause: Append reads position 0 after a create, since the log may have been deleted meanwhile. If that read fails, openLog goes on behind what it has read, finds its own owner record there and takes it for the proof that it owns the step; position 0 is not read again.

Each attempt of openLog now reads the log from position 0, as joinLog and a takeover do. It costs the reads of the log again after a failed call.

Ruled out: samples of the ended step at the trainer while the store answers, since the first record of the step finds the end marker.

--- a/entry/internal/trainer/open.go
+++ b/entry/internal/trainer/open.go
@@ -102,10 +102,12 @@
 	detector := outageDetector{threshold: t.outageThreshold}
 	log := steplog.New(t.options.Store, k.run, k.step)
 	log.SetCallTimeout(storeCallTimeout)
-	ls := &logState{}
 	first := wire.Record{Kind: steplog.KindSpec, Writer: t.options.NewID(), Spec: &spec}
 	owner := t.newOwnerRecord()
 	for {
+		// The step may have ended since the last attempt, and a record of this entry may stand in its deleted log.
+		ls := &logState{}
+		log.Rewind()
 		err := t.ensureSpec(ctx, log, ls, first, groups)
 		if err == nil {
 			err = t.claimOwnership(ctx, log, ls, &owner, "")
--- a/entry/internal/trainer/trainer_test.go
+++ b/entry/internal/trainer/trainer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +12,7 @@
 	"bulrushspoke/entry/internal/cursor"
 	"bulrushspoke/entry/internal/steplog"
 	"bulrushspoke/internal/refusal"
+	"bulrushspoke/internal/store"
 	"bulrushspoke/wire"
 )
 
@@ -346,3 +348,85 @@
 		}
 	}
 }
+
+// scriptedStore is the store of a testEntry. onCreate, if set, runs before the next create of a log record; afterwards,
+// failedReads reads fail.
+type scriptedStore struct {
+	*testEntry
+	mu          sync.Mutex
+	onCreate    func()
+	failedReads int
+	armed       bool
+}
+
+func (s *scriptedStore) Create(ctx context.Context, kind, name string, value []byte) (int64, error) {
+	s.mu.Lock()
+	f := s.onCreate
+	if kind == "step" {
+		s.onCreate = nil
+	}
+	s.mu.Unlock()
+	if f == nil || kind != "step" {
+		return s.testEntry.Create(ctx, kind, name, value)
+	}
+	f()
+	version, err := s.testEntry.Create(context.Background(), kind, name, value)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.armed = s.onCreate == nil
+	return version, err
+}
+
+func (s *scriptedStore) Get(ctx context.Context, kind, name string) (store.Object, error) {
+	s.mu.Lock()
+	fail := s.armed && s.failedReads > 0
+	if fail {
+		s.failedReads--
+	}
+	s.mu.Unlock()
+	if fail {
+		return store.Object{}, store.NewUnavailableError(false, "down")
+	}
+	return s.testEntry.Get(ctx, kind, name)
+}
+
+// withStore replaces the trainer of an entry by one that uses the scripted store.
+func (e *testEntry) withStore(s *scriptedStore) *Trainer {
+	s.testEntry = e
+	o := e.trainer.options
+	o.Store = s
+	e.trainer = New(o)
+	return e.trainer
+}
+
+// Guards against a step that is opened again after its end: the entry was paused since before another one opened it, and
+// cannot check at once whether its log still exists.
+func TestOpenPausedUntilAfterTheEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(1, 2)
+		defer cl.close()
+		ctx := context.Background()
+		s := &scriptedStore{failedReads: 1}
+		late := cl.entries[1].withStore(s)
+		s.onCreate = func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			// The next record, which is the owner of the step.
+			s.onCreate = func() {
+				if _, err := cl.entries[0].trainer.Open(ctx, testIdentity, testRequest(10, 4)); err != nil {
+					t.Errorf("open: %v", err)
+				}
+				if _, err := cl.entries[0].trainer.End(ctx, testIdentity, "r", 1, "cancelled"); err != nil {
+					t.Errorf("end: %v", err)
+				}
+				time.Sleep(10 * time.Second)
+			}
+		}
+		if a, err := late.Open(ctx, testIdentity, testRequest(10, 4)); err != nil || a.State != "cancelled" {
+			t.Errorf("late open gives %v, %v, want the end", a, err)
+		}
+		if left := late.Steps(); len(left) != 0 {
+			t.Errorf("the entry runs %v", left)
+		}
+	})
+}
