Do not refuse a step's call as not run after an unanswered write

A trainer whose end of a step met a store that applied the record without an answer was told that the end did not run; the step had ended, or ended seconds later. Opens and takeovers gave the same refusal.

Cause: every failure of the store became store_down with ran no, also one whose write may take effect; and a record that was written but whose check against a deleted log failed came back as the failure of that read.

A refusal after an ambiguous failure says unknown, Append's failure is ambiguous once the record may be in the log, and an open that gives up after several attempts says unknown.

TestUnansweredEnd failed before in both cases (ran no) and passes now. go test -race -count=1 ./internal/trainer ./internal/steplog in entry: ok.

--- a/entry/internal/steplog/steplog.go
+++ b/entry/internal/steplog/steplog.go
@@ -197,7 +197,7 @@
 }
 
 // Append writes the record at the next position. It returns a *PositionTakenError, an *EndedError or a
-// *store.UnavailableError; after a *store.UnavailableError, the same record may be appended again.
+// *store.UnavailableError, which is ambiguous if the record may be in the log; the same record may then be appended again.
 func (l *Log) Append(ctx context.Context, r wire.Record) error {
 	value, err := json.Marshal(r)
 	if err != nil {
@@ -250,9 +250,12 @@
 	}
 	first, _, err := l.getRecord(ctx, 0)
 	var absent *store.NotFoundError
+	var down *store.UnavailableError
 	switch {
 	case errors.As(err, &absent):
 		first = wire.Record{Kind: KindEnd, State: StateEnded}
+	case errors.As(err, &down):
+		return store.NewUnavailableError(true, "written, but not confirmed: "+down.Error())
 	case err != nil:
 		return err
 	}
--- a/entry/internal/trainer/open.go
+++ b/entry/internal/trainer/open.go
@@ -20,8 +20,14 @@
 // storeRetryAfter is the retry delay that callers are given while the store or a profile is unavailable.
 const storeRetryAfter = 2 * time.Second
 
-func storeDownError(err error) error {
-	return refusal.New(refusal.StoreDown, refusal.NotRun, "trainer: %v", err).WithRetryAfter(storeRetryAfter)
+// storeDownError returns the refusal of a call that the store has failed; a write without an answer may take effect.
+func storeDownError(err error) *refusal.Error {
+	ran := refusal.NotRun
+	var down *store.UnavailableError
+	if errors.As(err, &down) && down.Ambiguous() {
+		ran = refusal.Unknown
+	}
+	return refusal.New(refusal.StoreDown, ran, "trainer: %v", err).WithRetryAfter(storeRetryAfter)
 }
 
 // Open opens a step, or returns its status if it is already open. Another spec for the same run and step is a conflict.
@@ -130,7 +136,8 @@
 			return wire.StepStatus{}, t.newStep(k, spec, groups, log), nil
 		}
 		if sleep(ctx, storeRetryPause); ctx.Err() != nil {
-			return wire.StepStatus{}, nil, storeDownError(err)
+			// Any of the attempts may have written to the log.
+			return wire.StepStatus{}, nil, storeDownError(err).WithRan(refusal.Unknown)
 		}
 	}
 }
--- a/entry/internal/trainer/trainer_test.go
+++ b/entry/internal/trainer/trainer_test.go
@@ -350,12 +350,13 @@
 }
 
 // scriptedStore is the store of a testEntry. onCreate, if set, runs before the next create of a log record; afterwards,
-// failedReads reads fail.
+// failedReads reads fail, and the create is unanswered if loseCreate is set.
 type scriptedStore struct {
 	*testEntry
 	mu          sync.Mutex
 	onCreate    func()
 	failedReads int
+	loseCreate  bool
 	armed       bool
 }
 
@@ -374,6 +375,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.armed = s.onCreate == nil
+	if s.loseCreate {
+		return 0, store.NewUnavailableError(true, "lost")
+	}
 	return version, err
 }
 
@@ -430,3 +434,30 @@
 		}
 	})
 }
+
+// Guards against an end that is refused as not run although its record is in the log, or may still come into it.
+func TestUnansweredEnd(t *testing.T) {
+	for name, lose := range map[string]bool{"unanswered": true, "not confirmed": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cl := newCluster(1, 2)
+				defer cl.close()
+				ctx := context.Background()
+				s := &scriptedStore{failedReads: 1, loseCreate: lose, onCreate: func() {}}
+				other := cl.entries[1].withStore(s)
+				if _, err := cl.entries[0].trainer.Open(ctx, testIdentity, testRequest(1, 1)); err != nil {
+					t.Fatalf("open: %v", err)
+				}
+				time.Sleep(5 * time.Second)
+				_, err := other.End(ctx, testIdentity, "r", 1, "cancelled")
+				var r *refusal.Error
+				if !errors.As(err, &r) || r.Code() != refusal.StoreDown || r.Ran() != refusal.Unknown {
+					t.Errorf("end gives %v, want an unknown outcome", err)
+				}
+				if a, err := other.End(ctx, testIdentity, "r", 1, "cancelled"); err != nil || a.State != "cancelled" {
+					t.Errorf("repeated end gives %v, %v", a, err)
+				}
+			})
+		})
+	}
+}
