Do not order a target that has been replaced during the check

An engine without fencing tokens loaded a version that had been replaced when the order was sent, and the newest one only after that load.

Cause: a daemon reads its target before it reads the engine's version and its ownership in the store, which takes as long as the store does, and orders what it has read. The design says that it never commands a version below the highest it has seen.

The target is compared again before the order. A newer one begins as any other does, with its place in the order of loading.

--- a/daemon/internal/engine/command.go
+++ b/daemon/internal/engine/command.go
@@ -65,7 +65,7 @@
 			}
 			target, _ = targets.get(e.config.Model)
 		}
-		if e.command(ctx, target, ownership) {
+		if e.command(ctx, targets, target, ownership) {
 			continue
 		}
 		event.WeightsDiffer.Log(e.logger, "version", e.Server().Version, "target", target.Version)
@@ -113,8 +113,9 @@
 	}
 }
 
-// command orders the target, waits for the end of the load and reports whether the engine runs the target.
-func (e *Engine) command(ctx context.Context, t wire.Target, ownership Ownership) bool {
+// command orders the target, waits for the end of the load and reports whether the engine runs the target or there is a
+// newer one.
+func (e *Engine) command(ctx context.Context, targets *Targets, t wire.Target, ownership Ownership) bool {
 	if _, err := e.ReadVersion(); err != nil {
 		return false
 	}
@@ -129,6 +130,10 @@
 		event.OwnedElsewhere.Log(e.logger)
 		return false
 	}
+	// The check takes a call to the store. An engine that ignores fencing tokens would load what has been replaced since.
+	if newest, _ := targets.get(e.config.Model); newest.Fence > t.Fence {
+		return true
+	}
 	if err := e.order(t); err != nil {
 		return false
 	}
