Stop confirming a retirement that was withdrawn

An instance whose retirement was withdrawn before it had confirmed it read the request three times a second until its end, and followed no other change.

Cause: the confirmation is repeated until the store holds it, and a request that is gone since the list or the watch counted as a failed read.

A request that is absent needs no confirmation; a later one comes with the watch.

--- a/entry/internal/retire/retire.go
+++ b/entry/internal/retire/retire.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"time"
 
@@ -61,9 +62,13 @@
 	}, logger)
 }
 
-// confirm marks the retirement request as done and reports whether the store holds that status.
+// confirm marks the retirement request as done and reports whether the store holds that status, or the request no more.
 func confirm(ctx context.Context, s Store, name string) bool {
 	r, err := s.Get(ctx, platform.KindRetirements, name)
+	var absent *store.NotFoundError
+	if errors.As(err, &absent) {
+		return true
+	}
 	if err != nil {
 		return false
 	}
--- a/entry/internal/retire/retire_test.go
+++ b/entry/internal/retire/retire_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"log/slog"
+	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -46,3 +48,28 @@
 		})
 	}
 }
+
+// Guards against an instance that reads a withdrawn request without end; every call to the store is counted.
+func TestRequestWithdrawnBeforeItsConfirmation(t *testing.T) {
+	s := objects.New()
+	var reads atomic.Int32
+	withdrawn := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "/mine") && reads.Add(1) == 1 {
+			s.Remove("retirements", "mine")
+			close(withdrawn)
+		}
+		s.ServeHTTP(w, r)
+	}))
+	t.Cleanup(server.CloseClientConnections)
+	logger := slog.New(slog.DiscardHandler)
+	pool := upstream.New(upstream.Limits{Dial: time.Second, Idle: 4})
+	c := platform.NewStore(strings.TrimPrefix(server.URL, "http://"), time.Second, pool, logger)
+	s.Put("retirements", "mine", []byte(`{"duration_s":10}`))
+	go func() { _ = Run(t.Context(), "mine", c, logger) }()
+	<-withdrawn
+	time.Sleep(4 * retryWrite)
+	if n := reads.Load(); n != 1 {
+		t.Errorf("a request that was withdrawn was read %d times, want once", n)
+	}
+}
