Late writes, and steps that go on, in the fault runs of steps

The schedules of TestExactlyOnceUnderFaults knew writes that are applied without an answer, but none that are applied seconds after their timeout, and did not look at steps that go on after their end.

--- a/entry/internal/trainer/cluster_test.go
+++ b/entry/internal/trainer/cluster_test.go
@@ -31,6 +31,7 @@
 	storeDown      bool
 	storeDelay     time.Duration
 	lostReplyShare float64   // share of writes whose reply is lost
+	lateShare      float64   // share of writes that time out and take effect up to maxLateness later
 	stableAfter    time.Time // earlier answers may change when repeated, because of an outage
 	weights        []publication
 	held           map[string]wire.HeldSample
@@ -43,6 +44,9 @@
 	tokenTime func() time.Duration
 }
 
+// maxLateness bounds how long after their timeout late writes take effect.
+const maxLateness = 4 * time.Second
+
 type publication struct {
 	version int64
 	at      time.Time
@@ -176,6 +180,11 @@
 	cl := e.cluster
 	cl.mu.Lock()
 	down, slow, lose := cl.storeDown, cl.storeDelay, write && cl.rng.Float64() < cl.lostReplyShare
+	late := write && cl.lateShare > 0 && cl.rng.Float64() < cl.lateShare
+	lateness := time.Duration(0)
+	if late {
+		lateness = time.Duration(cl.rng.Int64N(int64(maxLateness)))
+	}
 	cl.mu.Unlock()
 	limit := 2 * time.Second
 	if d, ok := ctx.Deadline(); ok {
@@ -188,6 +197,15 @@
 		time.Sleep(10 * time.Millisecond)
 		return &store.UnavailableError{}
 	}
+	if late {
+		time.AfterFunc(limit+lateness, func() {
+			cl.mu.Lock()
+			defer cl.mu.Unlock()
+			_ = f() // nobody waits for the answer
+		})
+		time.Sleep(limit)
+		return store.NewUnavailableError(true, "late")
+	}
 	time.Sleep(min(time.Millisecond+slow, limit))
 	err := func() error {
 		cl.mu.Lock()
@@ -227,7 +245,10 @@
 		e.cluster.objects[id] = store.Object{Value: value, Version: version}
 		return nil
 	})
-	return version, err
+	if err != nil {
+		return 0, err // a late write may still change version
+	}
+	return version, nil
 }
 
 func (e *testEntry) Create(ctx context.Context, kind, name string, value []byte) (int64, error) {
--- a/entry/internal/trainer/faults_test.go
+++ b/entry/internal/trainer/faults_test.go
@@ -18,7 +18,7 @@
 // fault is one injected fault.
 type fault struct {
 	at       time.Duration
-	kind     string // down, slow, lose, pause, kill, publish
+	kind     string // down, slow, late, lose, pause, kill, publish
 	entry    int
 	duration time.Duration
 }
@@ -48,7 +48,7 @@
 	// Without outages, every answer is compared with its repeats.
 	kinds := []string{"lose", "pause", "pause", "publish", "publish", "kill"}
 	if rapid.Bool().Draw(t, "outages") {
-		kinds = append(kinds, "down", "slow")
+		kinds = append(kinds, "down", "slow", "late")
 	}
 	at := time.Duration(0)
 	for range rapid.IntRange(0, 12).Draw(t, "faults") {
@@ -107,13 +107,15 @@
 		cl.storeDown = true
 	case "slow":
 		cl.storeDelay = 700 * time.Millisecond
+	case "late":
+		cl.lateShare = 0.3
 	case "lose":
 		cl.lostReplyShare = 0.3
 	}
 	time.AfterFunc(duration, func() {
 		cl.mu.Lock()
 		defer cl.mu.Unlock()
-		cl.storeDown, cl.storeDelay, cl.lostReplyShare = false, 0, 0
+		cl.storeDown, cl.storeDelay, cl.lostReplyShare, cl.lateShare = false, 0, 0, 0
 	})
 }
 
@@ -250,6 +252,18 @@
 	ck.problem("step did not end: %d slots accepted", len(ck.accepted))
 }
 
+// checkEnded checks that no entry goes on with a step that has ended. An entry that was killed may have taken the end.
+func (ck *checker) checkEnded(faults []fault) {
+	if slices.ContainsFunc(faults, func(f fault) bool { return f.kind == "kill" }) {
+		return
+	}
+	for _, e := range ck.cluster.entries {
+		for _, s := range e.trainer.Steps() {
+			ck.problem("entry %s still runs %+v", e.name, s)
+		}
+	}
+}
+
 // callWithTimeout stops waiting for an entry that does not answer, as a trainer's HTTP client does.
 func callWithTimeout[T any](ctx context.Context, e *testEntry, f func(context.Context) (T, error)) (T, error) {
 	type reply struct {
@@ -294,6 +308,7 @@
 			ck.problem("%d slots accepted, want %d", len(ck.accepted), s.groups*s.samples)
 		}
 		time.Sleep(30 * time.Second)
+		ck.checkEnded(s.faults)
 		cl.close()
 		time.Sleep(30 * time.Second)
 		problems = ck.problems
@@ -302,8 +317,8 @@
 }
 
 // Guards against samples that are accepted twice, never or past the staleness bound, against a cursor whose answer
-// changes while the store is up, and against a step that does not end. The faults are outages, lost replies, paused and
-// killed owners and weight changes. A failure prints the schedule with its seed.
+// changes while the store is up, and against a step that does not end. The faults are outages, lost replies, late
+// writes, paused and killed owners and weight changes. A failure prints the schedule with its seed.
 func TestExactlyOnceUnderFaults(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		s := drawSchedule(r)
