--- a/entry/internal/trainer/open.go
+++ b/entry/internal/trainer/open.go
@@ -20,8 +20,14 @@
 // storeRetryAfter is the retry delay that callers are given while the store or a profile is unavailable.
 const storeRetryAfter = 2 * time.Second
 
-func storeDownError(err error) error {
-	return refusal.New(refusal.StoreDown, refusal.NotRun, "trainer: %v", err).WithRetryAfter(storeRetryAfter)
+// storeDownError returns the refusal of a call that the store has failed; a write without an answer may take effect.
+func storeDownError(err error) *refusal.Error {
+	ran := refusal.NotRun
+	var down *store.UnavailableError
+	if errors.As(err, &down) && down.Ambiguous() {
+		ran = refusal.Unknown
+	}
+	return refusal.New(refusal.StoreDown, ran, "trainer: %v", err).WithRetryAfter(storeRetryAfter)
 }
 
 // Open opens a step, or returns its status if it is already open. Another spec for the same run and step is a conflict.
@@ -102,10 +108,12 @@
 	detector := outageDetector{threshold: t.outageThreshold}
 	log := steplog.New(t.options.Store, k.run, k.step)
 	log.SetCallTimeout(storeCallTimeout)
-	ls := &logState{}
 	first := wire.Record{Kind: steplog.KindSpec, Writer: t.options.NewID(), Spec: &spec}
 	owner := t.newOwnerRecord()
 	for {
+		// The step may have ended since the last attempt, and a record of this entry may stand in its deleted log.
+		ls := &logState{}
+		log.Rewind()
 		err := t.ensureSpec(ctx, log, ls, first, groups)
 		if err == nil {
 			err = t.claimOwnership(ctx, log, ls, &owner, "")
@@ -128,7 +136,8 @@
 			return wire.StepStatus{}, t.newStep(k, spec, groups, log), nil
 		}
 		if sleep(ctx, storeRetryPause); ctx.Err() != nil {
-			return wire.StepStatus{}, nil, storeDownError(err)
+			// Any of the attempts may have written to the log.
+			return wire.StepStatus{}, nil, storeDownError(err).WithRan(refusal.Unknown)
 		}
 	}
 }
