--- a/entry/internal/trainer/verdict.go
+++ b/entry/internal/trainer/verdict.go
@@ -45,6 +45,7 @@
 	_, err = steplog.New(t.options.Store, k.run, k.step).ReadSpec(ctx)
 	if errors.As(err, &ended) {
 		t.forgetEnded(k, info)
+		// A verdict that stays because of a failure, which the store client logs, counts for nothing.
 		_ = t.options.Store.Delete(ctx, steplog.VerdictObjects, verdictName(q), version)
 		return empty, verdictAfterEnd(ended)
 	}
