--- a/entry/internal/batch/rig_test.go
+++ b/entry/internal/batch/rig_test.go
@@ -285,6 +285,7 @@
 	scorer  *scorer         // nil if no items are scored
 	steps   *steps
 	faults  *faults
+	wrap    func(Store) Store // applied to the store of each manager; nil for none
 }
 
 func newRig(t *testing.T, engines ...*engine) *rig {
@@ -315,9 +316,13 @@
 	life, stop := context.WithCancel(r.t.Context())
 	home := place.Home{Domain: "d", Region: "x", Regions: map[string]string{"d": "x"}}
 	peers := member{mesh: r.mesh, name: name}
+	var objects Store = platform.NewStore(r.address, 200*time.Millisecond, pool, discardLogger)
+	if r.wrap != nil {
+		objects = r.wrap(objects)
+	}
 	m := New(life, Options{
 		Self: wire.Member{Inc: inc}, Name: name,
-		Store: platform.NewStore(r.address, 200*time.Millisecond, pool, discardLogger), Peers: peers, Catalog: c, Pool: pool,
+		Store: objects, Peers: peers, Catalog: c, Pool: pool,
 		Tracker: place.New(home, c.Limits(), rand.New(rand.NewPCG(1, 1))), Retention: time.Minute, MaxObjectBytes: 1 << 20, MaxOpenBytes: 1 << 24, Logger: discardLogger,
 		Outage: func(time.Time) time.Duration { return 0 }, Random: firstChoice{}, Steps: r.steps, LogFaults: r.faults,
 	})
