Test a handover to an entry that holds a former self of the job; it fails

Cause: takeOver returns success if the entry has a job of this id, whatever its epoch. An entry that has not heard of the later owner accepts the handover, the sender drops the job and its texts, and the adopting entry drops its outdated one once it reads the state. Nobody runs the job until a client reads it. No position is affected, since only the log decides them.

--- /dev/null
+++ b/entry/internal/batch/former_test.go
@@ -0,0 +1,47 @@
+package batch
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"bulrushspoke/wire"
+)
+
+// state returns the state of job j in the store.
+func (r *rig) state() wire.JobState {
+	r.t.Helper()
+	var s wire.JobState
+	if err := json.Unmarshal(r.store.Spec(KindState, "j"), &s); err != nil {
+		r.t.Fatal(err)
+	}
+	return s
+}
+
+// takeOverSilently has a manager take job j over while it is cut off from the given one.
+func (r *rig) takeOverSilently(m *Manager, from string) {
+	r.t.Helper()
+	r.cut(from, true)
+	if reply := m.takeOver(r.t.Context(), "j", nil, true); reply.Status != 0 {
+		r.t.Fatalf("takeover by %s: %d %s", m.Name, reply.Status, reply.Cause)
+	}
+	r.cut(from, false)
+}
+
+// Guards against a job that nobody runs after a handover: the adopting entry held an outdated former self of the job.
+func TestAdoptReplacesFormerSelf(t *testing.T) {
+	e := newEngine(t, 1)
+	e.gap = time.Hour
+	r := newRig(t, e)
+	m, _ := r.manager("a", "a1")
+	other, _ := r.manager("b", "b1")
+	r.submit(m, "j", payload(1, "g-2"))
+	r.takeOverSilently(other, "a")
+	other.Handover(t.Context())
+	if s := r.state(); s.Owner != "a" || s.Epoch != 3 {
+		t.Errorf("the job has owner %s at epoch %d, want a at 3", s.Owner, s.Epoch)
+	}
+	if j := m.local("j"); j == nil || j.epoch != 3 {
+		t.Error("the adopting entry does not run the job")
+	}
+}
