Take over a job that is handed over although this entry holds an earlier one

Callers of the job got no results until the next read had an entry take it over, and its texts were generated again.

Change: an entry that is asked to adopt a job first drops a former self of it, of an epoch below that of the sender. The same goes for an entry that is asked to take over a job whose owner is gone: so far it answered that it had, while readers at the other entries got 503 until it read the state, after up to 10 s if its own items were all done.

Ruled out: comparing epochs in takeOver, which does not know the sender's; an ended job stays, since the end is final.

TestAdoptReplacesFormerSelf failed before and passes now (5 runs).

--- a/entry/internal/batch/answer.go
+++ b/entry/internal/batch/answer.go
@@ -86,6 +86,10 @@
 		if err := f.Decode(&q); err != nil {
 			return "", nil, err
 		}
+		// This entry may not have heard of the owner that passes the job on.
+		if j := m.local(q.Job); j != nil && j.epoch < q.Epoch && !j.hasEnded() {
+			m.dropLost(j)
+		}
 		reply := m.takeOver(ctx, q.Job, q.Parts, !q.Gone)
 		// A job reported as having no owner may turn out to have one, and is not taken over then.
 		return link.Replied, wire.JobReply{Done: reply.Status == 0 && (!q.Gone || m.local(q.Job) != nil)}, nil
