Test a delegated start that arrives while a later owner loads the job; it fails

Cause: Manager.start keeps the job that is there, whatever its epoch. load drops the cached state, by which outdated starts are refused, before it reads the checkpoint from the store, so that a start of epoch 1 gets in between. The job loaded at epoch 3, with its records and texts, is discarded; the other one, without records, serves readers until it reads the state, and is dropped then.

--- a/entry/internal/batch/former_test.go
+++ b/entry/internal/batch/former_test.go
@@ -45,3 +45,34 @@
 		t.Error("the adopting entry does not run the job")
 	}
 }
+
+// Guards against a job that nobody runs because a delegated start of its first epoch arrives while a later owner loads it.
+func TestLateStartDuringLoad(t *testing.T) {
+	e := newEngine(t, 1)
+	e.gap = time.Hour
+	r := newRig(t, e)
+	m, _ := r.manager("a", "a1")
+	other, _ := r.manager("b", "b1")
+	body := payload(1, "g-2")
+	state := wire.JobState{Owner: "a", Inc: "a1", Epoch: 1, Host: "h", Path: "/p/", Total: 1, At: time.Now().UnixMilli(), Model: "m"}
+	if err := m.putPayload(t.Context(), "j", body); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := m.createState(t.Context(), "j", state); err != nil {
+		t.Fatal(err)
+	}
+	r.takeOverSilently(other, "a")
+	gated := newGatedStore(m.Store, KindTexts)
+	m.Store = gated
+	taken := make(chan int)
+	go func() { taken <- m.takeOver(t.Context(), "j", nil, true).Status }()
+	<-gated.reached
+	m.startDelegated(wire.JobStart{Job: "j", State: state, Payload: body})
+	close(gated.gate)
+	if status := <-taken; status != 0 {
+		t.Fatalf("takeover: %d", status)
+	}
+	if j := m.local("j"); j == nil || j.epoch != 3 {
+		t.Error("the owner does not run the job at epoch 3")
+	}
+}
