Replace a job of an earlier epoch when a later one has been loaded

Callers got no results of such a job until the next read had it loaded again.

Change: start replaces a job of a lower epoch and stops it. An ended job stays, as the end is final.

Ruled out: keeping the cached state until the job has been added, which only closes the window between the two for one of the three callers of start.

TestLateStartDuringLoad failed before and passes now (5 runs, with the tests of delegation and end).

--- a/entry/internal/batch/batch.go
+++ b/entry/internal/batch/batch.go
@@ -421,10 +421,12 @@
 	return n
 }
 
-// start adds a job and runs it unless it has ended. It returns false if this entry is shutting down.
+// start adds a job, in place of one of an earlier epoch, and runs it unless it has ended. It returns false if this entry
+// is shutting down.
 func (m *Manager) start(j *Job, parts []wire.JobPart) bool {
 	m.mu.Lock()
-	if m.jobs[j.spec.ID] != nil || m.closed {
+	former := m.jobs[j.spec.ID]
+	if m.closed || former != nil && (former.epoch >= j.epoch || former.hasEnded()) {
 		defer m.mu.Unlock()
 		return !m.closed
 	}
@@ -432,6 +434,10 @@
 	j.launched = !j.hasEnded()
 	m.sweep(time.Now())
 	m.mu.Unlock()
+	if former != nil {
+		event.JobOwnershipLost.Log(m.Logger, "job", j.spec.ID, "epoch", former.epoch, "owner", m.Name)
+		former.stop()
+	}
 	if j.hasEnded() {
 		return true
 	}
