--- a/entry/internal/batch/former_test.go
+++ b/entry/internal/batch/former_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"encoding/json"
+	"net/http"
+	"slices"
 	"testing"
 	"time"
 
+	"bulrushspoke/platform/platformtest"
 	"bulrushspoke/wire"
 )
 
@@ -76,3 +79,46 @@
 		t.Error("the owner does not run the job at epoch 3")
 	}
 }
+
+// Guards against a client that waits in vain for results that another read has brought.
+func TestReadAheadWakesWaitingReader(t *testing.T) {
+	e := newEngine(t, 1)
+	e.gap = time.Hour
+	r := newRig(t, e)
+	m, _ := r.manager("a", "a1")
+	r.submit(m, "j", payload(1, "g-2", "h-3"))
+	r.putRecord(0, wire.JobRecord{Writer: "a1", Epoch: 1}, "g-2")
+	time.AfterFunc(100*time.Millisecond, func() { m.Results(t.Context(), "j", 1, 0) })
+	began := time.Now()
+	reply := m.Results(t.Context(), "j", 0, 5*time.Second)
+	if p, err := platformtest.DecodePage(reply.Body); err != nil || len(p.Results) != 1 {
+		t.Errorf("the waiting client gets %+v, %v", p, err)
+	}
+	if took := time.Since(began); took > 2*time.Second {
+		t.Errorf("the waiting client gets its results after %s", took)
+	}
+}
+
+// Guards against a complete group that is not listed because a late record, read for a client, listed its last open item.
+func TestReadAheadWakesLister(t *testing.T) {
+	e := newEngine(t, 1)
+	e.hijack = func(_ http.ResponseWriter, id string, _ int) bool {
+		if id != "g-1" {
+			<-t.Context().Done()
+		}
+		return false
+	}
+	r := newRig(t, e)
+	m, _ := r.manager("a", "a1")
+	r.submit(m, "j", payload(1, "g-1", "g-2", "h-3"))
+	await(t, "one item is done", func() bool { return itemDone(m.local("j"), "g-1") })
+	r.putRecord(0, wire.JobRecord{Writer: "a1", Epoch: 1}, "g-2")
+	if reply := m.Results(t.Context(), "j", 1, 0); reply.Status != http.StatusOK {
+		t.Fatal(reply)
+	}
+	began := time.Now()
+	await(t, "the group is listed", func() bool { return slices.Equal(r.storedItems(), []string{"g-2", "g-1"}) })
+	if took := time.Since(began); took > time.Second {
+		t.Errorf("the complete group is listed after %s", took)
+	}
+}
