Wake waiting readers and the lister when a read of the log brings records

A client that waited for results got them only at the end of its wait, and a group whose last item a late record had listed was listed late by the rest.

Change: applyNewRecords wakes both if it has added a record.

TestReadAheadWakesWaitingReader and TestReadAheadWakesLister failed before (5.0 s and 2.5 s) and pass now (5 runs, with the tests of the log).

--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -151,7 +151,8 @@
 	return after > len(j.results) && now.Sub(j.checkedAt) >= logCheckInterval
 }
 
-// applyNewRecords adds the records that this entry has not seen, given the whole log, and returns them.
+// applyNewRecords adds the records that this entry has not seen, given the whole log, and returns them. They may be what
+// readers wait for, or complete a group that is listed next.
 func (j *Job) applyNewRecords(records []wire.JobRecord) []wire.JobRecord {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -160,6 +161,10 @@
 		j.logApplied(n, records[n], fromRead)
 		j.applyRecord(n, records[n])
 	}
+	if first < len(records) {
+		j.notifyReaders()
+		notify(j.listWake)
+	}
 	return records[first:]
 }
 
