Test a forced takeover on behalf of a former owner; it fails

Cause: an entry that is told "not mine" by the owner it knows takes the job over by force. What it knows may be a cached state of any age, and the state that takeOver reads may name another owner, which runs the job. It loses the job and the texts since its checkpoint. The same goes for the entry that accepted a job and got no answer from its owner, if a reader has had the job taken over in between.

--- a/entry/internal/batch/former_test.go
+++ b/entry/internal/batch/former_test.go
@@ -122,3 +122,26 @@
 		t.Errorf("the complete group is listed after %s", took)
 	}
 }
+
+// Guards against an entry that takes a job from an owner that runs it, because a former owner does not.
+func TestOutdatedOwnerDoesNotForceTakeover(t *testing.T) {
+	e := newEngine(t, 1)
+	e.gap = time.Hour
+	r := newRig(t, e)
+	former, _ := r.manager("a", "a1")
+	owner, _ := r.manager("b", "b1")
+	reader, _ := r.manager("c", "c1")
+	r.submit(former, "j", payload(1, "g-2"))
+	r.collect(reader, "j", 0)
+	reader.Results(t.Context(), "j", 0, 0)
+	r.takeOverSilently(owner, "c")
+	if former.local("j") != nil {
+		t.Fatal("the former owner does not know of the new one")
+	}
+	if reply := reader.Results(t.Context(), "j", 0, 0); reply.Status != http.StatusOK {
+		t.Errorf("read: %d %s", reply.Status, reply.Cause)
+	}
+	if s := r.state(); s.Owner != "b" || s.Epoch != 2 {
+		t.Errorf("the job has owner %s at epoch %d, want b at 2", s.Owner, s.Epoch)
+	}
+}
