Take a job by force only from the owner that does not run it

Callers waited for texts that were generated again: an entry with an outdated state took the job from the owner that ran it.

Change: takeOver gets the epoch up to which owners are known not to run the job, instead of a flag. A later owner that can be asked keeps it, and is asked next. The calls in three tests change accordingly.

Ruled out: the same for a handover, whose sender has the texts: if the first entry that is asked becomes the owner and then cannot load the job, the second must still take it with the texts.

--- a/entry/internal/batch/answer.go
+++ b/entry/internal/batch/answer.go
@@ -90,7 +90,11 @@
 		if j := m.local(q.Job); j != nil && j.epoch < q.Epoch && !j.hasEnded() {
 			m.dropLost(j)
 		}
-		reply := m.takeOver(ctx, q.Job, q.Parts, !q.Gone)
+		lost := 0
+		if !q.Gone {
+			lost = anyEpoch
+		}
+		reply := m.takeOver(ctx, q.Job, q.Parts, lost)
 		// A job reported as having no owner may turn out to have one, and is not taken over then.
 		return link.Replied, wire.JobReply{Done: reply.Status == 0 && (!q.Gone || m.local(q.Job) != nil)}, nil
 	})
--- a/entry/internal/batch/batch.go
+++ b/entry/internal/batch/batch.go
@@ -28,6 +28,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math"
 	"net/http"
 	"sync"
 	"time"
@@ -72,6 +73,8 @@
 	busyRetryAfter = 300 * time.Millisecond
 	// maxUpdateAttempts bounds the attempts of a conditional update that conflicts with other writers.
 	maxUpdateAttempts = 5
+	// anyEpoch has a job taken over whoever owns it.
+	anyEpoch = math.MaxInt
 )
 
 // Store is the part of the platform's object store that jobs use.
@@ -192,7 +195,7 @@
 		if reply.Status != 0 {
 			return reply
 		}
-		denied := false
+		lost := 0
 		if s.Owner != m.Name {
 			q := wire.JobRead{Job: id, After: after, Wait: wait.Milliseconds(), Most: m.pageLimit.maxBytes(time.Now())}
 			p, err := m.requestPage(ctx, s, q, wait)
@@ -206,10 +209,12 @@
 			if ctx.Err() != nil {
 				return unavailable("client left")
 			}
-			denied = err == nil && !s.Ended && s.Inc == m.Peers.Incarnation(s.Owner)
+			if err == nil && !s.Ended && s.Inc == m.Peers.Incarnation(s.Owner) {
+				lost = s.Epoch
+			}
 			m.evictState(id)
 		}
-		if reply := m.fetch(ctx, s, id, denied); reply.Status != 0 {
+		if reply := m.fetch(ctx, s, id, lost); reply.Status != 0 {
 			return reply
 		}
 	}
@@ -229,7 +234,7 @@
 
 // fetch makes a job readable for a client: it has an open job without an owner taken over, or loads an ended one. The
 // work continues after the client has disconnected, so that the job is loaded when the client retries.
-func (m *Manager) fetch(ctx context.Context, s wire.JobState, id string, force bool) ingress.Reply {
+func (m *Manager) fetch(ctx context.Context, s wire.JobState, id string, lost int) ingress.Reply {
 	done := make(chan ingress.Reply, 1)
 	go supervise.Guard(m.Logger, "fetch", func() {
 		loadCtx, cancel := context.WithTimeout(m.baseCtx, fetchTimeout)
@@ -239,7 +244,7 @@
 			done <- ingress.Reply{}
 			return
 		}
-		done <- m.takeOver(loadCtx, id, nil, force)
+		done <- m.takeOver(loadCtx, id, nil, lost)
 	})
 	select {
 	case reply := <-done:
--- a/entry/internal/batch/chaos_test.go
+++ b/entry/internal/batch/chaos_test.go
@@ -300,9 +300,9 @@
 	case 4, 5:
 		f.connect(name)
 	case 6:
-		m.takeOver(ctx, c.id, nil, false)
+		m.takeOver(ctx, c.id, nil, 0)
 	case 7:
-		m.takeOver(ctx, c.id, nil, true)
+		m.takeOver(ctx, c.id, nil, anyEpoch)
 	case 8:
 		if random.IntN(2) == 0 {
 			m.Submit(ctx, &f.route, c.id, c.body, time.Now())
--- a/entry/internal/batch/former_test.go
+++ b/entry/internal/batch/former_test.go
@@ -25,7 +25,7 @@
 func (r *rig) takeOverSilently(m *Manager, from string) {
 	r.t.Helper()
 	r.cut(from, true)
-	if reply := m.takeOver(r.t.Context(), "j", nil, true); reply.Status != 0 {
+	if reply := m.takeOver(r.t.Context(), "j", nil, anyEpoch); reply.Status != 0 {
 		r.t.Fatalf("takeover by %s: %d %s", m.Name, reply.Status, reply.Cause)
 	}
 	r.cut(from, false)
@@ -68,7 +68,7 @@
 	gated := newGatedStore(m.Store, KindTexts)
 	m.Store = gated
 	taken := make(chan int)
-	go func() { taken <- m.takeOver(t.Context(), "j", nil, true).Status }()
+	go func() { taken <- m.takeOver(t.Context(), "j", nil, anyEpoch).Status }()
 	<-gated.reached
 	m.startDelegated(wire.JobStart{Job: "j", State: state, Payload: body})
 	close(gated.gate)
--- a/entry/internal/batch/owner.go
+++ b/entry/internal/batch/owner.go
@@ -70,9 +70,9 @@
 }
 
 // takeOver makes this entry the owner of a job whose owner is unreachable, and loads it. The status of the reply is 0
-// on success, and also if the job turns out to have another owner that can be asked; force takes it from an owner that
-// does not run it.
-func (m *Manager) takeOver(ctx context.Context, id string, parts []wire.JobPart, force bool) ingress.Reply {
+// on success, and also if the job turns out to have another owner that can be asked. The owners up to the epoch lost do
+// not run the job, even if they can be asked.
+func (m *Manager) takeOver(ctx context.Context, id string, parts []wire.JobPart, lost int) ingress.Reply {
 	release, ok := m.lockTakeover(ctx, id)
 	if !ok {
 		return unavailable("the job is changing owners")
@@ -88,7 +88,7 @@
 			return unavailable(err.Error())
 		}
 		m.cacheState(id, s)
-		if s.Owner != m.Name && !force && m.Peers.Incarnation(s.Owner) == s.Inc {
+		if s.Owner != m.Name && s.Epoch > lost && m.Peers.Incarnation(s.Owner) == s.Inc {
 			return ingress.Reply{} // the owner can be asked again
 		}
 		if !s.Ended && m.leaving() {
@@ -150,7 +150,7 @@
 	if err != nil || s.Owner != m.Name || s.Inc != m.Self.Inc {
 		return nil
 	}
-	if reply := m.takeOver(ctx, id, nil, true); reply.Status != 0 {
+	if reply := m.takeOver(ctx, id, nil, s.Epoch); reply.Status != 0 {
 		return nil
 	}
 	return m.local(id)
--- a/entry/internal/batch/owner_test.go
+++ b/entry/internal/batch/owner_test.go
@@ -294,7 +294,7 @@
 	leaving.Handover(t.Context())
 	r.submit(leaving, "j1", payload(1, "g-2"))
 	checkTexts(t, r.collect(other, "j1", 1), "g-2")
-	if reply := leaving.takeOver(t.Context(), "j1", nil, true); reply.Status != http.StatusServiceUnavailable {
+	if reply := leaving.takeOver(t.Context(), "j1", nil, anyEpoch); reply.Status != http.StatusServiceUnavailable {
 		t.Errorf("takeover by a leaving entry: got status %d, want 503", reply.Status)
 	}
 	s := wire.JobState{Owner: "a", Inc: "a1", Epoch: 1, Host: "h", Path: "/p/", Total: 1, At: time.Now().UnixMilli()}
--- a/entry/internal/batch/submit.go
+++ b/entry/internal/batch/submit.go
@@ -99,7 +99,7 @@
 		return
 	}
 	// If the store is unavailable now, the next read by a client takes over the job.
-	m.takeOver(m.baseCtx, id, nil, true)
+	m.takeOver(m.baseCtx, id, nil, s.Epoch)
 }
 
 // startDelegated runs a job that another entry has accepted for this one.
