--- a/entry/internal/batch/former_test.go
+++ b/entry/internal/batch/former_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net/http"
 	"slices"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
+	"bulrushspoke/internal/store"
 	"bulrushspoke/platform/platformtest"
 	"bulrushspoke/wire"
 )
@@ -145,3 +149,27 @@
 		t.Errorf("the job has owner %s at epoch %d, want b at 2", s.Owner, s.Epoch)
 	}
 }
+
+// Guards against positions that differ between entries: a skipped record of an ended job was restored in memory only, and
+// a late write took its place in the store.
+func TestLateRecordDoesNotReplaceRestoredOne(t *testing.T) {
+	r := newRig(t, newEngine(t, 1))
+	m, _ := r.manager("a", "a1")
+	other, _ := r.manager("b", "b1")
+	r.putJob(m, true, "g-1", "h-2", "i-3")
+	r.putRecord(0, wire.JobRecord{Writer: "gone1"}, "g-1")
+	r.putRecord(2, wire.JobRecord{Writer: "gone1", First: 2}, "h-2")
+	read := r.collect(m, "j", 3)
+	late := wire.JobRecord{Writer: "gone2", Epoch: 2, First: 1, Results: []wire.JobResult{{Item: "i-3", Text: text("i-3"), Versions: []int{1}}}}
+	value, err := json.Marshal(late)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var conflict *store.ConflictError
+	if _, err := m.Store.Create(t.Context(), KindRecords+"j", recordName(1), value); err != nil && !errors.As(err, &conflict) {
+		t.Fatal(err)
+	}
+	if d := cmp.Diff(read, r.collect(other, "j", 3)); d != "" {
+		t.Errorf("results at the next entry (-first +next):\n%s", d)
+	}
+}
