Write restored records of a log to the store before they are shown

Callers of an ended job could read different results at one position, if a rolling upgrade met a record that was skipped and one that was written late.

Change: readLog creates the records that the log lacks, for whoever reads it, before it returns. If another writer is faster, the read fails and the next one sees its record.

Ruled out: restoring in memory and checking again later, which cannot take back what clients have read. An ended job with such a log costs one write, once.

--- a/entry/internal/batch/log.go
+++ b/entry/internal/batch/log.go
@@ -14,21 +14,24 @@
 
 func recordName(n int) string { return fmt.Sprintf("%06d", n) }
 
-// readLog reads the log of a job. It restores the records that the log lacks, and returns their numbers.
-func (m *Manager) readLog(ctx context.Context, id string) (records []wire.JobRecord, skipped []int, err error) {
+// readLog reads the log of a job. It first restores the records that the log lacks in the store, since a late write could
+// put others in their place after they have been shown to clients.
+func (m *Manager) readLog(ctx context.Context, id string) ([]wire.JobRecord, error) {
+	var records []wire.JobRecord
+	var skipped []int
 	list, _, err := m.Store.List(ctx, KindRecords+id)
 	var absent *store.NotFoundError
 	if err != nil && !errors.As(err, &absent) {
-		return nil, nil, err
+		return nil, err
 	}
 	for _, r := range list {
 		var rec wire.JobRecord
 		if err := json.Unmarshal(r.Spec, &rec); err != nil {
-			return nil, nil, fmt.Errorf("batch: record %s of job %s: %w", r.Name, id, err)
+			return nil, fmt.Errorf("batch: record %s of job %s: %w", r.Name, id, err)
 		}
 		n, err := strconv.Atoi(r.Name)
 		if err != nil {
-			return nil, nil, fmt.Errorf("batch: log of job %s: %w", id, err)
+			return nil, fmt.Errorf("batch: log of job %s: %w", id, err)
 		}
 		if n > len(records) {
 			m.LogFaults.Add(1, faultMissing)
@@ -41,7 +44,7 @@
 		}
 		records = append(records, rec)
 	}
-	return records, skipped, nil
+	return records, m.writeSkipped(ctx, id, records, skipped)
 }
 
 // skippedRecord returns what stands in place of a record that the log lacks, given the records before it and the first
--- a/entry/internal/batch/owner.go
+++ b/entry/internal/batch/owner.go
@@ -122,15 +122,10 @@
 			return unavailable(err.Error())
 		}
 	}
-	records, skipped, err := m.readLog(ctx, id)
+	records, err := m.readLog(ctx, id)
 	if err != nil {
 		return unavailable(err.Error())
 	}
-	if !s.Ended {
-		if err := m.writeSkipped(ctx, id, records, skipped); err != nil {
-			return unavailable(err.Error())
-		}
-	}
 	event.LogLoaded.Log(m.Logger, "job", id, "epoch", s.Epoch, "ended", s.Ended, "records", len(records),
 		"results", countResults(records))
 	m.evictState(id)
@@ -229,7 +224,7 @@
 	if !j.behind(after, now) {
 		return true
 	}
-	records, _, err := m.readLog(ctx, j.spec.ID)
+	records, err := m.readLog(ctx, j.spec.ID)
 	if err != nil {
 		return false // logged by the store client
 	}
@@ -248,7 +243,7 @@
 	if !j.refreshDue(now) {
 		return
 	}
-	records, _, err := m.readLog(ctx, j.spec.ID)
+	records, err := m.readLog(ctx, j.spec.ID)
 	if err != nil {
 		return // logged by the store client; the next read tries again
 	}
