Let messages between the entries of TestChaos arrive late

Cause: a handover, start, end or change of owner that arrives after its sender has given up was only covered by the direct calls of the test.

Change: the mesh can deliver a message late and leave it unanswered; TestChaos does so with the odds of a late write.

--- a/entry/internal/batch/chaos_test.go
+++ b/entry/internal/batch/chaos_test.go
@@ -31,7 +31,7 @@
 
 var seeds = flag.Int("chaos", chaosSeeds, "number of seeds of TestChaos")
 
-// storeFaults decides by its seed what happens to the calls of all managers.
+// storeFaults decides by its seed what happens to the calls of all managers, and to their messages.
 type storeFaults struct {
 	mu     sync.Mutex
 	random *rand.Rand
@@ -396,6 +396,13 @@
 	f := &fleet{rig: newRig(t, e), managers: make(map[string]*Manager), stops: make(map[string]context.CancelFunc)}
 	f.addScorer(newScorer(t, e))
 	f.mesh.delegation = seed%2 == 0
+	f.mesh.late = func() time.Duration {
+		kind, delay := faults.draw()
+		if kind != lateWrite {
+			return 0
+		}
+		return delay
+	}
 	f.wrap = func(s Store) Store { return faultyStore{Store: s, faults: faults} }
 	for _, name := range strings.Split(chaosManagers, "") {
 		f.restart(name)
--- a/entry/internal/batch/rig_test.go
+++ b/entry/internal/batch/rig_test.go
@@ -157,8 +157,9 @@
 	incs     map[string]string
 	cut      map[string]bool
 
-	delegation bool               // jobs are run by the preferred owner of their model
-	cores      map[string]float64 // by entry
+	late       func() time.Duration // delay of a message whose sender gets no answer, 0 for others; nil for none
+	delegation bool                 // jobs are run by the preferred owner of their model
+	cores      map[string]float64   // by entry
 }
 
 // member is the mesh as seen by one manager.
@@ -192,6 +193,12 @@
 	if err != nil {
 		return err
 	}
+	if m.late != nil {
+		if delay := m.late(); delay > 0 {
+			time.AfterFunc(delay, func() { _, _, _ = f(context.WithoutCancel(ctx), link.Frame{Kind: kind, ID: 1, Body: raw}) })
+			return errPartitioned
+		}
+	}
 	_, got, err := f(ctx, link.Frame{Kind: kind, ID: 1, Body: raw})
 	if err != nil || answer == nil {
 		return err
