Keep the checkpoint of a later owner

Callers of a job that changed owners waited longer if the new owner was lost as well: items resumed from fewer events than had been saved.

Cause: after a conflict the writer of checkpoints took over the revision that it met, whoever had written it, and its next write replaced the texts of a later owner. A former owner does so until it learns of its loss.

A checkpoint names the epoch of its writer, and one of a later epoch stays.

TestFormerOwnerKeepsLaterCheckpoint failed before (three events in place of five) and passes now.

--- a/entry/internal/batch/former_test.go
+++ b/entry/internal/batch/former_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"bulrushspoke/internal/job"
 	"bulrushspoke/internal/store"
 	"bulrushspoke/platform/platformtest"
 	"bulrushspoke/wire"
@@ -173,3 +174,29 @@
 		t.Errorf("results at the next entry (-first +next):\n%s", d)
 	}
 }
+
+// Guards against texts that a later owner has checkpointed and a former owner, which does not know of it, replaces by fewer.
+func TestFormerOwnerKeepsLaterCheckpoint(t *testing.T) {
+	r := newRig(t, newEngine(t, 1))
+	m, _ := r.manager("a", "a1")
+	spec := job.Job{ID: "j", Model: "m", Items: []job.Item{{ID: "g-9", Group: "g"}}}
+	part := func(n int) []wire.JobPart {
+		return []wire.JobPart{{Item: "g-9", Data: slices.Repeat([]string{"x"}, n), Versions: []int{1}}}
+	}
+	keeper := func(epoch int) *checkpointer {
+		return &checkpointer{job: newJob(m, spec, wire.JobState{Epoch: epoch, Total: 1}, nil, time.Now())}
+	}
+	former, later := keeper(1), keeper(2)
+	for _, write := range []struct {
+		keeper *checkpointer
+		events int
+	}{{former, 1}, {later, 4}, {later, 5}, {former, 2}, {former, 3}} {
+		var conflict *store.ConflictError
+		if err := write.keeper.write(t.Context(), part(write.events)); err != nil && !errors.As(err, &conflict) {
+			t.Fatal(err)
+		}
+	}
+	if parts := m.loadCheckpoint(t.Context(), "j"); len(parts) != 1 || len(parts[0].Data) != 5 {
+		t.Errorf("the checkpoint has %+v, want five events", parts)
+	}
+}
--- a/entry/internal/batch/keep.go
+++ b/entry/internal/batch/keep.go
@@ -56,10 +56,10 @@
 	}
 }
 
-// write replaces the checkpoint. A conflict is caused either by an earlier write of this process, or by a new owner,
-// which this entry learns of shortly when it writes to the log.
+// write replaces the checkpoint, unless a later owner has written it. Another conflict is caused by an earlier owner, or by
+// an earlier write of this process, and the next checkpoint replaces theirs.
 func (k *checkpointer) write(ctx context.Context, parts []wire.JobPart) error {
-	value, err := json.Marshal(wire.JobTexts{Parts: parts})
+	value, err := json.Marshal(wire.JobTexts{Epoch: k.job.epoch, Parts: parts})
 	if err != nil {
 		return err
 	}
@@ -72,7 +72,10 @@
 	}
 	var conflict *store.ConflictError
 	if errors.As(err, &conflict) {
-		k.revision = conflict.Current().Version
+		var held wire.JobTexts
+		if json.Unmarshal(conflict.Current().Value, &held) != nil || held.Epoch <= k.job.epoch {
+			k.revision = conflict.Current().Version
+		}
 		return err
 	}
 	if err != nil {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -702,6 +702,10 @@
 // Store object that holds outputs of items without a recorded result, so that a
 // new owner can continue them.
 type JobTexts struct {
+	// Epoch at which the writer owned the job; 0 in objects of versions before it was
+	// added.
+	Epoch int `json:"epoch"`
+
 	// Outputs of items without a recorded result.
 	Parts []JobPart `json:"parts"`
 }
