Let a relay refuse connections for a time

Scenarios could close the links of an entry for a moment only, since the entry dials again at once, or make them silent, which is noticed seconds later.

SetRefusing closes the connections of a relay and each new one until it is called with false. TestRefusing is new; go test ./standin/relay: ok, 0.2 s.

--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -44,6 +44,7 @@
 	mu          sync.Mutex
 	connections map[*connection]bool
 	silent      string // kind of silence of new connections, empty for none
+	refusing    bool   // new connections are closed
 	counts      report.RelayCounts
 }
 
@@ -83,6 +84,18 @@
 	r.downDelay.Store(down)
 }
 
+// SetRefusing closes all connections, and each new one until it is called with false.
+func (r *Relay) SetRefusing(on bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refusing = on
+	for p := range r.connections {
+		if on {
+			p.close()
+		}
+	}
+}
+
 // Run accepts connections until the context ends, then closes all of them.
 func (r *Relay) Run(ctx context.Context, l net.Listener) error {
 	stop := context.AfterFunc(ctx, func() {
@@ -167,6 +180,9 @@
 	p := &connection{client: client, server: server}
 	r.mu.Lock()
 	p.setSilent(r.silent)
+	if r.refusing {
+		p.close() // both directions end at once
+	}
 	r.connections[p] = true
 	r.counts.Total++
 	r.mu.Unlock()
--- a/standin/relay/relay_test.go
+++ b/standin/relay/relay_test.go
@@ -89,3 +89,35 @@
 		t.Fatalf("run: %v", err)
 	}
 }
+
+// Guards against a cut that leaves a connection open, admits new ones or does not end.
+func TestRefusing(t *testing.T) {
+	r := relay.New(echo(t))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatalf("listen: %v", err)
+	}
+	go func() { _ = r.Run(t.Context(), l) }()
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatalf("dial: %v", err)
+		}
+		t.Cleanup(func() { _ = c.Close() })
+		return c
+	}
+	before := dial()
+	if err := ask(t, before, time.Second); err != nil {
+		t.Fatal(err)
+	}
+	r.SetRefusing(true)
+	for name, c := range map[string]net.Conn{"existing": before, "new": dial()} {
+		if err := ask(t, c, time.Second); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("%s connection: %v, want it closed", name, err)
+		}
+	}
+	r.SetRefusing(false)
+	if err := ask(t, dial(), time.Second); err != nil {
+		t.Errorf("connection after the cut: %v", err)
+	}
+}
