--- a/entry/internal/batch/batch.go
+++ b/entry/internal/batch/batch.go
@@ -14,7 +14,11 @@
 //
 // Results are listed, that is appended to the log of their job, in records: record n is an object that is created only
 // if absent, by a writer that has read all records below n. A position therefore never changes and an item is listed at
-// one position only, even while two entries believe that they own the job. Ownership only avoids duplicate work.
+// one position only, even while two entries believe that they own the job. Ownership only avoids duplicate work; the epoch
+// of a record tells a later owner from a late write of an earlier one.
+//
+// A record is learnt from its own write, from a conflict or from a read of the log, in any order. It is applied once, by its
+// number.
 //
 // Any entry serves any job: it asks the owner, and takes the job over if the owner is unreachable.
 //
