--- a/entry/internal/batch/owner.go
+++ b/entry/internal/batch/owner.go
@@ -248,7 +248,7 @@
 	if err != nil {
 		var down *store.UnavailableError
 		if !errors.As(err, &down) { // an unavailable store is logged by its client
-			event.ObjectInvalid.Log(m.Logger, "kind", KindRecords+j.spec.ID, "name", "", "cause", err.Error())
+			event.ObjectInvalid.Log(m.Logger, "kind", "log of a job", "name", j.spec.ID, "cause", err.Error())
 		}
 		return false
 	}
