--- a/entry/internal/batch/answer.go
+++ b/entry/internal/batch/answer.go
@@ -92,7 +92,7 @@
 		}
 		lost := 0
 		if !q.Gone {
-			lost = anyEpoch
+			lost = anyEpoch // the owner passes the job on with its texts
 		}
 		reply := m.takeOver(ctx, q.Job, q.Parts, lost)
 		// A job reported as having no owner may turn out to have one, and is not taken over then.
