--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -13,14 +13,6 @@
 	"bulrushspoke/wire"
 )
 
-const (
-	// logCheckInterval is the shortest time between two reads of the log of a job on behalf of its clients.
-	logCheckInterval = time.Second
-	// lateRecordTime is how long a former owner's records may appear in the log: it learns of its loss within maxStateAge,
-	// and a write that got no answer takes effect within six seconds.
-	lateRecordTime = maxStateAge + 6*time.Second
-)
-
 // Job is a job that this entry runs, or has loaded after its end.
 type Job struct {
 	manager   *Manager
@@ -115,80 +107,6 @@
 	return j
 }
 
-// applyRecord adds the results of record n in the store, and returns false if it has been applied before: the write of a
-// record and a read of the log may both bring it, in either order. The caller holds mu or has the only reference.
-func (j *Job) applyRecord(n int, r wire.JobRecord) bool {
-	if n < j.records {
-		return false
-	}
-	j.reportInconsistent(r)
-	j.records++
-	for _, w := range r.Results {
-		if _, ok := j.positions[w.Item]; !ok {
-			j.positions[w.Item] = len(j.results)
-		}
-		j.results = append(j.results, fromResult(w))
-		if it := j.items[w.Item]; it != nil {
-			it.done, it.listed = true, true
-			it.data = nil
-		}
-	}
-	j.ready = slices.DeleteFunc(j.ready, func(r job.Result) bool { return j.items[r.Item].listed })
-	return true
-}
-
-// refreshDue reports whether the log of a job should be read again that has stopped or had another owner lately, and notes
-// the time if so.
-func (j *Job) refreshDue(now time.Time) bool {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	takenOver := j.epoch > 1 && now.Sub(j.startedAt) < lateRecordTime
-	if !j.stopped && !takenOver || now.Sub(j.refreshedAt) < logCheckInterval {
-		return false
-	}
-	j.refreshedAt = now
-	return true
-}
-
-// lacks reports whether there are no results from a position on, although some are still to come.
-func (j *Job) lacks(after int) bool {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	return after >= len(j.results) && !j.isLast(after)
-}
-
-// isLast reports whether a client that holds the positions before after holds the results of all items; the caller holds
-// mu.
-func (j *Job) isLast(after int) bool {
-	repeated := len(j.results) - len(j.positions) // positions that hold an item for a second time
-	return after >= j.total+repeated
-}
-
-// behind reports whether a client holds positions that are unknown to this entry, and the log has not been read within
-// logCheckInterval.
-func (j *Job) behind(after int, now time.Time) bool {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	return after > len(j.results) && now.Sub(j.checkedAt) >= logCheckInterval
-}
-
-// applyNewRecords adds the records that this entry has not seen, given the whole log, and returns them. They may be what
-// readers wait for, or complete a group that is listed next.
-func (j *Job) applyNewRecords(records []wire.JobRecord) []wire.JobRecord {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	first := min(j.records, len(records))
-	for n := first; n < len(records); n++ {
-		j.logApplied(n, records[n], fromRead)
-		j.applyRecord(n, records[n])
-	}
-	if first < len(records) {
-		j.notifyReaders()
-		notify(j.listWake)
-	}
-	return records[first:]
-}
-
 // resume restores the texts that another owner or an earlier job has generated.
 func (j *Job) resume(parts []wire.JobPart, now time.Time) {
 	j.mu.Lock()
