Add weighted fair shares for workspaces that compete for a service

Cause: an entry places or refuses each live request on its own, so that a workspace takes slots in proportion to its number of requests, and a crowd refused at once returns at once.

Change: internal/fairness decides without goroutines, clock or network. Allocate divides a capacity by a floor in proportion to demand, levels of urgency and weights, and is work-conserving. Queue applies it to the requests of one service at one entry: flows within their share go at once, the others at the rate of their shares in a weighted fair order; those that cannot be served in time are refused with times to come back that are spread at the rate at which the flow is served. Entries report answers and demand to each other while slots are short. Slots applies the same division to items of jobs, which hold slots for long.

Calm load: no wait, refusal, report or allocation.

--- /dev/null
+++ b/internal/fairness/queue_test.go
@@ -0,0 +1,246 @@
+package fairness
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+var large = Flow{Workspace: "large"}
+
+// crowd returns n workspaces with the given rate each, and a large one that asks for the rest of a load.
+func crowd(n int, perSecond, total float64) []source {
+	l := []source{{flow: large, perSecond: total - float64(n)*perSecond}}
+	for i := range n {
+		l = append(l, source{flow: Flow{Workspace: fmt.Sprintf("w%02d", i)}, perSecond: perSecond})
+	}
+	return l
+}
+
+// worst returns the lowest ratio of served requests among the small workspaces, and the tally of all flows together.
+func (s *sim) worst() (small float64, all tally) {
+	small = 1
+	for f, t := range s.tallies {
+		if f != large {
+			small = min(small, t.ratio())
+		}
+		all.asked += t.asked
+		all.served += t.served
+		all.inTime += t.inTime
+	}
+	return small, all
+}
+
+// rate returns the answers per second in the measured part, as a fraction of the capacity.
+func (s *sim) rate() float64 { return float64(s.answers) / (s.end - s.from).Seconds() / s.capacity() }
+
+func (s *sim) log(t *testing.T, name string) {
+	small, all := s.worst()
+	ratio := 0.0
+	if l := s.tallies[large]; l != nil {
+		ratio = l.ratio()
+	}
+	t.Logf("%-20s fair=%-5t served: small (worst) %.3f, large %.3f, all %.3f, in time %.3f; rate/capacity %.3f, attempts/answer %.1f, late refusals %d, reports %d",
+		name, s.fair, small, ratio, all.ratio(), float64(all.inTime)/float64(all.asked), s.rate(),
+		float64(s.sent)/float64(s.answers), s.late, s.reports)
+}
+
+const (
+	simFrom = 2 * time.Second
+	simEnd  = 6 * time.Second
+)
+
+// Guards against a workspace with many requests that takes the slots of those that ask for less than their share, and against
+// shares that cost throughput.
+func TestSmallWorkspacesGetWhatTheyAskFor(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		entries int
+		change  func(s *sim)
+		from    time.Duration // of the measured part
+		rate    float64       // least rate of answers, as a fraction of the capacity
+		largeAt []int         // entries that the large workspace uses
+		compare bool          // play it without the Queue as well, for the log
+	}{
+		{name: "one entry", entries: 1, rate: 0.95},
+		{name: "6 entries", entries: 6, rate: 0.95},
+		{name: "23 entries", entries: 23, rate: 0.95, compare: true},
+		{name: "lost link", entries: 6, rate: 0.95, change: func(s *sim) {
+			s.cut = func(a, b int) bool { return min(a, b) == 0 && max(a, b) == 1 }
+		}},
+		{name: "two halves", entries: 6, compare: true, rate: 0.9, from: 4 * time.Second, change: func(s *sim) {
+			s.after(3*time.Second, func() {
+				s.part = 0.5
+				s.cut = func(a, b int) bool { return a/3 != b/3 }
+			})
+		}},
+		{name: "dead entry", entries: 6, rate: 0.9, from: 4 * time.Second, change: func(s *sim) {
+			s.after(3*time.Second, func() { s.entries[5].dead, s.part = true, 5.0/6 })
+		}},
+		{name: "slower servers", entries: 6, rate: 0.95, from: 4 * time.Second, change: func(s *sim) {
+			s.after(3*time.Second, func() { s.work = s.work * 3 / 2 })
+		}},
+		{name: "large at one entry", entries: 6, rate: 0.95, largeAt: []int{2}},
+		{name: "server sheds all", entries: 6, rate: 0.7, from: 4 * time.Second, change: func(s *sim) {
+			s.after(3*time.Second, func() { s.servers[0].shed = true })
+		}},
+	} {
+		for _, fair := range []bool{false, true} {
+			if !fair && !c.compare {
+				continue
+			}
+			s := newSim(fair, c.entries, 6)
+			if c.change != nil {
+				c.change(s)
+			}
+			load := crowd(80, 9, 3*s.capacity())
+			load[0].entries = c.largeAt
+			s.run(load, max(c.from, simFrom), simEnd)
+			s.log(t, c.name)
+			if !fair {
+				continue
+			}
+			if small, _ := s.worst(); small < 0.97 {
+				t.Errorf("%s: a small workspace is served %.3f of its requests", c.name, small)
+			}
+			if s.rate() < c.rate {
+				t.Errorf("%s: the servers answer %.3f of their capacity", c.name, s.rate())
+			}
+			_, all := s.worst()
+			if s.tallies[large].ratio() < 0.25*all.ratio() {
+				t.Errorf("%s: the large workspace is served %.3f, all %.3f", c.name, s.tallies[large].ratio(), all.ratio())
+			}
+			if s.late > all.asked/50 {
+				t.Errorf("%s: %d of %d requests are refused after they have waited", c.name, s.late, all.asked)
+			}
+		}
+	}
+}
+
+// Guards against slots that stay idle while a single workspace wants them all, and against a load that begins at once.
+func TestIdleSharesAreUsed(t *testing.T) {
+	for _, entries := range []int{1, 6} {
+		s := newSim(true, entries, 6)
+		s.run(crowd(80, 0.01, 3*s.capacity()), 0, 2*time.Second)
+		s.log(t, "one busy workspace")
+		if s.rate() < 0.93 {
+			t.Errorf("%d entries: the servers answer %.3f of their capacity", entries, s.rate())
+		}
+	}
+}
+
+// Guards against delays, refusals and messages while there is room.
+func TestCalmLoadIsLeftAlone(t *testing.T) {
+	s := newSim(true, 6, 6)
+	s.run(crowd(80, 2, 0.5*s.capacity()), simFrom, simEnd)
+	s.log(t, "calm")
+	if _, all := s.worst(); all.inTime < all.asked || s.reports > 0 || s.late > 0 {
+		t.Errorf("%d of %d requests in time, %d reports", all.inTime, all.asked, s.reports)
+	}
+	q := NewQueue(func(time.Time) float64 { return 1 }, func() int { return 1 })
+	r := Request{Flow: large, Within: objective, Slots: 36}
+	q.Admit(epoch, r)
+	if n := testing.AllocsPerRun(100, func() { q.Admit(epoch, r) }); n > 0 {
+		t.Errorf("a request allocates %v times", n)
+	}
+}
+
+// Guards against an urgent level that starves a less urgent one, and against a less urgent one that is served more often.
+func TestUrgencyHasAFloor(t *testing.T) {
+	for _, fair := range []bool{false, true} {
+		s := newSim(fair, 6, 6)
+		var l []source
+		for i := range 20 {
+			l = append(l, source{flow: Flow{Workspace: fmt.Sprint("w", i), Level: i % 2}, perSecond: s.capacity() * 3 / 20})
+		}
+		s.run(l, simFrom, simEnd)
+		var levels [2]tally
+		for f, c := range s.tallies {
+			levels[f.Level].asked += c.asked
+			levels[f.Level].served += c.served
+		}
+		_, all := s.worst()
+		s.log(t, "levels")
+		t.Logf("fair=%-5t served: level 0 %.3f, level 1 %.3f, all %.3f", fair, levels[0].ratio(), levels[1].ratio(), all.ratio())
+		if !fair {
+			continue
+		}
+		if levels[1].ratio() < 0.25*all.ratio() || levels[0].ratio() < 1.5*all.ratio() {
+			t.Errorf("level 0 is served %.3f, level 1 %.3f, all %.3f", levels[0].ratio(), levels[1].ratio(), all.ratio())
+		}
+	}
+}
+
+// Guards against refused clients that come back together and collide again.
+func TestRefusedCrowdReturnsSpread(t *testing.T) {
+	for _, c := range []struct {
+		fair    bool
+		entries int
+	}{{false, 6}, {true, 1}, {true, 6}, {true, 23}} {
+		s := newSim(c.fair, c.entries, 2)
+		client := source{flow: large}
+		s.after(time.Second, func() {
+			for range 400 {
+				s.client(client)
+			}
+		})
+		s.run(crowd(1, 10, 10.1), time.Second, 3*time.Second)
+		slices.Sort(s.refused)
+		most := 0
+		for i, at := range s.refused {
+			end, _ := slices.BinarySearch(s.refused, at+s.work)
+			most = max(most, end-i)
+		}
+		t.Logf("fair=%-5t entries=%d: served %d of 400; most returns within %v: %d", c.fair, c.entries, s.tallies[large].served, s.work, most)
+		// The entries do not agree on the order of the returns. Twice as many as are served in that time find places.
+		if done := len(s.servers) * s.slots; c.fair && (most > 2*done || s.tallies[large].served < 320) {
+			t.Errorf("%d entries: %d requests served; %d return within %v, in which %d are served", c.entries,
+				s.tallies[large].served, most, s.work, done)
+		}
+	}
+}
+
+// saturated returns a Queue of one entry that is measured to answer 100 requests per second in 20 ms each, and at which a
+// large workspace asks for 400 per second.
+func saturated(t *testing.T) (*Queue, time.Time) {
+	t.Helper()
+	q := NewQueue(func(time.Time) float64 { return 0.999 }, func() int { return 1 }) // not alone: it goes by rates
+	now := epoch
+	for i := range 2000 {
+		now = now.Add(2500 * time.Microsecond)
+		if i%4 == 0 {
+			q.Answered(now, 20*time.Millisecond)
+		}
+		q.Refused(now)
+		q.Admit(now, Request{Flow: large, Within: 50 * time.Millisecond, Slots: 2})
+		for _, ok := q.Next(now, false); ok; _, ok = q.Next(now, false) {
+			continue
+		}
+	}
+	return q, now
+}
+
+// Guards against a request that waits in vain, and against one that is refused although a short wait would serve it.
+func TestWaitsOnlyIfServedInTime(t *testing.T) {
+	q, now := saturated(t)
+	hopeless := q.Admit(now, Request{Flow: large, Within: 20 * time.Millisecond, Slots: 2})
+	if hopeless.Action != Refuse || hopeless.RetryAfter < minRetryAfter || hopeless.RetryAfter > maxRetryAfter {
+		t.Errorf("a request that cannot be served in time gets %+v", hopeless)
+	}
+	d := q.Admit(now, Request{Flow: large, Within: 500 * time.Millisecond, Slots: 2})
+	if d.Action != Wait {
+		t.Fatalf("a request that can be served in time gets %+v", d)
+	}
+	at, _ := q.Wake(now)
+	for at.Before(now.Add(480 * time.Millisecond)) {
+		q.Answered(at, 20*time.Millisecond)
+		for ticket, ok := q.Next(at, false); ok; ticket, ok = q.Next(at, false) {
+			if _, refused := ticket.Refused(); ticket == d.Ticket && !refused {
+				return
+			}
+		}
+		at = at.Add(10 * time.Millisecond)
+	}
+	t.Error("the request was not served in time")
+}
