Bind the decisions about shares to entries

Cause: internal/fairness decides without goroutines, clock or network.

Events 1080 and 1081.

Ruled out: one goroutine that starts the items of all jobs (each job has its own context and checks of its ownership; an offer keeps them); a lock for all services.

--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -32,5 +32,7 @@
 	LogLoaded               = define(1056, slog.LevelInfo, "log of a batch job loaded")
 	LogInconsistent         = define(1057, slog.LevelWarn, "log of a batch job is inconsistent")
 	RecordRestored          = define(1058, slog.LevelInfo, "missing record of a batch job restored in the store")
+	SlotsShort              = define(1080, slog.LevelInfo, "slots of a service are short: workspaces get their shares")
+	SlotsSufficient         = define(1081, slog.LevelInfo, "slots of a service are sufficient again")
 	InstanceRetiring        = define(1050, slog.LevelInfo, "instance is to be removed; it holds nothing that must be kept")
 )
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -76,6 +76,7 @@
 	Crash   = "crash"
 	Taken   = "taken"
 	Limits  = "limits"
+	Shares  = "shares"
 	Ping    = "ping"
 	Pong    = "pong"
 )
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -508,6 +508,21 @@
 	Instances []Instance `json:"instances"`
 }
 
+// Items of jobs of one workspace at one level.
+type ItemShare struct {
+	// Level of urgency; 0 is the most urgent.
+	Level int `json:"level"`
+
+	// Items that hold a slot.
+	Running int `json:"running"`
+
+	// Items that wait for a slot.
+	Waiting int `json:"waiting"`
+
+	// Name of the workspace.
+	Workspace string `json:"workspace"`
+}
+
 // Asks another entry to take over a job and passes on the partial outputs.
 type JobAdopt struct {
 	// Epoch of the current owner.
@@ -1008,6 +1023,18 @@
 // Header fields to return to the caller.
 type ReplyHeaders map[string]string
 
+// Requests of one workspace at one level.
+type RequestShare struct {
+	// Level of urgency; 0 is the most urgent.
+	Level int `json:"level"`
+
+	// Requests per second that clients send.
+	Rate float64 `json:"rate"`
+
+	// Name of the workspace.
+	Workspace string `json:"workspace"`
+}
+
 // A sample of a step.
 type Sample struct {
 	// Staleness: number of weight versions between checked and the oldest token
@@ -1088,6 +1115,34 @@
 	Server string `json:"server"`
 }
 
+// Demand for one service at one entry.
+type ServiceShares struct {
+	// Items of jobs, one element for each workspace and level.
+	Items []ItemShare `json:"items"`
+
+	// Servers have refused requests of this entry for lack of room.
+	Refused bool `json:"refused"`
+
+	// Requests of clients, one element for each workspace and level.
+	Requests []RequestShare `json:"requests"`
+
+	// Requests answered per second.
+	Served float64 `json:"served"`
+
+	// Name of the service.
+	Service string `json:"service"`
+}
+
+// Reports what the workspaces ask for at one entry of services that are short of
+// slots.
+type Shares struct {
+	// Name of the reporting entry.
+	Entry string `json:"entry"`
+
+	// One element for each such service.
+	Services []ServiceShares `json:"services"`
+}
+
 // Identifies a sample of a step.
 type Slot struct {
 	// Group within the step.
