Let live requests of workspaces take turns while slots are short

Cause: a request went to all servers of its service in turn and was refused with a fixed time to come back of 150 ms.

Change: an Ingress with Turns asks before the first attempt, and again once all servers have refused a request for lack of room, whether it may go; it may wait there within its objective. Answers and refusals are reported to Turns; a refusal for lack of room is one with status 503 or 429 that was not run, not a failed connection. Without workspaces requests are placed as before; Ingress.flow is the one expression that names workspace and level, and returns none until workspaces are connected.

Ruled out: asking only after a refusal (requests of a workspace beyond its share would be at the servers first).

--- a/entry/internal/cli/platform.go
+++ b/entry/internal/cli/platform.go
@@ -27,6 +27,7 @@
 	"bulrushspoke/entry/internal/relay"
 	"bulrushspoke/entry/internal/retire"
 	"bulrushspoke/entry/internal/sweep"
+	"bulrushspoke/entry/internal/turn"
 	"bulrushspoke/entry/internal/usage"
 	"bulrushspoke/internal/catalog"
 	"bulrushspoke/internal/event"
@@ -214,6 +215,14 @@
 	}, jitter, p.logger)
 	objects := relay.New(p.store, p.peers, p.logger)
 	objects.Register(p.peers)
+	turns := turn.New(turn.Options{
+		Name: s.Name, Catalog: p.catalog, Tracker: tracker, Peers: p.peers, Logger: p.logger,
+		Waits:   m.Histogram("turn_wait", "s", "Time that requests waited for a slot, by service and outcome."),
+		Refused: m.Counter("turn_refused", "Requests refused because slots were short.", "service", "cause"),
+	})
+	m.Gauge("turn_waiting", "Requests that wait for a slot.", func() float64 { return float64(turns.Waiting()) })
+	turns.Register()
+	p.task("shares", turns.Run)
 	p.batch = batch.New(lifetime, batch.Options{
 		Self: self, Name: s.Name, Cores: s.Cores, Store: objects, Peers: p.peers, Catalog: p.catalog, Pool: pool, Tracker: tracker,
 		Retention: s.Bounds.ResultRetention, MaxObjectBytes: s.Store.MaxValueBytes, MaxOpenBytes: int64(bodyShare * float64(s.MemoryBytes)), Logger: p.logger, LinkRate: s.Bandwidth,
@@ -239,6 +248,7 @@
 		Random:        jitter,
 		MaxBodyMemory: int64(bodyShare * float64(s.MemoryBytes)),
 		Suspects:      p.suspects(),
+		Turns:         turns,
 		Logger:        p.logger,
 		Observe: func(route string, status int, took time.Duration) {
 			requestTime.Record(route, strconv.Itoa(status/100*100), took.Seconds())
--- a/entry/internal/ingress/forward.go
+++ b/entry/internal/ingress/forward.go
@@ -54,6 +54,7 @@
 	header     http.Header
 	body       []byte
 	unframed   bool // the body ended with the connection
+	noRoom     bool // the server refused the request by its status
 }
 
 // forward sends a request to servers until one responds or no further attempt is allowed.
@@ -69,7 +70,11 @@
 	}
 	service := q.route.PickService(g.Random.IntN)
 	tried := make(map[string]bool)
-	mayHaveRun := false
+	if v := g.takeTurn(ctx, q, service, false); !v.OK {
+		g.replyUnserved(w, q, attempt{outcome: notRun, cause: v.Cause, retryAfter: v.RetryAfter}, false)
+		return
+	}
+	mayHaveRun, noRoom := false, false
 	last := attempt{outcome: notRun, cause: causeNoServer}
 	for sent := 0; sent < q.route.MaxAttempts && (!mayHaveRun || q.route.Repeatable()); {
 		now := time.Now()
@@ -88,6 +93,17 @@
 		if !ok {
 			if wait, limited := g.Tracker.Reject(now, servers, need, left); limited && last.outcome == notRun {
 				last = attempt{outcome: notRun, cause: causeLimits, retryAfter: max(wait, minRetryAfter)}
+				if g.Turns != nil {
+					g.Turns.NoRoom(service, now)
+				}
+			} else if noRoom && !mayHaveRun && g.takesTurns(q) {
+				v := g.takeTurn(ctx, q, service, true)
+				if v.OK {
+					clear(tried)
+					noRoom = false
+					continue
+				}
+				last = attempt{outcome: notRun, cause: v.Cause, retryAfter: v.RetryAfter}
 			}
 			break
 		}
@@ -99,6 +115,7 @@
 			otherAvailable = g.otherServerAvailable(service, maps.Clone(tried))
 		}
 		a := g.try(ctx, w, q, s, now, otherAvailable)
+		noRoom = noRoom || a.noRoom
 		switch a.outcome {
 		case delivered:
 			if q.http.Context().Err() == nil {
@@ -207,12 +224,18 @@
 		g.Tracker.Ended(s.ID, "", place.Abandoned, 0, now)
 	case a.outcome == notRun:
 		g.Tracker.Ended(s.ID, "", place.Refused, 0, now)
+		if a.noRoom && g.Turns != nil {
+			g.Turns.NoRoom(s.Service, now)
+		}
 	case a.outcome == lost:
 		g.Tracker.Ended(s.ID, "", place.Failed, 0, now)
 	case ctx.Err() != nil:
 		g.Tracker.Ended(s.ID, "", place.Abandoned, 0, now)
 	default:
 		g.Tracker.Ended(s.ID, "", place.Answered, now.Sub(start), now)
+		if g.Turns != nil {
+			g.Turns.Answered(s.Service, now.Sub(start), now)
+		}
 	}
 }
 
@@ -233,7 +256,10 @@
 	switch {
 	case meaning == call.NotRun:
 		resp.Discard()
-		return attempt{outcome: notRun, cause: "refused by the server with status " + strconv.Itoa(resp.StatusCode)}
+		return attempt{
+			outcome: notRun, cause: "refused by the server with status " + strconv.Itoa(resp.StatusCode),
+			noRoom: resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests,
+		}
 	case meaning == call.Foreign, resp.Header.Get("Content-Encoding") != "":
 		resp.Abandon()
 		return attempt{outcome: lost, cause: call.CauseForeign}
--- a/entry/internal/ingress/ingress.go
+++ b/entry/internal/ingress/ingress.go
@@ -25,6 +25,7 @@
 	"bulrushspoke/internal/call"
 	"bulrushspoke/internal/catalog"
 	"bulrushspoke/internal/event"
+	"bulrushspoke/internal/fairness"
 	"bulrushspoke/internal/upstream"
 	"bulrushspoke/platform"
 )
@@ -81,6 +82,7 @@
 	Observe       func(route string, status int, elapsed time.Duration)
 	Logger        *slog.Logger
 	Suspects      *Suspects
+	Turns         Turns // nil to place each request at once
 }
 
 // Ingress handles client requests.
@@ -90,12 +92,13 @@
 	drainUntil atomic.Pointer[time.Time] // when each request must have its response; nil while the process is not leaving
 	drained    context.Context           // ends at that time
 	endDrain   context.CancelFunc
-	reserved   atomic.Int64 // bytes reserved for request bodies
+	reserved   atomic.Int64                           // bytes reserved for request bodies
+	flow       func(q *request) (fairness.Flow, bool) // whose share a request uses; false without workspaces
 }
 
 // New returns an Ingress.
 func New(o Options) *Ingress {
-	g := &Ingress{Options: o}
+	g := &Ingress{Options: o, flow: noFlow}
 	g.drained, g.endDrain = context.WithCancel(context.Background())
 	return g
 }
--- /dev/null
+++ b/entry/internal/ingress/turn.go
@@ -0,0 +1,50 @@
+package ingress
+
+import (
+	"context"
+	"time"
+
+	"bulrushspoke/entry/internal/turn"
+	"bulrushspoke/internal/fairness"
+)
+
+// waitWithoutObjective is the time within which requests of routes without a latency objective are to be answered if they
+// wait for a slot.
+const waitWithoutObjective = 200 * time.Millisecond
+
+// Turns decides which requests go to the servers of a service while its slots are short.
+type Turns interface {
+	Admit(ctx context.Context, now time.Time, r turn.Request) turn.Verdict
+	Answered(service string, took time.Duration, now time.Time)
+	NoRoom(service string, now time.Time)
+}
+
+// takeTurn decides whether a request may go to a server of a service, and waits for its turn if need be. again is true if
+// the servers had no room for it.
+func (g *Ingress) takeTurn(ctx context.Context, q *request, service string, again bool) turn.Verdict {
+	f, ok := g.flow(q)
+	if g.Turns == nil || !ok {
+		return turn.Verdict{OK: true}
+	}
+	now := time.Now()
+	return g.Turns.Admit(ctx, now, turn.Request{Service: service, Flow: f, Within: q.within(now), Again: again})
+}
+
+// takesTurns reports whether a request waits for its turn. Without workspaces in the configuration, requests are placed at
+// once.
+func (g *Ingress) takesTurns(q *request) bool {
+	_, ok := g.flow(q)
+	return g.Turns != nil && ok
+}
+
+// noFlow is the flow of all requests while the configuration has no workspaces.
+func noFlow(*request) (fairness.Flow, bool) { return fairness.Flow{}, false }
+
+// within returns the time left to answer a request within its objective and its deadline.
+func (q *request) within(now time.Time) time.Duration {
+	left := q.remaining(now)
+	if q.route.Objective == 0 {
+		return min(left, waitWithoutObjective)
+	}
+	return min(left, q.route.Objective-now.Sub(q.arrived))
+}
--- /dev/null
+++ b/entry/internal/ingress/turn_test.go
@@ -0,0 +1,86 @@
+package ingress
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"bulrushspoke/entry/internal/turn"
+	"bulrushspoke/internal/catalog"
+	"bulrushspoke/internal/fairness"
+)
+
+// fakeTurns gives its verdicts one after another and records what it is told. It serves one request at a time.
+type fakeTurns struct {
+	verdicts []turn.Verdict
+	asked    []turn.Request
+	noRoom   int
+	answered int
+}
+
+func (f *fakeTurns) Admit(_ context.Context, _ time.Time, r turn.Request) turn.Verdict {
+	f.asked = append(f.asked, r)
+	v := f.verdicts[0]
+	f.verdicts = f.verdicts[1:]
+	return v
+}
+
+func (f *fakeTurns) Answered(string, time.Duration, time.Time) { f.answered++ }
+
+func (f *fakeTurns) NoRoom(string, time.Time) { f.noRoom++ }
+
+// Guards against requests of workspaces that go to servers out of turn, that are given up although a slot frees in time, or
+// that are refused without the time to come back; and against a change for requests without a workspace.
+func TestRequestsOfWorkspacesTakeTurns(t *testing.T) {
+	ok, refused := turn.Verdict{OK: true}, turn.Verdict{RetryAfter: 700 * time.Millisecond, Cause: "no slot"}
+	for _, c := range []struct {
+		name       string
+		workspace  string
+		verdicts   []turn.Verdict
+		full       int // requests that the server refuses first
+		status     int
+		retryAfter string
+		again      []bool // what Admit was asked
+		sent       int    // requests that the server got
+	}{
+		{name: "no workspace", status: 503, full: 9, retryAfter: "0.15", sent: 1},
+		{name: "room", workspace: "w", verdicts: []turn.Verdict{ok}, status: 200, again: []bool{false}, sent: 1},
+		{name: "refused", workspace: "w", verdicts: []turn.Verdict{refused}, status: 503, retryAfter: "0.7", again: []bool{false}},
+		{name: "waits", workspace: "w", verdicts: []turn.Verdict{ok, ok, ok}, full: 2, status: 200, again: []bool{false, true, true}, sent: 3},
+		{name: "no slot frees", workspace: "w", verdicts: []turn.Verdict{ok, refused}, full: 9, status: 503, retryAfter: "0.7", again: []bool{false, true}, sent: 1},
+	} {
+		left := c.full
+		s := newServer(t, func(n net.Conn, q *http.Request, body string) bool {
+			if left--; left >= 0 {
+				return refuse(n, q, body)
+			}
+			return respondOK(n, q, body)
+		})
+		r := newRig(t, catalog.Route{Kind: catalog.Unsafe, Objective: 200 * time.Millisecond, Priority: 3}, s)
+		f := &fakeTurns{verdicts: c.verdicts}
+		r.ingress.Turns, r.ingress.flow = f, func(q *request) (fairness.Flow, bool) {
+			return fairness.Flow{Workspace: c.workspace, Level: q.route.Priority}, c.workspace != ""
+		}
+		resp, _, err := r.send(t, "POST", "/p/", "x", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if resp.StatusCode != c.status || resp.Header.Get("Retry-After") != c.retryAfter || len(s.requests()) != c.sent {
+			t.Errorf("%s: got %d with Retry-After %q after %d requests at the server", c.name, resp.StatusCode,
+				resp.Header.Get("Retry-After"), len(s.requests()))
+		}
+		if len(f.asked) != len(c.again) {
+			t.Fatalf("%s: asked for %d turns", c.name, len(f.asked))
+		}
+		for i, a := range f.asked {
+			if a.Again != c.again[i] || a.Flow.Workspace != "w" || a.Flow.Level != 3 || a.Within <= 0 || a.Within > 200*time.Millisecond {
+				t.Errorf("%s: turn %d was asked for as %+v", c.name, i, a)
+			}
+		}
+		if want := min(c.full, c.sent); f.noRoom != want || f.answered != c.sent-want {
+			t.Errorf("%s: told of %d refusals and %d answers", c.name, f.noRoom, f.answered)
+		}
+	}
+}
