Start items of jobs in the order of the shares of their workspaces

Cause: whichever job noticed a free slot first started an item, so that a workspace with many jobs took most of the slots.

Change: a job of a workspace offers its waiting items to Turns, which starts items of all jobs of the entry in the order of shares. Without workspaces items are started as before; Manager.flow is the one expression that names workspace and level, and returns none until workspaces are connected. Reward calls are placed as before.

Ruled out: a job that leaves a slot to another one and waits for it (the other one may have no use for it; the slot would stay idle).

--- a/entry/internal/batch/batch.go
+++ b/entry/internal/batch/batch.go
@@ -43,6 +43,7 @@
 	"bulrushspoke/entry/internal/reward"
 	"bulrushspoke/internal/catalog"
 	"bulrushspoke/internal/event"
+	"bulrushspoke/internal/fairness"
 	"bulrushspoke/internal/job"
 	"bulrushspoke/internal/link"
 	"bulrushspoke/internal/store"
@@ -128,6 +129,7 @@
 	Catalog        *catalog.Catalog
 	Pool           *upstream.Pool
 	Tracker        *place.Tracker
+	Turns          Turns         // nil to start the items of each job as servers have room
 	Retention      time.Duration // how long an ended job stays in memory, from its submission
 	MaxObjectBytes int           // largest object of the store in bytes
 	MaxOpenBytes   int64         // largest total size of the items of open jobs in bytes
@@ -153,8 +155,9 @@
 	lengths       *forecast.Forecast
 	readIntervals intervals
 	rewardTimes   *reward.HedgePolicy
-	slotFreed     chan struct{} // closed when a server slot becomes free
-	closed        bool          // set by Handover: no job is added any more
+	slotFreed     chan struct{}                                        // closed when a server slot becomes free
+	closed        bool                                                 // set by Handover: no job is added any more
+	flow          func(j *Job, r *catalog.Route) (fairness.Flow, bool) // whose share a job uses; false without workspaces
 }
 
 // New returns a Manager whose jobs run until ctx ends.
@@ -171,6 +174,7 @@
 		readIntervals: newIntervals(),
 		rewardTimes:   reward.NewHedgePolicy(),
 		slotFreed:     make(chan struct{}),
+		flow:          noFlow,
 	}
 }
 
--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -37,6 +37,7 @@
 	checkedAt      time.Time       // last read of the log for a client that was ahead of it
 	stateReadAt    time.Time       // last read of the state, or last attempt without an answer
 	startedAt      time.Time       // when this entry started to run the job
+	offeredTo      string          // service whose slots items were offered for; empty if none
 	estimatedAt    time.Time       // when remaining was computed
 	remaining      time.Duration   // expected time until the items that the trainer waits for are done
 	carried        map[string]bool // groups submitted again after an earlier job
--- a/entry/internal/batch/run.go
+++ b/entry/internal/batch/run.go
@@ -41,6 +41,7 @@
 
 // run starts items as servers have room until all are done or ctx ends.
 func (j *Job) run(ctx context.Context) {
+	defer j.withdrawOffer()
 	for {
 		freed, changed := j.manager.slotFreedChan(), j.manager.Catalog.Changed()
 		waiting := j.schedule(ctx)
@@ -89,19 +90,7 @@
 	// Selected before reward calls start, since these change their items when they end.
 	texts := slices.DeleteFunc(pending, func(it *item) bool { return it.textDone })
 	waiting := j.sendRewardCalls(ctx, c, now)
-	servers := j.manager.Catalog.Servers(route.Shares[0].Service)
-	for _, it := range texts {
-		s, ok := j.manager.Tracker.Start(now, servers, j.need(it, now))
-		if !ok {
-			waiting++
-			continue
-		}
-		j.startAttempt(it, func() {
-			for next := (&segment{server: s, startedAt: now}); next != nil; {
-				next = j.runAttempt(ctx, it, next, route)
-			}
-		})
-	}
+	waiting += j.startTexts(ctx, now, texts, route)
 	if j.openStatus() < 0 {
 		notify(j.listWake)
 		return -1
@@ -109,6 +98,36 @@
 	return waiting
 }
 
+// startTexts starts as many of the items as servers have room for and returns how many are waiting. Items of workspaces
+// share the servers with those of the other jobs of this entry.
+func (j *Job) startTexts(ctx context.Context, now time.Time, texts []*item, route *catalog.Route) int {
+	if f, ok := j.manager.flow(j, route); ok && j.manager.Turns != nil {
+		return j.offerTexts(ctx, now, texts, route, f)
+	}
+	waiting := 0
+	for _, it := range texts {
+		if !j.startText(ctx, now, it, route, func() {}) {
+			waiting++
+		}
+	}
+	return waiting
+}
+
+// startText starts an item if a server has room for it; ended is called after its attempts.
+func (j *Job) startText(ctx context.Context, now time.Time, it *item, route *catalog.Route, ended func()) bool {
+	s, ok := j.manager.Tracker.Start(now, j.manager.Catalog.Servers(route.Shares[0].Service), j.need(it, now))
+	if !ok {
+		return false
+	}
+	j.startAttempt(it, func() {
+		defer ended()
+		for next := (&segment{server: s, startedAt: now}); next != nil; {
+			next = j.runAttempt(ctx, it, next, route)
+		}
+	})
+	return true
+}
+
 // startAttempt runs an attempt of an item or of its reward call that is started in the tracker.
 func (j *Job) startAttempt(it *item, run func()) {
 	j.mu.Lock()
--- /dev/null
+++ b/entry/internal/batch/turn.go
@@ -0,0 +1,65 @@
+package batch
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"bulrushspoke/entry/internal/turn"
+	"bulrushspoke/internal/catalog"
+	"bulrushspoke/internal/fairness"
+)
+
+// Turns decides which job starts an item when a server has room.
+type Turns interface {
+	StartItems(now time.Time, job any, o turn.Offer) int
+	Withdraw(now time.Time, service string, job any)
+	ItemEnded(service string, f fairness.Flow)
+}
+
+// noFlow is the flow of all jobs while the configuration has no workspaces.
+func noFlow(*Job, *catalog.Route) (fairness.Flow, bool) { return fairness.Flow{}, false }
+
+// offerTexts offers the items that wait for a server, has those started whose turn it is, and returns how many still wait.
+func (j *Job) offerTexts(
+	ctx context.Context, now time.Time, texts []*item, route *catalog.Route, f fairness.Flow,
+) int {
+	service := route.Shares[0].Service
+	j.mu.Lock()
+	j.offeredTo = service
+	j.mu.Unlock()
+	open := slices.Clone(texts)
+	return j.manager.Turns.StartItems(now, j, turn.Offer{
+		Service: service, Flow: f, Waiting: len(open),
+		Start: func(now time.Time) bool {
+			if ctx.Err() != nil || !j.stateCurrent(now) {
+				return false
+			}
+			open = slices.DeleteFunc(open, j.startedOrDone)
+			for _, it := range open {
+				if j.startText(ctx, now, it, route, func() { j.manager.Turns.ItemEnded(service, f) }) {
+					return true
+				}
+			}
+			return false
+		},
+	})
+}
+
+// startedOrDone reports whether the text of an item needs no server any more. Another goroutine may have started it since
+// the item was offered.
+func (j *Job) startedOrDone(it *item) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return it.running || it.textDone || it.done
+}
+
+// withdrawOffer removes the offer of a job that runs no more items.
+func (j *Job) withdrawOffer() {
+	j.mu.Lock()
+	service := j.offeredTo
+	j.mu.Unlock()
+	if service != "" {
+		j.manager.Turns.Withdraw(time.Now(), service, j)
+	}
+}
--- a/entry/internal/cli/platform.go
+++ b/entry/internal/cli/platform.go
@@ -224,7 +224,7 @@
 	turns.Register()
 	p.task("shares", turns.Run)
 	p.batch = batch.New(lifetime, batch.Options{
-		Self: self, Name: s.Name, Cores: s.Cores, Store: objects, Peers: p.peers, Catalog: p.catalog, Pool: pool, Tracker: tracker,
+		Self: self, Name: s.Name, Cores: s.Cores, Store: objects, Peers: p.peers, Catalog: p.catalog, Pool: pool, Tracker: tracker, Turns: turns,
 		Retention: s.Bounds.ResultRetention, MaxObjectBytes: s.Store.MaxValueBytes, MaxOpenBytes: int64(bodyShare * float64(s.MemoryBytes)), Logger: p.logger, LinkRate: s.Bandwidth,
 		Outage: objects.Outage, Random: jitter,
 		Steps:     m.Histogram("step_part", "s", "Parts of the time until a step has what its trainer waits for, of its last item."),
