Name the terms of fair shares as usual in the field

Cause: several names and comments of internal/fairness (took, held, whole, water, stand, filled) were private terms.

Change: names only; Again is now Returned, took meanDuration, held lastCapacity, whole connectedCapacity, and the use of slots by a flow is flowUsage. No decision changes: the tests of internal/fairness and entry/internal/turn pass as before.

--- a/entry/internal/ingress/turn.go
+++ b/entry/internal/ingress/turn.go
@@ -19,15 +19,15 @@
 	NoRoom(service string, now time.Time)
 }
 
-// takeTurn decides whether a request may go to a server of a service, and waits for its turn if need be. again is true if
+// takeTurn decides whether a request may go to a server of a service, and waits for its turn if need be. returned is true if
 // the servers had no room for it.
-func (g *Ingress) takeTurn(ctx context.Context, q *request, service string, again bool) turn.Verdict {
+func (g *Ingress) takeTurn(ctx context.Context, q *request, service string, returned bool) turn.Verdict {
 	f, ok := g.flow(q)
 	if g.Turns == nil || !ok {
 		return turn.Verdict{OK: true}
 	}
 	now := time.Now()
-	return g.Turns.Admit(ctx, now, turn.Request{Service: service, Flow: f, Within: q.within(now), Again: again})
+	return g.Turns.Admit(ctx, now, turn.Request{Service: service, Flow: f, Within: q.within(now), Returned: returned})
 }
 
 // takesTurns reports whether a request waits for its turn. Without workspaces in the configuration, requests are placed at
--- a/entry/internal/ingress/turn_test.go
+++ b/entry/internal/ingress/turn_test.go
@@ -42,14 +42,14 @@
 		full       int // requests that the server refuses first
 		status     int
 		retryAfter string
-		again      []bool // what Admit was asked
+		returned   []bool // what Admit was asked
 		sent       int    // requests that the server got
 	}{
 		{name: "no workspace", status: 503, full: 9, retryAfter: "0.15", sent: 1},
-		{name: "room", workspace: "w", verdicts: []turn.Verdict{ok}, status: 200, again: []bool{false}, sent: 1},
-		{name: "refused", workspace: "w", verdicts: []turn.Verdict{refused}, status: 503, retryAfter: "0.7", again: []bool{false}},
-		{name: "waits", workspace: "w", verdicts: []turn.Verdict{ok, ok, ok}, full: 2, status: 200, again: []bool{false, true, true}, sent: 3},
-		{name: "no slot frees", workspace: "w", verdicts: []turn.Verdict{ok, refused}, full: 9, status: 503, retryAfter: "0.7", again: []bool{false, true}, sent: 1},
+		{name: "room", workspace: "w", verdicts: []turn.Verdict{ok}, status: 200, returned: []bool{false}, sent: 1},
+		{name: "refused", workspace: "w", verdicts: []turn.Verdict{refused}, status: 503, retryAfter: "0.7", returned: []bool{false}},
+		{name: "waits", workspace: "w", verdicts: []turn.Verdict{ok, ok, ok}, full: 2, status: 200, returned: []bool{false, true, true}, sent: 3},
+		{name: "no slot frees", workspace: "w", verdicts: []turn.Verdict{ok, refused}, full: 9, status: 503, retryAfter: "0.7", returned: []bool{false, true}, sent: 1},
 	} {
 		left := c.full
 		s := newServer(t, func(n net.Conn, q *http.Request, body string) bool {
@@ -71,11 +71,11 @@
 			t.Errorf("%s: got %d with Retry-After %q after %d requests at the server", c.name, resp.StatusCode,
 				resp.Header.Get("Retry-After"), len(s.requests()))
 		}
-		if len(f.asked) != len(c.again) {
+		if len(f.asked) != len(c.returned) {
 			t.Fatalf("%s: asked for %d turns", c.name, len(f.asked))
 		}
 		for i, a := range f.asked {
-			if a.Again != c.again[i] || a.Flow.Workspace != "w" || a.Flow.Level != 3 || a.Within <= 0 || a.Within > 200*time.Millisecond {
+			if a.Returned != c.returned[i] || a.Flow.Workspace != "w" || a.Flow.Level != 3 || a.Within <= 0 || a.Within > 200*time.Millisecond {
 				t.Errorf("%s: turn %d was asked for as %+v", c.name, i, a)
 			}
 		}
--- a/entry/internal/turn/turn.go
+++ b/entry/internal/turn/turn.go
@@ -103,10 +103,10 @@
 
 // Request is a request of a client.
 type Request struct {
-	Service string
-	Flow    fairness.Flow
-	Within  time.Duration // time left to answer it within its objective and its deadline
-	Again   bool          // all servers have refused it for lack of room since it was last admitted
+	Service  string
+	Flow     fairness.Flow
+	Within   time.Duration // time left to answer it within its objective and its deadline
+	Returned bool          // all servers have refused it for lack of room since it was last admitted
 }
 
 // Verdict says whether a request may go to a server now.
@@ -154,7 +154,7 @@
 	full := t.full(now, servers)
 	s := t.service(r.Service)
 	d, decided := t.decide(s, now, fairness.Request{
-		Flow: r.Flow, Within: r.Within, Again: r.Again, Slots: slots(servers), Full: full,
+		Flow: r.Flow, Within: r.Within, Returned: r.Returned, Slots: slots(servers), Full: full,
 	})
 	switch d.Action {
 	case fairness.Go:
--- a/internal/fairness/fairness.go
+++ b/internal/fairness/fairness.go
@@ -7,7 +7,7 @@
 //	d := q.Admit(now, request)              // Go, Wait with a ticket, or Refuse with a time to come back
 //	t, ok := q.Next(now)                    // a ticket whose turn it is, or whose time has run out
 //	at, ok := q.Wake(now)                   // call Next again at this time
-//	q.Answered(now, took)                   // a server has answered a request
+//	q.Answered(now, duration)               // a server has answered a request
 //	q.Refused(now)                          // a server had no room for a request
 //	r, ok := q.Report(now)                  // to be sent to the other entries, which call Apply
 //
@@ -94,15 +94,15 @@
 	return level, ok
 }
 
-// fill raises what the flows of a level are granted to a common level of water for each unit of weight, but to no more than
-// their demands, and returns how much of rest it has used.
+// fill raises the grants of the flows of a level to a common water-filling level for each unit of weight, but no grant above
+// its demand, and returns how much of rest it has used.
 func fill(rest float64, level int, demands []Demand, granted []float64) float64 {
-	// raised returns how much a water level adds to the grants of the level.
-	raised := func(water float64) float64 {
+	// increase returns how much a water-filling level adds to the grants.
+	increase := func(waterLevel float64) float64 {
 		sum := 0.0
 		for i, d := range demands {
 			if d.Flow.Level == level {
-				sum += filled(water, d, granted[i]) - granted[i]
+				sum += grantAt(waterLevel, d, granted[i]) - granted[i]
 			}
 		}
 		return sum
@@ -113,32 +113,33 @@
 			high = max(high, d.Amount/d.weight())
 		}
 	}
-	water := high
-	if raised(high) > rest {
+	waterLevel := high
+	if increase(high) > rest {
 		const steps = 40 // halvings of the interval; the error is below a millionth of the largest demand
 		low := 0.0
 		for range steps {
-			if water = (low + high) / 2; raised(water) > rest {
-				high = water
+			if waterLevel = (low + high) / 2; increase(waterLevel) > rest {
+				high = waterLevel
 			} else {
-				low = water
+				low = waterLevel
 			}
 		}
-		water = low
+		waterLevel = low
 	}
 	used := 0.0
 	for i, d := range demands {
 		if d.Flow.Level == level {
 			before := granted[i]
-			granted[i] = filled(water, d, before)
+			granted[i] = grantAt(waterLevel, d, before)
 			used += granted[i] - before
 		}
 	}
 	return used
 }
 
-func filled(water float64, d Demand, granted float64) float64 {
-	return max(granted, min(d.Amount, water*d.weight()))
+// grantAt returns the grant of a demand at a water-filling level.
+func grantAt(waterLevel float64, d Demand, granted float64) float64 {
+	return max(granted, min(d.Amount, waterLevel*d.weight()))
 }
 
 func (d Demand) weight() float64 {
--- a/internal/fairness/queue.go
+++ b/internal/fairness/queue.go
@@ -14,18 +14,18 @@
 	// reportTTL is how long a report of another entry counts: that of three reports (package turn), so that a lost message
 	// changes nothing.
 	reportTTL = 500 * time.Millisecond
-	// settleTime is the time until the reports of other entries have arrived. Until then an entry takes it that a crowd has
-	// come to all entries alike.
+	// settleTime is the time until the reports of other entries have arrived. Until then an entry assumes equal demand at all
+	// entries.
 	settleTime = 50 * time.Millisecond
 	// headroom is the factor by which entries exceed the measured rate of a service while it refuses requests. Without it
-	// they would not notice that it has become faster; with 1.1 a third more attempts were refused. headroomStep is the time without refusals in which it grows by the
-	// same factor once more, up to maxHeadroom.
+	// they would not notice that it has become faster; with 1.1 a third more attempts were refused. headroomStep is the time
+	// without refusals in which it grows by the same factor once more, up to maxHeadroom.
 	headroom     = 1.05
 	headroomStep = 50 * time.Millisecond
 	maxHeadroom  = 8
-	// wholeTTL is how long the rate counts that a service had when all entries heard each other. Entries that cannot hear
+	// connectedTTL is how long the rate counts that a service had when all entries heard each other. Entries that cannot hear
 	// each other use their part of it for at most 15 s (peer.Share).
-	wholeTTL = 30 * time.Second
+	connectedTTL = 30 * time.Second
 	// allocateInterval is the time between two divisions of the capacity, unless a demand doubles. A division among 81
 	// workspaces with the reports of 22 entries takes 130 us, so that this costs 0.5% of a core.
 	allocateInterval = 25 * time.Millisecond
@@ -41,8 +41,8 @@
 	returnMargin = 1.5
 	// estimateMargin is the factor by which the estimated wait may be exceeded.
 	estimateMargin = 1.6
-	// defaultTook is assumed for a service that has not answered yet, as in package place.
-	defaultTook = 30 * time.Millisecond
+	// defaultDuration is assumed for a service that has not answered yet, as in package place.
+	defaultDuration = 30 * time.Millisecond
 	// maxWaiting bounds the requests that wait for a service at one entry. Their bodies are in memory.
 	maxWaiting = 256
 	// minRetryAfter is the shortest time to come back, about one round trip of a client. maxRetryAfter is the longest one:
@@ -51,9 +51,9 @@
 	maxRetryAfter = 4 * time.Second
 	// minFlowRate is the rate in requests a second below which a demand is neither reported nor divided.
 	minFlowRate = 0.05
-	// minBurst is the rate in requests a second up to which the growth of a demand changes the shares only at the next regular
+	// minReallocationRate is the rate in requests a second up to which the growth of a demand changes the shares only at the next regular
 	// division.
-	minBurst = 10
+	minReallocationRate = 10
 	// flowTTL is how long the state of an idle flow is kept.
 	flowTTL = 10 * time.Second
 	// satisfiedPart is the part of its demand from which a flow counts as getting what it asks for.
@@ -62,11 +62,11 @@
 
 // Request is a request that asks for a server.
 type Request struct {
-	Flow   Flow
-	Within time.Duration // time left to answer it within its objective and its deadline
-	Again  bool          // all servers have refused it since it was last let go
-	Slots  int           // slots of the service
-	Full   bool          // all slots are in use as far as known
+	Flow     Flow
+	Within   time.Duration // time left to answer it within its objective and its deadline
+	Returned bool          // all servers have refused it since it was last let go
+	Slots    int           // slots of the service
+	Full     bool          // all slots are in use as far as known
 }
 
 // Action says what is to be done with a request.
@@ -89,7 +89,7 @@
 // Ticket is a waiting request.
 type Ticket struct {
 	flow       *flowState
-	again      bool
+	returned   bool
 	notBefore  time.Time
 	due        time.Time // latest time to start
 	refused    bool
@@ -115,32 +115,32 @@
 	share   func(now time.Time) float64
 	entries func() int
 
-	flows        map[Flow]*flowState
-	list         []*flowState // in the order of their first requests, so that the same calls give the same decisions
-	waiting      int
-	waitingAgain int // those of them that servers have had no room for
-	answered     rate
-	took         time.Duration // moving average of the time of an answer
-	slots        int
-	remote       map[string]remoteReport
-
-	refusedAt time.Time // last sign of this entry's own that slots are short
-	heardAt   time.Time // last sign of that from another entry
-	whole     float64   // rate of the service when all entries heard each other
-	wholeAt   time.Time
-
-	scarceSince time.Time
-	held        float64 // last estimate of the capacity
-	heldAt      time.Time
-	allocatedAt time.Time
-	limitedRate float64   // sum of the rates of the limited flows
-	demandPart  float64   // part of the demand that has come to this entry
-	returnAt    time.Time // when the next refused request of a flow within its share may come back
-	entryRate   float64   // sum of the rates of all flows
-	order       *Order    // of the limited flows
-	satisfied   *Order    // of the flows within their share
-	tokens      float64   // requests of limited flows that may go now
-	tokensAt    time.Time
+	flows           map[Flow]*flowState
+	list            []*flowState // in the order of their first requests, so that the same calls give the same decisions
+	waiting         int
+	waitingReturned int // those of them that servers have had no room for
+	answered        rate
+	meanDuration    time.Duration // moving average of the time of an answer
+	slots           int
+	remote          map[string]remoteReport
+
+	refusedAt           time.Time // last sign of this entry's own that slots are short
+	heardAt             time.Time // last sign of that from another entry
+	connectedCapacity   float64   // rate of the service when all entries heard each other
+	connectedCapacityAt time.Time
+
+	scarceSince      time.Time
+	lastCapacity     float64 // last estimate of the capacity
+	lastCapacityAt   time.Time
+	allocatedAt      time.Time
+	limitedRate      float64   // sum of the rates of the limited flows
+	localDemandShare float64   // part of the demand that has come to this entry
+	returnAt         time.Time // when the next refused request of a flow within its share may come back
+	entryRate        float64   // sum of the rates of all flows
+	order            *Order    // of the limited flows
+	satisfied        *Order    // of the flows within their share
+	tokens           float64   // requests of limited flows that may go now
+	tokensAt         time.Time
 }
 
 type remoteReport struct {
@@ -181,30 +181,30 @@
 // Admit decides about a request.
 func (q *Queue) Admit(now time.Time, r Request) Decision {
 	f := q.flow(r.Flow, now)
-	if !r.Again {
+	if !r.Returned {
 		f.arrivals.add(now)
 	}
 	q.slots = r.Slots
-	if r.Full || r.Again {
+	if r.Full || r.Returned {
 		q.refusedAt = now
 	}
 	if !q.Scarce(now) {
 		return Decision{}
 	}
 	// A burst of requests changes the shares at once.
-	if f.arrivals.perSecond(now) > 2*max(f.demand, minBurst) {
+	if f.arrivals.perSecond(now) > 2*max(f.demand, minReallocationRate) {
 		q.allocatedAt = now.Add(-allocateInterval)
 	}
 	q.update(now)
-	if !r.Again && len(f.waiting) == 0 && q.mayGo(f, now, r.Full) && q.first(f) {
+	if !r.Returned && len(f.waiting) == 0 && q.eligible(f, now, r.Full) && q.first(f) {
 		q.charge(f)
 		return Decision{}
 	}
-	t := &Ticket{flow: f, again: r.Again, due: now.Add(r.Within - q.took)}
+	t := &Ticket{flow: f, returned: r.Returned, due: now.Add(r.Within - q.meanDuration)}
 	wait := q.estimate(f, now)
-	if r.Again {
+	if r.Returned {
 		t.notBefore = now.Add(returnPause)
-		wait = returnPause + seconds(float64(q.waitingAgain)/q.rateHere(now))
+		wait = returnPause + seconds(float64(q.waitingReturned)/q.rateHere(now))
 	}
 	if q.waiting >= maxWaiting || now.Add(time.Duration(estimateMargin*float64(wait))).After(t.due) {
 		return Decision{Action: Refuse, RetryAfter: q.retryAfter(f, wait, now)}
@@ -216,11 +216,11 @@
 // enqueue adds a ticket to those of its flow. Requests that have been let go before come first.
 func (q *Queue) enqueue(t *Ticket) {
 	f, at := t.flow, len(t.flow.waiting)
-	if t.again {
-		if at = slices.IndexFunc(f.waiting, func(o *Ticket) bool { return !o.again }); at < 0 {
+	if t.returned {
+		if at = slices.IndexFunc(f.waiting, func(o *Ticket) bool { return !o.returned }); at < 0 {
 			at = len(f.waiting)
 		}
-		q.waitingAgain++
+		q.waitingReturned++
 	}
 	f.waiting = slices.Insert(f.waiting, at, t)
 	q.waiting++
@@ -237,14 +237,14 @@
 	return f
 }
 
-// mayGo reports whether a request of a flow may go. Limited flows go by their rate, or by the slots known to be free if this
+// eligible reports whether a request of a flow may go. Limited flows go by their rate, or by the slots known to be free if this
 // entry shares the service with no other one.
-func (q *Queue) mayGo(f *flowState, now time.Time, full bool) bool {
-	return !full && (!f.limited || q.tokens >= 1 || q.alone(now))
+func (q *Queue) eligible(f *flowState, now time.Time, full bool) bool {
+	return !full && (!f.limited || q.tokens >= 1 || q.soleEntry(now))
 }
 
-// alone reports whether no other entry is known to use the service, and none that runs is out of reach.
-func (q *Queue) alone(now time.Time) bool {
+// soleEntry reports whether no other entry is known to use the service, and none that runs is out of reach.
+func (q *Queue) soleEntry(now time.Time) bool {
 	for _, r := range q.remote {
 		if now.Sub(r.at) < reportTTL && len(r.report.Demands) > 0 {
 			return false
@@ -304,15 +304,15 @@
 
 // rateHere returns the rate at which requests of this entry are served.
 func (q *Queue) rateHere(now time.Time) float64 {
-	return max(q.entryRate, q.answered.corrected(now), q.held*q.part(now))
+	return max(q.entryRate, q.answered.corrected(now), q.lastCapacity*q.demandShare(now))
 }
 
-// part returns the part of the demand that has come to this entry.
-func (q *Queue) part(now time.Time) float64 {
+// demandShare returns the part of the demand that has come to this entry.
+func (q *Queue) demandShare(now time.Time) float64 {
 	if q.unsettled(now) {
 		return 1 / float64(max(q.entries(), 1))
 	}
-	return q.demandPart
+	return q.localDemandShare
 }
 
 // unsettled reports whether slots have become short so recently that other entries have not reported yet.
@@ -352,9 +352,9 @@
 	perSecond, returnAt := f.rate, &f.returnAt
 	switch {
 	case !f.limited: // refused because all slots are in use, by whatever flow
-		perSecond, returnAt = q.held*q.part(now), &q.returnAt
+		perSecond, returnAt = q.lastCapacity*q.demandShare(now), &q.returnAt
 	case q.unsettled(now):
-		perSecond *= q.part(now)
+		perSecond *= q.demandShare(now)
 	}
 	at := now.Add(max(wait, minRetryAfter))
 	if at.Before(*returnAt) {
@@ -393,7 +393,7 @@
 		if len(f.waiting) == 0 || now.Before(f.waiting[0].notBefore) {
 			continue
 		}
-		if scarce && !q.mayGo(f, now, full) {
+		if scarce && !q.eligible(f, now, full) {
 			continue
 		}
 		if best == nil || q.before(f, best) {
@@ -416,8 +416,8 @@
 	if i := slices.Index(t.flow.waiting, t); i >= 0 {
 		t.flow.waiting = slices.Delete(t.flow.waiting, i, i+1)
 		q.waiting--
-		if t.again {
-			q.waitingAgain--
+		if t.returned {
+			q.waitingReturned--
 		}
 	}
 }
@@ -450,10 +450,10 @@
 func (q *Queue) Answered(now time.Time, took time.Duration) {
 	const weight = 0.1 // of the newest answer
 	q.answered.add(now)
-	if q.took == 0 {
-		q.took = took
+	if q.meanDuration == 0 {
+		q.meanDuration = took
 	}
-	q.took += time.Duration(weight * float64(took-q.took))
+	q.meanDuration += time.Duration(weight * float64(took-q.meanDuration))
 }
 
 // Refused records that a server had no room for a request.
@@ -485,7 +485,7 @@
 // update brings the tokens and the shares of the flows up to now.
 func (q *Queue) update(now time.Time) {
 	if now.Sub(q.tokensAt) >= scarceTime {
-		q.scarceSince, q.held = now, 0
+		q.scarceSince, q.lastCapacity = now, 0
 	}
 	if !q.tokensAt.IsZero() {
 		q.tokens += max(now.Sub(q.tokensAt).Seconds(), 0) * q.limitedRate
@@ -549,14 +549,14 @@
 			q.limitedRate += f.rate
 		}
 	}
-	q.demandPart = own / max(all, own, minFlowRate)
+	q.localDemandShare = own / max(all, own, minFlowRate)
 }
 
 // capacity estimates the rate at which the service answers the requests of the entries that hear each other.
 func (q *Queue) capacity(now time.Time) float64 {
-	took := q.took
+	took := q.meanDuration
 	if took == 0 {
-		took = defaultTook
+		took = defaultDuration
 	}
 	estimate := q.answered.corrected(now)
 	for _, entry := range slices.Sorted(maps.Keys(q.remote)) {
@@ -571,17 +571,17 @@
 	// Without refusals the rate of answers is that of the requests again, and the last estimate counts. A burst of refusals
 	// may follow a pause, which the measured rate contains.
 	if now.Sub(q.lastSign()) < headroomStep {
-		q.held *= math.Exp(-now.Sub(q.heldAt).Seconds() / rateWindow.Seconds())
+		q.lastCapacity *= math.Exp(-now.Sub(q.lastCapacityAt).Seconds() / rateWindow.Seconds())
 	}
-	estimate = max(estimate, q.held)
-	q.held, q.heldAt = estimate, now
+	estimate = max(estimate, q.lastCapacity)
+	q.lastCapacity, q.lastCapacityAt = estimate, now
 	share := q.share(now)
 	if share >= 1 {
-		q.whole, q.wholeAt = estimate, now
+		q.connectedCapacity, q.connectedCapacityAt = estimate, now
 		return max(estimate, minFlowRate)
 	}
-	if now.Sub(q.wholeAt) < wholeTTL {
-		estimate = min(estimate, share*q.whole)
+	if now.Sub(q.connectedCapacityAt) < connectedTTL {
+		estimate = min(estimate, share*q.connectedCapacity)
 	}
 	return max(estimate, minFlowRate)
 }
--- a/internal/fairness/sim_test.go
+++ b/internal/fairness/sim_test.go
@@ -185,7 +185,7 @@
 	s.admit(e, c.flow, s.now, false, answered, refused)
 }
 
-func (s *sim) admit(e *simEntry, f Flow, arrived time.Duration, again bool, answered func(), refused func(time.Duration)) {
+func (s *sim) admit(e *simEntry, f Flow, arrived time.Duration, returned bool, answered func(), refused func(time.Duration)) {
 	send := func() {
 		s.send(e, nil, answered, func() {
 			if !s.fair {
@@ -200,7 +200,7 @@
 		return
 	}
 	d := e.queue.Admit(s.clock(), Request{
-		Flow: f, Within: objective - (s.now - arrived), Again: again, Slots: len(s.servers) * s.slots, Full: s.full(e),
+		Flow: f, Within: objective - (s.now - arrived), Returned: returned, Slots: len(s.servers) * s.slots, Full: s.full(e),
 	})
 	switch d.Action {
 	case Go:
--- a/internal/fairness/slots.go
+++ b/internal/fairness/slots.go
@@ -32,7 +32,7 @@
 	declined map[Flow]time.Time
 	yields   map[Flow]yield
 
-	standings map[Flow]standing // as of Begin
+	usages map[Flow]flowUsage // as of Begin
 }
 
 type remoteUse struct {
@@ -60,9 +60,9 @@
 	u := s.use(f)
 	u.Running++
 	u.Waiting = max(u.Waiting-1, 0)
-	if t, ok := s.standings[f]; ok {
+	if t, ok := s.usages[f]; ok {
 		t.use.Running++
-		s.standings[f] = t
+		s.usages[f] = t
 	}
 }
 
@@ -126,14 +126,14 @@
 	s.remote[entry] = remoteUse{uses: uses, at: now}
 }
 
-// standing is the use of the slots by one flow at all entries.
-type standing struct {
+// flowUsage is the use of the slots by one flow at all entries.
+type flowUsage struct {
 	use     Use
 	granted float64 // slots
 }
 
 // Begin prepares for calls of Next at the given time, for a service with the given number of slots.
-func (s *Slots) Begin(now time.Time, slots int) { s.standings = s.stand(now, slots) }
+func (s *Slots) Begin(now time.Time, slots int) { s.usages = s.usage(now, slots) }
 
 // Next returns which of the candidates, flows with work that waits at this entry, is to start next. It returns false if a
 // free slot is left to another entry for the moment. A candidate that cannot use the free slots is to be left out of the
@@ -141,7 +141,7 @@
 func (s *Slots) Next(now time.Time, candidates []Flow) (Flow, bool) {
 	remaining := slices.Clone(candidates)
 	slices.SortFunc(remaining, func(a, b Flow) int {
-		return cmp.Or(cmp.Compare(s.standings[a].filled(), s.standings[b].filled()), a.compare(b))
+		return cmp.Or(cmp.Compare(s.usages[a].fillRatio(), s.usages[b].fillRatio()), a.compare(b))
 	})
 	for _, f := range remaining {
 		if !s.yieldsTo(now, f) {
@@ -151,14 +151,14 @@
 	return Flow{}, false
 }
 
-// filled returns which part of its share a flow would have with one more slot.
-func (s standing) filled() float64 { return float64(s.use.Running+1) / max(s.granted, 1e-9) }
+// fillRatio returns which part of its share a flow would have with one more slot.
+func (s flowUsage) fillRatio() float64 { return float64(s.use.Running+1) / max(s.granted, 1e-9) }
 
-// exceeds reports whether a flow would have more than its share with one more slot. Each flow may have one.
-func (s standing) exceeds() bool { return float64(s.use.Running+1) > max(s.granted, 1) }
+// wouldExceedShare reports whether a flow would have more than its share with one more slot. Each flow may have one.
+func (s flowUsage) wouldExceedShare() bool { return float64(s.use.Running+1) > max(s.granted, 1) }
 
-// stand returns the use of the slots by flow, over all entries that have reported.
-func (s *Slots) stand(now time.Time, slots int) map[Flow]standing {
+// usage returns the use of the slots by flow, over all entries that have reported.
+func (s *Slots) usage(now time.Time, slots int) map[Flow]flowUsage {
 	uses := make(map[Flow]Use)
 	add := func(u Use) {
 		sum := uses[u.Flow]
@@ -182,9 +182,9 @@
 	}
 	slices.SortFunc(demands, func(a, b Demand) int { return a.Flow.compare(b.Flow) })
 	granted := Allocate(float64(slots), demands)
-	m := make(map[Flow]standing, len(demands))
+	m := make(map[Flow]flowUsage, len(demands))
 	for i, d := range demands {
-		m[d.Flow] = standing{use: uses[d.Flow], granted: granted[i]}
+		m[d.Flow] = flowUsage{use: uses[d.Flow], granted: granted[i]}
 	}
 	return m
 }
@@ -192,8 +192,8 @@
 // yieldsTo reports whether a flow leaves a free slot to a flow that waits at another entry and lacks a whole slot of its
 // share, while this flow has its share.
 func (s *Slots) yieldsTo(now time.Time, f Flow) bool {
-	own := s.standings[f]
-	if !own.exceeds() {
+	own := s.usages[f]
+	if !own.wouldExceedShare() {
 		delete(s.yields, f)
 		return false
 	}
@@ -217,20 +217,20 @@
 
 // lacking returns the flow other than f that has least of its share of those that wait at other entries and lack a whole
 // slot.
-func (s *Slots) lacking(now time.Time, f Flow) (standing, bool) {
-	var least standing
+func (s *Slots) lacking(now time.Time, f Flow) (flowUsage, bool) {
+	var least flowUsage
 	found := false
 	for _, r := range s.remote {
 		for _, u := range r.uses {
-			o := s.standings[u.Flow]
-			if u.Flow == f || u.Waiting == 0 || o.exceeds() {
+			o := s.usages[u.Flow]
+			if u.Flow == f || u.Waiting == 0 || o.wouldExceedShare() {
 				continue
 			}
 			if at, ok := s.declined[u.Flow]; ok && now.Sub(at) < declineTime {
 				continue
 			}
-			if !found || o.filled() < least.filled() ||
-				o.filled() == least.filled() && u.Flow.compare(least.use.Flow) < 0 {
+			if !found || o.fillRatio() < least.fillRatio() ||
+				o.fillRatio() == least.fillRatio() && u.Flow.compare(least.use.Flow) < 0 {
 				least, found = o, true
 			}
 		}
