Count only requests that no server takes as a sign of shortage

Cause: each refusal by a server counted, so that one shedding server of six made the whole service short of slots, and a growing load was refused at five idle servers.

Change: recordOutcome reports no single refusals; a returned request (all servers refused it), a request under no limit and all slots in use are the signs.

Ruled out: a longer back-off of the refusing server in the placement (requests would still meet it first now and then).

--- a/entry/internal/ingress/forward.go
+++ b/entry/internal/ingress/forward.go
@@ -224,9 +224,6 @@
 		g.Tracker.Ended(s.ID, "", place.Abandoned, 0, now)
 	case a.outcome == notRun:
 		g.Tracker.Ended(s.ID, "", place.Refused, 0, now)
-		if a.noRoom && g.Turns != nil {
-			g.Turns.NoRoom(s.Service, now)
-		}
 	case a.outcome == lost:
 		g.Tracker.Ended(s.ID, "", place.Failed, 0, now)
 	case ctx.Err() != nil:
--- a/entry/internal/turn/turn.go
+++ b/entry/internal/turn/turn.go
@@ -273,7 +273,7 @@
 	t.dispatch(s, now)
 }
 
-// NoRoom records that a server of a service had no room for a request.
+// NoRoom records that no server of a service had room for a request.
 func (t *Turns) NoRoom(service string, now time.Time) {
 	s := t.known(service)
 	if s == nil {
--- a/internal/fairness/fairness.go
+++ b/internal/fairness/fairness.go
@@ -8,7 +8,7 @@
 //	t, ok := q.Next(now)                    // a ticket whose turn it is, or whose time has run out
 //	at, ok := q.Wake(now)                   // call Next again at this time
 //	q.Answered(now, duration)               // a server has answered a request
-//	q.Refused(now)                          // a server had no room for a request
+//	q.Refused(now)                          // no server had room for a request
 //	r, ok := q.Report(now)                  // to be sent to the other entries, which call Apply
 //
 //	s := fairness.NewSlots()                // the same shares for work that holds slots for seconds
--- a/internal/fairness/queue.go
+++ b/internal/fairness/queue.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// scarceTime is how long a service counts as short of slots after a server had no room. Under overload entries ask for
+	// scarceTime is how long a service counts as short of slots after no server had room for a request. Under overload entries ask for
 	// a little more than the servers take, so that refusals follow each other much faster.
 	scarceTime = 500 * time.Millisecond
 	// reportTTL is how long a report of another entry counts: that of three reports (package turn), so that a lost message
@@ -456,7 +456,8 @@
 	q.meanDuration += time.Duration(weight * float64(took-q.meanDuration))
 }
 
-// Refused records that a server had no room for a request.
+// Refused records that no server had room for a request. A refusal that another server makes good is no sign of a shortage: the
+// refusing server may shed load while the others are idle.
 func (q *Queue) Refused(now time.Time) { q.refusedAt = now }
 
 // Apply records the report of another entry.
