Leave free slots to all lacking flows at the same time

Cause: the wait for a flow that lacks a slot began again when another flow became the one that lacks most, and flows that could not use a slot were passed over one by one for 2 s, so that two of them with changing numbers of items, or ten of them, kept a free slot idle for good. Flows that had ended stayed in the table.

Change: each lacking flow has its own time, and these run at the same time; those that declined are tried again together. A flow is forgotten once it has lacked nothing for 2 s.

Ruled out: declining all lacking flows when one has declined (a flow that begins to lack late would get no time); trying again by flow (eight flows that decline one after another would add up to the whole time).

--- a/internal/fairness/slots.go
+++ b/internal/fairness/slots.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -10,8 +11,9 @@
 	// yieldTime is how long an entry leaves a free slot to a flow that has less than its share at another entry. That entry
 	// learns of the slot within 100 ms (package occupancy) and looks for slots as often.
 	yieldTime = 250 * time.Millisecond
-	// declineTime is how long a flow at another entry is passed over that did not take the slots that were left to it, such as
-	// one whose items need a weight version that the engine does not have.
+	// declineTime is how long flows at other entries are passed over that did not take the slots that were left to them, such as
+	// those whose items need a weight version that the engine does not have. All of them are tried again at the same time: one
+	// after another, eight of them would keep a slot idle for good.
 	declineTime = 2 * time.Second
 )
 
@@ -27,10 +29,10 @@
 // The flow that has least of its share goes next. A flow beyond its share takes any slot that no flow below its share
 // wants.
 type Slots struct {
-	own      map[Flow]*Use
-	remote   map[string]remoteUse
-	declined map[Flow]time.Time
-	yields   map[Flow]yield
+	own        map[Flow]*Use
+	remote     map[string]remoteUse
+	lacking    map[Flow]*lack // flows that free slots have been left to
+	declinedAt time.Time      // when the first of the declined flows declined, or zero
 
 	usages map[Flow]flowUsage // as of Begin
 }
@@ -40,19 +42,17 @@
 	at   time.Time
 }
 
-// yield is a slot that is left to other flows.
-type yield struct {
-	since   time.Time
-	to      Flow
-	running int // of the other flow at that time
+// lack is what an entry knows of a flow at other entries that it leaves free slots to.
+type lack struct {
+	waited   time.Duration // for which slots were left to it
+	at       time.Time     // of the last look
+	running  int           // at that time
+	declined bool
 }
 
 // NewSlots returns a Slots without any work.
 func NewSlots() *Slots {
-	return &Slots{
-		own: make(map[Flow]*Use), remote: make(map[string]remoteUse), declined: make(map[Flow]time.Time),
-		yields: make(map[Flow]yield),
-	}
+	return &Slots{own: make(map[Flow]*Use), remote: make(map[string]remoteUse), lacking: make(map[Flow]*lack)}
 }
 
 // Started records that work of a flow that waited has been started.
@@ -92,7 +92,6 @@
 func (s *Slots) drop(u *Use) {
 	if u.Running == 0 && u.Waiting == 0 {
 		delete(s.own, u.Flow)
-		delete(s.yields, u.Flow)
 	}
 }
 
@@ -133,7 +132,11 @@
 }
 
 // Begin prepares for calls of Next at the given time, for a service with the given number of slots.
-func (s *Slots) Begin(now time.Time, slots int) { s.usages = s.usage(now, slots) }
+func (s *Slots) Begin(now time.Time, slots int) {
+	s.usages = s.usage(now, slots)
+	// A flow is remembered after it has stopped to wait, so that one whose reports change all the time is not new each time.
+	maps.DeleteFunc(s.lacking, func(_ Flow, l *lack) bool { return now.Sub(l.at) >= declineTime })
+}
 
 // Next returns which of the candidates, flows with work that waits at this entry, is to start next. It returns false if a
 // free slot is left to another entry for the moment. A candidate that cannot use the free slots is to be left out of the
@@ -144,7 +147,7 @@
 		return cmp.Or(cmp.Compare(s.usages[a].fillRatio(), s.usages[b].fillRatio()), a.compare(b))
 	})
 	for _, f := range remaining {
-		if !s.yieldsTo(now, f) {
+		if !s.yields(now, f) {
 			return f, true
 		}
 	}
@@ -189,51 +192,53 @@
 	return m
 }
 
-// yieldsTo reports whether a flow leaves a free slot to a flow that waits at another entry and lacks a whole slot of its
-// share, while this flow has its share.
-func (s *Slots) yieldsTo(now time.Time, f Flow) bool {
-	own := s.usages[f]
-	if !own.wouldExceedShare() {
-		delete(s.yields, f)
-		return false
-	}
-	other, ok := s.lacking(now, f)
-	if !ok {
-		delete(s.yields, f)
+// yields reports whether a flow leaves a free slot to flows that wait at other entries and lack a whole slot of their shares,
+// while this flow has its share. Each of them has yieldTime from the moment when it begins to lack, and from each slot that it
+// takes.
+func (s *Slots) yields(now time.Time, f Flow) bool {
+	if !s.usages[f].wouldExceedShare() {
 		return false
 	}
-	y, yielding := s.yields[f]
-	if !yielding || y.to != other.use.Flow || other.use.Running > y.running {
-		s.yields[f] = yield{since: now, to: other.use.Flow, running: other.use.Running}
-		return true
-	}
-	if now.Sub(y.since) < yieldTime {
-		return true
+	if !s.declinedAt.IsZero() && now.Sub(s.declinedAt) >= declineTime {
+		s.declinedAt = time.Time{}
+		for _, l := range s.lacking {
+			if l.declined {
+				l.declined, l.waited, l.at = false, 0, now
+			}
+		}
 	}
-	s.declined[other.use.Flow] = now
-	delete(s.yields, f)
-	return false
-}
-
-// lacking returns the flow other than f that has least of its share of those that wait at other entries and lack a whole
-// slot.
-func (s *Slots) lacking(now time.Time, f Flow) (flowUsage, bool) {
-	var least flowUsage
-	found := false
+	yields := false
 	for _, r := range s.remote {
 		for _, u := range r.uses {
-			o := s.usages[u.Flow]
-			if u.Flow == f || u.Waiting == 0 || o.wouldExceedShare() {
-				continue
-			}
-			if at, ok := s.declined[u.Flow]; ok && now.Sub(at) < declineTime {
-				continue
-			}
-			if !found || o.fillRatio() < least.fillRatio() ||
-				o.fillRatio() == least.fillRatio() && u.Flow.compare(least.use.Flow) < 0 {
-				least, found = o, true
+			if u.Flow != f && u.Waiting > 0 && !s.usages[u.Flow].wouldExceedShare() && s.awaits(now, u.Flow) {
+				yields = true
 			}
 		}
 	}
-	return least, found
+	return yields
+}
+
+// awaits reports whether a free slot is left to a flow that lacks one, and counts the time for which that has been so.
+func (s *Slots) awaits(now time.Time, f Flow) bool {
+	// Between two looks there may have been no free slot, so that a long time between them does not count in full.
+	const maxStep = yieldTime / 2
+	running := s.usages[f].use.Running
+	l := s.lacking[f]
+	if l == nil {
+		l = &lack{at: now, running: running}
+		s.lacking[f] = l
+	}
+	if running > l.running {
+		l.waited, l.declined = 0, false
+	} else {
+		l.waited += min(now.Sub(l.at), maxStep)
+	}
+	l.at, l.running = now, running
+	if !l.declined && l.waited >= yieldTime {
+		l.declined = true
+		if s.declinedAt.IsZero() {
+			s.declinedAt = now
+		}
+	}
+	return !l.declined
 }
--- a/internal/fairness/slots_test.go
+++ b/internal/fairness/slots_test.go
@@ -1,6 +1,7 @@
 package fairness
 
 import (
+	"fmt"
 	"maps"
 	"math"
 	"math/rand/v2"
@@ -155,3 +156,83 @@
 		}
 	}
 }
+
+// Guards against slots that stay idle for flows at other entries that cannot take them, however many these are and however
+// their numbers of waiting items change, and against a flow that begins to lack late and gets no time of its own.
+func TestUnfitFlowsDoNotKeepSlotsIdle(t *testing.T) {
+	big := Flow{Workspace: "big"}
+	const look = 5 * time.Millisecond
+	for _, n := range []int{2, 10, 20} {
+		for _, alternate := range []bool{false, true} {
+			s := NewSlots()
+			s.SetWaiting(big, 1000)
+			for range 14 {
+				s.Started(big)
+			}
+			now, started, looks := epoch, 0, int(10*time.Second/look)
+			for i := range looks {
+				now = now.Add(look)
+				if i%30 == 0 {
+					var uses []Use
+					for k := range n {
+						waiting := 5
+						if alternate {
+							waiting += (i/30 + k) % 2 * 2
+						}
+						uses = append(uses, Use{Flow: Flow{Workspace: fmt.Sprint("unfit", k)}, Waiting: waiting})
+					}
+					s.Apply("b", uses, now)
+				}
+				s.Begin(now, 16)
+				if f, ok := s.Next(now, []Flow{big}); ok {
+					s.Started(f)
+					s.Ended(f)
+					s.SetWaiting(big, 1000)
+					started++
+				}
+			}
+			t.Logf("%d unfit flows, alternating=%t: %d starts in %d looks", n, alternate, started, looks)
+			// A flow is waited for once in each declineTime, and all of them at the same time.
+			if least := float64(looks) * (1 - 1.1*float64(yieldTime)/float64(declineTime)); float64(started) < least {
+				t.Errorf("%d unfit flows, alternating=%t: %d starts in %d looks, want %.0f", n, alternate, started, looks, least)
+			}
+			s.SetWaiting(big, 0)
+			s.Apply("b", nil, now)
+			s.Begin(now.Add(2*declineTime), 16)
+			if len(s.lacking) > 0 {
+				t.Errorf("%d flows that lack nothing are remembered", len(s.lacking))
+			}
+		}
+	}
+
+	s := NewSlots()
+	s.SetWaiting(big, 1000)
+	for range 14 {
+		s.Started(big)
+	}
+	// next looks at the free slots until a time, and returns whether big got one in any of the looks.
+	now := epoch
+	next := func(until time.Duration, flows ...string) bool {
+		taken := false
+		for ; now.Before(epoch.Add(until)); now = now.Add(look) {
+			var uses []Use
+			for _, f := range flows {
+				uses = append(uses, Use{Flow: Flow{Workspace: f}, Waiting: 5})
+			}
+			s.Apply("b", uses, now)
+			s.Begin(now, 16)
+			_, ok := s.Next(now, []Flow{big})
+			taken = taken || ok
+		}
+		return taken
+	}
+	if next(yieldTime*9/10, "unfit") {
+		t.Error("a flow that lacks a slot gets no time")
+	}
+	if next(yieldTime*18/10, "unfit", "late") {
+		t.Error("a flow that began to lack late gets no time of its own")
+	}
+	if !next(yieldTime*2, "unfit", "late") {
+		t.Error("a free slot is left to flows that do not take it")
+	}
+}
