Measure durations at the server, by route, and bound one sample

Cause: the duration of an answer included the time that its client needed to receive it, one mean served all routes, and one answer of 5 s moved it beyond the objective of short requests, so that none of them might wait. Fast errors of a failing server counted as answers.

Change: a duration ends with the last byte from the server, or with the header of a response that is not buffered. There is a mean for each route; a sample counts at most four times the mean. Answers with status 500 and above do not count.

Ruled out: a median (state for each sample, and it ignores a service that becomes slower until half of the samples say so).

--- a/entry/internal/ingress/forward.go
+++ b/entry/internal/ingress/forward.go
@@ -53,8 +53,9 @@
 	status     int
 	header     http.Header
 	body       []byte
-	unframed   bool // the body ended with the connection
-	noRoom     bool // the server refused the request by its status
+	unframed   bool      // the body ended with the connection
+	answeredAt time.Time // when the server had answered; for a response that is not buffered, when its header had arrived
+	noRoom     bool      // the server refused the request by its status
 }
 
 // forward sends a request to servers until one responds or no further attempt is allowed.
@@ -230,8 +231,9 @@
 		g.Tracker.Ended(s.ID, "", place.Abandoned, 0, now)
 	default:
 		g.Tracker.Ended(s.ID, "", place.Answered, now.Sub(start), now)
-		if g.Turns != nil {
-			g.Turns.Answered(s.Service, now.Sub(start), now)
+		// A failing server may answer with errors at once, which says nothing about the time or the capacity for answers.
+		if g.Turns != nil && a.status < http.StatusInternalServerError {
+			g.Turns.Answered(s.Service, q.route.Name, a.answeredAt.Sub(start), now)
 		}
 	}
 }
@@ -248,8 +250,9 @@
 	if err != nil {
 		return sendFailure(err)
 	}
+	headAt := time.Now()
 	answer := g.headers.Answer(resp.StatusCode, resp.Header)
-	meaning := g.Catalog.RecordAnswer(s, answer, q.ID, sentAt, time.Now())
+	meaning := g.Catalog.RecordAnswer(s, answer, q.ID, sentAt, headAt)
 	switch {
 	case meaning == call.NotRun:
 		resp.Discard()
@@ -262,10 +265,14 @@
 		return attempt{outcome: lost, cause: call.CauseForeign}
 	case isEventStream(resp.Header) && resp.StatusCode == http.StatusOK:
 		onResponse()
-		return g.stream(ctx, w, q, s, resp)
+		a := g.stream(ctx, w, q, s, resp)
+		a.status, a.answeredAt = resp.StatusCode, headAt
+		return a
 	case resp.ContentLength > maxBufferedResponse:
 		onResponse()
-		return g.relay(w, q, resp, nil)
+		a := g.relay(w, q, resp, nil)
+		a.status, a.answeredAt = resp.StatusCode, headAt
+		return a
 	}
 	return g.buffer(w, q, resp, onResponse)
 }
@@ -307,12 +314,18 @@
 		}
 		return attempt{outcome: lost, cause: err.Error()}
 	}
+	answeredAt := time.Now()
 	onResponse()
 	if len(body) > maxBufferedResponse {
-		return g.relay(w, q, resp, body)
+		a := g.relay(w, q, resp, body)
+		a.status, a.answeredAt = resp.StatusCode, answeredAt
+		return a
 	}
 	resp.Close()
-	a := attempt{outcome: delivered, status: resp.StatusCode, header: resp.Header, body: body, unframed: !resp.Framed()}
+	a := attempt{
+		outcome: delivered, status: resp.StatusCode, header: resp.Header, body: body, unframed: !resp.Framed(),
+		answeredAt: answeredAt,
+	}
 	if resp.StatusCode >= http.StatusInternalServerError && q.route.Repeatable() {
 		a.outcome, a.cause = failed, "server error: status "+strconv.Itoa(resp.StatusCode)
 		return a
--- a/entry/internal/ingress/turn.go
+++ b/entry/internal/ingress/turn.go
@@ -15,7 +15,7 @@
 // Turns decides which requests go to the servers of a service while its slots are short.
 type Turns interface {
 	Admit(ctx context.Context, now time.Time, r turn.Request) turn.Verdict
-	Answered(service string, took time.Duration, now time.Time)
+	Answered(service, route string, duration time.Duration, now time.Time)
 	NoRoom(service string, now time.Time)
 }
 
@@ -27,7 +27,7 @@
 		return turn.Verdict{OK: true}
 	}
 	now := time.Now()
-	return g.Turns.Admit(ctx, now, turn.Request{Service: service, Flow: f, Within: q.within(now), Returned: returned})
+	return g.Turns.Admit(ctx, now, turn.Request{Service: service, Flow: f, Route: q.route.Name, Within: q.within(now), Returned: returned})
 }
 
 // takesTurns reports whether a request waits for its turn. Without workspaces in the configuration, requests are placed at
--- a/entry/internal/ingress/turn_test.go
+++ b/entry/internal/ingress/turn_test.go
@@ -2,22 +2,27 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"bulrushspoke/entry/internal/turn"
+	"bulrushspoke/internal/call"
 	"bulrushspoke/internal/catalog"
 	"bulrushspoke/internal/fairness"
+	"bulrushspoke/platform/platformtest"
 )
 
 // fakeTurns gives its verdicts one after another and records what it is told. It serves one request at a time.
 type fakeTurns struct {
-	verdicts []turn.Verdict
-	asked    []turn.Request
-	noRoom   int
-	answered int
+	verdicts  []turn.Verdict
+	asked     []turn.Request
+	noRoom    int
+	answered  int
+	durations chan time.Duration // of answers; may be nil
 }
 
 func (f *fakeTurns) Admit(_ context.Context, _ time.Time, r turn.Request) turn.Verdict {
@@ -27,7 +32,12 @@
 	return v
 }
 
-func (f *fakeTurns) Answered(string, time.Duration, time.Time) { f.answered++ }
+func (f *fakeTurns) Answered(_, _ string, d time.Duration, _ time.Time) {
+	f.answered++
+	if f.durations != nil {
+		f.durations <- d
+	}
+}
 
 func (f *fakeTurns) NoRoom(string, time.Time) { f.noRoom++ }
 
@@ -119,3 +129,57 @@
 		}
 	}
 }
+
+// Guards against the time that a client needs to receive an answer being taken for that of the server, and against the fast
+// errors of a failing server being taken for answers.
+func TestOnlyTheTimeOfTheServerCounts(t *testing.T) {
+	const size = 8 << 20 // more than the socket buffers hold
+	for _, c := range []struct {
+		name     string
+		answer   script
+		pause    time.Duration // of the reader
+		answered int
+	}{
+		{name: "slow reader", answered: 1, pause: 300 * time.Millisecond, answer: func(n net.Conn, q *http.Request, _ string) bool {
+			return write(n, "200 OK\r\n"+signed(q), strings.Repeat("x", size))
+		}},
+		{name: "error", answer: func(n net.Conn, q *http.Request, _ string) bool {
+			return write(n, "500 Internal Server Error\r\n"+signed(q), "x")
+		}},
+	} {
+		r := newRig(t, catalog.Route{Kind: catalog.Unsafe, Objective: 200 * time.Millisecond}, newServer(t, c.answer))
+		f := &fakeTurns{verdicts: []turn.Verdict{{OK: true}}, durations: make(chan time.Duration, 1)}
+		r.ingress.Turns = f
+		r.ingress.flow = func(*request) (fairness.Flow, bool) { return fairness.Flow{Workspace: "w"}, true }
+		q, err := http.NewRequestWithContext(t.Context(), http.MethodPost, r.URL+"/p/", strings.NewReader("x"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		q.Host = "h.example"
+		platformtest.SetRequestHeaders(q.Header, call.Request{ID: "r1"})
+		resp, err := r.Client().Do(q)
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(c.pause)
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			t.Errorf("%s: %v", c.name, err)
+		}
+		_ = resp.Body.Close()
+		if c.answered == 0 {
+			r.Close() // waits for the handler
+			if len(f.durations) > 0 {
+				t.Errorf("%s: counts as an answer", c.name)
+			}
+			continue
+		}
+		select {
+		case d := <-f.durations:
+			if d >= c.pause {
+				t.Errorf("%s: the answer took %v", c.name, d)
+			}
+		case <-time.After(5 * time.Second):
+			t.Errorf("%s: does not count as an answer", c.name)
+		}
+	}
+}
--- a/entry/internal/turn/turn.go
+++ b/entry/internal/turn/turn.go
@@ -9,7 +9,7 @@
 //
 //	v := t.Admit(ctx, now, turn.Request{Service: "v", Flow: flow, Within: within})
 //	if !v.OK { … } // refused, to be repeated after v.RetryAfter
-//	t.Answered("v", took, now) // or t.NoRoom("v", now)
+//	t.Answered("v", "r", duration, now) // or t.NoRoom("v", now)
 //
 // While slots are free, Admit returns at once. Otherwise it may block until a slot frees, for no longer than the request
 // can be expected to be answered in time, and until ctx ends.
@@ -105,6 +105,7 @@
 type Request struct {
 	Service  string
 	Flow     fairness.Flow
+	Route    string
 	Within   time.Duration // time left to answer it within its objective and its deadline
 	Returned bool          // all servers have refused it for lack of room since it was last admitted
 }
@@ -154,7 +155,7 @@
 	full := t.full(now, servers)
 	s := t.service(r.Service)
 	d, decided := t.decide(s, now, fairness.Request{
-		Flow: r.Flow, Within: r.Within, Returned: r.Returned, Slots: slots(servers), Full: full,
+		Flow: r.Flow, Route: r.Route, Within: r.Within, Returned: r.Returned, Slots: slots(servers), Full: full,
 	})
 	switch d.Action {
 	case fairness.Go:
@@ -260,15 +261,15 @@
 	t.dispatch(s, now)
 }
 
-// Answered records that a server of a service has answered a request.
-func (t *Turns) Answered(service string, took time.Duration, now time.Time) {
+// Answered records that a server of a service has answered a request of a route, and how long it has needed.
+func (t *Turns) Answered(service, route string, duration time.Duration, now time.Time) {
 	s := t.known(service)
 	if s == nil {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.queue.Answered(now, took)
+	s.queue.Answered(now, route, duration)
 	t.noteScarcity(s, s.queue.Scarce(now))
 	t.dispatch(s, now)
 }
--- a/entry/internal/turn/turn_test.go
+++ b/entry/internal/turn/turn_test.go
@@ -90,7 +90,7 @@
 	time.Sleep(work)
 	<-c.running
 	c.inflight.Add(-1)
-	t.Answered("v", time.Since(began), time.Now())
+	t.Answered("v", "r", time.Since(began), time.Now())
 	return true, v
 }
 
--- a/internal/fairness/fairness.go
+++ b/internal/fairness/fairness.go
@@ -7,7 +7,7 @@
 //	d := q.Admit(now, request)              // Go, Wait with a ticket, or Refuse with a time to come back
 //	t, ok := q.Next(now)                    // a ticket whose turn it is, or whose time has run out
 //	at, ok := q.Wake(now)                   // call Next again at this time
-//	q.Answered(now, duration)               // a server has answered a request
+//	q.Answered(now, route, duration)        // a server has answered a request
 //	q.Refused(now)                          // no server had room for a request
 //	r, ok := q.Report(now)                  // to be sent to the other entries, which call Apply
 //
--- a/internal/fairness/queue.go
+++ b/internal/fairness/queue.go
@@ -43,6 +43,12 @@
 	estimateMargin = 1.6
 	// defaultDuration is assumed for a service that has not answered yet, as in package place.
 	defaultDuration = 30 * time.Millisecond
+	// maxSampleRatio bounds what one answer counts in a mean duration, as a multiple of the mean. Without a bound, one answer of
+	// 5 s among those of 25 ms would keep requests from waiting until about thirty more answers have come. With it, the mean of a
+	// service of 1 s reaches its value after about fourteen answers.
+	maxSampleRatio = 4
+	// routeTTL is how long the mean duration of a route is kept that gets no answers.
+	routeTTL = time.Minute
 	// maxWaiting bounds the requests that wait for a service at one entry. Their bodies are in memory.
 	maxWaiting = 256
 	// minRetryAfter is the shortest time to come back, about one round trip of a client. maxRetryAfter is the longest one:
@@ -63,6 +69,7 @@
 // Request is a request that asks for a server.
 type Request struct {
 	Flow     Flow
+	Route    string        // requests of one route take about equally long
 	Within   time.Duration // time left to answer it within its objective and its deadline
 	Returned bool          // all servers have refused it since it was last let go
 	Slots    int           // slots of the service
@@ -120,7 +127,8 @@
 	waiting         int
 	waitingReturned int // those of them that servers have had no room for
 	answered        rate
-	meanDuration    time.Duration // moving average of the time of an answer
+	meanDuration    time.Duration // moving average of the time of an answer, over all routes
+	routes          map[string]*routeMean
 	slots           int
 	remote          map[string]remoteReport
 
@@ -166,7 +174,7 @@
 func NewQueue(share func(now time.Time) float64, entries func() int) *Queue {
 	return &Queue{
 		share: share, entries: entries, flows: make(map[Flow]*flowState), remote: make(map[string]remoteReport), order: NewOrder(),
-		satisfied: NewOrder(),
+		satisfied: NewOrder(), routes: make(map[string]*routeMean),
 	}
 }
 
@@ -200,7 +208,7 @@
 		q.charge(f)
 		return Decision{}
 	}
-	t := &Ticket{flow: f, returned: r.Returned, due: now.Add(r.Within - q.meanDuration)}
+	t := &Ticket{flow: f, returned: r.Returned, due: now.Add(r.Within - q.durationOf(r.Route))}
 	wait := q.estimate(f, now)
 	if r.Returned {
 		t.notBefore = now.Add(returnPause)
@@ -446,14 +454,49 @@
 	return at, true
 }
 
-// Answered records that a server has answered a request.
-func (q *Queue) Answered(now time.Time, took time.Duration) {
-	const weight = 0.1 // of the newest answer
+// routeMean is the mean duration of the answers of a route.
+type routeMean struct {
+	duration time.Duration
+	usedAt   time.Time
+}
+
+// Answered records that a server has answered a request of a route, and how long it has needed. Time that the client needs
+// to receive the answer does not count.
+func (q *Queue) Answered(now time.Time, route string, duration time.Duration) {
 	q.answered.add(now)
+	q.meanDuration = updatedMean(q.meanDuration, duration)
+	m := q.routes[route]
+	if m == nil {
+		maps.DeleteFunc(q.routes, func(_ string, m *routeMean) bool { return now.Sub(m.usedAt) >= routeTTL })
+		m = &routeMean{}
+		q.routes[route] = m
+	}
+	m.duration, m.usedAt = updatedMean(m.duration, duration), now
+}
+
+// updatedMean returns a moving average with one more sample.
+func updatedMean(mean, sample time.Duration) time.Duration {
+	const weight = 0.1 // of the newest sample
+	if mean == 0 {
+		return min(sample, maxSampleRatio*defaultDuration)
+	}
+	return mean + time.Duration(weight*float64(min(sample, maxSampleRatio*mean)-mean))
+}
+
+// durationOf returns how long a request of a route is expected to take.
+func (q *Queue) durationOf(route string) time.Duration {
+	if m := q.routes[route]; m != nil {
+		return m.duration
+	}
+	return q.expectedDuration()
+}
+
+// expectedDuration returns the mean duration of all routes, or the default before the first answer.
+func (q *Queue) expectedDuration() time.Duration {
 	if q.meanDuration == 0 {
-		q.meanDuration = took
+		return defaultDuration
 	}
-	q.meanDuration += time.Duration(weight * float64(took-q.meanDuration))
+	return q.meanDuration
 }
 
 // Refused records that no server had room for a request. A refusal that another server makes good is no sign of a shortage: the
@@ -555,10 +598,6 @@
 
 // capacity estimates the rate at which the service answers the requests of the entries that hear each other.
 func (q *Queue) capacity(now time.Time) float64 {
-	took := q.meanDuration
-	if took == 0 {
-		took = defaultDuration
-	}
 	estimate := q.answered.corrected(now)
 	for _, entry := range slices.Sorted(maps.Keys(q.remote)) {
 		estimate += q.remote[entry].report.Served
@@ -566,7 +605,7 @@
 	// Before slots became short, the rate of answers was that of the requests and said nothing about the capacity. Until it has
 	// been replaced by measurements, the rate of all slots counts.
 	old := math.Exp(-now.Sub(q.scarceSince).Seconds() / rateWindow.Seconds())
-	if nominal := float64(q.slots) / took.Seconds(); nominal > estimate {
+	if nominal := float64(q.slots) / q.expectedDuration().Seconds(); nominal > estimate {
 		estimate += old * (nominal - estimate)
 	}
 	// Without refusals the rate of answers is that of the requests again, and the last estimate counts. A burst of refusals
--- a/internal/fairness/queue_test.go
+++ b/internal/fairness/queue_test.go
@@ -226,7 +226,7 @@
 	for i := range 2000 {
 		now = now.Add(2500 * time.Microsecond)
 		if i%4 == 0 {
-			q.Answered(now, 20*time.Millisecond)
+			q.Answered(now, "r", 20*time.Millisecond)
 		}
 		q.Refused(now)
 		q.Admit(now, Request{Flow: large, Within: 50 * time.Millisecond, Slots: 2})
@@ -250,7 +250,7 @@
 	}
 	at, _ := q.Wake(now)
 	for at.Before(now.Add(480 * time.Millisecond)) {
-		q.Answered(at, 20*time.Millisecond)
+		q.Answered(at, "r", 20*time.Millisecond)
 		for ticket, ok := q.Next(at, false); ok; ticket, ok = q.Next(at, false) {
 			if _, refused := ticket.Refused(); ticket == d.Ticket && !refused {
 				return
@@ -260,3 +260,35 @@
 	}
 	t.Error("the request was not served in time")
 }
+
+// Guards against a slow answer, or a route with long work, after which no request of a service may wait for a slot.
+func TestSlowAnswersDoNotPreventWaiting(t *testing.T) {
+	r := Request{Flow: large, Route: "short", Within: objective, Slots: 36, Full: true}
+	for _, c := range []struct {
+		name  string
+		route string
+		slow  int  // answers of 5 s
+		first bool // before all others
+	}{{name: "slow first answer", route: "short", slow: 1, first: true}, {name: "slow answer", route: "short", slow: 1}, {name: "long route", route: "long", slow: 100}} {
+		q := NewQueue(func(time.Time) float64 { return 1 }, func() int { return 1 })
+		now := epoch
+		slow := func() {
+			for range c.slow {
+				q.Answered(now, c.route, 5*time.Second)
+			}
+		}
+		if c.first {
+			slow()
+		}
+		for range 20 {
+			now = now.Add(10 * time.Millisecond)
+			q.Answered(now, "short", 25*time.Millisecond)
+		}
+		if !c.first {
+			slow()
+		}
+		if d := q.Admit(now, r); d.Action != Wait {
+			t.Errorf("%s: a request that can be served in time gets %+v", c.name, d)
+		}
+	}
+}
--- a/internal/fairness/sim_test.go
+++ b/internal/fairness/sim_test.go
@@ -285,7 +285,7 @@
 				}
 				s.after(hop, func() {
 					e.inflight[best]--
-					e.queue.Answered(s.clock(), s.now-began)
+					e.queue.Answered(s.clock(), "", s.now-began)
 					if s.fair {
 						s.dispatch(e)
 					}
