End a wait with the last server, and log the end of a shortage

Cause: a request waited for a service whose last server had left, until its time ran out; event 1081 was logged only with the next request.

Change: waiting requests look at the servers when the catalog changes; one without a server goes on to the placement, which refuses it at once. A timer runs while a service is short of slots. The cause of a wait that its context ends is "the wait was cancelled": the client may still be there.

--- a/entry/internal/turn/turn.go
+++ b/entry/internal/turn/turn.go
@@ -40,9 +40,9 @@
 
 // Causes of refusals.
 const (
-	causeShare = "the share of the workspace is used up"
-	causeLate  = "no slot became free in time"
-	causeGone  = "the client left"
+	causeShare     = "the share of the workspace is used up"
+	causeLate      = "no slot became free in time"
+	causeCancelled = "the wait was cancelled"
 )
 
 // Tracker knows the requests in flight at servers.
@@ -149,9 +149,13 @@
 	return t.services[name]
 }
 
-// Admit decides whether a request may go to a server of its service now. It blocks while the request waits for its turn.
+// Admit decides whether a request may go to a server of its service now. It blocks while the request waits for its turn. A
+// request whose service has no server goes: the placement refuses it.
 func (t *Turns) Admit(ctx context.Context, now time.Time, r Request) Verdict {
 	servers := t.Catalog.Servers(r.Service)
+	if len(servers) == 0 {
+		return Verdict{OK: true}
+	}
 	full := t.full(now, servers)
 	s := t.service(r.Service)
 	d, decided := t.decide(s, now, fairness.Request{
@@ -185,17 +189,22 @@
 	return d, decided
 }
 
-// await waits until a ticket is decided or its client has gone.
+// await waits until a ticket is decided, ctx ends, or the service has no server left.
 func (t *Turns) await(ctx context.Context, s *service, ticket *fairness.Ticket, decided chan struct{}, since time.Time) Verdict {
-	select {
-	case <-decided:
-	case <-ctx.Done():
-		s.mu.Lock()
-		s.queue.Leave(ticket)
-		delete(s.waiting, ticket)
-		s.mu.Unlock()
-		t.Waits.Record(s.name, "left", time.Since(since).Seconds())
-		return Verdict{Cause: causeGone}
+	for waiting := true; waiting; {
+		changed := t.Catalog.Changed()
+		if len(t.Catalog.Servers(s.name)) == 0 {
+			t.leave(s, ticket, "no_server", since)
+			return Verdict{OK: true}
+		}
+		select {
+		case <-decided:
+			waiting = false
+		case <-changed:
+		case <-ctx.Done():
+			t.leave(s, ticket, "cancelled", since)
+			return Verdict{Cause: causeCancelled}
+		}
 	}
 	after, refused := ticket.Refused()
 	if refused {
@@ -207,6 +216,15 @@
 	return Verdict{OK: true}
 }
 
+// leave removes a ticket that waits no more and records how long it has waited.
+func (t *Turns) leave(s *service, ticket *fairness.Ticket, outcome string, since time.Time) {
+	s.mu.Lock()
+	s.queue.Leave(ticket)
+	delete(s.waiting, ticket)
+	s.mu.Unlock()
+	t.Waits.Record(s.name, outcome, time.Since(since).Seconds())
+}
+
 // full reports whether all slots are in use as far as known. The slots of engines do not count: items of jobs fill them, and
 // the engines queue requests of clients.
 func (t *Turns) full(now time.Time, servers []catalog.Server) bool {
@@ -246,6 +264,11 @@
 	if released {
 		wait = minWake
 	}
+	t.wakeAfter(s, wait)
+}
+
+// wakeAfter has wake called after a time, in place of an earlier call of wakeAfter; the caller holds s.mu.
+func (t *Turns) wakeAfter(s *service, wait time.Duration) {
 	if s.timer == nil {
 		s.timer = time.AfterFunc(wait, func() { supervise.Guard(t.Logger, "turn", func() { t.wake(s) }) })
 		return
@@ -259,6 +282,9 @@
 	now := time.Now()
 	t.noteScarcity(s, s.queue.Scarce(now))
 	t.dispatch(s, now)
+	if s.short && s.queue.Waiting() == 0 {
+		t.wakeAfter(s, s.queue.ScarceFor(now))
+	}
 }
 
 // Answered records that a server of a service has answered a request of a route, and how long it has needed.
@@ -312,6 +338,9 @@
 	s.short = scarce
 	if scarce {
 		event.SlotsShort.Log(t.Logger, "service", s.name)
+		if s.queue.Waiting() == 0 { // otherwise the timer is set; no request may follow that sees the end
+			t.wakeAfter(s, s.queue.ScarceFor(time.Now()))
+		}
 		return
 	}
 	event.SlotsSufficient.Log(t.Logger, "service", s.name)
--- a/entry/internal/turn/turn_test.go
+++ b/entry/internal/turn/turn_test.go
@@ -1,8 +1,10 @@
 package turn
 
 import (
+	"bytes"
 	"context"
 	"log/slog"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -160,6 +162,49 @@
 	})
 }
 
+// Guards against a request that waits although its service has no server left, and against one that is let go without need
+// when the catalog changes otherwise.
+func TestWaitEndsWithTheLastServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		turns, c := newTurns(&mesh{}, "a")
+		c.inflight.Add(5)
+		go func() {
+			time.Sleep(5 * time.Millisecond)
+			turns.Catalog.ApplyServer(catalog.Server{ID: "x", Revision: 2, Service: "other", Slots: 1})
+			time.Sleep(5 * time.Millisecond)
+			turns.Catalog.RemoveServer("s", 3, time.Now())
+		}()
+		r := Request{Service: "v", Flow: fairness.Flow{Workspace: "w"}, Within: 200 * time.Millisecond}
+		for _, want := range []time.Duration{10 * time.Millisecond, 0} {
+			at := time.Now()
+			v := turns.Admit(t.Context(), at, r)
+			// The request goes on to the placement, which refuses it as one without a server.
+			if d := time.Since(at); !v.OK || d != want {
+				t.Errorf("%+v after %v, want %v", v, d, want)
+			}
+		}
+		if n := turns.Waiting(); n > 0 {
+			t.Errorf("%d requests wait", n)
+		}
+	})
+}
+
+// Guards against a shortage whose end is not logged unless a request follows.
+func TestEndOfShortageIsLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var log bytes.Buffer
+		turns, c := newTurns(&mesh{}, "a")
+		turns.Logger = slog.New(slog.NewTextHandler(&log, nil))
+		c.inflight.Add(5)
+		_ = turns.Admit(t.Context(), time.Now(), Request{Service: "v", Flow: fairness.Flow{Workspace: "w"}, Within: 50 * time.Millisecond})
+		time.Sleep(5 * time.Second)
+		synctest.Wait()
+		if l := log.String(); strings.Count(l, "event=1080") != 1 || strings.Count(l, "event=1081") != 1 {
+			t.Errorf("logged %q", l)
+		}
+	})
+}
+
 // Guards against requests of clients that wait for slots of engines, which items of jobs take as soon as they are free.
 func TestRequestsDoNotWaitForItems(t *testing.T) {
 	turns, c := newTurns(&mesh{}, "a")
--- a/internal/fairness/queue.go
+++ b/internal/fairness/queue.go
@@ -183,6 +183,11 @@
 	return now.Sub(q.lastSign()) < scarceTime
 }
 
+// ScarceFor returns how long the service counts as short of slots if there is no further sign.
+func (q *Queue) ScarceFor(now time.Time) time.Duration {
+	return max(scarceTime-now.Sub(q.lastSign()), 0)
+}
+
 // Waiting returns the number of waiting requests.
 func (q *Queue) Waiting() int { return q.waiting }
 
