Answer requests that wait during a graceful stop like others that do not fit

Cause: a request that could not end before the end of a graceful stop waited for its turn first; one whose wait the stop ended got a time to come back of 0.5 s, as if there were no server.

Change: a request that does not fit is refused before it waits, the wait is bounded by the end of the stop, and a wait that the stop ends is answered like a request that does not fit, with 50 ms: other entries take it.

Ruled out: answering every refusal during a stop that way (a workspace beyond its share is beyond it at the other entries too).

--- a/entry/internal/ingress/forward.go
+++ b/entry/internal/ingress/forward.go
@@ -71,8 +71,8 @@
 	}
 	service := q.route.PickService(g.Random.IntN)
 	tried := make(map[string]bool)
-	if v := g.takeTurn(ctx, q, service, false); !v.OK {
-		g.replyUnserved(w, q, attempt{outcome: notRun, cause: v.Cause, retryAfter: v.RetryAfter}, false)
+	if a, ok := g.takeTurn(ctx, q, service, false); !ok {
+		g.replyUnserved(w, q, a, false)
 		return
 	}
 	mayHaveRun, noRoom := false, false
@@ -98,13 +98,13 @@
 					g.Turns.NoRoom(service, now)
 				}
 			} else if noRoom && !mayHaveRun && g.takesTurns(q) {
-				v := g.takeTurn(ctx, q, service, true)
-				if v.OK {
+				a, ok := g.takeTurn(ctx, q, service, true)
+				if ok {
 					clear(tried)
 					noRoom = false
 					continue
 				}
-				last = attempt{outcome: notRun, cause: v.Cause, retryAfter: v.RetryAfter}
+				last = a
 			}
 			break
 		}
--- a/entry/internal/ingress/turn.go
+++ b/entry/internal/ingress/turn.go
@@ -19,15 +19,32 @@
 	NoRoom(service string, now time.Time)
 }
 
-// takeTurn decides whether a request may go to a server of a service, and waits for its turn if need be. returned is true if
-// the servers had no room for it.
-func (g *Ingress) takeTurn(ctx context.Context, q *request, service string, returned bool) turn.Verdict {
+// takeTurn decides whether a request may go to a server of a service, and waits for its turn if need be; if not, it returns
+// the attempt to be reported. returned is true if the servers had no room for it.
+func (g *Ingress) takeTurn(ctx context.Context, q *request, service string, returned bool) (attempt, bool) {
 	f, ok := g.flow(q)
 	if g.Turns == nil || !ok {
-		return turn.Verdict{OK: true}
+		return attempt{}, true
 	}
 	now := time.Now()
-	return g.Turns.Admit(ctx, now, turn.Request{Service: service, Flow: f, Route: q.route.Name, Within: q.within(now), Returned: returned})
+	leaving := attempt{outcome: notRun, cause: causeLeaving, retryAfter: retryLeaving}
+	if !g.fits(q, now) {
+		return leaving, false
+	}
+	within, shortened := q.within(now), false
+	if until := g.drainUntil.Load(); until != nil && until.Sub(now) < within {
+		within, shortened = until.Sub(now), true
+	}
+	v := g.Turns.Admit(ctx, now, turn.Request{
+		Service: service, Flow: f, Route: q.route.Name, Within: within, Returned: returned,
+	})
+	switch {
+	case v.OK:
+		return attempt{}, true
+	case shortened || g.drained.Err() != nil: // another entry has more time
+		return leaving, false
+	}
+	return attempt{outcome: notRun, cause: v.Cause, retryAfter: v.RetryAfter}, false
 }
 
 // takesTurns reports whether a request waits for its turn. Without workspaces in the configuration, requests are placed at
--- a/entry/internal/ingress/turn_test.go
+++ b/entry/internal/ingress/turn_test.go
@@ -3,10 +3,14 @@
 import (
 	"context"
 	"io"
+	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"bulrushspoke/entry/internal/turn"
@@ -183,3 +187,69 @@
 		}
 	}
 }
+
+// waitingTurns never lets a request go.
+type waitingTurns struct {
+	fakeTurns
+}
+
+func (w *waitingTurns) Admit(ctx context.Context, _ time.Time, r turn.Request) turn.Verdict {
+	w.asked = append(w.asked, r)
+	timer := time.NewTimer(max(r.Within, 0))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return turn.Verdict{RetryAfter: 2 * time.Second, Cause: "no slot"}
+	case <-ctx.Done():
+		return turn.Verdict{Cause: "cancelled"}
+	}
+}
+
+// Guards against a request that waits for a slot during a graceful stop although it cannot be served any more, or that waits
+// beyond the end of the stop, and against a client that is told to come back late although other entries would take its
+// request.
+func TestGracefulStopEndsWaits(t *testing.T) {
+	const drain, objective = 100 * time.Millisecond, 200 * time.Millisecond
+	for _, c := range []struct {
+		name  string
+		kind  catalog.Kind
+		after time.Duration // from the request to the beginning of the stop
+		asked int
+		took  time.Duration
+	}{
+		{name: "cannot end in time", kind: catalog.Unsafe, asked: 0, took: 0},
+		{name: "wait is bounded", kind: catalog.Safe, asked: 1, took: drain},
+		{name: "stop begins during the wait", kind: catalog.Safe, after: 50 * time.Millisecond, asked: 1, took: 150 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				route := catalog.Route{
+					Host: "h.example", Prefix: "/p/", Kind: c.kind, Objective: objective, Timeout: 5 * time.Second, MaxAttempts: 1,
+					Shares: []catalog.Share{{Service: "v", Weight: 1}},
+				}
+				logger := slog.New(slog.DiscardHandler)
+				cat := catalog.New(logger)
+				cat.ApplyConfig(catalog.Config{Revision: 1, Routes: []catalog.Route{route}})
+				w := &waitingTurns{}
+				g := New(Options{
+					Catalog: cat, Random: rand.New(rand.NewPCG(1, 1)), Suspects: NewSuspects(func(uint64, bool) {}), Logger: logger, Turns: w,
+				})
+				g.flow = func(*request) (fairness.Flow, bool) { return fairness.Flow{Workspace: "w"}, true }
+				began := time.Now()
+				if c.after == 0 {
+					g.Drain(began.Add(drain), began)
+				} else {
+					time.AfterFunc(c.after, func() { g.Drain(time.Now().Add(drain), time.Now()) })
+				}
+				resp, q := httptest.NewRecorder(), httptest.NewRequestWithContext(t.Context(), http.MethodPost, "http://h.example/p/", nil)
+				g.ServeHTTP(resp, q)
+				if d := time.Since(began); d != c.took || len(w.asked) != c.asked {
+					t.Errorf("answered after %v, asked for %d turns", d, len(w.asked))
+				}
+				if resp.Code != http.StatusServiceUnavailable || resp.Header().Get("Retry-After") != "0.05" {
+					t.Errorf("got %d with Retry-After %q", resp.Code, resp.Header().Get("Retry-After"))
+				}
+			})
+		})
+	}
+}
