Bound state, reports and times to come back; pauses block no others

Cause: flows were removed only under shortage; a report listed all flows; each level of urgency cost a pass, and the search for a level 40 passes. Returns were put off because of an earlier shortage, up to 4 s whatever time the client had left. The pause of a returned request kept the others of its flow waiting.

Change: idle flows are removed when others are added; a report has 256 flows and one sum; levels above 9 count as one; the search ends when less than 1e-5 is left. A new shortage clears the times of returns. A client that names a deadline is told to come back within a third of what is left. A request whose pause has not ended is passed over.

Ruled out: the whole time left as bound (no time would be left for the answer).

--- a/entry/internal/ingress/turn.go
+++ b/entry/internal/ingress/turn.go
@@ -36,7 +36,7 @@
 		within, shortened = until.Sub(now), true
 	}
 	v := g.Turns.Admit(ctx, now, turn.Request{
-		Service: service, Flow: f, Route: q.route.Name, Within: within, Returned: returned,
+		Service: service, Flow: f, Route: q.route.Name, Within: within, Left: q.left(now), Returned: returned,
 	})
 	switch {
 	case v.OK:
@@ -65,3 +65,11 @@
 	}
 	return min(left, q.route.Objective-now.Sub(q.arrived))
 }
+
+// left returns the time left until the deadline that the client has named, or 0 if it has named none.
+func (q *request) left(now time.Time) time.Duration {
+	if q.Deadline == defaultDeadline {
+		return 0
+	}
+	return max(q.Deadline-now.Sub(q.arrived), 0)
+}
--- a/entry/internal/ingress/turn_test.go
+++ b/entry/internal/ingress/turn_test.go
@@ -77,6 +77,7 @@
 		r.ingress.Turns, r.ingress.flow = f, func(q *request) (fairness.Flow, bool) {
 			return fairness.Flow{Workspace: c.workspace, Level: q.route.Priority}, c.workspace != ""
 		}
+		r.deadline = 2 * time.Second
 		resp, _, err := r.send(t, "POST", "/p/", "x", nil)
 		if err != nil {
 			t.Fatal(err)
@@ -89,7 +90,8 @@
 			t.Fatalf("%s: asked for %d turns", c.name, len(f.asked))
 		}
 		for i, a := range f.asked {
-			if a.Returned != c.returned[i] || a.Flow.Workspace != "w" || a.Flow.Level != 3 || a.Within <= 0 || a.Within > 200*time.Millisecond {
+			if a.Returned != c.returned[i] || a.Flow.Workspace != "w" || a.Flow.Level != 3 || a.Within <= 0 || a.Within > 200*time.Millisecond ||
+				a.Left <= time.Second || a.Left > 2*time.Second {
 				t.Errorf("%s: turn %d was asked for as %+v", c.name, i, a)
 			}
 		}
--- a/entry/internal/turn/turn.go
+++ b/entry/internal/turn/turn.go
@@ -107,6 +107,7 @@
 	Flow     fairness.Flow
 	Route    string
 	Within   time.Duration // time left to answer it within its objective and its deadline
+	Left     time.Duration // time left until the deadline that its client has named, or 0
 	Returned bool          // all servers have refused it for lack of room since it was last admitted
 }
 
@@ -159,7 +160,7 @@
 	full := t.full(now, servers)
 	s := t.service(r.Service)
 	d, decided := t.decide(s, now, fairness.Request{
-		Flow: r.Flow, Route: r.Route, Within: r.Within, Returned: r.Returned, Slots: slots(servers), Full: full,
+		Flow: r.Flow, Route: r.Route, Within: r.Within, Left: r.Left, Returned: r.Returned, Slots: slots(servers), Full: full,
 	})
 	switch d.Action {
 	case fairness.Go:
--- a/internal/fairness/fairness.go
+++ b/internal/fairness/fairness.go
@@ -44,9 +44,15 @@
 // Flow identifies work that competes as one: that of a workspace at a level of urgency.
 type Flow struct {
 	Workspace string
-	Level     int // 0 is the most urgent
+	Level     int // 0 is the most urgent; those above maxLevel count as one
 }
 
+// maxLevel is the least urgent level that is told apart: that of X-Request-Priority. Each level costs a pass over the demands.
+const maxLevel = 9
+
+// level returns the level at which a flow competes.
+func (f Flow) level() int { return min(f.Level, maxLevel) }
+
 // compare orders flows by level and workspace.
 func (f Flow) compare(o Flow) int {
 	return cmp.Or(cmp.Compare(f.Level, o.Level), cmp.Compare(f.Workspace, o.Workspace))
@@ -87,8 +93,8 @@
 func nextLevel(demands []Demand, above int) (int, bool) {
 	level, ok := 0, false
 	for _, d := range demands {
-		if d.Flow.Level > above && (!ok || d.Flow.Level < level) {
-			level, ok = d.Flow.Level, true
+		if d.Flow.level() > above && (!ok || d.Flow.level() < level) {
+			level, ok = d.Flow.level(), true
 		}
 	}
 	return level, ok
@@ -101,7 +107,7 @@
 	increase := func(waterLevel float64) float64 {
 		sum := 0.0
 		for i, d := range demands {
-			if d.Flow.Level == level {
+			if d.Flow.level() == level {
 				sum += grantAt(waterLevel, d, granted[i]) - granted[i]
 			}
 		}
@@ -109,26 +115,33 @@
 	}
 	high := 0.0
 	for _, d := range demands {
-		if d.Flow.Level == level {
+		if d.Flow.level() == level {
 			high = max(high, d.Amount/d.weight())
 		}
 	}
 	waterLevel := high
 	if increase(high) > rest {
-		const steps = 40 // halvings of the interval; the error is below a millionth of the largest demand
+		const (
+			steps      = 40   // halvings of the interval at most; the error is below a millionth of the largest demand
+			negligible = 1e-5 // part of rest that may be left; capacities are measured far less precisely
+		)
 		low := 0.0
 		for range steps {
-			if waterLevel = (low + high) / 2; increase(waterLevel) > rest {
+			waterLevel = (low + high) / 2
+			sum := increase(waterLevel)
+			if sum > rest {
 				high = waterLevel
-			} else {
-				low = waterLevel
+				continue
+			}
+			if low = waterLevel; rest-sum <= negligible*rest {
+				break
 			}
 		}
 		waterLevel = low
 	}
 	used := 0.0
 	for i, d := range demands {
-		if d.Flow.Level == level {
+		if d.Flow.level() == level {
 			before := granted[i]
 			granted[i] = grantAt(waterLevel, d, before)
 			used += granted[i] - before
--- a/internal/fairness/queue.go
+++ b/internal/fairness/queue.go
@@ -1,6 +1,7 @@
 package fairness
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -55,6 +56,12 @@
 	// an overload that lasts longer changes too much for a better estimate.
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = 4 * time.Second
+	// returnsWithinDeadline is the number of tries that the time left must suffice for: a client that comes back when all of its
+	// time has passed gets no answer.
+	returnsWithinDeadline = 3
+	// maxReportedFlows bounds a report. It is above a hundred workspaces at two levels; the flows with less demand are reported
+	// as one.
+	maxReportedFlows = 256
 	// minFlowRate is the rate in requests a second below which a demand is neither reported nor divided.
 	minFlowRate = 0.05
 	// minReallocationRate is the rate in requests a second up to which the growth of a demand changes the shares only at the next regular
@@ -71,6 +78,7 @@
 	Flow     Flow
 	Route    string        // requests of one route take about equally long
 	Within   time.Duration // time left to answer it within its objective and its deadline
+	Left     time.Duration // time left until the deadline that its client has named, or 0
 	Returned bool          // all servers have refused it since it was last let go
 	Slots    int           // slots of the service
 	Full     bool          // all slots are in use as far as known
@@ -99,6 +107,7 @@
 	returned   bool
 	notBefore  time.Time
 	due        time.Time // latest time to start
+	deadline   time.Time // of the client; zero if unknown
 	refused    bool
 	retryAfter time.Duration
 }
@@ -106,6 +115,14 @@
 // Refused returns whether the time of the request has run out, and when it may come back.
 func (t *Ticket) Refused() (time.Duration, bool) { return t.retryAfter, t.refused }
 
+// leftAt returns the time left until the deadline of the client, or 0 if that is unknown.
+func (t *Ticket) leftAt(now time.Time) time.Duration {
+	if t.deadline.IsZero() {
+		return 0
+	}
+	return max(t.deadline.Sub(now), time.Nanosecond)
+}
+
 // Report is what an entry tells the others about a service that is short of slots.
 type Report struct {
 	Refused bool    // servers have refused requests of this entry, or all slots known to it are in use
@@ -140,6 +157,7 @@
 	scarceSince      time.Time
 	lastCapacity     float64 // last estimate of the capacity
 	lastCapacityAt   time.Time
+	prunedAt         time.Time
 	allocatedAt      time.Time
 	limitedRate      float64   // sum of the rates of the limited flows
 	localDemandShare float64   // part of the demand that has come to this entry
@@ -209,18 +227,21 @@
 		q.allocatedAt = now.Add(-allocateInterval)
 	}
 	q.update(now)
-	if !r.Returned && len(f.waiting) == 0 && q.eligible(f, now, r.Full) && q.first(f) {
+	if !r.Returned && f.ready(now) < 0 && q.eligible(f, now, r.Full) && q.first(f, now) {
 		q.charge(f)
 		return Decision{}
 	}
 	t := &Ticket{flow: f, returned: r.Returned, due: now.Add(r.Within - q.durationOf(r.Route))}
+	if r.Left > 0 {
+		t.deadline = now.Add(r.Left)
+	}
 	wait := q.estimate(f, now)
 	if r.Returned {
 		t.notBefore = now.Add(returnPause)
 		wait = returnPause + seconds(float64(q.waitingReturned)/q.rateHere(now))
 	}
 	if q.waiting >= maxWaiting || now.Add(time.Duration(estimateMargin*float64(wait))).After(t.due) {
-		return Decision{Action: Refuse, RetryAfter: q.retryAfter(f, wait, now)}
+		return Decision{Action: Refuse, RetryAfter: q.retryAfter(f, wait, r.Left, now)}
 	}
 	q.enqueue(t)
 	return Decision{Action: Wait, Ticket: t}
@@ -242,6 +263,9 @@
 func (q *Queue) flow(k Flow, now time.Time) *flowState {
 	f := q.flows[k]
 	if f == nil {
+		if now.Sub(q.prunedAt) >= flowTTL {
+			q.prune(now)
+		}
 		f = &flowState{flow: k}
 		q.flows[k] = f
 		q.list = append(q.list, f)
@@ -267,26 +291,31 @@
 }
 
 // first reports whether no waiting request of another flow goes before one of f.
-func (q *Queue) first(f *flowState) bool {
+func (q *Queue) first(f *flowState, now time.Time) bool {
 	if q.waiting == 0 {
 		return true
 	}
 	for _, o := range q.list {
-		if o != f && len(o.waiting) > 0 && q.before(o, f) {
+		if o != f && o.ready(now) >= 0 && q.before(o, f) {
 			return false
 		}
 	}
 	return true
 }
 
+// ready returns the index of the first waiting request of a flow that need not pause, or -1.
+func (f *flowState) ready(now time.Time) int {
+	return slices.IndexFunc(f.waiting, func(t *Ticket) bool { return !now.Before(t.notBefore) })
+}
+
 // before reports whether requests of flow a go before those of b: flows within their share before the others, and of
 // those the more urgent ones.
 func (q *Queue) before(a, b *flowState) bool {
 	switch {
 	case a.limited != b.limited:
 		return !a.limited
-	case !a.limited && a.flow.Level != b.flow.Level:
-		return a.flow.Level < b.flow.Level
+	case !a.limited && a.flow.level() != b.flow.level():
+		return a.flow.level() < b.flow.level()
 	}
 	return q.orderOf(a).Before(a.flow, b.flow)
 }
@@ -342,10 +371,10 @@
 	for _, o := range q.list {
 		switch {
 		case o == f || o.limited != f.limited || len(o.waiting) == 0:
-		case f.limited || o.flow.Level == f.flow.Level:
+		case f.limited || o.flow.level() == f.flow.level():
 			lead := start - order.start(o.flow)
 			ahead += min(float64(len(o.waiting)), max(math.Floor(lead*o.weight())+1, 0))
-		case o.flow.Level < f.flow.Level:
+		case o.flow.level() < f.flow.level():
 			ahead += float64(len(o.waiting))
 		}
 	}
@@ -359,9 +388,14 @@
 	return seconds(max(wait, 0))
 }
 
-// retryAfter returns when a refused request of a flow may come back. Those refused one after another get times at the
-// distance at which the flow is served. Beyond maxRetryAfter they are spread evenly.
-func (q *Queue) retryAfter(f *flowState, wait time.Duration, now time.Time) time.Duration {
+// retryAfter returns when a refused request may come back whose client has the given time left, or 0 if that is unknown. Those
+// refused one after another get times at the distance at which their flow is served. Beyond maxRetryAfter, and beyond the
+// part of its time that the client can use, they are spread evenly.
+func (q *Queue) retryAfter(f *flowState, wait, left time.Duration, now time.Time) time.Duration {
+	limit := maxRetryAfter
+	if left > 0 {
+		limit = max(min(limit, left/returnsWithinDeadline), minRetryAfter)
+	}
 	perSecond, returnAt := f.rate, &f.returnAt
 	switch {
 	case !f.limited: // refused because all slots are in use, by whatever flow
@@ -374,10 +408,11 @@
 		at = *returnAt
 	}
 	f.returns++
-	if at.Sub(now) > maxRetryAfter {
+	if at.Sub(now) > limit {
 		// Multiples of the golden ratio modulo 1 are spread evenly, however many there are.
 		_, part := math.Modf(float64(f.returns) * math.Phi)
-		return maxRetryAfter/2 + time.Duration(part*float64(maxRetryAfter/2))
+		least := max(limit/2, minRetryAfter)
+		return least + time.Duration(part*float64(limit-least))
 	}
 	*returnAt = at.Add(min(seconds(returnMargin/max(perSecond, minFlowRate)), maxRetryAfter))
 	return at.Sub(now)
@@ -400,10 +435,10 @@
 		if i := slices.IndexFunc(f.waiting, func(t *Ticket) bool { return now.After(t.due) }); i >= 0 {
 			t := f.waiting[i]
 			q.Leave(t)
-			t.refused, t.retryAfter = true, q.retryAfter(f, q.estimate(f, now), now)
+			t.refused, t.retryAfter = true, q.retryAfter(f, q.estimate(f, now), t.leftAt(now), now)
 			return t, true
 		}
-		if len(f.waiting) == 0 || now.Before(f.waiting[0].notBefore) {
+		if f.ready(now) < 0 {
 			continue
 		}
 		if scarce && !q.eligible(f, now, full) {
@@ -416,7 +451,7 @@
 	if best == nil {
 		return nil, false
 	}
-	t := best.waiting[0]
+	t := best.waiting[best.ready(now)]
 	q.Leave(t)
 	if scarce {
 		q.charge(best)
@@ -446,9 +481,9 @@
 			if t.due.Before(at) {
 				at = t.due.Add(time.Nanosecond)
 			}
-		}
-		if len(f.waiting) > 0 && f.waiting[0].notBefore.After(now) && f.waiting[0].notBefore.Before(at) {
-			at = f.waiting[0].notBefore
+			if t.notBefore.After(now) && t.notBefore.Before(at) {
+				at = t.notBefore
+			}
 		}
 	}
 	if q.limitedRate > 0 && q.tokens < 1 {
@@ -516,6 +551,9 @@
 	}
 }
 
+// restOfFlows stands for all flows that a report does not list. No workspace has this name.
+var restOfFlows = Flow{Workspace: "\x00"}
+
 // Report returns the report for the other entries, or false if there is nothing to tell them.
 func (q *Queue) Report(now time.Time) (Report, bool) {
 	if !q.Scarce(now) {
@@ -527,6 +565,16 @@
 			r.Demands = append(r.Demands, Demand{Flow: f.flow, Amount: amount})
 		}
 	}
+	if len(r.Demands) > maxReportedFlows {
+		slices.SortFunc(r.Demands, func(a, b Demand) int {
+			return cmp.Or(cmp.Compare(b.Amount, a.Amount), a.Flow.compare(b.Flow))
+		})
+		rest := Demand{Flow: restOfFlows}
+		for _, d := range r.Demands[maxReportedFlows:] {
+			rest.Amount += d.Amount
+		}
+		r.Demands = append(r.Demands[:maxReportedFlows], rest)
+	}
 	slices.SortFunc(r.Demands, func(a, b Demand) int { return a.Flow.compare(b.Flow) })
 	return r, len(r.Demands) > 0
 }
@@ -534,7 +582,10 @@
 // update brings the tokens and the shares of the flows up to now.
 func (q *Queue) update(now time.Time) {
 	if now.Sub(q.tokensAt) >= scarceTime {
-		q.scarceSince, q.lastCapacity = now, 0
+		q.scarceSince, q.lastCapacity, q.returnAt = now, 0, time.Time{}
+		for _, f := range q.list {
+			f.returnAt = time.Time{}
+		}
 	}
 	if !q.tokensAt.IsZero() {
 		q.tokens += max(now.Sub(q.tokensAt).Seconds(), 0) * q.limitedRate
@@ -548,8 +599,9 @@
 	q.allocate(now)
 }
 
-// allocate divides the capacity among the flows of all entries, and the share of each flow among the entries by demand.
-func (q *Queue) allocate(now time.Time) {
+// prune removes the flows that have been idle for long.
+func (q *Queue) prune(now time.Time) {
+	q.prunedAt = now
 	q.list = slices.DeleteFunc(q.list, func(f *flowState) bool {
 		idle := len(f.waiting) == 0 && now.Sub(f.usedAt) > flowTTL
 		if idle {
@@ -559,6 +611,11 @@
 		}
 		return idle
 	})
+}
+
+// allocate divides the capacity among the flows of all entries, and the share of each flow among the entries by demand.
+func (q *Queue) allocate(now time.Time) {
+	q.prune(now)
 	total := make(map[Flow]float64, len(q.flows))
 	for _, f := range q.list {
 		if amount := f.arrivals.perSecond(now); amount >= minFlowRate {
--- a/internal/fairness/queue_test.go
+++ b/internal/fairness/queue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -292,3 +293,132 @@
 		}
 	}
 }
+
+// overloaded returns a Queue of one entry whose slots are all in use.
+func overloaded(now time.Time) *Queue {
+	q := NewQueue(func(time.Time) float64 { return 0.999 }, func() int { return 1 })
+	q.Answered(now, "r", 20*time.Millisecond)
+	q.Refused(now)
+	return q
+}
+
+// Guards against returns that are put off because of an earlier shortage.
+func TestNewShortageForgetsEarlierReturns(t *testing.T) {
+	now := epoch
+	q := overloaded(now)
+	r := Request{Flow: large, Within: 10 * time.Millisecond, Slots: 2, Full: true}
+	var first, last time.Duration
+	for i := range 200 {
+		d := q.Admit(now, r)
+		if d.Action != Refuse {
+			t.Fatalf("request %d gets %+v", i, d)
+		}
+		if last = d.RetryAfter; i == 0 {
+			first = last
+		}
+		now = now.Add(time.Millisecond)
+	}
+	now = now.Add(scarceTime + time.Millisecond)
+	if d := q.Admit(now, r); last < time.Second || d.RetryAfter > first {
+		t.Errorf("the first request of a shortage gets %v, the last one %v, the first one of the next shortage %v", first, last, d.RetryAfter)
+	}
+}
+
+// Guards against a time to come back that leaves a client no time for its request, and against clients that come back
+// together because of that.
+func TestRetryAfterLeavesTime(t *testing.T) {
+	now := epoch
+	q := overloaded(now)
+	const left = 900 * time.Millisecond
+	returns := make(map[time.Duration]int)
+	for range 200 {
+		d := q.Admit(now, Request{Flow: large, Within: 10 * time.Millisecond, Left: left, Slots: 2, Full: true})
+		if d.RetryAfter > left/3 || d.RetryAfter < minRetryAfter {
+			t.Fatalf("a client with %v left may come back after %v", left, d.RetryAfter)
+		}
+		returns[d.RetryAfter.Truncate(10*time.Millisecond)]++
+		now = now.Add(time.Millisecond)
+	}
+	for at, n := range returns {
+		if n > 200/5 {
+			t.Errorf("%d of 200 clients may come back after %v", n, at)
+		}
+	}
+}
+
+// Guards against a request that all servers have just refused and that keeps the others of its workspace waiting for its
+// pause.
+func TestPauseOfAReturnedRequestBlocksNoOther(t *testing.T) {
+	now := epoch
+	q := overloaded(now)
+	q.Answered(now, "r", 20*time.Millisecond)
+	quiet := Flow{Workspace: "quiet"}
+	r := Request{Flow: quiet, Within: time.Second, Slots: 4}
+	first := r
+	first.Full = true
+	waiting := q.Admit(now, first)
+	first.Full, first.Returned = false, true
+	returned := q.Admit(now, first)
+	if waiting.Action != Wait || returned.Action != Wait {
+		t.Fatalf("got %+v and %+v", waiting, returned)
+	}
+	if ticket, ok := q.Next(now, false); !ok || ticket != waiting.Ticket {
+		t.Error("a request waits for the pause of a returned one")
+	}
+	if d := q.Admit(now, r); d.Action != Go {
+		t.Errorf("a new request of a flow within its share gets %+v", d)
+	}
+	if _, ok := q.Next(now, false); ok {
+		t.Error("a returned request goes before its pause has ended")
+	}
+	if at, ok := q.Wake(now); !ok || at.After(now.Add(returnPause)) {
+		t.Errorf("wakes after %v", at.Sub(now))
+	}
+	if ticket, ok := q.Next(now.Add(returnPause), false); !ok || ticket != returned.Ticket {
+		t.Error("a returned request does not go after its pause")
+	}
+}
+
+// Guards against state that grows with all workspaces that ever sent a request, and reports that grow with those that send.
+func TestStateAndReportsAreBounded(t *testing.T) {
+	q := NewQueue(func(time.Time) float64 { return 1 }, func() int { return 1 })
+	now := epoch
+	for i := range 10000 {
+		now = now.Add(10 * time.Millisecond)
+		q.Admit(now, Request{Flow: Flow{Workspace: fmt.Sprint(i)}, Within: time.Second, Slots: 36})
+	}
+	// A flow is dropped within flowTTL after it has been idle for flowTTL.
+	if most := int(2*flowTTL/(10*time.Millisecond)) + 1; len(q.list) > most || len(q.flows) > most {
+		t.Errorf("%d flows are kept, want at most %d", len(q.list), most)
+	}
+	sent := 0.0
+	for i := range 2 * maxReportedFlows {
+		for range 1 + i/maxReportedFlows {
+			q.Admit(now, Request{Flow: Flow{Workspace: fmt.Sprint("many", i)}, Within: time.Second, Slots: 36})
+		}
+	}
+	for _, f := range q.list {
+		if amount := f.arrivals.perSecond(now); amount >= minFlowRate {
+			sent += amount
+		}
+	}
+	q.Refused(now)
+	r, ok := q.Report(now)
+	sum, large := 0.0, 0
+	for _, d := range r.Demands {
+		if sum += d.Amount; d.Amount > 3 && d.Flow != restOfFlows {
+			large++
+		}
+	}
+	if !ok || len(r.Demands) != maxReportedFlows+1 || math.Abs(sum-sent) > 1e-6*sent || large != maxReportedFlows {
+		t.Errorf("%d demands, %d of them large, with %.1f of %.1f requests per second", len(r.Demands), large, sum, sent)
+	}
+}
+
+// Guards against a division whose cost grows with the number of levels: levels above maxLevel share one.
+func TestLevelsAreMerged(t *testing.T) {
+	demands := []Demand{{Flow: Flow{Workspace: "a", Level: maxLevel}, Amount: 10}, {Flow: Flow{Workspace: "b", Level: maxLevel + 7}, Amount: 10}}
+	if g := Allocate(10, demands); math.Abs(g[0]-g[1]) > 0.01 {
+		t.Errorf("levels %d and %d get %v", maxLevel, maxLevel+7, g)
+	}
+}
