Pause longer before each further try of a returned request

Cause: a request that all servers had refused was tried again every 10 ms until its time ran out, whatever the time of an answer, so that a service with work of 1 s refused several attempts for each answer.

Change: the pause is a part of the mean duration and doubles; the sixth refusal by all servers is final. The package comment states the load that the windows suit.

--- a/entry/internal/ingress/forward.go
+++ b/entry/internal/ingress/forward.go
@@ -71,11 +71,11 @@
 	}
 	service := q.route.PickService(g.Random.IntN)
 	tried := make(map[string]bool)
-	if a, ok := g.takeTurn(ctx, q, service, false); !ok {
+	if a, ok := g.takeTurn(ctx, q, service, 0); !ok {
 		g.replyUnserved(w, q, a, false)
 		return
 	}
-	mayHaveRun, noRoom := false, false
+	mayHaveRun, noRoom, returned := false, false, 0
 	last := attempt{outcome: notRun, cause: causeNoServer}
 	for sent := 0; sent < q.route.MaxAttempts && (!mayHaveRun || q.route.Repeatable()); {
 		now := time.Now()
@@ -98,7 +98,8 @@
 					g.Turns.NoRoom(service, now)
 				}
 			} else if noRoom && !mayHaveRun && g.takesTurns(q) {
-				a, ok := g.takeTurn(ctx, q, service, true)
+				returned++
+				a, ok := g.takeTurn(ctx, q, service, returned)
 				if ok {
 					clear(tried)
 					noRoom = false
--- a/entry/internal/ingress/turn.go
+++ b/entry/internal/ingress/turn.go
@@ -20,8 +20,8 @@
 }
 
 // takeTurn decides whether a request may go to a server of a service, and waits for its turn if need be; if not, it returns
-// the attempt to be reported. returned is true if the servers had no room for it.
-func (g *Ingress) takeTurn(ctx context.Context, q *request, service string, returned bool) (attempt, bool) {
+// the attempt to be reported. returned is how often all servers had no room for it.
+func (g *Ingress) takeTurn(ctx context.Context, q *request, service string, returned int) (attempt, bool) {
 	f, ok := g.flow(q)
 	if g.Turns == nil || !ok {
 		return attempt{}, true
--- a/entry/internal/turn/turn.go
+++ b/entry/internal/turn/turn.go
@@ -108,7 +108,7 @@
 	Route    string
 	Within   time.Duration // time left to answer it within its objective and its deadline
 	Left     time.Duration // time left until the deadline that its client has named, or 0
-	Returned bool          // all servers have refused it for lack of room since it was last admitted
+	Returned int           // times that all servers have refused it for lack of room
 }
 
 // Verdict says whether a request may go to a server now.
--- a/internal/fairness/fairness.go
+++ b/internal/fairness/fairness.go
@@ -18,7 +18,8 @@
 // # Load
 //
 // The package is designed for about a hundred workspaces with a few levels of urgency, tens of entries that hear each other
-// within a fraction of a second, and services of a few to a few hundred slots whose requests take milliseconds to seconds.
+// within a fraction of a second, and services of a few to a few hundred slots whose requests take milliseconds to a second.
+// Rates are measured over half a second: services that give fewer than about ten answers in that time are divided less evenly.
 //
 // # Shares
 //
--- a/internal/fairness/queue.go
+++ b/internal/fairness/queue.go
@@ -34,9 +34,15 @@
 	wakeInterval = 20 * time.Millisecond
 	// burstTime is the time for which an unused rate accumulates.
 	burstTime = 20 * time.Millisecond
-	// returnPause is the pause before a request is tried again that all servers had no room for: short requests leave a
-	// server about that often.
-	returnPause = 10 * time.Millisecond
+	// returnPause is the shortest pause before a request is tried again that all servers had no room for. The first pause is
+	// a part of the mean duration, in which slots become free at several servers: 1/returnPart for limited flows, and
+	// 1/satisfiedReturnPart for the others. Later pauses double, so that a request is tried a few times within its objective.
+	returnPause         = 10 * time.Millisecond
+	returnPart          = 4
+	satisfiedReturnPart = 16
+	// maxReturned is the number of times that all servers may refuse a request until it is refused. It bounds the attempts at
+	// servers of one request; with 4, small workspaces were served 0.875 of what they asked for when servers became slower.
+	maxReturned = 6
 	// returnMargin is the factor by which the times between the returns of refused requests exceed those between the requests
 	// that are served. The rate is an estimate, and a request that is refused twice often has no third try.
 	returnMargin = 1.5
@@ -79,7 +85,7 @@
 	Route    string        // requests of one route take about equally long
 	Within   time.Duration // time left to answer it within its objective and its deadline
 	Left     time.Duration // time left until the deadline that its client has named, or 0
-	Returned bool          // all servers have refused it since it was last let go
+	Returned int           // times that all servers have refused it
 	Slots    int           // slots of the service
 	Full     bool          // all slots are in use as far as known
 }
@@ -212,11 +218,11 @@
 // Admit decides about a request.
 func (q *Queue) Admit(now time.Time, r Request) Decision {
 	f := q.flow(r.Flow, now)
-	if !r.Returned {
+	if r.Returned == 0 {
 		f.arrivals.add(now)
 	}
 	q.slots = r.Slots
-	if r.Full || r.Returned {
+	if r.Full || r.Returned > 0 {
 		q.refusedAt = now
 	}
 	if !q.Scarce(now) {
@@ -227,26 +233,37 @@
 		q.allocatedAt = now.Add(-allocateInterval)
 	}
 	q.update(now)
-	if !r.Returned && f.ready(now) < 0 && q.eligible(f, now, r.Full) && q.first(f, now) {
+	if r.Returned == 0 && f.ready(now) < 0 && q.eligible(f, now, r.Full) && q.first(f, now) {
 		q.charge(f)
 		return Decision{}
 	}
-	t := &Ticket{flow: f, returned: r.Returned, due: now.Add(r.Within - q.durationOf(r.Route))}
+	t := &Ticket{flow: f, returned: r.Returned > 0, due: now.Add(r.Within - q.durationOf(r.Route))}
 	if r.Left > 0 {
 		t.deadline = now.Add(r.Left)
 	}
 	wait := q.estimate(f, now)
-	if r.Returned {
-		t.notBefore = now.Add(returnPause)
-		wait = returnPause + seconds(float64(q.waitingReturned)/q.rateHere(now))
+	if r.Returned > 0 {
+		pause := q.pause(f, r.Returned)
+		t.notBefore = now.Add(pause)
+		wait = pause + seconds(float64(q.waitingReturned)/q.rateHere(now))
 	}
-	if q.waiting >= maxWaiting || now.Add(time.Duration(estimateMargin*float64(wait))).After(t.due) {
+	if q.waiting >= maxWaiting || r.Returned >= maxReturned || now.Add(time.Duration(estimateMargin*float64(wait))).After(t.due) {
 		return Decision{Action: Refuse, RetryAfter: q.retryAfter(f, wait, r.Left, now)}
 	}
 	q.enqueue(t)
 	return Decision{Action: Wait, Ticket: t}
 }
 
+// pause returns the pause before a request of a flow is tried again that all servers have refused the given number of times.
+// Flows within their share are tried more often at first: a slot that frees is theirs.
+func (q *Queue) pause(f *flowState, returned int) time.Duration {
+	const maxDoublings = 8
+	if f.limited {
+		return max(returnPause, q.meanDuration/returnPart) << min(returned-1, maxDoublings)
+	}
+	return max(returnPause, q.meanDuration/satisfiedReturnPart) << max(min(returned-3, maxDoublings), 0)
+}
+
 // enqueue adds a ticket to those of its flow. Requests that have been let go before come first.
 func (q *Queue) enqueue(t *Ticket) {
 	f, at := t.flow, len(t.flow.waiting)
