--- a/internal/fairness/queue.go
+++ b/internal/fairness/queue.go
@@ -131,7 +131,7 @@
 
 // Report is what an entry tells the others about a service that is short of slots.
 type Report struct {
-	Refused bool    // servers have refused requests of this entry, or all slots known to it are in use
+	Refused bool    // all servers have refused a request of this entry, or all slots known to it are in use
 	Served  float64 // answers per second
 	Demands []Demand
 }
--- a/internal/fairness/queue_test.go
+++ b/internal/fairness/queue_test.go
@@ -259,7 +259,7 @@
 // large workspace asks for 400 per second.
 func saturated(t *testing.T) (*Queue, time.Time) {
 	t.Helper()
-	q := NewQueue(func(time.Time) float64 { return 0.999 }, func() int { return 1 }) // not alone: it goes by rates
+	q := NewQueue(func(time.Time) float64 { return 0.999 }, func() int { return 1 }) // not the sole entry: it goes by rates
 	now := epoch
 	for i := range 2000 {
 		now = now.Add(2500 * time.Microsecond)
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -1120,7 +1120,8 @@
 	// Items of jobs, one element for each workspace and level.
 	Items []ItemShare `json:"items"`
 
-	// Servers have refused requests of this entry for lack of room.
+	// All servers have refused a request of this entry, or all their slots are in
+	// use.
 	Refused bool `json:"refused"`
 
 	// Requests of clients, one element for each workspace and level.
