Reuse connections to servers for as long as they stay open, and prefer servers with one

An entry sends a lookup every two seconds, and used idle connections only until 0.7 s before the idle timeout that the server states in whole seconds. At 256 idle connections the newest one was closed; two steps of 192 items need more.

Change: the pool observes how long servers of a service keep connections open and uses them until 0.2 s before that, never longer than stated. The connection that expires first is closed at the limit, which is 512 now. Answers without a body and refusals of a server that was asked to resume a stream keep their connection. Among servers of about equal cost (a quarter, at most 10 ms more) one with an idle connection is chosen; with at most one idle connection in the process the choice is as before, and requests that must not run twice do not take part. The metric connections counts opened and reused ones by service.

Ruled out: using connections up to the stated time without an observation, as a request that crosses the close is lost; letting items of ended jobs run to their end.

--- a/entry/internal/batch/run.go
+++ b/entry/internal/batch/run.go
@@ -314,7 +314,7 @@
 
 // target returns the address and connection settings of a server.
 func (j *Job) target(s catalog.Server) upstream.Target {
-	t := upstream.Target{Address: s.Address, Incarnation: s.ID}
+	t := upstream.Target{Service: s.Service, Address: s.Address, Incarnation: s.ID}
 	if c := j.manager.Catalog.Config(); c != nil {
 		t.Conns = c.Services[s.Service].MaxConns
 	}
--- a/entry/internal/cli/platform.go
+++ b/entry/internal/cli/platform.go
@@ -44,8 +44,9 @@
 const (
 	// dialTimeout bounds opening a connection to a server; it allows for one lost SYN.
 	dialTimeout = 1200 * time.Millisecond
-	// maxIdleConns bounds idle connections to servers; each costs a descriptor and two small buffers.
-	maxIdleConns = 256
+	// maxIdleConns bounds idle connections to servers; each costs a descriptor and a buffer of 4 KB. An entry that runs the
+	// steps of one trainer has two of them open, of up to 192 items each, and connections for other requests beside them.
+	maxIdleConns = 512
 	// maxIdleStoreConns bounds idle connections to the store; an entry seldom has more calls in progress at a time.
 	maxIdleStoreConns = 16
 	// gcPercent is the GOGC value. Memory is scarce, but streamed events wait for the processor during a garbage
@@ -167,14 +168,24 @@
 func (p *platformEntry) build(lifetime context.Context) error {
 	s := p.settings
 	p.tree = supervise.New("entry", p.logger)
-	pool := upstream.New(upstream.Limits{Dial: dialTimeout, Idle: maxIdleConns, Open: connectionLimit(s.MaxDescriptors, serverConnShare)})
-	// Store calls have a connection pool of their own, so that requests cannot exhaust it.
-	storePool := upstream.New(upstream.Limits{Dial: dialTimeout, Idle: maxIdleStoreConns})
-	p.store = platform.NewStore(s.Store.Address, program.StoreTimeout, storePool, p.logger)
 	m, text, err := meter.New("entry")
 	if err != nil {
 		return err
 	}
+	connections := m.Counter("connections", "Requests to servers, by the connection that they were sent on.", "service", "use")
+	pool := upstream.New(upstream.Limits{
+		Dial: dialTimeout, Idle: maxIdleConns, Open: connectionLimit(s.MaxDescriptors, serverConnShare),
+		Observe: func(service string, reused bool) {
+			use := "opened"
+			if reused {
+				use = "reused"
+			}
+			connections.Add(1, service, use)
+		},
+	})
+	// Store calls have a connection pool of their own, so that requests cannot exhaust it.
+	storePool := upstream.New(upstream.Limits{Dial: dialTimeout, Idle: maxIdleStoreConns})
+	p.store = platform.NewStore(s.Store.Address, program.StoreTimeout, storePool, p.logger)
 	p.metrics = text
 	p.registerMetrics(m, pool, storePool)
 	p.listen("metrics", net.JoinHostPort(s.IP, strconv.Itoa(metricsPort)), func(l net.Listener) error {
@@ -199,6 +210,7 @@
 	source := newSeedSource(0)
 	tracker := place.New(place.Home{Domain: s.Domain, Region: s.Region, Regions: s.Regions},
 		p.catalog.Limits(), rand.New(rand.NewChaCha8(nextSeed(source))))
+	tracker.SetConnections(pool)
 	address := net.JoinHostPort(s.IP, strconv.Itoa(s.Ports.First))
 	self := wire.Member{Address: address, Inc: p.inc, Domain: s.Domain, Region: s.Region}
 	hello := func() wire.Hello {
--- a/entry/internal/ingress/forward.go
+++ b/entry/internal/ingress/forward.go
@@ -83,7 +83,7 @@
 			}
 			break
 		}
-		servers, need := g.Catalog.Servers(service), place.Need{Tried: tried}
+		servers, need := g.Catalog.Servers(service), place.Need{Tried: tried, NewConn: !q.route.Repeatable()}
 		s, ok := g.Tracker.Start(now, servers, need)
 		if !ok {
 			if wait, limited := g.Tracker.Reject(now, servers, need, left); limited && last.outcome == notRun {
@@ -222,7 +222,7 @@
 	ctx context.Context, w http.ResponseWriter, q *request, s catalog.Server, left time.Duration, onResponse func(),
 ) attempt {
 	svc := q.config.Services[s.Service]
-	target := upstream.Target{Address: s.Address, Incarnation: s.ID, Conns: svc.MaxConns}
+	target := upstream.Target{Service: s.Service, Address: s.Address, Incarnation: s.ID, Conns: svc.MaxConns}
 	sentAt := time.Now()
 	resp, err := g.Pool.Send(ctx, target, g.upstreamRequest(q, call.Attempt{Server: s.ID, Timeout: left}))
 	if err != nil {
--- a/entry/internal/ingress/stream.go
+++ b/entry/internal/ingress/stream.go
@@ -170,7 +170,7 @@
 		tried[s.ID] = true
 		q.servers = append(q.servers, s.ID)
 		q.attempts++
-		resp, err := g.Pool.Send(ctx, upstream.Target{Address: s.Address, Incarnation: s.ID, Conns: conns},
+		resp, err := g.Pool.Send(ctx, upstream.Target{Service: s.Service, Address: s.Address, Incarnation: s.ID, Conns: conns},
 			g.upstreamRequest(q, call.Attempt{Server: s.ID, Timeout: q.remaining(now), ResumeAfter: last}))
 		if err != nil {
 			g.recordAbort(q, s)
@@ -181,7 +181,11 @@
 		if resp.StatusCode == http.StatusOK && meaning == call.Genuine && isEventStream(resp.Header) {
 			return resp, &s
 		}
-		resp.Abandon()
+		if meaning == call.Foreign || resp.StatusCode == http.StatusOK {
+			resp.Abandon()
+		} else {
+			resp.Discard()
+		}
 		g.Tracker.Ended(s.ID, "", place.Refused, 0, time.Now())
 	}
 	return nil, nil
--- a/entry/internal/place/place.go
+++ b/entry/internal/place/place.go
@@ -69,6 +69,7 @@
 	Optional    bool // work that is useful only at servers with capacity to spare
 	Overdue     bool // work that has waited long enough to compete with requests whose clients wait
 	ExcludeSlow bool // only servers that are not slow at present
+	NewConn     bool // the request is sent on a new connection, whatever connections are idle
 	// RemainingEvents is the number of events the work is still expected to generate, 0 for work that streams no events.
 	RemainingEvents int
 	// TimeBudget is the time in which the work may finish without delaying anything else, 0 if it should finish as early as
@@ -95,10 +96,12 @@
 type Tracker struct {
 	home        Home
 	limits      *ratelimit.Limiter
+	connections Connections   // nil if idle connections do not count
 	workStarted chan struct{} // signalled when work starts at an engine
 
 	mu           sync.Mutex
 	random       *rand.Rand
+	costs        []float64 // of the servers of one choice; reused
 	state        map[string]*state
 	remote       map[string]remoteLoad // load reported by other entries, by entry
 	lagCheckedAt time.Time             // when wasLagging was determined
@@ -180,7 +183,9 @@
 		slowThreshold = t.slowThreshold(now)
 	}
 	var bestCost, fallbackCost float64
+	t.costs = t.costs[:0]
 	for i, s := range servers {
+		t.costs = append(t.costs, -1)
 		if !n.allows(s) || n.RequireSlot && !t.hasRoom(now, s, n) || !t.limits.Allows(s.ID, n.priority(), n.Reserve, now) {
 			continue
 		}
@@ -195,10 +200,14 @@
 			}
 			continue
 		}
+		t.costs[i] = cost
 		if best < 0 || cost < bestCost {
 			best, bestCost = i, cost
 		}
 	}
+	if best >= 0 && t.connections != nil && !n.NewConn {
+		best = t.pickConnected(now, servers, t.costs, best)
+	}
 	if best < 0 {
 		best = fallback
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -30,12 +30,6 @@
 const (
 	readBuffer  = 4 << 10
 	writeBuffer = 4 << 10
-	// idleMargin is subtracted from the idle timeout that a server announces, so that no request is sent while the server
-	// closes the connection.
-	idleMargin = 700 * time.Millisecond
-	// defaultIdleTime is the idle timeout of connections whose server announced none; common server defaults are longer.
-	// Requests that must not run twice always use new connections.
-	defaultIdleTime = 8 * time.Second
 	// unackedTimeout closes a connection on which the peer does not acknowledge sent data.
 	unackedTimeout = 2 * time.Second
 	// keepAliveIdle, keepAliveInterval and keepAliveCount configure TCP keep-alive. It closes a connection on which nothing is
@@ -56,6 +50,7 @@
 
 // Target is one incarnation of a server.
 type Target struct {
+	Service     string // groups servers with the same settings; may be empty
 	Address     string
 	Incarnation string
 	Conns       int // maximum of open connections; 0 for no limit
@@ -110,18 +105,21 @@
 	Dial time.Duration // timeout for opening a connection
 	Idle int           // maximum of idle connections in total
 	Open int           // maximum of connections in total, including idle ones; 0 for no limit
+	// Observe, which may be nil, is called with the service and whether the connection is reused, for each request.
+	Observe func(service string, reused bool)
 }
 
 // Pool holds the connections to servers. It is safe for concurrent use.
 type Pool struct {
 	limits Limits
 
-	mu    sync.Mutex
-	hosts map[string]*host
-	idle  int
-	open  int
-	dials int64
-	sweep *time.Timer
+	mu        sync.Mutex
+	hosts     map[string]*host
+	lifetimes lifetimes
+	idle      int
+	open      int
+	dials     int64
+	sweep     *time.Timer
 }
 
 type host struct {
@@ -134,6 +132,9 @@
 	net.Conn
 	reader        *bufio.Reader
 	host          *host
+	service       string
+	timeout       timeoutKey // of the last answer
+	idleSince     time.Time
 	expires       time.Time
 	readingHead   bool
 	headBytesLeft int // bytes that may still be read while readingHead is set
@@ -172,7 +173,47 @@
 }
 
 // New returns an empty pool.
-func New(l Limits) *Pool { return &Pool{limits: l, hosts: make(map[string]*host)} }
+func New(l Limits) *Pool {
+	return &Pool{limits: l, hosts: make(map[string]*host), lifetimes: make(lifetimes)}
+}
+
+// Idle returns the number of idle connections to an incarnation of a server that the next requests may use.
+func (p *Pool) Idle(address, incarnation string, now time.Time) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[address]
+	if h == nil || h.incarnation != incarnation {
+		return 0
+	}
+	return h.usable(now)
+}
+
+// Several reports whether there are at least two idle connections, to any servers, that the next requests may use.
+func (p *Pool) Several(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.idle < 2 {
+		return false
+	}
+	n := 0
+	for _, h := range p.hosts {
+		if n += h.usable(now); n >= 2 {
+			return true
+		}
+	}
+	return false
+}
+
+// usable returns the number of idle connections that have not expired; the caller holds Pool.mu.
+func (h *host) usable(now time.Time) int {
+	n := 0
+	for _, c := range h.idle {
+		if now.Before(c.expires) {
+			n++
+		}
+	}
+	return n
+}
 
 // DialAttempts returns the number of connection attempts so far.
 func (p *Pool) DialAttempts() int64 {
@@ -199,8 +240,8 @@
 		return
 	}
 	r.released = true
-	whole := false
-	if r.Framed() && !r.Response.Close {
+	whole := r.Body == http.NoBody && !r.Response.Close // such as of an answer to HEAD without a length
+	if !whole && r.Framed() && !r.Response.Close {
 		// If the body was read to its end, this returns at once.
 		var b [1]byte
 		n, err := r.Body.Read(b[:])
@@ -239,10 +280,13 @@
 
 // Send sends a request and reads the status and header of the answer. Its error is always an *Error.
 func (p *Pool) Send(ctx context.Context, t Target, q Request) (*Response, error) {
-	c, err := p.acquire(ctx, t, q.NewConn, time.Now())
+	c, reused, err := p.acquire(ctx, t, q.NewConn, time.Now())
 	if err != nil {
 		return nil, &Error{cause: err, full: errors.Is(err, errPoolFull), reset: errors.Is(err, syscall.ECONNREFUSED)}
 	}
+	if p.limits.Observe != nil {
+		p.limits.Observe(t.Service, reused)
+	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	wrote, err := writeRequest(c, q)
 	if err != nil {
@@ -325,8 +369,9 @@
 	return true, err
 }
 
-// acquire returns an idle connection to the incarnation or, if there is none or fresh is set, a new one.
-func (p *Pool) acquire(ctx context.Context, t Target, fresh bool, now time.Time) (*conn, error) {
+// acquire returns an idle connection to the incarnation or, if there is none or fresh is set, a new one. The second result
+// reports whether the connection was used before.
+func (p *Pool) acquire(ctx context.Context, t Target, fresh bool, now time.Time) (*conn, bool, error) {
 	p.mu.Lock()
 	h := p.hosts[t.Address]
 	if h == nil {
@@ -342,15 +387,15 @@
 		c := h.idle[len(h.idle)-1]
 		h.idle = h.idle[:len(h.idle)-1]
 		p.idle--
-		if now.Before(c.expires) && c.noInput() {
+		if p.check(c, now) && now.Before(c.expires) {
 			p.mu.Unlock()
-			return c, nil
+			return c, true, nil
 		}
 		p.close(c)
 	}
 	if !p.makeRoom(h, t.Conns) {
 		p.mu.Unlock()
-		return nil, errPoolFull
+		return nil, false, errPoolFull
 	}
 	h.open++
 	p.open++
@@ -364,11 +409,24 @@
 		p.mu.Lock()
 		p.uncount(h)
 		p.mu.Unlock()
-		return nil, err
+		return nil, false, err
 	}
-	c := &conn{Conn: nc, host: h}
+	c := &conn{Conn: nc, host: h, service: t.Service}
 	c.reader = bufio.NewReaderSize(c, readBuffer)
-	return c, nil
+	return c, false, nil
+}
+
+// check reports whether nothing was received on an idle connection, and records what that says about the idle timeout of
+// the server. The caller holds mu.
+func (p *Pool) check(c *conn, now time.Time) bool {
+	if c.noInput() {
+		p.lifetimes.open(c.timeout, now.Sub(c.idleSince))
+		return true
+	}
+	if now.Before(c.expires) {
+		p.lifetimes.closed(c.timeout)
+	}
+	return false
 }
 
 // control sets the TCP user timeout of a socket, after which the kernel closes a connection with unacknowledged data.
@@ -390,16 +448,23 @@
 		}
 		p.evict(h)
 	}
-	if p.limits.Open <= 0 || p.open < p.limits.Open {
-		return true
-	}
-	for _, other := range p.hosts {
-		if len(other.idle) > 0 {
-			p.evict(other)
-			return true
+	return p.limits.Open <= 0 || p.open < p.limits.Open || p.evictFirst()
+}
+
+// evictFirst closes the idle connection that expires first, of all hosts, and reports whether there was one. The caller
+// holds mu.
+func (p *Pool) evictFirst() bool {
+	var first *host
+	for _, h := range p.hosts {
+		if len(h.idle) > 0 && (first == nil || h.idle[0].expires.Before(first.idle[0].expires)) {
+			first = h
 		}
 	}
-	return false
+	if first == nil {
+		return false
+	}
+	p.evict(first)
+	return true
 }
 
 // evict closes the oldest idle connection to a host; the caller holds mu.
@@ -430,42 +495,51 @@
 }
 
 // putIdle keeps a connection for reuse; keepAlive is the value of the answer's Keep-Alive header. It closes the connection
-// if the limit of idle connections is reached or the server has been replaced by another incarnation.
+// if it may not be kept or the server has been replaced by another incarnation. At the limit of idle connections, the one
+// that expires first is closed.
 func (p *Pool) putIdle(c *conn, keepAlive string, now time.Time) {
-	keep := defaultIdleTime
-	if s, ok := keepAliveTimeout(keepAlive); ok {
-		keep = s - idleMargin
-	}
+	announced, ok := keepAliveTimeout(keepAlive)
+	c.timeout = timeoutKey{service: c.service, announced: announced}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if keep <= 0 || p.idle >= p.limits.Idle || p.hosts[c.RemoteAddr().String()] != c.host {
+	keep := p.lifetimes.usable(c.timeout, ok)
+	if keep <= 0 || p.hosts[c.RemoteAddr().String()] != c.host || p.idle >= p.limits.Idle && !p.evictFirst() {
 		p.close(c)
 		return
 	}
-	c.expires = now.Add(keep)
+	c.idleSince, c.expires = now, now.Add(keep)
 	c.host.idle = append(c.host.idle, c)
 	p.idle++
 	if p.sweep == nil {
-		p.sweep = time.AfterFunc(sweepInterval, p.closeExpired)
+		p.sweep = time.AfterFunc(sweepInterval, func() { p.closeExpired(time.Now()) })
 	}
 }
 
-// closeExpired closes idle connections that have expired, and schedules its next run while there are idle ones.
-func (p *Pool) closeExpired() {
-	now := time.Now()
+// closeExpired closes idle connections that have expired, and schedules its next run while there are idle ones. Expired
+// connections of servers whose idle timeout is not settled stay for up to the announced time, to be observed, but are not
+// used.
+func (p *Pool) closeExpired(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for address, h := range p.hosts {
-		for len(h.idle) > 0 && !now.Before(h.idle[0].expires) {
-			p.evict(h)
+		kept := h.idle[:0]
+		for _, c := range h.idle {
+			if now.Before(c.expires) || !p.lifetimes.settled(c.timeout) && p.check(c, now) && now.Sub(c.idleSince) < c.timeout.announced {
+				kept = append(kept, c)
+				continue
+			}
+			p.idle--
+			p.close(c)
 		}
+		clear(h.idle[len(kept):])
+		h.idle = kept
 		if h.open == 0 {
 			delete(p.hosts, address)
 		}
 	}
 	p.sweep = nil
 	if p.idle > 0 {
-		p.sweep = time.AfterFunc(sweepInterval, p.closeExpired)
+		p.sweep = time.AfterFunc(sweepInterval, func() { p.closeExpired(time.Now()) })
 	}
 }
 
