Choose the owner of a job by what the entries already run

Cause: the owner of a job was chosen by hash among the strong entries of the receiver's failure domain, so two busy trainers could share one entry while an equally strong one was idle.

Change: an owner names the model and the number of items when it announces a job (JobOwner), and its bandwidth in its hello. The receiver assigns all models that the strong entries run, those with the most items first, each to the entry that is used least by cores and link; the hash decides among unused ones, so a single model is assigned as before. If the chosen entry runs other models, the entries of the region are candidates too. Entries that disagree cost work, not results.

--- a/entry/internal/batch/answer.go
+++ b/entry/internal/batch/answer.go
@@ -58,6 +58,7 @@
 		if err := f.Decode(&q); err != nil {
 			return "", nil, err
 		}
+		m.recordRunning(q, time.Now())
 		m.ownerChanged(q)
 		return link.Replied, wire.JobReply{Done: true}, nil
 	})
--- a/entry/internal/batch/batch.go
+++ b/entry/internal/batch/batch.go
@@ -95,6 +95,7 @@
 	Broadcast(kind string, body any)
 	Connected() []string
 	InDomain(domain string) []wire.Hello
+	InRegion(region string) []wire.Hello
 	Incarnation(name string) string
 }
 
@@ -148,6 +149,7 @@
 	jobs          map[string]*Job
 	owners        map[string]wire.JobState // cached states of jobs that other entries own
 	takeovers     map[string]chan struct{} // closed when this entry has finished taking the job over
+	running       runningModels
 	texts         *textCache
 	pageLimit     *pageLimiter
 	lengths       *forecast.Forecast
@@ -165,6 +167,7 @@
 		jobs:          make(map[string]*Job),
 		owners:        make(map[string]wire.JobState),
 		takeovers:     make(map[string]chan struct{}),
+		running:       make(runningModels),
 		texts:         newTextCache(),
 		pageLimit:     newPageLimiter(o.LinkRate),
 		lengths:       forecast.New(),
@@ -266,7 +269,7 @@
 // requestAdoption asks the preferred owner of an open job to take it over. It returns false if this entry or the
 // current owner is preferred, or if the request fails.
 func (m *Manager) requestAdoption(ctx context.Context, s wire.JobState, id string) bool {
-	owner := chooseOwner(s.Model, m.candidates())
+	owner := m.preferredOwner(s.Model, s.Total, time.Now())
 	if s.Ended || owner.name == "" || owner.name == m.Name || owner.name == s.Owner && owner.inc == s.Inc {
 		return false
 	}
@@ -455,7 +458,11 @@
 	if j.hasEnded() {
 		return true
 	}
-	m.Peers.Broadcast(link.Owner, wire.JobOwner{Job: j.spec.ID, Owner: m.Name, Inc: m.Self.Inc, Epoch: j.epoch})
+	o := wire.JobOwner{
+		Job: j.spec.ID, Owner: m.Name, Inc: m.Self.Inc, Epoch: j.epoch, Model: j.spec.Model, Items: len(j.spec.Items),
+	}
+	m.recordRunning(o, time.Now())
+	m.Peers.Broadcast(link.Owner, o)
 	j.resume(parts, time.Now())
 	j.launch(m.baseCtx)
 	return true
--- a/entry/internal/batch/owner.go
+++ b/entry/internal/batch/owner.go
@@ -274,10 +274,10 @@
 		return
 	}
 	var wg sync.WaitGroup
-	candidates := m.candidates()
+	now := time.Now()
 	for i, j := range open {
 		order := slices.Concat(peers[i%len(peers):], peers[:i%len(peers)])
-		if first := chooseOwner(j.spec.Model, candidates).name; first != "" {
+		if first := m.preferredOwner(j.spec.Model, len(j.spec.Items), now).name; first != "" {
 			order = slices.Insert(order, 0, first)
 		}
 		wg.Go(func() { m.handOver(ctx, j, order) })
--- a/entry/internal/batch/owner_test.go
+++ b/entry/internal/batch/owner_test.go
@@ -191,10 +191,10 @@
 			a, stopA := r.manager("a", "a1")
 			b, stopB := r.manager("b", "b1")
 			receiver, owner, stopReceiver, stopOwner := a, b, stopA, stopB
-			if chooseOwner("m", a.candidates()).name == "a" {
+			if a.preferredOwner("m", 2, time.Now()).name == "a" {
 				receiver, owner, stopReceiver, stopOwner = b, a, stopB, stopA
 			}
-			if got := chooseOwner("m", receiver.candidates()).name; got != owner.Name {
+			if got := receiver.preferredOwner("m", 2, time.Now()).name; got != owner.Name {
 				t.Fatalf("%s delegates the job to %s", receiver.Name, got)
 			}
 			reader := receiver
--- a/entry/internal/batch/rank_test.go
+++ b/entry/internal/batch/rank_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -45,7 +47,7 @@
 	late, baseline := 0, 0
 	for i := range models {
 		model := fmt.Sprintf("m%d", i)
-		if waits(chooseOwner(model, candidates()).cores) > event {
+		if waits(chooseOwner(model, 150, candidates()).cores) > event {
 			late++
 		}
 		var first candidate
@@ -70,12 +72,12 @@
 	seen := make(map[string]int)
 	for i := range 60 {
 		model := fmt.Sprintf("m%d", i)
-		first := chooseOwner(model, candidates())
+		first := chooseOwner(model, 150, candidates())
 		reversed := candidates()
 		for a, b := 0, len(reversed)-1; a < b; a, b = a+1, b-1 {
 			reversed[a], reversed[b] = reversed[b], reversed[a]
 		}
-		if again := chooseOwner(model, reversed); again != first {
+		if again := chooseOwner(model, 150, reversed); again.name != first.name {
 			t.Fatalf("model %s is run by %s and by %s", model, first.name, again.name)
 		}
 		seen[first.name]++
@@ -83,10 +85,10 @@
 	if len(seen) != 3 {
 		t.Errorf("sixty models are run by %v, want 3 entries", seen)
 	}
-	if c := chooseOwner("m", []candidate{{name: "a"}, {name: "b"}}); c.name == "" {
+	if c := chooseOwner("m", 150, []candidate{{name: "a"}, {name: "b"}}); c.name == "" {
 		t.Error("no candidate of unknown CPU is chosen")
 	}
-	if c := chooseOwner("m", nil); c.name != "" {
+	if c := chooseOwner("m", 150, nil); c.name != "" {
 		t.Errorf("without candidates %q is chosen", c.name)
 	}
 }
@@ -114,3 +116,106 @@
 		t.Error("the job is not run by the entry with the most CPU")
 	}
 }
+
+// Simulates the trainers of four models that submit a job of 150 items every four seconds through a random one of the entries
+// of six failure domains, each with a strong entry or two, while announcements arrive after a second. Once all models are
+// known, no model may share its owner with another one while a strong entry of the region is idle, and the jobs of a model
+// must stay with few owners. The baseline chooses by hash in the failure domain of the receiver.
+func TestBusyTrainersDoNotShareAnOwner(t *testing.T) {
+	const (
+		rounds  = 60
+		settled = 10
+		delay   = time.Second
+		period  = 4 * time.Second
+	)
+	domains := make([][]candidate, 6)
+	for i := range domains {
+		for k := range 1 + i%2 {
+			domains[i] = append(domains[i], candidate{name: fmt.Sprintf("strong-%d-%d", i, k), cores: 0.8, rate: 25e6})
+		}
+		for k := range 3 {
+			domains[i] = append(domains[i], candidate{name: fmt.Sprintf("weak-%d-%d", i, k), cores: 0.144, rate: 6e6})
+		}
+	}
+	simulate := func(seed uint64, choose func(model string, domain, region []candidate) candidate) (shared, owned int) {
+		random := rand.New(rand.NewPCG(seed, 2))
+		type start struct {
+			at           time.Time
+			owner, model string
+		}
+		var starts []start
+		owners := make(map[string]bool)
+		now := time.Now()
+		for round := range rounds {
+			for _, model := range []string{"long", "medium", "other", "short"} {
+				now = now.Add(period / 4)
+				known := make(runningModels)
+				for _, s := range starts {
+					if now.Sub(s.at) > delay {
+						known.record(s.owner, "", s.model, 150, s.at)
+					}
+				}
+				view := func(l []candidate) []candidate {
+					l = slices.Clone(l)
+					for i := range l {
+						l[i].running = known.of(l[i].name, "", now)
+					}
+					return l
+				}
+				c := choose(model, view(domains[random.IntN(6)]), view(slices.Concat(domains...)))
+				if round >= settled {
+					for _, s := range starts {
+						if s.owner == c.name && s.model != model && now.Sub(s.at) < 2*period {
+							shared++
+							break
+						}
+					}
+					owners[model+c.name] = true
+				}
+				starts = append(starts, start{now, c.name, model})
+			}
+		}
+		return shared, len(owners)
+	}
+	var shared, owned [2]int
+	const seeds = 10
+	for seed := range uint64(seeds) {
+		n, o := simulate(seed, func(model string, domain, _ []candidate) candidate {
+			for i := range domain {
+				domain[i].running = nil
+			}
+			return chooseOwner(model, 150, domain)
+		})
+		shared[0], owned[0] = shared[0]+n, owned[0]+o
+		n, o = simulate(seed, func(model string, domain, region []candidate) candidate {
+			return chooseWider(model, 150, domain, region)
+		})
+		shared[1], owned[1] = shared[1]+n, owned[1]+o
+	}
+	t.Logf("of %d jobs %d share their owner with another model, %d by hash; %.1f owners of four models, %.1f by hash",
+		4*(rounds-settled)*seeds, shared[1], shared[0], float64(owned[1])/seeds, float64(owned[0])/seeds)
+	if shared[1]*20 > shared[0] || owned[1] > owned[0] {
+		t.Errorf("%d jobs share their owner with another model, %d by hash; %d owners, %d by hash", shared[1], shared[0], owned[1], owned[0])
+	}
+}
+
+// Guards against a choice that ignores the cores and the link of entries which run something already, and against
+// announcements of a former process, or old ones, that count as load.
+func TestLoadOfOwners(t *testing.T) {
+	now := time.Now()
+	r := make(runningModels)
+	r.record("a", "a1", "n", 150, now)
+	if r.of("a", "a2", now) != nil || len(r.of("a", "a1", now)) != 1 || len(r.of("a", "a1", now.Add(runningTime+1))) != 0 {
+		t.Error("a former process or an old job counts")
+	}
+	busy := map[string]int{"n": 100, "o": 100}
+	for name, l := range map[string][]candidate{
+		"cores": {{name: "a", cores: 0.5, running: busy}, {name: "b", cores: 0.8}},
+		"link":  {{name: "a", cores: 0.8, rate: 1e6, running: busy}, {name: "b", cores: 0.8, rate: 25e6}},
+	} {
+		// Of three models, the two with the most items are assigned to one entry each, and the third to the less utilized one.
+		if c := chooseOwner("m", 50, l); c.name != "b" {
+			t.Errorf("%s: the third model is run by %s, want b", name, c.name)
+		}
+	}
+}
--- a/entry/internal/batch/rig_test.go
+++ b/entry/internal/batch/rig_test.go
@@ -239,6 +239,8 @@
 	return l
 }
 
+func (m member) InRegion(string) []wire.Hello { return m.InDomain("") }
+
 func (m member) Incarnation(name string) string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/entry/internal/batch/submit.go
+++ b/entry/internal/batch/submit.go
@@ -32,7 +32,7 @@
 	if m.openBytes()+int64(len(body)) > m.MaxOpenBytes {
 		return m.refuse(id, http.StatusTooManyRequests, busyRetryAfter, "no memory for the job")
 	}
-	owner := chooseOwner(spec.Model, m.candidates())
+	owner := m.preferredOwner(spec.Model, len(spec.Items), now)
 	if len(body) > maxDelegated && !m.leaving() {
 		owner = candidate{name: m.Name, inc: m.Self.Inc}
 	}
@@ -47,6 +47,7 @@
 		Owner: owner.name, Inc: owner.inc, Epoch: 1, Host: r.Host, Path: r.Prefix, Total: len(spec.Items),
 		At: now.UnixMilli(), Model: spec.Model,
 	}
+	m.recordRunning(wire.JobOwner{Owner: owner.name, Inc: owner.inc, Model: spec.Model, Items: len(spec.Items)}, now)
 	createdAt := time.Now()
 	held, err := m.createState(ctx, id, state)
 	if err != nil {
@@ -67,27 +68,6 @@
 // maxDelegated is the largest payload that is passed to another entry, in bytes; a link carries frames of up to 4 MB.
 const maxDelegated = 2 << 20
 
-// candidates returns the entries that may run jobs, which are those in this failure domain. An entry that is shutting
-// down excludes itself, and falls back to entries in other failure domains.
-func (m *Manager) candidates() []candidate {
-	var l []candidate
-	for _, h := range m.Peers.InDomain(m.Self.Domain) {
-		l = append(l, candidate{name: h.Name, inc: h.Inc, cores: h.Cores})
-	}
-	if !m.leaving() {
-		return append(l, candidate{name: m.Name, inc: m.Self.Inc, cores: m.Cores})
-	}
-	if len(l) > 0 {
-		return l
-	}
-	for _, name := range m.Peers.Connected() {
-		if inc := m.Peers.Incarnation(name); inc != "" {
-			l = append(l, candidate{name: name, inc: inc})
-		}
-	}
-	return l
-}
-
 // delegate passes an accepted job to its owner, and takes it over if the owner does not accept it.
 func (m *Manager) delegate(id string, s wire.JobState, body []byte) {
 	ctx, cancel := context.WithTimeout(m.baseCtx, askTimeout)
--- a/entry/internal/cli/platform.go
+++ b/entry/internal/cli/platform.go
@@ -216,7 +216,7 @@
 	hello := func() wire.Hello {
 		return wire.Hello{
 			Name: s.Name, Role: "entry", Inc: p.inc, Domain: s.Domain, Region: s.Region, Leaving: p.leaving.Load(),
-			Cores: s.Cores,
+			Cores: s.Cores, Rate: s.Bandwidth,
 		}
 	}
 	identity := link.NewIdentity(s.Name, p.secret, hello)
--- a/entry/internal/peer/request.go
+++ b/entry/internal/peer/request.go
@@ -86,9 +86,19 @@
 // InDomain returns the hello messages of the connected entries in a failure domain, except those that are shutting down, sorted
 // by name.
 func (p *Peers) InDomain(domain string) []wire.Hello {
+	return p.running(func(h wire.Hello) bool { return h.Domain == domain })
+}
+
+// InRegion returns the same of a region.
+func (p *Peers) InRegion(region string) []wire.Hello {
+	return p.running(func(h wire.Hello) bool { return h.Region == region })
+}
+
+// running returns the hello messages of the connected entries that match and are not shutting down.
+func (p *Peers) running(matches func(wire.Hello) bool) []wire.Hello {
 	var l []wire.Hello
 	for _, c := range p.openLinks() {
-		if h := c.Peer(); h.Domain == domain && !h.Leaving {
+		if h := c.Peer(); !h.Leaving && matches(h) {
 			l = append(l, h)
 		}
 	}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -465,6 +465,9 @@
 	// Instance name of the sender.
 	Name string `json:"name"`
 
+	// Network bandwidth of the sender's instance in bytes per second; 0 if unknown.
+	Rate float64 `json:"rate"`
+
 	// Region of the sender.
 	Region string `json:"region"`
 
@@ -562,9 +565,15 @@
 	// Incarnation of the owning process.
 	Inc string `json:"inc"`
 
+	// Number of items of the job; 0 if unknown.
+	Items int `json:"items"`
+
 	// Job ID.
 	Job string `json:"job"`
 
+	// Model of the job; empty if it has none.
+	Model string `json:"model"`
+
 	// Name of the instance that owns the job.
 	Owner string `json:"owner"`
 }
