Place requests by the prompt tokens that wait at each engine

Cause: placement counted requests alone, so short prompts queued behind a long one although other engines had none, and long prompts went to engines where short ones waited.

Change: X-Token-Count and X-Prompt-Prefix are decoded for items and client requests. A request that states its prompt has a ticket (package prefill), and the cost of a server grows by the wait for a slot, the prompt tokens ahead, the own prompt less what the engine has cached, and the delay of others. The costs are bounded. Items wait up to 0.5 s while little else is possible. Occupancy messages carry the waiting tokens; a long prompt has one sent at once. Requests without figures are placed as before. The number of requests at a server is determined once for each choice. The metric waiting_prefill_tokens counts the tokens.

--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -7,9 +7,12 @@
 	"sync"
 	"time"
 
+	"bulrushspoke/entry/internal/prefill"
 	"bulrushspoke/entry/internal/reward"
+	"bulrushspoke/internal/call"
 	"bulrushspoke/internal/job"
 	"bulrushspoke/internal/supervise"
+	"bulrushspoke/platform"
 	"bulrushspoke/wire"
 )
 
@@ -55,8 +58,10 @@
 type item struct {
 	job.Item
 	index    int
-	hint     int      // estimated output tokens
-	data     []string // data of the events received so far
+	hint     int // estimated output tokens
+	prompt   call.Prompt
+	ticket   *prefill.Ticket // of the next attempt; only used by run
+	data     []string        // data of the events received so far
 	versions []int
 	failures int       // responses with status 500
 	moves    int       // moves between servers
@@ -99,7 +104,7 @@
 		if it.Reward != nil {
 			j.size += int64(len(it.Reward.Body))
 		}
-		j.items[it.ID] = &item{Item: it, index: i, hint: lengthHint(it)}
+		j.items[it.ID] = &item{Item: it, index: i, hint: lengthHint(it), prompt: platform.Headers{}.Prompt(it.Header)}
 	}
 	for n, r := range records {
 		j.applyRecord(n, r)
--- a/entry/internal/batch/limit_test.go
+++ b/entry/internal/batch/limit_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"bulrushspoke/internal/call"
+	"bulrushspoke/internal/job"
 	"bulrushspoke/platform/platformtest"
 )
 
@@ -70,3 +71,32 @@
 	checkTexts(t, results, ids...)
 	checkScores(t, s, results)
 }
+
+// Guards against prompts of items that count as waiting for ever after attempts that are refused, cut or complete.
+func TestPromptsOfItemsStopWaiting(t *testing.T) {
+	e := newEngine(t, 1)
+	e.answer = func(_ string, run int) int {
+		if run == 1 {
+			return http.StatusServiceUnavailable
+		}
+		return 0
+	}
+	e.cut = func(_ string, run int) int { return max(3-run, 0) }
+	r := newRig(t, e)
+	m, _ := r.manager("a", "a1")
+	j := job.Job{Step: 1, Model: "m", MinVersion: 1, Groups: 1}
+	for _, id := range []string{"g-3", "g-4"} {
+		j.Items = append(j.Items, job.Item{
+			ID: id, Path: "/p/" + id, Header: platformtest.Prompt(20_000, 10), Body: []byte("body of " + id), Tokens: 20_010, Group: "g",
+		})
+	}
+	body, err := platformtest.EncodeJob(j)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.submit(m, "j", body)
+	checkTexts(t, r.collect(m, "j", 2), "g-3", "g-4")
+	if n := m.Tracker.WaitingTokens(); n != 0 {
+		t.Errorf("%d prompt tokens wait after all items are complete", n)
+	}
+}
--- a/entry/internal/batch/move.go
+++ b/entry/internal/batch/move.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"bulrushspoke/entry/internal/place"
+	"bulrushspoke/entry/internal/prefill"
 	"bulrushspoke/internal/call"
 	"bulrushspoke/internal/catalog"
 	"bulrushspoke/internal/event"
@@ -34,6 +35,7 @@
 // segment is the part of the text of an item that one server generates.
 type segment struct {
 	server    catalog.Server
+	ticket    *prefill.Ticket // nil if the size of the prompt is unknown
 	startedAt time.Time
 
 	// Set once the response has started.
@@ -144,12 +146,13 @@
 	}
 	need := j.need(it, now)
 	need.Tried = map[string]bool{current.server.ID: true}
+	need.Ticket = prefill.NewTicket(it.prompt)
 	s, ok := j.manager.Tracker.PickFaster(now, current.server, j.manager.Catalog.Servers(current.server.Service), need)
 	if !ok {
 		return nil
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	next := &segment{server: s, startedAt: now, cancel: cancel}
+	next := &segment{server: s, ticket: need.Ticket, startedAt: now, cancel: cancel}
 	j.mu.Lock()
 	it.moves, it.moved = it.moves+1, now
 	next.after, next.versions = len(it.data), slices.Clone(it.versions)
@@ -199,6 +202,7 @@
 func (j *Job) recordMoveFailure(it *item, next *segment, outcome place.Outcome, cause string) {
 	now := time.Now()
 	j.manager.Tracker.Ended(next.server.ID, j.spec.Model, outcome, 0, now)
+	j.manager.Tracker.Release(next.ticket, false, now)
 	event.MoveFailed.Log(j.manager.Logger, "job", j.spec.ID, "request", it.ID, "server", next.server.ID, "cause", cause,
 		"after", next.after, "ms", now.Sub(next.startedAt).Milliseconds())
 }
@@ -235,6 +239,7 @@
 		resp.Abandon()
 		return place.Failed, err.Error()
 	}
+	j.manager.Tracker.FirstEvent(next.ticket, time.Now())
 	version := r.answer.Version
 	if e.Version > 0 {
 		version = e.Version
--- a/entry/internal/batch/run.go
+++ b/entry/internal/batch/run.go
@@ -10,6 +10,7 @@
 
 	"bulrushspoke/entry/internal/forecast"
 	"bulrushspoke/entry/internal/place"
+	"bulrushspoke/entry/internal/prefill"
 	"bulrushspoke/internal/call"
 	"bulrushspoke/internal/catalog"
 	"bulrushspoke/internal/event"
@@ -91,13 +92,19 @@
 	waiting := j.sendRewardCalls(ctx, c, now)
 	servers := j.manager.Catalog.Servers(route.Shares[0].Service)
 	for _, it := range texts {
-		s, ok := j.manager.Tracker.Start(now, servers, j.need(it, now))
+		need := j.need(it, now)
+		if it.ticket == nil {
+			it.ticket = prefill.NewTicket(it.prompt)
+		}
+		need.Ticket = it.ticket
+		s, ok := j.manager.Tracker.Start(now, servers, need)
 		if !ok {
 			waiting++
 			continue
 		}
+		it.ticket = nil
 		j.startAttempt(it, func() {
-			for next := (&segment{server: s, startedAt: now}); next != nil; {
+			for next := (&segment{server: s, ticket: need.Ticket, startedAt: now}); next != nil; {
 				next = j.runAttempt(ctx, it, next, route)
 			}
 		})
@@ -211,6 +218,7 @@
 		pace = took / time.Duration(v.events)
 	}
 	j.manager.Tracker.Ended(current.server.ID, j.spec.Model, v.outcome, pace, now)
+	j.manager.Tracker.Release(current.ticket, v.outcome == place.Answered && v.next == nil, now)
 	j.mu.Lock()
 	total, done := len(it.data), it.textDone || it.done
 	it.timing.addAttempt(current.startedAt, took, v.events > 0)
@@ -398,7 +406,9 @@
 		}
 		after++
 		v.events++
-		if !last.IsZero() {
+		if last.IsZero() {
+			j.manager.Tracker.FirstEvent(current.ticket, now)
+		} else {
 			j.manager.Tracker.ObserveInterval(s.ID, now.Sub(last), now)
 		}
 		last = now
--- a/entry/internal/cli/platform.go
+++ b/entry/internal/cli/platform.go
@@ -211,6 +211,8 @@
 	tracker := place.New(place.Home{Domain: s.Domain, Region: s.Region, Regions: s.Regions},
 		p.catalog.Limits(), rand.New(rand.NewChaCha8(nextSeed(source))))
 	tracker.SetConnections(pool)
+	m.Gauge("waiting_prefill_tokens", "Prompt tokens of this entry's requests that wait at engines, as far as their sizes are stated.",
+		func() float64 { return float64(tracker.WaitingTokens()) })
 	address := net.JoinHostPort(s.IP, strconv.Itoa(s.Ports.First))
 	self := wire.Member{Address: address, Inc: p.inc, Domain: s.Domain, Region: s.Region}
 	hello := func() wire.Hello {
--- a/entry/internal/ingress/forward.go
+++ b/entry/internal/ingress/forward.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"bulrushspoke/entry/internal/place"
+	"bulrushspoke/entry/internal/prefill"
 	"bulrushspoke/internal/call"
 	"bulrushspoke/internal/catalog"
 	"bulrushspoke/internal/upstream"
@@ -83,7 +84,7 @@
 			}
 			break
 		}
-		servers, need := g.Catalog.Servers(service), place.Need{Tried: tried, NewConn: !q.route.Repeatable()}
+		servers, need := g.Catalog.Servers(service), place.Need{Tried: tried, NewConn: !q.route.Repeatable(), Ticket: prefill.NewTicket(q.Prompt)}
 		s, ok := g.Tracker.Start(now, servers, need)
 		if !ok {
 			if wait, limited := g.Tracker.Reject(now, servers, need, left); limited && last.outcome == notRun {
@@ -98,7 +99,7 @@
 		if sent == 0 && q.route.Repeatable() && q.route.MaxAttempts > 1 {
 			otherAvailable = g.otherServerAvailable(service, maps.Clone(tried))
 		}
-		a := g.try(ctx, w, q, s, now, otherAvailable)
+		a := g.try(ctx, w, q, s, need.Ticket, now, otherAvailable)
 		switch a.outcome {
 		case delivered:
 			if q.http.Context().Err() == nil {
@@ -159,10 +160,11 @@
 	}
 }
 
-// try makes one attempt, started in the tracker, at a server and reports its outcome to the tracker. The attempt is
-// cancelled early if otherAvailable, which may be nil, then reports that another server takes the request.
+// try makes one attempt, started in the tracker, at a server and reports its outcome to the tracker; ticket is that of its
+// prompt. The attempt is cancelled early if otherAvailable, which may be nil, then reports that another server takes the
+// request.
 func (g *Ingress) try(
-	ctx context.Context, w http.ResponseWriter, q *request, s catalog.Server, start time.Time,
+	ctx context.Context, w http.ResponseWriter, q *request, s catalog.Server, ticket *prefill.Ticket, start time.Time,
 	otherAvailable func(now time.Time) bool,
 ) attempt {
 	left := q.remaining(start)
@@ -178,14 +180,15 @@
 		defer t.Stop()
 		onResponse = func() { t.Stop() }
 	}
-	recorded := false
+	recorded, complete := false, false
 	defer func() {
+		g.Tracker.Release(ticket, complete, time.Now())
 		if !recorded {
 			g.recordAbort(q, s) // an aborted response ends with a panic
 		}
 	}()
-	a := g.roundTrip(ctx, w, q, s, left, onResponse)
-	recorded = true
+	a := g.roundTrip(ctx, w, q, s, ticket, left, onResponse)
+	recorded, complete = true, a.outcome == delivered
 	g.recordOutcome(ctx, q, s, a, start)
 	return a
 }
@@ -219,7 +222,8 @@
 // roundTrip sends the request to a server and its response to the client. It calls onResponse before the first byte goes
 // to the client.
 func (g *Ingress) roundTrip(
-	ctx context.Context, w http.ResponseWriter, q *request, s catalog.Server, left time.Duration, onResponse func(),
+	ctx context.Context, w http.ResponseWriter, q *request, s catalog.Server, ticket *prefill.Ticket, left time.Duration,
+	onResponse func(),
 ) attempt {
 	svc := q.config.Services[s.Service]
 	target := upstream.Target{Service: s.Service, Address: s.Address, Incarnation: s.ID, Conns: svc.MaxConns}
@@ -230,6 +234,9 @@
 	}
 	answer := g.headers.Answer(resp.StatusCode, resp.Header)
 	meaning := g.Catalog.RecordAnswer(s, answer, q.ID, sentAt, time.Now())
+	if ticket != nil && meaning == call.Genuine {
+		resp.Body = &firstRead{ReadCloser: resp.Body, onData: func() { g.Tracker.FirstEvent(ticket, time.Now()) }}
+	}
 	switch {
 	case meaning == call.NotRun:
 		resp.Discard()
@@ -247,6 +254,22 @@
 	return g.buffer(w, q, resp, onResponse)
 }
 
+// firstRead calls onData when the first bytes of a body are read.
+type firstRead struct {
+	io.ReadCloser
+	onData func() // nil after the call
+}
+
+// Read implements io.Reader.
+func (r *firstRead) Read(b []byte) (int, error) {
+	n, err := r.ReadCloser.Read(b)
+	if n > 0 && r.onData != nil {
+		r.onData()
+		r.onData = nil
+	}
+	return n, err
+}
+
 // upstreamRequest returns the request to be sent to a server.
 func (g *Ingress) upstreamRequest(q *request, a call.Attempt) upstream.Request {
 	h := endToEndHeader(q.http.Header)
--- a/entry/internal/occupancy/occupancy.go
+++ b/entry/internal/occupancy/occupancy.go
@@ -1,5 +1,5 @@
 // Package occupancy publishes to the other entries how many requests this entry has in flight at each engine, and the pace
-// of each engine as seen by this entry.
+// of each engine as seen by this entry, and the prompt tokens that wait there.
 //
 // # Usage
 //
@@ -61,7 +61,7 @@
 		if err := f.Decode(&o); err != nil {
 			return "", nil, err
 		}
-		l := place.Load{Counts: o.Counts, Intervals: make(map[string]time.Duration, len(o.Paces))}
+		l := place.Load{Counts: o.Counts, Intervals: make(map[string]time.Duration, len(o.Paces)), Waiting: o.Waiting}
 		for id, pace := range o.Paces {
 			l.Intervals[id] = time.Duration(pace) * time.Microsecond
 		}
@@ -106,7 +106,7 @@
 // publish sends the current occupancy and reports whether anything is in flight.
 func (s *Sharer) publish(now time.Time) bool {
 	l := s.tracker.Load(now)
-	o := wire.Occupancy{Entry: s.name, Counts: l.Counts, Paces: make(map[string]int, len(l.Intervals))}
+	o := wire.Occupancy{Entry: s.name, Counts: l.Counts, Paces: make(map[string]int, len(l.Intervals)), Waiting: l.Waiting}
 	for id, pace := range l.Intervals {
 		o.Paces[id] = int(pace.Microseconds())
 	}
--- a/entry/internal/place/finish.go
+++ b/entry/internal/place/finish.go
@@ -52,7 +52,7 @@
 
 // engineCost returns the cost of an engine for streaming work, in seconds.
 func (t *Tracker) engineCost(now time.Time, s catalog.Server, n Need) float64 {
-	return t.completionTime(now, s, n.RemainingEvents).Seconds() *
+	return (t.completionTime(now, s, n.RemainingEvents) + t.promptCost(s, n, now)).Seconds() *
 		(1 + loadSlowdown*t.utilization(s, now) + tieJitter*t.random.Float64())
 }
 
@@ -68,9 +68,14 @@
 func (t *Tracker) pickSlower(now time.Time, servers []catalog.Server, n Need, best int) int {
 	chosen, least := best, 0.0
 	minInterval := speedClassRatio * float64(t.baseline(servers[best]))
+	maxPromptCost := t.promptCost(servers[best], n, now)
 	for i, s := range servers {
-		if !n.allows(s) || !t.hasRoom(now, s, n) || !t.limits.Allows(s.ID, n.priority(), n.Reserve, now) || t.expectedLoss(s.ID, now) > 0 ||
-			float64(t.baseline(s)) < minInterval || estimateMargin*t.completionTime(now, s, n.RemainingEvents) > n.TimeBudget {
+		if !n.allows(s) {
+			continue
+		}
+		t.count(s.ID, n, now)
+		if !t.hasRoom(now, s, n) || !t.limits.Allows(s.ID, n.priority(), n.Reserve, now) || t.expectedLoss(s.ID, now) > 0 ||
+			float64(t.baseline(s)) < minInterval || t.promptCost(s, n, now) > maxPromptCost || estimateMargin*t.completionTime(now, s, n.RemainingEvents) > n.TimeBudget {
 			continue
 		}
 		if f := t.utilization(s, now); chosen == best || f < least {
@@ -96,7 +101,7 @@
 	}
 	n.Optional = true
 	s, ok := t.pick(now, servers, n)
-	if !ok || remaining-t.completionTime(now, s, n.RemainingEvents) < moveCost {
+	if !ok || remaining-t.completionTime(now, s, n.RemainingEvents) < moveCost+t.promptCost(s, n, now) {
 		return catalog.Server{}, false
 	}
 	// Between servers of the same speed only a slowdown is a reason to move, and not to a server that is slowed as well.
@@ -104,6 +109,7 @@
 		(t.expectedLoss(present.ID, now) == 0 || t.expectedLoss(s.ID, now) > 0) {
 		return catalog.Server{}, false
 	}
+	t.startPrompt(s, n, now)
 	t.began(s.ID, n.priority(), now)
 	return s, true
 }
--- a/entry/internal/place/place.go
+++ b/entry/internal/place/place.go
@@ -13,6 +13,8 @@
 // A server that states a limit of its request rate gets no more than that (package ratelimit). Work that may wait leaves
 // places to live requests.
 //
+// Requests that state the size of their prompts are placed by the prompts that wait at each engine as well (prompt.go).
+//
 // Streaming work that runs for seconds is placed by its expected completion time (finish.go), which is derived from
 // the event intervals that this process observes (interval.go) and from the load that other entries report (remote.go).
 package place
@@ -23,6 +25,7 @@
 	"sync"
 	"time"
 
+	"bulrushspoke/entry/internal/prefill"
 	"bulrushspoke/internal/catalog"
 	"bulrushspoke/internal/ratelimit"
 )
@@ -75,6 +78,8 @@
 	// TimeBudget is the time in which the work may finish without delaying anything else, 0 if it should finish as early as
 	// possible.
 	TimeBudget time.Duration
+	// Ticket holds the size of the prompt, nil if it is unknown. Start and PickFaster start it.
+	Ticket *prefill.Ticket
 	// Reserve is the fraction of a server's slots, and of its limit, to keep free; if negative, so many more requests than
 	// slots may be there. It applies only to a need that asks for room.
 	Reserve float64
@@ -103,6 +108,9 @@
 	random       *rand.Rand
 	costs        []float64 // of the servers of one choice; reused
 	state        map[string]*state
+	prompts      *prefill.Load
+	counted      countedServer         // while the servers of a choice are compared
+	remoteWaits  time.Time             // when another entry last reported waiting prompts
 	remote       map[string]remoteLoad // load reported by other entries, by entry
 	lagCheckedAt time.Time             // when wasLagging was determined
 	wasLagging   bool                  // this process receives events late
@@ -130,7 +138,7 @@
 func New(h Home, limits *ratelimit.Limiter, random *rand.Rand) *Tracker {
 	return &Tracker{
 		home: h, limits: limits, workStarted: make(chan struct{}, 1), random: random, state: make(map[string]*state),
-		remote: make(map[string]remoteLoad),
+		prompts: prefill.New(), remote: make(map[string]remoteLoad),
 	}
 }
 
@@ -140,6 +148,7 @@
 	defer t.mu.Unlock()
 	s, ok := t.pick(now, servers, n)
 	if ok {
+		t.startPrompt(s, n, now)
 		t.began(s.ID, n.priority(), now)
 	}
 	return s, ok
@@ -184,9 +193,17 @@
 	}
 	var bestCost, fallbackCost float64
 	t.costs = t.costs[:0]
+	defer t.forgetCount()
 	for i, s := range servers {
 		t.costs = append(t.costs, -1)
-		if !n.allows(s) || n.RequireSlot && !t.hasRoom(now, s, n) || !t.limits.Allows(s.ID, n.priority(), n.Reserve, now) {
+		if !n.allows(s) {
+			continue
+		}
+		t.count(s.ID, n, now)
+		if n.RequireSlot && !t.hasRoom(now, s, n) || !t.limits.Allows(s.ID, n.priority(), n.Reserve, now) {
+			continue
+		}
+		if n.RequireSlot && n.Ticket != nil && t.prompts.Hold(n.Ticket, t.promptServer(s, now), now) {
 			continue
 		}
 		st := t.state[s.ID]
@@ -306,9 +323,13 @@
 	default:
 		serviceTime = t.initialEstimate(s.Versions != nil)
 	}
-	utilization := float64(inflight) / float64(max(s.Slots, 1))
+	load := float64(inflight)
+	if n.Ticket != nil {
+		load = max(load+t.prompts.Weight(s.ID, now), 0)
+	}
+	utilization := load / float64(max(s.Slots, 1))
 	c := serviceTime.Seconds() * (1 + utilization + 4*max(utilization-1+1/float64(max(s.Slots, 1)), 0))
-	c += t.networkPenalty(s).Seconds()
+	c += (t.networkPenalty(s) + t.promptCost(s, n, now)).Seconds()
 	const jitter = 0.1 // fraction of the estimate
 	return c * (1 + jitter*t.random.Float64())
 }
@@ -337,9 +358,13 @@
 	s := t.serverState(id, now)
 	s.inflight++
 	s.lastUsed = now
-	if !s.engine {
-		return
+	if s.engine {
+		t.signalWork()
 	}
+}
+
+// signalWork has the load of this process published soon.
+func (t *Tracker) signalWork() {
 	select {
 	case t.workStarted <- struct{}{}:
 	default:
--- a/entry/internal/place/remote.go
+++ b/entry/internal/place/remote.go
@@ -7,6 +7,8 @@
 	// second, and a transient slowdown ends within about a second. Intervals observed by this entry are preferred to
 	// reported ones, and reported to others, up to the same age.
 	remoteIntervalTTL = 300 * time.Millisecond
+	// minReportedTokens is the number of waiting prompt tokens from which an engine is reported; fewer take a few milliseconds.
+	minReportedTokens = 1000
 	// remoteCountTTL is how long the requests of another entry count after its last report; it may have lost its link.
 	remoteCountTTL = 3 * time.Second
 )
@@ -15,6 +17,7 @@
 type Load struct {
 	Counts    map[string]int           // requests in flight
 	Intervals map[string]time.Duration // current time between two events
+	Waiting   map[string]int           // prompt tokens that wait; engines with few are omitted
 }
 
 // remoteLoad is the load that another entry reported last.
@@ -26,14 +29,21 @@
 // WorkStarted returns a channel that is signalled when work starts at an engine.
 func (t *Tracker) WorkStarted() <-chan struct{} { return t.workStarted }
 
-// Load returns what this process has in flight at engines, and their current event intervals.
+// Load returns what this process has in flight at engines, their current event intervals and the prompts that wait there.
+// Requests that state the sizes of their prompts are counted as long as long prompts wait somewhere.
 func (t *Tracker) Load(now time.Time) Load {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	l := Load{Counts: make(map[string]int), Intervals: make(map[string]time.Duration)}
+	l := Load{Counts: make(map[string]int), Intervals: make(map[string]time.Duration), Waiting: make(map[string]int)}
 	lagging := t.lagging(now)
 	for id, s := range t.state {
-		if s.inflight == 0 || !s.engine {
+		if s.inflight == 0 {
+			continue
+		}
+		if n := t.prompts.Waiting(id); n >= minReportedTokens {
+			l.Waiting[id] = n
+		}
+		if !s.engine {
 			continue
 		}
 		l.Counts[id] = s.inflight
@@ -41,6 +51,14 @@
 			l.Intervals[id] = s.intervals.current
 		}
 	}
+	if len(l.Waiting) == 0 {
+		return l
+	}
+	for id, s := range t.state {
+		if s.inflight > 0 && t.prompts.Active(id) {
+			l.Counts[id] = s.inflight
+		}
+	}
 	return l
 }
 
@@ -54,10 +72,32 @@
 		}
 	}
 	t.remote[entry] = remoteLoad{load: l, receivedAt: now}
+	if len(l.Waiting) > 0 {
+		t.remoteWaits = now
+	}
+}
+
+// countedServer holds the number of requests at the server that a choice looks at, which it needs several times.
+type countedServer struct {
+	id       string
+	requests int
+}
+
+// count counts the requests at a server, unless the need does not depend on them, until forgetCount is called.
+func (t *Tracker) count(id string, n Need, now time.Time) {
+	t.forgetCount()
+	if n.RequireSlot || n.RemainingEvents > 0 || n.Ticket != nil {
+		t.counted = countedServer{id: id, requests: t.inflight(id, now)}
+	}
 }
 
+func (t *Tracker) forgetCount() { t.counted = countedServer{} }
+
 // inflight returns the number of requests at a server, including those of other entries.
 func (t *Tracker) inflight(id string, now time.Time) int {
+	if t.counted.id == id && id != "" {
+		return t.counted.requests
+	}
 	n := 0
 	if s := t.state[id]; s != nil {
 		n = s.inflight
@@ -80,3 +120,17 @@
 	}
 	return longest
 }
+
+// remoteWaiting returns the prompt tokens of other entries that wait at an engine.
+func (t *Tracker) remoteWaiting(id string, now time.Time) int {
+	if now.Sub(t.remoteWaits) >= remoteIntervalTTL {
+		return 0
+	}
+	n := 0
+	for _, o := range t.remote {
+		if now.Sub(o.receivedAt) < remoteIntervalTTL {
+			n += o.load.Waiting[id]
+		}
+	}
+	return n
+}
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -16,6 +16,7 @@
 	Deadline  time.Duration // how long the client waits for the answer; 0 if unknown
 	MaxWait   time.Duration // how long a read may be held open until there is something to return
 	LastEvent int           // number of the last event of a stream that the client has received; 0 for none
+	Prompt    Prompt        // what the client states about the prompt
 }
 
 // Attempt is the metadata that is sent to a server in addition to the client's headers.
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -790,6 +790,10 @@
 
 	// Current time between two events in microseconds by engine ID.
 	Paces OccupancyPaces `json:"paces"`
+
+	// Number of prompt tokens that wait to be processed by engine ID; engines without
+	// any are omitted.
+	Waiting OccupancyWaiting `json:"waiting,omitempty,omitzero"`
 }
 
 // Number of requests in flight by engine ID; engines without any are omitted.
@@ -798,6 +802,10 @@
 // Current time between two events in microseconds by engine ID.
 type OccupancyPaces map[string]int
 
+// Number of prompt tokens that wait to be processed by engine ID; engines without
+// any are omitted.
+type OccupancyWaiting map[string]int
+
 // Entry process that owns a step.
 type Owner struct {
 	// Entry incarnation.
