--- a/entry/internal/prefill/prefill.go
+++ b/entry/internal/prefill/prefill.go
@@ -23,6 +23,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"bulrushspoke/internal/call"
 )
 
@@ -67,6 +69,7 @@
 // Ticket is a request with a prompt at one engine. A nil ticket is a request that states nothing about its prompt.
 type Ticket struct {
 	prompt    call.Prompt
+	parts     []part
 	readyAt   time.Time // when the request could have started first
 	server    string    // empty before the start and after the end
 	service   string
@@ -76,12 +79,22 @@
 	alone     bool      // nothing else waited at the start, and a slot was free
 }
 
+// part is a part of a prompt. Clients choose the ids, so what is remembered of them has a fixed size.
+type part struct {
+	id     uint64 // hash
+	tokens int
+}
+
 // NewTicket returns the ticket of a request, nil if the figures of its prompt are zero.
 func NewTicket(p call.Prompt) *Ticket {
 	if p.Tokens <= 0 && p.Output <= 0 {
 		return nil
 	}
-	return &Ticket{prompt: p}
+	t := &Ticket{prompt: p, parts: make([]part, 0, len(p.Parts))}
+	for _, o := range p.Parts {
+		t.parts = append(t.parts, part{id: xxhash.Sum64String(o.ID), tokens: o.Tokens})
+	}
+	return t
 }
 
 // Server is what is known of an engine beside the requests with tickets.
@@ -105,7 +118,7 @@
 	waiting  int // prompt tokens that wait
 	prompts  int // prompts that wait
 	tickets  []*Ticket
-	cached   map[string]time.Time // last use of each part
+	cached   map[uint64]time.Time // last use of each part
 	lastUsed time.Time
 }
 
@@ -203,7 +216,7 @@
 	k := l.servers[s.ID]
 	if k == nil {
 		l.evict(now)
-		k = &server{cached: make(map[string]time.Time)}
+		k = &server{cached: make(map[uint64]time.Time)}
 		l.servers[s.ID] = k
 	}
 	t.server, t.service, t.startedAt, t.firstAt = s.ID, s.Service, now, time.Time{}
@@ -213,7 +226,7 @@
 	k.prompts++
 	k.tickets = append(k.tickets, t)
 	k.lastUsed = now
-	k.use(t.prompt.Parts, now)
+	k.use(t.parts, now)
 	if t.prompt.Output > 0 {
 		if l.output == 0 {
 			l.output = float64(t.prompt.Output)
@@ -248,9 +261,9 @@
 	case t.firstAt.IsZero():
 		k.waiting -= t.uncached
 		k.prompts--
-		for _, p := range t.prompt.Parts {
-			if k.cached[p.ID].Equal(t.startedAt) {
-				delete(k.cached, p.ID)
+		for _, p := range t.parts {
+			if k.cached[p.id].Equal(t.startedAt) {
+				delete(k.cached, p.id)
 			}
 		}
 	case complete:
@@ -296,30 +309,32 @@
 	if k == nil {
 		return rest
 	}
-	for _, p := range t.prompt.Parts {
-		if used, ok := k.cached[p.ID]; !ok || now.Sub(used) > cachedTime {
+	for _, p := range t.parts {
+		if used, ok := k.cached[p.id]; !ok || now.Sub(used) > cachedTime {
 			break
 		}
-		rest -= p.Tokens
+		rest -= p.tokens
 	}
 	return max(rest, 0)
 }
 
 // use records the use of the parts of a prompt.
-func (k *server) use(parts []call.PromptPart, now time.Time) {
+func (k *server) use(parts []part, now time.Time) {
 	for _, p := range parts {
-		if _, ok := k.cached[p.ID]; !ok && len(k.cached) >= maxCachedParts {
+		if _, ok := k.cached[p.id]; !ok && len(k.cached) >= maxCachedParts {
 			k.forgetOldest()
 		}
-		k.cached[p.ID] = now
+		k.cached[p.id] = now
 	}
 }
 
+// forgetOldest forgets the part that has not been used for the longest time.
 func (k *server) forgetOldest() {
-	oldest := ""
+	var oldest uint64
+	var at time.Time
 	for id, used := range k.cached {
-		if oldest == "" || used.Before(k.cached[oldest]) {
-			oldest = id
+		if at.IsZero() || used.Before(at) {
+			oldest, at = id, used
 		}
 	}
 	delete(k.cached, oldest)
