--- a/entry/internal/place/place.go
+++ b/entry/internal/place/place.go
@@ -203,7 +203,7 @@
 		if n.RequireSlot && !t.hasRoom(now, s, n) || !t.limits.Allows(s.ID, n.priority(), n.Reserve, now) {
 			continue
 		}
-		if n.RequireSlot && n.Ticket != nil && t.prompts.Hold(n.Ticket, t.promptServer(s, now), now) {
+		if n.RequireSlot && n.Ticket != nil && t.prompts.Defer(n.Ticket, t.promptServer(s, now), now) {
 			continue
 		}
 		st := t.state[s.ID]
--- a/entry/internal/prefill/prefill.go
+++ b/entry/internal/prefill/prefill.go
@@ -46,15 +46,15 @@
 	// runningShare is the part of the time to process a prompt by which the events of a running request come later: chunks
 	// alternate with events.
 	runningShare = 0.5
-	// maxWait and maxHarm bound the cost of prompts that are ahead and of the delay of other requests. Figures may be wrong, and
+	// maxWait and maxInterference bound the cost of prompts that are ahead and of the delay of other requests. Figures may be wrong, and
 	// a server must not be avoided for good.
-	maxWait = 2 * time.Second
-	maxHarm = time.Second
-	// maxAhead is the time of waiting prompts at a server from which work that can wait does not start there, and maxHold how
+	maxWait         = 2 * time.Second
+	maxInterference = time.Second
+	// maxAhead is the time of waiting prompts at a server from which work that can wait does not start there, and maxDeferral how
 	// long it waits. A server is not idle meanwhile; other servers may be free first, and short prompts that arrive meanwhile
 	// have less before them.
-	maxAhead = 150 * time.Millisecond
-	maxHold  = 500 * time.Millisecond
+	maxAhead    = 150 * time.Millisecond
+	maxDeferral = 500 * time.Millisecond
 	// minWeight and maxWeight bound how many requests one counts as that has much less or more output to come than usual.
 	minWeight = 0.5
 	maxWeight = 2.0
@@ -149,9 +149,9 @@
 	perToken := l.perToken(s.Service)
 	own := time.Duration(l.uncached(t, s.ID, now)) * perToken
 	held := float64(prompts) + runningShare*float64(max(s.Requests-prompts, 0))
-	harm := time.Duration(held * float64(own))
+	interference := time.Duration(held * float64(own))
 	ahead := time.Duration(waiting)*perToken + l.slotWait(s)
-	return min(ahead, maxWait) + min(own, maxWait) + min(harm, maxHarm)
+	return min(ahead, maxWait) + min(own, maxWait) + min(interference, maxInterference)
 }
 
 // slotWait returns how long a request waits for a slot of a server, whose requests end one after the other.
@@ -169,8 +169,8 @@
 	return k != nil && len(k.tickets) > 0
 }
 
-// Hold reports whether a request that can wait should not start at a server yet, because the prompts ahead take long.
-func (l *Load) Hold(t *Ticket, s Server, now time.Time) bool {
+// Defer reports whether a request that can wait should not start at a server yet, because the prompts ahead take long.
+func (l *Load) Defer(t *Ticket, s Server, now time.Time) bool {
 	if t == nil {
 		return false
 	}
@@ -184,7 +184,7 @@
 	if t.readyAt.IsZero() {
 		t.readyAt = now
 	}
-	return now.Sub(t.readyAt) < maxHold
+	return now.Sub(t.readyAt) < maxDeferral
 }
 
 // Weight returns by how much the requests with tickets at a server differ from their number: requests with much output to come
--- a/entry/internal/prefill/prefill_test.go
+++ b/entry/internal/prefill/prefill_test.go
@@ -51,13 +51,13 @@
 	l := New()
 	s := Server{ID: "a", Slots: 8, Requests: 8, Waiting: 1 << 30}
 	ticket := NewTicket(call.Prompt{Tokens: 1 << 30})
-	if got := l.Cost(ticket, s, start); got > 2*maxWait+maxHarm {
+	if got := l.Cost(ticket, s, start); got > 2*maxWait+maxInterference {
 		t.Errorf("the cost is %s", got)
 	}
-	if !l.Hold(ticket, s, start) || !l.Hold(ticket, s, start.Add(maxHold/2)) || l.Hold(ticket, s, start.Add(maxHold)) {
+	if !l.Defer(ticket, s, start) || !l.Defer(ticket, s, start.Add(maxDeferral/2)) || l.Defer(ticket, s, start.Add(maxDeferral)) {
 		t.Error("work is not held behind waiting prompts, or for too long")
 	}
-	if l.Hold(ticket, Server{ID: "b", Slots: 8}, start) || l.Cost(nil, s, start) != 0 || l.Hold(nil, s, start) {
+	if l.Defer(ticket, Server{ID: "b", Slots: 8}, start) || l.Cost(nil, s, start) != 0 || l.Defer(nil, s, start) {
 		t.Error("an empty server or a request without figures has a cost")
 	}
 }
