Reject answers whose status is not one

Cause: the client of fasthttp accepts any three digits as a status and reports 000 as 200. On the project's own interface a caller got the answer of a service with status 000 as a success, an engine's stream with it was taken over, a command counted as carried out, and a write to the object store as acknowledged. On the platform's path, statuses below 100 were skipped as interim answers, so a request waited for the server to close the connection (10 s in the test), and 600 to 999 and 101 were passed on to clients.

Change: internal/httpstatus checks the status line before fasthttp sees it, for each answer on a connection and after interim answers; internal/upstream checks the number. An engine that sends no status is reported as broken and not as crashed, since it still answers.

Ruled out: checking the status after the library has read it, which cannot tell 000 from 200.

--- a/daemon/internal/engine/engine.go
+++ b/daemon/internal/engine/engine.go
@@ -28,6 +28,7 @@
 	"bulrushspoke/daemon/internal/attempt"
 	"bulrushspoke/daemon/internal/exchange"
 	"bulrushspoke/internal/event"
+	"bulrushspoke/internal/httpstatus"
 	"bulrushspoke/internal/refusal"
 	"bulrushspoke/wire"
 )
@@ -98,6 +99,7 @@
 		changed: changed,
 		logger:  logger.With("server", c.Name),
 		client: &fasthttp.Client{
+			Dial:                      httpstatus.Dial,
 			ReadTimeout:               commandTimeout,
 			WriteTimeout:              commandTimeout,
 			MaxResponseBodySize:       maxAnswerBytes,
@@ -248,6 +250,10 @@
 	if ctx.Err() != nil {
 		return attempt.End{}, true
 	}
+	var invalid *httpstatus.InvalidError
+	if errors.As(err, &invalid) {
+		return refuse(a, refusal.Broken, "engine sent no answer: %v", err), false
+	}
 	sole := e.recordCrash(r)
 	end := attempt.End{Crashed: true, Sole: sole}
 	end.Refusal = refusal.New(refusal.Crashed, refusal.Partial, "engine broke the stream: %v", err)
--- a/daemon/internal/exchange/exchange.go
+++ b/daemon/internal/exchange/exchange.go
@@ -24,6 +24,8 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
+
+	"bulrushspoke/internal/httpstatus"
 )
 
 const (
@@ -53,7 +55,8 @@
 	stop func() bool
 }
 
-// Open sends the request and waits for the response header. A *DialError means that nothing was sent.
+// Open sends the request and waits for the response header. A *DialError means that nothing was sent, and a
+// *httpstatus.InvalidError that the server has sent no status.
 func Open(ctx context.Context, req *fasthttp.Request) (*Exchange, error) {
 	address := string(req.URI().Host())
 	d := net.Dialer{Timeout: dialTimeout}
@@ -80,7 +83,7 @@
 		return eris.Wrap(err, "exchange: write")
 	}
 	x.resp.StreamBody = true
-	if err := x.resp.Read(bufio.NewReaderSize(x.conn, bufferSize)); err != nil {
+	if err := x.resp.Read(bufio.NewReaderSize(httpstatus.NewReader(x.conn), bufferSize)); err != nil {
 		return eris.Wrap(err, "exchange: read")
 	}
 	return nil
--- a/entry/internal/instances/instances.go
+++ b/entry/internal/instances/instances.go
@@ -20,6 +20,7 @@
 
 	"bulrushspoke/entry/internal/redial"
 	"bulrushspoke/internal/event"
+	"bulrushspoke/internal/httpstatus"
 	"bulrushspoke/internal/sleep"
 	"bulrushspoke/wire"
 )
@@ -54,7 +55,7 @@
 		static:   static,
 		random:   random,
 		onList:   onList,
-		client:   &fasthttp.Client{MaxResponseBodySize: maxListBytes, MaxIdemponentCallAttempts: 1},
+		client:   &fasthttp.Client{Dial: httpstatus.Dial, MaxResponseBodySize: maxListBytes, MaxIdemponentCallAttempts: 1},
 		logger:   logger,
 	}
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -26,6 +26,7 @@
 	"github.com/valyala/fasthttp"
 
 	"bulrushspoke/internal/event"
+	"bulrushspoke/internal/httpstatus"
 	"bulrushspoke/wire"
 )
 
@@ -115,6 +116,7 @@
 		timeout: timeout,
 		logger:  logger,
 		http: &fasthttp.Client{
+			Dial:                httpstatus.Dial,
 			MaxConnsPerHost:     maxConnections,
 			MaxResponseBodySize: maxResponseBytes,
 			// Retrying a write would hide from the caller that the first response was lost.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -25,6 +25,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"bulrushspoke/internal/httpstatus"
 )
 
 const (
@@ -100,6 +102,7 @@
 var (
 	errHeadTooLarge   = errors.New("the head of the answer has no end")
 	errTooManyInterim = errors.New("too many interim answers")
+	errInvalidStatus  = errors.New("the answer has no valid status")
 )
 
 // errPoolFull is returned if the limit of connections, to the server or in total, is reached.
@@ -277,7 +280,11 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
+		// No request asks for another protocol, so 101 is not an answer either.
+		if !httpstatus.Valid(resp.StatusCode) || resp.StatusCode == http.StatusSwitchingProtocols {
+			return nil, errInvalidStatus
+		}
+		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
 	}
