Keep the timeout of dials and the cause of invalid statuses

Found in review. The dialler ignored the timeout of its call, so an unreachable peer held a store call with a timeout of 300 ms for 3 s. fasthttp turns an error without any byte into io.EOF, so an engine whose status line arrived in one piece counted as crashed; the bytes before the end of the line come first now. An attempt at such an engine may have run and is cancelled, where it was reported as not run. 101 is invalid for all clients, a long interim status line is followed to its end, and TLS connections are left alone.

--- a/ctl/internal/cli/client.go
+++ b/ctl/internal/cli/client.go
@@ -30,7 +30,7 @@
 		req.Header.Set(k, v)
 	}
 	req.SetBody(body)
-	c := fasthttp.Client{Dial: httpstatus.Dial, MaxIdemponentCallAttempts: 1, MaxResponseBodySize: maxResponseBytes}
+	c := fasthttp.Client{DialTimeout: httpstatus.DialTimeout, MaxIdemponentCallAttempts: 1, MaxResponseBodySize: maxResponseBytes}
 	if err := c.DoTimeout(req, resp, a.Timeout); err != nil {
 		return 0, nil, a.noResponseError(method, err)
 	}
--- a/daemon/internal/engine/engine.go
+++ b/daemon/internal/engine/engine.go
@@ -99,7 +99,7 @@
 		changed: changed,
 		logger:  logger.With("server", c.Name),
 		client: &fasthttp.Client{
-			Dial:                      httpstatus.Dial,
+			DialTimeout:               httpstatus.DialTimeout,
 			ReadTimeout:               commandTimeout,
 			WriteTimeout:              commandTimeout,
 			MaxResponseBodySize:       maxAnswerBytes,
@@ -150,6 +150,11 @@
 		e.cancel(id)
 	})()
 	x, err := exchange.Open(conn, e.request(a, id))
+	var invalid *httpstatus.InvalidError
+	if errors.As(err, &invalid) {
+		e.cancel(id)
+		return attempt.End{Refusal: refusal.New(refusal.Broken, refusal.Unknown, "engine sent an invalid status: %v", err)}, false
+	}
 	if err != nil {
 		return e.connFailed(ctx, a, r, err)
 	}
@@ -250,10 +255,6 @@
 	if ctx.Err() != nil {
 		return attempt.End{}, true
 	}
-	var invalid *httpstatus.InvalidError
-	if errors.As(err, &invalid) {
-		return refuse(a, refusal.Broken, "engine sent no answer: %v", err), false
-	}
 	sole := e.recordCrash(r)
 	end := attempt.End{Crashed: true, Sole: sole}
 	end.Refusal = refusal.New(refusal.Crashed, refusal.Partial, "engine broke the stream: %v", err)
--- a/daemon/internal/exchange/exchange.go
+++ b/daemon/internal/exchange/exchange.go
@@ -56,7 +56,7 @@
 }
 
 // Open sends the request and waits for the response header. A *DialError means that nothing was sent, and a
-// *httpstatus.InvalidError that the server has sent no status.
+// *httpstatus.InvalidError that the server sent an invalid status line; the request may have run.
 func Open(ctx context.Context, req *fasthttp.Request) (*Exchange, error) {
 	address := string(req.URI().Host())
 	d := net.Dialer{Timeout: dialTimeout}
--- a/entry/internal/instances/instances.go
+++ b/entry/internal/instances/instances.go
@@ -55,7 +55,7 @@
 		static:   static,
 		random:   random,
 		onList:   onList,
-		client:   &fasthttp.Client{Dial: httpstatus.Dial, MaxResponseBodySize: maxListBytes, MaxIdemponentCallAttempts: 1},
+		client:   &fasthttp.Client{DialTimeout: httpstatus.DialTimeout, MaxResponseBodySize: maxListBytes, MaxIdemponentCallAttempts: 1},
 		logger:   logger,
 	}
 }
--- a/internal/httpstatus/httpstatus.go
+++ b/internal/httpstatus/httpstatus.go
@@ -1,14 +1,15 @@
-// Package httpstatus rejects HTTP answers whose status is not a number from 100 to 599.
+// Package httpstatus rejects HTTP answers whose status is not a number from 100 to 599, or is 101: no client that uses this
+// package asks for another protocol.
 //
 // # Usage
 //
-//	client := &fasthttp.Client{Dial: httpstatus.Dial}
+//	client := &fasthttp.Client{DialTimeout: httpstatus.DialTimeout}
 //	reader := httpstatus.NewReader(conn) // for the answer to a single request
 //	if !httpstatus.Valid(resp.StatusCode) { … }
 //
 // The client of fasthttp accepts any three digits and reports the status 000 as 200. The connections and readers of this
-// package check the status line before the library sees it. A *InvalidError means that a peer has sent something that is
-// not an answer; the request may have run.
+// package check the status line before the library has all of it; those of a TLS connection are not checked. An *InvalidError means that a
+// peer has sent something that is not an answer; the request may have run.
 package httpstatus
 
 import (
@@ -17,6 +18,7 @@
 	"io"
 	"net"
 	"strconv"
+	"time"
 
 	"github.com/valyala/fasthttp"
 )
@@ -26,10 +28,14 @@
 	highest = 599
 	// maxPrefix bounds the bytes of a status line that are examined; the status of a valid line ends within twelve.
 	maxPrefix = 64
+	// tlsRecord is the first byte that a server sends on a TLS connection.
+	tlsRecord = 0x16
 )
 
-// Valid reports whether a number is the status of an answer.
-func Valid(status int) bool { return status >= lowest && status <= highest }
+// Valid reports whether a number is the status of an answer, final or interim.
+func Valid(status int) bool {
+	return status >= lowest && status <= highest && status != fasthttp.StatusSwitchingProtocols
+}
 
 // InvalidError reports a status line without a valid status.
 type InvalidError struct {
@@ -41,17 +47,21 @@
 	return fmt.Sprintf("httpstatus: invalid status line %q", e.line)
 }
 
-// Dial connects to a server for a fasthttp.Client and checks the status lines of its answers.
-func Dial(address string) (net.Conn, error) {
-	c, err := fasthttp.Dial(address)
+// DialTimeout connects to a server within a timeout and checks the status lines of its answers. It is the DialTimeout of a
+// fasthttp.Client.
+func DialTimeout(address string, timeout time.Duration) (net.Conn, error) {
+	if timeout <= 0 {
+		timeout = fasthttp.DefaultDialTimeout
+	}
+	c, err := fasthttp.DialTimeout(address, timeout)
 	if err != nil {
 		return nil, err
 	}
 	return &conn{Conn: c}, nil
 }
 
-// conn checks the first status line after each request. A client writes a request only after it has read the answer to the
-// one before.
+// conn checks the status lines of the answer to each request. The check restarts with each write, because a fasthttp client
+// writes a request only after it has read the previous answer.
 type conn struct {
 	net.Conn
 	check check
@@ -63,14 +73,11 @@
 	return c.Conn.Write(b)
 }
 
-// Read implements io.Reader. It fails with an *InvalidError in place of the end of an invalid status line.
-func (c *conn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	return c.check.filter(b, n, err)
-}
+// Read implements io.Reader. It fails with an *InvalidError before it returns the line feed of an invalid status line.
+func (c *conn) Read(b []byte) (int, error) { return c.check.read(c.Conn, b) }
 
-// NewReader returns a reader of the answer to a single request. It fails with an *InvalidError in place of the end of an
-// invalid status line.
+// NewReader returns a reader of the answer to a single request. It fails with an *InvalidError before it returns the line
+// feed of an invalid status line.
 func NewReader(r io.Reader) io.Reader { return &reader{source: r} }
 
 type reader struct {
@@ -79,13 +86,11 @@
 }
 
 // Read implements io.Reader.
-func (r *reader) Read(b []byte) (int, error) {
-	n, err := r.source.Read(b)
-	return r.check.filter(b, n, err)
-}
+func (r *reader) Read(b []byte) (int, error) { return r.check.read(r.source, b) }
 
 // check follows the heads of an answer: those of interim answers and the final one.
 type check struct {
+	started bool   // bytes have been read
 	line    []byte // status line so far
 	interim bool   // inside the head of an interim answer
 	tail    []byte // end of that head so far, to find the empty line across reads
@@ -93,19 +98,33 @@
 	failed  *InvalidError
 }
 
-// filter checks the n bytes of b that were read and returns the results of the read.
-func (c *check) filter(b []byte, n int, err error) (int, error) {
+// read reads from a connection and checks what it reads.
+func (c *check) read(r io.Reader, b []byte) (int, error) {
 	if c.failed != nil {
 		return 0, c.failed
 	}
+	n, err := r.Read(b)
+	if n > 0 && b[0] == tlsRecord && !c.started {
+		c.done = true
+	}
+	c.started = c.started || n > 0
 	for rest := b[:n]; len(rest) > 0 && !c.done; {
 		if c.interim {
 			rest = c.skipHead(rest)
 			continue
 		}
-		if rest = c.readLine(rest); c.failed != nil {
-			return 0, c.failed
+		line := rest
+		if rest = c.readLine(line); c.failed == nil {
+			continue
+		}
+		// fasthttp reports an error without any byte as io.EOF, so the bytes up to the end of the line come first.
+		if end := bytes.IndexByte(line, '\n'); end >= 0 {
+			n -= len(line) - end
+		}
+		if n > 0 {
+			return n, nil
 		}
+		return 0, c.failed
 	}
 	return n, err
 }
@@ -113,14 +132,13 @@
 // readLine adds bytes to the status line and returns those that follow it.
 func (c *check) readLine(b []byte) []byte {
 	end := bytes.IndexByte(b, '\n')
+	part := b
+	if end >= 0 {
+		part = b[:end]
+	}
+	c.line = append(c.line, part[:min(len(part), maxPrefix-len(c.line))]...)
 	if end < 0 {
-		c.line = append(c.line, b[:min(len(b), maxPrefix-len(c.line))]...)
-		if len(c.line) < maxPrefix {
-			return nil
-		}
-		end = len(b) - 1 // the status stands in the prefix, whatever follows
-	} else {
-		c.line = append(c.line, b[:min(end, maxPrefix-len(c.line))]...)
+		return nil
 	}
 	if len(bytes.TrimSpace(c.line)) == 0 && len(c.line) < maxPrefix {
 		c.line = c.line[:0] // empty lines before an answer are allowed
@@ -130,7 +148,7 @@
 	switch {
 	case !ok:
 		c.failed = &InvalidError{line: string(c.line)}
-	case status < 200 && status != fasthttp.StatusSwitchingProtocols:
+	case status < fasthttp.StatusOK:
 		c.interim = true
 	default:
 		c.done = true
--- a/internal/httpstatus/statustest/statustest.go
+++ b/internal/httpstatus/statustest/statustest.go
@@ -6,6 +6,7 @@
 package statustest
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"testing"
@@ -25,22 +26,24 @@
 	const rest = " OK\r\nContent-Type: application/json\r\nVersion: 7\r\nContent-Length: 2\r\n\r\n{}"
 	for i, head := range heads {
 		for _, status := range statuses {
-			name := "status " + status
-			if i > 0 {
-				name += " after an interim answer"
-			}
-			t.Run(name, func(t *testing.T) {
-				address := serve(t, head[:len(head)-1]+status+rest)
-				if err := call(t, address); err == nil {
-					t.Error("the answer was accepted")
+			for _, split := range []int{0, 10, len(head)} {
+				name := fmt.Sprintf("status %s sent in two parts at %d", status, split)
+				if i > 0 {
+					name += " after an interim answer"
 				}
-			})
+				t.Run(name, func(t *testing.T) {
+					address := serve(t, head[:len(head)-1]+status+rest, split)
+					if err := call(t, address); err == nil {
+						t.Error("the answer was accepted")
+					}
+				})
+			}
 		}
 	}
 }
 
-// serve starts a server that sends a fixed answer to each request, byte by byte up to the end of the status line.
-func serve(t *testing.T, answer string) string {
+// serve starts a server that sends a fixed answer to each request, in two parts.
+func serve(t *testing.T, answer string, split int) string {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -60,7 +63,6 @@
 					if _, err := c.Read(buffer); err != nil {
 						return
 					}
-					const split = 10 // inside the status
 					if _, err := io.WriteString(c, answer[:split]); err != nil {
 						return
 					}
--- a/internal/store/status_test.go
+++ b/internal/store/status_test.go
@@ -8,7 +8,7 @@
 	"bulrushspoke/internal/httpstatus/statustest"
 )
 
-// Guards against a write or read that counts as answered although the status of the answer is not one, such as 000, which
+// Guards against a write or read that counts as answered although the status of the answer is invalid, such as 000, which
 // the HTTP library reports as 200.
 func TestInvalidStatus(t *testing.T) {
 	statustest.Check(t, func(t *testing.T, address string) error {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -116,7 +116,7 @@
 		timeout: timeout,
 		logger:  logger,
 		http: &fasthttp.Client{
-			Dial:                httpstatus.Dial,
+			DialTimeout:         httpstatus.DialTimeout,
 			MaxConnsPerHost:     maxConnections,
 			MaxResponseBodySize: maxResponseBytes,
 			// Retrying a write would hide from the caller that the first response was lost.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -280,8 +280,7 @@
 		if err != nil {
 			return nil, err
 		}
-		// No request asks for another protocol, so 101 is not an answer either.
-		if !httpstatus.Valid(resp.StatusCode) || resp.StatusCode == http.StatusSwitchingProtocols {
+		if !httpstatus.Valid(resp.StatusCode) {
 			return nil, errInvalidStatus
 		}
 		if resp.StatusCode >= http.StatusOK {
