--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -25,6 +25,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"bulrushspoke/internal/httpstatus"
 )
 
 const (
@@ -95,6 +97,7 @@
 var (
 	errHeadTooLarge   = errors.New("the head of the answer has no end")
 	errTooManyInterim = errors.New("too many interim answers")
+	errInvalidStatus  = errors.New("the answer has no valid status")
 )
 
 // errPoolFull is returned if the limit of connections, to the server or in total, is reached.
@@ -321,7 +324,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
+		if !httpstatus.Valid(resp.StatusCode) {
+			return nil, errInvalidStatus
+		}
+		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
 	}
