prefill: measure by medians, limit the samples of one sender

Cause: the speed of a service was a moving average of what clients state. Forty requests of one client whose prompts were understated set the time per token from 5 us to 2 ms, after which items were delayed behind a prompt of 100 tokens; thirty overstated ones set it to 0.5 us. A refused attempt removed the parts of its prompt from the cached ones, also those that the engine had processed before.

Change: all measurements, that of the expected output included, are medians of the last 15 samples, at most three of one sender, and need seven, so a single sender never has half of them. The sender is an argument of NewTicket. Callers pass none yet; with workspaces they pass request.workspace. Nothing is delayed behind less than 2,048 tokens. Parts of waiting prompts are counted apart from cached ones.

Ruled out: bounds on each sample (a stream of samples still moves the average), and restoring the former time of use after a refusal (wrong with two attempts that are refused one after the other).

--- a/entry/internal/batch/move.go
+++ b/entry/internal/batch/move.go
@@ -146,7 +146,7 @@
 	}
 	need := j.need(it, now)
 	need.Tried = map[string]bool{current.server.ID: true}
-	need.Ticket = prefill.NewTicket(it.prompt)
+	need.Ticket = prefill.NewTicket(it.prompt, "")
 	s, ok := j.manager.Tracker.PickFaster(now, current.server, j.manager.Catalog.Servers(current.server.Service), need)
 	if !ok {
 		return nil
--- a/entry/internal/batch/run.go
+++ b/entry/internal/batch/run.go
@@ -94,7 +94,7 @@
 	for _, it := range texts {
 		need := j.need(it, now)
 		if it.ticket == nil {
-			it.ticket = prefill.NewTicket(it.prompt)
+			it.ticket = prefill.NewTicket(it.prompt, "")
 		}
 		need.Ticket = it.ticket
 		s, ok := j.manager.Tracker.Start(now, servers, need)
--- a/entry/internal/ingress/forward.go
+++ b/entry/internal/ingress/forward.go
@@ -84,7 +84,7 @@
 			}
 			break
 		}
-		servers, need := g.Catalog.Servers(service), place.Need{Tried: tried, NewConn: !q.route.Repeatable(), Ticket: prefill.NewTicket(q.Prompt)}
+		servers, need := g.Catalog.Servers(service), place.Need{Tried: tried, NewConn: !q.route.Repeatable(), Ticket: prefill.NewTicket(q.Prompt, "")}
 		s, ok := g.Tracker.Start(now, servers, need)
 		if !ok {
 			if wait, limited := g.Tracker.Reject(now, servers, need, left); limited && last.outcome == notRun {
--- a/entry/internal/place/prompt_test.go
+++ b/entry/internal/place/prompt_test.go
@@ -91,7 +91,7 @@
 				n = Need{Model: "m", RequireSlot: true, RemainingEvents: r.events}
 			}
 			if r.ticket == nil {
-				r.ticket = prefill.NewTicket(state(r))
+				r.ticket = prefill.NewTicket(state(r), "")
 			}
 			n.Ticket = r.ticket
 			s, ok := trackers[r.entry].Start(now, list, n)
--- a/entry/internal/prefill/prefill.go
+++ b/entry/internal/prefill/prefill.go
@@ -3,7 +3,7 @@
 // # Usage
 //
 //	l := prefill.New()
-//	t := prefill.NewTicket(prompt) // nil if the request states nothing about its prompt
+//	t := prefill.NewTicket(prompt, workspace) // nil if the request states nothing about its prompt
 //	cost := l.Cost(t, server, load) // for each server that may run the request
 //	l.Start(t, server, load, now)   // at the chosen one
 //	l.FirstEvent(t, now)            // the prompt has been processed
@@ -37,10 +37,6 @@
 	// minSampleTokens is the number of tokens from which a prompt measures the time per token. It takes longer than the rest of
 	// the time to the first event.
 	minSampleTokens = 4000
-	// sampleWeight is the weight of a measurement in the moving averages. A measurement counts as at most maxSampleRatio times
-	// the average, as requests may have waited for something else.
-	sampleWeight   = 0.2
-	maxSampleRatio = 3
 	// dominantTime is the time to the first event of a long prompt from which the prompt accounts for nearly all of it.
 	dominantTime = 500 * time.Millisecond
 	// runningShare is the part of the time to process a prompt by which the events of a running request come later: chunks
@@ -51,10 +47,13 @@
 	maxWait         = 2 * time.Second
 	maxInterference = time.Second
 	// maxAhead is the time of waiting prompts at a server from which work that can wait does not start there, and maxDeferral how
-	// long it waits. A server is not idle meanwhile; other servers may be free first, and short prompts that arrive meanwhile
-	// have less before them.
+	// long it is delayed. Below this, an engine has enough queued work to stay busy; above it, an item may start earlier at
+	// another server.
 	maxAhead    = 150 * time.Millisecond
 	maxDeferral = 500 * time.Millisecond
+	// minAheadTokens is the number of waiting tokens below which nothing is delayed, whatever the measured speed: about the
+	// chunk that an engine processes between two events.
+	minAheadTokens = 2048
 	// minWeight and maxWeight bound how many requests one counts as that has much less or more output to come than usual.
 	minWeight = 0.5
 	maxWeight = 2.0
@@ -68,6 +67,7 @@
 
 // Ticket is a request with a prompt at one engine. A nil ticket is a request that states nothing about its prompt.
 type Ticket struct {
+	sender    string // whose figures these are; empty if unknown
 	prompt    call.Prompt
 	parts     []part
 	readyAt   time.Time // when the request could have started first
@@ -85,12 +85,13 @@
 	tokens int
 }
 
-// NewTicket returns the ticket of a request, nil if the figures of its prompt are zero.
-func NewTicket(p call.Prompt) *Ticket {
+// NewTicket returns the ticket of a request, nil if the figures of its prompt are zero. The sender is the name of the workspace
+// that states them, empty if there are no workspaces: it limits the influence of one sender on the measurements.
+func NewTicket(p call.Prompt, sender string) *Ticket {
 	if p.Tokens <= 0 && p.Output <= 0 {
 		return nil
 	}
-	t := &Ticket{prompt: p, parts: make([]part, 0, len(p.Parts))}
+	t := &Ticket{sender: sender, prompt: p, parts: make([]part, 0, len(p.Parts))}
 	for _, o := range p.Parts {
 		t.parts = append(t.parts, part{id: xxhash.Sum64String(o.ID), tokens: o.Tokens})
 	}
@@ -110,7 +111,7 @@
 type Load struct {
 	servers map[string]*server
 	times   map[string]*tokenTime // by service
-	output  float64               // moving average of the expected output of requests
+	output  estimate              // expected output of requests, in tokens
 }
 
 // server is the load of one engine.
@@ -119,15 +120,16 @@
 	prompts  int // prompts that wait
 	tickets  []*Ticket
 	cached   map[uint64]time.Time // last use of each part
+	pending  map[uint64]int       // waiting prompts with each part
 	lastUsed time.Time
 }
 
-// tokenTime is the measured speed of a service.
+// tokenTime is the measured speed of a service, in seconds.
 type tokenTime struct {
-	perToken  time.Duration // of a prompt; 0 if it was not measured
-	base      time.Duration // time to the first event apart from the prompt; 0 if it was not measured
-	perOutput time.Duration // of the expected output; 0 if it was not measured
-	output    time.Duration // from the first event to the end; 0 if it was not measured
+	perToken  estimate // of a prompt
+	base      estimate // time to the first event apart from the prompt
+	perOutput estimate // of the expected output
+	output    estimate // from the first event to the end
 }
 
 // New returns a Load without any prompts.
@@ -160,7 +162,7 @@
 	if m == nil || s.Slots <= 0 || s.Requests < s.Slots {
 		return 0
 	}
-	return time.Duration(s.Requests-s.Slots+1) * m.output / time.Duration(s.Slots)
+	return time.Duration(s.Requests-s.Slots+1) * m.output.duration() / time.Duration(s.Slots)
 }
 
 // Active reports whether a server has requests with tickets.
@@ -178,7 +180,7 @@
 	if k := l.servers[s.ID]; k != nil {
 		waiting += k.waiting
 	}
-	if time.Duration(waiting)*l.perToken(s.Service) < maxAhead {
+	if waiting < minAheadTokens || time.Duration(waiting)*l.perToken(s.Service) < maxAhead {
 		return false
 	}
 	if t.readyAt.IsZero() {
@@ -191,7 +193,7 @@
 // count as more than one, and those with little as less.
 func (l *Load) Weight(id string, now time.Time) float64 {
 	k := l.servers[id]
-	if k == nil || l.output <= 0 {
+	if k == nil || l.output.value <= 0 {
 		return 0
 	}
 	w := 0.0
@@ -200,10 +202,10 @@
 		if rest <= 0 {
 			continue
 		}
-		if m := l.times[t.service]; m != nil && m.perOutput > 0 && !t.firstAt.IsZero() {
-			rest = max(rest-float64(now.Sub(t.firstAt))/float64(m.perOutput), 0)
+		if m := l.times[t.service]; m != nil && m.perOutput.value > 0 && !t.firstAt.IsZero() {
+			rest = max(rest-now.Sub(t.firstAt).Seconds()/m.perOutput.value, 0)
 		}
-		w += min(max(rest/l.output, minWeight), maxWeight) - 1
+		w += min(max(rest/l.output.value, minWeight), maxWeight) - 1
 	}
 	return w
 }
@@ -216,7 +218,7 @@
 	k := l.servers[s.ID]
 	if k == nil {
 		l.evict(now)
-		k = &server{cached: make(map[uint64]time.Time)}
+		k = &server{cached: make(map[uint64]time.Time), pending: make(map[uint64]int)}
 		l.servers[s.ID] = k
 	}
 	t.server, t.service, t.startedAt, t.firstAt = s.ID, s.Service, now, time.Time{}
@@ -226,12 +228,11 @@
 	k.prompts++
 	k.tickets = append(k.tickets, t)
 	k.lastUsed = now
-	k.use(t.parts, now)
+	for _, p := range t.parts {
+		k.pending[p.id]++
+	}
 	if t.prompt.Output > 0 {
-		if l.output == 0 {
-			l.output = float64(t.prompt.Output)
-		}
-		l.output += sampleWeight * (float64(t.prompt.Output) - l.output)
+		l.output.add(float64(t.prompt.Output), t.sender, now)
 	}
 	return time.Duration(t.uncached) * l.perToken(s.Service)
 }
@@ -243,11 +244,11 @@
 	}
 	t.firstAt = now
 	k := l.servers[t.server]
-	k.waiting -= t.uncached
-	k.prompts--
+	k.stopWaiting(t)
+	k.use(t.parts, now)
 	k.lastUsed = now
 	if t.alone {
-		l.measure(t.service, t.uncached, now.Sub(t.startedAt))
+		l.measure(t, now)
 	}
 }
 
@@ -259,18 +260,13 @@
 	k := l.servers[t.server]
 	switch {
 	case t.firstAt.IsZero():
-		k.waiting -= t.uncached
-		k.prompts--
-		for _, p := range t.parts {
-			if k.cached[p.id].Equal(t.startedAt) {
-				delete(k.cached, p.id)
-			}
-		}
+		k.stopWaiting(t)
 	case complete:
 		m := l.measured(t.service)
-		m.output = average(m.output, now.Sub(t.firstAt))
+		took := now.Sub(t.firstAt).Seconds()
+		m.output.add(took, t.sender, now)
 		if t.prompt.Output > 0 {
-			m.perOutput = average(m.perOutput, now.Sub(t.firstAt)/time.Duration(t.prompt.Output))
+			m.perOutput.add(took/float64(t.prompt.Output), t.sender, now)
 		}
 	}
 	for i, o := range k.tickets {
@@ -302,7 +298,8 @@
 	return n
 }
 
-// uncached returns how many tokens of a prompt a server has to process: all from the first part on that is not cached.
+// uncached returns how many tokens of a prompt a server has to process: all from the first part on that is
+// neither cached nor part of a waiting prompt.
 func (l *Load) uncached(t *Ticket, id string, now time.Time) int {
 	rest := t.prompt.Tokens
 	k := l.servers[id]
@@ -310,7 +307,7 @@
 		return rest
 	}
 	for _, p := range t.parts {
-		if used, ok := k.cached[p.id]; !ok || now.Sub(used) > cachedTime {
+		if used, ok := k.cached[p.id]; k.pending[p.id] == 0 && (!ok || now.Sub(used) > cachedTime) {
 			break
 		}
 		rest -= p.tokens
@@ -318,6 +315,17 @@
 	return max(rest, 0)
 }
 
+// stopWaiting removes a prompt from those that wait.
+func (k *server) stopWaiting(t *Ticket) {
+	k.waiting -= t.uncached
+	k.prompts--
+	for _, p := range t.parts {
+		if k.pending[p.id]--; k.pending[p.id] <= 0 {
+			delete(k.pending, p.id)
+		}
+	}
+}
+
 // use records the use of the parts of a prompt.
 func (k *server) use(parts []part, now time.Time) {
 	for _, p := range parts {
@@ -342,8 +350,8 @@
 
 // perToken returns the time that the servers of a service take for a prompt token.
 func (l *Load) perToken(service string) time.Duration {
-	if t := l.times[service]; t != nil && t.perToken > 0 {
-		return t.perToken
+	if t := l.times[service]; t != nil && t.perToken.value > 0 {
+		return min(max(t.perToken.duration(), minTokenTime), maxTokenTime)
 	}
 	return defaultTokenTime
 }
@@ -359,26 +367,16 @@
 }
 
 // measure records the time to the first event of a request that did not wait for others.
-func (l *Load) measure(service string, tokens int, took time.Duration) {
-	t := l.measured(service)
+func (l *Load) measure(k *Ticket, now time.Time) {
+	t, took, tokens := l.measured(k.service), now.Sub(k.startedAt), k.uncached
 	if tokens < minSampleTokens {
-		t.base = average(t.base, took-time.Duration(tokens)*l.perToken(service))
+		t.base.add((took - time.Duration(tokens)*l.perToken(k.service)).Seconds(), k.sender, now)
 		return
 	}
-	if t.base == 0 && took < dominantTime {
+	if t.base.value == 0 && took < dominantTime {
 		return // the time per token cannot be told from the rest
 	}
-	t.perToken = min(max(average(t.perToken, (took-t.base)/time.Duration(tokens)), minTokenTime), maxTokenTime)
-}
-
-// average adds a measurement to a moving average; an average of 0 has no measurement.
-func average(a, sample time.Duration) time.Duration {
-	sample = max(sample, 1)
-	if a == 0 {
-		return sample
-	}
-	sample = min(sample, maxSampleRatio*a)
-	return a + time.Duration(sampleWeight*float64(sample-a))
+	t.perToken.add((took.Seconds()-t.base.value)/float64(tokens), k.sender, now)
 }
 
 // evict drops the state of engines that have been without requests for some time.
