ingress: measure prompts by delivered event streams only

Cause: the first bytes of any genuine answer ended the wait of a prompt. Thirty quick answers of 400 to requests with long prompts set the time per token to 0.5 us and the time until a slot is free to microseconds. A resumed stream kept the ticket at the server that had broken, and had none at the one that continued it.

Change: the first event is reported where a complete event is accepted (ingress and moves of items alike); only a stream that one server delivered whole counts as complete output. A break ends the ticket, a continuation has its own. Requests in flight and tickets of items, moves and continuations are released by defer, so a panic leaves nothing behind.

Ruled out: filtering short times in the measurement; a fast engine looks the same.

--- a/entry/internal/batch/move.go
+++ b/entry/internal/batch/move.go
@@ -146,7 +146,7 @@
 	}
 	need := j.need(it, now)
 	need.Tried = map[string]bool{current.server.ID: true}
-	need.Ticket = prefill.NewTicket(it.prompt, "")
+	need.Ticket = prefill.NewTicket(it.prompt, j.sender())
 	s, ok := j.manager.Tracker.PickFaster(now, current.server, j.manager.Catalog.Servers(current.server.Service), need)
 	if !ok {
 		return nil
@@ -178,9 +178,17 @@
 // runMove sends an item to the server that it is to move to. Once that sends events, the current response is cut.
 func (j *Job) runMove(ctx context.Context, it *item, m *move, next *segment, current *upstream.Response, route *catalog.Route) {
 	defer m.finish()
+	settled := false
+	defer func() {
+		if !settled { // after a panic
+			j.manager.Tracker.Ended(next.server.ID, j.spec.Model, place.Abandoned, 0, time.Now())
+			j.manager.Tracker.Release(next.ticket, false, time.Now())
+		}
+	}()
 	late := time.AfterFunc(moveTimeout, next.cancel)
 	outcome, cause := j.openSegment(ctx, it, next, route)
 	inTime := late.Stop()
+	settled = true
 	if cause == "" && inTime && m.offer(next) {
 		current.Interrupt()
 		return
@@ -239,7 +247,6 @@
 		resp.Abandon()
 		return place.Failed, err.Error()
 	}
-	j.manager.Tracker.FirstEvent(next.ticket, time.Now())
 	version := r.answer.Version
 	if e.Version > 0 {
 		version = e.Version
@@ -248,6 +255,7 @@
 		resp.Abandon()
 		return place.Refused, "the response does not resume the text"
 	}
+	j.manager.Tracker.FirstEvent(next.ticket, time.Now())
 	next.resp, next.events, next.first, next.version = resp, in, &e, r.answer.Version
 	return place.Answered, ""
 }
--- a/entry/internal/batch/run.go
+++ b/entry/internal/batch/run.go
@@ -94,7 +94,7 @@
 	for _, it := range texts {
 		need := j.need(it, now)
 		if it.ticket == nil {
-			it.ticket = prefill.NewTicket(it.prompt, "")
+			it.ticket = prefill.NewTicket(it.prompt, j.sender())
 		}
 		need.Ticket = it.ticket
 		s, ok := j.manager.Tracker.Start(now, servers, need)
@@ -205,9 +205,21 @@
 	next    *segment // continues the item; nil if it waits for a server
 }
 
+// sender returns whose figures the items state, for the limit on samples of one sender: the workspace of the job, empty
+// without workspaces.
+func (*Job) sender() string { return "" }
+
 // runAttempt runs an item on one server and returns the segment that continues it, if any.
 func (j *Job) runAttempt(ctx context.Context, it *item, current *segment, route *catalog.Route) *segment {
+	ended := false
+	defer func() {
+		if !ended { // after a panic
+			j.manager.Tracker.Ended(current.server.ID, j.spec.Model, place.Abandoned, 0, time.Now())
+			j.manager.Tracker.Release(current.ticket, false, time.Now())
+		}
+	}()
 	v := j.send(ctx, it, current, route)
+	ended = true
 	now := time.Now()
 	if ctx.Err() != nil {
 		v.outcome, v.cause = place.Abandoned, causeEnded
--- a/entry/internal/ingress/forward.go
+++ b/entry/internal/ingress/forward.go
@@ -55,6 +55,7 @@
 	header     http.Header
 	body       []byte
 	unframed   bool // the body ended with the connection
+	streamed   bool // an event stream was delivered whole by this server
 }
 
 // forward sends a request to servers until one responds or no further attempt is allowed.
@@ -84,7 +85,7 @@
 			}
 			break
 		}
-		servers, need := g.Catalog.Servers(service), place.Need{Tried: tried, NewConn: !q.route.Repeatable(), Ticket: prefill.NewTicket(q.Prompt, "")}
+		servers, need := g.Catalog.Servers(service), place.Need{Tried: tried, NewConn: !q.route.Repeatable(), Ticket: prefill.NewTicket(q.Prompt, q.sender())}
 		s, ok := g.Tracker.Start(now, servers, need)
 		if !ok {
 			if wait, limited := g.Tracker.Reject(now, servers, need, left); limited && last.outcome == notRun {
@@ -188,11 +189,15 @@
 		}
 	}()
 	a := g.roundTrip(ctx, w, q, s, ticket, left, onResponse)
-	recorded, complete = true, a.outcome == delivered
+	recorded, complete = true, a.streamed
 	g.recordOutcome(ctx, q, s, a, start)
 	return a
 }
 
+// sender returns whose figures a request states, for the limit on samples of one sender: its workspace, empty without
+// workspaces.
+func (*request) sender() string { return "" }
+
 // recordAbort records in the tracker that the server failed, or the client disconnected, in the middle of a response.
 func (g *Ingress) recordAbort(q *request, s catalog.Server) {
 	outcome := place.Failed
@@ -234,9 +239,6 @@
 	}
 	answer := g.headers.Answer(resp.StatusCode, resp.Header)
 	meaning := g.Catalog.RecordAnswer(s, answer, q.ID, sentAt, time.Now())
-	if ticket != nil && meaning == call.Genuine {
-		resp.Body = &firstRead{ReadCloser: resp.Body, onData: func() { g.Tracker.FirstEvent(ticket, time.Now()) }}
-	}
 	switch {
 	case meaning == call.NotRun:
 		resp.Discard()
@@ -246,7 +248,7 @@
 		return attempt{outcome: lost, cause: call.CauseForeign}
 	case isEventStream(resp.Header) && resp.StatusCode == http.StatusOK:
 		onResponse()
-		return g.stream(ctx, w, q, s, resp)
+		return g.stream(ctx, w, q, s, ticket, resp)
 	case resp.ContentLength > maxBufferedResponse:
 		onResponse()
 		return g.relay(w, q, resp, nil)
@@ -254,22 +256,6 @@
 	return g.buffer(w, q, resp, onResponse)
 }
 
-// firstRead calls onData when the first bytes of a body are read.
-type firstRead struct {
-	io.ReadCloser
-	onData func() // nil after the call
-}
-
-// Read implements io.Reader.
-func (r *firstRead) Read(b []byte) (int, error) {
-	n, err := r.ReadCloser.Read(b)
-	if n > 0 && r.onData != nil {
-		r.onData()
-		r.onData = nil
-	}
-	return n, err
-}
-
 // upstreamRequest returns the request to be sent to a server.
 func (g *Ingress) upstreamRequest(q *request, a call.Attempt) upstream.Request {
 	h := endToEndHeader(q.http.Header)
--- a/entry/internal/ingress/ingress_test.go
+++ b/entry/internal/ingress/ingress_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -587,3 +588,73 @@
 		}
 	}
 }
+
+// Guards against quick answers with an error, or without a stream, that are measured as the time to process a prompt.
+func TestOnlyStreamsAreMeasured(t *testing.T) {
+	s := newServer(t, func(c net.Conn, q *http.Request, body string) bool {
+		switch body {
+		case "stream":
+			time.Sleep(10 * time.Millisecond)
+			streamHead(c, q)
+			sendEvent(c, 1)
+			_, _ = io.WriteString(c, "0\r\n\r\n")
+		case "text":
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Length: 2\r\n\r\nok", signed(q))
+		default:
+			fmt.Fprintf(c, "HTTP/1.1 400 Bad Request\r\n%sContent-Length: 3\r\n\r\nbad", signed(q))
+		}
+		return true
+	})
+	r := newRig(t, catalog.Route{Kind: catalog.Stream, MaxAttempts: 1}, s)
+	service := r.ingress.Catalog.Config().Routes[0].Shares[0].Service
+	want := r.ingress.Tracker.TokenTime(service)
+	for range 8 {
+		if _, _, err := r.send(t, "POST", "/p/x", "stream", platformtest.Prompt(300, 10)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, body := range []string{"text", "error"} {
+		for i := range 8 {
+			header := platformtest.Prompt(900_000, 10)
+			header["X-Prompt-Prefix"] = fmt.Sprintf("%s-%d:900000", body, i) // not cached
+			if _, _, err := r.send(t, "POST", "/p/x", body, header); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	if got := r.ingress.Tracker.TokenTime(service); got != want {
+		t.Errorf("a prompt token takes %s after answers that are no streams, want %s", got, want)
+	}
+}
+
+// Guards against a resumed stream whose prompt does not wait at the server that continues it, or whose prompt at the first
+// server waits on.
+func TestResumedStreamHasItsOwnTicket(t *testing.T) {
+	const tokens = 20_000
+	var r *rig
+	waiting := make(chan int, 3)
+	answer := func(c net.Conn, q *http.Request, _ string) bool {
+		waiting <- r.ingress.Tracker.WaitingTokens()
+		if platformtest.DecodeServerRequest(q.Header).ResumeAfter == 0 {
+			streamHead(c, q)
+			_, _ = io.WriteString(c, "5\r\n: c\n\n\r\n") // a comment, no event
+			sendEvent(c, 1)
+			return false
+		}
+		streamHead(c, q)
+		sendEvent(c, 2)
+		_, _ = io.WriteString(c, "0\r\n\r\n")
+		return true
+	}
+	a, b := newServer(t, answer), newServer(t, answer)
+	r = newRig(t, catalog.Route{Kind: catalog.Stream, Resumable: true, MaxAttempts: 2}, a, b)
+	header := platformtest.Prompt(tokens, 10)
+	header["X-Prompt-Prefix"] = "" // no part may count as cached at the first server
+	header["X-Token-Count"] = strconv.Itoa(tokens + 8*10)
+	if _, _, err := r.send(t, "POST", "/p/x", "", header); err != nil {
+		t.Fatal(err)
+	}
+	if first, second, end := <-waiting, <-waiting, r.ingress.Tracker.WaitingTokens(); first != tokens || second != tokens || end != 0 {
+		t.Errorf("%d prompt tokens wait at first, %d as the stream is resumed, %d at the end; want %d twice and 0", first, second, end, tokens)
+	}
+}
--- a/entry/internal/ingress/stream.go
+++ b/entry/internal/ingress/stream.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"bulrushspoke/entry/internal/place"
+	"bulrushspoke/entry/internal/prefill"
 	"bulrushspoke/internal/call"
 	"bulrushspoke/internal/catalog"
 	"bulrushspoke/internal/sse"
@@ -63,43 +64,43 @@
 // be resumed, it is complete once a server that is asked to go on has no further event. The response to the client has
 // chunks in any case, so that it can be seen to be broken.
 func (g *Ingress) stream(
-	ctx context.Context, w http.ResponseWriter, q *request, s catalog.Server, resp *upstream.Response,
+	ctx context.Context, w http.ResponseWriter, q *request, s catalog.Server, ticket *prefill.Ticket, resp *upstream.Response,
 ) attempt {
 	g.copyResponseHeader(w, resp.Header)
 	w.WriteHeader(resp.StatusCode)
 	out := http.NewResponseController(w)
 	last := q.LastEvent
-	var resumed *catalog.Server // server that continues the stream; nil while it is the first one
-	defer func() {
-		if resumed != nil {
-			g.recordAbort(q, *resumed)
-		}
-	}()
+	var resumed *continuation // nil while the first server sends the stream
+	defer func() { g.abortContinuation(q, resumed) }()
 	for resumes := 0; ; resumes++ {
-		next, err := g.copyEvents(w, out, q, resp, last)
+		next, err := g.copyEvents(w, out, q, ticket, resp, last)
 		// Without event ids nobody can be asked to go on.
 		certain := resp.Framed() || !q.route.Resumable || next == last || next == 0
 		last = next
 		if err == nil && certain {
 			resp.Close()
+			whole := resumed == nil
 			if resumed != nil {
-				g.Tracker.Ended(resumed.ID, "", place.Answered, 0, time.Now())
+				// Its ticket does not count as complete, since the server generated only a part of the output.
+				now := time.Now()
+				g.Tracker.Ended(resumed.server.ID, "", place.Answered, 0, now)
+				g.Tracker.Release(resumed.ticket, false, now)
 				resumed = nil
 			}
 			g.recordRequest(q, resp.StatusCode, "")
-			return attempt{outcome: delivered}
+			return attempt{outcome: delivered, streamed: whole}
 		}
 		resp.Abandon()
-		if resumed != nil {
-			g.recordAbort(q, *resumed)
-			resumed = nil
-		}
+		g.Tracker.Release(ticket, false, time.Now())
+		g.abortContinuation(q, resumed)
+		resumed = nil
 		if ctx.Err() != nil || !q.route.Resumable || resumes >= maxResumes {
 			break
 		}
-		if resp, resumed = g.resume(ctx, q, s.Service, last); resp == nil {
+		if resp, resumed = g.resume(ctx, q, s.Service, last); resumed == nil {
 			break
 		}
+		ticket = resumed.ticket
 	}
 	g.recordRequest(q, http.StatusOK, "stream interrupted")
 	panic(http.ErrAbortHandler)
@@ -112,9 +113,9 @@
 )
 
 // copyEvents forwards all events except those with an id up to last, and returns the highest id sent. The error is nil at
-// the end of the stream.
+// the end of the stream. The first event ends the wait of the prompt.
 func (g *Ingress) copyEvents(
-	w http.ResponseWriter, out *http.ResponseController, q *request, resp *upstream.Response, last int,
+	w http.ResponseWriter, out *http.ResponseController, q *request, ticket *prefill.Ticket, resp *upstream.Response, last int,
 ) (int, error) {
 	onEvent, awaitNext := func(time.Time) {}, func(time.Time) {}
 	if q.route.Resumable {
@@ -140,7 +141,11 @@
 		if e.ID > last+1 && last > 0 {
 			return last, errGap
 		}
-		onEvent(time.Now())
+		now := time.Now()
+		onEvent(now)
+		if !e.Comment {
+			g.Tracker.FirstEvent(ticket, now)
+		}
 		if _, err := w.Write(e.Raw); err != nil {
 			return last, err
 		}
@@ -154,39 +159,73 @@
 	}
 }
 
-// resume asks one server after another to continue the stream after the event last. It returns the response and its server,
+// continuation is an attempt of a server to continue a stream.
+type continuation struct {
+	server catalog.Server
+	ticket *prefill.Ticket
+}
+
+// abortContinuation records in the tracker that a continuation, which may be nil, has ended early.
+func (g *Ingress) abortContinuation(q *request, c *continuation) {
+	if c == nil {
+		return
+	}
+	g.recordAbort(q, c.server)
+	g.Tracker.Release(c.ticket, false, time.Now())
+}
+
+// resume asks one server after another to continue the stream after the event last. It returns the response and the attempt,
 // or nil if no server continues. The caller records the end of the attempt in the tracker.
 func (g *Ingress) resume(
 	ctx context.Context, q *request, service string, last int,
-) (*upstream.Response, *catalog.Server) {
-	conns := q.config.Services[service].MaxConns
+) (*upstream.Response, *continuation) {
 	tried := make(map[string]bool)
 	for ctx.Err() == nil {
 		now := time.Now()
-		s, ok := g.Tracker.Start(now, g.Catalog.Servers(service), place.Need{Tried: tried})
+		need := place.Need{Tried: tried, Ticket: prefill.NewTicket(q.Prompt, q.sender())}
+		s, ok := g.Tracker.Start(now, g.Catalog.Servers(service), need)
 		if !ok {
 			return nil, nil
 		}
 		tried[s.ID] = true
 		q.servers = append(q.servers, s.ID)
 		q.attempts++
-		resp, err := g.Pool.Send(ctx, upstream.Target{Service: s.Service, Address: s.Address, Incarnation: s.ID, Conns: conns},
-			g.upstreamRequest(q, call.Attempt{Server: s.ID, Timeout: q.remaining(now), ResumeAfter: last}))
-		if err != nil {
-			g.recordAbort(q, s)
-			continue
-		}
-		a := g.headers.Answer(resp.StatusCode, resp.Header)
-		meaning := g.Catalog.RecordAnswer(s, a, q.ID, now, time.Now())
-		if resp.StatusCode == http.StatusOK && meaning == call.Genuine && isEventStream(resp.Header) {
-			return resp, &s
-		}
-		if meaning == call.Foreign || resp.StatusCode == http.StatusOK {
-			resp.Abandon()
-		} else {
-			resp.Discard()
+		c := &continuation{server: s, ticket: need.Ticket}
+		if resp := g.resumeAt(ctx, q, c, last, now); resp != nil {
+			return resp, c
 		}
-		g.Tracker.Ended(s.ID, "", place.Refused, 0, time.Now())
 	}
 	return nil, nil
 }
+
+// resumeAt asks a server to continue the stream after the event last. If it does not, the result is nil and the end of the
+// attempt is recorded in the tracker.
+func (g *Ingress) resumeAt(ctx context.Context, q *request, c *continuation, last int, now time.Time) *upstream.Response {
+	s, aborted := c.server, true
+	defer func() {
+		if aborted {
+			g.abortContinuation(q, c)
+		}
+	}()
+	conns := q.config.Services[s.Service].MaxConns
+	resp, err := g.Pool.Send(ctx, upstream.Target{Service: s.Service, Address: s.Address, Incarnation: s.ID, Conns: conns},
+		g.upstreamRequest(q, call.Attempt{Server: s.ID, Timeout: q.remaining(now), ResumeAfter: last}))
+	if err != nil {
+		return nil
+	}
+	a := g.headers.Answer(resp.StatusCode, resp.Header)
+	meaning := g.Catalog.RecordAnswer(s, a, q.ID, now, time.Now())
+	aborted = false
+	if resp.StatusCode == http.StatusOK && meaning == call.Genuine && isEventStream(resp.Header) {
+		return resp
+	}
+	if meaning == call.Foreign || resp.StatusCode == http.StatusOK {
+		resp.Abandon()
+	} else {
+		resp.Discard()
+	}
+	now = time.Now()
+	g.Tracker.Ended(s.ID, "", place.Refused, 0, now)
+	g.Tracker.Release(c.ticket, false, now)
+	return nil
+}
--- a/entry/internal/place/prompt.go
+++ b/entry/internal/place/prompt.go
@@ -57,6 +57,13 @@
 	t.prompts.End(k, complete, now)
 }
 
+// TokenTime returns the time that the servers of a service are assumed to take for a prompt token.
+func (t *Tracker) TokenTime(service string) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.prompts.TokenTime(service)
+}
+
 // WaitingTokens returns the prompt tokens of this process that wait at all servers.
 func (t *Tracker) WaitingTokens() int {
 	t.mu.Lock()
--- a/entry/internal/prefill/prefill.go
+++ b/entry/internal/prefill/prefill.go
@@ -148,7 +148,7 @@
 		waiting += k.waiting
 		prompts = k.prompts
 	}
-	perToken := l.perToken(s.Service)
+	perToken := l.TokenTime(s.Service)
 	own := time.Duration(l.uncached(t, s.ID, now)) * perToken
 	held := float64(prompts) + runningShare*float64(max(s.Requests-prompts, 0))
 	interference := time.Duration(held * float64(own))
@@ -180,7 +180,7 @@
 	if k := l.servers[s.ID]; k != nil {
 		waiting += k.waiting
 	}
-	if waiting < minAheadTokens || time.Duration(waiting)*l.perToken(s.Service) < maxAhead {
+	if waiting < minAheadTokens || time.Duration(waiting)*l.TokenTime(s.Service) < maxAhead {
 		return false
 	}
 	if t.readyAt.IsZero() {
@@ -234,7 +234,7 @@
 	if t.prompt.Output > 0 {
 		l.output.add(float64(t.prompt.Output), t.sender, now)
 	}
-	return time.Duration(t.uncached) * l.perToken(s.Service)
+	return time.Duration(t.uncached) * l.TokenTime(s.Service)
 }
 
 // FirstEvent records that the prompt of a request has been processed. Further calls have no effect.
@@ -348,8 +348,8 @@
 	delete(k.cached, oldest)
 }
 
-// perToken returns the time that the servers of a service take for a prompt token.
-func (l *Load) perToken(service string) time.Duration {
+// TokenTime returns the time that the servers of a service take for a prompt token.
+func (l *Load) TokenTime(service string) time.Duration {
 	if t := l.times[service]; t != nil && t.perToken.value > 0 {
 		return min(max(t.perToken.duration(), minTokenTime), maxTokenTime)
 	}
@@ -370,7 +370,7 @@
 func (l *Load) measure(k *Ticket, now time.Time) {
 	t, took, tokens := l.measured(k.service), now.Sub(k.startedAt), k.uncached
 	if tokens < minSampleTokens {
-		t.base.add((took - time.Duration(tokens)*l.perToken(k.service)).Seconds(), k.sender, now)
+		t.base.add((took - time.Duration(tokens)*l.TokenTime(k.service)).Seconds(), k.sender, now)
 		return
 	}
 	if t.base.value == 0 && took < dominantTime {
--- a/entry/internal/prefill/prefill_test.go
+++ b/entry/internal/prefill/prefill_test.go
@@ -78,11 +78,11 @@
 		run(10, base)
 		run(10_000, base+10_000*perToken)
 	}
-	if got := l.perToken(""); got < perToken*8/10 || got > perToken*12/10 {
+	if got := l.TokenTime(""); got < perToken*8/10 || got > perToken*12/10 {
 		t.Errorf("a token takes %s, want about %s", got, perToken)
 	}
 	run(10_000, time.Minute)
-	if got := l.perToken(""); got > 2*perToken {
+	if got := l.TokenTime(""); got > 2*perToken {
 		t.Errorf("after one late event a token takes %s", got)
 	}
 }
@@ -109,7 +109,7 @@
 		t.Helper()
 		full := s
 		full.Requests = 8
-		perToken, wait, output := l.perToken(""), l.slotWait(full), l.output.value
+		perToken, wait, output := l.TokenTime(""), l.slotWait(full), l.output.value
 		if perToken < 80*time.Microsecond || perToken > 120*time.Microsecond || wait < 100*time.Millisecond || output != 20 {
 			t.Errorf("%s: a token takes %s, a slot is free after %s, the expected output is %g", what, perToken, wait, output)
 		}
@@ -130,14 +130,14 @@
 	for range 40 {
 		run("a", call.Prompt{Tokens: 4000}, 20*time.Second, 20*time.Second)
 	}
-	if got := l.perToken(""); got != defaultTokenTime {
+	if got := l.TokenTime(""); got != defaultTokenTime {
 		t.Errorf("a single sender sets the time per token to %s", got)
 	}
 	for range 40 {
 		run("", call.Prompt{Tokens: 4000}, 20*time.Second, 20*time.Second)
 	}
 	l.Start(NewTicket(call.Prompt{Tokens: 100}, ""), s, now)
-	if l.perToken("") < time.Millisecond || l.Defer(NewTicket(call.Prompt{Tokens: 100}, ""), s, now) {
+	if l.TokenTime("") < time.Millisecond || l.Defer(NewTicket(call.Prompt{Tokens: 100}, ""), s, now) {
 		t.Error("an item is delayed behind a prompt of 100 tokens")
 	}
 }
