batch: choose owners in an order that does not depend on item counts

Cause: models were assigned in the order of their numbers of items. Two models of about the same size swapped their owners whenever the order changed, and the numbers differ a little from job to job. Entries that no longer run anything were kept, with all models that they ever ran. A submission whose state was not written counted as running. An entry that shuts down as the last one of its failure domain passed its jobs to any region.

Change: models are assigned by name; utilizations that differ by up to a quarter count as equal, both among entries and between failure domain and region. A record removes what all entries have not run for 20 s. A model is recorded after its state object is written. A shutdown prefers the region, for the preferred owner and for the order of the others. chooseWider is chooseInRegion.

Ruled out: size classes (they flap at their borders), and remembering the last owner (entries could disagree).

The test of the third of three models names it so that it comes last, as the order has changed; it is as strict as before.

--- a/entry/internal/batch/owner.go
+++ b/entry/internal/batch/owner.go
@@ -275,8 +275,22 @@
 	}
 	var wg sync.WaitGroup
 	now := time.Now()
+	inRegion := make(map[string]bool)
+	for _, h := range m.Peers.InRegion(m.Self.Region) {
+		inRegion[h.Name] = true
+	}
 	for i, j := range open {
 		order := slices.Concat(peers[i%len(peers):], peers[:i%len(peers)])
+		slices.SortStableFunc(order, func(a, b string) int { // those of the region first
+			switch {
+			case inRegion[a] == inRegion[b]:
+				return 0
+			case inRegion[a]:
+				return -1
+			default:
+				return 1
+			}
+		})
 		if first := m.preferredOwner(j.spec.Model, len(j.spec.Items), now).name; first != "" {
 			order = slices.Insert(order, 0, first)
 		}
--- a/entry/internal/batch/rank.go
+++ b/entry/internal/batch/rank.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -15,6 +17,9 @@
 	minCoresShare = 0.5
 	// equalCoresShare is the share of the cores of another entry from which an entry is as strong.
 	equalCoresShare = 0.9
+	// equalUtilization is the ratio up to which the utilizations of two entries, or their items, count as equal. The numbers of
+	// items of the jobs of a trainer differ by less.
+	equalUtilization = 1.25
 	// runningTime is how long an entry counts as running a model after the last start of a job of it: trainers start one
 	// every few seconds, and one that has fallen behind needs up to twelve for a step.
 	runningTime = 20 * time.Second
@@ -75,9 +80,10 @@
 // same entry for all jobs of a model while the models that the candidates run are the same, so that it knows the speed of
 // the model's engines and the texts of carried groups. The result is the zero value if there are no candidates.
 //
-// Of all models that the candidates run, the one with the most items is assigned first. Each goes to the least utilized of
-// the strong candidates, and among those without a model to the one with the highest hash. So two models share an entry
-// only if there are more models than strong entries, and with one model the choice is by hash alone.
+// All models that the candidates run are assigned in the order of their names. Each goes to a strong candidate that is among the
+// least utilized ones, of several to the one with the highest hash. So two models share an entry only if there are more models
+// than strong entries, and with one model the choice is by hash alone. The order does not depend on the numbers of items, which
+// differ a little from job to job: two models of about the same size would swap their owners with each job.
 func chooseOwner(model string, items int, l []candidate) candidate {
 	strong := strongest(l)
 	type demand struct {
@@ -95,17 +101,10 @@
 			demands[i].items = max(demands[i].items, n)
 		}
 	}
-	slices.SortFunc(demands, func(a, b demand) int {
-		return cmp.Or(cmp.Compare(b.items, a.items), cmp.Compare(a.model, b.model))
-	})
+	slices.SortFunc(demands, func(a, b demand) int { return cmp.Compare(a.model, b.model) })
 	assigned := make(map[string]int, len(strong)) // items by entry
 	for _, d := range demands {
-		var chosen candidate
-		for _, c := range strong {
-			if chosen.name == "" || c.precedes(chosen, d.model, assigned) {
-				chosen = c
-			}
-		}
+		chosen := leastUtilized(d.model, strong, assigned)
 		if d.model == model || chosen.name == "" {
 			return chosen
 		}
@@ -114,31 +113,40 @@
 	return candidate{}
 }
 
-// precedes reports whether a model goes to c rather than to o, given the items that they have been assigned.
-func (c candidate) precedes(o candidate, model string, assigned map[string]int) bool {
-	u, v := c.utilization(assigned[c.name]), o.utilization(assigned[o.name])
-	if u != v {
-		return u < v
+// leastUtilized returns the candidate that a model is assigned to, given the items that they have been assigned.
+func leastUtilized(model string, l []candidate, assigned map[string]int) candidate {
+	least := math.Inf(1)
+	for _, c := range l {
+		least = min(least, c.utilization(assigned[c.name]))
+	}
+	var chosen candidate
+	for _, c := range l {
+		if c.utilization(assigned[c.name]) > equalUtilization*least {
+			continue
+		}
+		if chosen.name == "" || rank(model, c.name) > rank(model, chosen.name) {
+			chosen = c
+		}
 	}
-	return rank(model, c.name) > rank(model, o.name)
+	return chosen
 }
 
 // rank returns the weight of an entry for a model.
 func rank(model, name string) uint64 { return xxhash.Sum64String(model + "\x00" + name) }
 
-// chooseWider returns the candidate that runs the jobs of a model: that of the failure domain, unless other models run there
-// and the one chosen among all entries of the region is as strong and runs no more of them. The load balancer spreads the
+// chooseInRegion returns the candidate that runs the jobs of a model: that of the failure domain, unless other models run there
+// and the one chosen among all entries of the region is as strong and runs about as many of them or fewer. The load balancer spreads the
 // jobs of all trainers over all failure domains, some of which have a single strong entry.
-func chooseWider(model string, items int, domain, region []candidate) candidate {
-	near := chooseOwner(model, items, domain)
-	if near.others(model) == 0 {
-		return near
+func chooseInRegion(model string, items int, domain, region []candidate) candidate {
+	local := chooseOwner(model, items, domain)
+	if local.others(model) == 0 {
+		return local
 	}
-	far := chooseOwner(model, items, region)
-	if far.others(model) > near.others(model) || far.cores < equalCoresShare*near.cores {
-		return near
+	regional := chooseOwner(model, items, region)
+	if float64(regional.others(model)) > equalUtilization*float64(local.others(model)) || regional.cores < equalCoresShare*local.cores {
+		return local
 	}
-	return far
+	return regional
 }
 
 // runningModels holds which models the entries run, as they announce it with each job that they start, by entry.
@@ -156,8 +164,14 @@
 	startedAt time.Time
 }
 
-// record notes that an entry starts a job.
+// record notes that an entry starts a job, and forgets what all entries have not run for some time.
 func (r runningModels) record(entry, inc, model string, items int, now time.Time) {
+	for name, e := range r {
+		maps.DeleteFunc(e.models, func(_ string, m runningModel) bool { return now.Sub(m.startedAt) > runningTime })
+		if len(e.models) == 0 {
+			delete(r, name)
+		}
+	}
 	e := r[entry]
 	if e.inc != inc || e.models == nil {
 		e = runningEntry{inc: inc, models: make(map[string]runningModel)}
@@ -166,7 +180,7 @@
 	e.models[model] = runningModel{items: items, startedAt: now}
 }
 
-// of returns the items by model that a process runs, and forgets what it has not run for some time.
+// of returns the items by model that a process runs.
 func (r runningModels) of(entry, inc string, now time.Time) map[string]int {
 	e := r[entry]
 	if e.inc != inc || e.models == nil {
@@ -174,11 +188,9 @@
 	}
 	items := make(map[string]int, len(e.models))
 	for model, l := range e.models {
-		if now.Sub(l.startedAt) > runningTime {
-			delete(e.models, model)
-			continue
+		if now.Sub(l.startedAt) <= runningTime {
+			items[model] = l.items
 		}
-		items[model] = l.items
 	}
 	return items
 }
@@ -195,11 +207,16 @@
 
 // preferredOwner returns the entry that runs a job.
 func (m *Manager) preferredOwner(model string, items int, now time.Time) candidate {
-	domain, leaving := m.candidates(m.Peers.InDomain(m.Self.Domain), now), m.leaving()
-	if leaving && len(domain) == 0 {
-		return chooseOwner(model, items, m.otherDomains())
+	domain := m.candidates(m.Peers.InDomain(m.Self.Domain), now)
+	region := m.candidates(m.Peers.InRegion(m.Self.Region), now)
+	switch {
+	case len(domain) > 0:
+		return chooseInRegion(model, items, domain, region)
+	case len(region) > 0: // this entry is shutting down and the last one of its failure domain
+		return chooseOwner(model, items, region)
+	default:
+		return chooseOwner(model, items, m.otherRegions())
 	}
-	return chooseWider(model, items, domain, m.candidates(m.Peers.InRegion(m.Self.Region), now))
 }
 
 // candidates returns the given entries and this one, unless it is shutting down, as candidates to run jobs.
@@ -220,8 +237,8 @@
 	})
 }
 
-// otherDomains returns all connected entries, for an entry that is shutting down and is the last one of its failure domain.
-func (m *Manager) otherDomains() []candidate {
+// otherRegions returns all connected entries, for an entry that is shutting down and is the last one of its region.
+func (m *Manager) otherRegions() []candidate {
 	var l []candidate
 	for _, name := range m.Peers.Connected() {
 		if inc := m.Peers.Incarnation(name); inc != "" {
--- a/entry/internal/batch/rank_test.go
+++ b/entry/internal/batch/rank_test.go
@@ -6,6 +6,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"bulrushspoke/wire"
 )
 
 // candidates returns the entries of a failure domain: a few with much CPU and more with little.
@@ -117,7 +119,7 @@
 	}
 }
 
-// Simulates the trainers of four models that submit a job of 150 items every four seconds through a random one of the entries
+// Simulates the trainers of four models that submit a job of 150 to 161 items every four seconds through a random one of the entries
 // of six failure domains, each with a strong entry or two, while announcements arrive after a second. Once all models are
 // known, no model may share its owner with another one while a strong entry of the region is idle, and the jobs of a model
 // must stay with few owners. The baseline chooses by hash in the failure domain of the receiver.
@@ -137,11 +139,12 @@
 			domains[i] = append(domains[i], candidate{name: fmt.Sprintf("weak-%d-%d", i, k), cores: 0.144, rate: 6e6})
 		}
 	}
-	simulate := func(seed uint64, choose func(model string, domain, region []candidate) candidate) (shared, owned int) {
+	simulate := func(seed uint64, choose func(model string, items int, domain, region []candidate) candidate) (shared, owned int) {
 		random := rand.New(rand.NewPCG(seed, 2))
 		type start struct {
 			at           time.Time
 			owner, model string
+			items        int
 		}
 		var starts []start
 		owners := make(map[string]bool)
@@ -152,7 +155,7 @@
 				known := make(runningModels)
 				for _, s := range starts {
 					if now.Sub(s.at) > delay {
-						known.record(s.owner, "", s.model, 150, s.at)
+						known.record(s.owner, "", s.model, s.items, s.at)
 					}
 				}
 				view := func(l []candidate) []candidate {
@@ -162,27 +165,28 @@
 					}
 					return l
 				}
-				c := choose(model, view(domains[random.IntN(6)]), view(slices.Concat(domains...)))
+				items := 150 + random.IntN(12)
+				c := choose(model, items, view(domains[random.IntN(6)]), view(slices.Concat(domains...)))
 				if round >= settled {
 					owners[model+c.name] = true
 					if slices.ContainsFunc(starts, func(s start) bool { return s.owner == c.name && s.model != model && now.Sub(s.at) < 2*period }) {
 						shared++
 					}
 				}
-				starts = append(starts, start{now, c.name, model})
+				starts = append(starts, start{now, c.name, model, items})
 			}
 		}
 		return shared, len(owners)
 	}
-	policies := []func(model string, domain, region []candidate) candidate{
-		func(model string, domain, _ []candidate) candidate {
+	policies := []func(model string, items int, domain, region []candidate) candidate{
+		func(model string, items int, domain, _ []candidate) candidate {
 			for i := range domain {
 				domain[i].running = nil
 			}
-			return chooseOwner(model, 150, domain)
+			return chooseOwner(model, items, domain)
 		},
-		func(model string, domain, region []candidate) candidate {
-			return chooseWider(model, 150, domain, region)
+		func(model string, items int, domain, region []candidate) candidate {
+			return chooseInRegion(model, items, domain, region)
 		},
 	}
 	var shared, owned [2]int
@@ -209,14 +213,99 @@
 	if r.of("a", "a2", now) != nil || len(r.of("a", "a1", now)) != 1 || len(r.of("a", "a1", now.Add(runningTime+1))) != 0 {
 		t.Error("a former process or an old job counts")
 	}
+	r.record("b", "b1", "n", 150, now.Add(runningTime+1))
+	if len(r) != 1 {
+		t.Errorf("%d entries are kept, want only that of the new job", len(r))
+	}
 	busy := map[string]int{"n": 100, "o": 100}
 	for name, l := range map[string][]candidate{
 		"cores": {{name: "a", cores: 0.5, running: busy}, {name: "b", cores: 0.8}},
 		"link":  {{name: "a", cores: 0.8, rate: 1e6, running: busy}, {name: "b", cores: 0.8, rate: 25e6}},
 	} {
-		// Of three models, the two with the most items are assigned to one entry each, and the third to the less utilized one.
-		if c := chooseOwner("m", 50, l); c.name != "b" {
+		// Of three models, two are assigned to one entry each, and the third to the less utilized one.
+		if c := chooseOwner("z", 50, l); c.name != "b" {
 			t.Errorf("%s: the third model is run by %s, want b", name, c.name)
 		}
 	}
 }
+
+// Simulates models whose numbers of items differ a little from job to job, at a few equal entries. Once all models are known,
+// hardly any job may change its owner, or two models would swap their owners with each job.
+func TestOwnersDoNotChangeWithItems(t *testing.T) {
+	const (
+		seeds   = 200
+		rounds  = 20
+		settled = 2
+	)
+	entries := []string{"e1", "e2", "e3"}
+	for _, models := range []int{2, 3, 5} {
+		random := rand.New(rand.NewPCG(1, uint64(models)))
+		changes, shared, jobs := 0, 0, 0
+		for seed := range seeds {
+			now := time.Now()
+			r := make(runningModels)
+			last := make(map[string]string) // owner by model
+			for round := range rounds {
+				now = now.Add(4 * time.Second)
+				for i := range models {
+					model, items := fmt.Sprintf("m%d-%d", seed, i), 160+random.IntN(5)
+					var l []candidate
+					for _, name := range entries {
+						l = append(l, candidate{name: name, cores: 0.8, running: r.of(name, "", now)})
+					}
+					c := chooseOwner(model, items, l)
+					r.record(c.name, "", model, items, now)
+					if round >= settled {
+						jobs++
+						if last[model] != c.name {
+							changes++
+						}
+						for other, owner := range last {
+							if other != model && owner == c.name {
+								shared++
+								break
+							}
+						}
+					}
+					last[model] = c.name
+				}
+			}
+		}
+		t.Logf("%d models at %d entries: of %d jobs %d change their owner, %d share it", models, len(entries), jobs, changes, shared)
+		if changes*200 > jobs || models <= len(entries) && shared*200 > jobs {
+			t.Errorf("%d models: of %d jobs %d change their owner, %d share it", models, jobs, changes, shared)
+		}
+	}
+}
+
+// regionPeers has connected entries in the region of this one, but none in its failure domain.
+type regionPeers struct {
+	Peers
+	region []wire.Hello
+}
+
+func (regionPeers) InDomain(string) []wire.Hello { return nil }
+
+func (p regionPeers) InRegion(string) []wire.Hello { return p.region }
+
+func (regionPeers) Connected() []string { return []string{"far-1", "far-2", "far-3", "far-4", "near"} }
+
+func (regionPeers) Incarnation(name string) string { return name + "-1" }
+
+// Guards against an entry that shuts down and passes its jobs to another region although its own has entries.
+func TestShutdownPrefersRegion(t *testing.T) {
+	m, _ := newRig(t, newEngine(t, 1)).manager("a", "a1")
+	p := regionPeers{Peers: m.Peers, region: []wire.Hello{{Name: "near", Inc: "near-1", Cores: 0.1}}}
+	m.mu.Lock()
+	m.closed, m.Peers = true, p
+	m.mu.Unlock()
+	for i := range 20 {
+		if c := m.preferredOwner(fmt.Sprint("m", i), 150, time.Now()); c.name != "near" {
+			t.Fatalf("the job goes to %s", c.name)
+		}
+	}
+	m.Peers = regionPeers{Peers: p.Peers}
+	if c := m.preferredOwner("m", 150, time.Now()); c.name == "" {
+		t.Error("without entries in the region no other one is chosen")
+	}
+}
--- a/entry/internal/batch/submit.go
+++ b/entry/internal/batch/submit.go
@@ -47,12 +47,14 @@
 		Owner: owner.name, Inc: owner.inc, Epoch: 1, Host: r.Host, Path: r.Prefix, Total: len(spec.Items),
 		At: now.UnixMilli(), Model: spec.Model,
 	}
-	m.recordRunning(wire.JobOwner{Owner: owner.name, Inc: owner.inc, Model: spec.Model, Items: len(spec.Items)}, now)
 	createdAt := time.Now()
 	held, err := m.createState(ctx, id, state)
 	if err != nil {
 		return m.refuseAmbiguous(id, err, now)
 	}
+	if !held.Ended {
+		m.recordRunning(wire.JobOwner{Owner: held.Owner, Inc: held.Inc, Model: spec.Model, Items: len(spec.Items)}, now)
+	}
 	switch {
 	case held.Ended || held.Epoch > 1:
 	case held.Owner == m.Name && held.Inc == m.Self.Inc:
