--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -76,6 +76,10 @@
 	listed   bool
 }
 
+// partSize is the memory of a part of a prompt in bytes: the decoded part, and its hash and tokens in a ticket. A short header
+// field may hold many of them.
+const partSize = 40
+
 // newJob returns a job with the results of the given records, whose state was read from the store at the given time. The
 // items of an ended job may be left out.
 func newJob(m *Manager, spec job.Job, s wire.JobState, records []wire.JobRecord, readAt time.Time) *Job {
@@ -104,7 +108,9 @@
 		if it.Reward != nil {
 			j.size += int64(len(it.Reward.Body))
 		}
-		j.items[it.ID] = &item{Item: it, index: i, hint: lengthHint(it), prompt: platform.Headers{}.Prompt(it.Header)}
+		prompt := platform.Headers{}.Prompt(it.Header)
+		j.size += int64(len(prompt.Parts)) * partSize
+		j.items[it.ID] = &item{Item: it, index: i, hint: lengthHint(it), prompt: prompt}
 	}
 	for n, r := range records {
 		j.applyRecord(n, r)
--- a/entry/internal/batch/limit_test.go
+++ b/entry/internal/batch/limit_test.go
@@ -9,6 +9,7 @@
 	"bulrushspoke/internal/call"
 	"bulrushspoke/internal/job"
 	"bulrushspoke/platform/platformtest"
+	"bulrushspoke/wire"
 )
 
 const (
@@ -72,6 +73,15 @@
 	checkScores(t, s, results)
 }
 
+// Guards against jobs whose items state many parts of prompts, which take more memory than the bodies.
+func TestPartsOfPromptsCountAsMemory(t *testing.T) {
+	m, _ := newRig(t, newEngine(t, 1)).manager("a", "a1")
+	spec := job.Job{ID: "j", Items: []job.Item{{ID: "g-1", Header: platformtest.Prompt(10, 1), Body: make([]byte, 100)}}}
+	if j := newJob(m, spec, wire.JobState{}, nil, time.Now()); j.size != 100+partSize {
+		t.Errorf("the size of the job is %d, want %d", j.size, 100+partSize)
+	}
+}
+
 // Guards against prompts of items that count as waiting for ever after attempts that are refused, cut or complete.
 func TestPromptsOfItemsStopWaiting(t *testing.T) {
 	e := newEngine(t, 1)
