place: look through the pool only if the choice depends on it

Cause: each choice asked for the idle connections of all servers of about equal cost, and then of the whole pool, also when the cheapest one had a connection or none had.

Change: a cheapest server with an idle connection is chosen at once, and the pool is looked through only if another server has exactly one. Several is AtLeastTwoIdle.

Considered and not done: to prefer a single idle connection as well.

--- a/entry/internal/place/connections.go
+++ b/entry/internal/place/connections.go
@@ -20,8 +20,8 @@
 type Connections interface {
 	// Idle returns how many idle connections to an incarnation the next requests may use.
 	Idle(address, incarnation string, now time.Time) int
-	// Several reports whether there are at least two such connections, to any servers.
-	Several(now time.Time) bool
+	// AtLeastTwoIdle reports whether there are at least two such connections, to any servers.
+	AtLeastTwoIdle(now time.Time) bool
 }
 
 // SetConnections makes the choice of servers prefer those with idle connections. It must be called before any choice.
@@ -31,21 +31,24 @@
 // among those that cost about as much. costs holds the costs of the servers, negative for those that must not be chosen.
 //
 // A new connection costs a round trip and is billed. Requests of one entry to a service are seconds apart; spread evenly
-// over all servers, each finds its connection expired. A process with a single idle connection chooses by cost alone.
+// over all servers, they would find their connections expired. A process with a single idle connection chooses by cost alone.
 func (t *Tracker) pickConnected(now time.Time, servers []catalog.Server, costs []float64, cheapest int) int {
+	idle := func(i int) int { return t.connections.Idle(servers[i].Address, servers[i].ID, now) }
+	if idle(cheapest) > 0 {
+		return cheapest
+	}
 	limit := costs[cheapest] + min(maxReuseShare*costs[cheapest], maxReuseCost)
-	chosen, idle := cheapest, 0
+	chosen, count := cheapest, 0 // count is the number of idle connections found
 	for i, c := range costs {
-		if c < 0 || c > limit {
+		if i == cheapest || c < 0 || c > limit || chosen != cheapest && c >= costs[chosen] {
 			continue
 		}
-		n := t.connections.Idle(servers[i].Address, servers[i].ID, now)
-		if n > 0 && (idle == 0 || c < costs[chosen]) {
+		if n := idle(i); n > 0 {
 			chosen = i
+			count += n
 		}
-		idle += n
 	}
-	if idle < 2 && !t.connections.Several(now) {
+	if chosen == cheapest || count < 2 && !t.connections.AtLeastTwoIdle(now) {
 		return cheapest
 	}
 	return chosen
--- a/entry/internal/place/connections_test.go
+++ b/entry/internal/place/connections_test.go
@@ -19,7 +19,7 @@
 	return len(p[id])
 }
 
-func (p idlePool) Several(now time.Time) bool {
+func (p idlePool) AtLeastTwoIdle(now time.Time) bool {
 	n := 0
 	for id := range p {
 		n += p.Idle("", id, now)
@@ -184,3 +184,33 @@
 		}
 	}
 }
+
+// scannedPool counts how often all idle connections are looked through.
+type scannedPool struct {
+	idlePool
+	scans *int
+}
+
+func (p scannedPool) AtLeastTwoIdle(now time.Time) bool {
+	*p.scans++
+	return p.idlePool.AtLeastTwoIdle(now)
+}
+
+// Guards against looking through all idle connections for choices that do not depend on it.
+func TestPoolIsNotScannedInVain(t *testing.T) {
+	until := start.Add(time.Second)
+	for name, tc := range map[string]struct {
+		idle idlePool
+		want int
+	}{
+		"none": {idlePool{}, 0}, "at the cheapest": {idlePool{"a0": {until}, "b0": {until}}, 0},
+		"two at the chosen": {idlePool{"b0": {until, until}}, 0}, "one at the chosen": {idlePool{"b0": {until}}, 1},
+	} {
+		tr, scans := tracker(), 0
+		tr.SetConnections(scannedPool{tc.idle, &scans})
+		tr.pickConnected(start, slices.Concat(servers(1, 6, "a"), servers(1, 6, "b")), []float64{0.025, 0.026}, 0)
+		if scans != tc.want {
+			t.Errorf("%s: %d scans, want %d", name, scans, tc.want)
+		}
+	}
+}
--- a/internal/upstream/lifetime_test.go
+++ b/internal/upstream/lifetime_test.go
@@ -59,7 +59,7 @@
 		return time.Now()
 	}
 	now := request()
-	if n := idleAt(now); n != 1 || p.Several(now) {
+	if n := idleAt(now); n != 1 || p.AtLeastTwoIdle(now) {
 		t.Fatalf("%d idle connections, want 1", n)
 	}
 	p.closeExpired(now.Add(1500 * time.Millisecond))
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -191,8 +191,8 @@
 	return h.usable(now)
 }
 
-// Several reports whether there are at least two idle connections, to any servers, that the next requests may use.
-func (p *Pool) Several(now time.Time) bool {
+// AtLeastTwoIdle reports whether there are at least two idle connections, to any servers, that the next requests may use.
+func (p *Pool) AtLeastTwoIdle(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.idle < 2 {
