upstream: count the shortest observed close, evict what expires first

Cause: a server that closed an idle connection was only noticed if that was in use again, and one observation of another server that stays open for longer undid it. At the limit of idle connections the oldest one of each server was compared, although its expiry need not be the first.

Change: the shortest idle time after which a connection was found closed bounds the time of use beyond the announced one less its margin. Closes before that, such as by a crash, do not; they discard what was observed, as before. evictFirst compares all idle connections. settled is fullyObserved.

Ruled out: a bound below the announced time less the margin; a server that crashes once would end reuse for its service.

Test of eviction with the former code: the next to expire after 1 s in place of 5 and 9 s.

--- a/internal/upstream/lifetime.go
+++ b/internal/upstream/lifetime.go
@@ -22,28 +22,59 @@
 	announced time.Duration // 0 if the server announced none
 }
 
+// lifetime holds the idle times after which connections were observed.
+type lifetime struct {
+	open   time.Duration // longest idle time after which one was still open; 0 if unknown
+	closed time.Duration // shortest idle time after which the server had closed one; 0 if unknown
+}
+
 // lifetimes holds how long idle connections were observed to stay open. An announced timeout in whole seconds leaves open
 // when the server closes a connection, and a request that crosses the close is lost. An observation settles that.
-type lifetimes map[timeoutKey]time.Duration
+type lifetimes map[timeoutKey]lifetime
 
 // usable returns for how long an idle connection may be used; not positive if it may not be kept.
 func (l lifetimes) usable(k timeoutKey, announced bool) time.Duration {
 	if !announced {
 		return defaultIdleTime
 	}
-	return max(k.announced-idleMargin, min(l[k], k.announced)-observedMargin)
+	return max(k.announced-idleMargin, min(l[k].open, l[k].limit(k))-observedMargin)
+}
+
+// limit returns the idle time after which connections are closed at the latest.
+func (l lifetime) limit(k timeoutKey) time.Duration {
+	if l.closed > 0 {
+		return min(l.closed, k.announced)
+	}
+	return k.announced
 }
 
-// settled reports whether nothing is left to observe, as connections were open for as long as announced.
-func (l lifetimes) settled(k timeoutKey) bool { return l[k] >= k.announced }
+// fullyObserved reports whether nothing is left to observe, as connections were open for as long as they may be used.
+func (l lifetimes) fullyObserved(k timeoutKey) bool { return l[k].open >= l[k].limit(k) }
 
 // open records that a connection was still open after an idle time.
 func (l lifetimes) open(k timeoutKey, idle time.Duration) {
-	if k.announced > 0 {
-		l[k] = max(l[k], idle)
+	if k.announced <= 0 {
+		return
 	}
+	o := l[k]
+	o.open = max(o.open, idle)
+	l[k] = o
 }
 
-// closed records that the server had closed a connection before the end of the time for which it was usable. Then
-// observations of the past may not hold any more; the announced timeout with its margin applies until there are new ones.
-func (l lifetimes) closed(k timeoutKey) { delete(l, k) }
+// closed records that the server had closed a connection after an idle time. The shortest one counts, as the servers of a
+// service may differ. A close long before the announced time, such as that of a server that has crashed, says nothing about the
+// timeout, but observations of the past may not hold any more; the announced timeout with its margin applies until there are
+// new ones.
+func (l lifetimes) closed(k timeoutKey, idle time.Duration) {
+	if k.announced <= 0 {
+		return
+	}
+	o := l[k]
+	switch {
+	case idle < k.announced-idleMargin:
+		o.open = 0
+	case o.closed == 0 || idle < o.closed:
+		o.closed = idle
+	}
+	l[k] = o
+}
--- a/internal/upstream/lifetime_test.go
+++ b/internal/upstream/lifetime_test.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -30,10 +31,21 @@
 	if got := l.usable(timeoutKey{"o", 2 * time.Second}, true); got != 1300*time.Millisecond {
 		t.Errorf("of another service: usable for %s", got)
 	}
-	l.closed(k)
+	l.closed(k, time.Second)
 	if got := l.usable(k, true); got != 1300*time.Millisecond {
 		t.Errorf("after a connection was closed early: usable for %s", got)
 	}
+	for _, tc := range []struct{ closed, want time.Duration }{
+		{1900 * time.Millisecond, 1700 * time.Millisecond},
+		{1700 * time.Millisecond, 1500 * time.Millisecond},
+		{1800 * time.Millisecond, 1500 * time.Millisecond},
+	} {
+		l.closed(k, tc.closed)
+		l.open(k, 2*time.Second) // by another server
+		if got := l.usable(k, true); got != tc.want || !l.fullyObserved(k) {
+			t.Errorf("after a close at %s: usable for %s, want %s", tc.closed, got, tc.want)
+		}
+	}
 	if got := l.usable(timeoutKey{"s", 0}, true); got > 0 {
 		t.Errorf("with an announced timeout of 0: usable for %s", got)
 	}
@@ -98,6 +110,35 @@
 	}
 }
 
+// Guards against evicting the oldest idle connection to a server although a newer one, or one to another server, expires first.
+func TestFirstToExpireIsEvictedWithinHost(t *testing.T) {
+	p, now := New(Limits{Idle: 3}), time.Now()
+	for address, after := range map[string][]time.Duration{"a": {9 * time.Second, time.Second}, "b": {5 * time.Second}} {
+		h := &host{incarnation: "i"}
+		p.hosts[address] = h
+		for _, d := range after {
+			local, remote := net.Pipe()
+			t.Cleanup(func() { _ = remote.Close() })
+			h.idle = append(h.idle, &conn{Conn: local, host: h, expires: now.Add(d)})
+			p.idle++
+		}
+	}
+	for _, want := range []time.Duration{5 * time.Second, 9 * time.Second} {
+		if !p.evictFirst() {
+			t.Fatal("nothing is evicted")
+		}
+		next := time.Hour
+		for _, h := range p.hosts {
+			for _, c := range h.idle {
+				next = min(next, c.expires.Sub(now))
+			}
+		}
+		if next != want {
+			t.Errorf("the next connection to expire does so after %s, want %s", next, want)
+		}
+	}
+}
+
 // Guards against a new connection after each answer without a body, and counts the use of connections by service.
 func TestAnswerWithoutBodyKeepsConnection(t *testing.T) {
 	f := startFake(t, "HTTP/1.1 200 OK\r\nX-A: b\r\n\r\n", "HTTP/1.1 204 No Content\r\n\r\n",
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -20,6 +20,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -429,9 +430,7 @@
 		p.lifetimes.open(c.timeout, now.Sub(c.idleSince))
 		return true
 	}
-	if now.Before(c.expires) {
-		p.lifetimes.closed(c.timeout)
-	}
+	p.lifetimes.closed(c.timeout, now.Sub(c.idleSince))
 	return false
 }
 
@@ -460,16 +459,21 @@
 // evictFirst closes the idle connection that expires first, of all hosts, and reports whether there was one. The caller
 // holds mu.
 func (p *Pool) evictFirst() bool {
-	var first *host
+	var first *conn
 	for _, h := range p.hosts {
-		if len(h.idle) > 0 && (first == nil || h.idle[0].expires.Before(first.idle[0].expires)) {
-			first = h
+		for _, c := range h.idle {
+			if first == nil || c.expires.Before(first.expires) {
+				first = c
+			}
 		}
 	}
 	if first == nil {
 		return false
 	}
-	p.evict(first)
+	h := first.host
+	h.idle = slices.DeleteFunc(h.idle, func(c *conn) bool { return c == first })
+	p.idle--
+	p.close(first)
 	return true
 }
 
@@ -522,7 +526,7 @@
 }
 
 // closeExpired closes idle connections that have expired, and schedules its next run while there are idle ones. Expired
-// connections of servers whose idle timeout is not settled stay for up to the announced time, to be observed, but are not
+// connections of servers whose idle timeout is not fully observed stay for up to the announced time, to be observed, but are not
 // used.
 func (p *Pool) closeExpired(now time.Time) {
 	p.mu.Lock()
@@ -530,7 +534,8 @@
 	for address, h := range p.hosts {
 		kept := h.idle[:0]
 		for _, c := range h.idle {
-			if now.Before(c.expires) || !p.lifetimes.settled(c.timeout) && p.check(c, now) && now.Sub(c.idleSince) < c.timeout.announced {
+			if now.Before(c.expires) || !p.lifetimes.fullyObserved(c.timeout) && p.check(c, now) &&
+				now.Sub(c.idleSince) < c.timeout.announced {
 				kept = append(kept, c)
 				continue
 			}
