--- a/entry/internal/batch/limit_test.go
+++ b/entry/internal/batch/limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -85,7 +86,10 @@
 // Guards against prompts of items that count as waiting for ever after attempts that are refused, cut or complete.
 func TestPromptsOfItemsStopWaiting(t *testing.T) {
 	e := newEngine(t, 1)
+	var m *Manager
+	var waited atomic.Int64
 	e.answer = func(_ string, run int) int {
+		waited.Store(max(waited.Load(), int64(m.Tracker.WaitingTokens())))
 		if run == 1 {
 			return http.StatusServiceUnavailable
 		}
@@ -93,10 +97,12 @@
 	}
 	e.cut = func(_ string, run int) int { return max(3-run, 0) }
 	r := newRig(t, e)
-	m, _ := r.manager("a", "a1")
+	m, _ = r.manager("a", "a1")
 	j := job.Job{Step: 1, Model: "m", MinVersion: 1, Groups: 1}
 	for _, id := range []string{"g-3", "g-4"} {
-		j.Items = append(j.Items, job.Item{ID: id, Path: "/p/" + id, Header: platformtest.Prompt(20_000, 10), Body: []byte("body of " + id), Group: "g"})
+		header := platformtest.Prompt(20_000, 10)
+		header["X-Prompt-Prefix"] = id + ":20000"
+		j.Items = append(j.Items, job.Item{ID: id, Path: "/p/" + id, Header: header, Body: []byte("body of " + id), Group: "g"})
 	}
 	body, err := platformtest.EncodeJob(j)
 	if err != nil {
@@ -104,6 +110,9 @@
 	}
 	r.submit(m, "j", body)
 	checkTexts(t, r.collect(m, "j", 2), "g-3", "g-4")
+	if waited.Load() < 20_000 {
+		t.Errorf("%d prompt tokens waited while an item was sent, want at least those of one item", waited.Load())
+	}
 	if n := m.Tracker.WaitingTokens(); n != 0 {
 		t.Errorf("%d prompt tokens wait after all items are complete", n)
 	}
--- a/entry/internal/ingress/ingress_test.go
+++ b/entry/internal/ingress/ingress_test.go
@@ -599,9 +599,9 @@
 			sendEvent(c, 1)
 			_, _ = io.WriteString(c, "0\r\n\r\n")
 		case "text":
-			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Length: 2\r\n\r\nok", signed(q))
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Length: 2\r\n\r\nok", signed(q))
 		default:
-			fmt.Fprintf(c, "HTTP/1.1 400 Bad Request\r\n%sContent-Length: 3\r\n\r\nbad", signed(q))
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 400 Bad Request\r\n%sContent-Length: 3\r\n\r\nbad", signed(q))
 		}
 		return true
 	})
--- a/entry/internal/prefill/prefill.go
+++ b/entry/internal/prefill/prefill.go
@@ -152,8 +152,8 @@
 	}
 	perToken := l.TokenTime(s.Service)
 	own := time.Duration(l.uncached(t, s.ID, now)) * perToken
-	held := float64(prompts) + runningShare*float64(max(s.Requests-prompts, 0))
-	interference := time.Duration(held * float64(own))
+	delayed := float64(prompts) + runningShare*float64(max(s.Requests-prompts, 0))
+	interference := time.Duration(delayed * float64(own))
 	ahead := time.Duration(waiting)*perToken + l.slotWait(s)
 	return min(ahead, maxWait) + min(own, maxWait) + min(interference, maxInterference)
 }
--- a/entry/internal/prefill/prefill_test.go
+++ b/entry/internal/prefill/prefill_test.go
@@ -46,7 +46,7 @@
 	}
 }
 
-// Guards against wrong figures that exclude a server, and against work that is held for ever.
+// Guards against wrong figures that exclude a server, and against work that is delayed for ever.
 func TestCostIsBounded(t *testing.T) {
 	l := New()
 	s := Server{ID: "a", Slots: 8, Requests: 8, Waiting: 1 << 30}
@@ -55,7 +55,7 @@
 		t.Errorf("the cost is %s", got)
 	}
 	if !l.Defer(ticket, s, start) || !l.Defer(ticket, s, start.Add(maxDeferral/2)) || l.Defer(ticket, s, start.Add(maxDeferral)) {
-		t.Error("work is not held behind waiting prompts, or for too long")
+		t.Error("work is not delayed by waiting prompts, or for too long")
 	}
 	if l.Defer(ticket, Server{ID: "b", Slots: 8}, start) || l.Cost(nil, s, start) != 0 || l.Defer(nil, s, start) {
 		t.Error("an empty server or a request without figures has a cost")
--- a/internal/upstream/lifetime_test.go
+++ b/internal/upstream/lifetime_test.go
@@ -10,7 +10,7 @@
 // Guards against requests on connections that a server closes earlier than it announces, against observations that hold after
 // a server has closed a connection early, and against connections used for longer than announced.
 func TestUsableTime(t *testing.T) {
-	l := make(lifetimes)
+	l, now := make(lifetimes), time.Now()
 	k := timeoutKey{"s", 2 * time.Second}
 	for _, tc := range []struct {
 		what string
@@ -24,15 +24,15 @@
 		{"open for longer than announced", 9 * time.Second, 1800 * time.Millisecond},
 	} {
 		l.open(k, tc.open)
-		if got := l.usable(k, true); got != tc.want {
+		if got := l.usable(k, true, now); got != tc.want {
 			t.Errorf("%s: usable for %s, want %s", tc.what, got, tc.want)
 		}
 	}
-	if got := l.usable(timeoutKey{"o", 2 * time.Second}, true); got != 1300*time.Millisecond {
+	if got := l.usable(timeoutKey{"o", 2 * time.Second}, true, now); got != 1300*time.Millisecond {
 		t.Errorf("of another service: usable for %s", got)
 	}
-	l.closed(k, time.Second)
-	if got := l.usable(k, true); got != 1300*time.Millisecond {
+	l.closed(k, time.Second, now)
+	if got := l.usable(k, true, now); got != 1300*time.Millisecond {
 		t.Errorf("after a connection was closed early: usable for %s", got)
 	}
 	for _, tc := range []struct{ closed, want time.Duration }{
@@ -40,16 +40,19 @@
 		{1700 * time.Millisecond, 1500 * time.Millisecond},
 		{1800 * time.Millisecond, 1500 * time.Millisecond},
 	} {
-		l.closed(k, tc.closed)
+		l.closed(k, tc.closed, now)
 		l.open(k, 2*time.Second) // by another server
-		if got := l.usable(k, true); got != tc.want || !l.fullyObserved(k) {
+		if got := l.usable(k, true, now); got != tc.want || !l.fullyObserved(k, now) {
 			t.Errorf("after a close at %s: usable for %s, want %s", tc.closed, got, tc.want)
 		}
 	}
-	if got := l.usable(timeoutKey{"s", 0}, true); got > 0 {
+	if got := l.usable(k, true, now.Add(closeRetention)); got != 1800*time.Millisecond {
+		t.Errorf("long after a close: usable for %s", got)
+	}
+	if got := l.usable(timeoutKey{"s", 0}, true, now); got > 0 {
 		t.Errorf("with an announced timeout of 0: usable for %s", got)
 	}
-	if got := l.usable(timeoutKey{"s", 0}, false); got != defaultIdleTime {
+	if got := l.usable(timeoutKey{"s", 0}, false, now); got != defaultIdleTime {
 		t.Errorf("without an announced timeout: usable for %s", got)
 	}
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -430,7 +430,7 @@
 		p.lifetimes.open(c.timeout, now.Sub(c.idleSince))
 		return true
 	}
-	p.lifetimes.closed(c.timeout, now.Sub(c.idleSince))
+	p.lifetimes.closed(c.timeout, now.Sub(c.idleSince), now)
 	return false
 }
 
@@ -512,7 +512,7 @@
 	c.timeout = timeoutKey{service: c.service, announced: announced}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	keep := p.lifetimes.usable(c.timeout, ok)
+	keep := p.lifetimes.usable(c.timeout, ok, now)
 	if keep <= 0 || p.hosts[c.RemoteAddr().String()] != c.host || p.idle >= p.limits.Idle && !p.evictFirst() {
 		p.close(c)
 		return
@@ -534,7 +534,7 @@
 	for address, h := range p.hosts {
 		kept := h.idle[:0]
 		for _, c := range h.idle {
-			if now.Before(c.expires) || !p.lifetimes.fullyObserved(c.timeout) && p.check(c, now) &&
+			if now.Before(c.expires) || !p.lifetimes.fullyObserved(c.timeout, now) && p.check(c, now) &&
 				now.Sub(c.idleSince) < c.timeout.announced {
 				kept = append(kept, c)
 				continue
