--- a/entry/internal/batch/rank_test.go
+++ b/entry/internal/batch/rank_test.go
@@ -309,3 +309,20 @@
 		t.Error("without entries in the region no other one is chosen")
 	}
 }
+
+// Guards against an entry that counts as running a model because a job was submitted to it again, although another one runs it.
+func TestRepeatedSubmissionRunsAtItsOwner(t *testing.T) {
+	e := newEngine(t, 1)
+	e.gap = 50 * time.Millisecond
+	r := newRig(t, e)
+	a, _ := r.manager("a", "a1")
+	b, _ := r.manager("b", "b1")
+	r.submit(a, "j", payload(1, "g-60", "h-60"))
+	r.submit(b, "j", payload(1, "g-60", "h-60"))
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	if n := b.running.of("b", "b1", now); len(n) > 0 || len(b.running.of("a", "a1", now)) != 1 {
+		t.Errorf("b counts as running %v, a as %v", n, b.running.of("a", "a1", now))
+	}
+}
