--- a/entry/internal/batch/limit_test.go
+++ b/entry/internal/batch/limit_test.go
@@ -7,7 +7,10 @@
 	"testing"
 	"time"
 
+	"bulrushspoke/entry/internal/place"
+	"bulrushspoke/entry/internal/prefill"
 	"bulrushspoke/internal/call"
+	"bulrushspoke/internal/catalog"
 	"bulrushspoke/internal/job"
 	"bulrushspoke/platform/platformtest"
 	"bulrushspoke/wire"
@@ -117,3 +120,27 @@
 		t.Errorf("%d prompt tokens wait after all items are complete", n)
 	}
 }
+
+// Guards against a prompt and a request that count at a server for ever after a panic in an attempt.
+func TestPanicEndsAttempt(t *testing.T) {
+	m, _ := newRig(t, newEngine(t, 1)).manager("a", "a1")
+	spec := job.Job{ID: "j", Model: "m", Items: []job.Item{{ID: "g-1", Header: platformtest.Prompt(20_000, 10)}}}
+	j := newJob(m, spec, wire.JobState{}, nil, time.Now())
+	it, now := j.items["g-1"], time.Now()
+	need := place.Need{RemainingEvents: 10, Ticket: prefill.NewTicket(it.prompt, "")}
+	s, ok := m.Tracker.Start(now, []catalog.Server{{ID: "s", Slots: 1}}, need)
+	if !ok || m.Tracker.WaitingTokens() != 20_000 {
+		t.Fatal("the attempt does not start")
+	}
+	func() {
+		defer func() {
+			if recover() == nil {
+				t.Error("an attempt without a route does not panic")
+			}
+		}()
+		j.runAttempt(t.Context(), it, &segment{server: s, ticket: need.Ticket, startedAt: now}, nil)
+	}()
+	if n, l := m.Tracker.WaitingTokens(), m.Tracker.Load(time.Now()); n != 0 || len(l.Counts) > 0 {
+		t.Errorf("after a panic %d prompt tokens wait, requests %v", n, l.Counts)
+	}
+}
