Identify jobs by workspace and id

Workspaces choose job ids independently of each other, and two of them may choose the same one. The Jobs methods take the workspace as an argument, and the batch package builds a scoped id from workspace and id in one place. It is the id in memory, in the store, in messages and in logs; a job without a workspace keeps its plain id, so that stored jobs stay readable. The state of a job names its workspace, so that a later owner knows it. Cached texts, carried groups and read intervals are kept per workspace as well.

The request carries its workspace and the configuration its directory; no configuration has one yet.

A hash of workspace and id was ruled out as the general form, since logs and the store could not be read by workspace any more.

--- a/entry/internal/batch/batch.go
+++ b/entry/internal/batch/batch.go
@@ -5,7 +5,7 @@
 //
 //	m := batch.New(ctx, batch.Options{Store: objects, Peers: peers, Catalog: catalog, …})
 //	m.Register(peers)
-//	reply := m.Submit(ctx, route, id, body, now)
+//	reply := m.Submit(ctx, workspace, route, id, body, now)
 //
 // # Jobs and their results
 //
@@ -22,6 +22,11 @@
 //
 // Any entry serves any job: it asks the owner, and takes the job over if the owner is unreachable.
 //
+// # Workspaces
+//
+// Submit, Results, Body and End get the workspace and the id that the client has chosen. Everywhere else, in memory, in the
+// store, in messages and in logs, a job is identified by its scoped id, which only scopedID builds.
+//
 // # Errors
 //
 // Calls return an ingress.Reply, which carries the HTTP status and the cause of a failure. A reply with a retry time
@@ -48,6 +53,7 @@
 	"bulrushspoke/internal/store"
 	"bulrushspoke/internal/supervise"
 	"bulrushspoke/internal/upstream"
+	"bulrushspoke/internal/workspace"
 	"bulrushspoke/wire"
 )
 
@@ -184,7 +190,14 @@
 }
 
 // Results returns the results of a job from position after on. If there are none yet, it waits for up to wait.
-func (m *Manager) Results(ctx context.Context, id string, after int, wait time.Duration) ingress.Reply {
+func (m *Manager) Results(
+	ctx context.Context, w workspace.Workspace, id string, after int, wait time.Duration,
+) ingress.Reply {
+	return forJob(w, id, func(id string) ingress.Reply { return m.results(ctx, id, after, wait) })
+}
+
+// results implements Results for a scoped id.
+func (m *Manager) results(ctx context.Context, id string, after int, wait time.Duration) ingress.Reply {
 	for range maxUpdateAttempts {
 		if j := m.local(id); j != nil {
 			if !m.ensureCurrent(ctx, j, after, time.Now()) {
@@ -299,7 +312,7 @@
 	var absent *store.NotFoundError
 	switch {
 	case errors.As(err, &absent):
-		return s, notFound("job not found")
+		return s, notFound(causeNoJob)
 	case err != nil:
 		return s, unavailable(err.Error())
 	}
@@ -320,7 +333,12 @@
 }
 
 // Body returns the request body of an item.
-func (m *Manager) Body(ctx context.Context, id, item string) ingress.Reply {
+func (m *Manager) Body(ctx context.Context, w workspace.Workspace, id, item string) ingress.Reply {
+	return forJob(w, id, func(id string) ingress.Reply { return m.body(ctx, id, item) })
+}
+
+// body implements Body for a scoped id.
+func (m *Manager) body(ctx context.Context, id, item string) ingress.Reply {
 	if j := m.local(id); j != nil && len(j.spec.Items) > 0 {
 		return itemBody(j.spec, item)
 	}
@@ -373,7 +391,12 @@
 }
 
 // End ends a job permanently. It may be repeated.
-func (m *Manager) End(ctx context.Context, id string) ingress.Reply {
+func (m *Manager) End(ctx context.Context, w workspace.Workspace, id string) ingress.Reply {
+	return forJob(w, id, func(id string) ingress.Reply { return m.end(ctx, id) })
+}
+
+// end implements End for a scoped id.
+func (m *Manager) end(ctx context.Context, id string) ingress.Reply {
 	j := m.local(id)
 	if j != nil {
 		if j.hasEnded() {
@@ -388,7 +411,7 @@
 		s, revision, err := m.readState(ctx, id)
 		var absent *store.NotFoundError
 		if errors.As(err, &absent) {
-			return notFound("job not found")
+			return notFound(causeNoJob)
 		}
 		if err != nil {
 			return unavailable(err.Error())
--- a/entry/internal/batch/batch_test.go
+++ b/entry/internal/batch/batch_test.go
@@ -33,13 +33,13 @@
 			t.Errorf("versions of %s (-want +got):\n%s", res.Item, d)
 		}
 	}
-	if reply := m.Body(t.Context(), "j", "g1-5"); string(reply.Body) != "body of g1-5" {
+	if reply := m.Body(t.Context(), nobody, "j", "g1-5"); string(reply.Body) != "body of g1-5" {
 		t.Errorf("body is %d %q", reply.Status, reply.Body)
 	}
-	if reply := m.Body(t.Context(), "j", "g9-1"); reply.Status != http.StatusNotFound {
+	if reply := m.Body(t.Context(), nobody, "j", "g9-1"); reply.Status != http.StatusNotFound {
 		t.Errorf("body of an unknown item: got status %d, want 404", reply.Status)
 	}
-	if reply := m.Results(t.Context(), "other", 0, 0); reply.Status != http.StatusNotFound {
+	if reply := m.Results(t.Context(), nobody, "other", 0, 0); reply.Status != http.StatusNotFound {
 		t.Errorf("unknown job: got status %d, want 404", reply.Status)
 	}
 	if n := len(r.store.Names(KindRecords + "j")); n > len(ids)/2 {
@@ -156,7 +156,7 @@
 	r.submit(m, "j", payload(1, "g-1", "h-2000"))
 	before := r.collect(m, "j", 1)
 	for range 2 {
-		if reply := other.End(t.Context(), "j"); reply.Status != http.StatusOK {
+		if reply := other.End(t.Context(), nobody, "j"); reply.Status != http.StatusOK {
 			t.Fatalf("end: %d %s", reply.Status, reply.Cause)
 		}
 	}
@@ -173,7 +173,7 @@
 			t.Errorf("results after the end (-want +got):\n%s", d)
 		}
 	}
-	if reply := m.End(t.Context(), "unknown"); reply.Status != http.StatusNotFound {
+	if reply := m.End(t.Context(), nobody, "unknown"); reply.Status != http.StatusNotFound {
 		t.Errorf("end of an unknown job: got status %d, want 404", reply.Status)
 	}
 }
@@ -185,12 +185,12 @@
 	other, _ := r.manager("b", "b1")
 	r.submit(m, "j", payload(1, "g-1"))
 	r.collect(m, "j", 1)
-	if reply := other.End(t.Context(), "j"); reply.Status != http.StatusOK {
+	if reply := other.End(t.Context(), nobody, "j"); reply.Status != http.StatusOK {
 		t.Fatalf("end: %d %s", reply.Status, reply.Cause)
 	}
 	before := r.store.Calls(http.MethodGet, KindState)
 	for _, member := range []*Manager{m, other} {
-		if reply := member.End(t.Context(), "j"); reply.Status != http.StatusOK {
+		if reply := member.End(t.Context(), nobody, "j"); reply.Status != http.StatusOK {
 			t.Errorf("repeated end: %d %s", reply.Status, reply.Cause)
 		}
 	}
@@ -216,7 +216,7 @@
 			r := newRig(t, newEngine(t, 1))
 			m, _ := r.manager("a", "a1")
 			r.store.SetFault(tc.fault)
-			reply := m.Submit(t.Context(), &r.route, "j", payload(1, "g-2"), time.Now())
+			reply := m.Submit(t.Context(), nobody, &r.route, "j", payload(1, "g-2"), time.Now())
 			if reply.Status != tc.status {
 				t.Fatalf("got status %d (%s), want %d", reply.Status, reply.Cause, tc.status)
 			}
@@ -275,7 +275,7 @@
 		t.Fatal(err)
 	}
 	r.store.SetFault(objects.Fault{DelayedWrites: 1})
-	reply := m.Submit(t.Context(), &r.route, "j", body, time.Now())
+	reply := m.Submit(t.Context(), nobody, &r.route, "j", body, time.Now())
 	if reply.Status == http.StatusServiceUnavailable || reply.Status == http.StatusTooManyRequests {
 		t.Errorf("got status %d while the write is still pending", reply.Status)
 	}
@@ -324,7 +324,7 @@
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
-	if reply := m.End(t.Context(), "j1"); reply.Status != http.StatusOK {
+	if reply := m.End(t.Context(), nobody, "j1"); reply.Status != http.StatusOK {
 		t.Fatal(reply)
 	}
 	r.submit(m, "j2", payload(1, "g-2", "g-500", "h-1"))
--- a/entry/internal/batch/carry_test.go
+++ b/entry/internal/batch/carry_test.go
@@ -36,7 +36,7 @@
 		length = len(j.items["g-900"].data)
 		j.mu.Unlock()
 	}
-	if reply := m.End(t.Context(), "j1"); reply.Status != http.StatusOK {
+	if reply := m.End(t.Context(), nobody, "j1"); reply.Status != http.StatusOK {
 		t.Fatal(reply)
 	}
 	e.set(func(e *engine) { e.version, e.gap = 2, 20*time.Millisecond })
--- a/entry/internal/batch/chaos_test.go
+++ b/entry/internal/batch/chaos_test.go
@@ -245,7 +245,7 @@
 
 // read reads a job once and returns the number of results.
 func (f *fleet) read(m *Manager, c *chaosJob, after int, wait time.Duration) int {
-	reply := m.Results(f.t.Context(), c.id, after, wait)
+	reply := m.Results(f.t.Context(), nobody, c.id, after, wait)
 	if reply.Status == http.StatusServiceUnavailable {
 		return 0
 	}
@@ -272,7 +272,7 @@
 	f.t.Helper()
 	for range 100 {
 		name := string(chaosManagers[random.IntN(len(chaosManagers))])
-		if f.get(name).Submit(f.t.Context(), &f.route, c.id, c.body, time.Now()).Status == http.StatusAccepted {
+		if f.get(name).Submit(f.t.Context(), nobody, &f.route, c.id, c.body, time.Now()).Status == http.StatusAccepted {
 			c.start = wire.JobStart{Job: c.id, Payload: c.body}
 			if err := json.Unmarshal(f.store.Spec(KindState, c.id), &c.start.State); err != nil {
 				f.t.Fatal(err)
@@ -305,14 +305,14 @@
 		m.takeOver(ctx, c.id, nil, anyEpoch)
 	case 8:
 		if random.IntN(2) == 0 {
-			m.Submit(ctx, &f.route, c.id, c.body, time.Now())
+			m.Submit(ctx, nobody, &f.route, c.id, c.body, time.Now())
 			return
 		}
 		late := member{mesh: f.mesh, name: name}
 		_ = late.Request(ctx, c.start.State.Owner, link.Start, c.start, nil)
 	case 9:
 		if c.ends {
-			m.End(ctx, c.id)
+			m.End(ctx, nobody, c.id)
 		}
 	}
 }
@@ -434,7 +434,7 @@
 	}
 	for _, c := range f.jobs {
 		if c.ends {
-			await(t, "the job ends", func() bool { return f.get("a").End(t.Context(), c.id).Status == http.StatusOK })
+			await(t, "the job ends", func() bool { return f.get("a").End(t.Context(), nobody, c.id).Status == http.StatusOK })
 		}
 		for _, name := range strings.Split(chaosManagers, "") {
 			want := c.items
--- a/entry/internal/batch/ended_test.go
+++ b/entry/internal/batch/ended_test.go
@@ -44,7 +44,7 @@
 		r.submit(owner, first, payload(1, id))
 		j := owner.local(first)
 		await(t, "the item has events", func() bool { events, _ := received(j, id); return events > 100 })
-		if reply := other.End(t.Context(), first); reply.Status != http.StatusOK {
+		if reply := other.End(t.Context(), nobody, first); reply.Status != http.StatusOK {
 			t.Fatal(reply)
 		}
 		await(t, "the attempt ends", func() bool { _, running := received(j, id); return !running })
@@ -53,7 +53,7 @@
 		}
 		// An entry that was restarted does not know that the job has ended.
 		restarted, _ := r.manager("c", fmt.Sprintf("c%d", n))
-		if reply := restarted.End(t.Context(), first); reply.Status != http.StatusOK {
+		if reply := restarted.End(t.Context(), nobody, first); reply.Status != http.StatusOK {
 			t.Fatal(reply)
 		}
 		r.submit(owner, second, payload(1, id))
@@ -115,7 +115,7 @@
 	r.submit(owner, "j", payload(1, manyItems()...))
 	await(t, "items start", func() bool { return len(e.started()) > 0 })
 	r.cut("b", true)
-	if reply := other.End(t.Context(), "j"); reply.Status != http.StatusOK {
+	if reply := other.End(t.Context(), nobody, "j"); reply.Status != http.StatusOK {
 		t.Fatal(reply)
 	}
 	acknowledged := time.Now()
@@ -164,9 +164,9 @@
 	crash()
 	r.cut("a", true)
 	taken := make(chan int)
-	go func() { taken <- next.Results(t.Context(), "j", 0, 0).Status }()
+	go func() { taken <- next.Results(t.Context(), nobody, "j", 0, 0).Status }()
 	<-gated.reached
-	if reply := other.End(t.Context(), "j"); reply.Status != http.StatusOK {
+	if reply := other.End(t.Context(), nobody, "j"); reply.Status != http.StatusOK {
 		t.Fatal(reply)
 	}
 	acknowledged := time.Now()
@@ -198,7 +198,7 @@
 	if _, err := other.createState(t.Context(), "j", s); err != nil {
 		t.Fatal(err)
 	}
-	if reply := other.End(t.Context(), "j"); reply.Status != http.StatusOK {
+	if reply := other.End(t.Context(), nobody, "j"); reply.Status != http.StatusOK {
 		t.Fatal(reply)
 	}
 	if !owner.startDelegated(wire.JobStart{Job: "j", State: s, Payload: body}) {
@@ -254,7 +254,7 @@
 	other, _ := r.manager("b", "b1")
 	r.submit(former, "j", payload(1, "g-2"))
 	r.cut("a", true)
-	if reply := other.Results(t.Context(), "j", 0, 0); reply.Status != http.StatusOK {
+	if reply := other.Results(t.Context(), nobody, "j", 0, 0); reply.Status != http.StatusOK {
 		t.Fatal(reply)
 	}
 	await(t, "the former owner drops the job", func() bool { return former.local("j") == nil })
@@ -269,7 +269,7 @@
 	r := newRig(t, newEngine(t, 1))
 	m, _ := r.manager("a", "a1")
 	data := append(make([]string, 0, 8), "one", "two")
-	m.texts.put(wire.JobPart{Item: "g-9", Data: data, Versions: append(make([]int, 0, 8), 1)}, time.Now())
+	m.texts.put("", wire.JobPart{Item: "g-9", Data: data, Versions: append(make([]int, 0, 8), 1)}, time.Now())
 	spec, err := platform.DecodeJob("j", payload(1, "g-9"))
 	if err != nil {
 		t.Fatal(err)
--- a/entry/internal/batch/failed_test.go
+++ b/entry/internal/batch/failed_test.go
@@ -70,7 +70,7 @@
 						}
 						r.cut(owner, true)
 					}
-					if reply := managers[names[n+1]].Results(t.Context(), "j", 0, 0); reply.Status != http.StatusOK {
+					if reply := managers[names[n+1]].Results(t.Context(), nobody, "j", 0, 0); reply.Status != http.StatusOK {
 						t.Fatalf("the next owner replies with %d %s", reply.Status, reply.Cause)
 					}
 				}
--- a/entry/internal/batch/former_test.go
+++ b/entry/internal/batch/former_test.go
@@ -93,9 +93,9 @@
 	m, _ := r.manager("a", "a1")
 	r.submit(m, "j", payload(1, "g-2", "h-3"))
 	r.putRecord(0, wire.JobRecord{Writer: "a1", Epoch: 1}, "g-2")
-	time.AfterFunc(100*time.Millisecond, func() { m.Results(t.Context(), "j", 1, 0) })
+	time.AfterFunc(100*time.Millisecond, func() { m.Results(t.Context(), nobody, "j", 1, 0) })
 	began := time.Now()
-	reply := m.Results(t.Context(), "j", 0, 5*time.Second)
+	reply := m.Results(t.Context(), nobody, "j", 0, 5*time.Second)
 	if p, err := platformtest.DecodePage(reply.Body); err != nil || len(p.Results) != 1 {
 		t.Errorf("the waiting client gets %+v, %v", p, err)
 	}
@@ -118,7 +118,7 @@
 	r.submit(m, "j", payload(1, "g-1", "g-2", "h-3"))
 	await(t, "one item is done", func() bool { return itemDone(m.local("j"), "g-1") })
 	r.putRecord(0, wire.JobRecord{Writer: "a1", Epoch: 1}, "g-2")
-	if reply := m.Results(t.Context(), "j", 1, 0); reply.Status != http.StatusOK {
+	if reply := m.Results(t.Context(), nobody, "j", 1, 0); reply.Status != http.StatusOK {
 		t.Fatal(reply)
 	}
 	began := time.Now()
@@ -138,12 +138,12 @@
 	reader, _ := r.manager("c", "c1")
 	r.submit(former, "j", payload(1, "g-2"))
 	r.collect(reader, "j", 0)
-	reader.Results(t.Context(), "j", 0, 0)
+	reader.Results(t.Context(), nobody, "j", 0, 0)
 	r.takeOverSilently(owner, "c")
 	if former.local("j") != nil {
 		t.Fatal("the former owner does not know of the new one")
 	}
-	if reply := reader.Results(t.Context(), "j", 0, 0); reply.Status != http.StatusOK {
+	if reply := reader.Results(t.Context(), nobody, "j", 0, 0); reply.Status != http.StatusOK {
 		t.Errorf("read: %d %s", reply.Status, reply.Cause)
 	}
 	if s := r.state(); s.Owner != "b" || s.Epoch != 2 {
--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -10,6 +10,7 @@
 	"bulrushspoke/entry/internal/reward"
 	"bulrushspoke/internal/job"
 	"bulrushspoke/internal/supervise"
+	"bulrushspoke/internal/workspace"
 	"bulrushspoke/wire"
 )
 
@@ -17,6 +18,7 @@
 type Job struct {
 	manager   *Manager
 	spec      job.Job
+	workspace workspace.Workspace // as described when the job was accepted; the zero value for none
 	epoch     int
 	host      string
 	path      string
@@ -77,6 +79,7 @@
 	j := &Job{
 		manager:   m,
 		spec:      spec,
+		workspace: jobWorkspace(s),
 		epoch:     s.Epoch,
 		host:      s.Host,
 		path:      s.Path,
@@ -117,7 +120,7 @@
 	}
 	var earlier []wire.JobPart
 	for id := range j.items {
-		if p, ok := j.manager.texts.get(id); ok {
+		if p, ok := j.manager.texts.get(j.workspace.Name, id); ok {
 			earlier = append(earlier, p)
 			j.carried[j.items[id].Group] = true
 			j.restoreText(p)
@@ -321,7 +324,7 @@
 	}
 	for _, p := range j.unlistedParts() {
 		if len(p.Data) > 0 {
-			j.manager.texts.put(p, now)
+			j.manager.texts.put(j.workspace.Name, p, now)
 		}
 	}
 	j.mu.Lock()
@@ -363,11 +366,11 @@
 func (j *Job) beginRead(after int, waits bool, now time.Time) bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if !j.reader.matches(after, waits, j.manager.readIntervals.typical(j.spec.Model), now) {
+	if !j.reader.matches(after, waits, j.manager.readIntervals.typical(j.readerKey()), now) {
 		return false
 	}
 	if gap := j.reader.begin(now); gap > 0 {
-		j.manager.readIntervals.record(j.spec.Model, gap)
+		j.manager.readIntervals.record(j.readerKey(), gap)
 	}
 	return true
 }
--- a/entry/internal/batch/late_test.go
+++ b/entry/internal/batch/late_test.go
@@ -58,7 +58,7 @@
 // readItems returns the items from a position on, as one read without a wait returns them.
 func (r *rig) readItems(m *Manager, after int) []string {
 	r.t.Helper()
-	reply := m.Results(r.t.Context(), "j", after, 0)
+	reply := m.Results(r.t.Context(), nobody, "j", after, 0)
 	if reply.Status != http.StatusOK {
 		r.t.Fatalf("read from position %d: %d %s", after, reply.Status, reply.Cause)
 	}
@@ -89,7 +89,7 @@
 	}()
 	time.Sleep(50 * time.Millisecond)
 	r.putRecord(2, wire.JobRecord{Writer: "gone1", First: 2}, "i-3")
-	go m.Results(t.Context(), "j", 3, 0)
+	go m.Results(t.Context(), nobody, "j", 3, 0)
 	got := <-shown
 	close(late.gate)
 	await(t, "record 1 is written", func() bool { return slices.Contains(r.store.Names(KindRecords+"j"), recordName(1)) })
@@ -217,7 +217,7 @@
 			m, _ := r.manager("a", "a1")
 			r.putJob(m, ended, "g-1", "h-2", "i-3")
 			r.putRecord(2, wire.JobRecord{Writer: "gone1", First: 2}, "i-3")
-			reply := m.Results(t.Context(), "j", 0, 0)
+			reply := m.Results(t.Context(), nobody, "j", 0, 0)
 			if reply.Status != http.StatusOK {
 				return
 			}
--- a/entry/internal/batch/list.go
+++ b/entry/internal/batch/list.go
@@ -89,7 +89,7 @@
 // holdUntil returns until when results that are ready now wait for others. Results are not held beyond the time at
 // which the job is due.
 func (j *Job) holdUntil(now time.Time) time.Time {
-	interval := j.manager.readIntervals.typical(j.spec.Model)
+	interval := j.manager.readIntervals.typical(j.readerKey())
 	j.mu.Lock()
 	until := j.reader.holdUntil(interval, now)
 	j.mu.Unlock()
@@ -182,7 +182,7 @@
 		j.mu.Unlock()
 		event.ResultsListed.Log(j.manager.Logger, "job", j.spec.ID, "record", n, "first", held.First,
 			"writer", held.Writer, "epoch", held.Epoch, "results", len(held.Results), "total", total,
-			"held", l.held.Milliseconds(), "every", j.manager.readIntervals.typical(j.spec.Model).Milliseconds(), "ms", time.Since(began).Milliseconds())
+			"held", l.held.Milliseconds(), "every", j.manager.readIntervals.typical(j.readerKey()).Milliseconds(), "ms", time.Since(began).Milliseconds())
 		l.held = 0
 		j.logStep(held.Results, time.Now())
 		if j.lostTo(held) {
--- a/entry/internal/batch/log_test.go
+++ b/entry/internal/batch/log_test.go
@@ -109,7 +109,7 @@
 			}}
 			r.submit(m, "j", payload(1, "g-1", "h-2"))
 			<-written
-			if reply := m.Results(t.Context(), "j", 1, 0); reply.Status != http.StatusOK {
+			if reply := m.Results(t.Context(), nobody, "j", 1, 0); reply.Status != http.StatusOK {
 				t.Fatalf("read ahead: %d %s", reply.Status, reply.Cause)
 			}
 			close(answer)
@@ -144,7 +144,7 @@
 	}}
 	r.submit(m, "j", payload(1, "g-1", "h-2"))
 	<-written
-	if reply := m.End(t.Context(), "j"); reply.Status != http.StatusOK {
+	if reply := m.End(t.Context(), nobody, "j"); reply.Status != http.StatusOK {
 		t.Fatal(reply)
 	}
 	r.collect(m, "j", 1)
@@ -200,7 +200,7 @@
 			j := m.local("j")
 			await(t, "the item runs", func() bool { _, running := received(j, "g-1"); return running })
 			r.putRecord(1, wire.JobRecord{Writer: "a1", First: 1}, "g-1")
-			if reply := m.Results(t.Context(), "j", 2, 0); reply.Status != http.StatusOK {
+			if reply := m.Results(t.Context(), nobody, "j", 2, 0); reply.Status != http.StatusOK {
 				t.Fatalf("read ahead: %d %s", reply.Status, reply.Cause)
 			}
 			release()
@@ -289,7 +289,7 @@
 		t.Errorf("results (-want +got):\n%s", d)
 	}
 	time.AfterFunc(100*time.Millisecond, release)
-	reply := m.Results(t.Context(), "j", len(want), 5*time.Second)
+	reply := m.Results(t.Context(), nobody, "j", len(want), 5*time.Second)
 	page, err := platformtest.DecodePage(reply.Body)
 	if err != nil || len(page.Results) != 1 || page.Results[0].Item != "i-3" {
 		t.Errorf("the read of the last result returns %+v, %v", page, err)
@@ -305,7 +305,7 @@
 	r := newRig(t, e)
 	m, _ := r.manager("a", "a1")
 	r.putJob(m, false, "g-1", "g-2")
-	if reply := m.Results(t.Context(), "j", 0, 0); reply.Status != http.StatusOK {
+	if reply := m.Results(t.Context(), nobody, "j", 0, 0); reply.Status != http.StatusOK {
 		t.Fatalf("takeover: %d %s", reply.Status, reply.Cause)
 	}
 	j := m.local("j")
@@ -336,7 +336,7 @@
 			j := m.local("j")
 			later.First = 1
 			r.putRecord(1, later, "h-2")
-			if reply := m.Results(t.Context(), "j", 2, 0); reply.Status != http.StatusOK {
+			if reply := m.Results(t.Context(), nobody, "j", 2, 0); reply.Status != http.StatusOK {
 				t.Fatalf("read ahead: %d %s", reply.Status, reply.Cause)
 			}
 			if m.local("j") == j {
--- a/entry/internal/batch/owner_test.go
+++ b/entry/internal/batch/owner_test.go
@@ -94,7 +94,7 @@
 	if len(starts) != 2 || strings.HasSuffix(starts[1], "@1") {
 		t.Errorf("runs started at %v, want the second one to resume the first", starts)
 	}
-	if reply := m.Results(t.Context(), "j", 0, 0); reply.Status != http.StatusOK {
+	if reply := m.Results(t.Context(), nobody, "j", 0, 0); reply.Status != http.StatusOK {
 		t.Errorf("the former owner replies with %d", reply.Status)
 	}
 }
@@ -137,12 +137,12 @@
 	for r.store.Calls("POST", KindRecords+"j") == 0 && time.Now().Before(deadline) {
 		time.Sleep(time.Millisecond)
 	}
-	if reply := m.End(t.Context(), "j"); reply.Status != http.StatusOK {
+	if reply := m.End(t.Context(), nobody, "j"); reply.Status != http.StatusOK {
 		t.Fatal(reply)
 	}
 	r.cut("a", true) // so that the other entry reads the store
 	for _, reader := range []*Manager{m, other} {
-		if reply := reader.Results(t.Context(), "j", 0, 0); reply.Status != http.StatusOK {
+		if reply := reader.Results(t.Context(), nobody, "j", 0, 0); reply.Status != http.StatusOK {
 			t.Fatal(reply)
 		}
 	}
@@ -170,10 +170,10 @@
 	for r.store.Calls("POST", KindRecords+"j") == 0 && time.Now().Before(deadline) {
 		time.Sleep(time.Millisecond)
 	}
-	if reply := m.End(t.Context(), "j"); reply.Status != http.StatusOK {
+	if reply := m.End(t.Context(), nobody, "j"); reply.Status != http.StatusOK {
 		t.Fatal(reply)
 	}
-	if reply := other.Results(t.Context(), "j", 0, 0); reply.Status != http.StatusOK {
+	if reply := other.Results(t.Context(), nobody, "j", 0, 0); reply.Status != http.StatusOK {
 		t.Fatal(reply)
 	}
 	if got := r.collect(other, "j", 1); got[0].Item != "g-1" {
@@ -271,7 +271,7 @@
 	r.cut("a", true)
 	var wg sync.WaitGroup
 	for range 10 {
-		wg.Go(func() { other.Results(t.Context(), "j", 0, 10*time.Millisecond) })
+		wg.Go(func() { other.Results(t.Context(), nobody, "j", 0, 10*time.Millisecond) })
 	}
 	wg.Wait()
 	checkTexts(t, r.collect(other, "j", 1), "g-3")
@@ -312,7 +312,7 @@
 	alone := newRig(t, newEngine(t, 1))
 	last, _ := alone.manager("a", "a1")
 	last.Handover(t.Context())
-	if reply := last.Submit(t.Context(), &alone.route, "j", payload(1, "g-1"), time.Now()); reply.Status != 503 || reply.RetryAfter <= 0 {
+	if reply := last.Submit(t.Context(), nobody, &alone.route, "j", payload(1, "g-1"), time.Now()); reply.Status != 503 || reply.RetryAfter <= 0 {
 		t.Errorf("a leaving entry without peers replies with %d", reply.Status)
 	}
 	if got := alone.store.Names(KindState); got != nil {
@@ -347,7 +347,7 @@
 	if got := r.collect(paused, "j", 0); len(got) > 0 {
 		t.Fatalf("the paused entry has %d results, want 0", len(got))
 	}
-	reply := paused.Results(t.Context(), "j", 2, 0)
+	reply := paused.Results(t.Context(), nobody, "j", 2, 0)
 	if reply.Status == http.StatusOK {
 		page, err := platformtest.DecodePage(reply.Body)
 		if err != nil || page.Next < 2 {
@@ -369,7 +369,7 @@
 	other, _ := r.manager("b", "b1")
 	r.submit(m, "j", payload(1, "g-5", "h-9"))
 	for _, reader := range []*Manager{m, other} {
-		reply := reader.Results(t.Context(), "j", 1, 0)
+		reply := reader.Results(t.Context(), nobody, "j", 1, 0)
 		page, err := platformtest.DecodePage(reply.Body)
 		if err != nil || page.Next != 1 || len(page.Results) > 0 {
 			t.Errorf("%s returns page %+v, %v", reader.Name, page, err)
@@ -380,10 +380,10 @@
 	}
 	r.store.SetFault(objects.Fault{Unavailable: true})
 	time.Sleep(logCheckInterval)
-	if reply := m.Results(t.Context(), "j", 2, 0); reply.Status != http.StatusServiceUnavailable {
+	if reply := m.Results(t.Context(), nobody, "j", 2, 0); reply.Status != http.StatusServiceUnavailable {
 		t.Errorf("owner that cannot read the log: got status %d, want 503", reply.Status)
 	}
-	if reply := other.Results(t.Context(), "j", 2, 0); reply.Status != http.StatusServiceUnavailable {
+	if reply := other.Results(t.Context(), nobody, "j", 2, 0); reply.Status != http.StatusServiceUnavailable {
 		t.Errorf("entry whose owner cannot read the log: got status %d, want 503", reply.Status)
 	}
 }
--- a/entry/internal/batch/pace_test.go
+++ b/entry/internal/batch/pace_test.go
@@ -101,7 +101,7 @@
 	}
 	r.submit(m, "j", payload(1, ids...))
 	want := r.collect(m, "j", len(ids))
-	if reply := m.End(t.Context(), "j"); reply.Status != http.StatusOK {
+	if reply := m.End(t.Context(), nobody, "j"); reply.Status != http.StatusOK {
 		t.Fatal(reply)
 	}
 	crash()
@@ -113,7 +113,7 @@
 			t.Fatal("the job is not loaded after 20 reads")
 		}
 		ctx, cancel := context.WithTimeout(t.Context(), 250*time.Millisecond)
-		reply := other.Results(ctx, "j", 0, 0)
+		reply := other.Results(ctx, nobody, "j", 0, 0)
 		cancel()
 		if reply.Status == http.StatusOK {
 			break
@@ -123,7 +123,7 @@
 	if len(want) != len(ids) {
 		t.Errorf("%d results", len(want))
 	}
-	if reply := other.Body(t.Context(), "j", ids[0]); string(reply.Body) != "body of "+ids[0] {
+	if reply := other.Body(t.Context(), nobody, "j", ids[0]); string(reply.Body) != "body of "+ids[0] {
 		t.Errorf("body is %d %q", reply.Status, reply.Body)
 	}
 }
--- a/entry/internal/batch/reader.go
+++ b/entry/internal/batch/reader.go
@@ -27,6 +27,10 @@
 // allModels is the key of the read intervals of the trainers of all models.
 const allModels = ""
 
+// readerKey returns the key of the read intervals of the trainers that submit such jobs: those of one model, in each
+// workspace. One workspace must not determine how long results of another are held back.
+func (j *Job) readerKey() string { return scopedID(j.workspace, j.spec.Model) }
+
 // intervals holds the time between the starts of two consecutive reads of a trainer that paused in between, by model.
 // It is safe for concurrent use.
 type intervals struct {
--- a/entry/internal/batch/reader_test.go
+++ b/entry/internal/batch/reader_test.go
@@ -197,7 +197,7 @@
 		}
 		time.Sleep(time.Millisecond)
 	}
-	reply := m.Results(t.Context(), "j", 1, 0)
+	reply := m.Results(t.Context(), nobody, "j", 1, 0)
 	if reply.Status != http.StatusOK {
 		t.Fatal(reply.Status, reply.Cause)
 	}
--- a/entry/internal/batch/report_test.go
+++ b/entry/internal/batch/report_test.go
@@ -23,7 +23,7 @@
 			r.putJob(m, ended, "g-1", "h-2")
 			r.putRecord(0, wire.JobRecord{Writer: "gone1", Epoch: 1}, "g-1")
 			r.putRecord(1, wire.JobRecord{Writer: "gone2", Epoch: 2, First: 1}, "g-1", "h-2")
-			m.Results(t.Context(), "j", 0, 0)
+			m.Results(t.Context(), nobody, "j", 0, 0)
 			w.Close()
 			if got := r.faults.kinds[faultRepeated]; got != 1 {
 				t.Errorf("%d repeated items are reported, want 1", got)
--- a/entry/internal/batch/rig_test.go
+++ b/entry/internal/batch/rig_test.go
@@ -21,6 +21,7 @@
 	"bulrushspoke/internal/job"
 	"bulrushspoke/internal/link"
 	"bulrushspoke/internal/upstream"
+	"bulrushspoke/internal/workspace"
 	"bulrushspoke/platform"
 	"bulrushspoke/platform/platformtest"
 	"bulrushspoke/standin/objects"
@@ -404,7 +405,7 @@
 	var all []job.Result
 	deadline := time.Now().Add(15 * time.Second)
 	for len(all) < n && time.Now().Before(deadline) {
-		reply := m.Results(r.t.Context(), id, len(all), 100*time.Millisecond)
+		reply := m.Results(r.t.Context(), nobody, id, len(all), 100*time.Millisecond)
 		if reply.Status == http.StatusServiceUnavailable {
 			time.Sleep(20 * time.Millisecond)
 			continue
@@ -449,7 +450,10 @@
 
 func (r *rig) submit(m *Manager, id string, body []byte) {
 	r.t.Helper()
-	if reply := m.Submit(r.t.Context(), &r.route, id, body, time.Now()); reply.Status != http.StatusAccepted {
+	if reply := m.Submit(r.t.Context(), nobody, &r.route, id, body, time.Now()); reply.Status != http.StatusAccepted {
 		r.t.Fatalf("submission: %d %s", reply.Status, reply.Cause)
 	}
 }
+
+// nobody is the workspace of clients of a deployment without workspaces.
+var nobody workspace.Workspace
--- a/entry/internal/batch/score_test.go
+++ b/entry/internal/batch/score_test.go
@@ -317,7 +317,7 @@
 			t.Errorf("a partial text of %d events is handed over as complete", len(p.Data))
 		}
 	}
-	if reply := m.End(t.Context(), "j"); reply.Status != http.StatusOK {
+	if reply := m.End(t.Context(), nobody, "j"); reply.Status != http.StatusOK {
 		t.Fatal(reply)
 	}
 	r.submit(m, "k", payload(1, "g-9"))
@@ -344,7 +344,7 @@
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
-	if reply := m.End(t.Context(), "j"); reply.Status != http.StatusOK {
+	if reply := m.End(t.Context(), nobody, "j"); reply.Status != http.StatusOK {
 		t.Fatal(reply)
 	}
 	before := s.count("call-g-2")
--- a/entry/internal/batch/submit.go
+++ b/entry/internal/batch/submit.go
@@ -13,13 +13,24 @@
 	"bulrushspoke/internal/link"
 	"bulrushspoke/internal/store"
 	"bulrushspoke/internal/supervise"
+	"bulrushspoke/internal/workspace"
 	"bulrushspoke/platform"
 	"bulrushspoke/wire"
 )
 
 // Submit accepts a job and starts to run it.
 func (m *Manager) Submit(
-	ctx context.Context, r *catalog.Route, id string, body []byte, now time.Time,
+	ctx context.Context, w workspace.Workspace, r *catalog.Route, id string, body []byte, now time.Time,
+) ingress.Reply {
+	if id == "" {
+		return ingress.Reply{Status: http.StatusBadRequest, Cause: causeNoID, Body: []byte(causeNoID)}
+	}
+	return m.submit(ctx, w, r, scopedID(w, id), body, now)
+}
+
+// submit implements Submit for a scoped id.
+func (m *Manager) submit(
+	ctx context.Context, w workspace.Workspace, r *catalog.Route, id string, body []byte, now time.Time,
 ) ingress.Reply {
 	accepted := ingress.Reply{Status: http.StatusAccepted}
 	if m.local(id) != nil {
@@ -47,6 +58,7 @@
 		Owner: owner.name, Inc: owner.inc, Epoch: 1, Host: r.Host, Path: r.Prefix, Total: len(spec.Items),
 		At: now.UnixMilli(), Model: spec.Model,
 	}
+	setWorkspace(&state, w)
 	createdAt := time.Now()
 	held, err := m.createState(ctx, id, state)
 	if err != nil {
@@ -59,7 +71,7 @@
 	case held.Owner == owner.name && held.Inc == owner.inc:
 		go supervise.Guard(m.Logger, "delegate", func() { m.delegate(id, held, body) })
 	}
-	event.JobAccepted.Log(m.Logger, "job", id, "step", spec.Step, "model", spec.Model, "min", spec.MinVersion,
+	event.JobAccepted.Log(m.Logger, "job", id, "workspace", w.Name, "step", spec.Step, "model", spec.Model, "min", spec.MinVersion,
 		"items", len(spec.Items), "owner", held.Owner, "epoch", held.Epoch, "ms", time.Since(now).Milliseconds())
 	return accepted
 }
--- a/entry/internal/batch/texts.go
+++ b/entry/internal/batch/texts.go
@@ -22,19 +22,25 @@
 // in a later job.
 type textCache struct {
 	mu    sync.Mutex
-	parts map[string]cachedText
+	parts map[textKey]cachedText
 	size  int
 }
 
+// textKey identifies an item; its id is chosen by the trainer, so each workspace has ids of its own.
+type textKey struct {
+	workspace string
+	item      string
+}
+
 type cachedText struct {
 	part wire.JobPart
 	size int
 	at   time.Time
 }
 
-func newTextCache() *textCache { return &textCache{parts: make(map[string]cachedText)} }
+func newTextCache() *textCache { return &textCache{parts: make(map[textKey]cachedText)} }
 
-func (t *textCache) put(p wire.JobPart, now time.Time) {
+func (t *textCache) put(workspace string, p wire.JobPart, now time.Time) {
 	size := 0
 	for _, d := range p.Data {
 		size += len(d)
@@ -50,13 +56,14 @@
 	if t.size+size > maxTextCacheBytes {
 		return
 	}
-	t.size += size - t.parts[p.Item].size
-	t.parts[p.Item] = cachedText{part: p, size: size, at: now}
+	key := textKey{workspace: workspace, item: p.Item}
+	t.size += size - t.parts[key].size
+	t.parts[key] = cachedText{part: p, size: size, at: now}
 }
 
-func (t *textCache) get(item string) (wire.JobPart, bool) {
+func (t *textCache) get(workspace, item string) (wire.JobPart, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	k, ok := t.parts[item]
+	k, ok := t.parts[textKey{workspace: workspace, item: item}]
 	return k.part, ok
 }
--- a/entry/internal/ingress/job_test.go
+++ b/entry/internal/ingress/job_test.go
@@ -10,6 +10,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"bulrushspoke/internal/catalog"
+	"bulrushspoke/internal/workspace"
 )
 
 // knownJob implements Jobs with one job and records the calls.
@@ -27,20 +28,24 @@
 }
 
 // Submit implements Jobs.
-func (k *knownJob) Submit(context.Context, *catalog.Route, string, []byte, time.Time) Reply {
+func (k *knownJob) Submit(context.Context, workspace.Workspace, *catalog.Route, string, []byte, time.Time) Reply {
 	return Reply{Status: http.StatusAccepted}
 }
 
 // Results implements Jobs.
-func (k *knownJob) Results(_ context.Context, id string, _ int, _ time.Duration) Reply {
+func (k *knownJob) Results(_ context.Context, _ workspace.Workspace, id string, _ int, _ time.Duration) Reply {
 	return k.answer("results", id)
 }
 
 // Body implements Jobs.
-func (k *knownJob) Body(_ context.Context, id, _ string) Reply { return k.answer("body", id) }
+func (k *knownJob) Body(_ context.Context, _ workspace.Workspace, id, _ string) Reply {
+	return k.answer("body", id)
+}
 
 // End implements Jobs.
-func (k *knownJob) End(_ context.Context, id string) Reply { return k.answer("end", id) }
+func (k *knownJob) End(_ context.Context, _ workspace.Workspace, id string) Reply {
+	return k.answer("end", id)
+}
 
 // Guards against jobs that cannot be read or ended once the configuration has no route of batch jobs for their host,
 // and against requests for another service whose paths look like calls for jobs.
--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -15,6 +15,8 @@
 import (
 	"strings"
 	"time"
+
+	"bulrushspoke/internal/workspace"
 )
 
 // Kind is the kind of a route, which determines whether its requests may be retried.
@@ -46,7 +48,9 @@
 	Kind          Kind
 	Timeout       time.Duration // maximum time to answer a request
 	Objective     time.Duration // latency objective; an answer within it earns its full worth
-	Priority      int           // 0 is the highest priority
+	Priority      int           // 0 is the highest priority; only meaningful if Ranked
+	Ranked        bool          // the route has a priority
+	Open          bool          // requests need no key, whatever workspaces there are
 	Shares        []Share
 	MaxAttempts   int // maximum of servers that one attempt of a client is sent to; for items, maximum of failed runs
 	Resumable     bool
@@ -102,6 +106,9 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
+	// Workspaces are those whose keys give access; nil if the deployment has no workspaces, in which case no request needs a
+	// key.
+	Workspaces *workspace.Directory
 }
 
 // Match returns the route for a host and path: of all matching routes, the one with the longest prefix.
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -695,8 +695,16 @@
 	// Path that the job was submitted to.
 	Path string `json:"path"`
 
+	// Priority that the workspace had when the job was accepted, which applies once
+	// the workspace has left the configuration; absent if it had none.
+	Priority *int `json:"priority,omitempty,omitzero"`
+
 	// Number of items.
 	Total int `json:"total"`
+
+	// Name of the workspace that the job belongs to; empty if it was accepted without
+	// one.
+	Workspace string `json:"workspace"`
 }
 
 // Store object that holds outputs of items without a recorded result, so that a
