--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -25,6 +25,17 @@
 	ResumeAfter int           // number of the event after which the stream is resumed; 0 for its start
 }
 
+// Sender is on whose behalf a request is sent to a server. The zero value stands for a deployment without workspaces, in
+// which what the client states is passed on.
+type Sender struct {
+	Checked   bool              // the client's credentials and its statement of a workspace are removed
+	IsSecret  func(string) bool // reports whether a text contains a key, so that its header is removed; nil for never
+	Workspace string            // name of the workspace; empty for none
+	Ordered   bool              // the client's statement of a priority is removed
+	Ranked    bool              // Priority is sent to the server
+	Priority  int               // 0 is run first
+}
+
 // Answer is the metadata that a server sends with its response.
 type Answer struct {
 	ID        string // ID of the request that is answered
--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -13,9 +13,11 @@
 package catalog
 
 import (
+	"slices"
 	"strings"
 	"time"
 
+	"bulrushspoke/internal/call"
 	"bulrushspoke/internal/workspace"
 )
 
@@ -136,6 +138,39 @@
 	return false
 }
 
+// Priority returns the priority of work of a workspace on a route: that of the workspace, otherwise that of the route. 0 is
+// the most urgent and workspace.MaxPriority the least.
+func (c *Config) Priority(w workspace.Workspace, r *Route) int {
+	p := workspace.DefaultPriority
+	switch w = c.Workspaces.Current(w); {
+	case w.Ranked:
+		p = w.Priority
+	case r.Ranked:
+		p = r.Priority
+	}
+	return min(max(p, 0), workspace.MaxPriority)
+}
+
+// Sender returns on whose behalf a request of a workspace is sent to a server of a service. The key is the one that the
+// client has sent, empty if it is not known.
+func (c *Config) Sender(w workspace.Workspace, r *Route, service, key string) call.Sender {
+	s := call.Sender{Checked: c.Workspaces != nil || !w.None(), Workspace: w.Name, Ordered: c.Workspaces.Ranked()}
+	if s.Checked {
+		s.IsSecret = func(text string) bool {
+			return key != "" && strings.Contains(text, key) || c.Workspaces.ContainsKey(text)
+		}
+	}
+	if s.Ordered && c.Services[service].Slots > 0 { // a plain service has no order of its own
+		s.Ranked, s.Priority = true, c.Priority(w, r)
+	}
+	return s
+}
+
+// HasOpenRoute reports whether there is a route of the given kind for the host that needs no key.
+func (c *Config) HasOpenRoute(host string, k Kind) bool {
+	return slices.ContainsFunc(c.Routes, func(r Route) bool { return r.Host == host && r.Kind == k && r.Open })
+}
+
 // Server is one incarnation of a server, as described by its entry in the store.
 type Server struct {
 	ID        string
--- a/internal/workspace/workspace.go
+++ b/internal/workspace/workspace.go
@@ -91,6 +91,7 @@
 type Directory struct {
 	byPrefix map[uint64][]holder
 	byName   map[string]Workspace
+	lengths  map[int]bool // of the keys; other texts are not searched for as keys
 	ranked   bool
 }
 
@@ -98,7 +99,11 @@
 // header, keys must be set and belong to one workspace, and priorities must not be negative. The error is an
 // *InvalidError.
 func NewDirectory(l []Entry) (*Directory, error) {
-	d := &Directory{byPrefix: make(map[uint64][]holder), byName: make(map[string]Workspace, len(l))}
+	d := &Directory{
+		byPrefix: make(map[uint64][]holder),
+		byName:   make(map[string]Workspace, len(l)),
+		lengths:  make(map[int]bool),
+	}
 	for i, e := range l {
 		if err := d.add(i, e); err != nil {
 			return nil, err
@@ -131,6 +136,7 @@
 			}
 			continue
 		}
+		d.lengths[len(key)] = true
 		d.byPrefix[sum.prefix()] = append(d.byPrefix[sum.prefix()], holder{digest: sum, workspace: e.Workspace})
 	}
 	return nil
@@ -157,6 +163,33 @@
 	return d.find(&sum)
 }
 
+// ContainsKey reports whether a text is a key, or contains one as a word or as a value after "=" or ":".
+func (d *Directory) ContainsKey(text string) bool {
+	if d == nil || text == "" {
+		return false
+	}
+	isKey := func(s string) bool {
+		if !d.lengths[len(s)] { // hashing every word of every header would cost more than all else that is done with them
+			return false
+		}
+		_, ok := d.Lookup(s)
+		return ok
+	}
+	if isKey(text) {
+		return true
+	}
+	words := strings.FieldsFunc(text, func(r rune) bool { return strings.ContainsRune(" \t,;\"'&?", r) })
+	for _, word := range words {
+		if isKey(word) {
+			return true
+		}
+		if i := strings.IndexAny(word, "=:"); i >= 0 && isKey(word[i+1:]) {
+			return true
+		}
+	}
+	return false
+}
+
 func (d *Directory) find(sum *digest) (Workspace, bool) {
 	for _, h := range d.byPrefix[sum.prefix()] {
 		if subtle.ConstantTimeCompare(h.digest[:], sum[:]) == 1 {
