Make ServeHTTP a chain of steps, and determine the workspace in one of them

Once a configuration names workspaces, a request needs the key of one, unless its route is open. ServeHTTP becomes a chain of steps, each a function of the request that may end it with a reply: configuration, workspace, route, memory, admission; what remains is placed. Only the step identify determines the workspace.

A key that the configuration in force does not have is looked for in the newest one before it is refused. Waiting requests share a read, which begins after they came, as one in progress may have been answered before the key was added. The read goes through the relay and the decoder of the feed. Remembering refused keys was ruled out: a key may be added at any time, and a lookup costs a hash.

A client that sends a key to an entry without workspaces for a job that the entry does not know has the configuration read as well, since another entry may have accepted the job for its workspace.

Fingerprints of requests that crash servers contain the workspace.

--- a/entry/internal/cli/platform.go
+++ b/entry/internal/cli/platform.go
@@ -233,12 +233,14 @@
 		limits.SendSnapshot(time.Now())
 		p.batch.PeerConnected(name)
 	})
+	feeder := platform.NewCatalogUpdater(p.catalog, p.logger)
 	requestTime := m.Histogram("request", "s", "Time from arrival to the answer.")
 	p.ingress = ingress.New(ingress.Options{
 		Catalog: p.catalog, Pool: pool, Tracker: tracker, Jobs: p.batch,
 		Random:        jitter,
 		MaxBodyMemory: int64(bodyShare * float64(s.MemoryBytes)),
 		Suspects:      p.suspects(),
+		ReadConfig:    func(ctx context.Context) error { return feeder.RefreshConfig(ctx, objects) },
 		Logger:        p.logger,
 		Observe: func(route string, status int, took time.Duration) {
 			requestTime.Record(route, strconv.Itoa(status/100*100), took.Seconds())
@@ -261,7 +263,7 @@
 	})
 	p.task("entries", p.peers.Serve)
 	p.task("membership", member.New(s.Name, self, p.store, p.peers, p.logger).Run)
-	feeder, now := platform.NewCatalogUpdater(p.catalog, p.logger), time.Now()
+	now := time.Now()
 	for kind, bound := range map[string]time.Duration{
 		platform.KindConfig: s.Bounds.ConfigDelay, platform.KindServers: s.Bounds.DrainDelay,
 	} {
--- a/entry/internal/ingress/forward.go
+++ b/entry/internal/ingress/forward.go
@@ -62,11 +62,6 @@
 	defer stop()
 	ctx, cancel := context.WithDeadline(work, q.arrived.Add(q.remaining(q.arrived)))
 	defer cancel()
-	fingerprint := Fingerprint(q.http.URL.RequestURI(), q.body)
-	if g.Suspects.Blocked(fingerprint, time.Now()) {
-		g.reply(w, q, Reply{Status: http.StatusBadGateway, Cause: "request blocked: several servers crashed on it"})
-		return
-	}
 	service := q.route.PickService(g.Random.IntN)
 	tried := make(map[string]bool)
 	mayHaveRun := false
@@ -102,14 +97,14 @@
 		switch a.outcome {
 		case delivered:
 			if q.http.Context().Err() == nil {
-				g.Suspects.RecordResponse(fingerprint)
+				g.Suspects.RecordResponse(q.fingerprint)
 			}
 			return
 		case lost:
 			mayHaveRun = true
 			sent++
 			if a.cause == causeReset {
-				g.Suspects.RecordCrash(fingerprint, time.Now())
+				g.Suspects.RecordCrash(q.fingerprint, time.Now())
 			}
 		case failed:
 			mayHaveRun = true
@@ -224,7 +219,7 @@
 	svc := q.config.Services[s.Service]
 	target := upstream.Target{Address: s.Address, Incarnation: s.ID, Conns: svc.MaxConns}
 	sentAt := time.Now()
-	resp, err := g.Pool.Send(ctx, target, g.upstreamRequest(q, call.Attempt{Server: s.ID, Timeout: left}))
+	resp, err := g.Pool.Send(ctx, target, g.upstreamRequest(q, s, call.Attempt{Server: s.ID, Timeout: left}))
 	if err != nil {
 		return sendFailure(err)
 	}
@@ -248,8 +243,9 @@
 }
 
 // upstreamRequest returns the request to be sent to a server.
-func (g *Ingress) upstreamRequest(q *request, a call.Attempt) upstream.Request {
-	h := endToEndHeader(q.http.Header)
+func (g *Ingress) upstreamRequest(q *request, s catalog.Server, a call.Attempt) upstream.Request {
+	h := EndToEndHeader(q.http.Header)
+	g.headers.Sender(h, q.config.Sender(q.workspace, q.route, s.Service, q.key))
 	g.headers.Attempt(h, a)
 	return upstream.Request{
 		Method:  q.http.Method,
@@ -318,7 +314,7 @@
 func (g *Ingress) copyResponseHeader(w http.ResponseWriter, from http.Header) {
 	to := w.Header()
 	leaving := to.Get("Connection")
-	for name, values := range endToEndHeader(from) {
+	for name, values := range EndToEndHeader(from) {
 		to[name] = values
 	}
 	if leaving != "" {
@@ -377,8 +373,8 @@
 	return attempt{outcome: delivered}
 }
 
-// endToEndHeader returns a copy of h without the hop-by-hop headers.
-func endToEndHeader(h http.Header) http.Header {
+// EndToEndHeader returns a copy of h without the hop-by-hop headers.
+func EndToEndHeader(h http.Header) http.Header {
 	c := h.Clone()
 	for _, line := range h["Connection"] {
 		for _, name := range strings.Split(line, ",") {
--- a/entry/internal/ingress/ingress.go
+++ b/entry/internal/ingress/ingress.go
@@ -1,5 +1,5 @@
-// Package ingress is the HTTP handler for the platform's clients: it matches each request with a route and forwards it to a
-// server.
+// Package ingress is the HTTP handler for the platform's clients: it determines the workspace of each request, matches it
+// with a route and forwards it to a server.
 //
 // # Usage
 //
@@ -64,6 +64,7 @@
 	JSON       bool
 	RetryAfter time.Duration // value of Retry-After; 0 for none
 	Cause      string        // logged only
+	Close      bool          // the connection closes after the response, since the request body is not read
 }
 
 // Random is a source of random numbers, safe for concurrent use.
@@ -82,12 +83,15 @@
 	Observe       func(route string, status int, elapsed time.Duration)
 	Logger        *slog.Logger
 	Suspects      *Suspects
+	// ReadConfig reads the newest configuration from the store and applies it to the catalog; nil if it cannot be read.
+	ReadConfig func(ctx context.Context) error
 }
 
 // Ingress handles client requests.
 type Ingress struct {
 	Options
 	headers    platform.Headers
+	identifier identifier
 	drainUntil atomic.Pointer[time.Time] // when each request must have its response; nil while the process is not leaving
 	drained    context.Context           // ends at that time
 	endDrain   context.CancelFunc
@@ -96,7 +100,10 @@
 
 // New returns an Ingress.
 func New(o Options) *Ingress {
-	g := &Ingress{Options: o}
+	g := &Ingress{Options: o, identifier: identifier{catalog: o.Catalog}}
+	if o.ReadConfig != nil {
+		g.identifier.refresh = newRefresher(o.ReadConfig, o.Logger)
+	}
 	g.drained, g.endDrain = context.WithCancel(context.Background())
 	return g
 }
@@ -135,73 +142,144 @@
 	}
 }
 
+// step handles a part of what happens to a request before it is placed. A reply with a status ends the request.
+type step func(q *request) Reply
+
 // ServeHTTP implements http.Handler.
 func (g *Ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	arrived := time.Now()
+	q := g.newRequest(w, r)
+	defer g.release(q)
+	for _, s := range [...]step{
+		g.configure, // under which configuration it is served
+		g.identify,  // whose request it is
+		g.route,     // which route it takes
+		g.hold,      // what it may hold in memory
+		g.admit,     // whether it may proceed
+	} {
+		if reply := s(q); reply.Status != 0 {
+			g.reply(w, q, reply)
+			return
+		}
+	}
+	g.place(w, q) // where it goes
+}
+
+// request is a client request with its state.
+type request struct {
+	call.Request
+	http     *http.Request
+	control  *http.ResponseController
+	arrived  time.Time
+	host     string
+	key      string           // key that the client has sent, known or not; empty for none
+	jobCall  platform.JobCall // decoded from method and path; the path may be that of another route
+	config   *catalog.Config
+	route    *catalog.Route
+	body     []byte
+	reserved int64 // bytes reserved for the body
+
+	workspace   workspace.Workspace // whose request it is; the zero value for none
+	fingerprint uint64              // set by the admission of requests that are forwarded
+
+	job      string // id of the batch job, for calls for jobs
+	attempts int
+	servers  []string
+}
+
+// newRequest decodes the headers of a request.
+func (g *Ingress) newRequest(w http.ResponseWriter, r *http.Request) *request {
 	if g.drainUntil.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	q := &request{
 		Request: g.headers.Request(r.Header),
 		http:    r,
-		arrived: arrived,
+		control: http.NewResponseController(w),
+		arrived: time.Now(),
+		host:    hostname(r.Host),
+		key:     g.headers.Key(r.Header),
+		jobCall: platform.DecodeJobCall(r.Method, r.URL.Path, r.URL.Query()),
 	}
 	if q.Deadline <= 0 {
 		q.Deadline = defaultDeadline
 	}
-	c := g.Catalog.Config()
-	if c == nil {
-		g.reply(w, q, Reply{Status: http.StatusServiceUnavailable, RetryAfter: retryNoConfig, Cause: "no configuration loaded yet"})
-		return
+	return q
+}
+
+// release returns what a request holds.
+func (g *Ingress) release(q *request) { g.reserved.Add(-q.reserved) }
+
+// configure is the step that determines the configuration under which a request is served.
+func (g *Ingress) configure(q *request) Reply {
+	if q.config = g.Catalog.Config(); q.config == nil {
+		return Reply{Status: http.StatusServiceUnavailable, RetryAfter: retryNoConfig, Cause: "no configuration loaded yet"}
 	}
-	q.config = c
-	host := hostname(r.Host)
-	route, ok := c.Match(host, r.URL.Path)
-	if jc := platform.DecodeJobCall(r.Method, r.URL.Path, r.URL.Query()); jc.Operation != platform.NoOperation {
-		if reply, served := g.callJob(q, jc, host, ok); served {
-			g.reply(w, q, reply)
-			return
+	return Reply{}
+}
+
+// route is the step that finds the route of a request. Calls for jobs need none and end here.
+func (g *Ingress) route(q *request) Reply {
+	r, ok := q.config.Match(q.host, q.http.URL.Path)
+	if q.isJobCall() {
+		if reply, served := g.callJob(q, ok); served {
+			return reply
 		}
 	}
 	if !ok {
-		g.reply(w, q, Reply{Status: http.StatusNotFound, Cause: "no matching route"})
-		return
+		return Reply{Status: http.StatusNotFound, Cause: "no matching route"}
 	}
-	q.route = route
-	reply := g.receiveBody(http.NewResponseController(w), q)
-	defer func() { g.reserved.Add(-q.reserved) }()
-	if reply.Status != 0 {
-		// On a persistent connection, net/http would read the rest of the body before it sends the response.
-		w.Header().Set("Connection", "close")
-		g.reply(w, q, reply)
-		return
+	q.route = r
+	return Reply{}
+}
+
+// hold is the step that reads the body of a request into memory.
+func (g *Ingress) hold(q *request) Reply {
+	reply := g.receiveBody(q.control, q)
+	// On a persistent connection, net/http would read the rest of the body before it sends the response.
+	reply.Close = reply.Status != 0
+	return reply
+}
+
+// admit is the step that decides whether a request may proceed to a server.
+func (g *Ingress) admit(q *request) Reply {
+	if q.submitsJob() {
+		return Reply{}
+	}
+	q.fingerprint = Fingerprint(q.workspace.Name, q.http.URL.RequestURI(), q.body)
+	if g.Suspects.Blocked(q.fingerprint, time.Now()) {
+		return Reply{Status: http.StatusBadGateway, Cause: "request blocked: several servers crashed on it"}
 	}
-	if route.Kind == catalog.Batch && r.Method == http.MethodPost {
-		ctx, cancel := g.workContext(q)
-		defer cancel()
-		g.reply(w, q, g.Jobs.Submit(ctx, q.workspace, route, q.ID, q.body, arrived))
+	return Reply{}
+}
+
+// place hands a request over to the batch jobs or to a server.
+func (g *Ingress) place(w http.ResponseWriter, q *request) {
+	if q.submitsJob() {
+		g.reply(w, q, g.submitJob(q))
 		return
 	}
 	g.forward(w, q)
 }
 
-// request is a client request with its state.
-type request struct {
-	call.Request
-	http     *http.Request
-	arrived  time.Time
-	config   *catalog.Config
-	route    *catalog.Route
-	body     []byte
-	reserved int64 // bytes reserved for the body
-
-	workspace workspace.Workspace // whose request it is; the zero value for none
+// submitsJob reports whether a request submits a batch job.
+func (q *request) submitsJob() bool {
+	return q.route.Kind == catalog.Batch && q.http.Method == http.MethodPost
+}
 
-	job      string // id of the batch job, for calls for jobs
-	attempts int
-	servers  []string
+// submitJob submits a batch job. What the store keeps of it contains no key in the headers of the items.
+func (g *Ingress) submitJob(q *request) Reply {
+	ctx, cancel := g.workContext(q)
+	defer cancel()
+	body := q.body
+	if q.config.Workspaces != nil {
+		body = platform.RemoveSecrets(body, q.key, q.containsKey)
+	}
+	return g.Jobs.Submit(ctx, q.workspace, q.route, q.ID, body, q.arrived)
 }
 
+// isJobCall reports whether method and path of a request are those of a call for a job.
+func (q *request) isJobCall() bool { return q.jobCall.Operation != platform.NoOperation }
+
 // remaining returns the time until the client's deadline or the timeout of the route, whichever is earlier.
 func (q *request) remaining(now time.Time) time.Duration {
 	d := q.Deadline
@@ -293,29 +371,56 @@
 // A job outlives its route: its results can be read and the job can be ended after the configuration has removed the
 // route. Until then all paths of calls for jobs belong to the jobs of the host; after that, only those of jobs that
 // exist, and where no job was ever served, a route that matches comes first.
-func (g *Ingress) callJob(q *request, c platform.JobCall, host string, routed bool) (Reply, bool) {
-	reserved := q.config.HasRoute(host, catalog.Batch)
-	if routed && !reserved && !g.Catalog.HadBatchRoute(host) {
+func (g *Ingress) callJob(q *request, routed bool) (Reply, bool) {
+	reserved := q.config.HasRoute(q.host, catalog.Batch)
+	if routed && !reserved && !g.Catalog.HadBatchRoute(q.host) {
 		return Reply{}, false
 	}
 	ctx, cancel := g.workContext(q)
 	defer cancel()
-	var reply Reply
-	switch c.Operation {
-	case platform.ReadResults:
-		reply = g.Jobs.Results(ctx, q.workspace, c.Job, c.After, q.MaxWait)
-	case platform.ReadBody:
-		reply = g.Jobs.Body(ctx, q.workspace, c.Job, c.Item)
-	case platform.EndJob:
-		reply = g.Jobs.End(ctx, q.workspace, c.Job)
+	reply := g.callJobs(ctx, q)
+	if reply.Status == http.StatusNotFound && g.learnWorkspaces(ctx, q) {
+		if reply := g.identify(q); reply.Status != 0 {
+			return reply, true
+		}
+		reply = g.callJobs(ctx, q)
 	}
 	if routed && !reserved && reply.Status == http.StatusNotFound {
 		return Reply{}, false
 	}
-	q.job = c.Job
+	q.job = q.jobCall.Job
 	return reply, true
 }
 
+// callJobs makes the call of a request for a job.
+func (g *Ingress) callJobs(ctx context.Context, q *request) Reply {
+	switch c := q.jobCall; c.Operation {
+	case platform.ReadResults:
+		return g.Jobs.Results(ctx, q.workspace, c.Job, c.After, q.MaxWait)
+	case platform.ReadBody:
+		return g.Jobs.Body(ctx, q.workspace, c.Job, c.Item)
+	case platform.EndJob:
+		return g.Jobs.End(ctx, q.workspace, c.Job)
+	default:
+		return Reply{Status: http.StatusNotFound, Cause: "no call for a job"}
+	}
+}
+
+// learnWorkspaces reads the newest configuration for a client that sends a key although the configuration of this process
+// has no workspaces, and reports whether the newest one has. Another entry may have the first configuration with workspaces
+// already and have accepted the client's job for its workspace.
+func (g *Ingress) learnWorkspaces(ctx context.Context, q *request) bool {
+	if q.key == "" || q.config.Workspaces != nil {
+		return false
+	}
+	c := g.identifier.awaitNewer(ctx, q.config, func(n *catalog.Config) bool { return n.Workspaces != nil })
+	if c.Workspaces == nil {
+		return false
+	}
+	q.config = c
+	return true
+}
+
 // reply sends a response generated by this process.
 func (g *Ingress) reply(w http.ResponseWriter, q *request, a Reply) {
 	h := w.Header()
@@ -325,6 +430,12 @@
 	if a.JSON {
 		h.Set("Content-Type", "application/json")
 	}
+	if a.Close {
+		h.Set("Connection", "close")
+	}
+	if a.Status == http.StatusUnauthorized {
+		g.headers.Challenge(h)
+	}
 	if a.RetryAfter > 0 {
 		platform.SetRetryAfter(h, a.RetryAfter.Seconds())
 	}
@@ -353,8 +464,9 @@
 	if q.config != nil {
 		revision = q.config.Revision
 	}
-	e.Log(g.Logger, "request", q.ID, "job", q.job, "method", q.http.Method, "path", q.http.URL.Path, "route", name, "status", status,
-		"cause", cause, "ms", elapsed.Milliseconds(), "attempts", q.attempts, "servers", q.servers, "config", revision)
+	e.Log(g.Logger, "request", q.redact(q.ID), "job", q.redact(q.job), "workspace", q.workspace.Name, "method", q.http.Method,
+		"path", q.redact(q.http.URL.Path), "route", name, "status", status, "cause", cause, "ms", elapsed.Milliseconds(),
+		"attempts", q.attempts, "servers", q.servers, "config", revision)
 }
 
 // hostname returns h without its port.
--- a/entry/internal/ingress/job_test.go
+++ b/entry/internal/ingress/job_test.go
@@ -16,11 +16,13 @@
 // knownJob implements Jobs with one job and records the calls.
 type knownJob struct {
 	id    string
+	owner string // name of its workspace
 	calls []string
+	body  string // of the last submission
 }
 
-func (k *knownJob) answer(call, id string) Reply {
-	if id != k.id {
+func (k *knownJob) answer(call string, w workspace.Workspace, id string) Reply {
+	if id != k.id || w.Name != k.owner {
 		return Reply{Status: http.StatusNotFound}
 	}
 	k.calls = append(k.calls, call)
@@ -28,23 +30,24 @@
 }
 
 // Submit implements Jobs.
-func (k *knownJob) Submit(context.Context, workspace.Workspace, *catalog.Route, string, []byte, time.Time) Reply {
+func (k *knownJob) Submit(_ context.Context, w workspace.Workspace, _ *catalog.Route, id string, body []byte, _ time.Time) Reply {
+	k.id, k.owner, k.body = id, w.Name, string(body)
 	return Reply{Status: http.StatusAccepted}
 }
 
 // Results implements Jobs.
-func (k *knownJob) Results(_ context.Context, _ workspace.Workspace, id string, _ int, _ time.Duration) Reply {
-	return k.answer("results", id)
+func (k *knownJob) Results(_ context.Context, w workspace.Workspace, id string, _ int, _ time.Duration) Reply {
+	return k.answer("results", w, id)
 }
 
 // Body implements Jobs.
-func (k *knownJob) Body(_ context.Context, _ workspace.Workspace, id, _ string) Reply {
-	return k.answer("body", id)
+func (k *knownJob) Body(_ context.Context, w workspace.Workspace, id, _ string) Reply {
+	return k.answer("body", w, id)
 }
 
 // End implements Jobs.
-func (k *knownJob) End(_ context.Context, _ workspace.Workspace, id string) Reply {
-	return k.answer("end", id)
+func (k *knownJob) End(_ context.Context, w workspace.Workspace, id string) Reply {
+	return k.answer("end", w, id)
 }
 
 // Guards against jobs that cannot be read or ended once the configuration has no route of batch jobs for their host,
--- a/entry/internal/ingress/stream.go
+++ b/entry/internal/ingress/stream.go
@@ -171,7 +171,7 @@
 		q.servers = append(q.servers, s.ID)
 		q.attempts++
 		resp, err := g.Pool.Send(ctx, upstream.Target{Address: s.Address, Incarnation: s.ID, Conns: conns},
-			g.upstreamRequest(q, call.Attempt{Server: s.ID, Timeout: q.remaining(now), ResumeAfter: last}))
+			g.upstreamRequest(q, s, call.Attempt{Server: s.ID, Timeout: q.remaining(now), ResumeAfter: last}))
 		if err != nil {
 			g.recordAbort(q, s)
 			continue
--- a/entry/internal/ingress/suspects.go
+++ b/entry/internal/ingress/suspects.go
@@ -36,10 +36,15 @@
 	return &Suspects{broadcast: broadcast, seen: make(map[uint64]suspect)}
 }
 
-// Fingerprint returns a hash of the request URI and body, which identifies a request at every entry.
-func Fingerprint(uri string, body []byte) uint64 {
+// Fingerprint returns a hash of the workspace, empty for none, the request URI and the body, which identifies a request at
+// every entry. A workspace cannot have the requests of another one blocked.
+func Fingerprint(workspace, uri string, body []byte) uint64 {
 	d := xxhash.New()
 	// Writes to a digest never fail.
+	if workspace != "" {
+		// A URI does not begin with a zero byte.
+		_, _ = d.WriteString("\x00" + workspace + "\x00")
+	}
 	_, _ = d.WriteString(uri)
 	_, _ = d.Write([]byte{0})
 	_, _ = d.Write(body)
