Send items and reward calls for the workspace of their job

Items and reward calls carry the workspace of their job and its priority, also from a later owner and after the workspace has left the configuration.

The headers, paths and ids of items are written to servers as they are. With a line break, or with a length of its own, an item could add a request in the name of another workspace to a kept connection. Jobs with control characters there are rejected, and headers that concern the connection are dropped. Dropping such items one by one was ruled out: the trainer would wait for them until their time is up.

--- a/entry/internal/batch/cut_test.go
+++ b/entry/internal/batch/cut_test.go
@@ -114,12 +114,12 @@
 	j := newJob(m, job.Job{ID: "j"}, wire.JobState{Host: "h", Path: "/p/"}, nil, time.Now())
 	rewardCall := job.Reward{ID: "c", Host: "h", Path: "/p/score", Body: []byte("{}")}
 	for ; cut < len(head)+2; cut++ {
-		score, _, _ := j.sendRewardCall(t.Context(), &rewardCall, r.server(0, 1), time.Second)
+		score, _, _ := j.sendRewardCall(t.Context(), &rewardCall, r.server(0, 1), &r.route, time.Second)
 		if score != "" {
 			t.Errorf("cut after %d of %d bytes: the score is %q", cut, len(head), score)
 		}
 	}
-	if score, _, _ := j.sendRewardCall(t.Context(), &rewardCall, r.server(0, 1), time.Second); !strings.Contains(score, platformtest.Signature) {
+	if score, _, _ := j.sendRewardCall(t.Context(), &rewardCall, r.server(0, 1), &r.route, time.Second); !strings.Contains(score, platformtest.Signature) {
 		t.Errorf("the whole answer has the score %q", score)
 	}
 }
--- a/entry/internal/batch/payload.go
+++ b/entry/internal/batch/payload.go
@@ -6,6 +6,8 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strconv"
+	"strings"
 
 	"bulrushspoke/entry/internal/ingress"
 	"bulrushspoke/internal/job"
@@ -67,6 +69,18 @@
 
 func partName(id string, n int) string { return fmt.Sprintf("%s.%d", id, n) }
 
+// JobOfPart returns the job of a part of a payload, given the name of its object; empty if the name is not that of a part.
+func JobOfPart(name string) string {
+	i := strings.LastIndexByte(name, '.')
+	if i < 0 {
+		return ""
+	}
+	if _, err := strconv.Atoi(name[i+1:]); err != nil {
+		return ""
+	}
+	return name[:i]
+}
+
 // payload reads the payload of a job from the store.
 func (m *Manager) payload(ctx context.Context, id string) ([]byte, error) {
 	r, err := m.Store.Get(ctx, KindPayload, id)
--- a/entry/internal/batch/run.go
+++ b/entry/internal/batch/run.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"bulrushspoke/entry/internal/forecast"
+	"bulrushspoke/entry/internal/ingress"
 	"bulrushspoke/entry/internal/place"
 	"bulrushspoke/internal/call"
 	"bulrushspoke/internal/catalog"
@@ -224,10 +225,14 @@
 // request returns the request that resumes an item at a server after the given event.
 func (j *Job) request(it *item, s catalog.Server, route *catalog.Route, after int, now time.Time) upstream.Request {
 	codec := platform.Headers{}
-	h := make(http.Header, len(it.Header)+4)
+	h := make(http.Header, len(it.Header)+6)
 	for name, value := range it.Header {
 		h.Set(name, value)
 	}
+	// A length or a host that the item states itself could make the server take a part of its body for another request.
+	h = ingress.EndToEndHeader(h)
+	h.Del("Host")
+	codec.Sender(h, j.sender(route, s))
 	codec.Identify(h, it.ID)
 	left := defaultItemTimeout
 	if route.MaxQueueTime > 0 {
@@ -237,6 +242,16 @@
 	return upstream.Request{Method: http.MethodPost, URI: it.Path, Host: j.host, Header: h, Body: it.Body}
 }
 
+// sender returns on whose behalf a request of the job is sent to a server. The workspace is that of the job, also after it
+// has left the configuration.
+func (j *Job) sender(route *catalog.Route, s catalog.Server) call.Sender {
+	c := j.manager.Catalog.Config()
+	if c == nil {
+		c = &catalog.Config{}
+	}
+	return c.Sender(j.workspace, route, s.Service, "")
+}
+
 // send sends the item, unless its response has already started, and reads its events.
 func (j *Job) send(ctx context.Context, it *item, current *segment, route *catalog.Route) attemptResult {
 	s := current.server
--- a/entry/internal/batch/score.go
+++ b/entry/internal/batch/score.go
@@ -94,7 +94,7 @@
 	open, scored := 0, false
 	send := func(s catalog.Server) {
 		open++
-		go supervise.Guard(j.manager.Logger, "reward call", func() { j.callServer(callCtx, it.Reward, s, allowed, replies) })
+		go supervise.Guard(j.manager.Logger, "reward call", func() { j.callServer(callCtx, it.Reward, s, route, allowed, replies) })
 	}
 	send(s)
 	late := time.NewTimer(j.manager.rewardTimes.HedgeDelay(route.Name, allowed))
@@ -168,24 +168,26 @@
 
 // callServer sends a reward call to a server and always sends a result to replies.
 func (j *Job) callServer(
-	ctx context.Context, c *job.Reward, s catalog.Server, allowed time.Duration, replies chan<- rewardResult,
+	ctx context.Context, c *job.Reward, s catalog.Server, route *catalog.Route, allowed time.Duration,
+	replies chan<- rewardResult,
 ) {
 	r := rewardResult{
 		server: s, startedAt: time.Now(), outcome: reward.Lost,
 		attempt: attemptResult{outcome: place.Failed, cause: "the attempt ended unexpectedly"},
 	}
 	defer func() { replies <- r }()
-	r.score, r.attempt, r.outcome = j.sendRewardCall(ctx, c, s, allowed)
+	r.score, r.attempt, r.outcome = j.sendRewardCall(ctx, c, s, route, allowed)
 }
 
 // sendRewardCall sends a reward call and returns the score, empty if the response contains none.
 func (j *Job) sendRewardCall(
-	ctx context.Context, r *job.Reward, s catalog.Server, allowed time.Duration,
+	ctx context.Context, r *job.Reward, s catalog.Server, route *catalog.Route, allowed time.Duration,
 ) (string, attemptResult, reward.Outcome) {
 	ctx, cancel := context.WithTimeout(ctx, allowed)
 	defer cancel()
 	codec := platform.Headers{}
 	h := make(http.Header)
+	codec.Sender(h, j.sender(route, s))
 	codec.Identify(h, r.ID)
 	codec.Attempt(h, call.Attempt{Server: s.ID, Timeout: allowed})
 	a, err := j.post(ctx, s, r.ID,
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -6,7 +6,10 @@
 //	if err := j.Validate(); err != nil { … } // a *job.FormatError
 package job
 
-import "fmt"
+import (
+	"fmt"
+	"strings"
+)
 
 // Item is one request of a job.
 type Item struct {
@@ -91,6 +94,13 @@
 			return NewFormatError(fmt.Sprintf("item %s has no path", it.ID))
 		case seen[it.ID]:
 			return NewFormatError(fmt.Sprintf("item %s stands twice", it.ID))
+		case !isHeaderValue(it.ID) || !isTarget(it.Path):
+			return NewFormatError(fmt.Sprintf("item %d: the id or path cannot be sent to a server", i))
+		}
+		for name, value := range it.Header {
+			if !isHeaderName(name) || !isHeaderValue(value) {
+				return NewFormatError(fmt.Sprintf("item %d has a header that cannot be sent to a server", i))
+			}
 		}
 		if err := it.Reward.validate(it.ID); err != nil {
 			return err
@@ -111,6 +121,25 @@
 		return NewFormatError(fmt.Sprintf("the reward call of item %s has no host", item))
 	case r.Path == "" || r.Path[0] != '/':
 		return NewFormatError(fmt.Sprintf("the reward call of item %s has no path", item))
+	case !isHeaderValue(r.ID) || !isTarget(r.Host) || !isTarget(r.Path):
+		return NewFormatError("a reward call has an id, host or path that cannot be sent to a server")
 	}
 	return nil
 }
+
+// isHeaderName reports whether a text is a token as of RFC 9110. A job chooses the names and values of headers, which are
+// written to servers as they are: with a line break in one of them it could add any header, or another request.
+func isHeaderName(s string) bool {
+	const special = "!#$%&'*+-.^_`|~"
+	return s != "" && !strings.ContainsFunc(s, func(r rune) bool {
+		return (r < '0' || r > '9') && (r < 'a' || r > 'z') && (r < 'A' || r > 'Z') && !strings.ContainsRune(special, r)
+	})
+}
+
+// isHeaderValue reports whether a text contains no control characters but tabs.
+func isHeaderValue(s string) bool {
+	return !strings.ContainsFunc(s, func(r rune) bool { return r < ' ' && r != '\t' || r == '\x7f' })
+}
+
+// isTarget reports whether a text can be a part of a request line, or a host.
+func isTarget(s string) bool { return isHeaderValue(s) && !strings.ContainsAny(s, " \t") }
