--- a/entry/internal/sweep/sweep.go
+++ b/entry/internal/sweep/sweep.go
@@ -16,7 +16,6 @@
 	"errors"
 	"log/slog"
 	"slices"
-	"strings"
 	"time"
 
 	"bulrushspoke/entry/internal/batch"
@@ -69,8 +68,9 @@
 	if err != nil || len(jobs) == 0 {
 		return err
 	}
-	expired := make(map[string]bool)
+	expired, known := make(map[string]bool), make(map[string]bool)
 	for _, r := range jobs {
+		known[r.Name] = true
 		var state wire.JobState
 		if err := json.Unmarshal(r.Spec, &state); err != nil {
 			event.ObjectInvalid.Log(s.logger, "kind", batch.KindState, "name", r.Name, "cause", err.Error())
@@ -90,8 +90,8 @@
 	}
 	for _, kind := range []string{batch.KindTexts, batch.KindPayload, batch.KindState} {
 		err := s.deleteMatching(ctx, kind, func(name string) bool {
-			id, _, _ := strings.Cut(name, ".") // payload parts are named <job>.<n>
-			return expired[id]
+			// The id of a job may look like the name of a part.
+			return expired[name] || kind == batch.KindPayload && !known[name] && expired[batch.JobOfPart(name)]
 		})
 		if err != nil {
 			return err
--- a/entry/internal/sweep/sweep_test.go
+++ b/entry/internal/sweep/sweep_test.go
@@ -37,6 +37,8 @@
 	}
 	put("old", retention+time.Second)
 	put("young", retention-time.Second)
+	put("old.1", retention-time.Second) // named like a part of the payload of "old"
+	put("ws~a_2eb~c.d", retention+time.Second)
 	s.Put(batch.KindState, "broken", []byte(`7`))
 	sweeper := New(client, retention, logger)
 	s.SetFault(objects.Fault{Unavailable: true})
@@ -50,9 +52,9 @@
 		}
 	}
 	for kind, want := range map[string][]string{
-		batch.KindState:             {"broken", "young"},
-		batch.KindPayload:           {"young", "young.0"},
-		batch.KindTexts:             {"young"},
+		batch.KindState:             {"broken", "old.1", "young"},
+		batch.KindPayload:           {"old.1", "old.1.0", "young", "young.0"},
+		batch.KindTexts:             {"old.1", "young"},
 		batch.KindRecords + "old":   nil,
 		batch.KindRecords + "young": {"000000", "000001"},
 	} {
