Separate the parts of scoped ids by dots; test newer keys with the real entry

Stores commonly restrict the names of objects to letters, digits, hyphens and dots. The tilde of the first version is outside of that; with a dot, the ids of common names and ids need no other character.

The entry's test holds the watch back, so that only a read can bring the key.

--- a/entry/internal/batch/scope.go
+++ b/entry/internal/batch/scope.go
@@ -12,16 +12,18 @@
 	"bulrushspoke/wire"
 )
 
-// Scoped ids consist of parts that contain no scopeSeparator:
+// Scoped ids have one of these forms:
 //
 //	ID                 a job without a workspace
-//	ws~NAME~ID         a job of a workspace
-//	ws~~ID             a job without a workspace whose id begins like those of the other forms
-//	ws~~~HASH          a job of a workspace, if the second form is too long
+//	ws.NAME.ID         a job of a workspace
+//	ws..ID             a job without a workspace whose id begins with "ws."
+//	ws...HASH          a job of a workspace, if the second form is too long
 //
-// NAME and ID are escaped where they follow the prefix, and neither is empty.
+// NAME and ID are escaped where they follow the prefix, so that they contain no separator. A name is not empty. No form
+// with the prefix is the name of a part of another job's payload. Common names and ids need no escape, and the separator is
+// a character that stores commonly allow in names.
 const (
-	scopeSeparator = "~"
+	scopeSeparator = "."
 	scopePrefix    = "ws" + scopeSeparator
 	// maxScopedID is the length in bytes beyond which a scoped id of a workspace is replaced by its hash. It leaves room for
 	// the prefix of the kind of a log within the 255 bytes that stores commonly allow for a name.
--- a/standin/objects/objects.go
+++ b/standin/objects/objects.go
@@ -28,6 +28,7 @@
 type Fault struct {
 	Unavailable   bool          // calls are answered with 503
 	NoResponse    bool          // calls get no response
+	SilentWatches bool          // watches get no response
 	LostResponses int           // number of writes that are applied but get no response
 	DelayedWrites int           // number of writes that get no response and are applied later
 	WriteDelay    time.Duration // delay of those writes, 0 for 100 ms
@@ -250,6 +251,13 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	s.mu.Lock()
+	silent := s.fault.SilentWatches
+	s.mu.Unlock()
+	if silent {
+		<-r.Context().Done()
+		return
+	}
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timer.Stop()
 	type item struct {
