Keep headers of open routes that contain short unknown credentials by chance

Credentials of one or two characters, which no workspace has, removed most headers of a request to an open route, and gave 400 if they occurred in its id. They are no secret; longer ones may be a key that this process does not know yet.

--- a/entry/internal/ingress/identify.go
+++ b/entry/internal/ingress/identify.go
@@ -14,6 +14,10 @@
 // begins at once; a refusal must be sent within 300 ms.
 const keyTimeout = refreshTimeout + 20*time.Millisecond
 
+// minSecret is the length in bytes from which credentials without a workspace, which may be a key that this process does not
+// know yet, are treated as a secret, and from which a key is masked in the bodies of jobs. Shorter texts occur by chance.
+const minSecret = 8
+
 // identifier determines the workspace of requests.
 type identifier struct {
 	catalog *catalog.Catalog
@@ -93,6 +97,9 @@
 		return Reply{Status: http.StatusUnauthorized, Cause: "missing or unknown key", Close: q.http.ContentLength != 0}
 	}
 	q.workspace = w
+	if c.Workspaces != nil && w.None() && len(q.key) < minSecret {
+		q.key = "" // no key, and headers may contain it by chance
+	}
 	if c.Workspaces != nil && (q.containsKey(q.ID) || c.Workspaces.ContainsKey(q.ID)) {
 		return Reply{Status: http.StatusBadRequest, Cause: "the request id contains a key", Close: q.http.ContentLength != 0}
 	}
--- a/entry/internal/ingress/ingress.go
+++ b/entry/internal/ingress/ingress.go
@@ -277,14 +277,10 @@
 	return g.Jobs.Submit(ctx, q.workspace, q.route, q.ID, q.body, q.arrived)
 }
 
-// minMaskedKey is the length in bytes from which a key is masked in the bodies of jobs. A shorter one may occur there by
-// chance.
-const minMaskedKey = 8
-
 // maskKey overwrites a key in the body of a job, where only a header of an item can contain it: the bodies of items are
 // encoded. It needs no memory, unlike removing the headers from the decoded document.
 func maskKey(body []byte, key string) {
-	if len(key) < minMaskedKey {
+	if len(key) < minSecret {
 		return
 	}
 	for rest := body; ; {
