Use the usual terms for keys and priorities in names and log lines

Headers.Identify sets the request id, so the step that determines the workspace is called authenticate. Sender and Workspace name what their flags do.

--- a/entry/internal/batch/scope.go
+++ b/entry/internal/batch/scope.go
@@ -38,7 +38,7 @@
 	case w.None() && !strings.HasPrefix(id, scopePrefix):
 		return id
 	case w.None():
-		// Without it, clients without a workspace could name the job of a workspace.
+		// Escaping prevents a client without a workspace from addressing the job of a workspace.
 		return scopePrefix + scopeSeparator + escape(id)
 	}
 	scoped := scopePrefix + escape(w.Name) + scopeSeparator + escape(id)
@@ -85,7 +85,7 @@
 func jobWorkspace(s wire.JobState) workspace.Workspace {
 	w := workspace.Workspace{Name: s.Workspace}
 	if s.Priority != nil {
-		w.Priority, w.Ranked = *s.Priority, true
+		w.Priority, w.HasPriority = *s.Priority, true
 	}
 	return w
 }
@@ -93,7 +93,7 @@
 // setWorkspace stores the workspace of a job in its state.
 func setWorkspace(s *wire.JobState, w workspace.Workspace) {
 	s.Workspace, s.Priority = w.Name, nil
-	if w.Ranked {
+	if w.HasPriority {
 		s.Priority = &w.Priority
 	}
 }
--- a/entry/internal/ingress/identify.go
+++ b/entry/internal/ingress/authenticate.go
@@ -18,19 +18,19 @@
 // know yet, are treated as a secret, and from which a key is masked in the bodies of jobs. Shorter texts occur by chance.
 const minSecret = 8
 
-// identifier determines the workspace of requests.
-type identifier struct {
+// authenticator determines the workspace of requests.
+type authenticator struct {
 	catalog *catalog.Catalog
 	refresh *refresher // nil if a newer configuration cannot be read
 }
 
-// identify returns the workspace of a request with the given key, empty if it has none, and the configuration that the
+// authenticate returns the workspace of a request with the given key, empty if it has none, and the configuration that the
 // request is served under. It returns false if the request needs a key and has no valid one. The function open reports
 // whether the request needs no key under a configuration.
 //
 // A key that the configuration of this process does not have may be newer than the configuration. The request waits until
 // the newest one has been read, or arrives in another way.
-func (i identifier) identify(
+func (i authenticator) authenticate(
 	ctx context.Context, c *catalog.Config, key string, open func(*catalog.Config) bool,
 ) (workspace.Workspace, *catalog.Config, bool) {
 	w, ok := lookup(c, key, open)
@@ -45,10 +45,10 @@
 	return w, c, ok
 }
 
-// awaitNewer waits until a configuration newer than c satisfies a condition, for as long as there is a read of the newest
+// awaitNewer waits until a configuration newer than c meets a condition, for as long as there is a read of the newest
 // one to wait for. It returns the newest configuration.
-func (i identifier) awaitNewer(
-	ctx context.Context, c *catalog.Config, satisfies func(*catalog.Config) bool,
+func (i authenticator) awaitNewer(
+	ctx context.Context, c *catalog.Config, accept func(*catalog.Config) bool,
 ) *catalog.Config {
 	if i.refresh == nil {
 		return c
@@ -61,7 +61,7 @@
 	defer timeout.Stop()
 	for {
 		changed := i.catalog.Changed()
-		if c = i.catalog.Config(); satisfies(c) {
+		if c = i.catalog.Config(); accept(c) {
 			return c
 		}
 		select {
@@ -89,9 +89,9 @@
 	return workspace.Workspace{}, open(c)
 }
 
-// identify is the step that determines the workspace of a request. It is the only place that does.
-func (g *Ingress) identify(q *request) Reply {
-	w, c, ok := g.identifier.identify(q.http.Context(), q.config, q.key, q.open)
+// authenticate is the step that determines the workspace of a request. It is the only place that does.
+func (g *Ingress) authenticate(q *request) Reply {
+	w, c, ok := g.authenticator.authenticate(q.http.Context(), q.config, q.key, q.open)
 	q.config = c
 	if !ok {
 		return Reply{Status: http.StatusUnauthorized, Cause: "missing or unknown key", Close: q.http.ContentLength != 0}
--- a/entry/internal/ingress/ingress.go
+++ b/entry/internal/ingress/ingress.go
@@ -91,19 +91,19 @@
 // Ingress handles client requests.
 type Ingress struct {
 	Options
-	headers    platform.Headers
-	identifier identifier
-	drainUntil atomic.Pointer[time.Time] // when each request must have its response; nil while the process is not leaving
-	drained    context.Context           // ends at that time
-	endDrain   context.CancelFunc
-	reserved   atomic.Int64 // bytes reserved for request bodies
+	headers       platform.Headers
+	authenticator authenticator
+	drainUntil    atomic.Pointer[time.Time] // when each request must have its response; nil while the process is not leaving
+	drained       context.Context           // ends at that time
+	endDrain      context.CancelFunc
+	reserved      atomic.Int64 // bytes reserved for request bodies
 }
 
 // New returns an Ingress.
 func New(o Options) *Ingress {
-	g := &Ingress{Options: o, identifier: identifier{catalog: o.Catalog}}
+	g := &Ingress{Options: o, authenticator: authenticator{catalog: o.Catalog}}
 	if o.ReadConfig != nil {
-		g.identifier.refresh = newRefresher(o.ReadConfig, o.Logger)
+		g.authenticator.refresh = newRefresher(o.ReadConfig, o.Logger)
 	}
 	g.drained, g.endDrain = context.WithCancel(context.Background())
 	return g
@@ -151,18 +151,18 @@
 	q := g.newRequest(w, r)
 	defer g.release(q)
 	for _, s := range [...]step{
-		g.configure, // under which configuration it is served
-		g.identify,  // whose request it is
-		g.route,     // which route it takes
-		g.hold,      // what it may hold in memory
-		g.admit,     // whether it may proceed
+		g.configure,    // under which configuration it is served
+		g.authenticate, // whose request it is
+		g.route,        // which route it takes
+		g.readBody,     // what it may hold in memory
+		g.admit,        // whether it may proceed
 	} {
 		if reply := s(q); reply.Status != 0 {
 			g.reply(w, q, reply)
 			return
 		}
 	}
-	g.place(w, q) // where it goes
+	g.dispatch(w, q) // where it goes
 }
 
 // request is a client request with its state.
@@ -233,8 +233,8 @@
 	return Reply{}
 }
 
-// hold is the step that reads the body of a request into memory.
-func (g *Ingress) hold(q *request) Reply {
+// readBody is the step that reads the body of a request into memory.
+func (g *Ingress) readBody(q *request) Reply {
 	reply := g.receiveBody(q.control, q)
 	// On a persistent connection, net/http would read the rest of the body before it sends the response.
 	reply.Close = reply.Status != 0
@@ -253,8 +253,8 @@
 	return Reply{}
 }
 
-// place hands a request over to the batch jobs or to a server.
-func (g *Ingress) place(w http.ResponseWriter, q *request) {
+// dispatch hands a request over to the batch jobs or to a server.
+func (g *Ingress) dispatch(w http.ResponseWriter, q *request) {
 	if q.submitsJob() {
 		g.reply(w, q, g.submitJob(q))
 		return
@@ -323,7 +323,7 @@
 	}
 	err := g.reserve(q, max(length, 0))
 	if err == nil {
-		err = g.readBody(c, q, limit)
+		err = g.readAll(c, q, limit)
 	}
 	var netErr net.Error
 	switch {
@@ -351,8 +351,8 @@
 	return nil
 }
 
-// readBody reads the request body. For a body of known length, the caller has reserved the memory.
-func (g *Ingress) readBody(c *http.ResponseController, q *request, limit int64) error {
+// readAll reads the request body. For a body of known length, the caller has reserved the memory.
+func (g *Ingress) readAll(c *http.ResponseController, q *request, limit int64) error {
 	if err := c.SetReadDeadline(q.arrived.Add(q.remaining(q.arrived))); err != nil {
 		return err
 	}
@@ -396,12 +396,12 @@
 	}
 	ctx, cancel := g.workContext(q)
 	defer cancel()
-	reply := g.callJobs(ctx, q)
-	if reply.Status == http.StatusNotFound && g.learnWorkspaces(ctx, q) {
-		if reply := g.identify(q); reply.Status != 0 {
+	reply := g.dispatchJobCall(ctx, q)
+	if reply.Status == http.StatusNotFound && g.refreshForJobCall(ctx, q) {
+		if reply := g.authenticate(q); reply.Status != 0 {
 			return reply, true
 		}
-		reply = g.callJobs(ctx, q)
+		reply = g.dispatchJobCall(ctx, q)
 	}
 	if routed && !reserved && reply.Status == http.StatusNotFound {
 		return Reply{}, false
@@ -410,8 +410,8 @@
 	return reply, true
 }
 
-// callJobs makes the call of a request for a job.
-func (g *Ingress) callJobs(ctx context.Context, q *request) Reply {
+// dispatchJobCall makes the call of a request for a job.
+func (g *Ingress) dispatchJobCall(ctx context.Context, q *request) Reply {
 	switch c := q.jobCall; c.Operation {
 	case platform.ReadResults:
 		return g.Jobs.Results(ctx, q.workspace, c.Job, c.After, q.MaxWait)
@@ -424,14 +424,14 @@
 	}
 }
 
-// learnWorkspaces reads the newest configuration for a client that sends a key although the configuration of this process
+// refreshForJobCall reads the newest configuration for a client that sends a key although the configuration of this process
 // has no workspaces, and reports whether the newest one has. Another entry may have the first configuration with workspaces
 // already and have accepted the client's job for its workspace.
-func (g *Ingress) learnWorkspaces(ctx context.Context, q *request) bool {
+func (g *Ingress) refreshForJobCall(ctx context.Context, q *request) bool {
 	if q.key == "" || q.config.Workspaces != nil {
 		return false
 	}
-	c := g.identifier.awaitNewer(ctx, q.config, func(n *catalog.Config) bool { return n.Workspaces != nil })
+	c := g.authenticator.awaitNewer(ctx, q.config, func(n *catalog.Config) bool { return n.Workspaces != nil })
 	if c.Workspaces == nil {
 		return false
 	}
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -28,12 +28,12 @@
 // Sender is on whose behalf a request is sent to a server. The zero value stands for a deployment without workspaces, in
 // which what the client states is passed on.
 type Sender struct {
-	Checked   bool              // the client's credentials and its statement of a workspace are removed
-	IsSecret  func(string) bool // reports whether a text contains a key, so that its header is removed; nil for never
-	Workspace string            // name of the workspace; empty for none
-	Ordered   bool              // the client's statement of a priority is removed
-	Ranked    bool              // Priority is sent to the server
-	Priority  int               // 0 is run first
+	StripCredentials bool              // the client's credentials and its statement of a workspace are removed
+	IsSecret         func(string) bool // reports whether a text contains a key, so that its header is removed; nil for never
+	Workspace        string            // name of the workspace; empty for none
+	StripPriority    bool              // the client's statement of a priority is removed
+	HasPriority      bool              // Priority is sent to the server
+	Priority         int               // 0 is run first
 }
 
 // Answer is the metadata that a server sends with its response.
--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -50,8 +50,8 @@
 	Kind          Kind
 	Timeout       time.Duration // maximum time to answer a request
 	Objective     time.Duration // latency objective; an answer within it earns its full worth
-	Priority      int           // 0 is the highest priority; only meaningful if Ranked
-	Ranked        bool          // the route has a priority
+	Priority      int           // 0 is the highest priority; only meaningful if HasPriority
+	HasPriority   bool          // the route has a priority
 	Open          bool          // requests need no key, whatever workspaces there are
 	Shares        []Share
 	MaxAttempts   int // maximum of servers that one attempt of a client is sent to; for items, maximum of failed runs
@@ -143,9 +143,9 @@
 func (c *Config) Priority(w workspace.Workspace, r *Route) int {
 	p := workspace.DefaultPriority
 	switch w = c.Workspaces.Current(w); {
-	case w.Ranked:
+	case w.HasPriority:
 		p = w.Priority
-	case r.Ranked:
+	case r.HasPriority:
 		p = r.Priority
 	}
 	return min(max(p, 0), workspace.MaxPriority)
@@ -154,14 +154,14 @@
 // Sender returns on whose behalf a request of a workspace is sent to a server of a service. The key is the one that the
 // client has sent, empty if it is not known.
 func (c *Config) Sender(w workspace.Workspace, r *Route, service, key string) call.Sender {
-	s := call.Sender{Checked: c.Workspaces != nil || !w.None(), Workspace: w.Name, Ordered: c.Workspaces.Ranked()}
-	if s.Checked {
+	s := call.Sender{StripCredentials: c.Workspaces != nil || !w.None(), Workspace: w.Name, StripPriority: c.Workspaces.HasPriority()}
+	if s.StripCredentials {
 		s.IsSecret = func(text string) bool {
 			return key != "" && strings.Contains(text, key) || c.Workspaces.ContainsKey(text)
 		}
 	}
-	if s.Ordered && c.Services[service].Slots > 0 { // a plain service has no order of its own
-		s.Ranked, s.Priority = true, c.Priority(w, r)
+	if s.StripPriority && c.Services[service].Slots > 0 { // a plain service has no order of its own
+		s.HasPriority, s.Priority = true, c.Priority(w, r)
 	}
 	return s
 }
--- a/internal/workspace/workspace.go
+++ b/internal/workspace/workspace.go
@@ -27,11 +27,11 @@
 	DefaultPriority = 5
 )
 
-// Workspace is a customer. The zero value stands for no workspace.
+// Workspace is an isolated group of clients that share keys and a priority. The zero value stands for no workspace.
 type Workspace struct {
-	Name     string
-	Priority int  // 0 is the most urgent; only meaningful if Ranked
-	Ranked   bool // the workspace has a priority of its own
+	Name        string
+	Priority    int  // 0 is the most urgent; only meaningful if HasPriority
+	HasPriority bool // the workspace has a priority of its own
 }
 
 // None reports whether w is no workspace.
@@ -58,7 +58,7 @@
 
 // Error implements error.
 func (e *InvalidError) Error() string {
-	return fmt.Sprintf("workspace: %s: field %s: %s", e.workspace, e.field, e.cause)
+	return fmt.Sprintf("workspace %s: field %s: %s", e.workspace, e.field, e.cause)
 }
 
 // Workspace returns the name of the workspace, or its place in the list.
@@ -89,10 +89,10 @@
 
 // Directory holds the workspaces of a configuration. It is immutable.
 type Directory struct {
-	byPrefix map[uint64][]holder
-	byName   map[string]Workspace
-	lengths  map[int]bool // of the keys; other texts are not searched for as keys
-	ranked   bool
+	byPrefix    map[uint64][]holder
+	byName      map[string]Workspace
+	lengths     map[int]bool // of the keys; other texts are not searched for as keys
+	hasPriority bool
 }
 
 // NewDirectory returns a directory of the given workspaces. Names must be set, unique and usable as the value of an HTTP
@@ -113,18 +113,18 @@
 }
 
 func (d *Directory) add(i int, e Entry) error {
-	place := fmt.Sprintf("workspace %d of the list", i)
+	place := fmt.Sprintf("%d of the list", i)
 	if err := validateName(e.Name); err != "" {
 		return NewInvalidError(place, FieldName, err)
 	}
 	if _, ok := d.byName[e.Name]; ok {
 		return NewInvalidError(e.Name, FieldName, "the name is repeated")
 	}
-	if e.Ranked && e.Priority < 0 {
+	if e.HasPriority && e.Priority < 0 {
 		return NewInvalidError(e.Name, FieldPriority, "the value is negative")
 	}
 	d.byName[e.Name] = e.Workspace
-	d.ranked = d.ranked || e.Ranked
+	d.hasPriority = d.hasPriority || e.HasPriority
 	for n, key := range e.Keys {
 		if key == "" {
 			return NewInvalidError(e.Name, FieldKeys, fmt.Sprintf("key %d is empty", n))
@@ -211,8 +211,8 @@
 	return w
 }
 
-// Ranked reports whether any workspace has a priority.
-func (d *Directory) Ranked() bool { return d != nil && d.ranked }
+// HasPriority reports whether any workspace has a priority.
+func (d *Directory) HasPriority() bool { return d != nil && d.hasPriority }
 
 // Len returns the number of workspaces.
 func (d *Directory) Len() int { return len(d.byName) }
