Find keys after each separator of a word, and mask keys by a recognizable text

A key in a header such as "a:b=KEY" or a path "/v1/KEY/x" was not found, since only the first "=" or ":" of a word was considered. Now each part between separators is compared whose length is that of a key. Hashing all parts was ruled out for its cost.

MaskText makes a masked key recognizable, so that ids which contained one can be refused.

--- a/internal/workspace/workspace.go
+++ b/internal/workspace/workspace.go
@@ -163,33 +163,59 @@
 	return d.find(&sum)
 }
 
-// ContainsKey reports whether a text is a key, or contains one as a word or as a value after "=" or ":".
+// ContainsKey reports whether a text is a key, or contains one as a word or as a part of a word between two of "=", ":" and
+// "/" or an end. A key may contain these characters itself.
 func (d *Directory) ContainsKey(text string) bool {
 	if d == nil || text == "" {
 		return false
 	}
-	isKey := func(s string) bool {
-		if !d.lengths[len(s)] { // hashing every word of every header would cost more than all else that is done with them
-			return false
-		}
-		_, ok := d.Lookup(s)
-		return ok
-	}
-	if isKey(text) {
+	if d.isKey(text) {
 		return true
 	}
 	separates := func(r rune) bool { return strings.ContainsRune(" \t,;\"'&?|<>()[]{}", r) }
 	for word := range strings.FieldsFuncSeq(text, separates) {
-		if isKey(word) {
+		if d.containsPart(word) {
 			return true
 		}
-		if i := strings.IndexAny(word, "=:"); i >= 0 && isKey(word[i+1:]) {
-			return true
+	}
+	return false
+}
+
+// containsPart reports whether a key is a part of a word. Only parts that are as long as a key are hashed: hashing every part
+// of every header would cost more than all else that is done with them.
+func (d *Directory) containsPart(word string) bool {
+	isSeparator := func(i int) bool { return word[i] == '=' || word[i] == ':' || word[i] == '/' }
+	for i := range len(word) {
+		if i > 0 && !isSeparator(i-1) {
+			continue
+		}
+		for n := range d.lengths {
+			if end := i + n; end <= len(word) && (end == len(word) || isSeparator(end)) && d.isKey(word[i:end]) {
+				return true
+			}
 		}
 	}
 	return false
 }
 
+func (d *Directory) isKey(s string) bool {
+	if !d.lengths[len(s)] {
+		return false
+	}
+	_, ok := d.Lookup(s)
+	return ok
+}
+
+// MaskText fills the place of a masked key. It has no character that has a meaning in JSON strings.
+const MaskText = "[masked]"
+
+// Mask overwrites a key, or a part of one, with MaskText, which is repeated or cut off to its length.
+func Mask(key []byte) {
+	for i := range key {
+		key[i] = MaskText[i%len(MaskText)]
+	}
+}
+
 func (d *Directory) find(sum *digest) (Workspace, bool) {
 	for _, h := range d.byPrefix[sum.prefix()] {
 		if subtle.ConstantTimeCompare(h.digest[:], sum[:]) == 1 {
--- a/internal/workspace/workspace_test.go
+++ b/internal/workspace/workspace_test.go
@@ -79,7 +79,8 @@
 	d := directory(t, entry("a", "key=="))
 	for text, want := range map[string]bool{
 		"key==": true, "Bearer key==": true, "x, key==;y": true, "token=key==": true, "auth:key==": true, `"key=="`: true, "<key==>": true,
-		"": false, "key": false, "monkey==": false,
+		"a=b=key==": true, "x:y:key==": true, "/v1/key==": true, "/v1/key==/x": true, "a:key==:b": true, "key==:b": true, "https://h/p?k=key==": true,
+		"": false, "key": false, "monkey==": false, "a=key==x": false, "=": false,
 	} {
 		if got := d.ContainsKey(text); got != want {
 			t.Errorf("%q contains a key: %t, want %t", text, got, want)
