Remember the hosts whose last route of batch jobs needed no key

Jobs that were submitted without a key through an open route must stay readable after the route is removed. A host whose route was closed before its removal is not remembered: the operator has decided that its jobs need a key.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -60,6 +60,7 @@
 	notices  map[string]notice    // by server ID
 	versions map[string]Version
 	former   []string // hosts that had a route of batch jobs, oldest first
+	opened   []string // of these, the hosts whose last such route needed no key, oldest first
 	changed  chan struct{}
 	listed   atomic.Bool
 }
@@ -158,6 +159,21 @@
 		}
 	}
 	c.former = slices.Delete(c.former, 0, max(len(c.former)-maxFormerHosts, 0))
+	c.opened = slices.DeleteFunc(c.opened, func(host string) bool { return n.HasRoute(host, Batch) })
+	for i := range n.Routes {
+		if r := &n.Routes[i]; r.Kind == Batch && r.Open && !slices.Contains(c.opened, r.Host) {
+			c.opened = append(c.opened, r.Host)
+		}
+	}
+	c.opened = slices.Delete(c.opened, 0, max(len(c.opened)-maxFormerHosts, 0))
+}
+
+// HadOpenBatchRoute reports whether the host had a route of batch jobs that needed no key in the last former configuration
+// that had any for it.
+func (c *Catalog) HadOpenBatchRoute(host string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Contains(c.opened, host)
 }
 
 // HadBatchRoute reports whether a former configuration had a route of batch jobs for the host.
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"sync"
 	"testing"
@@ -358,3 +359,33 @@
 		t.Errorf("after the removal of the successor (-want +got):\n%s", d)
 	}
 }
+
+// Guards against memory that grows with each removed open route, and against a route that still counts as open after it was
+// closed.
+func TestFormerOpenBatchRoutes(t *testing.T) {
+	c := New(slog.New(slog.DiscardHandler))
+	var revision int64
+	apply := func(routes ...Route) {
+		revision++
+		c.ApplyConfig(Config{Revision: revision, Routes: routes})
+	}
+	host := func(i int) string { return fmt.Sprint("h", i) }
+	for i := range maxFormerHosts + 2 {
+		apply(Route{Host: host(i), Kind: Batch, Open: true})
+	}
+	if c.HadOpenBatchRoute(host(maxFormerHosts + 1)) {
+		t.Error("the present route counts as a former one")
+	}
+	apply()
+	if len(c.opened) != maxFormerHosts || c.HadOpenBatchRoute(host(0)) || !c.HadOpenBatchRoute(host(maxFormerHosts+1)) {
+		t.Errorf("%d hosts are remembered: %v", len(c.opened), c.opened)
+	}
+	apply(Route{Host: "h5", Kind: Batch})
+	apply(Route{Host: "h6", Kind: Safe, Open: true}, Route{Host: "closed", Kind: Batch}, Route{Host: "plain", Kind: Safe, Open: true})
+	apply()
+	for h, want := range map[string]bool{"h5": false, "h6": true, "closed": false, "plain": false} {
+		if got := c.HadOpenBatchRoute(h); got != want {
+			t.Errorf("%s had an open route: %t, want %t", h, got, want)
+		}
+	}
+}
