Decode jobs of former versions whose headers or ids cannot be sent

The check for control characters applied to stored jobs, too, so that a job which a former version had accepted could not be loaded by its next owner. It applies at submission only. From a stored job such headers are dropped, and items with an unusable id or path are given up; dropping items was ruled out, since the trainer counts them. Errors name items by their index: they are logged, and an id may contain a key.

--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"bulrushspoke/entry/internal/reward"
+	"bulrushspoke/internal/event"
 	"bulrushspoke/internal/job"
 	"bulrushspoke/internal/supervise"
 	"bulrushspoke/internal/workspace"
@@ -110,10 +111,15 @@
 	return j
 }
 
-// resume restores the texts that another owner or an earlier job has generated.
+// resume gives up items that cannot be sent, and restores the texts that another owner or an earlier job has generated.
 func (j *Job) resume(parts []wire.JobPart, now time.Time) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	for _, it := range j.items {
+		if it.Unsendable && j.terminate(it, now) {
+			event.ItemGivenUp.Log(j.manager.Logger, "job", j.spec.ID, "request", it.ID, "cause", "its id or path cannot be sent to a server")
+		}
+	}
 	for _, p := range parts {
 		j.restoreFailures(p, now)
 		j.restoreText(p)
--- a/entry/internal/batch/payload.go
+++ b/entry/internal/batch/payload.go
@@ -112,7 +112,7 @@
 	if err != nil {
 		return job.Job{}, err
 	}
-	return platform.DecodeJob(id, body)
+	return platform.DecodeStoredJob(id, body)
 }
 
 // pageReply returns the reply to a client that reads results.
--- a/entry/internal/batch/scope_test.go
+++ b/entry/internal/batch/scope_test.go
@@ -281,3 +281,41 @@
 		}
 	}
 }
+
+// Guards against the loss of a job that a former version has accepted because of one header or item that cannot be sent.
+func TestJobOfLaxVersion(t *testing.T) {
+	e := newEngine(t, 1)
+	r := newRig(t, e)
+	m, _ := r.manager("a", "a1")
+	const forged = "x\r\nForged: y"
+	spec := job.Job{Model: "m", Groups: 1, Items: []job.Item{
+		{ID: "g-1", Path: "/p/g-1", Group: "g", Header: map[string]string{"X-A": forged, forged: "x", "X-Model": "m"}},
+		{ID: "h-" + forged, Path: "/p/h-1", Group: "h"},
+		{ID: "i-1", Path: "/p/" + forged, Group: "i"},
+		{ID: "k-1", Path: "/p/k-1", Group: "k", Reward: &job.Reward{ID: forged, Host: "scores", Path: "/score/k-1"}},
+	}}
+	body, err := platformtest.EncodeJob(spec)
+	if err != nil {
+		t.Fatal(err)
+	}
+	state := wire.JobState{Owner: "gone", Inc: "gone1", Epoch: 1, Host: r.route.Host, Path: r.route.Prefix, Total: 4, At: time.Now().UnixMilli(), Model: "m"}
+	value, err := json.Marshal(state)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.store.Put(KindPayload, "j", body)
+	r.store.Put(KindState, "j", value)
+	if reply := m.takeOver(t.Context(), "j", nil, anyEpoch); reply.Status != 0 {
+		t.Fatalf("takeover: %d %s", reply.Status, reply.Cause)
+	}
+	got := make(map[string]job.State)
+	for _, result := range r.collect(m, "j", 4) {
+		got[result.Item] = result.State
+	}
+	want := map[string]job.State{
+		"g-1": job.Completed, "h-" + forged: job.Terminated, "i-1": job.Terminated, "k-1": job.Terminated,
+	}
+	if d := cmp.Diff(want, got); d != "" {
+		t.Errorf("states of the items (-want +got):\n%s", d)
+	}
+}
--- a/entry/internal/batch/submit.go
+++ b/entry/internal/batch/submit.go
@@ -116,7 +116,7 @@
 
 // startDelegated runs a job that another entry has accepted for this one.
 func (m *Manager) startDelegated(q wire.JobStart) bool {
-	spec, err := platform.DecodeJob(q.Job, q.Payload)
+	spec, err := platform.DecodeStoredJob(q.Job, q.Payload)
 	if err != nil || q.State.Owner != m.Name || q.State.Inc != m.Self.Inc || m.outdated(q) {
 		return false
 	}
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -8,6 +8,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 )
 
@@ -20,6 +22,8 @@
 	Tokens int // prompt tokens plus the maximum of output tokens
 	Group  string
 	Reward *Reward // nil if the item is not scored
+	// Unsendable is set if the id or the path of the item or of its reward call cannot be sent to a server.
+	Unsendable bool
 }
 
 // Reward is the request that scores the text of an item. It may be sent more than once.
@@ -77,7 +81,7 @@
 func (e *FormatError) Error() string { return "job: " + e.cause }
 
 // Validate checks that the job has items, that their ids are unique and that the fields that are needed to run and score
-// them are set. Its error is a *FormatError.
+// them are set. Its error is a *FormatError, which names items by their index: it is logged, and an id may contain a key.
 func (j Job) Validate() error {
 	if j.ID == "" {
 		return NewFormatError("the job has no id")
@@ -91,18 +95,11 @@
 		case it.ID == "":
 			return NewFormatError(fmt.Sprintf("item %d has no id", i))
 		case it.Path == "" || it.Path[0] != '/':
-			return NewFormatError(fmt.Sprintf("item %s has no path", it.ID))
+			return NewFormatError(fmt.Sprintf("item %d has no path", i))
 		case seen[it.ID]:
-			return NewFormatError(fmt.Sprintf("item %s stands twice", it.ID))
-		case !isHeaderValue(it.ID) || !isTarget(it.Path):
-			return NewFormatError(fmt.Sprintf("item %d: the id or path cannot be sent to a server", i))
+			return NewFormatError(fmt.Sprintf("item %d has the id of another item", i))
 		}
-		for name, value := range it.Header {
-			if !isHeaderName(name) || !isHeaderValue(value) {
-				return NewFormatError(fmt.Sprintf("item %d has a header that cannot be sent to a server", i))
-			}
-		}
-		if err := it.Reward.validate(it.ID); err != nil {
+		if err := it.Reward.validate(i); err != nil {
 			return err
 		}
 		seen[it.ID] = true
@@ -110,23 +107,62 @@
 	return nil
 }
 
-// validate checks the reward request of an item; nil is valid.
-func (r *Reward) validate(item string) error {
+// validate checks the reward request of the item with the given index; nil is valid.
+func (r *Reward) validate(item int) error {
 	switch {
 	case r == nil:
 		return nil
 	case r.ID == "":
-		return NewFormatError(fmt.Sprintf("the reward call of item %s has no id", item))
+		return NewFormatError(fmt.Sprintf("the reward call of item %d has no id", item))
 	case r.Host == "":
-		return NewFormatError(fmt.Sprintf("the reward call of item %s has no host", item))
+		return NewFormatError(fmt.Sprintf("the reward call of item %d has no host", item))
 	case r.Path == "" || r.Path[0] != '/':
-		return NewFormatError(fmt.Sprintf("the reward call of item %s has no path", item))
-	case !isHeaderValue(r.ID) || !isTarget(r.Host) || !isTarget(r.Path):
-		return NewFormatError("a reward call has an id, host or path that cannot be sent to a server")
+		return NewFormatError(fmt.Sprintf("the reward call of item %d has no path", item))
 	}
 	return nil
 }
 
+// CheckSendable checks that ids, paths and headers of a new job can be sent to servers. Its error is a *FormatError.
+func (j Job) CheckSendable() error {
+	for i, it := range j.Items {
+		if !it.sendable() {
+			return NewFormatError(fmt.Sprintf("item %d: the id or path of the item or of its reward call cannot be sent to a server", i))
+		}
+		for name, value := range it.Header {
+			if !isHeader(name, value) {
+				return NewFormatError(fmt.Sprintf("item %d has a header that cannot be sent to a server", i))
+			}
+		}
+	}
+	return nil
+}
+
+// MarkUnsendable drops the headers of a job that cannot be sent to servers, and marks the items that cannot be. Former
+// versions accepted such jobs, which must not be lost as a whole.
+func (j Job) MarkUnsendable() {
+	for i := range j.Items {
+		it := &j.Items[i]
+		it.Unsendable = !it.sendable()
+		maps.DeleteFunc(it.Header, func(name, value string) bool { return !isHeader(name, value) })
+	}
+}
+
+// sendable reports whether the ids and paths of an item and of its reward call can be sent to servers.
+func (it *Item) sendable() bool {
+	if !isHeaderValue(it.ID) || !isTarget(it.Path) {
+		return false
+	}
+	r := it.Reward
+	return r == nil || isHeaderValue(r.ID) && isTarget(r.Host) && isTarget(r.Path)
+}
+
+func isHeader(name, value string) bool { return isHeaderName(name) && isHeaderValue(value) }
+
+// AnyID reports whether f holds for the id of an item or of a reward call.
+func (j Job) AnyID(f func(id string) bool) bool {
+	return slices.ContainsFunc(j.Items, func(it Item) bool { return f(it.ID) || it.Reward != nil && f(it.Reward.ID) })
+}
+
 // isHeaderName reports whether a text is a token as of RFC 9110. A job chooses the names and values of headers, which are
 // written to servers as they are: with a line break in one of them it could add any header, or another request.
 func isHeaderName(s string) bool {
