Serve older jobs from memory to workspaces while the store is down

A workspace's call for a job without a workspace got 503, since the entry could not tell whether the workspace has a job of that id. Results and bodies are now served if the entry knows only the older job. Ending it was ruled out: the call might be meant for the other job.

--- a/entry/internal/batch/batch.go
+++ b/entry/internal/batch/batch.go
@@ -193,7 +193,7 @@
 func (m *Manager) Results(
 	ctx context.Context, w workspace.Workspace, id string, after int, wait time.Duration,
 ) ingress.Reply {
-	return forJob(w, id, func(id string) ingress.Reply { return m.results(ctx, id, after, wait) })
+	return m.forReading(w, id, func(id string) ingress.Reply { return m.results(ctx, id, after, wait) })
 }
 
 // results implements Results for a scoped id.
@@ -334,7 +334,7 @@
 
 // Body returns the request body of an item.
 func (m *Manager) Body(ctx context.Context, w workspace.Workspace, id, item string) ingress.Reply {
-	return forJob(w, id, func(id string) ingress.Reply { return m.body(ctx, id, item) })
+	return m.forReading(w, id, func(id string) ingress.Reply { return m.body(ctx, id, item) })
 }
 
 // body implements Body for a scoped id.
--- a/entry/internal/batch/scope.go
+++ b/entry/internal/batch/scope.go
@@ -81,6 +81,25 @@
 	return call(scopedID(workspace.Workspace{}, id))
 }
 
+// forReading makes a call that changes nothing, like forJob. While the store is down it cannot tell whether the workspace has
+// a job of its own; if this entry knows only the one without a workspace, the client gets that one instead of an error.
+func (m *Manager) forReading(w workspace.Workspace, id string, call func(scoped string) ingress.Reply) ingress.Reply {
+	reply := forJob(w, id, call)
+	plain := scopedID(workspace.Workspace{}, id)
+	if w.None() || reply.Status != http.StatusServiceUnavailable || m.knows(scopedID(w, id)) || !m.knows(plain) {
+		return reply
+	}
+	return call(plain)
+}
+
+// knows reports whether this entry has a job, or its state, in memory.
+func (m *Manager) knows(id string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, cached := m.owners[id]
+	return cached || m.jobs[id] != nil
+}
+
 // jobWorkspace returns the workspace that a job was accepted for.
 func jobWorkspace(s wire.JobState) workspace.Workspace {
 	w := workspace.Workspace{Name: s.Workspace}
--- a/entry/internal/batch/scope_test.go
+++ b/entry/internal/batch/scope_test.go
@@ -17,6 +17,7 @@
 	"bulrushspoke/internal/job"
 	"bulrushspoke/internal/workspace"
 	"bulrushspoke/platform/platformtest"
+	"bulrushspoke/standin/objects"
 	"bulrushspoke/wire"
 )
 
@@ -227,23 +228,43 @@
 	r.submit(m, "j", payload(1, "g-1", "g-2"))
 	checkTexts(t, r.collect(m, "j", 2), "g-1", "g-2")
 	configure(m, workspace.Entry{Workspace: alder}, workspace.Entry{Workspace: birch})
-	for _, w := range []workspace.Workspace{alder, birch} {
-		p, err := platformtest.DecodePage(m.Results(t.Context(), w, "j", 0, 0).Body)
-		if err != nil || len(p.Results) != 2 {
-			t.Errorf("%s reads %+v, %v", w.Name, p, err)
+	for _, down := range []bool{false, true} { // what this entry holds is served during an outage, too
+		r.store.SetFault(objects.Fault{Unavailable: down})
+		for _, w := range []workspace.Workspace{alder, birch} {
+			p, err := platformtest.DecodePage(m.Results(t.Context(), w, "j", 0, 0).Body)
+			if err != nil || len(p.Results) != 2 {
+				t.Errorf("store down %t: %s reads %+v, %v", down, w.Name, p, err)
+			}
+			if reply := m.Body(t.Context(), w, "j", "g-2"); string(reply.Body) != "body of g-2" {
+				t.Errorf("store down %t: %s gets the body %q", down, w.Name, reply.Body)
+			}
 		}
-		if reply := m.Body(t.Context(), w, "j", "g-2"); string(reply.Body) != "body of g-2" {
-			t.Errorf("%s gets the body %q", w.Name, reply.Body)
+	}
+	for call, reply := range map[string]int{
+		"end":          m.End(t.Context(), alder, "j").Status,
+		"unknown job":  m.Results(t.Context(), alder, "k", 0, 0).Status,
+		"unknown body": m.Body(t.Context(), alder, "k", "g-1").Status,
+	} {
+		if reply != http.StatusServiceUnavailable {
+			t.Errorf("%s during an outage: %d, want 503", call, reply)
 		}
 	}
+	if m.local("j").hasEnded() {
+		t.Error("the older job was ended although the workspace may have one of its own")
+	}
+	r.store.SetFault(objects.Fault{})
 	if s := seen.of("g-1"); s[0] != (platformtest.Sender{}) {
 		t.Errorf("an item without a workspace was sent as %+v", s[0])
 	}
 	// A job of the workspace comes first, also for items that it does not have.
 	r.submitAs(m, alder, "j", payload(1, "h-1"))
-	if reply := m.Body(t.Context(), alder, "j", "g-2"); reply.Status != http.StatusNotFound {
-		t.Errorf("the body of an item of the older job: %d", reply.Status)
+	for _, down := range []bool{false, true} {
+		r.store.SetFault(objects.Fault{Unavailable: down})
+		if reply := m.Body(t.Context(), alder, "j", "g-2"); reply.Status != http.StatusNotFound {
+			t.Errorf("store down %t: the body of an item of the older job: %d", down, reply.Status)
+		}
 	}
+	r.store.SetFault(objects.Fault{})
 	if reply := m.End(t.Context(), birch, "j"); reply.Status != http.StatusOK || !m.local("j").hasEnded() || m.local(scopedID(alder, "j")).hasEnded() {
 		t.Errorf("the end of the older job: %d", reply.Status)
 	}
