--- a/entry/internal/batch/scope_test.go
+++ b/entry/internal/batch/scope_test.go
@@ -323,6 +323,35 @@
 	}
 }
 
+// Guards against keys in the ids of items and of reward calls, which reach servers, logs and results.
+func TestIDsWithKeys(t *testing.T) {
+	r, _, configure := newWorkspaceRig(t, newEngine(t, 1))
+	m, _ := r.manager("a", "a1")
+	configure(m, workspace.Entry{Workspace: birch, Keys: []string{keyOfAlder}})
+	for i, c := range []struct {
+		item, call, path string
+		want             int
+	}{
+		{"g-1", "c", "/p/x", 202},
+		{keyOfAlder, "c", "/p/x", 400},
+		{"g/" + keyOfAlder, "c", "/p/x", 400},
+		{"g-1", "c:" + keyOfAlder, "/p/x", 400},
+		{"g-" + workspace.MaskText + "[mas", "c", "/p/x", 400}, // was a key of the submitter
+		{keyOfAlder, "c", "no path", 400},
+		{keyOfAlder, "", "/p/x", 400},
+	} {
+		it := job.Item{ID: c.item, Path: c.path, Reward: &job.Reward{ID: c.call, Host: "scores", Path: "/score/g-1"}}
+		body, err := platformtest.EncodeJob(job.Job{Model: "m", Groups: 1, Items: []job.Item{it}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		reply := m.Submit(t.Context(), alder, &r.route, fmt.Sprint(i), body, time.Now())
+		if reply.Status != c.want || strings.Contains(reply.Cause+string(reply.Body), keyOfAlder) {
+			t.Errorf("ids %q and %q: %d %s, want %d without the key", c.item, c.call, reply.Status, reply.Cause, c.want)
+		}
+	}
+}
+
 // Guards against the loss of a job that a former version has accepted because of one header or item that cannot be sent.
 func TestJobOfLaxVersion(t *testing.T) {
 	e := newEngine(t, 1)
--- a/entry/internal/batch/submit.go
+++ b/entry/internal/batch/submit.go
@@ -5,11 +5,13 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"strings"
 	"time"
 
 	"bulrushspoke/entry/internal/ingress"
 	"bulrushspoke/internal/catalog"
 	"bulrushspoke/internal/event"
+	"bulrushspoke/internal/job"
 	"bulrushspoke/internal/link"
 	"bulrushspoke/internal/store"
 	"bulrushspoke/internal/supervise"
@@ -37,6 +39,9 @@
 		return accepted
 	}
 	spec, err := platform.DecodeJob(id, body)
+	if err == nil && m.hasKeyInID(spec) {
+		err = job.NewFormatError("the id of an item or of a reward call contains a key")
+	}
 	if err != nil {
 		return ingress.Reply{Status: http.StatusBadRequest, Cause: err.Error(), Body: []byte(err.Error())}
 	}
@@ -76,6 +81,18 @@
 	return accepted
 }
 
+// hasKeyInID reports whether the id of an item or of a reward call of a new job contains a key, which the ingress may have
+// masked. Ids reach servers, logs and results, and cannot be changed.
+func (m *Manager) hasKeyInID(spec job.Job) bool {
+	c := m.Catalog.Config()
+	if c == nil || c.Workspaces == nil {
+		return false
+	}
+	return spec.AnyID(func(id string) bool {
+		return strings.Contains(id, workspace.MaskText) || c.Workspaces.ContainsKey(id)
+	})
+}
+
 // maxDelegated is the largest payload that is passed to another entry, in bytes; a link carries frames of up to 4 MB.
 const maxDelegated = 2 << 20
 
