Determine workspaces of job calls where jobs need no key, and after routes are removed

A job that was submitted without a key through an open route could not be read or ended once the route was removed: the host is now remembered. A call that is handed on to a closed plain route gets 401.

An unknown key counted as none on hosts with an open batch route, so that an entry whose configuration is late answered 404 or accepted a job without a workspace. Job calls and submissions now cause the bounded read.

After a read that brought workspaces, the route was that of the former configuration; it is now computed from the one in force. Without workspaces each unknown job cost a read or a wait; a successful read that shows none is now remembered for the revision. A time limit in place of the revision was ruled out, as it would delay such deployments again and again.

Bodies of jobs are masked on open routes, too, and short credentials without a workspace are not searched for in log lines.

--- a/entry/internal/ingress/authenticate_test.go
+++ b/entry/internal/ingress/authenticate_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net/http"
@@ -151,18 +152,198 @@
 	get("", 404) // a job without a workspace may exist, that of a workspace does not
 }
 
-// Guards against a key in the stored payload of a job, and against a job that is accepted for another workspace.
+// withOpenBatchRoute makes the rig's only route one of batch jobs that needs no key, and gives the workspace "alder" the key.
+func (r *rig) withOpenBatchRoute(t *testing.T, key string) {
+	t.Helper()
+	n := configFor(t, r.catalog.Config().Revision+1, key)
+	n.Routes = []catalog.Route{r.catalog.Config().Routes[0]}
+	n.Routes[0].Open = true
+	r.catalog.ApplyConfig(n)
+}
+
+// Guards against jobs without a key that can no longer be read or ended once their open route has been removed, and against
+// service without a key that the memory of such a route gives to other requests.
+func TestJobOutlivesItsOpenRoute(t *testing.T) {
+	s := newServer(t, respondOK)
+	r := newRig(t, catalog.Route{Kind: catalog.Batch}, s)
+	jobs := &knownJob{id: "j1"}
+	r.ingress.Jobs = jobs
+	r.withOpenBatchRoute(t, testKey)
+	next := func(routes ...catalog.Route) {
+		n := *r.catalog.Config()
+		n.Revision, n.Routes = n.Revision+1, routes
+		r.catalog.ApplyConfig(n)
+	}
+	check := func(when, method, path string, want int) {
+		t.Helper()
+		if resp := r.sendAs(t, "", method, path, ""); resp.StatusCode != want {
+			t.Errorf("%s: %s %s is answered %d, want %d", when, method, path, resp.StatusCode, want)
+		}
+	}
+	plain := catalog.Route{
+		Host: "h.example", Prefix: "/", Kind: catalog.Safe, Timeout: time.Second, MaxAttempts: 1,
+		Shares: []catalog.Share{{Service: "v", Weight: 1}},
+	}
+	batch := r.catalog.Config().Routes[0]
+	for when, routes := range map[string][]catalog.Route{"no routes": nil, "a closed route": {plain}} {
+		next(batch)
+		next(routes...)
+		unknown := map[bool]int{true: 404, false: 401}[routes == nil]
+		check(when, "GET", "/lots/j1?after=0", 200)
+		check(when, "GET", "/items/j1?id=a", 200)
+		check(when, "DELETE", "/lots/j1", 200)
+		check(when, "GET", "/lots/j2?after=0", unknown)
+		check(when, "GET", "/other", 401)
+		jobs.owner = "alder"
+		check(when+", job of a workspace", "GET", "/lots/j1?after=0", unknown)
+		jobs.owner = ""
+	}
+	if l := s.requests(); len(l) > 0 {
+		t.Errorf("%d requests without a key reached a server", len(l))
+	}
+	next(batch)
+	batch.Open = false
+	next(batch)
+	check("closed", "GET", "/lots/j1?after=0", 401)
+	next()
+	check("closed and removed", "GET", "/lots/j1?after=0", 401)
+}
+
+// Guards against clients with a new key that an entry takes for clients without one where batch jobs need none: it would not
+// find their jobs, and would accept others without a workspace.
+func TestNewKeyOnOpenBatchRoute(t *testing.T) {
+	r := newRig(t, catalog.Route{Kind: catalog.Batch})
+	jobs := &knownJob{id: "j1", owner: testKey}
+	r.ingress.Jobs = jobs
+	reads := 0
+	key := testKey
+	r.ingress.authenticator.refresh = newRefresher(func(context.Context) error {
+		reads++
+		r.withOpenBatchRoute(t, key)
+		return nil
+	}, slog.New(slog.DiscardHandler))
+	r.withOpenBatchRoute(t, "older-key")
+	if resp := r.sendAs(t, testKey, "GET", "/lots/j1?after=0", ""); resp.StatusCode != 200 || reads != 1 {
+		t.Errorf("a call with a new key is answered %d after %d reads, want 200 after 1", resp.StatusCode, reads)
+	}
+	key = "newest-key"
+	if resp := r.sendAs(t, key, "POST", "/p/", "{}"); resp.StatusCode != 202 || jobs.owner != key || reads != 2 {
+		t.Errorf("a submission with a new key is answered %d for %q after %d reads", resp.StatusCode, jobs.owner, reads)
+	}
+	if resp := r.sendAs(t, "nobodys-key", "POST", "/p/", "{}"); resp.StatusCode != 202 || jobs.owner != "" || reads != 3 {
+		t.Errorf("a submission with an unknown key is answered %d for %q after %d reads", resp.StatusCode, jobs.owner, reads)
+	}
+	if resp := r.sendAs(t, "", "POST", "/p/", "{}"); resp.StatusCode != 202 || reads != 3 {
+		t.Errorf("a submission without a key is answered %d after %d reads", resp.StatusCode, reads)
+	}
+}
+
+// Guards against deployments without workspaces whose clients wait for the store at each call for an unknown job, and
+// against the memory of such a read beyond the configuration that it was made for, or of one that failed.
+func TestNoWorkspacesReadOnce(t *testing.T) {
+	r := newRig(t, catalog.Route{Kind: catalog.Batch})
+	r.ingress.Jobs = &knownJob{id: "j1"}
+	reads := 0
+	err := errors.New("no answer")
+	r.ingress.authenticator.refresh = newRefresher(func(context.Context) error {
+		reads++
+		return err
+	}, slog.New(slog.DiscardHandler))
+	ask := func(want int) {
+		t.Helper()
+		if resp := r.sendAs(t, testKey, "GET", "/lots/j2?after=0", ""); resp.StatusCode != 404 || reads != want {
+			t.Errorf("answered %d after %d reads, want 404 after %d", resp.StatusCode, reads, want)
+		}
+	}
+	ask(1)
+	err = nil
+	ask(2)
+	ask(2)
+	n := *r.catalog.Config()
+	n.Revision++
+	r.catalog.ApplyConfig(n)
+	ask(3)
+	ask(3)
+}
+
+// Guards against the routes of a former configuration for a request that is served under a newer one.
+func TestRouteOfNewerConfig(t *testing.T) {
+	s := newServer(t, respondOK)
+	plain := catalog.Route{
+		Host: "h.example", Prefix: "/", Kind: catalog.Safe, Timeout: time.Second, MaxAttempts: 1,
+		Shares: []catalog.Share{{Service: "v", Weight: 1}},
+	}
+	for _, c := range []struct {
+		name          string
+		before, after []catalog.Route
+		want          int
+	}{
+		{"route added", nil, []catalog.Route{plain}, 200},
+		{"route removed", []catalog.Route{plain}, nil, 404},
+		{"reserved", []catalog.Route{plain}, []catalog.Route{plain, {Host: "h.example", Prefix: "/p/", Kind: catalog.Batch}}, 404},
+	} {
+		r := newRig(t, catalog.Route{Kind: catalog.Batch}, s)
+		r.ingress.Jobs = &knownJob{id: "j1"}
+		n := *r.catalog.Config()
+		n.Revision, n.Routes = n.Revision+1, c.before
+		r.catalog.ApplyConfig(n)
+		r.ingress.authenticator.refresh = newRefresher(func(context.Context) error {
+			newer := configFor(t, n.Revision+1, testKey)
+			newer.Routes, newer.Services = c.after, map[string]catalog.Service{"v": {Name: "v", MaxConns: 10}}
+			r.catalog.ApplyConfig(newer)
+			return nil
+		}, slog.New(slog.DiscardHandler))
+		if resp := r.sendAs(t, testKey, "GET", "/lots/j2?after=0", ""); resp.StatusCode != c.want {
+			t.Errorf("%s: answered %d, want %d", c.name, resp.StatusCode, c.want)
+		}
+	}
+}
+
+// Guards against short credentials that blot out the log, and against longer ones or keys in it.
+func TestRedact(t *testing.T) {
+	alder := workspace.Workspace{Name: "alder"}
+	for _, c := range []struct {
+		key       string
+		workspace workspace.Workspace
+		want      string
+	}{
+		{"e", workspace.Workspace{}, "the secret-token"},
+		{"", workspace.Workspace{}, "the secret-token"},
+		{"secret-token", workspace.Workspace{}, "the [key]"},
+		{"the", alder, "[key] secret-token"},
+	} {
+		q := &request{key: c.key, workspace: c.workspace}
+		if got := q.redact("the secret-token"); got != c.want {
+			t.Errorf("with the key %q of %q: %q, want %q", c.key, c.workspace.Name, got, c.want)
+		}
+	}
+}
+
+// Guards against a key in the stored payload of a job, also on an open route, and against a job that is accepted for another
+// workspace.
 func TestSubmissionKeepsNoKey(t *testing.T) {
+	for _, c := range []struct {
+		key, owner, path string
+	}{{testKey, "alder", "/p/"}, {"nobodys-key", "", "/open/"}, {"", "", "/open/"}} {
+		r := newRig(t, catalog.Route{Kind: catalog.Batch})
+		jobs := &knownJob{}
+		r.ingress.Jobs = jobs
+		r.withKeys(t)
+		const body = `{"items":[{"id":"a","headers":{"X-Copy":"<%[1]s>","X-Two":"%[1]s%[1]s","authorization":"bEARER  %[2]s","X-N":"{\"a\":\"Bearer %[2]s\"}"},"path":"/p"}]}`
+		const other, masked = `ot\/her-\u0061key`, `[masked][masked][m`
+		if resp := r.sendAs(t, c.key, "POST", c.path, fmt.Sprintf(body, c.key, other)); resp.StatusCode != http.StatusAccepted {
+			t.Fatalf("answered %d", resp.StatusCode)
+		}
+		want := fmt.Sprintf(body, strings.Repeat("[masked]", 3)[:len(c.key)], masked[:len(other)])
+		if jobs.owner != c.owner || jobs.body != want {
+			t.Errorf("submitted for %q:\n%s\nwant\n%s", jobs.owner, jobs.body, want)
+		}
+	}
 	r := newRig(t, catalog.Route{Kind: catalog.Batch})
 	jobs := &knownJob{}
 	r.ingress.Jobs = jobs
-	r.withKeys(t)
-	body := `{"items":[{"id":"a","headers":{"X-Copy":"<%[1]s>","X-Two":"%[1]s%[1]s"}}]}`
-	if resp := r.sendAs(t, testKey, "POST", "/p/", fmt.Sprintf(body, testKey)); resp.StatusCode != http.StatusAccepted {
-		t.Fatalf("answered %d", resp.StatusCode)
-	}
-	if want := fmt.Sprintf(body, strings.Repeat("*", len(testKey))); jobs.owner != "alder" || jobs.body != want {
-		t.Errorf("submitted for %q: %s", jobs.owner, jobs.body)
+	if r.sendAs(t, testKey, "POST", "/p/", "Bearer "+testKey); jobs.body != "Bearer "+testKey {
+		t.Errorf("without workspaces the job is changed to %q", jobs.body)
 	}
 }
 
--- a/entry/internal/ingress/ingress.go
+++ b/entry/internal/ingress/ingress.go
@@ -101,7 +101,7 @@
 
 // New returns an Ingress.
 func New(o Options) *Ingress {
-	g := &Ingress{Options: o, authenticator: authenticator{catalog: o.Catalog}}
+	g := &Ingress{Options: o, authenticator: newAuthenticator(o.Catalog, nil)}
 	if o.ReadConfig != nil {
 		g.authenticator.refresh = newRefresher(o.ReadConfig, o.Logger)
 	}
@@ -218,17 +218,21 @@
 	return Reply{}
 }
 
-// route is the step that finds the route of a request. Calls for jobs need none and end here.
+// route is the step that finds the route of a request. Calls for jobs need none and end here, except those that are for
+// the route that matches them; without a workspace they need an open one.
 func (g *Ingress) route(q *request) Reply {
-	r, ok := q.config.Match(q.host, q.http.URL.Path)
 	if q.isJobCall() {
-		if reply, served := g.callJob(q, ok); served {
+		if reply, served := g.callJob(q); served {
 			return reply
 		}
 	}
+	r, ok := q.config.Match(q.host, q.http.URL.Path)
 	if !ok {
 		return Reply{Status: http.StatusNotFound, Cause: "no matching route"}
 	}
+	if q.config.Workspaces != nil && q.workspace.None() && !r.Open {
+		return unauthorized(q)
+	}
 	q.route = r
 	return Reply{}
 }
@@ -264,15 +268,21 @@
 
 // submitsJob reports whether a request submits a batch job.
 func (q *request) submitsJob() bool {
-	return q.route.Kind == catalog.Batch && q.http.Method == http.MethodPost
+	return q.submitsJobTo(q.route)
+}
+
+// submitsJobTo reports whether a request submits a batch job if it takes the given route.
+func (q *request) submitsJobTo(r *catalog.Route) bool {
+	return r.Kind == catalog.Batch && q.http.Method == http.MethodPost
 }
 
-// submitJob submits a batch job. The store keeps its body, without the key of the client.
+// submitJob submits a batch job. The store keeps its body, without the key of the client and other credentials.
 func (g *Ingress) submitJob(q *request) Reply {
 	ctx, cancel := g.workContext(q)
 	defer cancel()
-	if !q.workspace.None() {
+	if q.config.Workspaces != nil {
 		maskKey(q.body, q.key)
+		platform.MaskCredentials(q.body, workspace.Mask)
 	}
 	return g.Jobs.Submit(ctx, q.workspace, q.route, q.ID, q.body, q.arrived)
 }
@@ -288,9 +298,7 @@
 		if i < 0 {
 			return
 		}
-		for n := range len(key) {
-			rest[i+n] = '*'
-		}
+		workspace.Mask(rest[i : i+len(key)])
 		rest = rest[i+len(key):]
 	}
 }
@@ -389,9 +397,8 @@
 // A job outlives its route: its results can be read and the job can be ended after the configuration has removed the
 // route. Until then all paths of calls for jobs belong to the jobs of the host; after that, only those of jobs that
 // exist, and where no job was ever served, a route that matches comes first.
-func (g *Ingress) callJob(q *request, routed bool) (Reply, bool) {
-	reserved := q.config.HasRoute(q.host, catalog.Batch)
-	if routed && !reserved && !g.Catalog.HadBatchRoute(q.host) {
+func (g *Ingress) callJob(q *request) (Reply, bool) {
+	if q.routed() && !q.belongsToJobs() && !g.Catalog.HadBatchRoute(q.host) {
 		return Reply{}, false
 	}
 	ctx, cancel := g.workContext(q)
@@ -403,13 +410,23 @@
 		}
 		reply = g.dispatchJobCall(ctx, q)
 	}
-	if routed && !reserved && reply.Status == http.StatusNotFound {
+	// The configuration may be another one than before the call.
+	if q.routed() && !q.belongsToJobs() && reply.Status == http.StatusNotFound {
 		return Reply{}, false
 	}
 	q.job = q.jobCall.Job
 	return reply, true
 }
 
+// routed reports whether a route matches the request.
+func (q *request) routed() bool {
+	_, ok := q.config.Match(q.host, q.http.URL.Path)
+	return ok
+}
+
+// belongsToJobs reports whether all calls for jobs of the host are for its batch jobs, not for the route that matches.
+func (q *request) belongsToJobs() bool { return q.config.HasRoute(q.host, catalog.Batch) }
+
 // dispatchJobCall makes the call of a request for a job.
 func (g *Ingress) dispatchJobCall(ctx context.Context, q *request) Reply {
 	switch c := q.jobCall; c.Operation {
@@ -431,7 +448,7 @@
 	if q.key == "" || q.config.Workspaces != nil {
 		return false
 	}
-	c := g.authenticator.awaitNewer(ctx, q.config, func(n *catalog.Config) bool { return n.Workspaces != nil })
+	c := g.authenticator.awaitWorkspaces(ctx, q.config)
 	if c.Workspaces == nil {
 		return false
 	}
--- a/entry/internal/ingress/refresh.go
+++ b/entry/internal/ingress/refresh.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -29,6 +30,8 @@
 	read   func(ctx context.Context) error
 	limit  *rate.Limiter
 	logger *slog.Logger
+	// succeeded counts the reads that got the newest configuration.
+	succeeded atomic.Int64
 
 	mu      sync.Mutex
 	running chan struct{} // closed at the end of the read in progress; nil if there is none
@@ -89,6 +92,8 @@
 	cause := ""
 	if err := r.read(ctx); err != nil {
 		cause = err.Error()
+	} else {
+		r.succeeded.Add(1)
 	}
 	event.ConfigReread.Log(r.logger, "cause", cause, "ms", time.Since(began).Milliseconds())
 }
--- a/entry/internal/ingress/refresh_test.go
+++ b/entry/internal/ingress/refresh_test.go
@@ -26,7 +26,11 @@
 	return catalog.Config{Revision: revision, Workspaces: d}
 }
 
-func closed(*catalog.Config) bool { return false }
+// closed implements access for a request that needs a key.
+type closed struct{}
+
+func (closed) open(*catalog.Config) bool   { return false }
+func (closed) scoped(*catalog.Config) bool { return false }
 
 // authRig is an authenticator whose process holds a configuration with the key "old".
 type authRig struct {
@@ -38,7 +42,7 @@
 func newAuthRig(t *testing.T, read func(r *authRig, ctx context.Context) error) *authRig {
 	t.Helper()
 	logger := slog.New(slog.DiscardHandler)
-	r := &authRig{t: t, authenticator: authenticator{catalog: catalog.New(logger)}}
+	r := &authRig{t: t, authenticator: newAuthenticator(catalog.New(logger), nil)}
 	r.catalog.ApplyConfig(configFor(t, 1, "old"))
 	r.refresh = newRefresher(func(ctx context.Context) error {
 		r.reads.Add(1)
@@ -50,7 +54,7 @@
 // ask reports whether a key gives access, and how long the answer took.
 func (r *authRig) ask(key string) (bool, time.Duration) {
 	began := time.Now()
-	w, _, ok := r.authenticate(r.t.Context(), r.catalog.Config(), key, closed)
+	w, _, ok := r.authenticate(r.t.Context(), r.catalog.Config(), key, closed{})
 	if ok && w.Name != key {
 		r.t.Errorf("key %s belongs to %q", key, w.Name)
 	}
