Use the configuration in force when a job call looks for workspaces

A request that began under a configuration without workspaces compared that one with the memory of the last read, and missed workspaces that had arrived since through the feed.

--- a/entry/internal/ingress/authenticate.go
+++ b/entry/internal/ingress/authenticate.go
@@ -65,8 +65,9 @@
 // wait for, and returns the newest configuration. Once a read has shown that the newest one has no workspaces, it returns
 // at once while the same configuration is in force: otherwise a deployment without workspaces would read the store for each
 // call for an unknown job.
-func (a authenticator) awaitWorkspaces(ctx context.Context, c *catalog.Config) *catalog.Config {
-	if a.refresh == nil || a.withoutWorkspaces.Load() == c.Revision {
+func (a authenticator) awaitWorkspaces(ctx context.Context) *catalog.Config {
+	c := a.catalog.Config() // the one of the request may be older
+	if c.Workspaces != nil || a.refresh == nil || a.withoutWorkspaces.Load() == c.Revision {
 		return c
 	}
 	before := a.refresh.succeeded.Load()
--- a/entry/internal/ingress/ingress.go
+++ b/entry/internal/ingress/ingress.go
@@ -448,7 +448,7 @@
 	if q.key == "" || q.config.Workspaces != nil {
 		return false
 	}
-	c := g.authenticator.awaitWorkspaces(ctx, q.config)
+	c := g.authenticator.awaitWorkspaces(ctx)
 	if c.Workspaces == nil {
 		return false
 	}
--- a/entry/internal/ingress/refresh_test.go
+++ b/entry/internal/ingress/refresh_test.go
@@ -119,6 +119,20 @@
 	})
 }
 
+// Guards against a request that began under a configuration without workspaces, and misses those that have arrived since
+// because an earlier read showed none.
+func TestWorkspacesArriveMeanwhile(t *testing.T) {
+	r := newAuthRig(t, func(*authRig, context.Context) error { return nil })
+	r.catalog.ApplyConfig(catalog.Config{Revision: 2})
+	if c := r.awaitWorkspaces(t.Context()); c.Workspaces != nil || r.reads.Load() != 1 {
+		t.Fatalf("got revision %d after %d reads", c.Revision, r.reads.Load())
+	}
+	r.catalog.ApplyConfig(configFor(t, 3, "new"))
+	if c := r.awaitWorkspaces(t.Context()); c.Workspaces == nil || r.reads.Load() != 1 {
+		t.Errorf("got revision %d after %d reads, want 3 after 1", c.Revision, r.reads.Load())
+	}
+}
+
 // Guards against a refusal that takes longer than 300 ms while the store does not answer, against an answer that is late
 // although the change has arrived meanwhile, and against a refusal that lasts.
 func TestSilentStore(t *testing.T) {
