--- a/entry/internal/ingress/forward.go
+++ b/entry/internal/ingress/forward.go
@@ -64,11 +64,6 @@
 	defer stop()
 	ctx, cancel := context.WithDeadline(work, q.arrived.Add(q.remaining(q.arrived)))
 	defer cancel()
-	fingerprint := Fingerprint(q.http.URL.RequestURI(), q.body)
-	if g.Suspects.Blocked(fingerprint, time.Now()) {
-		g.reply(w, q, Reply{Status: http.StatusBadGateway, Cause: "request blocked: several servers crashed on it"})
-		return
-	}
 	service := q.route.PickService(g.Random.IntN)
 	tried := make(map[string]bool)
 	mayHaveRun := false
@@ -85,7 +80,7 @@
 			}
 			break
 		}
-		servers, need := g.Catalog.Servers(service), place.Need{Tried: tried, NewConn: !q.route.Repeatable(), Ticket: prefill.NewTicket(q.Prompt, q.sender())}
+		servers, need := g.Catalog.Servers(service), place.Need{Tried: tried, NewConn: !q.route.Repeatable(), Ticket: prefill.NewTicket(q.Prompt, q.workspace.Name)}
 		s, ok := g.Tracker.Start(now, servers, need)
 		if !ok {
 			if wait, limited := g.Tracker.Reject(now, servers, need, left); limited && last.outcome == notRun {
@@ -104,14 +99,14 @@
 		switch a.outcome {
 		case delivered:
 			if q.http.Context().Err() == nil {
-				g.Suspects.RecordResponse(fingerprint)
+				g.Suspects.RecordResponse(q.fingerprint)
 			}
 			return
 		case lost:
 			mayHaveRun = true
 			sent++
 			if a.cause == causeReset {
-				g.Suspects.RecordCrash(fingerprint, time.Now())
+				g.Suspects.RecordCrash(q.fingerprint, time.Now())
 			}
 		case failed:
 			mayHaveRun = true
@@ -194,10 +189,6 @@
 	return a
 }
 
-// sender returns whose figures a request states, for the limit on samples of one sender: its workspace, empty without
-// workspaces.
-func (*request) sender() string { return "" }
-
 // recordAbort records in the tracker that the server failed, or the client disconnected, in the middle of a response.
 func (g *Ingress) recordAbort(q *request, s catalog.Server) {
 	outcome := place.Failed
@@ -233,7 +224,7 @@
 	svc := q.config.Services[s.Service]
 	target := upstream.Target{Service: s.Service, Address: s.Address, Incarnation: s.ID, Conns: svc.MaxConns}
 	sentAt := time.Now()
-	resp, err := g.Pool.Send(ctx, target, g.upstreamRequest(q, call.Attempt{Server: s.ID, Timeout: left}))
+	resp, err := g.Pool.Send(ctx, target, g.upstreamRequest(q, s, call.Attempt{Server: s.ID, Timeout: left}))
 	if err != nil {
 		return sendFailure(err)
 	}
@@ -257,8 +248,9 @@
 }
 
 // upstreamRequest returns the request to be sent to a server.
-func (g *Ingress) upstreamRequest(q *request, a call.Attempt) upstream.Request {
-	h := endToEndHeader(q.http.Header)
+func (g *Ingress) upstreamRequest(q *request, s catalog.Server, a call.Attempt) upstream.Request {
+	h := EndToEndHeader(q.http.Header)
+	g.headers.Sender(h, q.config.Sender(q.workspace, q.route, s.Service, q.key))
 	g.headers.Attempt(h, a)
 	return upstream.Request{
 		Method:  q.http.Method,
@@ -327,7 +319,7 @@
 func (g *Ingress) copyResponseHeader(w http.ResponseWriter, from http.Header) {
 	to := w.Header()
 	leaving := to.Get("Connection")
-	for name, values := range endToEndHeader(from) {
+	for name, values := range EndToEndHeader(from) {
 		to[name] = values
 	}
 	if leaving != "" {
@@ -386,8 +378,8 @@
 	return attempt{outcome: delivered}
 }
 
-// endToEndHeader returns a copy of h without the hop-by-hop headers.
-func endToEndHeader(h http.Header) http.Header {
+// EndToEndHeader returns a copy of h without the hop-by-hop headers.
+func EndToEndHeader(h http.Header) http.Header {
 	c := h.Clone()
 	for _, line := range h["Connection"] {
 		for _, name := range strings.Split(line, ",") {
--- a/entry/internal/ingress/stream.go
+++ b/entry/internal/ingress/stream.go
@@ -182,7 +182,7 @@
 	tried := make(map[string]bool)
 	for ctx.Err() == nil {
 		now := time.Now()
-		need := place.Need{Tried: tried, Ticket: prefill.NewTicket(q.Prompt, q.sender())}
+		need := place.Need{Tried: tried, Ticket: prefill.NewTicket(q.Prompt, q.workspace.Name)}
 		s, ok := g.Tracker.Start(now, g.Catalog.Servers(service), need)
 		if !ok {
 			return nil, nil
@@ -209,7 +209,7 @@
 	}()
 	conns := q.config.Services[s.Service].MaxConns
 	resp, err := g.Pool.Send(ctx, upstream.Target{Service: s.Service, Address: s.Address, Incarnation: s.ID, Conns: conns},
-		g.upstreamRequest(q, call.Attempt{Server: s.ID, Timeout: q.remaining(now), ResumeAfter: last}))
+		g.upstreamRequest(q, s, call.Attempt{Server: s.ID, Timeout: q.remaining(now), ResumeAfter: last}))
 	if err != nil {
 		return nil
 	}
