--- a/entry/internal/batch/run.go
+++ b/entry/internal/batch/run.go
@@ -11,6 +11,7 @@
 	"bulrushspoke/entry/internal/forecast"
 	"bulrushspoke/entry/internal/ingress"
 	"bulrushspoke/entry/internal/place"
+	"bulrushspoke/entry/internal/prefill"
 	"bulrushspoke/internal/call"
 	"bulrushspoke/internal/catalog"
 	"bulrushspoke/internal/event"
@@ -92,13 +93,19 @@
 	waiting := j.sendRewardCalls(ctx, c, now)
 	servers := j.manager.Catalog.Servers(route.Shares[0].Service)
 	for _, it := range texts {
-		s, ok := j.manager.Tracker.Start(now, servers, j.need(it, now))
+		need := j.need(it, now)
+		if it.ticket == nil {
+			it.ticket = prefill.NewTicket(it.prompt, j.workspace.Name)
+		}
+		need.Ticket = it.ticket
+		s, ok := j.manager.Tracker.Start(now, servers, need)
 		if !ok {
 			waiting++
 			continue
 		}
+		it.ticket = nil
 		j.startAttempt(it, func() {
-			for next := (&segment{server: s, startedAt: now}); next != nil; {
+			for next := (&segment{server: s, ticket: need.Ticket, startedAt: now}); next != nil; {
 				next = j.runAttempt(ctx, it, next, route)
 			}
 		})
@@ -201,7 +208,15 @@
 
 // runAttempt runs an item on one server and returns the segment that continues it, if any.
 func (j *Job) runAttempt(ctx context.Context, it *item, current *segment, route *catalog.Route) *segment {
+	ended := false
+	defer func() {
+		if !ended { // after a panic
+			j.manager.Tracker.Ended(current.server.ID, j.spec.Model, place.Abandoned, 0, time.Now())
+			j.manager.Tracker.Release(current.ticket, false, time.Now())
+		}
+	}()
 	v := j.send(ctx, it, current, route)
+	ended = true
 	now := time.Now()
 	if ctx.Err() != nil {
 		v.outcome, v.cause = place.Abandoned, causeEnded
@@ -212,6 +227,7 @@
 		pace = took / time.Duration(v.events)
 	}
 	j.manager.Tracker.Ended(current.server.ID, j.spec.Model, v.outcome, pace, now)
+	j.manager.Tracker.Release(current.ticket, v.outcome == place.Answered && v.next == nil, now)
 	j.mu.Lock()
 	total, done := len(it.data), it.textDone || it.done
 	it.timing.addAttempt(current.startedAt, took, v.events > 0)
@@ -329,7 +345,7 @@
 
 // target returns the address and connection settings of a server.
 func (j *Job) target(s catalog.Server) upstream.Target {
-	t := upstream.Target{Address: s.Address, Incarnation: s.ID}
+	t := upstream.Target{Service: s.Service, Address: s.Address, Incarnation: s.ID}
 	if c := j.manager.Catalog.Config(); c != nil {
 		t.Conns = c.Services[s.Service].MaxConns
 	}
@@ -413,7 +429,9 @@
 		}
 		after++
 		v.events++
-		if !last.IsZero() {
+		if last.IsZero() {
+			j.manager.Tracker.FirstEvent(current.ticket, now)
+		} else {
 			j.manager.Tracker.ObserveInterval(s.ID, now.Sub(last), now)
 		}
 		last = now
--- a/entry/internal/ingress/forward.go
+++ b/entry/internal/ingress/forward.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"bulrushspoke/entry/internal/place"
+	"bulrushspoke/entry/internal/prefill"
 	"bulrushspoke/internal/call"
 	"bulrushspoke/internal/catalog"
 	"bulrushspoke/internal/upstream"
@@ -54,6 +55,7 @@
 	header     http.Header
 	body       []byte
 	unframed   bool // the body ended with the connection
+	streamed   bool // an event stream was delivered whole by this server
 }
 
 // forward sends a request to servers until one responds or no further attempt is allowed.
@@ -78,7 +80,7 @@
 			}
 			break
 		}
-		servers, need := g.Catalog.Servers(service), place.Need{Tried: tried}
+		servers, need := g.Catalog.Servers(service), place.Need{Tried: tried, NewConn: !q.route.Repeatable(), Ticket: prefill.NewTicket(q.Prompt, q.workspace.Name)}
 		s, ok := g.Tracker.Start(now, servers, need)
 		if !ok {
 			if wait, limited := g.Tracker.Reject(now, servers, need, left); limited && last.outcome == notRun {
@@ -93,7 +95,7 @@
 		if sent == 0 && q.route.Repeatable() && q.route.MaxAttempts > 1 {
 			otherAvailable = g.otherServerAvailable(service, maps.Clone(tried))
 		}
-		a := g.try(ctx, w, q, s, now, otherAvailable)
+		a := g.try(ctx, w, q, s, need.Ticket, now, otherAvailable)
 		switch a.outcome {
 		case delivered:
 			if q.http.Context().Err() == nil {
@@ -154,10 +156,11 @@
 	}
 }
 
-// try makes one attempt, started in the tracker, at a server and reports its outcome to the tracker. The attempt is
-// cancelled early if otherAvailable, which may be nil, then reports that another server takes the request.
+// try makes one attempt, started in the tracker, at a server and reports its outcome to the tracker; ticket is that of its
+// prompt. The attempt is cancelled early if otherAvailable, which may be nil, then reports that another server takes the
+// request.
 func (g *Ingress) try(
-	ctx context.Context, w http.ResponseWriter, q *request, s catalog.Server, start time.Time,
+	ctx context.Context, w http.ResponseWriter, q *request, s catalog.Server, ticket *prefill.Ticket, start time.Time,
 	otherAvailable func(now time.Time) bool,
 ) attempt {
 	left := q.remaining(start)
@@ -173,14 +176,15 @@
 		defer t.Stop()
 		onResponse = func() { t.Stop() }
 	}
-	recorded := false
+	recorded, complete := false, false
 	defer func() {
+		g.Tracker.Release(ticket, complete, time.Now())
 		if !recorded {
 			g.recordAbort(q, s) // an aborted response ends with a panic
 		}
 	}()
-	a := g.roundTrip(ctx, w, q, s, left, onResponse)
-	recorded = true
+	a := g.roundTrip(ctx, w, q, s, ticket, left, onResponse)
+	recorded, complete = true, a.streamed
 	g.recordOutcome(ctx, q, s, a, start)
 	return a
 }
@@ -214,10 +218,11 @@
 // roundTrip sends the request to a server and its response to the client. It calls onResponse before the first byte goes
 // to the client.
 func (g *Ingress) roundTrip(
-	ctx context.Context, w http.ResponseWriter, q *request, s catalog.Server, left time.Duration, onResponse func(),
+	ctx context.Context, w http.ResponseWriter, q *request, s catalog.Server, ticket *prefill.Ticket, left time.Duration,
+	onResponse func(),
 ) attempt {
 	svc := q.config.Services[s.Service]
-	target := upstream.Target{Address: s.Address, Incarnation: s.ID, Conns: svc.MaxConns}
+	target := upstream.Target{Service: s.Service, Address: s.Address, Incarnation: s.ID, Conns: svc.MaxConns}
 	sentAt := time.Now()
 	resp, err := g.Pool.Send(ctx, target, g.upstreamRequest(q, s, call.Attempt{Server: s.ID, Timeout: left}))
 	if err != nil {
@@ -234,7 +239,7 @@
 		return attempt{outcome: lost, cause: call.CauseForeign}
 	case isEventStream(resp.Header) && resp.StatusCode == http.StatusOK:
 		onResponse()
-		return g.stream(ctx, w, q, s, resp)
+		return g.stream(ctx, w, q, s, ticket, resp)
 	case resp.ContentLength > maxBufferedResponse:
 		onResponse()
 		return g.relay(w, q, resp, nil)
