--- a/daemon/internal/engine/engine.go
+++ b/daemon/internal/engine/engine.go
@@ -28,6 +28,7 @@
 	"bulrushspoke/daemon/internal/attempt"
 	"bulrushspoke/daemon/internal/exchange"
 	"bulrushspoke/internal/event"
+	"bulrushspoke/internal/httpstatus"
 	"bulrushspoke/internal/refusal"
 	"bulrushspoke/wire"
 )
@@ -98,6 +99,7 @@
 		changed: changed,
 		logger:  logger.With("server", c.Name),
 		client: &fasthttp.Client{
+			DialTimeout:               httpstatus.DialTimeout,
 			ReadTimeout:               commandTimeout,
 			WriteTimeout:              commandTimeout,
 			MaxResponseBodySize:       maxAnswerBytes,
@@ -148,6 +150,11 @@
 		e.cancel(id)
 	})()
 	x, err := exchange.Open(conn, e.request(a, id))
+	var invalid *httpstatus.InvalidError
+	if errors.As(err, &invalid) {
+		e.cancel(id)
+		return attempt.End{Refusal: refusal.New(refusal.Broken, refusal.Unknown, "engine sent an invalid status: %v", err)}, false
+	}
 	if err != nil {
 		return e.connFailed(ctx, a, r, err)
 	}
--- a/entry/internal/batch/batch.go
+++ b/entry/internal/batch/batch.go
@@ -5,7 +5,7 @@
 //
 //	m := batch.New(ctx, batch.Options{Store: objects, Peers: peers, Catalog: catalog, …})
 //	m.Register(peers)
-//	reply := m.Submit(ctx, route, id, body, now)
+//	reply := m.Submit(ctx, workspace, route, id, body, now)
 //
 // # Jobs and their results
 //
@@ -22,6 +22,11 @@
 //
 // Any entry serves any job: it asks the owner, and takes the job over if the owner is unreachable.
 //
+// # Workspaces
+//
+// Submit, Results, Body and End get the workspace and the id that the client has chosen. Everywhere else, in memory, in the
+// store, in messages and in logs, a job is identified by its scoped id, which only scopedID builds.
+//
 // # Errors
 //
 // Calls return an ingress.Reply, which carries the HTTP status and the cause of a failure. A reply with a retry time
@@ -43,12 +48,12 @@
 	"bulrushspoke/entry/internal/reward"
 	"bulrushspoke/internal/catalog"
 	"bulrushspoke/internal/event"
-	"bulrushspoke/internal/fairness"
 	"bulrushspoke/internal/job"
 	"bulrushspoke/internal/link"
 	"bulrushspoke/internal/store"
 	"bulrushspoke/internal/supervise"
 	"bulrushspoke/internal/upstream"
+	"bulrushspoke/internal/workspace"
 	"bulrushspoke/wire"
 )
 
@@ -96,6 +101,7 @@
 	Broadcast(kind string, body any)
 	Connected() []string
 	InDomain(domain string) []wire.Hello
+	InRegion(region string) []wire.Hello
 	Incarnation(name string) string
 }
 
@@ -150,14 +156,14 @@
 	jobs          map[string]*Job
 	owners        map[string]wire.JobState // cached states of jobs that other entries own
 	takeovers     map[string]chan struct{} // closed when this entry has finished taking the job over
+	running       runningModels
 	texts         *textCache
 	pageLimit     *pageLimiter
 	lengths       *forecast.Forecast
 	readIntervals intervals
 	rewardTimes   *reward.HedgePolicy
-	slotFreed     chan struct{}                                        // closed when a server slot becomes free
-	closed        bool                                                 // set by Handover: no job is added any more
-	flow          func(j *Job, r *catalog.Route) (fairness.Flow, bool) // whose share a job uses; false without workspaces
+	slotFreed     chan struct{} // closed when a server slot becomes free
+	closed        bool          // set by Handover: no job is added any more
 }
 
 // New returns a Manager whose jobs run until ctx ends.
@@ -168,13 +174,13 @@
 		jobs:          make(map[string]*Job),
 		owners:        make(map[string]wire.JobState),
 		takeovers:     make(map[string]chan struct{}),
+		running:       make(runningModels),
 		texts:         newTextCache(),
 		pageLimit:     newPageLimiter(o.LinkRate),
 		lengths:       forecast.New(),
 		readIntervals: newIntervals(),
 		rewardTimes:   reward.NewHedgePolicy(),
 		slotFreed:     make(chan struct{}),
-		flow:          noFlow,
 	}
 }
 
@@ -188,7 +194,14 @@
 }
 
 // Results returns the results of a job from position after on. If there are none yet, it waits for up to wait.
-func (m *Manager) Results(ctx context.Context, id string, after int, wait time.Duration) ingress.Reply {
+func (m *Manager) Results(
+	ctx context.Context, w workspace.Workspace, id string, after int, wait time.Duration,
+) ingress.Reply {
+	return m.forReading(w, id, func(id string) ingress.Reply { return m.results(ctx, id, after, wait) })
+}
+
+// results implements Results for a scoped id.
+func (m *Manager) results(ctx context.Context, id string, after int, wait time.Duration) ingress.Reply {
 	for range maxUpdateAttempts {
 		if j := m.local(id); j != nil {
 			if !m.ensureCurrent(ctx, j, after, time.Now()) {
@@ -270,7 +283,7 @@
 // requestAdoption asks the preferred owner of an open job to take it over. It returns false if this entry or the
 // current owner is preferred, or if the request fails.
 func (m *Manager) requestAdoption(ctx context.Context, s wire.JobState, id string) bool {
-	owner := chooseOwner(s.Model, m.candidates())
+	owner := m.preferredOwner(s.Model, s.Total, time.Now())
 	if s.Ended || owner.name == "" || owner.name == m.Name || owner.name == s.Owner && owner.inc == s.Inc {
 		return false
 	}
@@ -303,7 +316,7 @@
 	var absent *store.NotFoundError
 	switch {
 	case errors.As(err, &absent):
-		return s, notFound("job not found")
+		return s, notFound(causeNoJob)
 	case err != nil:
 		return s, unavailable(err.Error())
 	}
@@ -324,7 +337,12 @@
 }
 
 // Body returns the request body of an item.
-func (m *Manager) Body(ctx context.Context, id, item string) ingress.Reply {
+func (m *Manager) Body(ctx context.Context, w workspace.Workspace, id, item string) ingress.Reply {
+	return m.forReading(w, id, func(id string) ingress.Reply { return m.body(ctx, id, item) })
+}
+
+// body implements Body for a scoped id.
+func (m *Manager) body(ctx context.Context, id, item string) ingress.Reply {
 	if j := m.local(id); j != nil && len(j.spec.Items) > 0 {
 		return itemBody(j.spec, item)
 	}
@@ -377,7 +395,12 @@
 }
 
 // End ends a job permanently. It may be repeated.
-func (m *Manager) End(ctx context.Context, id string) ingress.Reply {
+func (m *Manager) End(ctx context.Context, w workspace.Workspace, id string) ingress.Reply {
+	return forJob(w, id, func(id string) ingress.Reply { return m.end(ctx, id) })
+}
+
+// end implements End for a scoped id.
+func (m *Manager) end(ctx context.Context, id string) ingress.Reply {
 	j := m.local(id)
 	if j != nil {
 		if j.hasEnded() {
@@ -392,7 +415,7 @@
 		s, revision, err := m.readState(ctx, id)
 		var absent *store.NotFoundError
 		if errors.As(err, &absent) {
-			return notFound("job not found")
+			return notFound(causeNoJob)
 		}
 		if err != nil {
 			return unavailable(err.Error())
@@ -459,7 +482,11 @@
 	if j.hasEnded() {
 		return true
 	}
-	m.Peers.Broadcast(link.Owner, wire.JobOwner{Job: j.spec.ID, Owner: m.Name, Inc: m.Self.Inc, Epoch: j.epoch})
+	o := wire.JobOwner{
+		Job: j.spec.ID, Owner: m.Name, Inc: m.Self.Inc, Epoch: j.epoch, Model: j.spec.Model, Items: len(j.spec.Items),
+	}
+	m.recordRunning(o, time.Now())
+	m.Peers.Broadcast(link.Owner, o)
 	j.resume(parts, time.Now())
 	j.launch(m.baseCtx)
 	return true
--- a/entry/internal/batch/limit_test.go
+++ b/entry/internal/batch/limit_test.go
@@ -3,11 +3,17 @@
 import (
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"bulrushspoke/entry/internal/place"
+	"bulrushspoke/entry/internal/prefill"
 	"bulrushspoke/internal/call"
+	"bulrushspoke/internal/catalog"
+	"bulrushspoke/internal/job"
 	"bulrushspoke/platform/platformtest"
+	"bulrushspoke/wire"
 )
 
 const (
@@ -70,3 +76,71 @@
 	checkTexts(t, results, ids...)
 	checkScores(t, s, results)
 }
+
+// Guards against jobs whose items state many parts of prompts, which take more memory than the bodies.
+func TestPartsOfPromptsCountAsMemory(t *testing.T) {
+	m, _ := newRig(t, newEngine(t, 1)).manager("a", "a1")
+	spec := job.Job{ID: "j", Items: []job.Item{{ID: "g-1", Header: platformtest.Prompt(10, 1), Body: make([]byte, 100)}}}
+	if j := newJob(m, spec, wire.JobState{}, nil, time.Now()); j.size != 100+partSize {
+		t.Errorf("the size of the job is %d, want %d", j.size, 100+partSize)
+	}
+}
+
+// Guards against prompts of items that count as waiting for ever after attempts that are refused, cut or complete.
+func TestPromptsOfItemsStopWaiting(t *testing.T) {
+	e := newEngine(t, 1)
+	var m *Manager
+	var waited atomic.Int64
+	e.answer = func(_ string, run int) int {
+		waited.Store(max(waited.Load(), int64(m.Tracker.WaitingTokens())))
+		if run == 1 {
+			return http.StatusServiceUnavailable
+		}
+		return 0
+	}
+	e.cut = func(_ string, run int) int { return max(3-run, 0) }
+	r := newRig(t, e)
+	m, _ = r.manager("a", "a1")
+	j := job.Job{Step: 1, Model: "m", MinVersion: 1, Groups: 1}
+	for _, id := range []string{"g-3", "g-4"} {
+		header := platformtest.Prompt(20_000, 10)
+		header["X-Prompt-Prefix"] = id + ":20000"
+		j.Items = append(j.Items, job.Item{ID: id, Path: "/p/" + id, Header: header, Body: []byte("body of " + id), Group: "g"})
+	}
+	body, err := platformtest.EncodeJob(j)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.submit(m, "j", body)
+	checkTexts(t, r.collect(m, "j", 2), "g-3", "g-4")
+	if waited.Load() < 20_000 {
+		t.Errorf("%d prompt tokens waited while an item was sent, want at least those of one item", waited.Load())
+	}
+	if n := m.Tracker.WaitingTokens(); n != 0 {
+		t.Errorf("%d prompt tokens wait after all items are complete", n)
+	}
+}
+
+// Guards against a prompt and a request that count at a server for ever after a panic in an attempt.
+func TestPanicEndsAttempt(t *testing.T) {
+	m, _ := newRig(t, newEngine(t, 1)).manager("a", "a1")
+	spec := job.Job{ID: "j", Model: "m", Items: []job.Item{{ID: "g-1", Header: platformtest.Prompt(20_000, 10)}}}
+	j := newJob(m, spec, wire.JobState{}, nil, time.Now())
+	it, now := j.items["g-1"], time.Now()
+	need := place.Need{RemainingEvents: 10, Ticket: prefill.NewTicket(it.prompt, "")}
+	s, ok := m.Tracker.Start(now, []catalog.Server{{ID: "s", Slots: 1}}, need)
+	if !ok || m.Tracker.WaitingTokens() != 20_000 {
+		t.Fatal("the attempt does not start")
+	}
+	func() {
+		defer func() {
+			if recover() == nil {
+				t.Error("an attempt without a route does not panic")
+			}
+		}()
+		j.runAttempt(t.Context(), it, &segment{server: s, ticket: need.Ticket, startedAt: now}, nil)
+	}()
+	if n, l := m.Tracker.WaitingTokens(), m.Tracker.Load(time.Now()); n != 0 || len(l.Counts) > 0 {
+		t.Errorf("after a panic %d prompt tokens wait, requests %v", n, l.Counts)
+	}
+}
--- a/entry/internal/batch/rig_test.go
+++ b/entry/internal/batch/rig_test.go
@@ -21,6 +21,7 @@
 	"bulrushspoke/internal/job"
 	"bulrushspoke/internal/link"
 	"bulrushspoke/internal/upstream"
+	"bulrushspoke/internal/workspace"
 	"bulrushspoke/platform"
 	"bulrushspoke/platform/platformtest"
 	"bulrushspoke/standin/objects"
@@ -239,6 +240,8 @@
 	return l
 }
 
+func (m member) InRegion(string) []wire.Hello { return m.InDomain("") }
+
 func (m member) Incarnation(name string) string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -400,11 +403,16 @@
 
 // collect reads a job until it has n results, and fails the test after 15 s.
 func (r *rig) collect(m *Manager, id string, n int) []job.Result {
+	r.t.Helper()
+	return r.collectAs(m, nobody, id, n)
+}
+
+func (r *rig) collectAs(m *Manager, w workspace.Workspace, id string, n int) []job.Result {
 	r.t.Helper()
 	var all []job.Result
 	deadline := time.Now().Add(15 * time.Second)
 	for len(all) < n && time.Now().Before(deadline) {
-		reply := m.Results(r.t.Context(), id, len(all), 100*time.Millisecond)
+		reply := m.Results(r.t.Context(), w, id, len(all), 100*time.Millisecond)
 		if reply.Status == http.StatusServiceUnavailable {
 			time.Sleep(20 * time.Millisecond)
 			continue
@@ -449,7 +457,10 @@
 
 func (r *rig) submit(m *Manager, id string, body []byte) {
 	r.t.Helper()
-	if reply := m.Submit(r.t.Context(), &r.route, id, body, time.Now()); reply.Status != http.StatusAccepted {
+	if reply := m.Submit(r.t.Context(), nobody, &r.route, id, body, time.Now()); reply.Status != http.StatusAccepted {
 		r.t.Fatalf("submission: %d %s", reply.Status, reply.Cause)
 	}
 }
+
+// nobody is the workspace of clients of a deployment without workspaces.
+var nobody workspace.Workspace
--- a/entry/internal/batch/run.go
+++ b/entry/internal/batch/run.go
@@ -9,7 +9,9 @@
 	"time"
 
 	"bulrushspoke/entry/internal/forecast"
+	"bulrushspoke/entry/internal/ingress"
 	"bulrushspoke/entry/internal/place"
+	"bulrushspoke/entry/internal/prefill"
 	"bulrushspoke/internal/call"
 	"bulrushspoke/internal/catalog"
 	"bulrushspoke/internal/event"
@@ -101,7 +103,7 @@
 // startTexts starts as many of the items as servers have room for and returns how many are waiting. Items of workspaces
 // share the servers with those of the other jobs of this entry.
 func (j *Job) startTexts(ctx context.Context, now time.Time, texts []*item, route *catalog.Route) int {
-	if f, ok := j.manager.flow(j, route); ok && j.manager.Turns != nil {
+	if f, ok := j.flow(route); ok && j.manager.Turns != nil {
 		return j.offerTexts(ctx, now, texts, route, f)
 	}
 	waiting := 0
@@ -115,13 +117,19 @@
 
 // startText starts an item if a server has room for it; ended is called after its attempts.
 func (j *Job) startText(ctx context.Context, now time.Time, it *item, route *catalog.Route, ended func()) bool {
-	s, ok := j.manager.Tracker.Start(now, j.manager.Catalog.Servers(route.Shares[0].Service), j.need(it, now))
+	need := j.need(it, now)
+	if it.ticket == nil {
+		it.ticket = prefill.NewTicket(it.prompt, j.workspace.Name)
+	}
+	need.Ticket = it.ticket
+	s, ok := j.manager.Tracker.Start(now, j.manager.Catalog.Servers(route.Shares[0].Service), need)
 	if !ok {
 		return false
 	}
+	it.ticket = nil
 	j.startAttempt(it, func() {
 		defer ended()
-		for next := (&segment{server: s, startedAt: now}); next != nil; {
+		for next := (&segment{server: s, ticket: need.Ticket, startedAt: now}); next != nil; {
 			next = j.runAttempt(ctx, it, next, route)
 		}
 	})
@@ -219,7 +227,15 @@
 
 // runAttempt runs an item on one server and returns the segment that continues it, if any.
 func (j *Job) runAttempt(ctx context.Context, it *item, current *segment, route *catalog.Route) *segment {
+	ended := false
+	defer func() {
+		if !ended { // after a panic
+			j.manager.Tracker.Ended(current.server.ID, j.spec.Model, place.Abandoned, 0, time.Now())
+			j.manager.Tracker.Release(current.ticket, false, time.Now())
+		}
+	}()
 	v := j.send(ctx, it, current, route)
+	ended = true
 	now := time.Now()
 	if ctx.Err() != nil {
 		v.outcome, v.cause = place.Abandoned, causeEnded
@@ -230,6 +246,7 @@
 		pace = took / time.Duration(v.events)
 	}
 	j.manager.Tracker.Ended(current.server.ID, j.spec.Model, v.outcome, pace, now)
+	j.manager.Tracker.Release(current.ticket, v.outcome == place.Answered && v.next == nil, now)
 	j.mu.Lock()
 	total, done := len(it.data), it.textDone || it.done
 	it.timing.addAttempt(current.startedAt, took, v.events > 0)
@@ -243,10 +260,14 @@
 // request returns the request that resumes an item at a server after the given event.
 func (j *Job) request(it *item, s catalog.Server, route *catalog.Route, after int, now time.Time) upstream.Request {
 	codec := platform.Headers{}
-	h := make(http.Header, len(it.Header)+4)
+	h := make(http.Header, len(it.Header)+6)
 	for name, value := range it.Header {
 		h.Set(name, value)
 	}
+	// A length or a host that the item states itself could make the server take a part of its body for another request.
+	h = ingress.EndToEndHeader(h)
+	h.Del("Host")
+	codec.Sender(h, j.sender(route, s))
 	codec.Identify(h, it.ID)
 	left := defaultItemTimeout
 	if route.MaxQueueTime > 0 {
@@ -256,6 +277,16 @@
 	return upstream.Request{Method: http.MethodPost, URI: it.Path, Host: j.host, Header: h, Body: it.Body}
 }
 
+// sender returns on whose behalf a request of the job is sent to a server. The workspace is that of the job, also after it
+// has left the configuration.
+func (j *Job) sender(route *catalog.Route, s catalog.Server) call.Sender {
+	c := j.manager.Catalog.Config()
+	if c == nil {
+		c = &catalog.Config{}
+	}
+	return c.Sender(j.workspace, route, s.Service, "")
+}
+
 // send sends the item, unless its response has already started, and reads its events.
 func (j *Job) send(ctx context.Context, it *item, current *segment, route *catalog.Route) attemptResult {
 	s := current.server
@@ -333,7 +364,7 @@
 
 // target returns the address and connection settings of a server.
 func (j *Job) target(s catalog.Server) upstream.Target {
-	t := upstream.Target{Address: s.Address, Incarnation: s.ID}
+	t := upstream.Target{Service: s.Service, Address: s.Address, Incarnation: s.ID}
 	if c := j.manager.Catalog.Config(); c != nil {
 		t.Conns = c.Services[s.Service].MaxConns
 	}
@@ -417,7 +448,9 @@
 		}
 		after++
 		v.events++
-		if !last.IsZero() {
+		if last.IsZero() {
+			j.manager.Tracker.FirstEvent(current.ticket, now)
+		} else {
 			j.manager.Tracker.ObserveInterval(s.ID, now.Sub(last), now)
 		}
 		last = now
--- a/entry/internal/batch/submit.go
+++ b/entry/internal/batch/submit.go
@@ -5,34 +5,50 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"strings"
 	"time"
 
 	"bulrushspoke/entry/internal/ingress"
 	"bulrushspoke/internal/catalog"
 	"bulrushspoke/internal/event"
+	"bulrushspoke/internal/job"
 	"bulrushspoke/internal/link"
 	"bulrushspoke/internal/store"
 	"bulrushspoke/internal/supervise"
+	"bulrushspoke/internal/workspace"
 	"bulrushspoke/platform"
 	"bulrushspoke/wire"
 )
 
 // Submit accepts a job and starts to run it.
 func (m *Manager) Submit(
-	ctx context.Context, r *catalog.Route, id string, body []byte, now time.Time,
+	ctx context.Context, w workspace.Workspace, r *catalog.Route, id string, body []byte, now time.Time,
+) ingress.Reply {
+	if id == "" {
+		return ingress.Reply{Status: http.StatusBadRequest, Cause: causeNoID, Body: []byte(causeNoID)}
+	}
+	return m.submit(ctx, w, r, scopedID(w, id), body, now)
+}
+
+// submit implements Submit for a scoped id.
+func (m *Manager) submit(
+	ctx context.Context, w workspace.Workspace, r *catalog.Route, id string, body []byte, now time.Time,
 ) ingress.Reply {
 	accepted := ingress.Reply{Status: http.StatusAccepted}
 	if m.local(id) != nil {
 		return accepted
 	}
 	spec, err := platform.DecodeJob(id, body)
+	if err == nil && m.hasKeyInID(spec) {
+		err = job.NewFormatError("the id of an item or of a reward call contains a key")
+	}
 	if err != nil {
 		return ingress.Reply{Status: http.StatusBadRequest, Cause: err.Error(), Body: []byte(err.Error())}
 	}
 	if m.openBytes()+int64(len(body)) > m.MaxOpenBytes {
 		return m.refuse(id, http.StatusTooManyRequests, busyRetryAfter, "no memory for the job")
 	}
-	owner := chooseOwner(spec.Model, m.candidates())
+	owner := m.preferredOwner(spec.Model, len(spec.Items), now)
 	if len(body) > maxDelegated && !m.leaving() {
 		owner = candidate{name: m.Name, inc: m.Self.Inc}
 	}
@@ -47,11 +63,15 @@
 		Owner: owner.name, Inc: owner.inc, Epoch: 1, Host: r.Host, Path: r.Prefix, Total: len(spec.Items),
 		At: now.UnixMilli(), Model: spec.Model,
 	}
+	setWorkspace(&state, w)
 	createdAt := time.Now()
 	held, err := m.createState(ctx, id, state)
 	if err != nil {
 		return m.refuseAmbiguous(id, err, now)
 	}
+	if !held.Ended {
+		m.recordRunning(wire.JobOwner{Owner: held.Owner, Inc: held.Inc, Model: spec.Model, Items: len(spec.Items)}, now)
+	}
 	switch {
 	case held.Ended || held.Epoch > 1:
 	case held.Owner == m.Name && held.Inc == m.Self.Inc:
@@ -59,35 +79,26 @@
 	case held.Owner == owner.name && held.Inc == owner.inc:
 		go supervise.Guard(m.Logger, "delegate", func() { m.delegate(id, held, body) })
 	}
-	event.JobAccepted.Log(m.Logger, "job", id, "step", spec.Step, "model", spec.Model, "min", spec.MinVersion,
+	event.JobAccepted.Log(m.Logger, "job", id, "workspace", w.Name, "step", spec.Step, "model", spec.Model, "min", spec.MinVersion,
 		"items", len(spec.Items), "owner", held.Owner, "epoch", held.Epoch, "ms", time.Since(now).Milliseconds())
 	return accepted
 }
 
-// maxDelegated is the largest payload that is passed to another entry, in bytes; a link carries frames of up to 4 MB.
-const maxDelegated = 2 << 20
-
-// candidates returns the entries that may run jobs, which are those in this failure domain. An entry that is shutting
-// down excludes itself, and falls back to entries in other failure domains.
-func (m *Manager) candidates() []candidate {
-	var l []candidate
-	for _, h := range m.Peers.InDomain(m.Self.Domain) {
-		l = append(l, candidate{name: h.Name, inc: h.Inc, cores: h.Cores})
-	}
-	if !m.leaving() {
-		return append(l, candidate{name: m.Name, inc: m.Self.Inc, cores: m.Cores})
-	}
-	if len(l) > 0 {
-		return l
-	}
-	for _, name := range m.Peers.Connected() {
-		if inc := m.Peers.Incarnation(name); inc != "" {
-			l = append(l, candidate{name: name, inc: inc})
-		}
+// hasKeyInID reports whether the id of an item or of a reward call of a new job contains a key, which the ingress may have
+// masked. Ids reach servers, logs and results, and cannot be changed.
+func (m *Manager) hasKeyInID(spec job.Job) bool {
+	c := m.Catalog.Config()
+	if c == nil || c.Workspaces == nil {
+		return false
 	}
-	return l
+	return spec.AnyID(func(id string) bool {
+		return strings.Contains(id, workspace.MaskText) || c.Workspaces.ContainsKey(id)
+	})
 }
 
+// maxDelegated is the largest payload that is passed to another entry, in bytes; a link carries frames of up to 4 MB.
+const maxDelegated = 2 << 20
+
 // delegate passes an accepted job to its owner, and takes it over if the owner does not accept it.
 func (m *Manager) delegate(id string, s wire.JobState, body []byte) {
 	ctx, cancel := context.WithTimeout(m.baseCtx, askTimeout)
@@ -104,7 +115,7 @@
 
 // startDelegated runs a job that another entry has accepted for this one.
 func (m *Manager) startDelegated(q wire.JobStart) bool {
-	spec, err := platform.DecodeJob(q.Job, q.Payload)
+	spec, err := platform.DecodeStoredJob(q.Job, q.Payload)
 	if err != nil || q.State.Owner != m.Name || q.State.Inc != m.Self.Inc || m.outdated(q) {
 		return false
 	}
--- a/entry/internal/batch/turn.go
+++ b/entry/internal/batch/turn.go
@@ -17,8 +17,14 @@
 	ItemEnded(service string, f fairness.Flow)
 }
 
-// noFlow is the flow of all jobs while the configuration has no workspaces.
-func noFlow(*Job, *catalog.Route) (fairness.Flow, bool) { return fairness.Flow{}, false }
+// flow returns whose share the items of a job use; false while the configuration has no workspaces.
+func (j *Job) flow(route *catalog.Route) (fairness.Flow, bool) {
+	c := j.manager.Catalog.Config()
+	if c == nil || c.Workspaces == nil {
+		return fairness.Flow{}, false
+	}
+	return fairness.Flow{Workspace: j.workspace.Name, Level: c.Priority(j.workspace, route)}, true
+}
 
 // offerTexts offers the items that wait for a server, has those started whose turn it is, and returns how many still wait.
 func (j *Job) offerTexts(
--- a/entry/internal/batch/turn_test.go
+++ b/entry/internal/batch/turn_test.go
@@ -7,8 +7,7 @@
 	"time"
 
 	"bulrushspoke/entry/internal/turn"
-	"bulrushspoke/internal/catalog"
-	"bulrushspoke/internal/fairness"
+	"bulrushspoke/internal/workspace"
 )
 
 // onlyPeers are the peers of an entry that runs alone.
@@ -24,23 +23,28 @@
 func (noMetrics) Add(int64, ...string)           {}
 func (noMetrics) Record(string, string, float64) {}
 
+// workspaceOf returns the workspace of a job, which is named for it.
+func workspaceOf(job string) workspace.Workspace {
+	return workspace.Workspace{Name: strings.TrimRight(job, "0123456789")}
+}
+
 // Guards against a workspace that gets fewer slots because another one has more jobs, and against items that are started twice
 // or never when jobs start each other's items, and slots that stay idle for a job that has no use for them.
 func TestJobsOfWorkspacesTakeTurns(t *testing.T) {
 	for _, fair := range []bool{false, true} {
 		e := newEngine(t, 1)
 		e.gap = 10 * time.Millisecond
-		r := newRig(t, e)
+		r, _, withWorkspaces := newWorkspaceRig(t, e)
 		m, _ := r.manager("a", "a1")
 		if fair {
 			turns := turn.New(turn.Options{
 				Name: "a", Catalog: m.Catalog, Tracker: m.Tracker, Peers: onlyPeers{member{mesh: r.mesh, name: "a"}},
 				Waits: noMetrics{}, Refused: noMetrics{}, Logger: discardLogger,
 			})
-			m.Turns, m.flow = turns, func(j *Job, _ *catalog.Route) (fairness.Flow, bool) {
-				return fairness.Flow{Workspace: strings.TrimRight(j.spec.ID, "0123456789")}, true
-			}
+			m.Turns = turns
 		}
+		withWorkspaces(m, workspace.Entry{Workspace: workspaceOf("big")}, workspace.Entry{Workspace: workspaceOf("small")},
+			workspace.Entry{Workspace: workspaceOf("unfit")})
 		ids := func(job string) []string {
 			var l []string
 			for i := range jobItems {
@@ -48,7 +52,7 @@
 			}
 			return l
 		}
-		r.submit(m, "unfit", payloadFor(1, 2, "unfit-4")) // no engine has the weight version
+		r.submitAs(m, workspaceOf("unfit"), "unfit", payloadFor(1, 2, "unfit-4")) // no engine has the weight version
 		jobs := []string{"big0", "big1", "big2", "big3", "small"}
 		for _, id := range jobs {
 			if id == "small" {
@@ -56,10 +60,10 @@
 					time.Sleep(time.Millisecond)
 				}
 			}
-			r.submit(m, id, payloadFor(jobItems, 1, ids(id)...))
+			r.submitAs(m, workspaceOf(id), id, payloadFor(jobItems, 1, ids(id)...))
 		}
 		for _, id := range jobs {
-			checkTexts(t, r.collect(m, id, jobItems), ids(id)...)
+			checkTexts(t, r.collectAs(m, workspaceOf(id), id, jobItems), ids(id)...)
 		}
 		last, starts := 0, e.started()
 		for i, s := range starts {
--- a/entry/internal/ingress/forward.go
+++ b/entry/internal/ingress/forward.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"bulrushspoke/entry/internal/place"
+	"bulrushspoke/entry/internal/prefill"
 	"bulrushspoke/internal/call"
 	"bulrushspoke/internal/catalog"
 	"bulrushspoke/internal/upstream"
@@ -54,6 +55,7 @@
 	header     http.Header
 	body       []byte
 	unframed   bool      // the body ended with the connection
+	streamed   bool      // an event stream was delivered whole by this server
 	answeredAt time.Time // when the server had answered; for a response that is not buffered, when its header had arrived
 	noRoom     bool      // the server refused the request by its status
 }
@@ -64,11 +66,6 @@
 	defer stop()
 	ctx, cancel := context.WithDeadline(work, q.arrived.Add(q.remaining(q.arrived)))
 	defer cancel()
-	fingerprint := Fingerprint(q.http.URL.RequestURI(), q.body)
-	if g.Suspects.Blocked(fingerprint, time.Now()) {
-		g.reply(w, q, Reply{Status: http.StatusBadGateway, Cause: "request blocked: several servers crashed on it"})
-		return
-	}
 	service := q.route.PickService(g.Random.IntN)
 	tried := make(map[string]bool)
 	if a, ok := g.takeTurn(ctx, q, service, 0); !ok {
@@ -89,7 +86,7 @@
 			}
 			break
 		}
-		servers, need := g.Catalog.Servers(service), place.Need{Tried: tried}
+		servers, need := g.Catalog.Servers(service), place.Need{Tried: tried, NewConn: !q.route.Repeatable(), Ticket: prefill.NewTicket(q.Prompt, q.workspace.Name)}
 		s, ok := g.Tracker.Start(now, servers, need)
 		if !ok {
 			if wait, limited := g.Tracker.Reject(now, servers, need, left); limited && last.outcome == notRun {
@@ -116,19 +113,19 @@
 		if sent == 0 && q.route.Repeatable() && q.route.MaxAttempts > 1 {
 			otherAvailable = g.otherServerAvailable(service, maps.Clone(tried))
 		}
-		a := g.try(ctx, w, q, s, now, otherAvailable)
+		a := g.try(ctx, w, q, s, need.Ticket, now, otherAvailable)
 		noRoom = noRoom || a.noRoom
 		switch a.outcome {
 		case delivered:
 			if q.http.Context().Err() == nil {
-				g.Suspects.RecordResponse(fingerprint)
+				g.Suspects.RecordResponse(q.fingerprint)
 			}
 			return
 		case lost:
 			mayHaveRun = true
 			sent++
 			if a.cause == causeReset {
-				g.Suspects.RecordCrash(fingerprint, time.Now())
+				g.Suspects.RecordCrash(q.fingerprint, time.Now())
 			}
 		case failed:
 			mayHaveRun = true
@@ -178,10 +175,11 @@
 	}
 }
 
-// try makes one attempt, started in the tracker, at a server and reports its outcome to the tracker. The attempt is
-// cancelled early if otherAvailable, which may be nil, then reports that another server takes the request.
+// try makes one attempt, started in the tracker, at a server and reports its outcome to the tracker; ticket is that of its
+// prompt. The attempt is cancelled early if otherAvailable, which may be nil, then reports that another server takes the
+// request.
 func (g *Ingress) try(
-	ctx context.Context, w http.ResponseWriter, q *request, s catalog.Server, start time.Time,
+	ctx context.Context, w http.ResponseWriter, q *request, s catalog.Server, ticket *prefill.Ticket, start time.Time,
 	otherAvailable func(now time.Time) bool,
 ) attempt {
 	left := q.remaining(start)
@@ -197,14 +195,15 @@
 		defer t.Stop()
 		onResponse = func() { t.Stop() }
 	}
-	recorded := false
+	recorded, complete := false, false
 	defer func() {
+		g.Tracker.Release(ticket, complete, time.Now())
 		if !recorded {
 			g.recordAbort(q, s) // an aborted response ends with a panic
 		}
 	}()
-	a := g.roundTrip(ctx, w, q, s, left, onResponse)
-	recorded = true
+	a := g.roundTrip(ctx, w, q, s, ticket, left, onResponse)
+	recorded, complete = true, a.streamed
 	g.recordOutcome(ctx, q, s, a, start)
 	return a
 }
@@ -242,12 +241,13 @@
 // roundTrip sends the request to a server and its response to the client. It calls onResponse before the first byte goes
 // to the client.
 func (g *Ingress) roundTrip(
-	ctx context.Context, w http.ResponseWriter, q *request, s catalog.Server, left time.Duration, onResponse func(),
+	ctx context.Context, w http.ResponseWriter, q *request, s catalog.Server, ticket *prefill.Ticket, left time.Duration,
+	onResponse func(),
 ) attempt {
 	svc := q.config.Services[s.Service]
-	target := upstream.Target{Address: s.Address, Incarnation: s.ID, Conns: svc.MaxConns}
+	target := upstream.Target{Service: s.Service, Address: s.Address, Incarnation: s.ID, Conns: svc.MaxConns}
 	sentAt := time.Now()
-	resp, err := g.Pool.Send(ctx, target, g.upstreamRequest(q, call.Attempt{Server: s.ID, Timeout: left}))
+	resp, err := g.Pool.Send(ctx, target, g.upstreamRequest(q, s, call.Attempt{Server: s.ID, Timeout: left}))
 	if err != nil {
 		return sendFailure(err)
 	}
@@ -266,7 +266,7 @@
 		return attempt{outcome: lost, cause: call.CauseForeign}
 	case isEventStream(resp.Header) && resp.StatusCode == http.StatusOK:
 		onResponse()
-		a := g.stream(ctx, w, q, s, resp)
+		a := g.stream(ctx, w, q, s, ticket, resp)
 		a.status, a.answeredAt = resp.StatusCode, headAt
 		return a
 	case resp.ContentLength > maxBufferedResponse:
@@ -279,8 +279,9 @@
 }
 
 // upstreamRequest returns the request to be sent to a server.
-func (g *Ingress) upstreamRequest(q *request, a call.Attempt) upstream.Request {
-	h := endToEndHeader(q.http.Header)
+func (g *Ingress) upstreamRequest(q *request, s catalog.Server, a call.Attempt) upstream.Request {
+	h := EndToEndHeader(q.http.Header)
+	g.headers.Sender(h, q.config.Sender(q.workspace, q.route, s.Service, q.key))
 	g.headers.Attempt(h, a)
 	return upstream.Request{
 		Method:  q.http.Method,
@@ -355,7 +356,7 @@
 func (g *Ingress) copyResponseHeader(w http.ResponseWriter, from http.Header) {
 	to := w.Header()
 	leaving := to.Get("Connection")
-	for name, values := range endToEndHeader(from) {
+	for name, values := range EndToEndHeader(from) {
 		to[name] = values
 	}
 	if leaving != "" {
@@ -414,8 +415,8 @@
 	return attempt{outcome: delivered}
 }
 
-// endToEndHeader returns a copy of h without the hop-by-hop headers.
-func endToEndHeader(h http.Header) http.Header {
+// EndToEndHeader returns a copy of h without the hop-by-hop headers.
+func EndToEndHeader(h http.Header) http.Header {
 	c := h.Clone()
 	for _, line := range h["Connection"] {
 		for _, name := range strings.Split(line, ",") {
--- a/entry/internal/ingress/turn.go
+++ b/entry/internal/ingress/turn.go
@@ -54,8 +54,13 @@
 	return g.Turns != nil && ok
 }
 
-// noFlow is the flow of all requests while the configuration has no workspaces.
-func noFlow(*request) (fairness.Flow, bool) { return fairness.Flow{}, false }
+// flow returns whose share a request uses; false while the configuration has no workspaces.
+func (g *Ingress) flow(q *request) (fairness.Flow, bool) {
+	if q.config.Workspaces == nil {
+		return fairness.Flow{}, false
+	}
+	return fairness.Flow{Workspace: q.workspace.Name, Level: q.config.Priority(q.workspace, q.route)}, true
+}
 
 // within returns the time left to answer a request within its objective and its deadline.
 func (q *request) within(now time.Time) time.Duration {
--- a/entry/internal/ingress/turn_test.go
+++ b/entry/internal/ingress/turn_test.go
@@ -16,10 +16,18 @@
 	"bulrushspoke/entry/internal/turn"
 	"bulrushspoke/internal/call"
 	"bulrushspoke/internal/catalog"
-	"bulrushspoke/internal/fairness"
 	"bulrushspoke/platform/platformtest"
 )
 
+// keyHeader holds the credentials of the workspace of withKeys.
+var keyHeader = platformtest.SenderHeaders(platformtest.Sender{Credentials: platformtest.KeyCredentials(testKey)})
+
+func setHeaders(h http.Header, values map[string]string) {
+	for name, value := range values {
+		h.Set(name, value)
+	}
+}
+
 // fakeTurns gives its verdicts one after another and records what it is told. It serves one request at a time.
 type fakeTurns struct {
 	verdicts  []turn.Verdict
@@ -51,7 +59,7 @@
 	ok, refused := turn.Verdict{OK: true}, turn.Verdict{RetryAfter: 700 * time.Millisecond, Cause: "no slot"}
 	for _, c := range []struct {
 		name       string
-		workspace  string
+		workspace  bool
 		verdicts   []turn.Verdict
 		full       int // requests that the server refuses first
 		status     int
@@ -60,10 +68,10 @@
 		sent       int   // requests that the server got
 	}{
 		{name: "no workspace", status: 503, full: 9, retryAfter: "0.15", sent: 1},
-		{name: "room", workspace: "w", verdicts: []turn.Verdict{ok}, status: 200, returned: []int{0}, sent: 1},
-		{name: "refused", workspace: "w", verdicts: []turn.Verdict{refused}, status: 503, retryAfter: "0.7", returned: []int{0}},
-		{name: "waits", workspace: "w", verdicts: []turn.Verdict{ok, ok, ok}, full: 2, status: 200, returned: []int{0, 1, 2}, sent: 3},
-		{name: "no slot frees", workspace: "w", verdicts: []turn.Verdict{ok, refused}, full: 9, status: 503, retryAfter: "0.7", returned: []int{0, 1}, sent: 1},
+		{name: "room", workspace: true, verdicts: []turn.Verdict{ok}, status: 200, returned: []int{0}, sent: 1},
+		{name: "refused", workspace: true, verdicts: []turn.Verdict{refused}, status: 503, retryAfter: "0.7", returned: []int{0}},
+		{name: "waits", workspace: true, verdicts: []turn.Verdict{ok, ok, ok}, full: 2, status: 200, returned: []int{0, 1, 2}, sent: 3},
+		{name: "no slot frees", workspace: true, verdicts: []turn.Verdict{ok, refused}, full: 9, status: 503, retryAfter: "0.7", returned: []int{0, 1}, sent: 1},
 	} {
 		left := c.full
 		s := newServer(t, func(n net.Conn, q *http.Request, body string) bool {
@@ -74,11 +82,12 @@
 		})
 		r := newRig(t, catalog.Route{Kind: catalog.Unsafe, Objective: 200 * time.Millisecond, Priority: 3}, s)
 		f := &fakeTurns{verdicts: c.verdicts}
-		r.ingress.Turns, r.ingress.flow = f, func(q *request) (fairness.Flow, bool) {
-			return fairness.Flow{Workspace: c.workspace, Level: q.route.Priority}, c.workspace != ""
+		r.ingress.Turns = f
+		if c.workspace {
+			r.withKeys(t)
 		}
 		r.deadline = 2 * time.Second
-		resp, _, err := r.send(t, "POST", "/p/", "x", nil)
+		resp, _, err := r.send(t, "POST", "/p/", "x", keyHeader)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -90,7 +99,7 @@
 			t.Fatalf("%s: asked for %d turns", c.name, len(f.asked))
 		}
 		for i, a := range f.asked {
-			if a.Returned != c.returned[i] || a.Flow.Workspace != "w" || a.Flow.Level != 3 || a.Within <= 0 || a.Within > 200*time.Millisecond ||
+			if a.Returned != c.returned[i] || a.Flow.Workspace != "alder" || a.Flow.Level != 2 || a.Within <= 0 || a.Within > 200*time.Millisecond ||
 				a.Left <= time.Second || a.Left > 2*time.Second {
 				t.Errorf("%s: turn %d was asked for as %+v", c.name, i, a)
 			}
@@ -116,10 +125,10 @@
 		r := newRig(t, catalog.Route{Kind: catalog.Unsafe, Objective: 200 * time.Millisecond}, newServer(t, refuse), newServer(t, c.other))
 		f := &fakeTurns{verdicts: []turn.Verdict{{OK: true}, {RetryAfter: time.Second}}}
 		r.ingress.Turns = f
-		r.ingress.flow = func(*request) (fairness.Flow, bool) { return fairness.Flow{Workspace: "w"}, true }
+		r.withKeys(t)
 		for range 3 { // the refusing server is tried first in some of them
 			f.asked, f.verdicts = nil, []turn.Verdict{{OK: true}, {RetryAfter: time.Second}}
-			resp, _, err := r.send(t, "POST", "/p/", "x", nil)
+			resp, _, err := r.send(t, "POST", "/p/", "x", keyHeader)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -156,13 +165,14 @@
 		r := newRig(t, catalog.Route{Kind: catalog.Unsafe, Objective: 200 * time.Millisecond}, newServer(t, c.answer))
 		f := &fakeTurns{verdicts: []turn.Verdict{{OK: true}}, durations: make(chan time.Duration, 1)}
 		r.ingress.Turns = f
-		r.ingress.flow = func(*request) (fairness.Flow, bool) { return fairness.Flow{Workspace: "w"}, true }
+		r.withKeys(t)
 		q, err := http.NewRequestWithContext(t.Context(), http.MethodPost, r.URL+"/p/", strings.NewReader("x"))
 		if err != nil {
 			t.Fatal(err)
 		}
 		q.Host = "h.example"
 		platformtest.SetRequestHeaders(q.Header, call.Request{ID: "r1"})
+		setHeaders(q.Header, keyHeader)
 		resp, err := r.Client().Do(q)
 		if err != nil {
 			t.Fatal(err)
@@ -231,12 +241,13 @@
 				}
 				logger := slog.New(slog.DiscardHandler)
 				cat := catalog.New(logger)
-				cat.ApplyConfig(catalog.Config{Revision: 1, Routes: []catalog.Route{route}})
+				config := configFor(t, 1, testKey)
+				config.Routes = []catalog.Route{route}
+				cat.ApplyConfig(config)
 				w := &waitingTurns{}
 				g := New(Options{
 					Catalog: cat, Random: rand.New(rand.NewPCG(1, 1)), Suspects: NewSuspects(func(uint64, bool) {}), Logger: logger, Turns: w,
 				})
-				g.flow = func(*request) (fairness.Flow, bool) { return fairness.Flow{Workspace: "w"}, true }
 				began := time.Now()
 				if c.after == 0 {
 					g.Drain(began.Add(drain), began)
@@ -244,6 +255,7 @@
 					time.AfterFunc(c.after, func() { g.Drain(time.Now().Add(drain), time.Now()) })
 				}
 				resp, q := httptest.NewRecorder(), httptest.NewRequestWithContext(t.Context(), http.MethodPost, "http://h.example/p/", nil)
+				setHeaders(q.Header, keyHeader)
 				g.ServeHTTP(resp, q)
 				if d := time.Since(began); d != c.took || len(w.asked) != c.asked {
 					t.Errorf("answered after %v, asked for %d turns", d, len(w.asked))
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -16,6 +16,7 @@
 	Deadline  time.Duration // how long the client waits for the answer; 0 if unknown
 	MaxWait   time.Duration // how long a read may be held open until there is something to return
 	LastEvent int           // number of the last event of a stream that the client has received; 0 for none
+	Prompt    Prompt        // what the client states about the prompt
 }
 
 // Attempt is the metadata that is sent to a server in addition to the client's headers.
@@ -25,6 +26,17 @@
 	ResumeAfter int           // number of the event after which the stream is resumed; 0 for its start
 }
 
+// Sender is on whose behalf a request is sent to a server. The zero value stands for a deployment without workspaces, in
+// which what the client states is passed on.
+type Sender struct {
+	StripCredentials bool              // the client's credentials and its statement of a workspace are removed
+	IsSecret         func(string) bool // reports whether a text contains a key, so that its header is removed; nil for never
+	Workspace        string            // name of the workspace; empty for none
+	StripPriority    bool              // the client's statement of a priority is removed
+	HasPriority      bool              // Priority is sent to the server
+	Priority         int               // 0 is run first
+}
+
 // Answer is the metadata that a server sends with its response.
 type Answer struct {
 	ID        string // ID of the request that is answered
--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -13,8 +13,12 @@
 package catalog
 
 import (
+	"slices"
 	"strings"
 	"time"
+
+	"bulrushspoke/internal/call"
+	"bulrushspoke/internal/workspace"
 )
 
 // Kind is the kind of a route, which determines whether its requests may be retried.
@@ -46,7 +50,9 @@
 	Kind          Kind
 	Timeout       time.Duration // maximum time to answer a request
 	Objective     time.Duration // latency objective; an answer within it earns its full worth
-	Priority      int           // 0 is the highest priority
+	Priority      int           // 0 is the highest priority; only meaningful if HasPriority
+	HasPriority   bool          // the route has a priority
+	Open          bool          // requests need no key, whatever workspaces there are
 	Shares        []Share
 	MaxAttempts   int // maximum of servers that one attempt of a client is sent to; for items, maximum of failed runs
 	Resumable     bool
@@ -102,6 +108,9 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
+	// Workspaces are those whose keys give access; nil if the deployment has no workspaces, in which case no request needs a
+	// key.
+	Workspaces *workspace.Directory
 }
 
 // Match returns the route for a host and path: of all matching routes, the one with the longest prefix.
@@ -129,6 +138,39 @@
 	return false
 }
 
+// Priority returns the priority of work of a workspace on a route: that of the workspace, otherwise that of the route. 0 is
+// the most urgent and workspace.MaxPriority the least.
+func (c *Config) Priority(w workspace.Workspace, r *Route) int {
+	p := workspace.DefaultPriority
+	switch w = c.Workspaces.Current(w); {
+	case w.HasPriority:
+		p = w.Priority
+	case r.HasPriority:
+		p = r.Priority
+	}
+	return min(max(p, 0), workspace.MaxPriority)
+}
+
+// Sender returns on whose behalf a request of a workspace is sent to a server of a service. The key is the one that the
+// client has sent, empty if it is not known.
+func (c *Config) Sender(w workspace.Workspace, r *Route, service, key string) call.Sender {
+	s := call.Sender{StripCredentials: c.Workspaces != nil || !w.None(), Workspace: w.Name, StripPriority: c.Workspaces.HasPriority()}
+	if s.StripCredentials {
+		s.IsSecret = func(text string) bool {
+			return key != "" && strings.Contains(text, key) || c.Workspaces.ContainsKey(text)
+		}
+	}
+	if s.StripPriority && c.Services[service].Slots > 0 { // a plain service has no order of its own
+		s.HasPriority, s.Priority = true, c.Priority(w, r)
+	}
+	return s
+}
+
+// HasOpenRoute reports whether there is a route of the given kind for the host that needs no key.
+func (c *Config) HasOpenRoute(host string, k Kind) bool {
+	return slices.ContainsFunc(c.Routes, func(r Route) bool { return r.Host == host && r.Kind == k && r.Open })
+}
+
 // Server is one incarnation of a server, as described by its entry in the store.
 type Server struct {
 	ID        string
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -465,6 +465,9 @@
 	// Instance name of the sender.
 	Name string `json:"name"`
 
+	// Network bandwidth of the sender's instance in bytes per second; 0 if unknown.
+	Rate float64 `json:"rate"`
+
 	// Region of the sender.
 	Region string `json:"region"`
 
@@ -577,9 +580,15 @@
 	// Incarnation of the owning process.
 	Inc string `json:"inc"`
 
+	// Number of items of the job; 0 if unknown.
+	Items int `json:"items"`
+
 	// Job ID.
 	Job string `json:"job"`
 
+	// Model of the job; empty if it has none.
+	Model string `json:"model"`
+
 	// Name of the instance that owns the job.
 	Owner string `json:"owner"`
 }
@@ -710,8 +719,16 @@
 	// Path that the job was submitted to.
 	Path string `json:"path"`
 
+	// Priority that the workspace had when the job was accepted, which applies once
+	// the workspace has left the configuration; absent if it had none.
+	Priority *int `json:"priority,omitempty,omitzero"`
+
 	// Number of items.
 	Total int `json:"total"`
+
+	// Name of the workspace that the job belongs to; empty if it was accepted without
+	// one.
+	Workspace string `json:"workspace"`
 }
 
 // Store object that holds outputs of items without a recorded result, so that a
@@ -796,6 +813,10 @@
 
 	// Current time between two events in microseconds by engine ID.
 	Paces OccupancyPaces `json:"paces"`
+
+	// Number of prompt tokens that wait to be processed by engine ID; engines without
+	// any are omitted.
+	Waiting OccupancyWaiting `json:"waiting,omitempty,omitzero"`
 }
 
 // Number of requests in flight by engine ID; engines without any are omitted.
@@ -804,6 +825,10 @@
 // Current time between two events in microseconds by engine ID.
 type OccupancyPaces map[string]int
 
+// Number of prompt tokens that wait to be processed by engine ID; engines without
+// any are omitted.
+type OccupancyWaiting map[string]int
+
 // Entry process that owns a step.
 type Owner struct {
 	// Entry incarnation.
