Let one entry report the usage of all

Each entry sends its counts to the holder of the duty and the two entries next in line. The holder writes the reports of a window to one store object and sends what is written; the object's revision decides between two entries that believe to be the holder. The package has a pure state machine (Seat) and a runner that binds it to store, links and API.

Without failures a window takes one write.

Ruled out: a lease in wall-clock time, as two clocks would be compared; a takeover as soon as a link closes, as the former holder may still send.

--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 	@mkdir -p bin/tools
 	@$(TOOLS) github.com/atombender/go-jsonschema
 	cd wire/schema && $(BIN)/tools/go-jsonschema --only-models --capitalization ID -p wire --tags json \
-		-o ../wire.go link.json http.json object.json engine.json job.json
+		-o ../wire.go link.json http.json object.json engine.json job.json duty.json
 
 demo: build
 	go run ./scenario/demo -bin $(BIN)
--- /dev/null
+++ b/entry/internal/duty/counts.go
@@ -0,0 +1,264 @@
+package duty
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"time"
+
+	"bulrushspoke/internal/event"
+	"bulrushspoke/internal/link"
+	"bulrushspoke/internal/metering"
+	"bulrushspoke/internal/store"
+	"bulrushspoke/internal/supervise"
+	"bulrushspoke/wire"
+)
+
+const (
+	// successors is the number of entries next in line for the duty that get all counts, too.
+	successors = 2
+	// ackTimeout is the timeout for the holder's confirmation of a complete window.
+	ackTimeout = 600 * time.Millisecond
+	// gatherInterval is the interval between two requests for missing counts, and gatherDelay the time after which a window
+	// should be complete at all entries.
+	gatherInterval = 700 * time.Millisecond
+	gatherDelay    = 400 * time.Millisecond
+	// listAhead is the time before a window is closed without some entries at which the holder looks for their counts in the
+	// store.
+	listAhead = 400 * time.Millisecond
+	// storeTimeout bounds a call of the store, including the attempts through other entries.
+	storeTimeout = 3 * time.Second
+	// lastWriteTimeout bounds the write of counts at the end of the process.
+	lastWriteTimeout = 400 * time.Millisecond
+	// maxStoreTries bounds the attempts to write counts to the store.
+	maxStoreTries = 3
+)
+
+// line returns the entries in line for the duty: those that this entry can reach, without the last holder, and itself.
+func (d *Duty) line(connected []string) []string {
+	last := d.seat.LastHolder()
+	l := []string{d.Name}
+	for _, name := range connected {
+		if name != last {
+			l = append(l, name)
+		}
+	}
+	slices.Sort(l)
+	return l
+}
+
+// targets returns the other entries that get the counts of this entry.
+func (d *Duty) targets(connected []string) []string {
+	l, holder := d.line(connected), d.seat.Holder()
+	if holder == d.Name {
+		l = slices.DeleteFunc(l, func(name string) bool { return name == d.Name })
+	}
+	l = l[:min(successors, len(l))]
+	if slices.Contains(connected, holder) {
+		l = append(l, holder)
+	}
+	return slices.DeleteFunc(l, func(name string) bool { return name == d.Name })
+}
+
+// sendCounts sends what has changed to the entries that need it. The caller holds mu.
+func (d *Duty) sendCounts(ctx context.Context, connected, running []string, now time.Duration) {
+	windows, marked, changed := d.counter.Changes()
+	if changed {
+		d.all.Merge(metering.Message{Name: d.Name, Incarnation: d.Inc, Through: d.counter.Through(), Windows: windows})
+	}
+	targets := d.targets(connected)
+	for name := range d.sentTo {
+		if !slices.Contains(targets, name) {
+			delete(d.sentTo, name)
+		}
+	}
+	for _, name := range targets {
+		switch {
+		case d.sentTo[name] != d.Peers.Incarnation(name):
+			d.sendAll(name)
+		case marked && name == d.seat.Holder():
+			m := d.message(windows, false)
+			go supervise.Guard(d.Logger, "counts", func() { d.sendMarked(ctx, name, m) })
+		case changed:
+			if d.Peers.Send(name, link.Counts, d.message(windows, false)) != nil {
+				delete(d.sentTo, name)
+			}
+		}
+	}
+	if marked && len(connected) == 0 && (d.wasLinked || len(running) > 0) {
+		d.storeCounts(ctx, d.message(d.counter.All(), false), now)
+	}
+}
+
+// sendAll sends all counts to an entry. The caller holds mu.
+func (d *Duty) sendAll(name string) {
+	inc := d.Peers.Incarnation(name)
+	if inc != "" && d.Peers.Send(name, link.Counts, d.message(d.counter.All(), false)) == nil {
+		d.sentTo[name] = inc
+	}
+}
+
+// sendMarked sends completed windows to the holder. Without a confirmation all counts are sent again.
+func (d *Duty) sendMarked(ctx context.Context, name string, m wire.UsageCounts) {
+	ctx, cancel := context.WithTimeout(ctx, ackTimeout)
+	defer cancel()
+	var ack wire.UsageAck
+	if err := d.Peers.Request(ctx, name, link.Counts, m, &ack); err == nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.sentTo, name)
+}
+
+func (d *Duty) message(windows map[int64]metering.Counts, bye bool) wire.UsageCounts {
+	m := wire.UsageCounts{Entry: d.Name, Inc: d.Inc, Through: d.counter.Through(), Bye: bye, Windows: []wire.UsageWindow{}}
+	for w, counts := range windows {
+		m.Windows = append(m.Windows, wire.UsageWindow{Window: w, Counts: wire.UsageWindowCounts(counts)})
+	}
+	return m
+}
+
+func fromWire(m wire.UsageCounts, stored bool) metering.Message {
+	windows := make(map[int64]metering.Counts, len(m.Windows))
+	for _, w := range m.Windows {
+		windows[w.Window] = metering.Counts(w.Counts)
+	}
+	return metering.Message{
+		Name: m.Entry, Incarnation: m.Inc, Through: m.Through, Bye: m.Bye, Windows: windows, Stored: stored,
+	}
+}
+
+// storeCounts writes the counts of this entry to the store, where the holder looks for them, as no other entry can be reached.
+// The caller holds mu.
+func (d *Duty) storeCounts(ctx context.Context, m wire.UsageCounts, now time.Duration) {
+	if d.storing || !slices.ContainsFunc(m.Windows, func(w wire.UsageWindow) bool { return len(w.Counts) > 0 }) {
+		return
+	}
+	d.storing = true
+	go supervise.Guard(d.Logger, "counts", func() {
+		err := d.writeCounts(ctx, m)
+		d.mu.Lock()
+		d.storing = false
+		d.mu.Unlock()
+		if err != nil {
+			event.CountsStored.Log(d.Logger, "through", m.Through, "cause", err.Error())
+			return
+		}
+		event.CountsStored.Log(d.Logger, "through", m.Through, "ms", (d.Boot() - now).Milliseconds())
+	})
+}
+
+// writeCounts replaces this entry's object. Only processes of this entry write it, so a conflict shows an earlier write.
+func (d *Duty) writeCounts(ctx context.Context, m wire.UsageCounts) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	spec, err := json.Marshal(m)
+	if err != nil {
+		return err
+	}
+	_, err = d.Store.Create(ctx, kindCounts, d.Name, spec)
+	for range maxStoreTries {
+		var conflict *store.ConflictError
+		if !errors.As(err, &conflict) {
+			return err
+		}
+		_, err = d.Store.Update(ctx, kindCounts, d.Name, spec, conflict.Current().Version)
+	}
+	return err
+}
+
+// gather asks entries for counts that the holder needs next, and looks for them in the store before it goes on without them.
+// The caller holds mu.
+func (d *Duty) gather(ctx context.Context, connected, running []string, now time.Duration) {
+	if !d.seat.Holding() || d.seat.Last() == 0 {
+		return
+	}
+	next := d.seat.Last() + 1
+	age := d.windowAge(next, now)
+	if age < d.settle+gatherDelay {
+		return
+	}
+	missing := d.all.Missing(next, d.expected(running))
+	if len(missing) == 0 {
+		return
+	}
+	if now-d.gathered >= gatherInterval {
+		d.gathered = now
+		for _, name := range missing {
+			if slices.Contains(connected, name) {
+				_ = d.Peers.Send(name, link.Gather, wire.UsageGather{Sender: d.Name}) // asked again at the next interval
+			}
+		}
+	}
+	if age >= d.patience-listAhead && d.listed < next {
+		d.listed = next
+		go supervise.Guard(d.Logger, "counts", func() { d.listCounts(ctx) })
+	}
+}
+
+// expected returns the entries that may hold counts.
+func (d *Duty) expected(running []string) []string { return append([]string{d.Name}, running...) }
+
+// windowAge returns the time since the end of a window.
+func (d *Duty) windowAge(window int64, now time.Duration) time.Duration {
+	return now + d.times.Offset(now) - time.Duration(window+1)*d.Bounds.ReportWindow
+}
+
+// listCounts reads the counts that entries have written to the store.
+func (d *Duty) listCounts(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	records, _, err := d.Store.List(ctx, kindCounts)
+	var absent *store.NotFoundError
+	if err != nil && !errors.As(err, &absent) {
+		event.UsageCallFailed.Log(d.Logger, "call", "list", "cause", err.Error())
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, r := range records {
+		var m wire.UsageCounts
+		if err := json.Unmarshal(r.Spec, &m); err != nil || m.Entry != r.Name {
+			event.ObjectInvalid.Log(d.Logger, "kind", kindCounts, "name", r.Name)
+			continue
+		}
+		d.all.Merge(fromWire(m, true))
+	}
+}
+
+// Close hands over the counts of this entry, after its last request, at the end of a graceful stop.
+func (d *Duty) Close(ctx context.Context) {
+	connected := d.Peers.Connected()
+	d.mu.Lock()
+	if d.counter == nil || !d.Enabled() {
+		d.mu.Unlock()
+		return
+	}
+	d.count(d.Boot())
+	m := d.message(d.counter.All(), true)
+	targets := d.targets(connected)
+	d.mu.Unlock()
+	results := make(chan error, len(targets))
+	for _, name := range targets {
+		go supervise.Guard(d.Logger, "counts", func() {
+			var ack wire.UsageAck
+			results <- d.Peers.Request(ctx, name, link.Counts, m, &ack)
+		})
+	}
+	delivered := false
+	for range targets {
+		select {
+		case err := <-results:
+			delivered = delivered || err == nil
+		case <-ctx.Done():
+		}
+	}
+	if !delivered && len(m.Windows) > 0 {
+		// The context may have ended by now.
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastWriteTimeout)
+		defer cancel()
+		err := d.writeCounts(ctx, m)
+		event.CountsStored.Log(d.Logger, "through", m.Through, "failed", err != nil)
+	}
+}
--- /dev/null
+++ b/entry/internal/duty/duty_test.go
@@ -0,0 +1,430 @@
+package duty
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	gocmp "github.com/google/go-cmp/cmp"
+
+	"bulrushspoke/internal/link"
+	"bulrushspoke/internal/meter"
+	"bulrushspoke/internal/node"
+	"bulrushspoke/internal/store"
+)
+
+// fleet is a set of entries with a store and a platform, in the time of a synctest bubble.
+type fleet struct {
+	t      *testing.T
+	ctx    context.Context
+	meter  *meter.Meter
+	random *rand.Rand
+
+	mu       sync.Mutex
+	nodes    map[string]*fleetNode
+	objects  map[string]store.Object
+	revision int64
+	calls    map[string]int
+	down     bool // the store
+	apiDown  bool
+	sent     map[int64]string        // reports at the platform by window
+	delays   map[int64]time.Duration // from the end of the window
+	want     map[int64]map[string]int
+}
+
+type fleetNode struct {
+	fleet    *fleet
+	name     string
+	inc      string
+	duty     *Duty
+	handlers map[string]func(context.Context, link.Frame) (string, any, error)
+	cut      bool // from all other entries
+	end      context.CancelFunc
+}
+
+var fleetBounds = node.Bounds{
+	ReportWindow: testWindow, UsageDelay: 10 * time.Second, Lease: testLease, Thaw: 300 * time.Millisecond,
+}
+
+func newFleet(t *testing.T, m *meter.Meter, nodes int) *fleet {
+	f := &fleet{
+		t: t, ctx: t.Context(), meter: m, random: rand.New(rand.NewPCG(1, 2)), nodes: make(map[string]*fleetNode),
+		objects: make(map[string]store.Object), calls: make(map[string]int), sent: make(map[int64]string),
+		delays: make(map[int64]time.Duration), want: make(map[int64]map[string]int),
+	}
+	for i := range nodes {
+		// Two clocks are wrong by seconds.
+		f.start(fmt.Sprintf("entry-%d", i), map[int]time.Duration{1: 3 * time.Second, 4: -2 * time.Second}[i])
+	}
+	return f
+}
+
+func (f *fleet) start(name string, clockError time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	began := time.Now()
+	n := &fleetNode{
+		fleet: f, name: name, inc: fmt.Sprint(name, "/", began.UnixNano()),
+		handlers: make(map[string]func(context.Context, link.Frame) (string, any, error)),
+	}
+	n.duty = New(Options{
+		Name: name, Inc: n.inc, Store: f, Peers: n, API: f, Enabled: func() bool { return true }, Bounds: fleetBounds, Rate: 50,
+		Encode:    func(_ int64, counts map[string]int) ([]byte, error) { return json.Marshal(counts) },
+		MaxObject: 1 << 20, Logger: slog.New(slog.DiscardHandler), Meter: f.meter,
+		Wall: func() time.Time { return time.Now().Add(clockError) },
+		Boot: func() time.Duration { return time.Since(began) + time.Hour },
+	})
+	n.duty.Register()
+	var ctx context.Context
+	ctx, n.end = context.WithCancel(f.ctx)
+	f.nodes[name] = n
+	go func() { _ = n.duty.Run(ctx) }()
+}
+
+// kill ends a process without notice.
+func (f *fleet) kill(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.nodes[name].end()
+	delete(f.nodes, name)
+}
+
+func (f *fleet) holder() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for name, n := range f.nodes {
+		if n.duty.seat.Holding() {
+			return name
+		}
+	}
+	f.t.Fatal("no entry holds the duty")
+	return ""
+}
+
+// traffic makes all entries but some pass on requests for a while.
+func (f *fleet) traffic(d time.Duration, except ...string) {
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		time.Sleep(time.Duration(f.random.IntN(40)+1) * time.Millisecond)
+		f.mu.Lock()
+		names := make([]string, 0, len(f.nodes))
+		for name := range f.nodes {
+			if !slices.Contains(except, name) {
+				names = append(names, name)
+			}
+		}
+		slices.Sort(names)
+		n := f.nodes[names[f.random.IntN(len(names))]]
+		workspace, at := fmt.Sprint("w", f.random.IntN(9)), time.Now()
+		window := at.UnixNano() / int64(testWindow)
+		if f.want[window] == nil {
+			f.want[window] = make(map[string]int)
+		}
+		f.want[window][workspace]++
+		f.mu.Unlock()
+		// The answer tells later that the server has begun.
+		time.AfterFunc(time.Duration(f.random.IntN(50))*time.Millisecond, func() { n.duty.Began(workspace, at) })
+	}
+}
+
+// check compares the reports with the requests.
+func (f *fleet) check(limit time.Duration) {
+	f.t.Helper()
+	time.Sleep(20 * time.Second)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for window, want := range f.want {
+		var got map[string]int
+		if err := json.Unmarshal([]byte(f.sent[window]), &got); err != nil {
+			f.t.Errorf("window %d: report %q", window, f.sent[window])
+			continue
+		}
+		if diff := gocmp.Diff(want, got); diff != "" {
+			f.t.Errorf("window %d (-want +got):\n%s", window, diff)
+		}
+		if f.delays[window] > limit {
+			f.t.Errorf("window %d was reported after %v", window, f.delays[window])
+		}
+	}
+}
+
+// ReportUsage implements API.
+func (f *fleet) ReportUsage(_ context.Context, _ string, _ int64, body []byte) (int, error) {
+	time.Sleep(5 * time.Millisecond)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.apiDown {
+		return 503, nil
+	}
+	var seat struct {
+		Reports []struct {
+			Window int64
+			Body   string
+		}
+	}
+	if err := json.Unmarshal(f.objects[kindSeat+"/"+nameSeat].Value, &seat); err != nil {
+		f.t.Error(err)
+	}
+	for _, r := range seat.Reports {
+		if r.Body != string(body) {
+			continue
+		}
+		if old, ok := f.sent[r.Window]; ok && old != r.Body {
+			f.t.Errorf("window %d was reported as %s and %s", r.Window, old, r.Body)
+		}
+		if _, ok := f.sent[r.Window]; !ok {
+			f.delays[r.Window] = time.Since(time.Unix(0, (r.Window+1)*int64(testWindow)))
+		}
+		f.sent[r.Window] = r.Body
+	}
+	return 200, nil
+}
+
+func (f *fleet) call(op, kind, name string) (store.Object, error) {
+	time.Sleep(4 * time.Millisecond)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls[op+" "+kind]++
+	if f.down {
+		return store.Object{}, store.NewUnavailableError(false, "down")
+	}
+	o, ok := f.objects[kind+"/"+name]
+	if !ok {
+		return o, store.NewNotFoundError(kind, name)
+	}
+	return o, nil
+}
+
+// Get implements Store.
+func (f *fleet) Get(_ context.Context, kind, name string) (store.Record, error) {
+	o, err := f.call("get", kind, name)
+	return store.Record{Name: name, Revision: o.Version, Spec: o.Value}, err
+}
+
+// Create implements Store.
+func (f *fleet) Create(ctx context.Context, kind, name string, spec []byte) (int64, error) {
+	return f.Update(ctx, kind, name, spec, 0)
+}
+
+// Update implements Store.
+func (f *fleet) Update(_ context.Context, kind, name string, spec []byte, revision int64) (int64, error) {
+	o, err := f.call("write", kind, name)
+	if f.down {
+		return 0, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if o.Version != revision {
+		return 0, store.NewConflictError(kind, name, o)
+	}
+	f.revision++
+	f.objects[kind+"/"+name] = store.Object{Value: spec, Version: f.revision}
+	return f.revision, nil
+}
+
+// List implements Store.
+func (f *fleet) List(_ context.Context, kind string) ([]store.Record, int64, error) {
+	if _, err := f.call("list", kind, ""); f.down {
+		return nil, 0, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var l []store.Record
+	for key, o := range f.objects {
+		if name, ok := cutKind(key, kind); ok {
+			l = append(l, store.Record{Name: name, Revision: o.Version, Spec: o.Value})
+		}
+	}
+	return l, f.revision, nil
+}
+
+func cutKind(key, kind string) (string, bool) {
+	if len(key) <= len(kind) || key[:len(kind)+1] != kind+"/" {
+		return "", false
+	}
+	return key[len(kind)+1:], true
+}
+
+// Handle implements Peers.
+func (n *fleetNode) Handle(kind string, f func(context.Context, link.Frame) (string, any, error)) {
+	n.handlers[kind] = f
+}
+
+// Connected implements Peers.
+func (n *fleetNode) Connected() []string {
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	var l []string
+	for name, o := range n.fleet.nodes {
+		if o != n && !o.cut && !n.cut {
+			l = append(l, name)
+		}
+	}
+	slices.Sort(l)
+	return l
+}
+
+// Running implements Peers. Entries that have ended or are cut off count as running.
+func (n *fleetNode) Running(time.Time) []string {
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	var l []string
+	for name, o := range n.fleet.nodes {
+		if o != n {
+			l = append(l, name)
+		}
+	}
+	return l
+}
+
+// Share implements Peers.
+func (n *fleetNode) Share(now time.Time) float64 {
+	return float64(len(n.Connected())+1) / float64(len(n.Running(now))+1)
+}
+
+// Incarnation implements Peers.
+func (n *fleetNode) Incarnation(name string) string {
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	if o := n.fleet.nodes[name]; o != nil {
+		return o.inc
+	}
+	return ""
+}
+
+// Broadcast implements Peers.
+func (n *fleetNode) Broadcast(kind string, body any) {
+	for _, name := range n.Connected() {
+		_ = n.Send(name, kind, body) // the entry may have ended just now
+	}
+}
+
+// Send implements Peers.
+func (n *fleetNode) Send(name, kind string, body any) error {
+	if !slices.Contains(n.Connected(), name) {
+		return context.Canceled
+	}
+	go func() { _ = n.Request(n.fleet.ctx, name, kind, body, nil) }()
+	return nil
+}
+
+// Request implements Peers.
+func (n *fleetNode) Request(_ context.Context, name, kind string, body, answer any) error {
+	raw, err := cbor.Marshal(body)
+	if err != nil {
+		return err
+	}
+	time.Sleep(time.Millisecond)
+	if !slices.Contains(n.Connected(), name) {
+		return context.Canceled
+	}
+	n.fleet.mu.Lock()
+	handler := n.fleet.nodes[name].handlers[kind]
+	n.fleet.mu.Unlock()
+	_, reply, err := handler(n.fleet.ctx, link.Frame{Kind: kind, Body: raw})
+	time.Sleep(time.Millisecond)
+	if err != nil || answer == nil {
+		return err
+	}
+	if raw, err = cbor.Marshal(reply); err != nil {
+		return err
+	}
+	return cbor.Unmarshal(raw, answer)
+}
+
+// Guards against reports with wrong counts or after their time, in calm and under each kind of failure that must not change a
+// count: wrong clocks, holders that end, entries that are cut off, and an unavailable store or platform.
+func TestReportsAreExact(t *testing.T) {
+	const limit = 10 * time.Second
+	for name, c := range map[string]struct {
+		limit time.Duration
+		run   func(f *fleet)
+	}{
+		"calm": {3 * time.Second, func(f *fleet) { f.traffic(40 * time.Second) }},
+		"holder killed": {limit, func(f *fleet) {
+			for _, d := range []time.Duration{11, 14, 17} {
+				f.traffic(d * time.Second)
+				holder := f.holder()
+				f.traffic(300*time.Millisecond, holder) // what is counted in the last moment dies with a process
+				f.kill(holder)
+			}
+		}},
+		"entry cut off": {limit, func(f *fleet) {
+			f.traffic(12 * time.Second)
+			f.setCut("entry-5", true)
+			f.traffic(20 * time.Second)
+			f.setCut("entry-5", false)
+		}},
+		"holder cut off": {limit, func(f *fleet) {
+			f.traffic(12 * time.Second)
+			holder := f.holder()
+			f.setCut(holder, true)
+			f.traffic(13 * time.Second)
+			f.setCut(holder, false)
+			f.traffic(20 * time.Second)
+		}},
+		"stopped": {3500 * time.Millisecond, func(f *fleet) {
+			for range 3 {
+				f.traffic(9 * time.Second)
+				holder := f.holder()
+				n := f.nodes[holder]
+				n.duty.Release()
+				f.traffic(2500 * time.Millisecond)
+				f.traffic(100*time.Millisecond, holder) // its last requests are answered
+				n.duty.Close(f.ctx)
+				f.kill(holder)
+				f.start(holder, 0)
+			}
+		}},
+		"store down": {2 * limit, func(f *fleet) {
+			f.traffic(13 * time.Second)
+			f.setDown(&f.down, true)
+			f.traffic(9 * time.Second)
+			f.setDown(&f.down, false)
+			f.traffic(10 * time.Second)
+		}},
+		"platform down": {limit, func(f *fleet) {
+			f.traffic(13 * time.Second)
+			f.setDown(&f.apiDown, true)
+			f.traffic(4 * time.Second)
+			f.setDown(&f.apiDown, false)
+			f.traffic(10 * time.Second)
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m, _, err := meter.New("entry")
+			if err != nil {
+				t.Fatal(err)
+			}
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, m, 7)
+				time.Sleep(4 * time.Second)
+				c.run(f)
+				f.check(c.limit)
+				t.Logf("store calls: %v", f.calls)
+				if name == "calm" && (f.calls["write "+kindSeat] > len(f.sent)+2 || f.calls["get "+kindSeat] > 1 || f.calls["list "+kindCounts] > 1) {
+					t.Errorf("%d reports took the store calls %v", len(f.sent), f.calls)
+				}
+			})
+		})
+	}
+}
+
+func (f *fleet) setCut(name string, cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.nodes[name].cut = cut
+}
+
+func (f *fleet) setDown(what *bool, down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	*what = down
+}
--- a/entry/internal/peer/request.go
+++ b/entry/internal/peer/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"bulrushspoke/internal/link"
@@ -56,6 +57,38 @@
 // Broadcast sends a message to all connected entries without waiting for them.
 func (p *Peers) Broadcast(kind string, body any) { p.broadcast(kind, body) }
 
+// Send sends a message to an entry without waiting for it. Its error is an *UnreachableError.
+func (p *Peers) Send(name, kind string, body any) error {
+	p.mu.Lock()
+	var c *link.Conn
+	if e := p.entries[name]; e != nil {
+		c = e.newestLink()
+	}
+	p.mu.Unlock()
+	if c == nil {
+		return &UnreachableError{entry: name, cause: "no link"}
+	}
+	if err := c.Notify(kind, body); err != nil {
+		return &UnreachableError{entry: name, cause: err.Error()}
+	}
+	return nil
+}
+
+// Running returns the sorted names of the other entries that are presumed to be running: those with an open link, and
+// those that lost theirs less than presumedGoneAfter ago.
+func (p *Peers) Running(now time.Time) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var names []string
+	for name, e := range p.entries {
+		if e.newestLink() != nil || now.Sub(e.lostAt) < presumedGoneAfter {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // Connected returns the sorted names of the entries with an open link.
 func (p *Peers) Connected() []string {
 	var names []string
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -76,6 +76,12 @@
 	Crash   = "crash"
 	Taken   = "taken"
 	Limits  = "limits"
+	Seat    = "seat"
+	Counts  = "counts"
+	Counted = "counted"
+	Gather  = "gather"
+	Clock   = "clock"
+	Reading = "reading"
 	Ping    = "ping"
 	Pong    = "pong"
 )
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -104,6 +104,13 @@
 	Writer string `json:"writer"`
 }
 
+// Reading of an entry's clock: the time of day at its start plus the time since,
+// unaffected by later jumps of the time of day. Unset in a request for a reading.
+type ClockReading struct {
+	// Microseconds since the start of 1970.
+	Now int64 `json:"now"`
+}
+
 // Requests the samples of a step that the daemon holds because no owner has
 // acknowledged them.
 type Collect struct {
@@ -254,6 +261,69 @@
 	Attempts []string `json:"attempts"`
 }
 
+// Tells the other entries about the newest write of a duty's store object, or
+// about a failing call of the store for it.
+type DutyNotice struct {
+	// Name of the holder.
+	Holder string `json:"holder"`
+
+	// Incarnation of the holder.
+	Inc string `json:"inc"`
+
+	// Newest window whose counts have been written.
+	Last int64 `json:"last"`
+
+	// True after the holder has given the duty up.
+	Released bool `json:"released"`
+
+	// Store revision of the object.
+	Rev int64 `json:"rev"`
+
+	// Name of the sending entry.
+	Sender string `json:"sender"`
+
+	// Fencing token of the holder.
+	Token int64 `json:"token"`
+
+	// True if a call of the store for the object has failed and is repeated; the
+	// fields below are unset.
+	Trying bool `json:"trying"`
+}
+
+// Usage report of a window.
+type DutyReport struct {
+	// Body of the call, which never changes once it has been written.
+	Body string `json:"body"`
+
+	// Number of the window.
+	Window int64 `json:"window"`
+}
+
+// Store object that names the holder of a duty. Only its holder replaces it, or an
+// entry that takes the duty over with the next token.
+type DutySeat struct {
+	// Names of the last holders, newest last.
+	Former []string `json:"former"`
+
+	// Name of the instance that holds the duty.
+	Holder string `json:"holder"`
+
+	// Incarnation of the holding process.
+	Inc string `json:"inc"`
+
+	// Newest window whose counts have been written.
+	Last int64 `json:"last"`
+
+	// True after the holder has given the duty up.
+	Released bool `json:"released"`
+
+	// Reports that the platform has not confirmed, oldest first.
+	Reports []DutyReport `json:"reports"`
+
+	// Fencing token, which rises with each change of the holder.
+	Token int64 `json:"token"`
+}
+
 // A server-sent event of a completion.
 type EngineEvent struct {
 	// True in the last event.
@@ -1405,6 +1475,50 @@
 	CompletionTokens int `json:"completion_tokens"`
 }
 
+// Confirms that counts have arrived.
+type UsageAck struct {
+	// Fencing token if the receiver holds the duty, otherwise 0.
+	Token int64 `json:"token"`
+}
+
+// Requests of clients that servers began to run, as counted by one process of an
+// entry. Also a store object, by which an entry that no other entry can hear
+// reports its counts.
+type UsageCounts struct {
+	// True if the process is ending and sends no further counts.
+	Bye bool `json:"bye"`
+
+	// Entry name.
+	Entry string `json:"entry"`
+
+	// Incarnation of the process.
+	Inc string `json:"inc"`
+
+	// Newest window that is complete, as are all earlier ones.
+	Through int64 `json:"through"`
+
+	// Windows whose counts may have changed; counts are totals, not differences.
+	Windows []UsageWindow `json:"windows"`
+}
+
+// Asks an entry to send all counts that have not been written.
+type UsageGather struct {
+	// Name of the entry that asks.
+	Sender string `json:"sender"`
+}
+
+// Counts of a window.
+type UsageWindow struct {
+	// Requests by workspace.
+	Counts UsageWindowCounts `json:"counts"`
+
+	// Number of the window.
+	Window int64 `json:"window"`
+}
+
+// Requests by workspace.
+type UsageWindowCounts map[string]int
+
 // A recorded verdict forwarded to the owner of the step.
 type Verdict struct {
 	// Verdict ID.
