Tell when a server has begun an attempt of a client's request

Usage reports count an attempt at the time at which it was sent, so upstream states that time for answers and errors; the time before Send includes opening the connection. A refusal that proves that nothing ran is not counted; a foreign answer, a reset and a missing answer are, since a server that is gone refuses the connection.

Ruled out: counting at the answer, which moves requests between windows.

--- a/entry/internal/ingress/forward.go
+++ b/entry/internal/ingress/forward.go
@@ -226,10 +226,12 @@
 	sentAt := time.Now()
 	resp, err := g.Pool.Send(ctx, target, g.upstreamRequest(q, call.Attempt{Server: s.ID, Timeout: left}))
 	if err != nil {
+		g.recordUnanswered(q, err)
 		return sendFailure(err)
 	}
 	answer := g.headers.Answer(resp.StatusCode, resp.Header)
 	meaning := g.Catalog.RecordAnswer(s, answer, q.ID, sentAt, time.Now())
+	g.recordAnswered(q, resp, meaning)
 	switch {
 	case meaning == call.NotRun:
 		resp.Discard()
--- a/entry/internal/ingress/ingress.go
+++ b/entry/internal/ingress/ingress.go
@@ -81,6 +81,7 @@
 	Observe       func(route string, status int, elapsed time.Duration)
 	Logger        *slog.Logger
 	Suspects      *Suspects
+	Usage         Usage // nil if nothing is counted
 }
 
 // Ingress handles client requests.
@@ -194,6 +195,8 @@
 	body     []byte
 	reserved int64 // bytes reserved for the body
 
+	workspaceName string // whose request it is; empty for none
+
 	job      string // id of the batch job, for calls for jobs
 	attempts int
 	servers  []string
--- a/entry/internal/ingress/stream.go
+++ b/entry/internal/ingress/stream.go
@@ -173,11 +173,13 @@
 		resp, err := g.Pool.Send(ctx, upstream.Target{Address: s.Address, Incarnation: s.ID, Conns: conns},
 			g.upstreamRequest(q, call.Attempt{Server: s.ID, Timeout: q.remaining(now), ResumeAfter: last}))
 		if err != nil {
+			g.recordUnanswered(q, err)
 			g.recordAbort(q, s)
 			continue
 		}
 		a := g.headers.Answer(resp.StatusCode, resp.Header)
 		meaning := g.Catalog.RecordAnswer(s, a, q.ID, now, time.Now())
+		g.recordAnswered(q, resp, meaning)
 		if resp.StatusCode == http.StatusOK && meaning == call.Genuine && isEventStream(resp.Header) {
 			return resp, &s
 		}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -79,11 +79,16 @@
 	full  bool
 	reset bool
 	cause error
+
+	sentAt time.Time
 }
 
 // Sent reports whether the server may have received the request.
 func (e *Error) Sent() bool { return e.sent }
 
+// SentAt returns the time at which sending began, after a connection was open; zero if nothing was sent.
+func (e *Error) SentAt() time.Time { return e.sentAt }
+
 // PoolFull reports whether the limit of connections was reached.
 func (e *Error) PoolFull() bool { return e.full }
 
@@ -184,6 +189,7 @@
 // Response is an answer whose body has not been read. It must be closed with Close, Discard or Abandon.
 type Response struct {
 	*http.Response
+	SentAt     time.Time // time at which sending the request began, after a connection was open
 	pool       *Pool
 	conn       *conn
 	stopCancel func() bool
@@ -244,19 +250,20 @@
 		return nil, &Error{cause: err, full: errors.Is(err, errPoolFull), reset: errors.Is(err, syscall.ECONNREFUSED)}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	sentAt := time.Now()
 	wrote, err := writeRequest(c, q)
 	if err != nil {
 		stop()
 		p.discard(c)
-		return nil, &Error{cause: contextError(ctx, err), sent: wrote, reset: closedByPeer(err)}
+		return nil, &Error{cause: contextError(ctx, err), sent: wrote, sentAt: sentAt, reset: closedByPeer(err)}
 	}
 	resp, err := c.readHead(q.Method)
 	if err != nil {
 		stop()
 		p.discard(c)
-		return nil, &Error{cause: contextError(ctx, err), sent: true, reset: closedByPeer(err)}
+		return nil, &Error{cause: contextError(ctx, err), sent: true, sentAt: sentAt, reset: closedByPeer(err)}
 	}
-	return &Response{Response: resp, pool: p, conn: c, stopCancel: stop}, nil
+	return &Response{Response: resp, SentAt: sentAt, pool: p, conn: c, stopCancel: stop}, nil
 }
 
 // contextError returns the error of ctx if it has ended, and err otherwise. The end of ctx closes the connection, so err is
