Report usage where the deployment asks for it

The entry builds the duty if the settings name an API with metering, gives it up at the beginning of a graceful stop and hands its last counts over at the end. Calls use the connection pool of the store.

--- a/entry/internal/cli/platform.go
+++ b/entry/internal/cli/platform.go
@@ -19,6 +19,7 @@
 	"github.com/valyala/fasthttp"
 
 	"bulrushspoke/entry/internal/batch"
+	"bulrushspoke/entry/internal/duty"
 	"bulrushspoke/entry/internal/ingress"
 	"bulrushspoke/entry/internal/member"
 	"bulrushspoke/entry/internal/occupancy"
@@ -78,6 +79,8 @@
 	retentionFactor = 4
 	// handoverTimeout bounds the handover of open jobs at shutdown.
 	handoverTimeout = 3500 * time.Millisecond
+	// countsTimeout bounds the handover of the last counts of requests, in shutdownMargin.
+	countsTimeout = 400 * time.Millisecond
 	// maxRedialPause is the longest pause between two dials of another entry.
 	maxRedialPause = time.Second
 	// metricsPort is the port of the metrics endpoint, outside the range of ports that the platform assigns.
@@ -98,6 +101,7 @@
 	peers   *peer.Peers
 	batch   *batch.Manager
 	ingress *ingress.Ingress
+	usage   *duty.Duty // nil if the deployment asks for no usage reports
 	server  *http.Server
 	metrics fasthttp.RequestHandler
 	tree    *suture.Supervisor
@@ -187,11 +191,11 @@
 		p.task("sweep", sweep.New(p.store, retentionFactor*s.Bounds.ResultRetention, p.logger).Run)
 		return nil
 	}
-	return p.buildEntry(lifetime, pool, m)
+	return p.buildEntry(lifetime, pool, storePool, m)
 }
 
 // buildEntry creates the components that serve clients.
-func (p *platformEntry) buildEntry(lifetime context.Context, pool *upstream.Pool, m *meter.Meter) error {
+func (p *platformEntry) buildEntry(lifetime context.Context, pool, storePool *upstream.Pool, m *meter.Meter) error {
 	s := p.settings
 	p.catalog = catalog.New(p.logger)
 	m.Gauge("limited_servers", "Servers that state a limit of their request rate.",
@@ -229,9 +233,13 @@
 	limits.Register()
 	p.catalog.Limits().SetShare(p.peers.Share)
 	p.task("limits", limits.Run)
+	p.buildUsage(objects, storePool, m)
 	p.peers.OnConnect(func(name string) {
 		limits.SendSnapshot(time.Now())
 		p.batch.PeerConnected(name)
+		if p.usage != nil {
+			p.usage.PeerConnected(name)
+		}
 	})
 	requestTime := m.Histogram("request", "s", "Time from arrival to the answer.")
 	p.ingress = ingress.New(ingress.Options{
@@ -244,6 +252,9 @@
 			requestTime.Record(route, strconv.Itoa(status/100*100), took.Seconds())
 		},
 	})
+	if p.usage != nil {
+		p.ingress.Usage = p.usage
+	}
 	p.server = &http.Server{
 		Handler:           p.ingress,
 		ReadHeaderTimeout: readHeaderTimeout,
@@ -270,6 +281,25 @@
 	return nil
 }
 
+// buildUsage creates the component that reports usage, if the deployment asks for it. Calls of the platform's API use the
+// connection pool of the store, so that requests cannot exhaust it.
+func (p *platformEntry) buildUsage(objects *relay.Relay, pool *upstream.Pool, m *meter.Meter) {
+	s := p.settings
+	if !s.CloudAPI.Metering() {
+		return
+	}
+	p.usage = duty.New(duty.Options{
+		Name: s.Name, Inc: p.inc, Store: objects, Peers: p.peers, API: platform.NewCloudAPI(s.CloudAPI.Address, pool),
+		Encode: platform.EncodeUsage, Enabled: p.hasWorkspaces, Bounds: s.Bounds, Rate: s.CloudAPI.Rate,
+		MaxObject: s.Store.MaxValueBytes, Wall: time.Now, Boot: duty.BootTime, Logger: p.logger, Meter: m,
+	})
+	p.usage.Register()
+	p.task("usage reports", p.usage.Run)
+}
+
+// hasWorkspaces reports whether the configuration names workspaces, whose requests are to be reported.
+func (p *platformEntry) hasWorkspaces() bool { return p.catalog.Config() != nil }
+
 // suspects returns the set of requests suspected of crashing servers, which entries share with each other.
 func (p *platformEntry) suspects() *ingress.Suspects {
 	s := ingress.NewSuspects(func(fingerprint uint64, answered bool) {
@@ -341,6 +371,9 @@
 	now := time.Now()
 	end := now.Add(p.settings.Bounds.Grace - shutdownMargin)
 	p.ingress.Drain(end.Add(-responseMargin), now)
+	if p.usage != nil {
+		p.usage.Release()
+	}
 	handedOver := make(chan struct{})
 	go func() {
 		defer close(handedOver)
@@ -356,6 +389,11 @@
 	if err := p.server.Shutdown(ctx); err != nil {
 		event.ShutdownTimedOut.Log(p.logger, "cause", err.Error())
 	}
+	if p.usage != nil {
+		ctx, cancel := context.WithTimeout(context.Background(), countsTimeout)
+		defer cancel()
+		p.usage.Close(ctx)
+	}
 	<-handedOver
 }
 
