Hand the usage duty over if the API is out of reach; wait for cut off entries

A holder whose calls of the API get no answer for two seconds releases the duty, since a partition may concern its instance only; at most three changes within 30 s, as the API may be down for all. An entry that can reach no other one no longer takes the duty from a live holder: its quorum counts the entries of the last two minutes. Entries that write their counts to the store are waited for beyond the 15 s for which an entry without a link is presumed to be running.

--- a/entry/internal/duty/act.go
+++ b/entry/internal/duty/act.go
@@ -64,6 +64,7 @@
 		Rank:         slices.Index(d.line(connected), d.Name),
 		HolderLinked: d.holderLinked(connected, now),
 		Quorum:       reachable,
+		Alone:        len(connected) == 0,
 		FirstWindow:  d.window(d.started),
 	}
 	if first, ok := d.all.First(); ok {
@@ -243,7 +244,7 @@
 func judge(status int, err error) (CallResult, string) {
 	switch {
 	case err != nil:
-		return Unconfirmed, "failed"
+		return Unanswered, "failed"
 	case status >= http.StatusOK && status < http.StatusMultipleChoices:
 		return Confirmed, "confirmed"
 	case status == http.StatusBadRequest, status == http.StatusRequestEntityTooLarge, status == http.StatusUnprocessableEntity:
--- a/entry/internal/duty/counts.go
+++ b/entry/internal/duty/counts.go
@@ -31,6 +31,8 @@
 	storeTimeout = 3 * time.Second
 	// lastWriteTimeout bounds the write of counts at the end of the process.
 	lastWriteTimeout = 400 * time.Millisecond
+	// apartWindows is the number of windows without counts in the store after which an entry is no longer waited for.
+	apartWindows = 3
 	// maxStoreTries bounds the attempts to write counts to the store.
 	maxStoreTries = 3
 )
@@ -86,7 +88,7 @@
 			}
 		}
 	}
-	if marked && len(connected) == 0 && (d.wasLinked || len(running) > 0) {
+	if marked && len(connected) == 0 && len(running)+len(d.linked) > 0 {
 		d.storeCounts(ctx, d.message(d.counter.All(), false), now)
 	}
 }
@@ -198,8 +200,20 @@
 	}
 }
 
-// expected returns the entries that may hold counts.
-func (d *Duty) expected(running []string) []string { return append([]string{d.Name}, running...) }
+// expected returns the entries that may hold counts: those that are presumed to be running, and those that have lately
+// written counts to the store, as they may be cut off for long.
+func (d *Duty) expected(running []string) []string {
+	l := append([]string{d.Name}, running...)
+	for name, through := range d.apart {
+		switch {
+		case through < d.seat.Last()-apartWindows:
+			delete(d.apart, name)
+		case !slices.Contains(l, name):
+			l = append(l, name)
+		}
+	}
+	return l
+}
 
 // windowAge returns the time since the end of a window.
 func (d *Duty) windowAge(window int64, now time.Duration) time.Duration {
@@ -224,6 +238,9 @@
 			continue
 		}
 		d.all.Merge(fromWire(m, true))
+		if m.Through >= d.seat.Last()-apartWindows {
+			d.apart[m.Entry] = m.Through
+		}
 	}
 }
 
--- a/entry/internal/duty/duty.go
+++ b/entry/internal/duty/duty.go
@@ -70,6 +70,9 @@
 	clockWarning = 500 * time.Millisecond
 	// quorum is the share of the entries that a holder must be able to reach.
 	quorum = 0.5
+	// quorumMemory is how long entries count that cannot be reached any more. Partitions are shorter, and an entry that was
+	// removed for good hardly matters.
+	quorumMemory = 2 * time.Minute
 	// maxBegan bounds the requests that are kept until they are counted, in case that the clock is not known for long.
 	maxBegan = 10_000
 )
@@ -97,7 +100,6 @@
 	Request(ctx context.Context, name, kind string, body, answer any) error
 	Connected() []string
 	Running(now time.Time) []string
-	Share(now time.Time) float64
 	Incarnation(name string) string
 }
 
@@ -133,23 +135,24 @@
 	clocks clockMap
 	began  []began
 
-	mu        sync.Mutex
-	times     *truetime.Estimator
-	started   time.Duration
-	settled   bool              // the time is known
-	counter   *metering.Counter // nil until the time is known
-	all       *metering.Collector
-	seat      *Seat
-	linkedTo  string            // incarnation of the last holder to which the link was open
-	linkedAt  time.Duration     // when it was last open
-	wasLinked bool              // any entry was ever linked
-	sentTo    map[string]string // incarnations of the entries that have all counts sent so far
-	asking    map[string]bool   // entries that are being asked for their clock
-	askedAt   map[string]time.Duration
-	gathered  time.Duration // when the holder last asked entries for their counts
-	listed    int64         // newest window for which the holder has read counts from the store
-	storing   bool          // counts are being written to the store
-	missing   map[int64][]string
+	mu       sync.Mutex
+	times    *truetime.Estimator
+	started  time.Duration
+	settled  bool              // the time is known
+	counter  *metering.Counter // nil until the time is known
+	all      *metering.Collector
+	seat     *Seat
+	linkedTo string                   // incarnation of the last holder to which the link was open
+	linkedAt time.Duration            // when it was last open
+	sentTo   map[string]string        // incarnations of the entries that have all counts sent so far
+	linked   map[string]time.Duration // when the links to other entries were last open
+	apart    map[string]int64         // newest complete windows of entries that write their counts to the store
+	asking   map[string]bool          // entries that are being asked for their clock
+	askedAt  map[string]time.Duration
+	gathered time.Duration // when the holder last asked entries for their counts
+	listed   int64         // newest window for which the holder has read counts from the store
+	storing  bool          // counts are being written to the store
+	missing  map[int64][]string
 }
 
 // began is a request that is to be counted, once the time is known.
@@ -169,6 +172,8 @@
 		all:      metering.NewCollector(),
 		seat:     NewSeat(o.Name, o.Inc, timing(o), boot),
 		sentTo:   make(map[string]string),
+		linked:   make(map[string]time.Duration),
+		apart:    make(map[string]int64),
 		asking:   make(map[string]bool),
 		askedAt:  make(map[string]time.Duration),
 		missing:  make(map[int64][]string),
@@ -246,11 +251,13 @@
 func (d *Duty) step(ctx context.Context) {
 	connected := d.Peers.Connected()
 	wall := time.Now()
-	running, reachable := d.Peers.Running(wall), d.Peers.Share(wall) >= quorum
+	running := d.Peers.Running(wall)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.Boot()
-	d.wasLinked = d.wasLinked || len(connected) > 0
+	for _, name := range connected {
+		d.linked[name] = now
+	}
 	d.askClocks(ctx, connected, now)
 	if !d.settled {
 		d.settleClock(connected, now)
@@ -260,7 +267,20 @@
 	d.counter.Complete(metering.Window(now+d.times.Offset(now)-d.settle, d.Bounds.ReportWindow) - 1)
 	d.sendCounts(ctx, connected, running, now)
 	d.gather(ctx, connected, running, now)
-	d.act(ctx, connected, running, reachable, now)
+	d.act(ctx, connected, running, d.hasQuorum(connected, now), now)
+}
+
+// hasQuorum reports whether this entry can reach enough of those that it could reach lately. The caller holds mu.
+func (d *Duty) hasQuorum(connected []string, now time.Duration) bool {
+	known := 1
+	for name, at := range d.linked {
+		if now-at < quorumMemory {
+			known++
+		} else {
+			delete(d.linked, name)
+		}
+	}
+	return float64(len(connected)+1) >= quorum*float64(known)
 }
 
 // settleClock begins to count once enough clocks are known. The caller holds mu.
--- a/entry/internal/duty/seat.go
+++ b/entry/internal/duty/seat.go
@@ -14,8 +14,8 @@
 	// Takeover is how long the object must have been unchanged, by the clock of the entry that takes the duty over, if that
 	// entry has lost its link to the holder. It exceeds Lease, so that the former holder makes no calls any more.
 	Takeover time.Duration
-	// SilentTakeover applies if the link to the holder is open and the holder has announced its last write. It exceeds the time
-	// between two writes of a holder.
+	// SilentTakeover applies if the link to the holder is open and the holder has announced its last write, and at an entry
+	// that can reach no other one. It exceeds the time between two writes of a holder.
 	SilentTakeover time.Duration
 	// Renewal is the time without a write after which the holder writes the object unchanged.
 	Renewal time.Duration
@@ -35,8 +35,10 @@
 	maxStoreRetry = time.Second
 	// quietPeriod is how long an entry leaves the store alone after another one has told it that its calls fail.
 	quietPeriod = 2500 * time.Millisecond
-	// quietLimit is the time without a write after which such messages of others change nothing.
-	quietLimit = 12 * time.Second
+	// holderQuietLimit and quietLimit are the times without a write after which such messages of the holder, and of other
+	// entries earlier in line, change nothing.
+	holderQuietLimit = 8 * time.Second
+	quietLimit       = 20 * time.Second
 	// callRetry and maxCallRetry are the delays before the first and later repetitions of a failed call of the platform's
 	// API.
 	callRetry    = 300 * time.Millisecond
@@ -47,6 +49,11 @@
 	maxCallTimeout = 3 * time.Second
 	// callGrace is the time after the end of the lease in which a call that was started within it may still leave the process.
 	callGrace = 300 * time.Millisecond
+	// yieldAfter is how long calls of the API must get no answer before the holder gives the duty up: the API may be out of
+	// reach for this entry only. Other entries are tried at most maxYields times within yieldPeriod.
+	yieldAfter  = 2 * time.Second
+	yieldPeriod = 30 * time.Second
+	maxYields   = 3
 	// maxRejections is the number of answers that reject a report as such after which it is dropped, so that it does not block
 	// later ones for good.
 	maxRejections = 5
@@ -87,6 +94,7 @@
 type View struct {
 	Rank         int   // position in line for the duty
 	HolderLinked bool  // the link to the holder is open, or was until a moment ago
+	Alone        bool  // no other entry can be reached
 	Quorum       bool  // at least half of the entries can be reached
 	FirstWindow  int64 // first window to be reported if the object does not exist
 }
@@ -102,14 +110,15 @@
 	revision int64         // of object; 0 if unknown
 	absent   bool          // the store has no object
 
-	observed   int64 // newest revision heard of; revision or a later one
-	observedAt time.Duration
-	announced  bool   // by the holder itself
-	holder     string // at that revision
-	holderInc  string
-	released   bool
-	maxToken   int64 // highest token heard of
-	last       int64 // newest window written, as far as heard of
+	observed      int64 // newest revision heard of; revision or a later one
+	observedAt    time.Duration
+	announced     bool // by the holder itself
+	observedToken int64
+	holder        string // at that revision
+	holderInc     string
+	released      bool
+	maxToken      int64 // highest token heard of
+	last          int64 // newest window written, as far as heard of
 
 	holding   bool
 	leaseFrom time.Duration // start of the write that the holder relies on
@@ -129,11 +138,16 @@
 	callWindow int64
 	confirmed  map[int64]bool // reports that are done, but are in the object until the next write
 	failures   int
-	rejections int
-	nextCall   time.Duration
-	dropped    int64
+	// unreachable means that calls since the given time got no answer.
+	unreachable     bool
+	unreachableFrom time.Duration
+	rejections      int
+	nextCall        time.Duration
+	dropped         int64
 
 	stopping bool
+	yielding bool            // the API cannot be reached from here; another entry is to try
+	changes  []time.Duration // when the token was seen to rise
 }
 
 // NewSeat returns the Seat of a process that starts now.
@@ -184,7 +198,8 @@
 // Heard applies a message of another entry.
 func (s *Seat) Heard(n wire.DutyNotice, now time.Duration) {
 	if n.Trying {
-		if (n.Sender == s.holder || n.Sender < s.name) && !s.holding && now-s.observedAt < quietLimit {
+		silence := now - s.observedAt
+		if n.Sender == s.holder && silence < holderQuietLimit || n.Sender != s.holder && n.Sender < s.name && silence < quietLimit {
 			s.quietUntil = now + quietPeriod
 		}
 		return
@@ -205,7 +220,11 @@
 	if n.Rev <= s.observed {
 		return
 	}
-	s.announced = n.Sender == n.Holder
+	if n.Token > s.observedToken {
+		s.changes = append(s.changes, now)
+		s.changes = s.changes[max(len(s.changes)-maxYields, 0):]
+	}
+	s.announced, s.observedToken = n.Sender == n.Holder, n.Token
 	s.observed, s.observedAt, s.absent = n.Rev, now, false
 	s.holder, s.holderInc, s.released = n.Holder, n.Inc, n.Released
 }
@@ -248,7 +267,7 @@
 // holderWrite returns the holder's next write.
 func (s *Seat) holderWrite(now time.Duration, v View, closed func(after int64) []wire.DutyReport) (StoreCall, bool) {
 	spec := s.object
-	if s.stopping {
+	if s.stopping || s.yielding {
 		spec.Released = true
 		spec.Reports = s.waiting()
 		return StoreCall{Op: Update, Spec: spec, Revision: s.revision}, !s.callBusy
@@ -336,7 +355,7 @@
 	switch {
 	case s.released && !former:
 		return 0
-	case s.released, !v.HolderLinked, !s.announced, s.holder == s.name:
+	case s.released, s.holder == s.name, !v.Alone && (!v.HolderLinked || !s.announced):
 		return s.timing.Takeover
 	default:
 		return s.timing.SilentTakeover
@@ -363,6 +382,7 @@
 	}
 	s.confirmed = present
 	if !s.holding {
+		s.yielding, s.unreachable = false, false
 		s.tookOver, s.nextCall, s.failures, s.rejections = now, now, 0, 0
 	}
 	s.holding = !o.Released
@@ -436,7 +456,7 @@
 func (s *Seat) NextCall(now time.Duration) (APICall, bool) {
 	// A call leaves this process before its timeout, so that none does so once another entry may have taken the duty over.
 	left := s.leaseFrom + s.timing.Lease - now
-	if !s.holding || s.callBusy || s.stopping || now < s.nextCall || left <= 0 {
+	if !s.holding || s.callBusy || s.stopping || s.yielding || now < s.nextCall || left <= 0 {
 		return APICall{}, false
 	}
 	for _, r := range s.object.Reports {
@@ -455,7 +475,8 @@
 // Results of a call.
 const (
 	Confirmed   CallResult = iota
-	Unconfirmed            // no answer, or one that asks for a repetition
+	Unconfirmed            // an answer that asks for a repetition
+	Unanswered             // no answer
 	Rejected               // the platform does not accept the report as it is
 )
 
@@ -470,10 +491,22 @@
 	}
 	if result == Confirmed || givenUp {
 		s.confirmed[s.callWindow] = true
+		s.unreachable = false
 		s.failures, s.rejections, s.nextCall = 0, 0, now+s.timing.CallGap
 		return givenUp
 	}
+	if result != Unanswered {
+		s.unreachable = false
+	} else if !s.unreachable {
+		s.unreachable, s.unreachableFrom = true, now
+	}
+	s.yielding = s.yielding || s.unreachable && now-s.unreachableFrom >= yieldAfter && s.mayYield(now)
 	s.nextCall = now + min(callRetry<<min(s.failures, 4), maxCallRetry)
 	s.failures++
 	return false
 }
+
+// mayYield reports whether the duty has not changed hands so often lately that the API is down for all entries.
+func (s *Seat) mayYield(now time.Duration) bool {
+	return len(s.changes) < maxYields || now-s.changes[0] >= yieldPeriod
+}
