Do not check links with each count, and test linked entries

The regular calls to the holder and for clocks no longer probe the link, which would close links of entries that are slow for a second. Only an unconfirmed mark leads to a call that does. Clocks settle by the time since reports were first asked for, not since the start.

Three real entries that share a store and a platform showed that a new holder with an unset last window looped over all windows since 1970 in search of missing entries; it now looks at those that it has closed.

--- a/entry/internal/duty/act.go
+++ b/entry/internal/duty/act.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -155,7 +156,7 @@
 	// What a read has shown is passed on as well, so that the other entries need not read.
 	if n := d.seat.Notice(); n.Rev != before.Rev && n.Rev > 0 {
 		if d.seat.Holding() {
-			d.logClosed(before.Last, n.Last)
+			d.logClosed(n.Last)
 		}
 		d.Peers.Broadcast(link.Seat, n)
 	}
@@ -194,11 +195,11 @@
 	return s
 }
 
-// logClosed logs the windows after the first up to the last one that have been written without the counts of some entries.
-// The caller holds mu.
-func (d *Duty) logClosed(first, last int64) {
-	for w := first + 1; w <= last; w++ {
-		if missing := d.missing[w]; len(missing) > 0 {
+// logClosed logs the windows up to the last written one that were closed without the counts of some entries. The caller
+// holds mu.
+func (d *Duty) logClosed(last int64) {
+	for _, w := range slices.Sorted(maps.Keys(d.missing)) {
+		if missing := d.missing[w]; w <= last && len(missing) > 0 {
 			event.UsageIncomplete.Log(d.Logger, "window", w, "entries", strings.Join(missing, " "))
 			for _, name := range missing {
 				d.metrics.missing.Add(1, name)
--- a/entry/internal/duty/counts.go
+++ b/entry/internal/duty/counts.go
@@ -20,6 +20,8 @@
 	successors = 2
 	// ackTimeout is the timeout for the holder's confirmation of a complete window.
 	ackTimeout = 600 * time.Millisecond
+	// checkTimeout is the timeout for a confirmation while the link is checked.
+	checkTimeout = 1200 * time.Millisecond
 	// gatherInterval is the interval between two requests for missing counts, and gatherDelay the time after which a window
 	// should be complete at all entries.
 	gatherInterval = 700 * time.Millisecond
@@ -103,15 +105,22 @@
 
 // sendMarked sends completed windows to the holder. Without a confirmation all counts are sent again.
 func (d *Duty) sendMarked(ctx context.Context, name string, m wire.UsageCounts) {
-	ctx, cancel := context.WithTimeout(ctx, ackTimeout)
+	first, cancel := context.WithTimeout(ctx, ackTimeout)
 	defer cancel()
 	var ack wire.UsageAck
-	if err := d.Peers.Request(ctx, name, link.Counts, m, &ack); err == nil {
+	if d.Peers.Call(first, name, link.Counts, m, &ack) == nil {
 		return
 	}
+	// The link may be silent, and earlier messages lost with it.
 	d.mu.Lock()
-	defer d.mu.Unlock()
+	m = d.message(d.counter.All(), false)
 	delete(d.sentTo, name)
+	d.mu.Unlock()
+	second, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	if err := d.Peers.Request(second, name, link.Counts, m, &ack); err != nil {
+		event.CountsUnconfirmed.Log(d.Logger, "holder", name, "through", m.Through, "cause", err.Error())
+	}
 }
 
 func (d *Duty) message(windows map[int64]metering.Counts, bye bool) wire.UsageCounts {
--- a/entry/internal/duty/duty.go
+++ b/entry/internal/duty/duty.go
@@ -65,7 +65,7 @@
 	// linkGrace is how long a link may be lost before its entry counts as unreachable: a reset link opens again within it.
 	linkGrace = time.Second
 	// settleTime is the time after which an entry relies on its clock, though few other entries have told theirs.
-	settleTime = 3 * time.Second
+	settleTime = 5 * time.Second
 	// clockWarning is the error of this instance's clock from which it is logged.
 	clockWarning = 500 * time.Millisecond
 	// quorum is the share of the entries that a holder must be able to reach.
@@ -97,7 +97,8 @@
 	Handle(kind string, f func(context.Context, link.Frame) (string, any, error))
 	Broadcast(kind string, body any)
 	Send(name, kind string, body any) error
-	Request(ctx context.Context, name, kind string, body, answer any) error
+	Call(ctx context.Context, name, kind string, body, answer any) error
+	Request(ctx context.Context, name, kind string, body, answer any) error // closes a link that does not answer
 	Connected() []string
 	Running(now time.Time) []string
 	Incarnation(name string) string
@@ -135,24 +136,25 @@
 	clocks clockMap
 	began  []began
 
-	mu       sync.Mutex
-	times    *truetime.Estimator
-	started  time.Duration
-	settled  bool              // the time is known
-	counter  *metering.Counter // nil until the time is known
-	all      *metering.Collector
-	seat     *Seat
-	linkedTo string                   // incarnation of the last holder to which the link was open
-	linkedAt time.Duration            // when it was last open
-	sentTo   map[string]string        // incarnations of the entries that have all counts sent so far
-	linked   map[string]time.Duration // when the links to other entries were last open
-	apart    map[string]int64         // newest complete windows of entries that write their counts to the store
-	asking   map[string]bool          // entries that are being asked for their clock
-	askedAt  map[string]time.Duration
-	gathered time.Duration // when the holder last asked entries for their counts
-	listed   int64         // newest window for which the holder has read counts from the store
-	storing  bool          // counts are being written to the store
-	missing  map[int64][]string
+	mu        sync.Mutex
+	times     *truetime.Estimator
+	started   time.Duration
+	enabledAt time.Duration     // when there first was something to report; 0 before
+	settled   bool              // the time is known
+	counter   *metering.Counter // nil until the time is known
+	all       *metering.Collector
+	seat      *Seat
+	linkedTo  string                   // incarnation of the last holder to which the link was open
+	linkedAt  time.Duration            // when it was last open
+	sentTo    map[string]string        // incarnations of the entries that have all counts sent so far
+	linked    map[string]time.Duration // when the links to other entries were last open
+	apart     map[string]int64         // newest complete windows of entries that write their counts to the store
+	asking    map[string]bool          // entries that are being asked for their clock
+	askedAt   map[string]time.Duration
+	gathered  time.Duration // when the holder last asked entries for their counts
+	listed    int64         // newest window for which the holder has read counts from the store
+	storing   bool          // counts are being written to the store
+	missing   map[int64][]string
 }
 
 // began is a request that is to be counted, once the time is known.
@@ -258,6 +260,9 @@
 	for _, name := range connected {
 		d.linked[name] = now
 	}
+	if d.enabledAt == 0 {
+		d.enabledAt = now
+	}
 	d.askClocks(ctx, connected, now)
 	if !d.settled {
 		d.settleClock(connected, now)
@@ -286,7 +291,7 @@
 // settleClock begins to count once enough clocks are known. The caller holds mu.
 func (d *Duty) settleClock(connected []string, now time.Duration) {
 	enough := len(connected) > 0 && 2*d.times.Samples() >= len(connected)
-	if !enough && now-d.started < settleTime {
+	if !enough && now-d.enabledAt < settleTime {
 		return
 	}
 	d.settled = true
@@ -301,7 +306,7 @@
 func (d *Duty) askClocks(ctx context.Context, connected []string, now time.Duration) {
 	for _, name := range connected {
 		last, asked := d.askedAt[name]
-		if d.asking[name] || asked && now-last < askInterval(last-d.started) || !d.times.Wanted(name, now) {
+		if d.asking[name] || asked && now-last < askInterval(last-d.enabledAt) || !d.times.Wanted(name, now) {
 			continue
 		}
 		d.asking[name], d.askedAt[name] = true, now
@@ -322,7 +327,7 @@
 	defer cancel()
 	asked := d.Boot()
 	var r wire.ClockReading
-	err := d.Peers.Request(ctx, name, link.Clock, wire.ClockReading{}, &r)
+	err := d.Peers.Call(ctx, name, link.Clock, wire.ClockReading{}, &r)
 	received := d.Boot()
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/entry/internal/duty/duty_test.go
+++ b/entry/internal/duty/duty_test.go
@@ -327,6 +327,11 @@
 	return nil
 }
 
+// Call implements Peers.
+func (n *fleetNode) Call(ctx context.Context, name, kind string, body, answer any) error {
+	return n.Request(ctx, name, kind, body, answer)
+}
+
 // Request implements Peers.
 func (n *fleetNode) Request(_ context.Context, name, kind string, body, answer any) error {
 	raw, err := cbor.Marshal(body)
--- a/entry/internal/duty/seat.go
+++ b/entry/internal/duty/seat.go
@@ -267,6 +267,7 @@
 // holderWrite returns the holder's next write.
 func (s *Seat) holderWrite(now time.Duration, v View, closed func(after int64) []wire.DutyReport) (StoreCall, bool) {
 	spec := s.object
+	s.yielding = s.yielding && !v.Alone
 	if s.stopping || s.yielding {
 		spec.Released = true
 		spec.Reports = s.waiting()
--- a/entry/internal/peer/request.go
+++ b/entry/internal/peer/request.go
@@ -57,6 +57,29 @@
 // Broadcast sends a message to all connected entries without waiting for them.
 func (p *Peers) Broadcast(kind string, body any) { p.broadcast(kind, body) }
 
+// Call is like Request, but does not check the link meanwhile. It is for short, regular calls, so that an entry that is slow
+// for a moment does not lose its links.
+func (p *Peers) Call(ctx context.Context, name, kind string, body, answer any) error {
+	p.mu.Lock()
+	var c *link.Conn
+	if e := p.entries[name]; e != nil {
+		c = e.newestLink()
+	}
+	p.mu.Unlock()
+	if c == nil {
+		return &UnreachableError{entry: name, cause: "no link"}
+	}
+	r, err := c.Call(ctx, kind, body)
+	if err != nil {
+		return &UnreachableError{entry: name, cause: err.Error()}
+	}
+	if err := r.Decode(answer); err != nil {
+		c.Close()
+		return &UnreachableError{entry: name, cause: err.Error()}
+	}
+	return nil
+}
+
 // Send sends a message to an entry without waiting for it. Its error is an *UnreachableError.
 func (p *Peers) Send(name, kind string, body any) error {
 	p.mu.Lock()
