--- a/entry/internal/cli/drain_test.go
+++ b/entry/internal/cli/drain_test.go
@@ -25,7 +25,6 @@
 	address   string
 	stop      context.CancelFunc // like a SIGTERM
 	stopped   chan struct{}      // closed when the entry has ended
-	store     *objects.Store
 	mu        sync.Mutex
 	forwarded map[string]bool // ids of the requests that the server has seen
 }
@@ -48,12 +47,6 @@
 }
 
 func startInstance(t *testing.T, grace time.Duration) *instance {
-	t.Helper()
-	return startInstanceWith(t, grace, func(*node.Settings) {})
-}
-
-// startInstanceWith starts an entry whose settings are changed by a function.
-func startInstanceWith(t *testing.T, grace time.Duration, change func(*node.Settings)) *instance {
 	t.Helper()
 	n := &instance{t: t, stopped: make(chan struct{}), forwarded: make(map[string]bool)}
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -70,7 +63,6 @@
 	}))
 	t.Cleanup(server.CloseClientConnections)
 	store := objects.New()
-	n.store = store
 	storeServer := httptest.NewServer(store)
 	t.Cleanup(storeServer.CloseClientConnections)
 	route := catalog.Route{
@@ -96,7 +88,6 @@
 		MemoryBytes: 1 << 30,
 		Bounds:      node.Bounds{Grace: grace, ResultRetention: time.Minute, ConfigDelay: 2500 * time.Millisecond},
 	}
-	change(&settings)
 	ctx, stop := context.WithCancel(context.Background())
 	n.stop = stop
 	go func() {
