Settle clocks among the entries that are presumed to run; test the bound of reports

An entry that starts has few links for a moment, and the median of two clocks is not robust. It waits at least a second, and for the clocks of half of the entries that it presumes to be running, up to five seconds.

--- a/entry/internal/duty/duty.go
+++ b/entry/internal/duty/duty.go
@@ -64,6 +64,8 @@
 	collectTime = time.Second
 	// linkGrace is how long a link may be lost before its entry counts as unreachable: a reset link opens again within it.
 	linkGrace = time.Second
+	// minSettleTime is the time in which an entry that has just started learns of the others.
+	minSettleTime = time.Second
 	// settleTime is the time after which an entry relies on its clock, though few other entries have told theirs.
 	settleTime = 5 * time.Second
 	// clockWarning is the error of this instance's clock from which it is logged.
@@ -265,7 +267,7 @@
 	}
 	d.askClocks(ctx, connected, now)
 	if !d.settled {
-		d.settleClock(connected, now)
+		d.settleClock(len(running), now)
 		return
 	}
 	d.count(now)
@@ -288,9 +290,10 @@
 	return float64(len(connected)+1) >= quorum*float64(known)
 }
 
-// settleClock begins to count once enough clocks are known. The caller holds mu.
-func (d *Duty) settleClock(connected []string, now time.Duration) {
-	enough := len(connected) > 0 && 2*d.times.Samples() >= len(connected)
+// settleClock begins to count once the clocks of half of the entries that are presumed to be running are known. The caller
+// holds mu.
+func (d *Duty) settleClock(running int, now time.Duration) {
+	enough := running > 0 && 2*d.times.Samples() >= running && now-d.enabledAt >= minSettleTime
 	if !enough && now-d.enabledAt < settleTime {
 		return
 	}
--- a/entry/internal/duty/seat_test.go
+++ b/entry/internal/duty/seat_test.go
@@ -429,3 +429,43 @@
 		}
 	}
 }
+
+// Guards against an object that outgrows the store while the platform's API is down, and against newer reports that wait for
+// good behind one that the platform rejects.
+func TestReportsAreBounded(t *testing.T) {
+	w := newSim(t, 5, 2)
+	w.apiDown = time.Hour
+	w.run(15 * time.Minute)
+	if n := len(w.object.Reports); n != maxReports {
+		t.Errorf("%d reports are kept, want %d", n, maxReports)
+	}
+	w.apiDown = 0
+	w.run(time.Minute)
+	last := int64(w.now/testWindow) - 3
+	if w.reported[last] == "" || w.reported[last-maxReports/2] == "" || w.reported[1] != "" {
+		t.Errorf("after the outage %d windows are reported", len(w.reported))
+	}
+	for _, n := range w.nodes {
+		s := n.seat
+		if !s.Holding() {
+			continue
+		}
+		before := s.Dropped()
+		if before == 0 {
+			t.Error("dropped reports are not counted")
+		}
+		s.object.Reports, s.leaseFrom = []wire.DutyReport{{Window: 900, Body: "a"}, {Window: 901, Body: "b"}}, w.now
+		for range maxRejections {
+			w.now = max(w.now, s.nextCall)
+			s.leaseFrom = w.now
+			if c, ok := s.NextCall(w.now); !ok || c.Report.Window != 900 {
+				t.Fatalf("call %+v, %t", c, ok)
+			}
+			s.Called(Rejected, w.now)
+		}
+		w.now = s.nextCall
+		if c, ok := s.NextCall(w.now); !ok || c.Report.Window != 901 || s.Dropped() != before+1 {
+			t.Errorf("after the rejections %+v, %t", c, ok)
+		}
+	}
+}
