--- a/entry/internal/duty/seat.go
+++ b/entry/internal/duty/seat.go
@@ -120,10 +120,12 @@
 	maxToken      int64 // highest token heard of
 	last          int64 // newest window written, as far as heard of
 
-	holding   bool
-	leaseFrom time.Duration // start of the write that the holder relies on
-	renew     bool          // that write was proven late, so that its lease may have ended unused
-	tookOver  time.Duration
+	holding    bool
+	held       bool          // this process has held the duty
+	otherSince time.Duration // when another entry was first seen to hold the duty, after this one or since the start
+	leaseFrom  time.Duration // start of the write that the holder relies on
+	renew      bool          // that write was proven late, so that its lease may have ended unused
+	tookOver   time.Duration
 	// uncertain means that a write without an answer may still take effect; uncertainFrom is the start of the earliest one.
 	uncertain     bool
 	uncertainFrom time.Duration
@@ -220,6 +222,9 @@
 	if n.Rev <= s.observed {
 		return
 	}
+	if n.Holder != s.name && (s.holder == s.name || s.observed == 0) {
+		s.otherSince = now
+	}
 	if n.Token > s.observedToken {
 		s.changes = append(s.changes, now)
 		s.changes = s.changes[max(len(s.changes)-maxYields, 0):]
@@ -331,7 +336,7 @@
 	case s.observed == 0:
 		return StoreCall{Op: Read}, now >= s.started+introduction+rankDelay
 	}
-	if now-s.observedAt < s.patience(v)+rankDelay {
+	if now-s.observedAt < s.patience(v, now)+rankDelay {
 		return StoreCall{}, false
 	}
 	if s.revision != s.observed {
@@ -349,10 +354,11 @@
 }
 
 // patience returns how long the object must have been unchanged before this entry, if it is first in line, takes over. A
-// former holder does not profit from a release, so that the duty does not return to it too soon.
-func (s *Seat) patience(v View) time.Duration {
-	known := s.revision == s.observed
-	former := known && (s.object.Holder == s.name || slices.Contains(s.object.Former, s.name))
+// former holder does not profit from a release until it has seen others hold the duty for as long, so that the duty does
+// not return to it too soon.
+func (s *Seat) patience(v View, now time.Duration) time.Duration {
+	former := s.holder == s.name || s.held || s.revision == s.observed && slices.Contains(s.object.Former, s.name)
+	former = former && (s.holder == s.name || now-s.otherSince < s.timing.Takeover)
 	switch {
 	case s.released && !former:
 		return 0
@@ -386,7 +392,7 @@
 		s.yielding, s.unreachable = false, false
 		s.tookOver, s.nextCall, s.failures, s.rejections = now, now, 0, 0
 	}
-	s.holding = !o.Released
+	s.holding, s.held = !o.Released, true
 }
 
 // Saw records the object that a read or a conflict has shown.
