--- a/entry/internal/duty/duty_test.go
+++ b/entry/internal/duty/duty_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -101,9 +103,13 @@
 
 func (f *fleet) holder() string {
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	for name, n := range f.nodes {
-		if n.duty.seat.Holding() {
+	nodes := maps.Clone(f.nodes)
+	f.mu.Unlock()
+	for name, n := range nodes {
+		n.duty.mu.Lock()
+		holding := n.duty.seat.Holding()
+		n.duty.mu.Unlock()
+		if holding {
 			return name
 		}
 	}
@@ -229,8 +235,9 @@
 
 // Update implements Store.
 func (f *fleet) Update(_ context.Context, kind, name string, spec []byte, revision int64) (int64, error) {
+	var down *store.UnavailableError
 	o, err := f.call("write", kind, name)
-	if f.down {
+	if errors.As(err, &down) {
 		return 0, err
 	}
 	f.mu.Lock()
@@ -248,7 +255,8 @@
 
 // List implements Store.
 func (f *fleet) List(_ context.Context, kind string) ([]store.Record, int64, error) {
-	if _, err := f.call("list", kind, ""); f.down {
+	var down *store.UnavailableError
+	if _, err := f.call("list", kind, ""); errors.As(err, &down) {
 		return nil, 0, err
 	}
 	f.mu.Lock()
@@ -367,7 +375,7 @@
 	}{
 		"calm": {3 * time.Second, func(f *fleet) { f.traffic(40 * time.Second) }, 0},
 		"all at once": {2 * limit, func(f *fleet) {
-			f.lossy = true
+			f.setDown(&f.lossy, true)
 			for range 12 {
 				f.traffic(3 * time.Second)
 				killed, cut := f.holder(), fmt.Sprint("entry-", f.millis(6).Milliseconds())
@@ -409,7 +417,9 @@
 			for range 3 {
 				f.traffic(9 * time.Second)
 				holder := f.holder()
+				f.mu.Lock()
 				n := f.nodes[holder]
+				f.mu.Unlock()
 				n.duty.Release()
 				f.traffic(2500 * time.Millisecond)
 				f.traffic(100*time.Millisecond, holder) // its last requests are answered
@@ -443,6 +453,8 @@
 				time.Sleep(4 * time.Second)
 				c.run(f)
 				f.check(c.limit, c.lost)
+				f.mu.Lock()
+				defer f.mu.Unlock()
 				t.Logf("store calls: %v", f.calls)
 				if name == "calm" && (f.calls["write "+kindSeat] > len(f.sent)+2 || f.calls["get "+kindSeat] > 1 || f.calls["list "+kindCounts] > 1) {
 					t.Errorf("%d reports took the store calls %v", len(f.sent), f.calls)
