Give the duty up only if the API cannot be reached

An API that takes calls and answers late, or never, does so for every entry, and a new holder would begin with the shortest time-out again.

--- a/entry/internal/duty/act.go
+++ b/entry/internal/duty/act.go
@@ -16,6 +16,7 @@
 	"bulrushspoke/internal/metering"
 	"bulrushspoke/internal/store"
 	"bulrushspoke/internal/supervise"
+	"bulrushspoke/internal/upstream"
 	"bulrushspoke/wire"
 )
 
@@ -243,7 +244,10 @@
 
 // judge returns what the answer to a report means, and its name in the metrics.
 func judge(status int, err error) (CallResult, string) {
+	var failed *upstream.Error
 	switch {
+	case errors.As(err, &failed) && !failed.Sent():
+		return Unreached, "failed"
 	case err != nil:
 		return Unanswered, "failed"
 	case status >= http.StatusOK && status < http.StatusMultipleChoices:
--- a/entry/internal/duty/seat.go
+++ b/entry/internal/duty/seat.go
@@ -49,9 +49,9 @@
 	maxCallTimeout = 3 * time.Second
 	// callGrace is the time after the end of the lease in which a call that was started within it may still leave the process.
 	callGrace = 300 * time.Millisecond
-	// yieldAfter is how long calls of the API must get no answer before the holder gives the duty up: the API may be out of
-	// reach for this entry only. Other entries are tried at most maxYields times within yieldPeriod.
-	yieldAfter  = 2 * time.Second
+	// yieldAfter is how long after the first call without an answer the holder gives the duty up if the API cannot be reached:
+	// it may be out of reach for this entry only. Other entries are tried at most maxYields times within yieldPeriod.
+	yieldAfter  = 1200 * time.Millisecond
 	yieldPeriod = 30 * time.Second
 	maxYields   = 3
 	// maxRejections is the number of answers that reject a report as such after which it is dropped, so that it does not block
@@ -140,12 +140,12 @@
 	callWindow int64
 	confirmed  map[int64]bool // reports that are done, but are in the object until the next write
 	failures   int
-	// unreachable means that calls since the given time got no answer.
-	unreachable     bool
-	unreachableFrom time.Duration
-	rejections      int
-	nextCall        time.Duration
-	dropped         int64
+	// silent means that calls since the given time got no answer.
+	silent     bool
+	silentFrom time.Duration
+	rejections int
+	nextCall   time.Duration
+	dropped    int64
 
 	stopping bool
 	yielding bool            // the API cannot be reached from here; another entry is to try
@@ -389,7 +389,7 @@
 	}
 	s.confirmed = present
 	if !s.holding {
-		s.yielding, s.unreachable = false, false
+		s.yielding, s.silent = false, false
 		s.tookOver, s.nextCall, s.failures, s.rejections = now, now, 0, 0
 	}
 	s.holding, s.held = !o.Released, true
@@ -483,7 +483,8 @@
 const (
 	Confirmed   CallResult = iota
 	Unconfirmed            // an answer that asks for a repetition
-	Unanswered             // no answer
+	Unanswered             // sent, but no answer
+	Unreached              // not sent, as no connection could be opened
 	Rejected               // the platform does not accept the report as it is
 )
 
@@ -498,16 +499,18 @@
 	}
 	if result == Confirmed || givenUp {
 		s.confirmed[s.callWindow] = true
-		s.unreachable = false
+		s.silent = false
 		s.failures, s.rejections, s.nextCall = 0, 0, now+s.timing.CallGap
 		return givenUp
 	}
-	if result != Unanswered {
-		s.unreachable = false
-	} else if !s.unreachable {
-		s.unreachable, s.unreachableFrom = true, now
+	switch {
+	case result != Unanswered && result != Unreached:
+		s.silent = false
+	case !s.silent:
+		s.silent, s.silentFrom = true, now
 	}
-	s.yielding = s.yielding || s.unreachable && now-s.unreachableFrom >= yieldAfter && s.mayYield(now)
+	// An API that takes the call but does not answer is slow or silent for all entries.
+	s.yielding = s.yielding || result == Unreached && now-s.silentFrom >= yieldAfter && s.mayYield(now)
 	s.nextCall = now + min(callRetry<<min(s.failures, 4), maxCallRetry)
 	s.failures++
 	return false
--- a/entry/internal/duty/seat_test.go
+++ b/entry/internal/duty/seat_test.go
@@ -63,6 +63,7 @@
 	cut       time.Duration // from all other nodes
 	noStore   time.Duration
 	clock     time.Duration // error of its idea of the time
+	keptConn  bool          // its last call left a connection, on which the next one is sent though it is cut off
 	inbox     []func()      // results and messages that wait for the end of a pause
 }
 
@@ -275,7 +276,11 @@
 	result, delay := Confirmed, arrival+w.millis(1, 30)
 	if silent || lost || delay > c.Timeout {
 		result, delay = Unanswered, c.Timeout
+		if w.now < n.noStore && !n.keptConn {
+			result = Unreached
+		}
 	}
+	n.keptConn = result == Confirmed
 	w.after(delay, func() { w.deliver(n, inc, func() { n.seat.Called(result, w.now) }) })
 }
 
