--- a/entry/internal/cli/platform.go
+++ b/entry/internal/cli/platform.go
@@ -241,12 +241,14 @@
 			p.usage.PeerConnected(name)
 		}
 	})
+	feeder := platform.NewCatalogUpdater(p.catalog, p.logger)
 	requestTime := m.Histogram("request", "s", "Time from arrival to the answer.")
 	p.ingress = ingress.New(ingress.Options{
 		Catalog: p.catalog, Pool: pool, Tracker: tracker, Jobs: p.batch,
 		Random:        jitter,
 		MaxBodyMemory: int64(bodyShare * float64(s.MemoryBytes)),
 		Suspects:      p.suspects(),
+		ReadConfig:    func(ctx context.Context) error { return feeder.RefreshConfig(ctx, objects) },
 		Logger:        p.logger,
 		Observe: func(route string, status int, took time.Duration) {
 			requestTime.Record(route, strconv.Itoa(status/100*100), took.Seconds())
@@ -272,7 +274,7 @@
 	})
 	p.task("entries", p.peers.Serve)
 	p.task("membership", member.New(s.Name, self, p.store, p.peers, p.logger).Run)
-	feeder, now := platform.NewCatalogUpdater(p.catalog, p.logger), time.Now()
+	now := time.Now()
 	for kind, bound := range map[string]time.Duration{
 		platform.KindConfig: s.Bounds.ConfigDelay, platform.KindServers: s.Bounds.DrainDelay,
 	} {
@@ -298,7 +300,10 @@
 }
 
 // hasWorkspaces reports whether the configuration names workspaces, whose requests are to be reported.
-func (p *platformEntry) hasWorkspaces() bool { return p.catalog.Config() != nil }
+func (p *platformEntry) hasWorkspaces() bool {
+	c := p.catalog.Config()
+	return c != nil && c.Workspaces != nil
+}
 
 // suspects returns the set of requests suspected of crashing servers, which entries share with each other.
 func (p *platformEntry) suspects() *ingress.Suspects {
--- a/entry/internal/ingress/usage.go
+++ b/entry/internal/ingress/usage.go
@@ -32,7 +32,7 @@
 
 // recordBegan counts an attempt that a server began to run shortly after the given time.
 func (g *Ingress) recordBegan(q *request, at time.Time) {
-	if name := q.workspaceName; g.Usage != nil && name != "" {
+	if name := q.workspace.Name; g.Usage != nil && name != "" {
 		g.Usage.Began(name, at)
 	}
 }
--- a/entry/internal/ingress/usage_test.go
+++ b/entry/internal/ingress/usage_test.go
@@ -12,6 +12,7 @@
 
 	"bulrushspoke/internal/call"
 	"bulrushspoke/internal/catalog"
+	"bulrushspoke/internal/workspace"
 	"bulrushspoke/platform/platformtest"
 )
 
@@ -87,7 +88,7 @@
 			arrived := time.Now()
 			q := &request{
 				Request: call.Request{ID: "r1", Deadline: 500 * time.Millisecond}, arrived: arrived, config: config, route: &config.Routes[0],
-				http: httptest.NewRequest(http.MethodPost, "http://h.example/p/x", strings.NewReader("")), workspaceName: "w",
+				http: httptest.NewRequest(http.MethodPost, "http://h.example/p/x", strings.NewReader("")), workspace: workspace.Workspace{Name: "w"},
 			}
 			r.ingress.forward(httptest.NewRecorder(), q)
 			counted.mu.Lock()
