Keep reported windows apart from new ones when the duty's object is deleted or invalid

Cause: an entry that took over an object without content ("{}", "null", another version) began at window 0 and reported windows again that had been reported before, with empty counts. After a deletion it began at the newest window that it had heard of, which may be outdated.

Change: with such an object an entry begins no earlier than the first window that no entry can have closed yet, and never below the newest one that it has heard of. It waits until calls of the former holder have ended, names the former holder that it knows of, and takes a token that is at least the number of the current window. All entries, not only the holder, tell newly connected ones what they know about the object. The fault simulation deletes the object and replaces it by an empty one.

Ruled out: beginning at the newest window heard of. Windows that were closed but not written are therefore given up in this case.

Before: TestInvalidObject fails (windows after 0 are closed, want 1000).

--- a/entry/internal/duty/act.go
+++ b/entry/internal/duty/act.go
@@ -72,6 +72,8 @@
 	if first, ok := d.all.First(); ok {
 		v.FirstWindow = min(v.FirstWindow, first)
 	}
+	// Another process may have written all windows that can have been closed.
+	v.FirstWindow = max(v.FirstWindow, d.window(now-d.settle))
 	if c, ok := d.seat.NextStore(now, v, func(after int64) []wire.DutyReport { return d.closed(after, running, now) }); ok {
 		go supervise.Guard(d.Logger, "seat", func() { d.callStore(ctx, c) })
 	}
@@ -186,10 +188,10 @@
 	}
 }
 
-// decodeSeat returns an empty seat for an object that another writer has made unusable; it is replaced at the next takeover.
+// decodeSeat returns an empty seat for an object that another writer has made invalid; it is replaced at the next takeover.
 func (d *Duty) decodeSeat(spec []byte) wire.DutySeat {
 	var s wire.DutySeat
-	if err := json.Unmarshal(spec, &s); err != nil {
+	if err := json.Unmarshal(spec, &s); err != nil || s.Holder == "" || s.Token <= 0 || s.Last < 0 {
 		event.ObjectInvalid.Log(d.Logger, "kind", kindSeat, "name", nameSeat)
 		return wire.DutySeat{Token: d.seat.Token(), Last: d.seat.Last()}
 	}
--- a/entry/internal/duty/duty.go
+++ b/entry/internal/duty/duty.go
@@ -380,12 +380,13 @@
 	})
 }
 
-// PeerConnected tells an entry that has become reachable about the seat.
+// PeerConnected tells an entry that has become reachable about the seat. Each entry does so, since the object and its holder may
+// be gone.
 func (d *Duty) PeerConnected(name string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.seat.Holding() {
-		_ = d.Peers.Send(name, link.Seat, d.seat.Notice()) // a lost link opens again
+	if n := d.seat.Known(); n.Token > 0 {
+		_ = d.Peers.Send(name, link.Seat, n) // a lost link opens again
 	}
 }
 
--- a/entry/internal/duty/seat.go
+++ b/entry/internal/duty/seat.go
@@ -96,7 +96,7 @@
 	HolderLinked bool  // the link to the holder is open, or was until a moment ago
 	Alone        bool  // no other entry can be reached
 	Quorum       bool  // at least half of the entries can be reached
-	FirstWindow  int64 // first window to be reported if the object does not exist
+	FirstWindow  int64 // first window that cannot have been written, should the object be gone
 }
 
 // Seat decides who holds a duty and what the holder writes and sends. Times are readings of a clock that counts suspensions.
@@ -117,8 +117,9 @@
 	holder        string // at that revision
 	holderInc     string
 	released      bool
-	maxToken      int64 // highest token heard of
-	last          int64 // newest window written, as far as heard of
+	maxToken      int64  // highest token heard of
+	lastHolder    string // with that token
+	last          int64  // newest window written, as far as heard of
 
 	holding    bool
 	held       bool          // this process has held the duty
@@ -200,6 +201,13 @@
 	}
 }
 
+// Known returns what this process knows about the object, for an entry that may know less.
+func (s *Seat) Known() wire.DutyNotice {
+	return wire.DutyNotice{
+		Sender: s.name, Holder: s.lastHolder, Inc: s.holderInc, Token: s.maxToken, Rev: s.observed, Last: s.last, Released: s.released,
+	}
+}
+
 // Heard applies a message of another entry.
 func (s *Seat) Heard(n wire.DutyNotice, now time.Duration) {
 	if n.Trying {
@@ -218,6 +226,9 @@
 // observe records that the object has the given revision or a later one. It may be learnt from any entry: since the object
 // changed before, observedAt is never too early.
 func (s *Seat) observe(n wire.DutyNotice, now time.Duration) {
+	if n.Holder != "" && n.Token >= s.maxToken {
+		s.lastHolder = n.Holder
+	}
 	s.maxToken, s.last = max(s.maxToken, n.Token), max(s.last, n.Last)
 	if n.Rev == s.observed {
 		s.announced = s.announced || n.Sender == n.Holder
@@ -284,7 +295,7 @@
 	if !v.Quorum {
 		return StoreCall{}, false // the other entries cannot send their counts; one of them takes over
 	}
-	reports := closed(s.object.Last)
+	reports := closed(max(s.object.Last, s.last))
 	age := now - s.leaseFrom
 	renew := age >= s.timing.Renewal || s.renew && age >= s.timing.Lease && s.Waiting() > 0
 	if len(reports) == 0 && !renew {
@@ -328,12 +339,16 @@
 	case s.stopping || !v.Quorum || now < s.quietUntil:
 		return StoreCall{}, false
 	case s.absent:
-		if now < s.observedAt+rankDelay {
+		wait := rankDelay
+		if s.maxToken > 0 { // the object has been deleted, and its holder may still make calls
+			wait += s.timing.Takeover
+		}
+		if now < s.observedAt+wait {
 			return StoreCall{}, false
 		}
 		spec := wire.DutySeat{
-			Holder: s.name, Inc: s.inc, Token: s.maxToken + 1, Former: []string{}, Reports: []wire.DutyReport{},
-			Last: max(s.last, v.FirstWindow-1),
+			Holder: s.name, Inc: s.inc, Token: s.nextToken(v), Former: s.formerHolders(), Reports: s.waiting(),
+			Last: s.lastWritten(v),
 		}
 		return StoreCall{Op: Create, Spec: spec}, true
 	case s.observed == 0:
@@ -346,16 +361,48 @@
 		return StoreCall{Op: Read}, true
 	}
 	spec := s.object
-	spec.Holder, spec.Inc, spec.Token, spec.Released = s.name, s.inc, max(s.object.Token, s.maxToken)+1, false
-	spec.Former = append(slices.Clone(s.object.Former), s.object.Holder)
-	spec.Former = spec.Former[max(len(spec.Former)-maxFormer, 0):]
+	spec.Holder, spec.Inc, spec.Token, spec.Released = s.name, s.inc, s.nextToken(v), false
+	spec.Former = s.formerHolders()
 	spec.Reports = slices.Clone(s.object.Reports)
 	if spec.Reports == nil {
 		spec.Reports = []wire.DutyReport{}
 	}
+	spec.Last = s.lastWritten(v)
 	return StoreCall{Op: Update, Spec: spec, Revision: s.revision}, true
 }
 
+// formerHolders returns the former holders that the object is to name after a takeover.
+func (s *Seat) formerHolders() []string {
+	former := append([]string{}, s.object.Former...)
+	last := s.object.Holder
+	if s.absent || last == "" {
+		last = s.lastHolder
+	}
+	if last != "" {
+		former = append(former, last)
+	}
+	return former[max(len(former)-maxFormer, 0):]
+}
+
+// nextToken returns a token above all earlier ones. If the object has been deleted or replaced by another writer, the number of
+// a window, which rises faster than the token, is above tokens that this process has not heard of.
+func (s *Seat) nextToken(v View) int64 {
+	next := max(s.object.Token, s.maxToken) + 1
+	if s.absent || s.object.Holder == "" {
+		next = max(next, v.FirstWindow)
+	}
+	return next
+}
+
+// lastWritten returns the newest window that may have been written. If the object has been deleted or replaced by another
+// writer, that may be a later one than this process has heard of.
+func (s *Seat) lastWritten(v View) int64 {
+	if s.absent || s.object.Holder == "" {
+		return max(s.last, v.FirstWindow-1)
+	}
+	return s.last
+}
+
 // patience returns how long the object must have been unchanged before this entry, if it is first in line, takes over. A
 // former holder does not profit from a release until it has seen others hold the duty for as long, so that the duty does
 // not return to it too soon.
@@ -427,6 +474,9 @@
 		s.renew = true
 	default:
 		s.holding = false
+		if o.Holder == "" {
+			o.Reports, o.Former = s.waiting(), s.object.Former // another writer has replaced the object
+		}
 		s.object, s.revision = o, revision
 		if changed {
 			s.uncertain = false
