Keep calls of a former holder from arriving after those of its successor

Cause: the kernel sends unacknowledged data again for up to 2 s after its connection was closed, so that a report that had timed out could arrive later. A process that was suspended between the decision and the call sent it long after its lease. The duty was released right after a call without an answer.

Change: connections of failed API calls are reset. The lease is checked by CLOCK_BOOTTIME right before a request is written, and a call ends 0.3 s after the lease at the latest, however long the process was suspended before. The duty is released 0.3 s after a call without an answer. In the simulation, calls arrive after they were given up, and processes are suspended between decision and call.

Before: TestGivenUpRequests fails (the connection ends without a reset), TestReleaseAfterUnansweredCall too.

--- a/entry/internal/duty/act.go
+++ b/entry/internal/duty/act.go
@@ -216,7 +216,12 @@
 func (d *Duty) callAPI(ctx context.Context, c APICall) {
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
-	status, err := d.API.ReportUsage(ctx, d.Name, c.Token, []byte(c.Report.Body))
+	status, err := d.API.ReportUsage(ctx, d.Name, c.Token, []byte(c.Report.Body), func() bool {
+		// The process may have been suspended since the decision, and ctx does not count that.
+		left := c.Until - d.Boot()
+		time.AfterFunc(left+callGrace, cancel)
+		return left > 0
+	})
 	result, text := judge(status, err)
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -248,6 +253,8 @@
 func judge(status int, err error) (CallResult, string) {
 	var failed *upstream.Error
 	switch {
+	case errors.Is(err, upstream.ErrNotReady):
+		return Expired, "failed"
 	case errors.As(err, &failed) && !failed.Sent():
 		return Unreached, "failed"
 	case err != nil:
--- a/entry/internal/duty/duty.go
+++ b/entry/internal/duty/duty.go
@@ -106,7 +106,7 @@
 
 // API is the platform's API.
 type API interface {
-	ReportUsage(ctx context.Context, holder string, token int64, body []byte) (int, error)
+	ReportUsage(ctx context.Context, holder string, token int64, body []byte, ready func() bool) (int, error)
 }
 
 // Options are the dependencies and settings of a Duty.
--- a/entry/internal/duty/duty_test.go
+++ b/entry/internal/duty/duty_test.go
@@ -180,7 +180,7 @@
 }
 
 // ReportUsage implements API.
-func (f *fleet) ReportUsage(_ context.Context, _ string, _ int64, body []byte) (int, error) {
+func (f *fleet) ReportUsage(_ context.Context, _ string, _ int64, body []byte, _ func() bool) (int, error) {
 	time.Sleep(5 * time.Millisecond)
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/entry/internal/duty/seat.go
+++ b/entry/internal/duty/seat.go
@@ -49,6 +49,9 @@
 	maxCallTimeout = 3 * time.Second
 	// callGrace is the time after the end of the lease in which a call that was started within it may still leave the process.
 	callGrace = 300 * time.Millisecond
+	// arrivalMargin is the time in which a call may still arrive after it was given up: the connection is reset, but what has
+	// left the process is on its way.
+	arrivalMargin = 300 * time.Millisecond
 	// yieldAfter is how long after the first call without an answer the holder gives the duty up if the API cannot be reached:
 	// it may be out of reach for this entry only. Other entries are tried at most maxYields times within yieldPeriod.
 	yieldAfter  = 1200 * time.Millisecond
@@ -88,6 +91,7 @@
 	Report  wire.DutyReport
 	Token   int64
 	Timeout time.Duration
+	Until   time.Duration // the call must not be sent at this time or later, even if the process is suspended meanwhile
 }
 
 // View is what an entry knows about the others.
@@ -139,6 +143,7 @@
 
 	callBusy   bool
 	callWindow int64
+	arriving   time.Duration  // an unanswered call may arrive until then
 	confirmed  map[int64]bool // reports that are done, but are in the object until the next write
 	failures   int
 	// silent means that calls since the given time got no answer.
@@ -290,7 +295,7 @@
 	if s.stopping || s.yielding {
 		spec.Released = true
 		spec.Reports = s.waiting()
-		return StoreCall{Op: Update, Spec: spec, Revision: s.revision}, !s.callBusy
+		return StoreCall{Op: Update, Spec: spec, Revision: s.revision}, !s.callBusy && now >= s.arriving
 	}
 	if !v.Quorum {
 		return StoreCall{}, false // the other entries cannot send their counts; one of them takes over
--- a/entry/internal/duty/seat_test.go
+++ b/entry/internal/duty/seat_test.go
@@ -292,10 +292,33 @@
 }
 
 func (w *sim) callAPI(n *simNode, c APICall) {
+	inc := n.inc
+	if w.faulty && w.r.IntN(20) == 0 { // suspended between the decision and the call
+		n.paused = w.now + w.millis(50, 8000)
+		w.after(n.paused-w.now, func() {
+			switch {
+			case n.inc != inc:
+			case w.now >= c.Until:
+				w.deliver(n, inc, func() { n.seat.Called(Expired, w.now) })
+			default:
+				c.Timeout = min(c.Timeout, c.Until+callGrace-w.now)
+				w.sendCall(n, c)
+			}
+		})
+		return
+	}
+	w.sendCall(n, c)
+}
+
+func (w *sim) sendCall(n *simNode, c APICall) {
 	inc, holder := n.inc, n.name
 	silent := w.now < w.apiDown || w.now < n.noStore
 	lost := w.faulty && w.r.IntN(6) == 0
+	late := w.faulty && w.r.IntN(6) == 0 // given up, but on its way
 	arrival := min(w.millis(1, 250), c.Timeout)
+	if late {
+		arrival = c.Timeout + w.millis(1, int(arrivalMargin.Milliseconds()))
+	}
 	if !silent {
 		w.after(arrival, func() { w.arrive(holder, inc, c) })
 	}
--- a/entry/internal/duty/send.go
+++ b/entry/internal/duty/send.go
@@ -14,7 +14,7 @@
 		if !s.confirmed[r.Window] {
 			s.callBusy, s.callWindow = true, r.Window
 			timeout := min(time.Duration(s.failures+1)*callTimeout, maxCallTimeout, left+callGrace)
-			return APICall{Report: r, Token: s.object.Token, Timeout: timeout}, true
+			return APICall{Report: r, Token: s.object.Token, Timeout: timeout, Until: now + left}, true
 		}
 	}
 	return APICall{}, false
@@ -29,12 +29,19 @@
 	Unconfirmed            // an answer that asks for a repetition
 	Unanswered             // sent, but no answer
 	Unreached              // not sent, as no connection could be opened
+	Expired                // not sent, as the lease has ended
 	Rejected               // the platform does not accept the report as it is
 )
 
 // Called records the result of a call. It reports whether the report was given up.
 func (s *Seat) Called(result CallResult, now time.Duration) (givenUp bool) {
 	s.callBusy = false
+	if result == Expired {
+		return false
+	}
+	if result == Unanswered {
+		s.arriving = now + arrivalMargin
+	}
 	if result == Rejected {
 		if s.rejections++; s.rejections >= maxRejections {
 			s.dropped++
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -73,6 +73,11 @@
 	// NewConn requests a new connection. It is for requests that must not run twice: on an idle connection that the server is
 	// closing, it would be unknown whether the request has run.
 	NewConn bool
+	// Reset requests that the connection is reset if the call fails. It is for requests that must not arrive later: otherwise
+	// the kernel sends unacknowledged data again for seconds after the connection was closed.
+	Reset bool
+	// Ready is called right before the request is written, which is given up if it returns false. It may be nil.
+	Ready func() bool
 }
 
 // Error reports that no answer was received.
@@ -110,6 +115,9 @@
 	errInvalidStatus  = errors.New("the answer has no valid status")
 )
 
+// ErrNotReady is the cause of the error for a request that was given up by its Ready function.
+var ErrNotReady = errors.New("the request was given up before it was sent")
+
 // errPoolFull is returned if the limit of connections, to the server or in total, is reached.
 var errPoolFull = errors.New("all connections are in use")
 
@@ -160,6 +168,13 @@
 	return n, err
 }
 
+// setLinger sets the time in seconds for which the kernel sends remaining data after the connection is closed.
+func (c *conn) setLinger(seconds int) {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(seconds) // fails on closed connections only
+	}
+}
+
 // noInput reports whether nothing was received on an idle connection, neither data nor its end. Data on an idle connection
 // is not an answer to the next request: a server may send an answer twice.
 func (c *conn) noInput() bool {
@@ -252,7 +267,15 @@
 	if err != nil {
 		return nil, &Error{cause: err, full: errors.Is(err, errPoolFull), reset: errors.Is(err, syscall.ECONNREFUSED)}
 	}
+	if q.Reset {
+		c.setLinger(0)
+	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	if q.Ready != nil && !q.Ready() {
+		stop()
+		p.discard(c)
+		return nil, &Error{cause: ErrNotReady}
+	}
 	sentAt := time.Now()
 	wrote, err := writeRequest(c, q)
 	if err != nil {
@@ -266,6 +289,9 @@
 		p.discard(c)
 		return nil, &Error{cause: contextError(ctx, err), sent: true, sentAt: sentAt, reset: closedByPeer(err)}
 	}
+	if q.Reset {
+		c.setLinger(-1) // the default
+	}
 	return &Response{Response: resp, SentAt: sentAt, pool: p, conn: c, stopCancel: stop}, nil
 }
 
