Keep reports that are in time when the object is full, and send only counts that have changed

Cause: the oldest reports were dropped whenever the reports exceeded the object's share, also if none was overdue. Each message held all counts of a changed window, and a long one could exceed the limit of a frame.

Change: closed windows are added oldest first while they fit; only overdue reports make room. A report that no object can hold is given up with event 1080. Messages hold the counts that have changed, and all counts of a window once it is complete; messages above 1 MiB are sent in pieces, of which only the last one marks windows as complete, after the others are confirmed.

Ruled out: splitting reports, as a window has one report; unconfirmed pieces, as messages may overtake each other.

Before: TestChangesAreSmall fails (all counts of the window are sent).

--- a/entry/internal/duty/act.go
+++ b/entry/internal/duty/act.go
@@ -73,6 +73,7 @@
 		v.FirstWindow = min(v.FirstWindow, first)
 	}
 	// Another process may have written all windows that can have been closed.
+	v.Overdue = d.window(now-d.Bounds.UsageDelay) - 1
 	v.FirstWindow = max(v.FirstWindow, d.window(now-d.settle))
 	if c, ok := d.seat.NextStore(now, v, func(after int64) []wire.DutyReport { return d.closed(after, running, now) }); ok {
 		go supervise.Guard(d.Logger, "seat", func() { d.callStore(ctx, c) })
@@ -152,6 +153,11 @@
 	held, before := d.seat.Holding(), d.seat.Notice()
 	d.storeResult(c, revision, read.Spec, err)
 	d.applyLast(held)
+	if err == nil {
+		for _, w := range c.tooLarge {
+			event.UsageTooLarge.Log(d.Logger, "window", w, "max", d.seat.timing.MaxBytes)
+		}
+	}
 	if d.seat.Holding() && !held {
 		// Entries that could reach no other one at their end have left their counts in the store.
 		go supervise.Guard(d.Logger, "counts", func() { d.listCounts(parent) })
--- a/entry/internal/duty/counts.go
+++ b/entry/internal/duty/counts.go
@@ -34,6 +34,10 @@
 	storeTimeout = 3 * time.Second
 	// lastWriteTimeout bounds the write of counts at the end of the process.
 	lastWriteTimeout = 400 * time.Millisecond
+	// maxPieceBytes bounds the counts in one message, far below the limit of a frame between entries, and countBytes is the size of
+	// a count beside the name of its workspace.
+	maxPieceBytes = 1 << 20
+	countBytes    = 10
 	// apartWindows is the number of windows without counts in the store after which an entry is no longer waited for.
 	apartWindows = 3
 	// maxStoreTries bounds the attempts to write counts to the store.
@@ -81,12 +85,12 @@
 	for _, name := range targets {
 		switch {
 		case d.sentTo[name] != d.Peers.Incarnation(name):
-			d.sendAll(name)
+			d.sendAll(ctx, name)
 		case marked && name == d.seat.Holder():
 			m := d.message(windows, false)
 			go supervise.Guard(d.Logger, "counts", func() { d.sendMarked(ctx, name, m) })
 		case changed:
-			if d.Peers.Send(name, link.Counts, d.message(windows, false)) != nil {
+			if d.sendPieces(ctx, name, d.message(windows, false)) != nil {
 				delete(d.sentTo, name)
 			}
 		}
@@ -97,19 +101,78 @@
 }
 
 // sendAll sends all counts to an entry. The caller holds mu.
-func (d *Duty) sendAll(name string) {
+func (d *Duty) sendAll(ctx context.Context, name string) {
 	inc := d.Peers.Incarnation(name)
-	if inc != "" && d.Peers.Send(name, link.Counts, d.message(d.counter.All(), false)) == nil {
+	if inc != "" && d.sendPieces(ctx, name, d.message(d.counter.All(), false)) == nil {
 		d.sentTo[name] = inc
 	}
 }
 
+// sendPieces sends a message in pieces, if it is too long for one frame. The last piece, which marks windows as complete, follows
+// the confirmations of the others, since messages may overtake each other. The caller holds mu.
+func (d *Duty) sendPieces(ctx context.Context, name string, m wire.UsageCounts) error {
+	l := pieces(m)
+	last := l[len(l)-1]
+	if len(l) == 1 {
+		return d.Peers.Send(name, link.Counts, last)
+	}
+	go supervise.Guard(d.Logger, "counts", func() {
+		ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+		defer cancel()
+		err := d.callPieces(ctx, name, l[:len(l)-1], d.Peers.Call)
+		if err == nil {
+			err = d.Peers.Send(name, link.Counts, last)
+		}
+		if err != nil {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			delete(d.sentTo, name)
+		}
+	})
+	return nil
+}
+
+// callPieces sends messages one after another, each after the confirmation of the one before it.
+func (d *Duty) callPieces(
+	ctx context.Context, name string, l []wire.UsageCounts, call func(context.Context, string, string, any, any) error,
+) error {
+	for _, m := range l {
+		var ack wire.UsageAck
+		if err := call(ctx, name, link.Counts, m, &ack); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// pieces splits a message whose counts are too long for one frame. Only the last piece marks windows as complete.
+func pieces(m wire.UsageCounts) []wire.UsageCounts {
+	var l []wire.UsageCounts
+	next := wire.UsageCounts{Entry: m.Entry, Inc: m.Inc, Windows: []wire.UsageWindow{}}
+	bytes := 0
+	for _, w := range m.Windows {
+		part := make(wire.UsageWindowCounts)
+		for workspace, n := range w.Counts {
+			size := len(workspace) + countBytes
+			if bytes+size > maxPieceBytes {
+				next.Windows = append(next.Windows, wire.UsageWindow{Window: w.Window, Counts: part})
+				l = append(l, next)
+				next.Windows, part, bytes = []wire.UsageWindow{}, make(wire.UsageWindowCounts), 0
+			}
+			part[workspace] = n
+			bytes += size
+		}
+		next.Windows = append(next.Windows, wire.UsageWindow{Window: w.Window, Counts: part})
+	}
+	next.Through, next.Bye = m.Through, m.Bye
+	return append(l, next)
+}
+
 // sendMarked sends completed windows to the holder. Without a confirmation all counts are sent again.
 func (d *Duty) sendMarked(ctx context.Context, name string, m wire.UsageCounts) {
 	first, cancel := context.WithTimeout(ctx, ackTimeout)
 	defer cancel()
-	var ack wire.UsageAck
-	if d.Peers.Call(first, name, link.Counts, m, &ack) == nil {
+	if d.callPieces(first, name, pieces(m), d.Peers.Call) == nil {
 		return
 	}
 	// The link may be silent, and earlier messages lost with it.
@@ -119,7 +182,7 @@
 	d.mu.Unlock()
 	second, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
-	if err := d.Peers.Request(second, name, link.Counts, m, &ack); err != nil {
+	if err := d.callPieces(second, name, pieces(m), d.Peers.Request); err != nil {
 		event.CountsUnconfirmed.Log(d.Logger, "holder", name, "through", m.Through, "cause", err.Error())
 	}
 }
@@ -129,9 +192,9 @@
 }
 
 // forward sends all counts of another entry that this one holds. The caller holds mu.
-func (d *Duty) forward(to, entry string) {
+func (d *Duty) forward(ctx context.Context, to, entry string) {
 	for _, m := range d.all.Held(entry) {
-		_ = d.Peers.Send(to, link.Counts, toWire(m)) // the holder asks again
+		_ = d.sendPieces(ctx, to, toWire(m)) // the holder asks again
 	}
 }
 
@@ -314,11 +377,12 @@
 	results := make(chan error, len(targets))
 	for _, name := range targets {
 		go supervise.Guard(d.Logger, "counts", func() {
-			var ack wire.UsageAck
+			var l []wire.UsageCounts
 			for _, h := range held {
-				_ = d.Peers.Request(ctx, name, link.Counts, h, &ack) // the result of the last request decides
+				l = append(l, pieces(h)...)
 			}
-			results <- d.Peers.Request(ctx, name, link.Counts, m, &ack)
+			l = append(l, pieces(m)...)
+			results <- d.callPieces(ctx, name, l, d.Peers.Request)
 		})
 	}
 	delivered := false
--- a/entry/internal/duty/duty.go
+++ b/entry/internal/duty/duty.go
@@ -336,16 +336,16 @@
 
 // Register registers the handlers for messages of other entries. It must be called before the peers are served.
 func (d *Duty) Register() {
-	handle(d, link.Clock, func(wire.ClockReading) (string, any) {
+	handle(d, link.Clock, func(context.Context, wire.ClockReading) (string, any) {
 		return link.Reading, wire.ClockReading{Now: d.times.Reading(d.Boot()).Microseconds()}
 	})
-	handle(d, link.Seat, func(n wire.DutyNotice) (string, any) {
+	handle(d, link.Seat, func(_ context.Context, n wire.DutyNotice) (string, any) {
 		held := d.seat.Holding()
 		d.seat.Heard(n, d.Boot())
 		d.applyLast(held)
 		return "", nil
 	})
-	handle(d, link.Counts, func(m wire.UsageCounts) (string, any) {
+	handle(d, link.Counts, func(_ context.Context, m wire.UsageCounts) (string, any) {
 		d.all.Merge(fromWire(m))
 		d.noteApart(m, d.Peers.Connected())
 		ack := wire.UsageAck{}
@@ -354,28 +354,28 @@
 		}
 		return link.Counted, ack
 	})
-	handle(d, link.Gather, func(m wire.UsageGather) (string, any) {
+	handle(d, link.Gather, func(ctx context.Context, m wire.UsageGather) (string, any) {
 		switch {
 		case m.Entry != d.Name:
-			d.forward(m.Sender, m.Entry)
+			d.forward(ctx, m.Sender, m.Entry)
 		case d.counter != nil:
 			delete(d.sentTo, m.Sender)
-			d.sendAll(m.Sender)
+			d.sendAll(ctx, m.Sender)
 		}
 		return "", nil
 	})
 }
 
 // handle registers a handler that is called with the decoded body while mu is held.
-func handle[T any](d *Duty, kind string, f func(T) (string, any)) {
-	d.Peers.Handle(kind, func(_ context.Context, m link.Frame) (string, any, error) {
+func handle[T any](d *Duty, kind string, f func(context.Context, T) (string, any)) {
+	d.Peers.Handle(kind, func(ctx context.Context, m link.Frame) (string, any, error) {
 		var body T
 		if err := m.Decode(&body); err != nil {
 			return "", nil, err
 		}
 		d.mu.Lock()
 		defer d.mu.Unlock()
-		reply, answer := f(body)
+		reply, answer := f(ctx, body)
 		return reply, answer, nil
 	})
 }
--- a/entry/internal/duty/seat.go
+++ b/entry/internal/duty/seat.go
@@ -21,7 +21,7 @@
 	Renewal time.Duration
 	// RankDelay is the additional delay of each further entry in line.
 	RankDelay time.Duration
-	// MaxBytes bounds the reports in the object.
+	// MaxBytes bounds the bodies of the reports in the object.
 	MaxBytes int
 	// CallGap is the minimum time between two calls.
 	CallGap time.Duration
@@ -60,8 +60,7 @@
 	// maxRejections is the number of answers that reject a report as such after which it is dropped, so that it does not block
 	// later ones for good.
 	maxRejections = 5
-	// maxReports bounds the reports that wait for the platform, ten minutes at windows of five seconds. Beyond it the oldest
-	// ones are dropped: they are long overdue.
+	// maxReports bounds the reports that wait for the platform, ten minutes at windows of five seconds.
 	maxReports = 128
 	// maxFormer is the number of former holders that the object names.
 	maxFormer = 4
@@ -83,7 +82,8 @@
 	Spec     wire.DutySeat // new content, for writes
 	Revision int64         // revision that an update requires
 	start    time.Duration
-	dropped  int // reports that the write drops
+	dropped  int     // overdue reports that the write drops
+	tooLarge []int64 // windows whose reports no object can hold
 }
 
 // APICall is a call of the platform's API that the runner is to make.
@@ -100,6 +100,7 @@
 	HolderLinked bool  // the link to the holder is open, or was until a moment ago
 	Alone        bool  // no other entry can be reached
 	Quorum       bool  // at least half of the entries can be reached
+	Overdue      int64 // newest window whose report would miss its time limit now
 	FirstWindow  int64 // first window that cannot have been written, should the object be gone
 }
 
@@ -306,12 +307,10 @@
 	if len(reports) == 0 && !renew {
 		return StoreCall{}, false
 	}
-	kept, dropped := s.bound(append(s.waiting(), reports...))
-	spec.Reports = kept
-	if len(reports) > 0 {
-		spec.Last = reports[len(reports)-1].Window
-	}
-	return StoreCall{Op: Update, Spec: spec, Revision: s.revision, dropped: dropped}, true
+	c := StoreCall{Op: Update, Revision: s.revision}
+	spec.Reports, spec.Last, c.dropped, c.tooLarge = s.add(s.waiting(), reports, v)
+	c.Spec = spec
+	return c, renew || spec.Last > s.object.Last
 }
 
 // waiting returns the reports that the platform has not confirmed.
@@ -325,16 +324,32 @@
 	return l
 }
 
-// bound drops the oldest reports beyond the limits of the object and returns the number of dropped ones.
-func (s *Seat) bound(l []wire.DutyReport) ([]wire.DutyReport, int) {
+// add adds the reports of closed windows, oldest first, to those that wait for the platform, as far as the object may hold them.
+// Reports whose time limit has passed make room for others. It returns the reports of the object, the newest window that needs
+// no report any more, and the numbers of reports that are given up: overdue ones, and those that no object can hold.
+func (s *Seat) add(waiting, closed []wire.DutyReport, v View) (kept []wire.DutyReport, last int64, dropped int, tooLarge []int64) {
+	last = s.object.Last
 	bytes := 0
-	for i := len(l) - 1; i >= 0; i-- {
-		bytes += len(l[i].Body)
-		if len(l)-i > maxReports || bytes > s.timing.MaxBytes && i < len(l)-1 {
-			return l[i+1:], i + 1
+	for _, r := range waiting {
+		bytes += len(r.Body)
+	}
+	for _, r := range closed {
+		if len(r.Body) > s.timing.MaxBytes {
+			last, tooLarge = r.Window, append(tooLarge, r.Window)
+			continue
+		}
+		for len(waiting) > 0 && waiting[0].Window <= v.Overdue && (len(waiting) >= maxReports || bytes+len(r.Body) > s.timing.MaxBytes) {
+			bytes -= len(waiting[0].Body)
+			waiting = waiting[1:]
+			dropped++
+		}
+		if len(waiting) >= maxReports || bytes+len(r.Body) > s.timing.MaxBytes {
+			break // the window is written once others have been confirmed, or are overdue
 		}
+		bytes += len(r.Body)
+		waiting, last = append(waiting, r), r.Window
 	}
-	return l, 0
+	return waiting, last, dropped, tooLarge
 }
 
 // takeover returns the next call of an entry that does not hold the duty.
@@ -430,7 +445,7 @@
 	s.observeObject(c.Spec, revision, now)
 	s.adopt(c.Spec, revision, c.start, now)
 	s.renew = false
-	s.dropped += int64(c.dropped)
+	s.dropped += int64(c.dropped + len(c.tooLarge))
 }
 
 // adopt makes an object written by this process the one to act on. No other entry can have seen it before leaseFrom.
--- a/entry/internal/duty/seat_test.go
+++ b/entry/internal/duty/seat_test.go
@@ -151,7 +151,7 @@
 	}
 	n.inbox = nil
 	// Windows that any of the clocks has ended may have been written.
-	v := View{FirstWindow: max(1, int64((w.now+2*time.Second)/testWindow))}
+	v := View{Overdue: int64((w.now-10*time.Second)/testWindow) - 1, FirstWindow: max(1, int64((w.now+2*time.Second)/testWindow))}
 	reachable := 1
 	for _, o := range w.nodes {
 		if !w.linked(n, o) {
@@ -533,3 +533,19 @@
 		}
 	}
 }
+
+// Guards against reports that are dropped though their time limit has not passed, and against a report that blocks later ones
+// since no object can hold it.
+func TestFullObject(t *testing.T) {
+	s := NewSeat("a", "a1", testTiming(), 0)
+	body := func(share float64) string { return string(make([]byte, int(share*float64(s.timing.MaxBytes)))) }
+	closed := []wire.DutyReport{{Window: 1, Body: body(0.4)}, {Window: 2, Body: body(0.4)}, {Window: 3, Body: body(1.1)}, {Window: 4, Body: body(0.4)}}
+	kept, last, dropped, tooLarge := s.add(nil, closed, View{})
+	if len(kept) != 2 || last != 3 || dropped != 0 || !slices.Equal(tooLarge, []int64{3}) {
+		t.Errorf("in time: %d reports up to window %d, %d dropped, %v too large", len(kept), last, dropped, tooLarge)
+	}
+	kept, last, dropped, _ = s.add(kept, closed[3:], View{Overdue: 2})
+	if len(kept) != 2 || kept[0].Window != 2 || last != 4 || dropped != 1 {
+		t.Errorf("overdue: %d reports up to window %d, %d dropped", len(kept), last, dropped)
+	}
+}
--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -43,5 +43,6 @@
 	CountsStored            = define(1077, slog.LevelWarn, "counts written to the store: no other entry can be reached")
 	ClockWrong              = define(1078, slog.LevelWarn, "clock of this instance differs from those of the others")
 	CountsUnconfirmed       = define(1079, slog.LevelInfo, "counts not confirmed by the holder of the usage reports")
+	UsageTooLarge           = define(1080, slog.LevelError, "usage report given up: it does not fit into the store")
 	InstanceRetiring        = define(1050, slog.LevelInfo, "instance is to be removed; it holds nothing that must be kept")
 )
--- a/internal/metering/metering.go
+++ b/internal/metering/metering.go
@@ -38,8 +38,8 @@
 // Counter counts the requests of one process.
 type Counter struct {
 	windows map[int64]Counts
-	changed map[int64]bool
-	written int64 // newest window whose counts have been written; later changes come too late
+	changed map[int64]Counts // new totals since the last Changes
+	written int64            // newest window whose counts have been written; later changes come too late
 	through int64
 	marked  int64 // value of through in the last Changes
 	late    int64
@@ -47,7 +47,7 @@
 
 // NewCounter returns a Counter for a process that started in the given window. Earlier windows are complete.
 func NewCounter(started int64) *Counter {
-	return &Counter{windows: make(map[int64]Counts), changed: make(map[int64]bool), through: started - 1, marked: started - 2}
+	return &Counter{windows: make(map[int64]Counts), changed: make(map[int64]Counts), through: started - 1, marked: started - 2}
 }
 
 // Add counts a request.
@@ -61,7 +61,11 @@
 		forgetExcess(c.windows)
 	}
 	c.windows[window][workspace]++
-	c.changed[window] = true
+	if c.changed[window] == nil {
+		c.changed[window] = make(Counts)
+		forgetExcess(c.changed)
+	}
+	c.changed[window][workspace] = c.windows[window][workspace]
 }
 
 // Late returns the number of requests that became known after the counts of their window had been written.
@@ -77,20 +81,20 @@
 func (c *Counter) Written(last int64) {
 	c.written = max(c.written, last)
 	maps.DeleteFunc(c.windows, func(w int64, _ Counts) bool { return w <= last })
-	maps.DeleteFunc(c.changed, func(w int64, _ bool) bool { return w <= last })
+	maps.DeleteFunc(c.changed, func(w int64, _ Counts) bool { return w <= last })
 }
 
-// Changes returns the windows that have changed since the last call, and reports whether there are any or further windows have
-// become complete. Windows that have become complete are included again, since an earlier message about them may be lost.
+// Changes returns the counts that have changed since the last call, and reports whether there are any or further windows have
+// become complete. All counts of windows that have become complete are included, since an earlier message about them may be lost.
 func (c *Counter) Changes() (changed map[int64]Counts, marked, any bool) {
 	marked = c.through > c.marked
-	changed = make(map[int64]Counts)
+	changed = c.changed
+	c.changed = make(map[int64]Counts)
 	for w, n := range c.windows {
-		if c.changed[w] || w > c.marked && w <= c.through {
+		if w > c.marked && w <= c.through {
 			changed[w] = maps.Clone(n)
 		}
 	}
-	clear(c.changed)
 	c.marked = c.through
 	return changed, marked, marked || len(changed) > 0
 }
--- a/internal/metering/metering_test.go
+++ b/internal/metering/metering_test.go
@@ -44,6 +44,25 @@
 	}
 }
 
+// Guards against messages that grow with the number of workspaces instead of the number of requests.
+func TestChangesAreSmall(t *testing.T) {
+	c := NewCounter(10)
+	for _, workspace := range []string{"a", "b", "a"} {
+		c.Add(10, workspace)
+	}
+	c.Changes()
+	c.Add(10, "a")
+	changed, _, _ := c.Changes()
+	if diff := cmp.Diff(map[int64]Counts{10: {"a": 3}}, changed); diff != "" {
+		t.Errorf("changes (-want +got):\n%s", diff)
+	}
+	c.Complete(10)
+	changed, _, _ = c.Changes()
+	if diff := cmp.Diff(map[int64]Counts{10: {"a": 3, "b": 1}}, changed); diff != "" {
+		t.Errorf("complete window (-want +got):\n%s", diff)
+	}
+}
+
 // Guards against windows that are closed before all processes have sent their counts, out of order, twice, or never.
 func TestClosing(t *testing.T) {
 	l := NewCollector()
