Bound the end of the process, start without metering's settings, and check reports strictly in the tests

Cause: Close took the confirmation of any entry for that of the holder, and 400 ms for each of two steps. A stopping process told others that it was still trying the store. A missing setting of metering ended the program. The duty woke up every 100 ms while it was off. The time until a window is complete was a share of the bound instead of the callers' deadline.

Change: Close needs the holder's confirmation if there is a holder, writes the counts to the store otherwise, and takes at most 400 ms in total. A process that stops sends no such messages. Without a window, a late bound or an address, requests are served without reports, and event 1081 names the setting. While off, the duty waits for a change of the configuration. The callers' deadline is a constant with a margin. The platform of the fleet's tests identifies windows, rejects bodies that the store does not hold, and checks tokens; the number of lost requests is derived from the traffic.

--- a/entry/internal/cli/platform.go
+++ b/entry/internal/cli/platform.go
@@ -79,8 +79,6 @@
 	retentionFactor = 4
 	// handoverTimeout bounds the handover of open jobs at shutdown.
 	handoverTimeout = 3500 * time.Millisecond
-	// countsTimeout bounds the handover of the last counts of requests, in shutdownMargin.
-	countsTimeout = 400 * time.Millisecond
 	// maxRedialPause is the longest pause between two dials of another entry.
 	maxRedialPause = time.Second
 	// metricsPort is the port of the metrics endpoint, outside the range of ports that the platform assigns.
@@ -290,9 +288,13 @@
 	if !s.CloudAPI.Metering() {
 		return
 	}
+	if missing := s.MissingForMetering(); missing != "" {
+		event.UsageOff.Log(p.logger, "missing", missing)
+		return
+	}
 	p.usage = duty.New(duty.Options{
 		Name: s.Name, Inc: p.inc, Store: objects, Peers: p.peers, API: platform.NewCloudAPI(s.CloudAPI.Address, pool),
-		Encode: platform.EncodeUsage, Enabled: p.hasWorkspaces, Bounds: s.Bounds, Rate: s.CloudAPI.Rate,
+		Encode: platform.EncodeUsage, Enabled: p.hasWorkspaces, Changed: p.catalog.Changed, Bounds: s.Bounds, Rate: s.CloudAPI.Rate,
 		MaxObject: s.Store.MaxValueBytes, Wall: time.Now, Boot: duty.BootTime, Logger: p.logger, Meter: m,
 	})
 	p.usage.Register()
@@ -395,9 +397,7 @@
 		event.ShutdownTimedOut.Log(p.logger, "cause", err.Error())
 	}
 	if p.usage != nil {
-		ctx, cancel := context.WithTimeout(context.Background(), countsTimeout)
-		defer cancel()
-		p.usage.Close(ctx)
+		p.usage.Close(context.Background())
 	}
 	<-handedOver
 }
--- a/entry/internal/duty/act.go
+++ b/entry/internal/duty/act.go
@@ -151,7 +151,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	held, before := d.seat.Holding(), d.seat.Notice()
-	d.storeResult(c, revision, read.Spec, err)
+	d.storeResult(parent, c, revision, read.Spec, err)
 	d.applyLast(held)
 	if err == nil {
 		for _, w := range c.tooLarge {
@@ -172,7 +172,7 @@
 }
 
 // storeResult reports the result of a call to the seat. The caller holds mu.
-func (d *Duty) storeResult(c StoreCall, revision int64, read []byte, err error) {
+func (d *Duty) storeResult(ctx context.Context, c StoreCall, revision int64, read []byte, err error) {
 	now := d.Boot()
 	var absent *store.NotFoundError
 	var conflict *store.ConflictError
@@ -190,7 +190,9 @@
 		// Errors other than those of an unavailable store tell nothing about a write.
 		ambiguous := !errors.As(err, &down) || down.Ambiguous()
 		d.seat.Failed(c, ambiguous, now)
-		d.Peers.Broadcast(link.Seat, wire.DutyNotice{Sender: d.Name, Trying: true})
+		if ctx.Err() == nil && !d.seat.Stopping() { // otherwise this process will not try again
+			d.Peers.Broadcast(link.Seat, wire.DutyNotice{Sender: d.Name, Trying: true})
+		}
 	}
 }
 
--- a/entry/internal/duty/counts.go
+++ b/entry/internal/duty/counts.go
@@ -32,8 +32,10 @@
 	listAhead = 400 * time.Millisecond
 	// storeTimeout bounds a call of the store, including the attempts through other entries.
 	storeTimeout = 3 * time.Second
-	// lastWriteTimeout bounds the write of counts at the end of the process.
-	lastWriteTimeout = 400 * time.Millisecond
+	// closeTimeout bounds the handover of the last counts at the end of the process, and handOverTimeout its part before they are
+	// written to the store instead.
+	closeTimeout    = 400 * time.Millisecond
+	handOverTimeout = 200 * time.Millisecond
 	// maxPieceBytes bounds the counts in one message, far below the limit of a frame between entries, and countBytes is the size of
 	// a count beside the name of its workspace.
 	maxPieceBytes = 1 << 20
@@ -346,7 +348,7 @@
 }
 
 // Close hands over the counts of this entry, after its last request, at the end of a graceful stop, and those that it holds of
-// entries that have ended before.
+// entries that have ended before. It takes at most closeTimeout.
 func (d *Duty) Close(ctx context.Context) {
 	connected := d.Peers.Connected()
 	d.mu.Lock()
@@ -373,31 +375,46 @@
 			_ = d.Peers.Send(name, link.Counts, bye) // an entry that misses it notices the lost link
 		}
 	}
+	holder := d.seat.Holder()
+	if holder == d.Name {
+		holder = ""
+	}
 	d.mu.Unlock()
-	results := make(chan error, len(targets))
+	ctx, cancel := context.WithTimeout(ctx, closeTimeout)
+	defer cancel()
+	if !d.handOver(ctx, holder, targets, append(held, m)) && len(m.Windows) > 0 {
+		err := d.writeCounts(ctx, m)
+		event.CountsStored.Log(d.Logger, "through", m.Through, "failed", err != nil)
+	}
+}
+
+// handOver sends the last messages to other entries and reports whether they have arrived: at the holder if there is one, otherwise
+// at any of them.
+func (d *Duty) handOver(ctx context.Context, holder string, targets []string, messages []wire.UsageCounts) bool {
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	var l []wire.UsageCounts
+	for _, m := range messages {
+		l = append(l, pieces(m)...)
+	}
+	type result struct {
+		name string
+		err  error
+	}
+	results := make(chan result, len(targets))
 	for _, name := range targets {
 		go supervise.Guard(d.Logger, "counts", func() {
-			var l []wire.UsageCounts
-			for _, h := range held {
-				l = append(l, pieces(h)...)
-			}
-			l = append(l, pieces(m)...)
-			results <- d.callPieces(ctx, name, l, d.Peers.Request)
+			results <- result{name, d.callPieces(ctx, name, l, d.Peers.Request)}
 		})
 	}
 	delivered := false
 	for range targets {
 		select {
-		case err := <-results:
-			delivered = delivered || err == nil
+		case r := <-results:
+			delivered = delivered || r.err == nil && (holder == "" || r.name == holder)
 		case <-ctx.Done():
+			return delivered
 		}
 	}
-	if !delivered && len(m.Windows) > 0 {
-		// The context may have ended by now.
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastWriteTimeout)
-		defer cancel()
-		err := d.writeCounts(ctx, m)
-		event.CountsStored.Log(d.Logger, "through", m.Through, "failed", err != nil)
-	}
+	return delivered
 }
--- a/entry/internal/duty/duty.go
+++ b/entry/internal/duty/duty.go
@@ -51,9 +51,12 @@
 	// silentMargin is the time that the message about a write may take.
 	silentMargin = 900 * time.Millisecond
 	rankDelay    = 400 * time.Millisecond
-	// settleShare is the share of the report's time limit after which all requests of a window have ended or are known to
-	// have begun: 2.1 s of 10 s, with the callers' deadline of 2 s.
-	settleShare = 0.21
+	// callerDeadline is the deadline of the callers' requests. Together with settleMargin, for the answer to a request that is
+	// given up, it is the time after which all requests of a window have ended or are known to have begun.
+	callerDeadline = 2 * time.Second
+	settleMargin   = 100 * time.Millisecond
+	// maxSettleShare is the largest share of the report's time limit that this may take.
+	maxSettleShare = 0.3
 	// patienceShare is the share of the report's time limit after which a window is closed without the counts of entries that
 	// do not answer. The rest is enough for a takeover in the case that the holder ends just then: 4.5 s of 10 s.
 	patienceShare = 0.45
@@ -117,6 +120,7 @@
 	API       API
 	Encode    func(window int64, counts map[string]int) ([]byte, error) // body of a report
 	Enabled   func() bool                                               // whether there is anything to report
+	Changed   func() <-chan struct{}                                    // closed when the result of Enabled may change
 	Bounds    node.Bounds
 	Rate      float64              // calls per second that the platform accepts; 0 if unknown
 	MaxObject int                  // maximum size of an object in bytes
@@ -168,7 +172,7 @@
 	boot := o.Boot()
 	d := &Duty{
 		Options: o, started: boot,
-		settle:   time.Duration(settleShare * float64(o.Bounds.UsageDelay)),
+		settle:   min(callerDeadline+settleMargin, time.Duration(maxSettleShare*float64(o.Bounds.UsageDelay))),
 		patience: time.Duration(patienceShare * float64(o.Bounds.UsageDelay)),
 		times:    truetime.New(o.Wall(), boot),
 		all:      metering.NewCollector(),
@@ -237,14 +241,20 @@
 	t := time.NewTicker(tick)
 	defer t.Stop()
 	for {
+		var wake <-chan struct{}
+		next := t.C
+		if changed := d.Changed(); !d.Enabled() {
+			wake, next = changed, nil
+			t.Stop()
+		}
 		select {
-		case <-t.C:
+		case <-next:
+			d.step(ctx)
+		case <-wake:
+			t.Reset(tick)
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		if d.Enabled() {
-			d.step(ctx)
-		}
 	}
 }
 
--- a/entry/internal/duty/duty_test.go
+++ b/entry/internal/duty/duty_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"log/slog"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -21,6 +22,8 @@
 	"bulrushspoke/internal/meter"
 	"bulrushspoke/internal/node"
 	"bulrushspoke/internal/store"
+	"bulrushspoke/internal/upstream"
+	"bulrushspoke/wire"
 )
 
 // fleet is a set of entries with a store and a platform, in the time of a synctest bubble.
@@ -37,9 +40,13 @@
 	revision int64
 	calls    map[string]int
 	down     bool // the store
+	silent   bool // neither store nor entries answer
 	apiDown  bool
 	cutAt    time.Time
 	gone     map[string]time.Time    // when entries ended
+	written  map[int64]string        // reports in the store by window
+	token    int64                   // of the last report
+	tokens   map[int64]string        // holders by token
 	sent     map[int64]string        // reports at the platform by window
 	delays   map[int64]time.Duration // from the end of the window
 	want     map[int64]map[string]int
@@ -56,6 +63,12 @@
 	end      context.CancelFunc
 }
 
+// fleetReport is the body of a report.
+type fleetReport struct {
+	Window int64
+	Counts map[string]int
+}
+
 var fleetBounds = node.Bounds{
 	ReportWindow: testWindow, UsageDelay: 10 * time.Second, Lease: testLease, Thaw: 300 * time.Millisecond,
 }
@@ -65,7 +78,7 @@
 		t: t, ctx: t.Context(), meter: m, random: rand.New(rand.NewPCG(1, 2)), nodes: make(map[string]*fleetNode),
 		objects: make(map[string]store.Object), calls: make(map[string]int), sent: make(map[int64]string),
 		delays: make(map[int64]time.Duration), want: make(map[int64]map[string]int),
-		gone: make(map[string]time.Time),
+		gone: make(map[string]time.Time), written: make(map[int64]string), tokens: make(map[int64]string),
 	}
 	for i := range nodes {
 		// Two clocks are wrong by seconds.
@@ -83,8 +96,10 @@
 		handlers: make(map[string]func(context.Context, link.Frame) (string, any, error)),
 	}
 	n.duty = New(Options{
-		Name: name, Inc: n.inc, Store: f, Peers: n, API: f, Enabled: func() bool { return true }, Bounds: fleetBounds, Rate: 50,
-		Encode:    func(_ int64, counts map[string]int) ([]byte, error) { return json.Marshal(counts) },
+		Name: name, Inc: n.inc, Store: f, Peers: n, API: f, Enabled: func() bool { return true }, Changed: func() <-chan struct{} { return nil }, Bounds: fleetBounds, Rate: 50,
+		Encode: func(window int64, counts map[string]int) ([]byte, error) {
+			return json.Marshal(fleetReport{window, counts})
+		},
 		MaxObject: 1 << 20, Logger: slog.New(slog.DiscardHandler), Meter: f.meter,
 		Wall: func() time.Time { return time.Now().Add(clockError) },
 		Boot: func() time.Duration { return time.Since(began) + time.Hour },
@@ -120,10 +135,23 @@
 	return "entry-0" // the duty is changing hands
 }
 
+const (
+	fleetSize  = 7
+	meanGap    = 20 // ms between two requests of the fleet, on average
+	answerTime = 50 // ms until a request is answered, at most
+)
+
+// lostWith returns how many requests are lost at most with processes that are killed: each takes those with it that have not been
+// answered, or were counted since its last message. Their number has a Poisson distribution; five standard deviations are allowed.
+func lostWith(processes int) int {
+	mean := float64(processes) * (float64(tick.Milliseconds()) + answerTime) / meanGap / fleetSize
+	return int(mean + 5*math.Sqrt(mean))
+}
+
 // traffic makes all entries but some pass on requests for a while.
 func (f *fleet) traffic(d time.Duration, except ...string) {
 	for end := time.Now().Add(d); time.Now().Before(end); {
-		time.Sleep(f.millis(40))
+		time.Sleep(f.millis(2 * meanGap))
 		f.mu.Lock()
 		names := make([]string, 0, len(f.nodes))
 		for name := range f.nodes {
@@ -141,7 +169,7 @@
 		f.want[window][workspace]++
 		f.mu.Unlock()
 		// The answer tells later that the server has begun.
-		time.AfterFunc(f.millis(50), func() { n.duty.Began(workspace, at) })
+		time.AfterFunc(f.millis(answerTime), func() { n.duty.Began(workspace, at) })
 	}
 }
 
@@ -159,11 +187,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for window, want := range f.want {
-		var got map[string]int
-		if err := json.Unmarshal([]byte(f.sent[window]), &got); err != nil {
+		var report fleetReport
+		if err := json.Unmarshal([]byte(f.sent[window]), &report); err != nil {
 			f.t.Errorf("window %d: report %q", window, f.sent[window])
 			continue
 		}
+		got := report.Counts
 		for workspace, n := range want {
 			if missing := n - got[workspace]; missing > 0 && missing <= lost {
 				lost -= missing
@@ -180,39 +209,57 @@
 }
 
 // ReportUsage implements API.
-func (f *fleet) ReportUsage(_ context.Context, _ string, _ int64, body []byte, _ func() bool) (int, error) {
+func (f *fleet) ReportUsage(_ context.Context, holder string, token int64, body []byte, ready func() bool) (int, error) {
 	time.Sleep(5 * time.Millisecond)
+	if !ready() {
+		return 0, upstream.ErrNotReady
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.apiDown {
 		return 503, nil
 	}
-	var seat struct {
-		Reports []struct {
-			Window int64
-			Body   string
-		}
+	if known, ok := f.tokens[token]; token < f.token || ok && known != holder {
+		f.t.Errorf("%s sends token %d, after token %d, which is that of %q", holder, token, f.token, known)
+	}
+	f.token = token
+	f.tokens[token] = holder
+	var r fleetReport
+	if err := json.Unmarshal(body, &r); err != nil {
+		f.t.Errorf("report %q: %v", body, err)
+	}
+	if f.written[r.Window] != string(body) {
+		f.t.Errorf("window %d is reported as %s, but the store has %q", r.Window, body, f.written[r.Window])
 	}
-	if err := json.Unmarshal(f.objects[kindSeat+"/"+nameSeat].Value, &seat); err != nil {
+	if old, ok := f.sent[r.Window]; ok && old != string(body) {
+		f.t.Errorf("window %d was reported as %s and %s", r.Window, old, body)
+	}
+	if _, ok := f.sent[r.Window]; !ok {
+		f.delays[r.Window] = time.Since(time.Unix(0, (r.Window+1)*int64(testWindow)))
+	}
+	f.sent[r.Window] = string(body)
+	return 200, nil
+}
+
+// record remembers the reports that were written. The caller holds mu.
+func (f *fleet) record(seat []byte) {
+	var o wire.DutySeat
+	if err := json.Unmarshal(seat, &o); err != nil {
 		f.t.Error(err)
 	}
-	for _, r := range seat.Reports {
-		if r.Body != string(body) {
-			continue
+	for _, r := range o.Reports {
+		if old, ok := f.written[r.Window]; ok && old != r.Body {
+			f.t.Errorf("window %d was written as %s and %s", r.Window, old, r.Body)
 		}
-		if old, ok := f.sent[r.Window]; ok && old != r.Body {
-			f.t.Errorf("window %d was reported as %s and %s", r.Window, old, r.Body)
-		}
-		if _, ok := f.sent[r.Window]; !ok {
-			f.delays[r.Window] = time.Since(time.Unix(0, (r.Window+1)*int64(testWindow)))
-		}
-		f.sent[r.Window] = r.Body
+		f.written[r.Window] = r.Body
 	}
-	return 200, nil
 }
 
-func (f *fleet) call(op, kind, name string) (store.Object, error) {
+func (f *fleet) call(ctx context.Context, op, kind, name string) (store.Object, error) {
 	time.Sleep(4 * time.Millisecond)
+	if f.awaitSilence(ctx) {
+		return store.Object{}, store.NewUnavailableError(true, "silent")
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.calls[op+" "+kind]++
@@ -227,8 +274,8 @@
 }
 
 // Get implements Store.
-func (f *fleet) Get(_ context.Context, kind, name string) (store.Record, error) {
-	o, err := f.call("get", kind, name)
+func (f *fleet) Get(ctx context.Context, kind, name string) (store.Record, error) {
+	o, err := f.call(ctx, "get", kind, name)
 	return store.Record{Name: name, Revision: o.Version, Spec: o.Value}, err
 }
 
@@ -238,9 +285,9 @@
 }
 
 // Update implements Store.
-func (f *fleet) Update(_ context.Context, kind, name string, spec []byte, revision int64) (int64, error) {
+func (f *fleet) Update(ctx context.Context, kind, name string, spec []byte, revision int64) (int64, error) {
 	var down *store.UnavailableError
-	o, err := f.call("write", kind, name)
+	o, err := f.call(ctx, "write", kind, name)
 	if errors.As(err, &down) {
 		return 0, err
 	}
@@ -250,6 +297,9 @@
 		return 0, store.NewConflictError(kind, name, o)
 	}
 	f.revision++
+	if kind == kindSeat {
+		f.record(spec)
+	}
 	f.objects[kind+"/"+name] = store.Object{Value: spec, Version: f.revision}
 	if f.lossy && f.random.IntN(4) == 0 {
 		return 0, store.NewUnavailableError(true, "no answer")
@@ -258,9 +308,9 @@
 }
 
 // List implements Store.
-func (f *fleet) List(_ context.Context, kind string) ([]store.Record, int64, error) {
+func (f *fleet) List(ctx context.Context, kind string) ([]store.Record, int64, error) {
 	var down *store.UnavailableError
-	if _, err := f.call("list", kind, ""); errors.As(err, &down) {
+	if _, err := f.call(ctx, "list", kind, ""); errors.As(err, &down) {
 		return nil, 0, err
 	}
 	f.mu.Lock()
@@ -274,6 +324,17 @@
 	return l, f.revision, nil
 }
 
+// awaitSilence waits until ctx is done if nothing answers.
+func (f *fleet) awaitSilence(ctx context.Context) bool {
+	f.mu.Lock()
+	silent := f.silent
+	f.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+	}
+	return silent
+}
+
 func cutKind(key, kind string) (string, bool) {
 	if len(key) <= len(kind) || key[:len(kind)+1] != kind+"/" {
 		return "", false
@@ -354,12 +415,15 @@
 }
 
 // Request implements Peers.
-func (n *fleetNode) Request(_ context.Context, name, kind string, body, answer any) error {
+func (n *fleetNode) Request(ctx context.Context, name, kind string, body, answer any) error {
 	raw, err := cbor.Marshal(body)
 	if err != nil {
 		return err
 	}
 	time.Sleep(time.Millisecond)
+	if n.fleet.awaitSilence(ctx) {
+		return ctx.Err()
+	}
 	if !slices.Contains(n.Connected(), name) {
 		return context.Canceled
 	}
@@ -403,7 +467,7 @@
 				f.traffic(time.Second)
 				f.setDown(&f.down, false)
 			}
-		}, 60}, // 12 processes, each with up to 150 ms of requests
+		}, lostWith(12)},
 		"holder killed": {limit, func(f *fleet) {
 			for _, d := range []time.Duration{11, 14, 17} {
 				f.traffic(d * time.Second)
@@ -490,6 +554,18 @@
 			}
 			f.traffic(60 * time.Second)
 		}, 0},
+		"stopped without a link to the holder": {limit, func(f *fleet) {
+			f.traffic(12 * time.Second)
+			f.setGroups(map[string]int{f.holder(): 1, "entry-1": 1, "entry-2": 1, "entry-6": 2})
+			f.traffic(400 * time.Millisecond)
+			f.traffic(100*time.Millisecond, "entry-6")
+			f.mu.Lock()
+			n := f.nodes["entry-6"]
+			f.mu.Unlock()
+			n.duty.Close(f.ctx)
+			f.kill("entry-6")
+			f.traffic(20 * time.Second)
+		}, 0},
 		"store down": {2 * limit, func(f *fleet) {
 			f.traffic(13 * time.Second)
 			f.setDown(&f.down, true)
@@ -511,7 +587,7 @@
 				t.Fatal(err)
 			}
 			synctest.Test(t, func(t *testing.T) {
-				f := newFleet(t, m, 7)
+				f := newFleet(t, m, fleetSize)
 				time.Sleep(4 * time.Second)
 				c.run(f)
 				f.check(c.limit, c.lost)
@@ -550,3 +626,61 @@
 	defer f.mu.Unlock()
 	*what = down
 }
+
+// Guards against an end of the process that is delayed by entries or a store that do not answer, since the time until it is
+// killed is short.
+func TestCloseIsBounded(t *testing.T) {
+	m, _, err := meter.New("entry")
+	if err != nil {
+		t.Fatal(err)
+	}
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, m, 3)
+		time.Sleep(4 * time.Second)
+		f.traffic(time.Second)
+		n := f.nodes["entry-2"]
+		f.mu.Lock()
+		f.silent = true
+		f.mu.Unlock()
+		began := time.Now()
+		n.duty.Close(f.ctx)
+		if took := time.Since(began); took > closeTimeout {
+			t.Errorf("Close took %v, want at most %v", took, closeTimeout)
+		}
+	})
+}
+
+// Guards against processor time of entries whose configuration asks for no reports.
+func TestNoWorkWhileOff(t *testing.T) {
+	m, _, err := meter.New("entry")
+	if err != nil {
+		t.Fatal(err)
+	}
+	synctest.Test(t, func(t *testing.T) {
+		checks, changed := 0, make(chan struct{})
+		enabled := false
+		d := New(Options{
+			Name: "a", Inc: "a1", Bounds: fleetBounds, Logger: slog.New(slog.DiscardHandler), Meter: m, Wall: time.Now,
+			Boot: func() time.Duration { return time.Hour }, Peers: &fleetNode{fleet: newFleet(t, m, 0)},
+			Enabled: func() bool { checks++; return enabled },
+			Changed: func() <-chan struct{} { return changed },
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { _ = d.Run(ctx) }()
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		if checks != 1 {
+			t.Errorf("%d checks in a minute, want 1", checks)
+		}
+		enabled = true
+		old := changed
+		changed = make(chan struct{})
+		close(old)
+		time.Sleep(time.Second)
+		synctest.Wait()
+		if checks < 5 {
+			t.Errorf("%d checks after the configuration asks for reports", checks)
+		}
+	})
+}
--- a/entry/internal/duty/seat.go
+++ b/entry/internal/duty/seat.go
@@ -264,6 +264,9 @@
 // Stop makes the holder give the duty up, and keeps this process from taking it over.
 func (s *Seat) Stop() { s.stopping = true }
 
+// Stopping reports whether Stop was called.
+func (s *Seat) Stopping() bool { return s.stopping }
+
 // Stopped reports whether nothing is left to be done after Stop.
 func (s *Seat) Stopped() bool { return s.stopping && !s.holding && !s.storeBusy }
 
--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -44,5 +44,6 @@
 	ClockWrong              = define(1078, slog.LevelWarn, "clock of this instance differs from those of the others")
 	CountsUnconfirmed       = define(1079, slog.LevelInfo, "counts not confirmed by the holder of the usage reports")
 	UsageTooLarge           = define(1080, slog.LevelError, "usage report given up: it does not fit into the store")
+	UsageOff                = define(1081, slog.LevelError, "usage reports are off: a setting is missing")
 	InstanceRetiring        = define(1050, slog.LevelInfo, "instance is to be removed; it holds nothing that must be kept")
 )
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -66,7 +66,7 @@
 const DutyMetering = "metering"
 
 // Metering reports whether the deployment asks for usage reports.
-func (a CloudAPI) Metering() bool { return a.Address != "" && slices.Contains(a.Duties, DutyMetering) }
+func (a CloudAPI) Metering() bool { return slices.Contains(a.Duties, DutyMetering) }
 
 // Bounds holds the time bounds that the deployment guarantees or requires.
 type Bounds struct {
@@ -99,6 +99,21 @@
 // Error implements error.
 func (e *Error) Error() string { return fmt.Sprintf("node: %s: %s", e.field, e.cause) }
 
+// MissingForMetering returns the name of a setting without which usage reports cannot be made; empty if there is none. Requests
+// are served without it.
+func (s Settings) MissingForMetering() string {
+	switch {
+	case s.CloudAPI.Address == "":
+		return "address of the platform's API"
+	case s.Bounds.ReportWindow <= 0:
+		return "report window"
+	case s.Bounds.UsageDelay <= 0:
+		return "usage delay"
+	default:
+		return ""
+	}
+}
+
 // Validate checks that the required settings are present and valid.
 func (s Settings) Validate() error {
 	for _, f := range []struct{ name, value string }{
@@ -117,11 +132,5 @@
 	if s.Store.MaxValueBytes <= 0 {
 		return NewError("store value", "must be positive")
 	}
-	if s.CloudAPI.Metering() && s.Bounds.ReportWindow <= 0 {
-		return NewError("report window", "must be positive if usage reports are asked for")
-	}
-	if s.CloudAPI.Metering() && s.Bounds.UsageDelay <= 0 {
-		return NewError("usage delay", "must be positive if usage reports are asked for")
-	}
 	return nil
 }
