Let the next entry in line read the store while the leader gets no response

Cause: a leader without a path to the store went on sending that it keeps trying, and the other entries relied on that.

Change: an entry counts the time since a leader last had a response. Beyond three quarters of the bound the entries try in the order of their names, half a second apart, and the first one that succeeds sends the changes until the leader succeeds again. One whose own call fails tries again every two seconds.

Ruled out: all entries at once, as an outage would then cost as many calls as there are entries.

--- a/entry/internal/relay/news.go
+++ b/entry/internal/relay/news.go
@@ -27,6 +27,11 @@
 	deliveryReserve = 200 * time.Millisecond
 	// minLeaderWatchWait is the minimum wait of a leader's watch, whatever the maximum propagation delay.
 	minLeaderWatchWait = 300 * time.Millisecond
+	// deputyDelay is the time after which the next entry in line watches the store as well while the leader gets no response.
+	// With a call of each entry at once, an outage of the store would cost as many calls as there are entries.
+	deputyDelay = 500 * time.Millisecond
+	// deputyRetryPause is the pause of such an entry after a call that failed, too.
+	deputyRetryPause = 2 * time.Second
 	// defaultMaxDelay is the maximum propagation delay of deployments that do not set one.
 	defaultMaxDelay = 2500 * time.Millisecond
 )
@@ -44,14 +49,16 @@
 //
 // The leader sends a message after each of its calls, even if nothing has changed. A follower that finds from a message
 // that it has missed a change watches the store at once. A follower that receives no messages watches the store as often
-// as a leader. A maxDelay of 0 stands for 2.5 s.
+// as a leader. If the messages say that the leader gets no response, the followers try one after the other, in the order of
+// their names, and the first one that succeeds leads until the leader gets responses again. A maxDelay of 0 stands for
+// 2.5 s.
 func ShareFeed(f catalog.Feed, self string, maxDelay time.Duration, b Broadcaster, now time.Time) catalog.Feed {
 	if maxDelay <= 0 {
 		maxDelay = defaultMaxDelay
 	}
 	leaderTimeout := time.Duration(leaderTimeoutShare * float64(maxDelay))
 	s := &sharedFeed{
-		feed: f, self: self, peers: b, leaderHeardAt: now, renew: make(chan struct{}, 1), leaderTimeout: leaderTimeout,
+		feed: f, self: self, peers: b, leaderHeardAt: now, leaderReadAt: now, renew: make(chan struct{}, 1), leaderTimeout: leaderTimeout,
 		leaderWatchWait: max(leaderTimeout-leaderPause-deliveryReserve, minLeaderWatchWait),
 	}
 	s.leaderTimer = time.AfterFunc(leaderTimeout, s.renewWatch)
@@ -80,7 +87,10 @@
 	completeTo    int64 // revision up to which all changes are known
 	missedTo      int64 // newest revision that messages have shown to be missing since the last call; 0 if none
 	leaderHeardAt time.Time
+	leaderReadAt  time.Time   // when a leader last sent that it had a response from the store
 	leaderStoreUp bool        // the last leader to send a message had a response from the store
+	readAt        time.Time   // when this entry last got a response from the store
+	failing       bool        // the last call of this entry failed
 	leaderTimer   *time.Timer // renews the watch when the leader times out
 	shortWatch    bool        // the next watch must be short, to learn the current revision of the store soon
 }
@@ -88,20 +98,29 @@
 func (s *sharedFeed) kind() string { return link.News + " " + s.feed.Kind }
 
 // isLeader reports whether this entry watches the store as a leader, because its name sorts before those of all connected
-// entries or because it has received nothing from a leader within the timeout.
+// entries, because it has received nothing from a leader within the timeout, or because those before it get no response.
 func (s *sharedFeed) isLeader(now time.Time) bool {
+	rank := s.rank()
 	s.mu.Lock()
-	timedOut := now.Sub(s.leaderHeardAt) >= s.leaderTimeout
-	s.mu.Unlock()
-	if timedOut {
-		return true
-	}
+	defer s.mu.Unlock()
+	return rank == 0 || now.Sub(s.leaderHeardAt) >= s.leaderTimeout || !now.Before(s.deputyTime(rank))
+}
+
+// rank returns the number of connected entries whose names sort before that of this one.
+func (s *sharedFeed) rank() int {
+	n := 0
 	for _, name := range s.peers.Connected() {
 		if name < s.self {
-			return false
+			n++
 		}
 	}
-	return true
+	return n
+}
+
+// deputyTime returns when an entry of the given rank watches the store as a leader unless it hears of a response until
+// then; the caller holds mu.
+func (s *sharedFeed) deputyTime(rank int) time.Time {
+	return s.leaderReadAt.Add(s.leaderTimeout + time.Duration(max(rank-1, 0))*deputyDelay)
 }
 
 // recordChange records that the change with the given revision is known.
@@ -149,6 +168,7 @@
 	// A call that was answered before a missed change does not count; the next one begins after it.
 	behind := revision < s.missedTo
 	s.completeTo, s.shortWatch, s.missedTo = max(s.completeTo, revision), false, 0
+	s.readAt, s.failing = now, false
 	newestChange := s.newestChange
 	s.mu.Unlock()
 	if behind {
@@ -167,20 +187,33 @@
 // failed handles a failed call. A leader tells the followers that it keeps trying, so that they need not try as well: a
 // call counts as failed only after it has also been tried through other entries.
 func (s *sharedFeed) failed(now time.Time) {
+	s.mu.Lock()
+	s.failing = true
+	s.mu.Unlock()
 	if s.isLeader(now) {
 		s.peers.Broadcast(s.kind(), wire.News{Kind: s.feed.Kind, Records: []wire.StoreRecord{}})
 	}
 }
 
-// pause returns the pause after a call. A follower whose call for a missed change has failed repeats it like a leader.
+// pause returns the pause after a call. A follower whose call for a missed change has failed repeats it like a leader. One
+// that calls because the leader gets no response goes on like a leader if it got one itself.
 func (s *sharedFeed) pause() time.Duration {
+	now := time.Now()
+	rank := s.rank()
 	s.mu.Lock()
-	missing := s.missedTo > 0
-	s.mu.Unlock()
-	if missing || s.isLeader(time.Now()) {
+	defer s.mu.Unlock()
+	switch {
+	case s.missedTo > 0, rank == 0, now.Sub(s.leaderHeardAt) >= s.leaderTimeout:
+		return leaderPause
+	case now.Before(s.deputyTime(rank)):
+		return followerPause
+	case s.failing:
+		return deputyRetryPause
+	case now.Sub(s.readAt) < s.leaderTimeout:
 		return leaderPause
+	default:
+		return followerPause
 	}
-	return followerPause
 }
 
 func (s *sharedFeed) wait() time.Duration {
@@ -230,9 +263,15 @@
 		s.feed.Apply(c, now)
 		s.recordChange(c.Revision)
 	}
+	rank := s.rank()
 	s.mu.Lock()
 	s.leaderHeardAt = now
-	s.leaderTimer.Reset(s.leaderTimeout)
+	if s.leaderStoreUp {
+		s.leaderReadAt = now
+		s.leaderTimer.Reset(s.leaderTimeout)
+	} else if until := s.deputyTime(rank).Sub(now); until > 0 {
+		s.leaderTimer.Reset(until)
+	}
 	s.mu.Unlock()
 	if renew {
 		s.renewWatch()
--- a/entry/internal/relay/news_test.go
+++ b/entry/internal/relay/news_test.go
@@ -243,6 +243,44 @@
 	}
 }
 
+// Guards against an outage of the store in which every entry calls it because the leader gets no response: they try one
+// after the other, seldom while their own calls fail, and stop once the leader gets responses again.
+func TestDeputiesTryInTurn(t *testing.T) {
+	now := time.Now()
+	names := []string{"a", "b", "c", "d"}
+	entries := make(map[string]*fakeEntry, len(names))
+	for i, name := range names {
+		entries[name] = &fakeEntry{connected: append(append([]string{}, names[:i]...), names[i+1:]...)}
+	}
+	entries["a"].receivers = []*fakeEntry{entries["b"], entries["c"], entries["d"]}
+	feeds := make(map[string]catalog.Feed, len(names))
+	for _, name := range names {
+		feeds[name] = newFeed(name, entries[name], now)
+	}
+	applyChange(feeds["a"], 4, now)
+	tried := make(map[string]time.Duration)
+	for time.Since(now) < maxDelay+deputyDelay/2 {
+		time.Sleep(maxDelay / 20)
+		feeds["a"].OnFailure(time.Now())
+		for _, name := range names[1:] {
+			if watchRenewed(feeds[name]) && tried[name] == 0 {
+				tried[name] = time.Since(now)
+				feeds[name].OnFailure(time.Now())
+				if p := feeds[name].Interval(); p != deputyRetryPause {
+					t.Errorf("%s calls again %s after a failure", name, p)
+				}
+			}
+		}
+	}
+	if tried["b"] == 0 || tried["c"] == 0 || tried["b"] >= tried["c"] || tried["d"] != 0 {
+		t.Errorf("tried after %v, want b before c, and d not yet", tried)
+	}
+	applyChange(feeds["a"], 6, time.Now())
+	if p := feeds["b"].Interval(); p != followerPause {
+		t.Errorf("after the leader got a response the pause is %s", p)
+	}
+}
+
 // Guards against a leader that sends too rarely for its followers' timeout, whatever the maximum delay of the deployment.
 func TestReaderIsHeard(t *testing.T) {
 	for _, maxDelay := range []time.Duration{0, time.Second, 1800 * time.Millisecond, 4 * time.Second} {
