--- a/entry/internal/relay/news.go
+++ b/entry/internal/relay/news.go
@@ -32,6 +32,8 @@
 	deputyDelay = 500 * time.Millisecond
 	// deputyRetryPause is the pause of such an entry after a call that failed, too.
 	deputyRetryPause = 2 * time.Second
+	// failedCall stands for the previous revision in a message that says that a call has failed.
+	failedCall = -1
 	// defaultMaxDelay is the maximum propagation delay of deployments that do not set one.
 	defaultMaxDelay = 2500 * time.Millisecond
 )
@@ -189,9 +191,10 @@
 func (s *sharedFeed) failed(now time.Time) {
 	s.mu.Lock()
 	s.failing = true
+	silent := now.Sub(s.leaderHeardAt) >= s.leaderTimeout
 	s.mu.Unlock()
-	if s.isLeader(now) {
-		s.peers.Broadcast(s.kind(), wire.News{Kind: s.feed.Kind, Records: []wire.StoreRecord{}})
+	if silent || s.rank() == 0 {
+		s.peers.Broadcast(s.kind(), wire.News{Kind: s.feed.Kind, Prev: failedCall, Records: []wire.StoreRecord{}})
 	}
 }
 
@@ -253,7 +256,7 @@
 		s.missedTo = max(s.missedTo, n.Prev)
 	}
 	renew := missed && !s.shortWatch
-	s.leaderStoreUp = n.Prev > 0 || len(n.Records) > 0
+	s.leaderStoreUp = n.Prev != failedCall
 	s.mu.Unlock()
 	if n.Back && s.feed.OnRestored != nil {
 		s.feed.OnRestored(now)
--- a/entry/internal/relay/relay.go
+++ b/entry/internal/relay/relay.go
@@ -226,14 +226,15 @@
 	return 0, nil, store.NewUnavailableError(ambiguous, cause)
 }
 
-// selectPeers returns the entries to try, in rotation.
+// selectPeers returns the entries to try, in rotation. They lie apart in the order of the names, since entries whose names
+// are close to each other are often in one place and without a path to the store together.
 func (r *Relay) selectPeers() []string {
 	all := r.peers.Connected()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	l := make([]string, 0, maxPeersPerCall)
 	for i := range min(maxPeersPerCall, len(all)) {
-		l = append(l, all[(r.nextPeer+i)%len(all)])
+		l = append(l, all[(r.nextPeer+i*len(all)/maxPeersPerCall)%len(all)])
 	}
 	r.nextPeer++
 	return l
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -758,7 +758,8 @@
 	Kind string `json:"kind"`
 
 	// Revision of the newest change of the kind known to the sender before these
-	// changes; a receiver that does not know it has missed a message.
+	// changes; a receiver that does not know it has missed a message. -1 if the call
+	// of the sender has failed.
 	Prev int64 `json:"prev"`
 
 	// Changed objects; empty if the message only reports that the sender still reads
