--- a/wire/wire.go
+++ b/wire/wire.go
@@ -535,6 +535,9 @@
 	// Instance name of the sender.
 	Name string `json:"name"`
 
+	// Network bandwidth of the sender's instance in bytes per second; 0 if unknown.
+	Rate float64 `json:"rate"`
+
 	// Region of the sender.
 	Region string `json:"region"`
 
@@ -632,9 +635,15 @@
 	// Incarnation of the owning process.
 	Inc string `json:"inc"`
 
+	// Number of items of the job; 0 if unknown.
+	Items int `json:"items"`
+
 	// Job ID.
 	Job string `json:"job"`
 
+	// Model of the job; empty if it has none.
+	Model string `json:"model"`
+
 	// Name of the instance that owns the job.
 	Owner string `json:"owner"`
 }
@@ -828,7 +837,8 @@
 	Kind string `json:"kind"`
 
 	// Revision of the newest change of the kind known to the sender before these
-	// changes; a receiver that does not know it has missed a message.
+	// changes; a receiver that does not know it has missed a message. -1 if the call
+	// of the sender has failed.
 	Prev int64 `json:"prev"`
 
 	// Changed objects; empty if the message only reports that the sender still reads
@@ -859,6 +869,10 @@
 
 	// Current time between two events in microseconds by engine ID.
 	Paces OccupancyPaces `json:"paces"`
+
+	// Number of prompt tokens that wait to be processed by engine ID; engines without
+	// any are omitted.
+	Waiting OccupancyWaiting `json:"waiting,omitempty,omitzero"`
 }
 
 // Number of requests in flight by engine ID; engines without any are omitted.
@@ -867,6 +881,10 @@
 // Current time between two events in microseconds by engine ID.
 type OccupancyPaces map[string]int
 
+// Number of prompt tokens that wait to be processed by engine ID; engines without
+// any are omitted.
+type OccupancyWaiting map[string]int
+
 // Entry process that owns a step.
 type Owner struct {
 	// Entry incarnation.
