--- a/entry/internal/ingress/ingress.go
+++ b/entry/internal/ingress/ingress.go
@@ -84,6 +84,7 @@
 	Observe       func(route string, status int, elapsed time.Duration)
 	Logger        *slog.Logger
 	Suspects      *Suspects
+	Usage         Usage // nil if nothing is counted
 	// ReadConfig reads the newest configuration from the store and applies it to the catalog; nil if it cannot be read.
 	ReadConfig func(ctx context.Context) error
 }
@@ -168,17 +169,16 @@
 // request is a client request with its state.
 type request struct {
 	call.Request
-	http     *http.Request
-	control  *http.ResponseController
-	arrived  time.Time
-	host     string
-	key      string           // key that the client has sent, known or not; empty for none
-	jobCall  platform.JobCall // decoded from method and path; the path may be that of another route
-	config   *catalog.Config
-	route    *catalog.Route
-	body     []byte
-	reserved int64 // bytes reserved for the body
-
+	http        *http.Request
+	control     *http.ResponseController
+	arrived     time.Time
+	host        string
+	key         string           // key that the client has sent, known or not; empty for none
+	jobCall     platform.JobCall // decoded from method and path; the path may be that of another route
+	config      *catalog.Config
+	route       *catalog.Route
+	body        []byte
+	reserved    int64               // bytes reserved for the body
 	workspace   workspace.Workspace // whose request it is; the zero value for none
 	fingerprint uint64              // set by the admission of requests that are forwarded
 
