--- a/entry/internal/cli/platform.go
+++ b/entry/internal/cli/platform.go
@@ -19,6 +19,7 @@
 	"github.com/valyala/fasthttp"
 
 	"bulrushspoke/entry/internal/batch"
+	"bulrushspoke/entry/internal/duty"
 	"bulrushspoke/entry/internal/ingress"
 	"bulrushspoke/entry/internal/member"
 	"bulrushspoke/entry/internal/occupancy"
@@ -100,6 +101,7 @@
 	peers   *peer.Peers
 	batch   *batch.Manager
 	ingress *ingress.Ingress
+	usage   *duty.Duty // nil if the deployment asks for no usage reports
 	server  *http.Server
 	metrics fasthttp.RequestHandler
 	tree    *suture.Supervisor
@@ -199,11 +201,11 @@
 		p.task("sweep", sweep.New(p.store, retentionFactor*s.Bounds.ResultRetention, p.logger).Run)
 		return nil
 	}
-	return p.buildEntry(lifetime, pool, m)
+	return p.buildEntry(lifetime, pool, storePool, m)
 }
 
 // buildEntry creates the components that serve clients.
-func (p *platformEntry) buildEntry(lifetime context.Context, pool *upstream.Pool, m *meter.Meter) error {
+func (p *platformEntry) buildEntry(lifetime context.Context, pool, storePool *upstream.Pool, m *meter.Meter) error {
 	s := p.settings
 	p.catalog = catalog.New(p.logger)
 	m.Gauge("limited_servers", "Servers that state a limit of their request rate.",
@@ -252,9 +254,13 @@
 	limits.Register()
 	p.catalog.Limits().SetShare(p.peers.Share)
 	p.task("limits", limits.Run)
+	p.buildUsage(objects, storePool, m)
 	p.peers.OnConnect(func(name string) {
 		limits.SendSnapshot(time.Now())
 		p.batch.PeerConnected(name)
+		if p.usage != nil {
+			p.usage.PeerConnected(name)
+		}
 	})
 	feeder := platform.NewCatalogUpdater(p.catalog, p.logger)
 	requestTime := m.Histogram("request", "s", "Time from arrival to the answer.")
@@ -270,6 +276,9 @@
 			requestTime.Record(route, strconv.Itoa(status/100*100), took.Seconds())
 		},
 	})
+	if p.usage != nil {
+		p.ingress.Usage = p.usage
+	}
 	p.server = &http.Server{
 		Handler:           p.ingress,
 		ReadHeaderTimeout: readHeaderTimeout,
@@ -296,6 +305,32 @@
 	return nil
 }
 
+// buildUsage creates the component that reports usage, if the deployment asks for it. Calls of the platform's API use the
+// connection pool of the store, so that requests cannot exhaust it.
+func (p *platformEntry) buildUsage(objects *relay.Relay, pool *upstream.Pool, m *meter.Meter) {
+	s := p.settings
+	if !s.CloudAPI.Metering() {
+		return
+	}
+	if missing := s.MissingForMetering(); missing != "" {
+		event.UsageOff.Log(p.logger, "missing", missing)
+		return
+	}
+	p.usage = duty.New(duty.Options{
+		Name: s.Name, Inc: p.inc, Store: objects, Peers: p.peers, API: platform.NewCloudAPI(s.CloudAPI.Address, pool),
+		Encode: platform.EncodeUsage, Enabled: p.hasWorkspaces, Changed: p.catalog.Changed, Bounds: s.Bounds, Rate: s.CloudAPI.Rate,
+		MaxObject: s.Store.MaxValueBytes, Wall: time.Now, Boot: duty.BootTime, Logger: p.logger, Meter: m,
+	})
+	p.usage.Register()
+	p.task("usage reports", p.usage.Run)
+}
+
+// hasWorkspaces reports whether the configuration names workspaces, whose requests are to be reported.
+func (p *platformEntry) hasWorkspaces() bool {
+	c := p.catalog.Config()
+	return c != nil && c.Workspaces != nil
+}
+
 // suspects returns the set of requests suspected of crashing servers, which entries share with each other.
 func (p *platformEntry) suspects() *ingress.Suspects {
 	s := ingress.NewSuspects(func(fingerprint uint64, answered bool) {
@@ -367,6 +402,9 @@
 	now := time.Now()
 	end := now.Add(p.settings.Bounds.Grace - shutdownMargin)
 	p.ingress.Drain(end.Add(-responseMargin), now)
+	if p.usage != nil {
+		p.usage.Release()
+	}
 	handedOver := make(chan struct{})
 	go func() {
 		defer close(handedOver)
@@ -382,6 +420,9 @@
 	if err := p.server.Shutdown(ctx); err != nil {
 		event.ShutdownTimedOut.Log(p.logger, "cause", err.Error())
 	}
+	if p.usage != nil {
+		p.usage.Close(context.Background())
+	}
 	<-handedOver
 }
 
--- a/entry/internal/ingress/forward.go
+++ b/entry/internal/ingress/forward.go
@@ -249,11 +249,13 @@
 	sentAt := time.Now()
 	resp, err := g.Pool.Send(ctx, target, g.upstreamRequest(q, s, call.Attempt{Server: s.ID, Timeout: left}))
 	if err != nil {
+		g.recordUnanswered(q, err)
 		return sendFailure(err)
 	}
 	headAt := time.Now()
 	answer := g.headers.Answer(resp.StatusCode, resp.Header)
 	meaning := g.Catalog.RecordAnswer(s, answer, q.ID, sentAt, headAt)
+	g.recordAnswered(q, resp, meaning)
 	switch {
 	case meaning == call.NotRun:
 		resp.Discard()
--- a/entry/internal/ingress/stream.go
+++ b/entry/internal/ingress/stream.go
@@ -211,10 +211,12 @@
 	resp, err := g.Pool.Send(ctx, upstream.Target{Service: s.Service, Address: s.Address, Incarnation: s.ID, Conns: conns},
 		g.upstreamRequest(q, s, call.Attempt{Server: s.ID, Timeout: q.remaining(now), ResumeAfter: last}))
 	if err != nil {
+		g.recordUnanswered(q, err)
 		return nil
 	}
 	a := g.headers.Answer(resp.StatusCode, resp.Header)
 	meaning := g.Catalog.RecordAnswer(s, a, q.ID, now, time.Now())
+	g.recordAnswered(q, resp, meaning)
 	aborted = false
 	if resp.StatusCode == http.StatusOK && meaning == call.Genuine && isEventStream(resp.Header) {
 		return resp
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -77,6 +77,12 @@
 	Taken   = "taken"
 	Limits  = "limits"
 	Shares  = "shares"
+	Seat    = "seat"
+	Counts  = "counts"
+	Counted = "counted"
+	Gather  = "gather"
+	Clock   = "clock"
+	Reading = "reading"
 	Ping    = "ping"
 	Pong    = "pong"
 )
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -69,6 +69,11 @@
 	// NewConn requests a new connection. It is for requests that must not run twice: on an idle connection that the server is
 	// closing, it would be unknown whether the request has run.
 	NewConn bool
+	// Reset requests that the connection is reset if the call fails. It is for requests that must not arrive later: otherwise
+	// the kernel sends unacknowledged data again for seconds after the connection was closed.
+	Reset bool
+	// Ready is called right before the request is written, which is given up if it returns false. It may be nil.
+	Ready func() bool
 }
 
 // Error reports that no answer was received.
@@ -77,11 +82,16 @@
 	full  bool
 	reset bool
 	cause error
+
+	sentAt time.Time
 }
 
 // Sent reports whether the server may have received the request.
 func (e *Error) Sent() bool { return e.sent }
 
+// SentAt returns the time at which sending began, after a connection was open; zero if nothing was sent.
+func (e *Error) SentAt() time.Time { return e.sentAt }
+
 // PoolFull reports whether the limit of connections was reached.
 func (e *Error) PoolFull() bool { return e.full }
 
@@ -101,6 +111,9 @@
 	errInvalidStatus  = errors.New("the answer has no valid status")
 )
 
+// ErrNotReady is the cause of the error for a request that was given up by its Ready function.
+var ErrNotReady = errors.New("the request was given up before it was sent")
+
 // errPoolFull is returned if the limit of connections, to the server or in total, is reached.
 var errPoolFull = errors.New("all connections are in use")
 
@@ -157,6 +170,13 @@
 	return n, err
 }
 
+// setLinger sets the time in seconds for which the kernel sends remaining data after the connection is closed.
+func (c *conn) setLinger(seconds int) {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(seconds) // fails on closed connections only
+	}
+}
+
 // noInput reports whether nothing was received on an idle connection, neither data nor its end. Data on an idle connection
 // is not an answer to the next request: a server may send an answer twice.
 func (c *conn) noInput() bool {
@@ -229,6 +249,7 @@
 // Response is an answer whose body has not been read. It must be closed with Close, Discard or Abandon.
 type Response struct {
 	*http.Response
+	SentAt     time.Time // time at which sending the request began, after a connection was open
 	pool       *Pool
 	conn       *conn
 	stopCancel func() bool
@@ -288,23 +309,35 @@
 	if err != nil {
 		return nil, &Error{cause: err, full: errors.Is(err, errPoolFull), reset: errors.Is(err, syscall.ECONNREFUSED)}
 	}
+	if q.Reset {
+		c.setLinger(0)
+	}
 	if p.limits.Observe != nil {
 		p.limits.Observe(t.Service, reused)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	if q.Ready != nil && !q.Ready() {
+		stop()
+		p.discard(c)
+		return nil, &Error{cause: ErrNotReady}
+	}
+	sentAt := time.Now()
 	wrote, err := writeRequest(c, q)
 	if err != nil {
 		stop()
 		p.discard(c)
-		return nil, &Error{cause: contextError(ctx, err), sent: wrote, reset: closedByPeer(err)}
+		return nil, &Error{cause: contextError(ctx, err), sent: wrote, sentAt: sentAt, reset: closedByPeer(err)}
 	}
 	resp, err := c.readHead(q.Method)
 	if err != nil {
 		stop()
 		p.discard(c)
-		return nil, &Error{cause: contextError(ctx, err), sent: true, reset: closedByPeer(err)}
+		return nil, &Error{cause: contextError(ctx, err), sent: true, sentAt: sentAt, reset: closedByPeer(err)}
+	}
+	if q.Reset {
+		c.setLinger(-1) // the default
 	}
-	return &Response{Response: resp, pool: p, conn: c, stopCancel: stop}, nil
+	return &Response{Response: resp, SentAt: sentAt, pool: p, conn: c, stopCancel: stop}, nil
 }
 
 // contextError returns the error of ctx if it has ended, and err otherwise. The end of ctx closes the connection, so err is
