--- a/entry/internal/batch/batch.go
+++ b/entry/internal/batch/batch.go
@@ -135,6 +135,7 @@
 	Catalog        *catalog.Catalog
 	Pool           *upstream.Pool
 	Tracker        *place.Tracker
+	Turns          Turns         // nil to start the items of each job as servers have room
 	Retention      time.Duration // how long an ended job stays in memory, from its submission
 	MaxObjectBytes int           // largest object of the store in bytes
 	MaxOpenBytes   int64         // largest total size of the items of open jobs in bytes
--- a/entry/internal/batch/rig_test.go
+++ b/entry/internal/batch/rig_test.go
@@ -403,11 +403,16 @@
 
 // collect reads a job until it has n results, and fails the test after 15 s.
 func (r *rig) collect(m *Manager, id string, n int) []job.Result {
+	r.t.Helper()
+	return r.collectAs(m, nobody, id, n)
+}
+
+func (r *rig) collectAs(m *Manager, w workspace.Workspace, id string, n int) []job.Result {
 	r.t.Helper()
 	var all []job.Result
 	deadline := time.Now().Add(15 * time.Second)
 	for len(all) < n && time.Now().Before(deadline) {
-		reply := m.Results(r.t.Context(), nobody, id, len(all), 100*time.Millisecond)
+		reply := m.Results(r.t.Context(), w, id, len(all), 100*time.Millisecond)
 		if reply.Status == http.StatusServiceUnavailable {
 			time.Sleep(20 * time.Millisecond)
 			continue
--- a/entry/internal/ingress/forward.go
+++ b/entry/internal/ingress/forward.go
@@ -54,8 +54,10 @@
 	status     int
 	header     http.Header
 	body       []byte
-	unframed   bool // the body ended with the connection
-	streamed   bool // an event stream was delivered whole by this server
+	unframed   bool      // the body ended with the connection
+	streamed   bool      // an event stream was delivered whole by this server
+	answeredAt time.Time // when the server had answered; for a response that is not buffered, when its header had arrived
+	noRoom     bool      // the server refused the request by its status
 }
 
 // forward sends a request to servers until one responds or no further attempt is allowed.
@@ -66,7 +68,11 @@
 	defer cancel()
 	service := q.route.PickService(g.Random.IntN)
 	tried := make(map[string]bool)
-	mayHaveRun := false
+	if a, ok := g.takeTurn(ctx, q, service, 0); !ok {
+		g.replyUnserved(w, q, a, false)
+		return
+	}
+	mayHaveRun, noRoom, returned := false, false, 0
 	last := attempt{outcome: notRun, cause: causeNoServer}
 	for sent := 0; sent < q.route.MaxAttempts && (!mayHaveRun || q.route.Repeatable()); {
 		now := time.Now()
@@ -85,6 +91,18 @@
 		if !ok {
 			if wait, limited := g.Tracker.Reject(now, servers, need, left); limited && last.outcome == notRun {
 				last = attempt{outcome: notRun, cause: causeLimits, retryAfter: max(wait, minRetryAfter)}
+				if g.Turns != nil {
+					g.Turns.NoRoom(service, now)
+				}
+			} else if noRoom && !mayHaveRun && g.takesTurns(q) {
+				returned++
+				a, ok := g.takeTurn(ctx, q, service, returned)
+				if ok {
+					clear(tried)
+					noRoom = false
+					continue
+				}
+				last = a
 			}
 			break
 		}
@@ -96,6 +114,7 @@
 			otherAvailable = g.otherServerAvailable(service, maps.Clone(tried))
 		}
 		a := g.try(ctx, w, q, s, need.Ticket, now, otherAvailable)
+		noRoom = noRoom || a.noRoom
 		switch a.outcome {
 		case delivered:
 			if q.http.Context().Err() == nil {
@@ -212,6 +231,10 @@
 		g.Tracker.Ended(s.ID, "", place.Abandoned, 0, now)
 	default:
 		g.Tracker.Ended(s.ID, "", place.Answered, now.Sub(start), now)
+		// A failing server may answer with errors at once, which says nothing about the time or the capacity for answers.
+		if g.Turns != nil && a.status < http.StatusInternalServerError {
+			g.Turns.Answered(s.Service, q.route.Name, a.answeredAt.Sub(start), now)
+		}
 	}
 }
 
@@ -229,22 +252,30 @@
 		g.recordUnanswered(q, err)
 		return sendFailure(err)
 	}
+	headAt := time.Now()
 	answer := g.headers.Answer(resp.StatusCode, resp.Header)
-	meaning := g.Catalog.RecordAnswer(s, answer, q.ID, sentAt, time.Now())
+	meaning := g.Catalog.RecordAnswer(s, answer, q.ID, sentAt, headAt)
 	g.recordAnswered(q, resp, meaning)
 	switch {
 	case meaning == call.NotRun:
 		resp.Discard()
-		return attempt{outcome: notRun, cause: "refused by the server with status " + strconv.Itoa(resp.StatusCode)}
+		return attempt{
+			outcome: notRun, cause: "refused by the server with status " + strconv.Itoa(resp.StatusCode),
+			noRoom: resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests,
+		}
 	case meaning == call.Foreign, resp.Header.Get("Content-Encoding") != "":
 		resp.Abandon()
 		return attempt{outcome: lost, cause: call.CauseForeign}
 	case isEventStream(resp.Header) && resp.StatusCode == http.StatusOK:
 		onResponse()
-		return g.stream(ctx, w, q, s, ticket, resp)
+		a := g.stream(ctx, w, q, s, ticket, resp)
+		a.status, a.answeredAt = resp.StatusCode, headAt
+		return a
 	case resp.ContentLength > maxBufferedResponse:
 		onResponse()
-		return g.relay(w, q, resp, nil)
+		a := g.relay(w, q, resp, nil)
+		a.status, a.answeredAt = resp.StatusCode, headAt
+		return a
 	}
 	return g.buffer(w, q, resp, onResponse)
 }
@@ -287,12 +318,18 @@
 		}
 		return attempt{outcome: lost, cause: err.Error()}
 	}
+	answeredAt := time.Now()
 	onResponse()
 	if len(body) > maxBufferedResponse {
-		return g.relay(w, q, resp, body)
+		a := g.relay(w, q, resp, body)
+		a.status, a.answeredAt = resp.StatusCode, answeredAt
+		return a
 	}
 	resp.Close()
-	a := attempt{outcome: delivered, status: resp.StatusCode, header: resp.Header, body: body, unframed: !resp.Framed()}
+	a := attempt{
+		outcome: delivered, status: resp.StatusCode, header: resp.Header, body: body, unframed: !resp.Framed(),
+		answeredAt: answeredAt,
+	}
 	if resp.StatusCode >= http.StatusInternalServerError && q.route.Repeatable() {
 		a.outcome, a.cause = failed, "server error: status "+strconv.Itoa(resp.StatusCode)
 		return a
