Soak workspaces, keys that come and go, and usage reports

The soak ran without workspaces, so that neither keys nor the duty were tested under faults. Clients and trainers now belong to three workspaces, two of which use the same job ids now and then; spare keys are added and revoked throughout; the entries start without a configuration; and each series has a fault of the duty holder and one of the API.

--- a/scenario/soak/checker.go
+++ b/scenario/soak/checker.go
@@ -44,6 +44,9 @@
 	body         string
 	route        string
 	entry        int
+	space        string // workspace of the client
+	key          string
+	spare        bool // the key comes and goes
 	sentAt       time.Time
 	runs         int
 	responses    []string  // complete response bodies of servers
@@ -60,7 +63,8 @@
 
 // checker records what clients and servers see, and checks it against the rules.
 type checker struct {
-	start time.Time
+	start   time.Time
+	entries int
 
 	mu            sync.Mutex
 	requests      map[string]*request
@@ -74,6 +78,7 @@
 	crashTimes    map[string][]time.Time  // server crashes, by body of the request
 	excessCrashes map[string]int          // crashes that entries should have prevented, by body of the request
 	configs       []appliedConfig
+	usage         usageLog
 	disturbances  map[int][]*disturbance // by index of the entry, or storeIndex
 	violations    []string
 	counts        map[string]int
@@ -83,6 +88,7 @@
 type appliedConfig struct {
 	appliedAt time.Time
 	services  map[string]string // by route
+	spares    map[string]bool   // spare keys that it holds
 }
 
 func newChecker(now time.Time) *checker {
@@ -90,7 +96,7 @@
 		start: now, requests: map[string]*request{}, items: map[string]*itemRecord{}, jobs: map[string]*submittedJob{},
 		sentEvents: map[string]bool{}, holders: map[string]string{}, fencingTokens: map[string]int64{},
 		drainStarts: map[string]time.Time{}, limits: map[string]*statedLimit{}, crashTimes: map[string][]time.Time{}, excessCrashes: map[string]int{},
-		disturbances: map[int][]*disturbance{}, counts: map[string]int{},
+		disturbances: map[int][]*disturbance{}, counts: map[string]int{}, usage: newUsageLog(),
 	}
 }
 
@@ -142,11 +148,11 @@
 	return !c.disturbedBetween(entry, from.Add(-minUndisturbed), to, true) && !c.disturbedBetween(storeIndex, from.Add(-minUndisturbed), to, true)
 }
 
-// recordConfig records the service of each route from now on.
-func (c *checker) recordConfig(services map[string]string, now time.Time) {
+// recordConfig records the service of each route and the spare keys from now on.
+func (c *checker) recordConfig(services map[string]string, spares map[string]bool, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.configs = append(c.configs, appliedConfig{appliedAt: now, services: services})
+	c.configs = append(c.configs, appliedConfig{appliedAt: now, services: services, spares: spares})
 }
 
 // servicesSince returns the services of a route in all configurations in force after since, with an empty string for each
@@ -196,6 +202,7 @@
 		return 0
 	}
 	q.runs++
+	c.recordBegun(q, false, now)
 	c.checkDrain(id, server, c.timeBoundsHold(q.entry, now.Add(-drainLag), now), now)
 	if q.requestLine != line || q.body != body {
 		c.reportLocked("UNASKED", "request %s reached a server changed, as %s %q", id, line, body)
@@ -207,6 +214,7 @@
 	if !slices.Contains(c.servicesSince(q.route, since), service) {
 		c.reportLocked("ROUTE", "request %s of route %s ran on service %s", id, q.route, service)
 	}
+	c.checkKey(q, since)
 	switch {
 	case q.unsafe && q.runs > 1:
 		c.reportLocked("TWICE", "unsafe request %s ran %d times", id, q.runs)
@@ -270,6 +278,8 @@
 		if !signed || !slices.Contains(q.responses, body) {
 			c.reportLocked("MIXED", "request %s got response %q, its servers sent %q", q.id, body, q.responses)
 		}
+	case http.StatusUnauthorized, http.StatusForbidden:
+		c.checkDenied(q, now)
 	case http.StatusNotFound:
 		absent := slices.Contains(c.servicesSince(q.route, q.sentAt.Add(-configLag)), "")
 		if !absent && (c.timeBoundsHold(q.entry, q.sentAt.Add(-configLag), now) || !slices.Contains(c.servicesSince(q.route, c.start), "")) {
@@ -302,7 +312,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, q := range c.requests {
-		if q.route == "late" || !q.abandonedAt.IsZero() || q.status == 0 {
+		if q.route == "late" || q.spare || !q.abandonedAt.IsZero() || q.status == 0 {
 			continue
 		}
 		sent++
--- a/scenario/soak/client.go
+++ b/scenario/soak/client.go
@@ -27,6 +27,7 @@
 	env    *env
 	name   string
 	entry  int
+	space  string
 	pool   *upstream.Pool
 	random *rand.Rand
 	sent   int
@@ -34,7 +35,7 @@
 
 func newClient(e *env, entry, n int) *client {
 	return &client{
-		env: e, name: fmt.Sprintf("c%d-%d", entry, n), entry: entry,
+		env: e, name: fmt.Sprintf("c%d-%d", entry, n), entry: entry, space: spaceName(n),
 		pool:   upstream.New(upstream.Limits{Dial: time.Second, Idle: 1}),
 		random: rand.New(rand.NewPCG(uint64(e.intN(1<<30)), 2)),
 	}
@@ -50,13 +51,16 @@
 // send sends one request and returns how long to wait before the next.
 func (c *client) send(ctx context.Context) time.Duration {
 	c.sent++
-	q := &request{id: fmt.Sprintf("%s-%d", c.name, c.sent), entry: c.entry, route: "safe", sentAt: time.Now()}
+	q := &request{id: fmt.Sprintf("%s-%d", c.name, c.sent), entry: c.entry, space: c.space, key: permanentKey(c.space), route: "safe", sentAt: time.Now()}
 	switch c.random.IntN(8) {
 	case 0, 1, 2:
 		q.route, q.unsafe = "once", true
 	case 3:
 		q.route = "late" // added and removed by configuration changes
 	}
+	if c.random.Float64() < spareRatio {
+		q.key, q.spare = spareKey(c.space, c.random.IntN(sparesPerSpace)), true
+	}
 	uri := "/" + q.route + "/" + q.id
 	ctx, cancel := context.WithTimeout(ctx, clientDeadline+time.Second)
 	defer cancel()
@@ -74,6 +78,13 @@
 	c.env.checker.recordRequest(q)
 	h := http.Header{}
 	platformtest.SetRequestHeaders(h, call.Request{ID: q.id, Deadline: clientDeadline})
+	if c.random.Float64() < forgeRatio {
+		for name, value := range platformtest.SenderHeaders(platformtest.Sender{Workspace: spaceName(c.random.IntN(workspaceCount))}) {
+			h.Set(name, value)
+		}
+		h.Set("X-Copy", q.key)
+	}
+	authorize(h, q.key)
 	a, err := exchange(ctx, c.pool, c.env.address(netClientRelay, firstEntry+c.entry, portIngress), upstream.Request{
 		Method: http.MethodPost, URI: uri, Host: host, Header: h, Body: []byte(q.body),
 	})
@@ -97,11 +108,12 @@
 	for pause(ctx, backoff) {
 		c.entry = c.random.IntN(c.env.size.entries)
 		c.sent++
-		q := &request{id: fmt.Sprintf("%s-%d", c.name, c.sent), entry: c.entry, route: "safe", body: body, sentAt: time.Now()}
+		q := &request{id: fmt.Sprintf("%s-%d", c.name, c.sent), entry: c.entry, space: c.space, key: permanentKey(c.space), route: "safe", body: body, sentAt: time.Now()}
 		q.requestLine = http.MethodPost + " /safe/poison"
 		c.env.checker.recordRequest(q)
 		h := http.Header{}
 		platformtest.SetRequestHeaders(h, call.Request{ID: q.id, Deadline: clientDeadline})
+		authorize(h, q.key)
 		// The response is irrelevant: the checker counts the servers that the request reaches.
 		_, _ = exchange(ctx, c.pool, c.env.address(netClientRelay, firstEntry+c.entry, portIngress), upstream.Request{
 			Method: http.MethodPost, URI: "/safe/poison", Host: host, Header: h, Body: []byte(body),
--- a/scenario/soak/env.go
+++ b/scenario/soak/env.go
@@ -26,6 +26,7 @@
 	"bulrushspoke/platform"
 	"bulrushspoke/platform/platformtest"
 	"bulrushspoke/scenario/rig"
+	"bulrushspoke/standin/cloud"
 	"bulrushspoke/standin/objects"
 	"bulrushspoke/standin/relay"
 )
@@ -36,6 +37,7 @@
 	portIngress    = 18161
 	portReady      = 18167
 	portStore      = 18169
+	portAPI        = 18171
 	portServer     = 18200
 	portRangeFirst = 17720
 	portRangeLast  = 17735
@@ -58,6 +60,7 @@
 	firstEntry  = 1
 	firstDaemon = 101
 	keeperHost  = 200
+	apiHost     = 201 // in netStore
 )
 
 const (
@@ -98,12 +101,14 @@
 	relays        map[string]*relay.Relay   // by "store PROCESS", "link ENTRY" and "client ENTRY"
 	outgoing      map[string][]*relay.Relay // in front of the links that an entry opens, by its name
 	lostCreations atomic.Pointer[lostCreations]
+	api           *cloud.API
 
 	mu       sync.Mutex
 	random   *rand.Rand
 	stopping map[string]bool // processes that are being stopped on purpose
 	versions map[string]int
 	config   catalog.Config
+	spares   map[string]bool // spare keys that the configuration holds
 }
 
 // storeHandler serves the store to one process and injects faults that only this process sees.
@@ -175,9 +180,16 @@
 	e := &env{
 		size: z, netIndex: number, rig: rig.New(bin, dir), checker: newChecker(time.Now()), objects: objects.New(),
 		storeHandlers: map[string]*storeHandler{}, relays: map[string]*relay.Relay{}, outgoing: map[string][]*relay.Relay{}, random: rand.New(rand.NewPCG(seed, 1)),
-		stopping: map[string]bool{}, versions: map[string]int{},
+		stopping: map[string]bool{}, versions: map[string]int{}, spares: map[string]bool{},
 	}
+	e.checker.entries = z.entries
+	e.api = cloud.New(e.receiveUsage)
 	e.applyConfig(func(*catalog.Config) {})
+	// The entries start without a configuration.
+	e.objects.Remove(platformtest.Config, platformtest.Main)
+	if err := serve(ctx, e.address(netStore, apiHost, portAPI), e.api); err != nil {
+		return e, err
+	}
 	for i := range z.plain {
 		e.addServer("cards", e.address(netServer, 1+i, portServer), false)
 		e.addServer("tables", e.address(netServer, 101+i, portServer), false)
@@ -196,6 +208,10 @@
 			return e, err
 		}
 	}
+	e.checkUnconfigured(ctx)
+	e.mu.Lock()
+	e.putConfig(e.config)
+	e.mu.Unlock()
 	go e.restartExited(ctx)
 	return e, nil
 }
@@ -282,8 +298,12 @@
 	s := node.Settings{
 		Name: name, Role: "keeper", Domain: domain, Region: region, IP: e.ip(netProcess, n), Regions: map[string]string{domain: region},
 		Ports: node.Ports{First: portRangeFirst, Last: portRangeLast}, MemoryBytes: memoryLimit, MaxDescriptors: maxDescriptors, HeartbeatInterval: heartbeatInterval,
-		Store:  node.Store{Address: e.address(netStoreRelay, n, portStore), MaxValueBytes: 1 << 20, HistoryRetention: 20 * time.Second},
-		Bounds: node.Bounds{Grace: gracePeriod, ResultRetention: 2 * time.Minute, DrainDelay: drainLag, ConfigDelay: configLag, AddressReuse: 2 * time.Second},
+		Store: node.Store{Address: e.address(netStoreRelay, n, portStore), MaxValueBytes: 1 << 20, HistoryRetention: 20 * time.Second},
+		Bounds: node.Bounds{
+			Grace: gracePeriod, ResultRetention: 2 * time.Minute, DrainDelay: drainLag, ConfigDelay: configLag, AddressReuse: 2 * time.Second,
+			ReportWindow: reportWindow, UsageDelay: usageLate, UsageTolerance: usageTolerance, Lease: lease, Thaw: thaw,
+		},
+		CloudAPI: node.CloudAPI{Address: e.address(netStore, apiHost, portAPI), Duties: []string{node.DutyMetering}, Rate: dutyRate},
 	}
 	relays := map[string][2]string{"store " + name: {s.Store.Address, e.address(netStore, n, portStore)}}
 	binary := "bulrush-entry"
@@ -432,13 +452,7 @@
 		Shares: []catalog.Share{{Service: "engines", Weight: 1}},
 	})
 	change(&c)
-	e.config = c
-	services := map[string]string{}
-	for _, r := range c.Routes {
-		services[r.Name] = r.Shares[0].Service
-	}
-	e.objects.Put(platformtest.Config, platformtest.Main, platformtest.EncodeConfig(c))
-	e.checker.recordConfig(services, time.Now())
+	e.putConfig(c)
 }
 
 // publishVersion publishes the next weight version of a model.
--- a/scenario/soak/fault.go
+++ b/scenario/soak/fault.go
@@ -19,7 +19,8 @@
 )
 
 const (
-	faultSeriesTime  = 5 * time.Second // duration of each of the two series of faults
+	faultSeries      = 2
+	faultSeriesTime  = 5 * time.Second // duration of each series of faults
 	quietTime        = 7 * time.Second // between the series, so that rules with a time bound apply
 	minFaultInterval = 100 * time.Millisecond
 	maxFaultInterval = 450 * time.Millisecond
@@ -62,13 +63,17 @@
 		{"entry stopped", 4, func(ctx context.Context, e *env) {
 			e.restart(ctx, entryName(e.intN(e.size.entries)), syscall.SIGTERM, e.randomDuration(minDown, maxDown))
 		}},
-		{"entry paused", 4, func(ctx context.Context, e *env) { e.suspend(ctx, entryName(e.intN(e.size.entries))) }},
+		{"entry paused", 4, func(ctx context.Context, e *env) {
+			e.suspend(ctx, entryName(e.intN(e.size.entries)), e.randomDuration(minDown, maxFaultTime))
+		}},
 		{"entry gets SIGHUP", 2, func(_ context.Context, e *env) { e.sendHangup(entryName(e.intN(e.size.entries))) }},
 		{"daemon killed", 2, func(ctx context.Context, e *env) {
 			e.restart(ctx, e.randomDaemon(), syscall.SIGKILL, e.randomDuration(minDown, maxDown))
 		}},
 		{"daemon stopped", 1, func(ctx context.Context, e *env) { e.restart(ctx, e.randomDaemon(), syscall.SIGTERM, minDown) }},
-		{"daemon paused", 2, func(ctx context.Context, e *env) { e.suspend(ctx, e.randomDaemon()) }},
+		{"daemon paused", 2, func(ctx context.Context, e *env) {
+			e.suspend(ctx, e.randomDaemon(), e.randomDuration(minDown, maxFaultTime))
+		}},
 		{"keeper killed", 1, func(ctx context.Context, e *env) { e.restart(ctx, "keeper", syscall.SIGKILL, minDown) }},
 		{"store unavailable", 2, storeFault(objects.Fault{Unavailable: true})},
 		{"store silent", 2, storeFault(objects.Fault{NoResponse: true})},
@@ -225,8 +230,8 @@
 	return func() {}
 }
 
-// suspend pauses a process for a random time.
-func (e *env) suspend(ctx context.Context, name string) {
+// suspend pauses a process for a time.
+func (e *env) suspend(ctx context.Context, name string, d time.Duration) {
 	p, err := e.rig.Process(name)
 	if err != nil {
 		return
@@ -234,7 +239,8 @@
 	end := e.disturbProcess(name)
 	defer end()
 	_ = p.Signal(syscall.SIGSTOP) // the process may have exited
-	pause(ctx, e.randomDuration(minDown, maxFaultTime))
+	pause(ctx, d)
+	e.checker.recordThaw(name, time.Now())
 	_ = p.Signal(syscall.SIGCONT)
 }
 
@@ -274,6 +280,7 @@
 // crashed server is removed after serverExpiry.
 func (e *env) crashServer(ctx context.Context, s *server, downtime time.Duration) {
 	id := s.crash()
+	e.checker.recordServerCrash(time.Now())
 	time.AfterFunc(serverExpiry, func() { e.objects.Remove(platformtest.Servers, id) })
 	pause(ctx, downtime)
 	e.startServer(s)
@@ -295,6 +302,7 @@
 	e.checker.recordDrain(id, time.Now())
 	pause(ctx, drainLag+drainLinger)
 	s.crash()
+	e.checker.recordServerCrash(time.Now())
 	e.objects.Remove(platformtest.Servers, id)
 	pause(ctx, minDown)
 	e.startServer(s)
--- a/scenario/soak/jobs.go
+++ b/scenario/soak/jobs.go
@@ -14,6 +14,7 @@
 // submittedJob is a job with what its trainer saw of it.
 type submittedJob struct {
 	job.Job
+	space        string
 	acceptedAt   time.Time // zero before the first 202
 	refused      bool      // every submission was rejected
 	endedAt      time.Time // when its end was acknowledged; zero before
@@ -32,11 +33,11 @@
 }
 
 // recordJob records a job that is about to be submitted.
-func (c *checker) recordJob(j job.Job) *submittedJob {
+func (c *checker) recordJob(space string, j job.Job) *submittedJob {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	sj := &submittedJob{Job: j, position: map[string]int{}}
-	c.jobs[j.ID] = sj
+	sj := &submittedJob{Job: j, space: space, position: map[string]int{}}
+	c.jobs[space+"/"+j.ID] = sj
 	for _, it := range j.Items {
 		known := c.items[it.ID]
 		if known == nil {
@@ -268,7 +269,7 @@
 			jobs = append(jobs, sj)
 		}
 	}
-	slices.SortFunc(jobs, func(a, b *submittedJob) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(jobs, func(a, b *submittedJob) int { return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.space, b.space)) })
 	return jobs
 }
 
--- a/scenario/soak/run.go
+++ b/scenario/soak/run.go
@@ -67,7 +67,10 @@
 	if err := e.waitReady(ctx, startTimeout); err != nil {
 		return o, fmt.Errorf("%w\n%s", err, e.rig.Logs())
 	}
+	var mu sync.Mutex
 	recordFault := func(name string) {
+		mu.Lock()
+		defer mu.Unlock()
 		o.faults = append(o.faults, fmt.Sprintf("%.1f %s", time.Since(e.checker.start).Seconds(), name))
 	}
 	var g sync.WaitGroup
@@ -81,7 +84,7 @@
 	}
 	var trainers []*trainer
 	for m := range z.models {
-		t := newTrainer(e, modelName(m))
+		t := newTrainer(e, m)
 		trainers = append(trainers, t)
 		g.Go(func() { t.run(workloadCtx) })
 	}
@@ -92,11 +95,21 @@
 		}
 	}
 	g.Go(func() { e.limitServers(workloadCtx, seed) })
-	e.injectFaults(ctx, faultSeriesTime, recordFault)
-	pause(ctx, quietTime)
-	e.injectFaults(ctx, faultSeriesTime, recordFault)
+	g.Go(func() { e.changeKeys(workloadCtx, seed) })
+	firstWindow := windowOf(time.Now()) + 1
+	for series := range faultSeries {
+		if series > 0 {
+			pause(ctx, quietTime)
+		}
+		var duty sync.WaitGroup
+		duty.Go(func() { e.disturbDuty(ctx, seed, series, recordFault) })
+		e.injectFaults(ctx, faultSeriesTime, recordFault)
+		duty.Wait()
+	}
 	e.isolateOwners(ctx, seed, recordFault)
+	lastFault := time.Now()
 	e.checkRecovery(ctx, trainers)
+	e.awaitReports(ctx, firstWindow, lastFault)
 	stopWorkload()
 	g.Wait()
 	trainers[0].rereadJobs(ctx, e.checker.acceptedJobs(), 0)
--- a/scenario/soak/server.go
+++ b/scenario/soak/server.go
@@ -161,12 +161,15 @@
 		return
 	}
 	s.env.checker.recordArrival(reqInfo.ID, id, time.Now())
+	s.env.checker.checkSender(reqInfo.ID, r.Header)
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
+		s.env.checker.recordUnanswered(reqInfo.ID, time.Now())
 		return
 	}
 	b := s.responseBehaviour()
 	if b == unresponsive {
+		s.env.checker.recordUnanswered(reqInfo.ID, time.Now())
 		<-r.Context().Done()
 		return
 	}
--- a/scenario/soak/soak_test.go
+++ b/scenario/soak/soak_test.go
@@ -13,6 +13,7 @@
 
 	"bulrushspoke/internal/job"
 	"bulrushspoke/platform"
+	"bulrushspoke/platform/platformtest"
 	"bulrushspoke/scenario/rig"
 	"bulrushspoke/standin/objects"
 )
@@ -76,20 +77,48 @@
 func TestChecker(t *testing.T) {
 	now := time.Now()
 	newAcceptedJob := func(c *checker) *submittedJob {
-		sj := c.recordJob(job.Job{ID: "j", MinVersion: 2, Items: []job.Item{
+		sj := c.recordJob("w", job.Job{ID: "j", MinVersion: 2, Items: []job.Item{
 			{ID: "i", Path: "/items-of/m/2", Body: []byte("x")}, {ID: "k", Path: "/items-of/m/1", Body: []byte("y")},
 		}})
 		c.recordAccepted(sj, now.Add(-time.Minute))
 		return sj
 	}
-	page := func(text string, versions ...int) job.Page {
-		return job.Page{Total: 2, Next: 1, Results: []job.Result{{Item: "i", Text: text, Versions: versions}}}
-	}
 	newRequest := func(c *checker, unsafe bool) *request {
 		q := &request{id: "q", requestLine: "POST /safe/q", body: "b", route: "safe", unsafe: unsafe, sentAt: now}
 		c.recordRequest(q)
 		return q
 	}
+	withKey := func(c *checker, key string, held ...bool) *request {
+		c.configs = nil
+		for i, h := range held {
+			c.recordConfig(map[string]string{"safe": "cards"}, map[string]bool{key: h}, now.Add(time.Duration(i-len(held))*time.Minute))
+		}
+		q := newRequest(c, false)
+		q.key, q.space, q.spare = key, "w", key == "spare"
+		return q
+	}
+	sender := func(space, other string) http.Header {
+		h := http.Header{}
+		for name, value := range platformtest.SenderHeaders(platformtest.Sender{Workspace: space}) {
+			h.Set(name, value)
+		}
+		h.Set("X-Copy", other)
+		return h
+	}
+	usage := func(c *checker, holder string, token, window int64, count int, at time.Time) {
+		c.recordUsage(platformtest.UsageReport{Holder: holder, Token: token, Window: window, Counts: map[string]int{"w": count}}, true, at)
+	}
+	// began makes a server run a request of the entry 0 in the middle of a window, and returns the window.
+	began := func(c *checker) int64 {
+		c.entries = 2
+		at := windowStart(windowOf(now)).Add(reportWindow / 2)
+		newRequest(c, false).space = "w"
+		c.recordRun("q", "s", "cards", "POST /safe/q", "b", at)
+		return windowOf(at)
+	}
+	page := func(text string, versions ...int) job.Page {
+		return job.Page{Total: 2, Next: 1, Results: []job.Result{{Item: "i", Text: text, Versions: versions}}}
+	}
 	for _, tc := range []struct {
 		rule    string
 		violate func(c *checker)
@@ -146,7 +175,7 @@
 			c.checkResponse(q, 503, false, "")
 		}},
 		{"REFUSED", func(c *checker) {
-			sj := c.recordJob(job.Job{ID: "j", Items: []job.Item{{ID: "i"}}})
+			sj := c.recordJob("w", job.Job{ID: "j", Items: []job.Item{{ID: "i"}}})
 			c.recordRefused(sj)
 			c.recordItemFinished("i")
 			c.finish()
@@ -214,6 +243,28 @@
 			c.checkOrder("e", platform.Order{Holder: "a", FencingToken: 3})
 			c.checkOrder("e", platform.Order{Holder: "a", FencingToken: 2})
 		}},
+		{"KEY", func(c *checker) { newRequest(c, false).space = "w"; c.checkSender("q", sender("v", "")) }},
+		{"KEY", func(c *checker) { newRequest(c, false).space = "w"; c.checkSender("q", sender("w", permanentKey("w"))) }},
+		{"KEY", func(c *checker) { newAcceptedJob(c); c.checkSender("i", sender("", "")) }},
+		{"FOREIGN", func(c *checker) { c.checkForeign(newAcceptedJob(c), "v", "GET", 200, nil) }},
+		{"REVOKED", func(c *checker) {
+			withKey(c, "spare", true, false)
+			c.recordRun("q", "s", "cards", "POST /safe/q", "b", now)
+		}},
+		{"DENIED", func(c *checker) { c.checkResponse(withKey(c, "spare", false, true), 401, false, "") }},
+		{"DENIED", func(c *checker) { c.checkResponse(withKey(c, "permanent", false, false), 401, false, "") }},
+		{"USAGE", func(c *checker) { usage(c, "a", 1, 7, 3, now); usage(c, "a", 1, 7, 4, now) }},
+		{"USAGE", func(c *checker) { c.checkWindow(7, now) }},
+		{"USAGE", func(c *checker) { usage(c, "a", 1, 7, 3, now); c.checkWindow(7, now.Add(-time.Second)) }},
+		{"USAGE", func(c *checker) { w := began(c); usage(c, "a", 1, w, 0, now); c.checkWindow(w, now) }},
+		{"USAGE", func(c *checker) { w := began(c); usage(c, "a", 1, w, 2, now); c.checkWindow(w, now) }},
+		{"DUTY", func(c *checker) { usage(c, "a", 2, 7, 3, now); usage(c, "a", 1, 8, 3, now) }},
+		{"DUTY", func(c *checker) { usage(c, "a", 1, 7, 3, now); usage(c, "b", 1, 8, 3, now) }},
+		{"DUTY", func(c *checker) {
+			usage(c, "a", 1, 7, 3, now.Add(-lease/2))
+			usage(c, "b", 2, 7, 3, now)
+			usage(c, "a", 3, 7, 3, now)
+		}},
 		{"GONE", func(c *checker) {
 			for i := range 4 {
 				q := &request{id: fmt.Sprint(i), requestLine: "POST /safe/q", body: "b", route: "safe", sentAt: now}
@@ -226,7 +277,7 @@
 		}},
 	} {
 		c := newChecker(now.Add(-time.Hour))
-		c.recordConfig(map[string]string{"safe": "cards"}, now.Add(-time.Hour))
+		c.recordConfig(map[string]string{"safe": "cards"}, nil, now.Add(-time.Hour))
 		tc.violate(c)
 		if len(c.violations) != 1 || !strings.HasPrefix(c.violations[0], tc.rule+" ") {
 			t.Errorf("want one violation, of rule %s; got %q", tc.rule, c.violations)
@@ -295,14 +346,23 @@
 func TestCheckerIgnoresDisturbances(t *testing.T) {
 	now := time.Now()
 	c := newChecker(now.Add(-time.Hour))
-	c.recordConfig(map[string]string{"safe": "cards"}, now.Add(-time.Hour))
+	c.recordConfig(map[string]string{"safe": "cards"}, nil, now.Add(-time.Hour))
 	c.disturb(0, false)()
 	q := &request{id: "q", route: "safe", sentAt: now.Add(-time.Second)}
 	c.recordRequest(q)
 	c.checkLostConnection(q, now.Add(time.Second))
-	sj := c.recordJob(job.Job{ID: "j", Items: []job.Item{{ID: "i"}}})
+	sj := c.recordJob("w", job.Job{ID: "j", Items: []job.Item{{ID: "i"}}})
 	c.recordAccepted(sj, now.Add(-time.Minute))
 	c.checkNotFound(sj, 0, now)
+	// A revoked key of a disturbed entry, and a call after a pause.
+	spare := &request{id: "r", route: "safe", key: "spare", spare: true, sentAt: now}
+	c.configs[0].spares = map[string]bool{"spare": true}
+	c.recordConfig(map[string]string{"safe": "cards"}, nil, now.Add(-time.Minute))
+	c.recordRequest(spare)
+	c.recordRun("r", "s", "cards", "", "", time.Now())
+	c.recordUsage(platformtest.UsageReport{Holder: "b", Token: 2, Window: 1}, true, now.Add(-lease))
+	c.recordThaw("a", now)
+	c.recordUsage(platformtest.UsageReport{Holder: "a", Token: 1, Window: 1}, true, now)
 	if len(c.violations) > 0 {
 		t.Errorf("violations of a disturbed entry: %q", c.violations)
 	}
--- a/scenario/soak/trainer.go
+++ b/scenario/soak/trainer.go
@@ -32,6 +32,8 @@
 type trainer struct {
 	env            *env
 	model          string
+	space          string
+	sharedIDs      bool // every third job has an ID that trainers of other workspaces use as well
 	pool           *upstream.Pool
 	random         *rand.Rand
 	carriedItems   []job.Item // an incomplete group of the previous job
@@ -41,9 +43,9 @@
 // completed returns the number of completed steps.
 func (t *trainer) completed() int { return int(t.completedSteps.Load()) }
 
-func newTrainer(e *env, model string) *trainer {
+func newTrainer(e *env, n int) *trainer {
 	return &trainer{
-		env: e, model: model, pool: upstream.New(upstream.Limits{Dial: time.Second}),
+		env: e, model: modelName(n), space: spaceName(n), sharedIDs: n < workspaceCount, pool: upstream.New(upstream.Limits{Dial: time.Second}),
 		random: rand.New(rand.NewPCG(uint64(e.intN(1<<30)), 3)),
 	}
 }
@@ -62,7 +64,7 @@
 
 // runStep executes one step with results of weight versions from minVersion, and reports whether the step was completed.
 func (t *trainer) runStep(ctx context.Context, step, minVersion int) bool {
-	sj := t.env.checker.recordJob(t.newJob(step, minVersion))
+	sj := t.env.checker.recordJob(t.space, t.newJob(step, minVersion))
 	if !t.submit(ctx, sj) {
 		return false
 	}
@@ -78,16 +80,24 @@
 	j := job.Job{
 		ID: fmt.Sprintf("%s-%d-%x", t.model, step, t.random.Uint32()), Step: step, Model: t.model, MinVersion: minVersion, Groups: requiredGroups,
 	}
+	name := j.ID
+	if t.sharedIDs && step%3 == 1 {
+		j.ID = fmt.Sprintf("shared-%d", step)
+	}
 	if t.random.IntN(2) == 0 {
 		j.Items = t.carriedItems
 	}
 	t.carriedItems = nil
 	for g := len(j.Items) / itemsPerGroup; g < groupsPerJob; g++ {
+		var forged map[string]string
+		if t.random.Float64() < forgeRatio {
+			forged = platformtest.SenderHeaders(platformtest.Sender{Credentials: platformtest.KeyCredentials(permanentKey(t.space)), Workspace: "other"})
+		}
 		for i := range itemsPerGroup {
-			id := fmt.Sprintf("%s.%d.%d", j.ID, g, i)
+			id := fmt.Sprintf("%s.%d.%d", name, g, i)
 			j.Items = append(j.Items, job.Item{
 				ID: id, Path: fmt.Sprintf("/items-of/%s/%d", t.model, 1+t.random.IntN(maxItemEvents)), Body: []byte("body of " + id),
-				Tokens: 100, Group: fmt.Sprintf("%s.%d", j.ID, g),
+				Tokens: 100, Group: fmt.Sprintf("%s.%d", name, g), Header: forged,
 			})
 		}
 	}
@@ -103,7 +113,12 @@
 		q.Header = http.Header{}
 	}
 	platformtest.SetRequestHeaders(q.Header, call.Request{ID: id, Deadline: callTimeout})
-	return exchange(ctx, t.pool, t.env.address(netClientRelay, firstEntry+entry, portIngress), q)
+	authorize(q.Header, permanentKey(t.space))
+	a, err := exchange(ctx, t.pool, t.env.address(netClientRelay, firstEntry+entry, portIngress), q)
+	if err == nil && (a.status == http.StatusUnauthorized || a.status == http.StatusForbidden) {
+		t.env.checker.report("DENIED", "%s %s with a key of %s got status %d", q.Method, q.URI, t.space, a.status)
+	}
+	return a, err
 }
 
 func (t *trainer) randomEntry() int { return t.random.IntN(t.env.size.entries) }
@@ -213,6 +228,7 @@
 	ctx context.Context, sj *submittedJob, entry, after int, wait time.Duration,
 ) (p job.Page, status int, err error) {
 	uri, name, value := platformtest.ResultsURI(sj.ID, after, wait)
+	t = t.as(sj.space)
 	a, err := t.call(ctx, entry, upstream.Request{Method: http.MethodGet, URI: uri, Header: http.Header{name: {value}}}, "")
 	if err != nil || a.status != http.StatusOK {
 		return job.Page{}, a.status, err
@@ -225,6 +241,11 @@
 	return p, a.status, nil
 }
 
+// as returns a client like the trainer, with the key of another workspace.
+func (t *trainer) as(space string) *trainer {
+	return &trainer{env: t.env, space: space, pool: t.pool, random: t.random}
+}
+
 // readBody reads and checks the body of a random item through a random entry.
 func (t *trainer) readBody(ctx context.Context, sj *submittedJob) {
 	id := sj.Items[t.random.IntN(len(sj.Items))].ID
@@ -277,6 +298,9 @@
 			continue
 		}
 		sj := jobs[r.random.IntN(len(jobs))]
+		if r.random.IntN(probeInterval) == 0 {
+			r.probeJob(ctx, sj, r.entry)
+		}
 		after := r.env.checker.resultsRead(sj)
 		if r.random.IntN(5) == 0 {
 			after = r.random.IntN(after + 1)
