--- a/entry/internal/duty/act.go
+++ b/entry/internal/duty/act.go
@@ -72,6 +72,9 @@
 	if first, ok := d.all.First(); ok {
 		v.FirstWindow = min(v.FirstWindow, first)
 	}
+	// Another process may have written all windows that can have been closed.
+	v.Overdue = d.window(now-d.Bounds.UsageDelay) - 1
+	v.FirstWindow = max(v.FirstWindow, d.window(now-d.settle))
 	if c, ok := d.seat.NextStore(now, v, func(after int64) []wire.DutyReport { return d.closed(after, running, now) }); ok {
 		go supervise.Guard(d.Logger, "seat", func() { d.callStore(ctx, c) })
 	}
@@ -150,6 +153,11 @@
 	held, before := d.seat.Holding(), d.seat.Notice()
 	d.storeResult(c, revision, read.Spec, err)
 	d.applyLast(held)
+	if err == nil {
+		for _, w := range c.tooLarge {
+			event.UsageTooLarge.Log(d.Logger, "window", w, "max", d.seat.timing.MaxBytes)
+		}
+	}
 	if d.seat.Holding() && !held {
 		// Entries that could reach no other one at their end have left their counts in the store.
 		go supervise.Guard(d.Logger, "counts", func() { d.listCounts(parent) })
@@ -186,10 +194,10 @@
 	}
 }
 
-// decodeSeat returns an empty seat for an object that another writer has made unusable; it is replaced at the next takeover.
+// decodeSeat returns an empty seat for an object that another writer has made invalid; it is replaced at the next takeover.
 func (d *Duty) decodeSeat(spec []byte) wire.DutySeat {
 	var s wire.DutySeat
-	if err := json.Unmarshal(spec, &s); err != nil {
+	if err := json.Unmarshal(spec, &s); err != nil || s.Holder == "" || s.Token <= 0 || s.Last < 0 {
 		event.ObjectInvalid.Log(d.Logger, "kind", kindSeat, "name", nameSeat)
 		return wire.DutySeat{Token: d.seat.Token(), Last: d.seat.Last()}
 	}
@@ -214,7 +222,12 @@
 func (d *Duty) callAPI(ctx context.Context, c APICall) {
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
-	status, err := d.API.ReportUsage(ctx, d.Name, c.Token, []byte(c.Report.Body))
+	status, err := d.API.ReportUsage(ctx, d.Name, c.Token, []byte(c.Report.Body), func() bool {
+		// The process may have been suspended since the decision, and ctx does not count that.
+		left := c.Until - d.Boot()
+		time.AfterFunc(left+callGrace, cancel)
+		return left > 0
+	})
 	result, text := judge(status, err)
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -246,6 +259,8 @@
 func judge(status int, err error) (CallResult, string) {
 	var failed *upstream.Error
 	switch {
+	case errors.Is(err, upstream.ErrNotReady):
+		return Expired, "failed"
 	case errors.As(err, &failed) && !failed.Sent():
 		return Unreached, "failed"
 	case err != nil:
--- a/entry/internal/duty/counts.go
+++ b/entry/internal/duty/counts.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"slices"
 	"time"
 
@@ -33,6 +34,10 @@
 	storeTimeout = 3 * time.Second
 	// lastWriteTimeout bounds the write of counts at the end of the process.
 	lastWriteTimeout = 400 * time.Millisecond
+	// maxPieceBytes bounds the counts in one message, far below the limit of a frame between entries, and countBytes is the size of
+	// a count beside the name of its workspace.
+	maxPieceBytes = 1 << 20
+	countBytes    = 10
 	// apartWindows is the number of windows without counts in the store after which an entry is no longer waited for.
 	apartWindows = 3
 	// maxStoreTries bounds the attempts to write counts to the store.
@@ -80,35 +85,94 @@
 	for _, name := range targets {
 		switch {
 		case d.sentTo[name] != d.Peers.Incarnation(name):
-			d.sendAll(name)
+			d.sendAll(ctx, name)
 		case marked && name == d.seat.Holder():
 			m := d.message(windows, false)
 			go supervise.Guard(d.Logger, "counts", func() { d.sendMarked(ctx, name, m) })
 		case changed:
-			if d.Peers.Send(name, link.Counts, d.message(windows, false)) != nil {
+			if d.sendPieces(ctx, name, d.message(windows, false)) != nil {
 				delete(d.sentTo, name)
 			}
 		}
 	}
-	if marked && len(connected) == 0 && len(running)+len(d.linked) > 0 {
+	if marked && (len(connected) == 0 && d.joined || !d.hasQuorum(connected, running) || d.holderOutOfReach(connected, now)) {
 		d.storeCounts(ctx, d.message(d.counter.All(), false), now)
 	}
 }
 
 // sendAll sends all counts to an entry. The caller holds mu.
-func (d *Duty) sendAll(name string) {
+func (d *Duty) sendAll(ctx context.Context, name string) {
 	inc := d.Peers.Incarnation(name)
-	if inc != "" && d.Peers.Send(name, link.Counts, d.message(d.counter.All(), false)) == nil {
+	if inc != "" && d.sendPieces(ctx, name, d.message(d.counter.All(), false)) == nil {
 		d.sentTo[name] = inc
 	}
 }
 
+// sendPieces sends a message in pieces, if it is too long for one frame. The last piece, which marks windows as complete, follows
+// the confirmations of the others, since messages may overtake each other. The caller holds mu.
+func (d *Duty) sendPieces(ctx context.Context, name string, m wire.UsageCounts) error {
+	l := pieces(m)
+	last := l[len(l)-1]
+	if len(l) == 1 {
+		return d.Peers.Send(name, link.Counts, last)
+	}
+	go supervise.Guard(d.Logger, "counts", func() {
+		ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+		defer cancel()
+		err := d.callPieces(ctx, name, l[:len(l)-1], d.Peers.Call)
+		if err == nil {
+			err = d.Peers.Send(name, link.Counts, last)
+		}
+		if err != nil {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			delete(d.sentTo, name)
+		}
+	})
+	return nil
+}
+
+// callPieces sends messages one after another, each after the confirmation of the one before it.
+func (d *Duty) callPieces(
+	ctx context.Context, name string, l []wire.UsageCounts, call func(context.Context, string, string, any, any) error,
+) error {
+	for _, m := range l {
+		var ack wire.UsageAck
+		if err := call(ctx, name, link.Counts, m, &ack); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// pieces splits a message whose counts are too long for one frame. Only the last piece marks windows as complete.
+func pieces(m wire.UsageCounts) []wire.UsageCounts {
+	var l []wire.UsageCounts
+	next := wire.UsageCounts{Entry: m.Entry, Inc: m.Inc, Windows: []wire.UsageWindow{}}
+	bytes := 0
+	for _, w := range m.Windows {
+		part := make(wire.UsageWindowCounts)
+		for workspace, n := range w.Counts {
+			size := len(workspace) + countBytes
+			if bytes+size > maxPieceBytes {
+				next.Windows = append(next.Windows, wire.UsageWindow{Window: w.Window, Counts: part})
+				l = append(l, next)
+				next.Windows, part, bytes = []wire.UsageWindow{}, make(wire.UsageWindowCounts), 0
+			}
+			part[workspace] = n
+			bytes += size
+		}
+		next.Windows = append(next.Windows, wire.UsageWindow{Window: w.Window, Counts: part})
+	}
+	next.Through, next.Bye = m.Through, m.Bye
+	return append(l, next)
+}
+
 // sendMarked sends completed windows to the holder. Without a confirmation all counts are sent again.
 func (d *Duty) sendMarked(ctx context.Context, name string, m wire.UsageCounts) {
 	first, cancel := context.WithTimeout(ctx, ackTimeout)
 	defer cancel()
-	var ack wire.UsageAck
-	if d.Peers.Call(first, name, link.Counts, m, &ack) == nil {
+	if d.callPieces(first, name, pieces(m), d.Peers.Call) == nil {
 		return
 	}
 	// The link may be silent, and earlier messages lost with it.
@@ -118,26 +182,51 @@
 	d.mu.Unlock()
 	second, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
-	if err := d.Peers.Request(second, name, link.Counts, m, &ack); err != nil {
+	if err := d.callPieces(second, name, pieces(m), d.Peers.Request); err != nil {
 		event.CountsUnconfirmed.Log(d.Logger, "holder", name, "through", m.Through, "cause", err.Error())
 	}
 }
 
 func (d *Duty) message(windows map[int64]metering.Counts, bye bool) wire.UsageCounts {
-	m := wire.UsageCounts{Entry: d.Name, Inc: d.Inc, Through: d.counter.Through(), Bye: bye, Windows: []wire.UsageWindow{}}
-	for w, counts := range windows {
-		m.Windows = append(m.Windows, wire.UsageWindow{Window: w, Counts: wire.UsageWindowCounts(counts)})
+	return toWire(metering.Message{Name: d.Name, Incarnation: d.Inc, Through: d.counter.Through(), Bye: bye, Windows: windows})
+}
+
+// forward sends all counts of another entry that this one holds. The caller holds mu.
+func (d *Duty) forward(ctx context.Context, to, entry string) {
+	for _, m := range d.all.Held(entry) {
+		_ = d.sendPieces(ctx, to, toWire(m)) // the holder asks again
+	}
+}
+
+// holderOutOfReach reports whether the holder has no link to this entry, but has written since the link was lost. A holder that
+// has died does not write. The caller holds mu.
+func (d *Duty) holderOutOfReach(connected []string, now time.Duration) bool {
+	holder := d.seat.Holder()
+	return holder != "" && holder != d.Name && !d.holderLinked(connected, now) && d.seat.ChangedAt() >= d.linkedAt+linkGrace
+}
+
+// noteApart remembers an entry whose counts have come by another way than a link, as they will do so again. The caller holds mu.
+func (d *Duty) noteApart(m wire.UsageCounts, connected []string) {
+	if m.Through >= d.seat.Last()-apartWindows && !m.Bye && !slices.Contains(connected, m.Entry) && m.Entry != d.Name {
+		d.apart[m.Entry] = max(d.apart[m.Entry], m.Through)
+	}
+}
+
+func toWire(m metering.Message) wire.UsageCounts {
+	w := wire.UsageCounts{Entry: m.Name, Inc: m.Incarnation, Through: m.Through, Bye: m.Bye, Windows: []wire.UsageWindow{}}
+	for _, window := range slices.Sorted(maps.Keys(m.Windows)) {
+		w.Windows = append(w.Windows, wire.UsageWindow{Window: window, Counts: wire.UsageWindowCounts(m.Windows[window])})
 	}
-	return m
+	return w
 }
 
-func fromWire(m wire.UsageCounts, stored bool) metering.Message {
+func fromWire(m wire.UsageCounts) metering.Message {
 	windows := make(map[int64]metering.Counts, len(m.Windows))
 	for _, w := range m.Windows {
 		windows[w.Window] = metering.Counts(w.Counts)
 	}
 	return metering.Message{
-		Name: m.Entry, Incarnation: m.Inc, Through: m.Through, Bye: m.Bye, Windows: windows, Stored: stored,
+		Name: m.Entry, Incarnation: m.Inc, Through: m.Through, Bye: m.Bye, Windows: windows,
 	}
 }
 
@@ -180,7 +269,8 @@
 	return err
 }
 
-// gather asks entries for counts that the holder needs next, and looks for them in the store before it goes on without them.
+// gather asks entries for counts that the holder needs next: those that have them or, without a link to these, the next in
+// line. It looks for them in the store before it goes on without them.
 // The caller holds mu.
 func (d *Duty) gather(ctx context.Context, connected, running []string, now time.Duration) {
 	if !d.seat.Holding() || d.seat.Last() == 0 {
@@ -198,8 +288,12 @@
 	if now-d.gathered >= gatherInterval {
 		d.gathered = now
 		for _, name := range missing {
-			if slices.Contains(connected, name) {
-				_ = d.Peers.Send(name, link.Gather, wire.UsageGather{Sender: d.Name}) // asked again at the next interval
+			ask := []string{name}
+			if !slices.Contains(connected, name) {
+				ask = d.targets(connected)
+			}
+			for _, to := range ask {
+				_ = d.Peers.Send(to, link.Gather, wire.UsageGather{Sender: d.Name, Entry: name}) // asked again at the next interval
 			}
 		}
 	}
@@ -246,14 +340,13 @@
 			event.ObjectInvalid.Log(d.Logger, "kind", kindCounts, "name", r.Name)
 			continue
 		}
-		d.all.Merge(fromWire(m, true))
-		if m.Through >= d.seat.Last()-apartWindows {
-			d.apart[m.Entry] = m.Through
-		}
+		d.all.Merge(fromWire(m))
+		d.noteApart(m, nil)
 	}
 }
 
-// Close hands over the counts of this entry, after its last request, at the end of a graceful stop.
+// Close hands over the counts of this entry, after its last request, at the end of a graceful stop, and those that it holds of
+// entries that have ended before.
 func (d *Duty) Close(ctx context.Context) {
 	connected := d.Peers.Connected()
 	d.mu.Lock()
@@ -264,12 +357,32 @@
 	d.count(d.Boot())
 	m := d.message(d.counter.All(), true)
 	targets := d.targets(connected)
+	// The others need no counts, but do not wait for this entry any more.
+	var held []wire.UsageCounts
+	for _, name := range d.all.Names() {
+		if name != d.Name && !slices.Contains(connected, name) {
+			for _, h := range d.all.Held(name) {
+				held = append(held, toWire(h))
+			}
+		}
+	}
+	bye := m
+	bye.Windows = []wire.UsageWindow{}
+	for _, name := range connected {
+		if !slices.Contains(targets, name) {
+			_ = d.Peers.Send(name, link.Counts, bye) // an entry that misses it notices the lost link
+		}
+	}
 	d.mu.Unlock()
 	results := make(chan error, len(targets))
 	for _, name := range targets {
 		go supervise.Guard(d.Logger, "counts", func() {
-			var ack wire.UsageAck
-			results <- d.Peers.Request(ctx, name, link.Counts, m, &ack)
+			var l []wire.UsageCounts
+			for _, h := range held {
+				l = append(l, pieces(h)...)
+			}
+			l = append(l, pieces(m)...)
+			results <- d.callPieces(ctx, name, l, d.Peers.Request)
 		})
 	}
 	delivered := false
--- a/entry/internal/duty/seat.go
+++ b/entry/internal/duty/seat.go
@@ -21,7 +21,7 @@
 	Renewal time.Duration
 	// RankDelay is the additional delay of each further entry in line.
 	RankDelay time.Duration
-	// MaxBytes bounds the reports in the object.
+	// MaxBytes bounds the bodies of the reports in the object.
 	MaxBytes int
 	// CallGap is the minimum time between two calls.
 	CallGap time.Duration
@@ -49,6 +49,9 @@
 	maxCallTimeout = 3 * time.Second
 	// callGrace is the time after the end of the lease in which a call that was started within it may still leave the process.
 	callGrace = 300 * time.Millisecond
+	// arrivalMargin is the time in which a call may still arrive after it was given up: the connection is reset, but what has
+	// left the process is on its way.
+	arrivalMargin = 300 * time.Millisecond
 	// yieldAfter is how long after the first call without an answer the holder gives the duty up if the API cannot be reached:
 	// it may be out of reach for this entry only. Other entries are tried at most maxYields times within yieldPeriod.
 	yieldAfter  = 1200 * time.Millisecond
@@ -57,8 +60,7 @@
 	// maxRejections is the number of answers that reject a report as such after which it is dropped, so that it does not block
 	// later ones for good.
 	maxRejections = 5
-	// maxReports bounds the reports that wait for the platform, ten minutes at windows of five seconds. Beyond it the oldest
-	// ones are dropped: they are long overdue.
+	// maxReports bounds the reports that wait for the platform, ten minutes at windows of five seconds.
 	maxReports = 128
 	// maxFormer is the number of former holders that the object names.
 	maxFormer = 4
@@ -80,7 +82,8 @@
 	Spec     wire.DutySeat // new content, for writes
 	Revision int64         // revision that an update requires
 	start    time.Duration
-	dropped  int // reports that the write drops
+	dropped  int     // overdue reports that the write drops
+	tooLarge []int64 // windows whose reports no object can hold
 }
 
 // APICall is a call of the platform's API that the runner is to make.
@@ -88,6 +91,7 @@
 	Report  wire.DutyReport
 	Token   int64
 	Timeout time.Duration
+	Until   time.Duration // the call must not be sent at this time or later, even if the process is suspended meanwhile
 }
 
 // View is what an entry knows about the others.
@@ -96,7 +100,8 @@
 	HolderLinked bool  // the link to the holder is open, or was until a moment ago
 	Alone        bool  // no other entry can be reached
 	Quorum       bool  // at least half of the entries can be reached
-	FirstWindow  int64 // first window to be reported if the object does not exist
+	Overdue      int64 // newest window whose report would miss its time limit now
+	FirstWindow  int64 // first window that cannot have been written, should the object be gone
 }
 
 // Seat decides who holds a duty and what the holder writes and sends. Times are readings of a clock that counts suspensions.
@@ -117,8 +122,9 @@
 	holder        string // at that revision
 	holderInc     string
 	released      bool
-	maxToken      int64 // highest token heard of
-	last          int64 // newest window written, as far as heard of
+	maxToken      int64  // highest token heard of
+	lastHolder    string // with that token
+	last          int64  // newest window written, as far as heard of
 
 	holding    bool
 	held       bool          // this process has held the duty
@@ -138,6 +144,7 @@
 
 	callBusy   bool
 	callWindow int64
+	arriving   time.Duration  // an unanswered call may arrive until then
 	confirmed  map[int64]bool // reports that are done, but are in the object until the next write
 	failures   int
 	// silent means that calls since the given time got no answer.
@@ -177,6 +184,9 @@
 // HolderIncarnation returns the incarnation of the holder.
 func (s *Seat) HolderIncarnation() string { return s.holderInc }
 
+// ChangedAt returns the time at which the newest revision of the object was heard of.
+func (s *Seat) ChangedAt() time.Duration { return s.observedAt }
+
 // Token returns the highest token heard of.
 func (s *Seat) Token() int64 { return s.maxToken }
 
@@ -197,6 +207,13 @@
 	}
 }
 
+// Known returns what this process knows about the object, for an entry that may know less.
+func (s *Seat) Known() wire.DutyNotice {
+	return wire.DutyNotice{
+		Sender: s.name, Holder: s.lastHolder, Inc: s.holderInc, Token: s.maxToken, Rev: s.observed, Last: s.last, Released: s.released,
+	}
+}
+
 // Heard applies a message of another entry.
 func (s *Seat) Heard(n wire.DutyNotice, now time.Duration) {
 	if n.Trying {
@@ -215,6 +232,9 @@
 // observe records that the object has the given revision or a later one. It may be learnt from any entry: since the object
 // changed before, observedAt is never too early.
 func (s *Seat) observe(n wire.DutyNotice, now time.Duration) {
+	if n.Holder != "" && n.Token >= s.maxToken {
+		s.lastHolder = n.Holder
+	}
 	s.maxToken, s.last = max(s.maxToken, n.Token), max(s.last, n.Last)
 	if n.Rev == s.observed {
 		s.announced = s.announced || n.Sender == n.Holder
@@ -276,23 +296,21 @@
 	if s.stopping || s.yielding {
 		spec.Released = true
 		spec.Reports = s.waiting()
-		return StoreCall{Op: Update, Spec: spec, Revision: s.revision}, !s.callBusy
+		return StoreCall{Op: Update, Spec: spec, Revision: s.revision}, !s.callBusy && now >= s.arriving
 	}
 	if !v.Quorum {
 		return StoreCall{}, false // the other entries cannot send their counts; one of them takes over
 	}
-	reports := closed(s.object.Last)
+	reports := closed(max(s.object.Last, s.last))
 	age := now - s.leaseFrom
 	renew := age >= s.timing.Renewal || s.renew && age >= s.timing.Lease && s.Waiting() > 0
 	if len(reports) == 0 && !renew {
 		return StoreCall{}, false
 	}
-	kept, dropped := s.bound(append(s.waiting(), reports...))
-	spec.Reports = kept
-	if len(reports) > 0 {
-		spec.Last = reports[len(reports)-1].Window
-	}
-	return StoreCall{Op: Update, Spec: spec, Revision: s.revision, dropped: dropped}, true
+	c := StoreCall{Op: Update, Revision: s.revision}
+	spec.Reports, spec.Last, c.dropped, c.tooLarge = s.add(s.waiting(), reports, v)
+	c.Spec = spec
+	return c, renew || spec.Last > s.object.Last
 }
 
 // waiting returns the reports that the platform has not confirmed.
@@ -306,16 +324,32 @@
 	return l
 }
 
-// bound drops the oldest reports beyond the limits of the object and returns the number of dropped ones.
-func (s *Seat) bound(l []wire.DutyReport) ([]wire.DutyReport, int) {
+// add adds the reports of closed windows, oldest first, to those that wait for the platform, as far as the object may hold them.
+// Reports whose time limit has passed make room for others. It returns the reports of the object, the newest window that needs
+// no report any more, and the numbers of reports that are given up: overdue ones, and those that no object can hold.
+func (s *Seat) add(waiting, closed []wire.DutyReport, v View) (kept []wire.DutyReport, last int64, dropped int, tooLarge []int64) {
+	last = s.object.Last
 	bytes := 0
-	for i := len(l) - 1; i >= 0; i-- {
-		bytes += len(l[i].Body)
-		if len(l)-i > maxReports || bytes > s.timing.MaxBytes && i < len(l)-1 {
-			return l[i+1:], i + 1
+	for _, r := range waiting {
+		bytes += len(r.Body)
+	}
+	for _, r := range closed {
+		if len(r.Body) > s.timing.MaxBytes {
+			last, tooLarge = r.Window, append(tooLarge, r.Window)
+			continue
+		}
+		for len(waiting) > 0 && waiting[0].Window <= v.Overdue && (len(waiting) >= maxReports || bytes+len(r.Body) > s.timing.MaxBytes) {
+			bytes -= len(waiting[0].Body)
+			waiting = waiting[1:]
+			dropped++
 		}
+		if len(waiting) >= maxReports || bytes+len(r.Body) > s.timing.MaxBytes {
+			break // the window is written once others have been confirmed, or are overdue
+		}
+		bytes += len(r.Body)
+		waiting, last = append(waiting, r), r.Window
 	}
-	return l, 0
+	return waiting, last, dropped, tooLarge
 }
 
 // takeover returns the next call of an entry that does not hold the duty.
@@ -325,12 +359,16 @@
 	case s.stopping || !v.Quorum || now < s.quietUntil:
 		return StoreCall{}, false
 	case s.absent:
-		if now < s.observedAt+rankDelay {
+		wait := rankDelay
+		if s.maxToken > 0 { // the object has been deleted, and its holder may still make calls
+			wait += s.timing.Takeover
+		}
+		if now < s.observedAt+wait {
 			return StoreCall{}, false
 		}
 		spec := wire.DutySeat{
-			Holder: s.name, Inc: s.inc, Token: s.maxToken + 1, Former: []string{}, Reports: []wire.DutyReport{},
-			Last: max(s.last, v.FirstWindow-1),
+			Holder: s.name, Inc: s.inc, Token: s.nextToken(v), Former: s.formerHolders(), Reports: s.waiting(),
+			Last: s.lastWritten(v),
 		}
 		return StoreCall{Op: Create, Spec: spec}, true
 	case s.observed == 0:
@@ -343,16 +381,48 @@
 		return StoreCall{Op: Read}, true
 	}
 	spec := s.object
-	spec.Holder, spec.Inc, spec.Token, spec.Released = s.name, s.inc, max(s.object.Token, s.maxToken)+1, false
-	spec.Former = append(slices.Clone(s.object.Former), s.object.Holder)
-	spec.Former = spec.Former[max(len(spec.Former)-maxFormer, 0):]
+	spec.Holder, spec.Inc, spec.Token, spec.Released = s.name, s.inc, s.nextToken(v), false
+	spec.Former = s.formerHolders()
 	spec.Reports = slices.Clone(s.object.Reports)
 	if spec.Reports == nil {
 		spec.Reports = []wire.DutyReport{}
 	}
+	spec.Last = s.lastWritten(v)
 	return StoreCall{Op: Update, Spec: spec, Revision: s.revision}, true
 }
 
+// formerHolders returns the former holders that the object is to name after a takeover.
+func (s *Seat) formerHolders() []string {
+	former := append([]string{}, s.object.Former...)
+	last := s.object.Holder
+	if s.absent || last == "" {
+		last = s.lastHolder
+	}
+	if last != "" {
+		former = append(former, last)
+	}
+	return former[max(len(former)-maxFormer, 0):]
+}
+
+// nextToken returns a token above all earlier ones. If the object has been deleted or replaced by another writer, the number of
+// a window, which rises faster than the token, is above tokens that this process has not heard of.
+func (s *Seat) nextToken(v View) int64 {
+	next := max(s.object.Token, s.maxToken) + 1
+	if s.absent || s.object.Holder == "" {
+		next = max(next, v.FirstWindow)
+	}
+	return next
+}
+
+// lastWritten returns the newest window that may have been written. If the object has been deleted or replaced by another
+// writer, that may be a later one than this process has heard of.
+func (s *Seat) lastWritten(v View) int64 {
+	if s.absent || s.object.Holder == "" {
+		return max(s.last, v.FirstWindow-1)
+	}
+	return s.last
+}
+
 // patience returns how long the object must have been unchanged before this entry, if it is first in line, takes over. A
 // former holder does not profit from a release until it has seen others hold the duty for as long, so that the duty does
 // not return to it too soon.
@@ -375,7 +445,7 @@
 	s.observeObject(c.Spec, revision, now)
 	s.adopt(c.Spec, revision, c.start, now)
 	s.renew = false
-	s.dropped += int64(c.dropped)
+	s.dropped += int64(c.dropped + len(c.tooLarge))
 }
 
 // adopt makes an object written by this process the one to act on. No other entry can have seen it before leaseFrom.
@@ -424,6 +494,9 @@
 		s.renew = true
 	default:
 		s.holding = false
+		if o.Holder == "" {
+			o.Reports, o.Former = s.waiting(), s.object.Former // another writer has replaced the object
+		}
 		s.object, s.revision = o, revision
 		if changed {
 			s.uncertain = false
