Soak: check the counts of windows that faults disturb

The check left out every request whose entry was disturbed until its window was written, so that a loss of a tenth of the counts passed. Now a count must be kept unless its entry was disturbed within a second of the request, or all entries were disturbed at once before the window was written. The margin at the bounds of a window shrinks from 250 to 100 ms; the counts may differ by usage_tolerance.

--- a/scenario/soak/usage.go
+++ b/scenario/soak/usage.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -29,8 +28,8 @@
 
 const (
 	// usageMargin is how long a request may take from the entry, which counts it when it is sent, to a server. Requests so
-	// near to the bounds of a window may belong to its neighbour. It is the share of a window that the tolerance allows.
-	usageMargin = time.Duration(usageTolerance * float64(reportWindow))
+	// near to the bounds of a window may belong to its neighbour. Two margins are less than usageTolerance of a window.
+	usageMargin = 100 * time.Millisecond
 	// countsLag is the time after which the counts of an undisturbed entry are at other entries.
 	countsLag = time.Second
 	// closeLag is how long after its end a window is written without missing counts: 0.45 of usageLate, and a second for a
@@ -50,7 +49,6 @@
 	entry int
 	space string
 	maybe bool // the server read it and did not answer
-	gone  bool // its client left, so that the entry may learn late or never that it ran
 }
 
 // usageLog is what the platform received as usage reports, and what servers ran.
@@ -122,7 +120,7 @@
 
 // recordBegun records a request that a server began to run, or read without an answer. The caller holds mu.
 func (c *checker) recordBegun(q *request, maybe bool, now time.Time) {
-	c.usage.begun = append(c.usage.begun, begun{at: now, entry: q.entry, space: q.space, maybe: maybe, gone: strings.HasSuffix(q.requestLine, "/long")})
+	c.usage.begun = append(c.usage.begun, begun{at: now, entry: q.entry, space: q.space, maybe: maybe})
 }
 
 // recordUnanswered records a request that a server read and will not answer.
@@ -194,12 +192,13 @@
 	c.counts["windows"]++
 	from, to := windowStart(window), windowStart(window+1)
 	least, most := map[string]int{}, map[string]int{}
+	allDisturbed := c.allDisturbed()
 	for _, b := range c.usage.begun {
 		if b.at.Before(from.Add(-usageMargin)) || b.at.After(to.Add(usageMargin)) {
 			continue
 		}
 		most[b.space]++
-		if !b.maybe && !b.gone && b.at.After(from.Add(usageMargin)) && b.at.Before(to.Add(-usageMargin)) && c.countsKept(b, to) {
+		if !b.maybe && b.at.After(from.Add(usageMargin)) && b.at.Before(to.Add(-usageMargin)) && c.countsKept(b, to, allDisturbed) {
 			least[b.space]++
 		}
 	}
@@ -211,29 +210,43 @@
 	}
 	got := c.usage.reports[window]
 	for space := range got {
-		if n := got[space]; n > most[space]+lost {
+		if n := got[space]; float64(n) > (1+usageTolerance)*float64(most[space])+float64(lost) {
 			c.reportLocked("USAGE", "window %d has count %d of %s, servers began %d", window, n, space, most[space])
 		}
 	}
 	for _, space := range slices.Sorted(maps.Keys(least)) {
-		if n := got[space]; n < least[space] {
+		if n := got[space]; float64(n) < (1-usageTolerance)*float64(least[space]) {
 			c.reportLocked("USAGE", "window %d has count %d of %s, servers began %d to %d", window, n, space, least[space], most[space])
 		}
 	}
 }
 
 // countsKept reports whether the count of a request cannot be lost: its entry was undisturbed until it had passed the count
-// on, and an entry that has the count was undisturbed until the window was written. The caller holds mu.
-func (c *checker) countsKept(b begun, end time.Time) bool {
-	if c.disturbedBetween(b.entry, b.at, b.at.Add(countsLag), true) {
-		return false
-	}
+// on, and at no time until the window was written were all entries disturbed at once, so that one of them always had the
+// count. The caller holds mu.
+func (c *checker) countsKept(b begun, end time.Time, allDisturbed []time.Time) bool {
+	return !c.disturbedBetween(b.entry, b.at, b.at.Add(countsLag), true) && !slices.ContainsFunc(allDisturbed, func(at time.Time) bool {
+		return at.After(b.at) && at.Before(end.Add(closeLag))
+	})
+}
+
+// allDisturbed returns the times from which on all entries were disturbed at once. The caller holds mu.
+func (c *checker) allDisturbed() []time.Time {
+	var l []time.Time
 	for entry := range c.entries {
-		if !c.disturbedBetween(entry, b.at, end.Add(closeLag), true) {
-			return true
+		for _, d := range c.disturbances[entry] {
+			others := 0
+			for other := range c.entries {
+				if c.disturbedBetween(other, d.from.Add(-time.Nanosecond), d.from.Add(time.Nanosecond), true) {
+					others++
+				}
+			}
+			if others == c.entries {
+				l = append(l, d.from)
+			}
 		}
 	}
-	return false
+	return l
 }
 
 // dutyFault is a fault of the holder of the duty, or of the API that it calls.
