Add internal/budget: one memory budget, bounded listeners and heads

Cause: nothing bounds what all clients together can make a process hold. net/http reads 1 MB and 4 KB of each head, and the ports for links, readiness and metrics take every connection.

A Listener bounds the connections of a port: a new one over the limit displaces the connection that has been silent longest, or is closed if there is none; Trust exempts authenticated links. Heads are counted as they arrive, before they are decoded: 431 over the limit of bytes or fields, 503 with Retry-After if there is no memory for them. No goroutine, timer or system call is added per request. Event 1032 now covers all ports and names the port.

Ruled out: Server.MaxHeaderBytes, which adds 4 KB, bounds no fields and cannot change while the server runs; refusing new connections only, since silent ones then keep everyone out until their timeout.

The test of the former listener (a connection over the limit is closed at once, closing frees one place) is replaced by TestConnections, as silent connections give way now; it still asks for both beside connections that are busy.

--- /dev/null
+++ b/internal/budget/listener.go
@@ -0,0 +1,282 @@
+package budget
+
+import (
+	"container/list"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"bulrushspoke/internal/event"
+)
+
+const (
+	// connBytes is the memory of a connection: two buffers of 4 KB, the stacks of its goroutines, and the head of an
+	// ordinary request.
+	connBytes = 20 << 10
+	// refusalLogInterval is the minimum interval between log lines about refused or closed connections of one port.
+	refusalLogInterval = time.Second
+	// stalledAfter is how long a client may take none of an answer before its connection may be closed in favour of others.
+	stalledAfter = 10 * time.Second
+)
+
+// ListenerOptions are the limits of a Listener.
+type ListenerOptions struct {
+	Name        string               // of the port, for the log
+	Most        int                  // connections that are not trusted; 0 for no limit
+	Connections *Account             // nil for no limit
+	Heads       *Account             // nil if heads are not examined
+	HeadLimits  func() HeadLimits    // limits of the head of the next request
+	IdleLimit   func() time.Duration // how long a client may keep a connection between two requests; nil for any time
+	Logger      *slog.Logger
+}
+
+// Listener bounds the connections of a port. When a connection exceeds the limit, the one that has been silent for the longest
+// time is closed in favour of it: a connection that has sent no complete request head yet, or one that has been idle or has
+// taken none of an answer for too long. If there is none, the new connection is closed at once, so that its client can try
+// another entry.
+type Listener struct {
+	net.Listener
+	options ListenerOptions
+
+	mu      sync.Mutex
+	conns   map[*Conn]struct{} // all that are not trusted
+	silent  *list.List         // of *Conn that have sent no complete head, the oldest first
+	idle    *list.List         // of *Conn between two requests, the one that has been idle longest first
+	dropped int                // connections refused or closed since the last log line
+	lastLog time.Time
+	refused int64
+}
+
+// Listen wraps l.
+func Listen(l net.Listener, o ListenerOptions) *Listener {
+	return &Listener{Listener: l, options: o, conns: make(map[*Conn]struct{}), silent: list.New(), idle: list.New()}
+}
+
+// Conn is a connection of a Listener.
+type Conn struct {
+	net.Conn
+	listener   *Listener
+	writeSince atomic.Int64 // when the current write began, in Unix nanoseconds; 0 if there is none
+	head       headScanner  // used by the goroutine that reads
+	trusted    bool         // guarded by Listener.mu, as are the fields below
+	closed     bool
+	lease      Lease
+	queue      *list.List // silent, idle or nil
+	place      *list.Element
+	since      time.Time // when it was added to its queue
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		raw, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.admit(raw, time.Now()); c != nil {
+			return c, nil
+		}
+		_ = raw.Close() // nothing was read from it
+	}
+}
+
+// admit returns the connection to be served, or nil if there is no room for it.
+func (l *Listener) admit(raw net.Conn, now time.Time) *Conn {
+	c := &Conn{Conn: raw, listener: l}
+	if l.options.Connections != nil {
+		c.lease = l.options.Connections.Lease()
+	}
+	for !l.add(c, now) {
+		victim := l.victim(now)
+		l.logDropped(now)
+		if victim == nil {
+			return nil
+		}
+		_ = victim.Close() // its client gets no answer, as it has sent no complete request or takes none
+	}
+	return c
+}
+
+// add adds a connection if there is room for it.
+func (l *Listener) add(c *Conn, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.options.Most > 0 && len(l.conns) >= l.options.Most || c.lease.Grow(connBytes, 0) != nil {
+		return false
+	}
+	l.conns[c] = struct{}{}
+	c.enqueue(l.silent, now)
+	if l.options.Heads != nil {
+		c.head.begin(l.options.Heads, l.options.HeadLimits())
+	}
+	return true
+}
+
+// victim returns the connection to be closed in favour of a new one, or nil.
+func (l *Listener) victim(now time.Time) *Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if e := l.silent.Front(); e != nil {
+		return e.Value.(*Conn) //nolint:forcetypeassert // the lists hold nothing else
+	}
+	if e := l.idle.Front(); e != nil && l.options.IdleLimit != nil {
+		if c := e.Value.(*Conn); now.Sub(c.since) > l.options.IdleLimit() { //nolint:forcetypeassert // see above
+			return c
+		}
+	}
+	for c := range l.conns {
+		if c.stalled(now) {
+			return c
+		}
+	}
+	return nil
+}
+
+// CloseStalled closes the connections whose clients take none of their answers, which frees the memory of the answers.
+func (l *Listener) CloseStalled(now time.Time) {
+	l.mu.Lock()
+	var stalled []*Conn
+	for c := range l.conns {
+		if c.stalled(now) {
+			stalled = append(stalled, c)
+		}
+	}
+	l.mu.Unlock()
+	for _, c := range stalled {
+		_ = c.Close() // fails only if it is closed already
+	}
+}
+
+// Open returns the number of connections that are not trusted.
+func (l *Listener) Open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns)
+}
+
+// Refused returns the number of connections that were refused or closed in favour of others.
+func (l *Listener) Refused() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.refused
+}
+
+func (l *Listener) logDropped(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refused++
+	l.dropped++
+	if now.Sub(l.lastLog) < refusalLogInterval {
+		return
+	}
+	event.ConnectionsRefused.Log(l.options.Logger, "port", l.options.Name, "refused", l.dropped, "most", l.options.Most)
+	l.dropped, l.lastLog = 0, now
+}
+
+// StateChanged is the ConnState hook of an http.Server that serves a Listener.
+func StateChanged(raw net.Conn, s http.ConnState) {
+	c, ok := raw.(*Conn)
+	if !ok {
+		return
+	}
+	l := c.listener
+	switch s {
+	case http.StateActive:
+		c.head.end()
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		c.dequeue()
+	case http.StateIdle:
+		if l.options.Heads != nil {
+			c.head.begin(l.options.Heads, l.options.HeadLimits())
+		}
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		c.enqueue(l.idle, time.Now())
+	case http.StateHijacked, http.StateClosed:
+		c.head.lease.Release()
+	case http.StateNew:
+	}
+}
+
+// Trust exempts a connection from the limits of its listener, after its peer has authenticated.
+func (c *Conn) Trust() {
+	l := c.listener
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.closed {
+		return
+	}
+	c.trusted = true
+	c.remove()
+}
+
+// enqueue adds the connection to a queue; the caller holds Listener.mu.
+func (c *Conn) enqueue(q *list.List, now time.Time) {
+	c.dequeue()
+	if !c.closed && !c.trusted {
+		c.queue, c.place, c.since = q, q.PushBack(c), now
+	}
+}
+
+// dequeue removes the connection from its queue; the caller holds Listener.mu.
+func (c *Conn) dequeue() {
+	if c.queue != nil {
+		c.queue.Remove(c.place)
+		c.queue, c.place = nil, nil
+	}
+}
+
+// remove ends the accounting of the connection; the caller holds Listener.mu.
+func (c *Conn) remove() {
+	c.dequeue()
+	delete(c.listener.conns, c)
+	c.lease.Release()
+}
+
+// stalled reports whether a write has made no progress for stalledAfter.
+func (c *Conn) stalled(now time.Time) bool {
+	t := c.writeSince.Load()
+	return t != 0 && now.Sub(time.Unix(0, t)) > stalledAfter
+}
+
+// Read implements net.Conn.
+func (c *Conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 && c.head.active {
+		if refusal := c.head.scan(b[:n]); refusal != "" {
+			return 0, c.refuse(refusal)
+		}
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *Conn) Write(b []byte) (int, error) {
+	c.writeSince.Store(time.Now().UnixNano())
+	defer c.writeSince.Store(0)
+	return c.Conn.Write(b)
+}
+
+// CloseWrite shuts down the writing side, so that net/http can close a connection without losing its last answer.
+func (c *Conn) CloseWrite() error {
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		return t.CloseWrite()
+	}
+	return nil
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	l := c.listener
+	l.mu.Lock()
+	if !c.closed {
+		c.closed = true
+		c.remove()
+	}
+	l.mu.Unlock()
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/budget/listener_test.go
@@ -0,0 +1,215 @@
+package budget
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// rig is an HTTP server on a Listener whose handler waits for release if the path is /wait.
+type rig struct {
+	listener *Listener
+	release  chan struct{}
+	heads    *Account
+	limits   atomic.Pointer[HeadLimits]
+}
+
+func newRig(t *testing.T, most int, headMemory int64) *rig {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{release: make(chan struct{}), heads: New(headMemory).Account("heads", headMemory)}
+	r.limits.Store(&HeadLimits{Bytes: 8000, Fields: 100})
+	r.listener = Listen(l, ListenerOptions{
+		Name: "test", Most: most, Heads: r.heads, HeadLimits: func() HeadLimits { return *r.limits.Load() },
+		Logger: slog.New(slog.DiscardHandler),
+	})
+	s := &http.Server{ConnState: StateChanged, ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(_ http.ResponseWriter, q *http.Request) {
+		if q.URL.Path == "/wait" {
+			<-r.release
+		}
+	})}
+	t.Cleanup(func() { _ = s.Close() })
+	go func() { _ = s.Serve(r.listener) }() // ends with the test
+	return r
+}
+
+func (r *rig) dial(t *testing.T) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp4", r.listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+	return c
+}
+
+func (r *rig) waitOpen(t *testing.T, n int) {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); r.listener.Open() != n; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d open connections, want %d", r.listener.Open(), n)
+		}
+	}
+}
+
+// status sends text and returns the status of the answer.
+func status(t *testing.T, c net.Conn, text string) int {
+	t.Helper()
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+func closed(c net.Conn) bool {
+	_, err := c.Read(make([]byte, 1))
+	return errors.Is(err, io.EOF)
+}
+
+// Guards against clients that use up the descriptors of the process: silent connections must give way to new ones, and a
+// connection beside busy ones only must be closed at once, so that its client can try another entry. A connection must free
+// its place when it closes, and only once.
+func TestConnections(t *testing.T) {
+	r := newRig(t, 2, 1<<20)
+	silent := r.dial(t)
+	r.waitOpen(t, 1)
+	busy := r.dial(t)
+	if _, err := io.WriteString(busy, "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	r.waitOpen(t, 2)
+	third := r.dial(t)
+	if !closed(silent) {
+		t.Error("a silent connection stays open although another one needs its place")
+	}
+	if s := status(t, third, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); s != http.StatusOK {
+		t.Errorf("status %d on the connection in its place", s)
+	}
+	// Both connections have sent requests now.
+	if !closed(r.dial(t)) {
+		t.Error("a connection over the limit stays open")
+	}
+	close(r.release)
+	_ = third.Close()
+	r.waitOpen(t, 1)
+	if s := status(t, r.dial(t), "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); s != http.StatusOK {
+		t.Errorf("status %d after a connection has closed", s)
+	}
+}
+
+// Guards against links that are displaced by connections that have not authenticated.
+func TestTrust(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{listener: Listen(l, ListenerOptions{Most: 1, Logger: slog.New(slog.DiscardHandler)})}
+	t.Cleanup(func() { _ = l.Close() })
+	for range 3 {
+		r.dial(t)
+		c, err := r.listener.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.(*Conn).Trust() //nolint:forcetypeassert // a Listener returns nothing else
+		if n := r.listener.Open(); n != 0 {
+			t.Errorf("%d untrusted connections, want 0", n)
+		}
+	}
+	if n := r.listener.Refused(); n != 0 {
+		t.Errorf("%d connections were closed", n)
+	}
+}
+
+// Guards against heads that are read beyond the limit, and against refusing those within it: on every request of a
+// connection, however its bytes are divided.
+func TestHeads(t *testing.T) {
+	r := newRig(t, 0, 1<<20)
+	request := func(line string, fields ...string) string {
+		return line + " HTTP/1.1\r\nHost: h\r\n" + strings.Join(fields, "") + "\r\n"
+	}
+	fill := func(n int) string { return "X: " + strings.Repeat("x", n) + "\r\n" }
+	var short []string
+	for i := range 100 {
+		short = append(short, fmt.Sprintf("%d:\r\n", i))
+	}
+	const base = len("GET / HTTP/1.1\r\nHost: h\r\n") + len("X: \r\n")
+	for name, tc := range map[string]struct {
+		text string
+		want int
+	}{
+		"longest":        {request("GET /", fill(8000-base)), http.StatusOK},
+		"one too long":   {request("GET /", fill(8001-base)), http.StatusRequestHeaderFieldsTooLarge},
+		"too long":       {request("GET /", fill(8002-base)), http.StatusRequestHeaderFieldsTooLarge},
+		"without end":    {"GET / HTTP/1.1\r\nX: " + strings.Repeat("x", 20_000), http.StatusRequestHeaderFieldsTooLarge},
+		"many fields":    {request("GET /", short[:99]...), http.StatusOK},
+		"too many":       {request("GET /", short...), http.StatusRequestHeaderFieldsTooLarge},
+		"long query":     {request("GET /?" + strings.Repeat("a&", 101)), http.StatusRequestHeaderFieldsTooLarge},
+		"line feeds":     {strings.ReplaceAll(request("GET /", short...), "\r", ""), http.StatusRequestHeaderFieldsTooLarge},
+		"body is exempt": {request("POST /", "Content-Length: 90000\r\n") + strings.Repeat("\n", 90_000), http.StatusOK},
+	} {
+		if s := status(t, r.dial(t), tc.text); s != tc.want {
+			t.Errorf("%s: status %d, want %d", name, s, tc.want)
+		}
+		if name == "one too long" {
+			continue // one byte of a later head may be received before it begins
+		}
+		// A second request on the connection, in two pieces.
+		c := r.dial(t)
+		if s := status(t, c, request("GET /")); s != http.StatusOK {
+			t.Fatalf("status %d of an ordinary request", s)
+		}
+		half := len(tc.text) / 2
+		_, _ = io.WriteString(c, tc.text[:half]) // may be refused already
+		time.Sleep(time.Millisecond)
+		if s := status(t, c, tc.text[half:]); s != tc.want {
+			t.Errorf("%s after another request: status %d, want %d", name, s, tc.want)
+		}
+	}
+	c := r.dial(t)
+	r.limits.Store(&HeadLimits{Bytes: 100, Fields: 100})
+	if s := status(t, r.dial(t), request("GET /", fill(100))); s != http.StatusRequestHeaderFieldsTooLarge {
+		t.Errorf("status %d after the limit has been lowered", s)
+	}
+	_ = c.Close()
+}
+
+// Guards against heads that together exceed the memory for them, and memory that is not returned.
+func TestHeadMemory(t *testing.T) {
+	r := newRig(t, 0, 30_000)
+	long := "GET /wait HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 7000) + "\r\n\r\n"
+	for range 2 {
+		if _, err := io.WriteString(r.dial(t), long); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for deadline := time.Now().Add(5 * time.Second); r.heads.Used() < 28_000 && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	if s := status(t, r.dial(t), long); s != http.StatusServiceUnavailable {
+		t.Errorf("status %d of a head without memory, want 503", s)
+	}
+	close(r.release)
+	for deadline := time.Now().Add(5 * time.Second); r.heads.Used() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d bytes stay reserved", r.heads.Used())
+		}
+	}
+}
--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -13,7 +13,7 @@
 	ConfigInvalid           = define(1021, slog.LevelError, "configuration in the store is invalid and not applied")
 	RequestServed           = define(1030, slog.LevelInfo, "request answered")
 	RequestRefused          = define(1031, slog.LevelInfo, "request refused or failed")
-	ConnectionsRefused      = define(1032, slog.LevelWarn, "client connections refused: file descriptor limit reached")
+	ConnectionsRefused      = define(1032, slog.LevelWarn, "connections refused or closed: limit of the port reached")
 	JobAccepted             = define(1040, slog.LevelInfo, "batch job accepted")
 	JobRefused              = define(1041, slog.LevelWarn, "batch job refused")
 	JobOwnershipAcquired    = define(1042, slog.LevelInfo, "ownership of a batch job taken")
