--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -73,6 +73,17 @@
 // Error implements error.
 func (e *FormatError) Error() string { return "job: " + e.cause }
 
+// LimitError reports a job that is too large to be served by any instance; its text is returned to the client.
+type LimitError struct {
+	cause string
+}
+
+// NewLimitError returns a LimitError.
+func NewLimitError(cause string) *LimitError { return &LimitError{cause: cause} }
+
+// Error implements error.
+func (e *LimitError) Error() string { return "job: " + e.cause }
+
 // Validate checks that the job has items, that their ids are unique and that the fields that are needed to run and score
 // them are set. Its error is a *FormatError.
 func (j Job) Validate() error {
