Reserve the memory of requests, jobs and connections in one budget

Cause: bodies had a limit, decoded jobs one that counted only item bodies after they were decoded, and heads, connections and buffered answers none. Unauthenticated ports took every connection.

Change: the entry has one budget of half of the instance's memory with accounts for bodies, jobs, connections, heads and answers, exported as metrics. Bodies reserve as they arrive instead of what they announce, and those over 256 KiB leave a fifth of the account to smaller ones. Jobs are measured and reserved before they are decoded, until they leave memory; ended ones give way, as their results are in the store. Reading a payload back from the store reserves too; a payload that names more than 4,096 parts is refused. Answers that find no memory are passed on without being buffered, and replies to reads become 503. The listeners of links, readiness and metrics take 48, 16 and 8 unauthenticated connections and have write timeouts; that of the daemon takes 256. A link is trusted after its handshake.

--- a/daemon/internal/cli/run.go
+++ b/daemon/internal/cli/run.go
@@ -23,6 +23,7 @@
 	"bulrushspoke/daemon/internal/queue"
 	"bulrushspoke/daemon/internal/service"
 	"bulrushspoke/internal/admit"
+	"bulrushspoke/internal/budget"
 	"bulrushspoke/internal/event"
 	"bulrushspoke/internal/link"
 	"bulrushspoke/internal/meter"
@@ -40,6 +41,10 @@
 	// maxBodyBytes bounds the body of an HTTP request; no handler of the daemon reads one.
 	maxBodyBytes = 64 << 10
 	readTimeout  = 10 * time.Second
+	// writeTimeout is how long a probe or a collector of metrics may take for its answer. Links have a timeout of their own.
+	writeTimeout = 10 * time.Second
+	// maxConns bounds the connections that have not authenticated as links; health probes and metrics need a few.
+	maxConns = 256
 )
 
 // process holds the components of a running daemon.
@@ -190,12 +195,14 @@
 	s := &fasthttp.Server{
 		Handler:               supervise.Handler(p.logger, p.handler(identity)),
 		ReadTimeout:           readTimeout,
+		WriteTimeout:          writeTimeout,
 		MaxRequestBodySize:    maxBodyBytes,
 		NoDefaultServerHeader: true,
 		Logger:                slog.NewLogLogger(p.logger.Handler(), slog.LevelDebug),
 	}
 	served := make(chan error, 1)
-	go func() { served <- s.Serve(l) }()
+	limited := budget.Listen(l, budget.ListenerOptions{Name: "daemon", Most: maxConns, Logger: p.logger})
+	go func() { served <- s.Serve(limited) }()
 	p.ready.Store(true)
 	event.Started.Log(p.logger, "listen", l.Addr().String(), "advertise", p.config.Advertise)
 	select {
--- a/entry/internal/batch/batch.go
+++ b/entry/internal/batch/batch.go
@@ -41,6 +41,7 @@
 	"bulrushspoke/entry/internal/ingress"
 	"bulrushspoke/entry/internal/place"
 	"bulrushspoke/entry/internal/reward"
+	"bulrushspoke/internal/budget"
 	"bulrushspoke/internal/catalog"
 	"bulrushspoke/internal/event"
 	"bulrushspoke/internal/job"
@@ -128,10 +129,10 @@
 	Catalog        *catalog.Catalog
 	Pool           *upstream.Pool
 	Tracker        *place.Tracker
-	Retention      time.Duration // how long an ended job stays in memory, from its submission
-	MaxObjectBytes int           // largest object of the store in bytes
-	MaxOpenBytes   int64         // largest total size of the items of open jobs in bytes
-	LinkRate       float64       // bandwidth of the instance in bytes per second; 0 if unknown
+	Retention      time.Duration   // how long an ended job stays in memory, from its submission
+	MaxObjectBytes int             // largest object of the store in bytes
+	Memory         *budget.Account // for decoded jobs; nil for no limit
+	LinkRate       float64         // bandwidth of the instance in bytes per second; 0 if unknown
 	Logger         *slog.Logger
 	Random         Random
 	Outage         func(now time.Time) time.Duration // how long the store has been unavailable; 0 if it is available
@@ -331,7 +332,8 @@
 	if reply, ok := m.requestBody(ctx, s, id, item); ok {
 		return reply
 	}
-	spec, err := m.readSpec(ctx, id)
+	spec, memory, err := m.readSpec(ctx, id)
+	defer memory.release()
 	if err != nil {
 		return unavailable(err.Error())
 	}
@@ -422,19 +424,6 @@
 	return m.jobs[id]
 }
 
-// openBytes returns the total size of the items of open jobs.
-func (m *Manager) openBytes() int64 {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var n int64
-	for _, j := range m.jobs {
-		if !j.hasEnded() {
-			n += j.size
-		}
-	}
-	return n
-}
-
 // start adds a job, in place of one of an earlier epoch, and runs it unless it has ended. It returns false if this entry
 // is shutting down.
 func (m *Manager) start(j *Job, parts []wire.JobPart) bool {
@@ -442,8 +431,12 @@
 	former := m.jobs[j.spec.ID]
 	if m.closed || former != nil && (former.epoch >= j.epoch || former.hasEnded()) {
 		defer m.mu.Unlock()
+		j.memory.release()
 		return !m.closed
 	}
+	if former != nil {
+		former.memory.release()
+	}
 	m.jobs[j.spec.ID] = j
 	j.launched = !j.hasEnded()
 	m.sweep(time.Now())
@@ -463,9 +456,9 @@
 
 // sweep removes ended jobs after their retention period; the caller holds mu.
 func (m *Manager) sweep(now time.Time) {
-	for id, j := range m.jobs {
+	for _, j := range m.jobs {
 		if now.Sub(j.submitted) > m.Retention && j.hasEnded() {
-			delete(m.jobs, id)
+			m.remove(j)
 		}
 	}
 	const maxOwners = 4096 // cached states of jobs of other entries
--- a/entry/internal/batch/batch_test.go
+++ b/entry/internal/batch/batch_test.go
@@ -368,7 +368,7 @@
 			t.Errorf("object %s has %d bytes, want at most %d", name, n, m.MaxObjectBytes)
 		}
 	}
-	got, err := m.payload(t.Context(), "j")
+	got, _, err := m.payload(t.Context(), "j")
 	if err != nil || string(got) != string(body) {
 		t.Errorf("read %d bytes of %d: %v", len(got), len(body), err)
 	}
--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -21,9 +21,9 @@
 	host      string
 	path      string
 	submitted time.Time
-	size      int64
-	total     int  // number of items
-	launched  bool // was run by this entry; guarded by Manager.mu
+	memory    *jobMemory // of the items
+	total     int        // number of items
+	launched  bool       // was run by this entry; guarded by Manager.mu
 
 	mu             sync.Mutex
 	items          map[string]*item
@@ -95,10 +95,6 @@
 		stateReadAt: readAt,
 	}
 	for i, it := range spec.Items {
-		j.size += int64(len(it.Body))
-		if it.Reward != nil {
-			j.size += int64(len(it.Reward.Body))
-		}
 		j.items[it.ID] = &item{Item: it, index: i, hint: lengthHint(it)}
 	}
 	for n, r := range records {
--- a/entry/internal/batch/owner.go
+++ b/entry/internal/batch/owner.go
@@ -116,9 +116,12 @@
 // ended job only the results are read, since its items are seldom requested.
 func (m *Manager) load(ctx context.Context, id string, s wire.JobState, parts []wire.JobPart, readAt time.Time) ingress.Reply {
 	spec := job.Job{ID: id}
+	var memory *jobMemory
 	if !s.Ended {
 		var err error
-		if spec, err = m.readSpec(ctx, id); err != nil {
+		spec, memory, err = m.readSpec(ctx, id)
+		defer memory.release()
+		if err != nil {
 			return unavailable(err.Error())
 		}
 	}
@@ -132,7 +135,7 @@
 	if !s.Ended && len(parts) == 0 {
 		parts = m.loadCheckpoint(ctx, id)
 	}
-	if !m.start(newJob(m, spec, s, records, readAt), parts) && !s.Ended {
+	if !m.start(newJob(m, spec, s, records, readAt).with(memory), parts) && !s.Ended {
 		return unavailable("this entry is shutting down")
 	}
 	return ingress.Reply{}
@@ -156,7 +159,7 @@
 	m.mu.Lock()
 	j := m.jobs[q.Job]
 	if j != nil && j.epoch < q.Epoch && !j.hasEnded() {
-		delete(m.jobs, q.Job)
+		m.remove(j)
 	} else {
 		j = nil
 	}
@@ -187,9 +190,7 @@
 // dropLost stops and removes a job that has another owner according to its log.
 func (m *Manager) dropLost(j *Job) {
 	m.mu.Lock()
-	if m.jobs[j.spec.ID] == j {
-		delete(m.jobs, j.spec.ID)
-	}
+	m.remove(j)
 	m.mu.Unlock()
 	event.JobOwnershipLost.Log(m.Logger, "job", j.spec.ID, "epoch", j.epoch)
 	j.stop()
@@ -296,7 +297,7 @@
 		cancel()
 		if err == nil && done.Done {
 			m.mu.Lock()
-			delete(m.jobs, j.spec.ID)
+			m.remove(j)
 			m.mu.Unlock()
 			event.JobOwnershipLost.Log(m.Logger, "job", j.spec.ID, "epoch", j.epoch, "owner", name, "cause", "handed over")
 			return
--- a/entry/internal/batch/payload.go
+++ b/entry/internal/batch/payload.go
@@ -14,6 +14,9 @@
 	"bulrushspoke/wire"
 )
 
+// maxParts is the largest number of parts of a payload that is read; a body of 32 MiB has 33 parts of a store with objects of 1 MiB.
+const maxParts = 4096
+
 // envelopeBytes is reserved in each object of the store for data beside the payload.
 const envelopeBytes = 4 << 10
 
@@ -29,8 +32,7 @@
 	if len(body) <= room {
 		return m.putPart(ctx, id, body)
 	}
-	// A part is encoded as a base64 JSON string, which takes a third more.
-	chunk := room * 3 / 4
+	chunk := m.partBytes()
 	n := 0
 	for rest := body; len(rest) > 0; n++ {
 		size := min(chunk, len(rest))
@@ -67,38 +69,63 @@
 
 func partName(id string, n int) string { return fmt.Sprintf("%s.%d", id, n) }
 
-// payload reads the payload of a job from the store.
-func (m *Manager) payload(ctx context.Context, id string) ([]byte, error) {
+// payload reads the payload of a job from the store. It reserves memory for a split one, which the caller releases.
+func (m *Manager) payload(ctx context.Context, id string) ([]byte, *jobMemory, error) {
 	r, err := m.Store.Get(ctx, KindPayload, id)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	var p splitPayload
-	if err := json.Unmarshal(r.Spec, &p); err != nil || p.Parts == 0 {
-		return r.Spec, nil //nolint:nilerr // an unsplit payload is decoded by the caller
+	if err := json.Unmarshal(r.Spec, &p); err != nil || p.Parts <= 0 {
+		return r.Spec, nil, nil //nolint:nilerr // an unsplit payload is decoded by the caller
+	}
+	if p.Parts > maxParts {
+		return nil, nil, fmt.Errorf("batch: payload of job %s has %d parts", id, p.Parts)
 	}
-	var body []byte
+	size := int64(p.Parts) * int64(m.partBytes())
+	memory := m.newMemory()
+	if err := m.grow(memory, size); err != nil {
+		return nil, memory, err
+	}
+	body := make([]byte, 0, size)
 	for n := range p.Parts {
 		r, err := m.Store.Get(ctx, KindPayload, partName(id, n))
 		if err != nil {
-			return nil, err
+			return nil, memory, err
 		}
 		var chunk []byte
 		if err := json.Unmarshal(r.Spec, &chunk); err != nil {
-			return nil, fmt.Errorf("batch: part %d of job %s: %w", n, id, err)
+			return nil, memory, fmt.Errorf("batch: part %d of job %s: %w", n, id, err)
 		}
 		body = append(body, chunk...)
 	}
-	return body, nil
+	return body, memory, nil
 }
 
-// readSpec reads a job as submitted by its trainer from the store.
-func (m *Manager) readSpec(ctx context.Context, id string) (job.Job, error) {
-	body, err := m.payload(ctx, id)
+// partBytes returns the length of a part of a split payload. A part is encoded as a base64 JSON string, which takes a third
+// more.
+func (m *Manager) partBytes() int { return (m.MaxObjectBytes - envelopeBytes) * 3 / 4 }
+
+// readSpec reads a job as submitted by its trainer from the store, and reserves memory for it, which the caller releases
+// also after an error. A job that finds no memory is not lost: it is read again at the next call for it.
+func (m *Manager) readSpec(ctx context.Context, id string) (job.Job, *jobMemory, error) {
+	body, memory, err := m.payload(ctx, id)
 	if err != nil {
-		return job.Job{}, err
+		return job.Job{}, memory, err
+	}
+	size, err := platform.MeasureJob(body)
+	if err != nil {
+		return job.Job{}, memory, err
+	}
+	if memory == nil {
+		memory = m.newMemory()
+	}
+	if err := m.grow(memory, size); err != nil {
+		return job.Job{}, memory, err
 	}
-	return platform.DecodeJob(id, body)
+	spec, err := platform.DecodeJob(id, body)
+	memory.settle(spec)
+	return spec, memory, err
 }
 
 // pageReply returns the reply to a client that reads results.
--- a/entry/internal/batch/rig_test.go
+++ b/entry/internal/batch/rig_test.go
@@ -16,6 +16,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"bulrushspoke/entry/internal/place"
+	"bulrushspoke/internal/budget"
 	"bulrushspoke/internal/call"
 	"bulrushspoke/internal/catalog"
 	"bulrushspoke/internal/job"
@@ -330,7 +331,7 @@
 	m := New(life, Options{
 		Self: wire.Member{Inc: inc}, Name: name,
 		Store: objects, Peers: peers, Catalog: c, Pool: pool,
-		Tracker: place.New(home, c.Limits(), rand.New(rand.NewPCG(1, 1))), Retention: time.Minute, MaxObjectBytes: 1 << 20, MaxOpenBytes: 1 << 24, Logger: discardLogger,
+		Tracker: place.New(home, c.Limits(), rand.New(rand.NewPCG(1, 1))), Retention: time.Minute, MaxObjectBytes: 1 << 20, Memory: budget.New(1<<24).Account("jobs", 1<<24), Logger: discardLogger,
 		Outage: func(time.Time) time.Duration { return 0 }, Random: firstChoice{}, Steps: r.steps, LogFaults: r.faults,
 	})
 	m.Register(peers)
--- a/entry/internal/batch/submit.go
+++ b/entry/internal/batch/submit.go
@@ -25,13 +25,16 @@
 	if m.local(id) != nil {
 		return accepted
 	}
+	memory, err := m.reserve(body)
+	if err != nil {
+		return m.refuseMemory(id, err)
+	}
+	defer memory.release()
 	spec, err := platform.DecodeJob(id, body)
 	if err != nil {
 		return ingress.Reply{Status: http.StatusBadRequest, Cause: err.Error(), Body: []byte(err.Error())}
 	}
-	if m.openBytes()+int64(len(body)) > m.MaxOpenBytes {
-		return m.refuse(id, http.StatusTooManyRequests, busyRetryAfter, "no memory for the job")
-	}
+	memory.settle(spec)
 	owner := chooseOwner(spec.Model, m.candidates())
 	if len(body) > maxDelegated && !m.leaving() {
 		owner = candidate{name: m.Name, inc: m.Self.Inc}
@@ -55,9 +58,13 @@
 	switch {
 	case held.Ended || held.Epoch > 1:
 	case held.Owner == m.Name && held.Inc == m.Self.Inc:
-		m.start(newJob(m, spec, held, nil, createdAt), nil)
+		m.start(newJob(m, spec, held, nil, createdAt).with(memory), nil)
 	case held.Owner == owner.name && held.Inc == owner.inc:
-		go supervise.Guard(m.Logger, "delegate", func() { m.delegate(id, held, body) })
+		kept := memory.take()
+		go supervise.Guard(m.Logger, "delegate", func() {
+			defer kept.release()
+			m.delegate(id, held, body)
+		})
 	}
 	event.JobAccepted.Log(m.Logger, "job", id, "step", spec.Step, "model", spec.Model, "min", spec.MinVersion,
 		"items", len(spec.Items), "owner", held.Owner, "epoch", held.Epoch, "ms", time.Since(now).Milliseconds())
@@ -104,12 +111,19 @@
 
 // startDelegated runs a job that another entry has accepted for this one.
 func (m *Manager) startDelegated(q wire.JobStart) bool {
+	memory, err := m.reserve(q.Payload)
+	if err != nil {
+		event.JobRefused.Log(m.Logger, "job", q.Job, "status", http.StatusTooManyRequests, "cause", err.Error())
+		return false
+	}
+	defer memory.release()
 	spec, err := platform.DecodeJob(q.Job, q.Payload)
 	if err != nil || q.State.Owner != m.Name || q.State.Inc != m.Self.Inc || m.outdated(q) {
 		return false
 	}
+	memory.settle(spec)
 	// The message may have taken long, so the first read of the state is due at once.
-	return m.start(newJob(m, spec, q.State, nil, time.Now().Add(-stateCheckInterval)), nil)
+	return m.start(newJob(m, spec, q.State, nil, time.Now().Add(-stateCheckInterval)).with(memory), nil)
 }
 
 // outdated reports whether a delegated job has had another owner since.
--- a/entry/internal/cli/platform.go
+++ b/entry/internal/cli/platform.go
@@ -28,6 +28,7 @@
 	"bulrushspoke/entry/internal/retire"
 	"bulrushspoke/entry/internal/sweep"
 	"bulrushspoke/entry/internal/usage"
+	"bulrushspoke/internal/budget"
 	"bulrushspoke/internal/catalog"
 	"bulrushspoke/internal/event"
 	"bulrushspoke/internal/linelog"
@@ -53,9 +54,6 @@
 	gcPercent = 100
 	// memoryLimitShare is the fraction of the instance's memory that is set as the runtime's soft memory limit.
 	memoryLimitShare = 0.7
-	// bodyShare is the fraction of the instance's memory that request and response bodies in progress may use. Open
-	// jobs may use as much again.
-	bodyShare = 0.15
 	// reservedDescriptors is the number of file descriptors that the platform reserves for files.
 	reservedDescriptors = 200
 	// clientConnShare and serverConnShare are the fractions of the other descriptors for connections from clients and to
@@ -99,6 +97,8 @@
 	batch   *batch.Manager
 	ingress *ingress.Ingress
 	server  *http.Server
+	memory  *memory
+	clients atomic.Pointer[budget.Listener] // of the clients' port; nil before it is open
 	metrics fasthttp.RequestHandler
 	tree    *suture.Supervisor
 }
@@ -176,10 +176,10 @@
 		return err
 	}
 	p.metrics = text
+	p.memory = newMemory(s.MemoryBytes)
+	p.memory.register(m)
 	p.registerMetrics(m, pool, storePool)
-	p.listen("metrics", net.JoinHostPort(s.IP, strconv.Itoa(metricsPort)), func(l net.Listener) error {
-		return p.newFastServer(p.metrics).Serve(l)
-	})
+	p.serveFast("metrics", net.JoinHostPort(s.IP, strconv.Itoa(metricsPort)), metricsConns, p.metrics)
 	if s.Ingress == "" {
 		p.task("retirement", func(ctx context.Context) error {
 			return retire.Run(ctx, s.Name, p.store, p.logger)
@@ -216,7 +216,7 @@
 	objects.Register(p.peers)
 	p.batch = batch.New(lifetime, batch.Options{
 		Self: self, Name: s.Name, Cores: s.Cores, Store: objects, Peers: p.peers, Catalog: p.catalog, Pool: pool, Tracker: tracker,
-		Retention: s.Bounds.ResultRetention, MaxObjectBytes: s.Store.MaxValueBytes, MaxOpenBytes: int64(bodyShare * float64(s.MemoryBytes)), Logger: p.logger, LinkRate: s.Bandwidth,
+		Retention: s.Bounds.ResultRetention, MaxObjectBytes: s.Store.MaxValueBytes, Memory: p.memory.jobs, Logger: p.logger, LinkRate: s.Bandwidth,
 		Outage: objects.Outage, Random: jitter,
 		Steps:     m.Histogram("step_part", "s", "Parts of the time until a step has what its trainer waits for, of its last item."),
 		LogFaults: m.Counter("job_log_faults", "Inconsistencies found in the logs of batch jobs.", "kind"),
@@ -237,7 +237,9 @@
 	p.ingress = ingress.New(ingress.Options{
 		Catalog: p.catalog, Pool: pool, Tracker: tracker, Jobs: p.batch,
 		Random:        jitter,
-		MaxBodyMemory: int64(bodyShare * float64(s.MemoryBytes)),
+		Bodies:        p.memory.bodies,
+		Answers:       p.memory.answers,
+		OnAnswersFull: p.closeStalled,
 		Suspects:      p.suspects(),
 		Logger:        p.logger,
 		Observe: func(route string, status int, took time.Duration) {
@@ -248,12 +250,15 @@
 		Handler:           p.ingress,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       clientIdleTimeout,
+		ConnState:         budget.StateChanged,
 		ErrorLog:          slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug),
 	}
-	p.listen("links", address, func(l net.Listener) error { return p.newFastServer(acceptLinks(p.peers)).Serve(l) })
-	p.listen("readiness", s.Readiness, func(l net.Listener) error { return p.newFastServer(p.answerReady).Serve(l) })
+	p.serveFast("links", address, linkConns, acceptLinks(p.peers))
+	p.serveFast("readiness", s.Readiness, readinessConns, p.answerReady)
 	p.listen("ingress", s.Ingress, func(l net.Listener) error {
-		err := p.server.Serve(ingress.LimitListener(l, connectionLimit(s.MaxDescriptors, clientConnShare), p.logger))
+		clients := p.clientListener(l)
+		p.clients.Store(clients)
+		err := p.server.Serve(clients)
 		if errors.Is(err, http.ErrServerClosed) {
 			<-lifetime.Done()
 		}
@@ -317,6 +322,7 @@
 		Handler:               supervise.Handler(p.logger, h),
 		NoDefaultServerHeader: true,
 		ReadTimeout:           readHeaderTimeout,
+		WriteTimeout:          fastWriteTimeout,
 		IdleTimeout:           clientIdleTimeout,
 		MaxRequestBodySize:    1,
 		Logger:                slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug),
--- a/entry/internal/ingress/body_test.go
+++ b/entry/internal/ingress/body_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"bulrushspoke/internal/budget"
 	"bulrushspoke/internal/catalog"
 	"bulrushspoke/platform/platformtest"
 )
@@ -56,7 +57,7 @@
 			if n := len(s.requests()); n != 0 {
 				t.Errorf("%d requests reached the server", n)
 			}
-			if held := r.ingress.reserved.Load(); held != 0 {
+			if held := r.ingress.Bodies.Used(); held != 0 {
 				t.Errorf("%d bytes stay reserved", held)
 			}
 		})
@@ -66,11 +67,11 @@
 // Guards against request bodies that exceed the memory limit while they are still being received.
 func TestBodiesInProgress(t *testing.T) {
 	r := newRig(t, catalog.Route{Kind: catalog.Safe, Timeout: 30 * time.Second}, newServer(t, respondOK))
-	r.ingress.MaxBodyMemory = 1000
+	r.ingress.Bodies = budget.New(1000).Account("bodies", 1000)
 	r.startRequest(t, "Content-Length: 600\r\n", "part")
 	r.startRequest(t, "Transfer-Encoding: chunked\r\n", fmt.Sprintf("c8\r\n%0200d\r\n", 0))
 	deadline := time.Now().Add(5 * time.Second)
-	for r.ingress.reserved.Load() < 800 && time.Now().Before(deadline) {
+	for r.ingress.Bodies.Used() < 800 && time.Now().Before(deadline) {
 		time.Sleep(time.Millisecond)
 	}
 	for _, head := range []string{"Content-Length: 300\r\n", "Transfer-Encoding: chunked\r\n"} {
--- a/entry/internal/ingress/bound.go
+++ b/entry/internal/ingress/bound.go
@@ -1,71 +1,149 @@
 package ingress
 
 import (
-	"log/slog"
-	"net"
-	"sync"
-	"sync/atomic"
+	"errors"
+	"io"
+	"net/http"
 	"time"
 
-	"bulrushspoke/internal/event"
+	"bulrushspoke/internal/budget"
 )
 
-// refusalLogInterval is the minimum interval between log lines about refused connections.
-const refusalLogInterval = time.Second
+const (
+	// firstBodyBytes is the memory that a body of known length begins with, and firstChunkBytes that of one in chunks.
+	// It grows by a factor as the body arrives, so that clients cannot reserve much memory for what they do not send.
+	// Documents of ordinary jobs have 100 to 250 KB and are read without a copy. A known length is reached in two or
+	// three steps, as each leaves garbage of its size.
+	firstBodyBytes  = 256 << 10
+	firstChunkBytes = 256
+	bodyGrowth      = 16
+	chunkGrowth     = 2
+	// spareShare is the divisor of the memory for bodies that those of more than firstBodyBytes leave to smaller ones, so
+	// that a few large bodies that are never completed do not shut out ordinary requests.
+	spareShare = 5
+	// smallReplyBytes is the size of a reply that the buffers of a connection and of the kernel take at once.
+	smallReplyBytes = 64 << 10
+	// replyTimeout bounds the sending of a larger reply: 900 KB at 240 kbit/s.
+	replyTimeout = 30 * time.Second
+)
 
-// LimitListener returns a listener that accepts up to a given number of simultaneous connections and closes any others at once, so
-// that their clients can try another entry instead of waiting in the kernel's accept queue. Zero means no limit.
-func LimitListener(l net.Listener, limit int, logger *slog.Logger) net.Listener {
-	if limit <= 0 {
-		return l
+// spare returns the part of the memory for bodies that a body of n bytes must leave to others.
+func (g *Ingress) spare(n int64) int64 {
+	if g.Bodies == nil || n <= firstBodyBytes {
+		return 0
 	}
-	return &limitListener{Listener: l, limit: int64(limit), logger: logger}
+	return g.Bodies.Limit() / spareShare
 }
 
-type limitListener struct {
-	net.Listener
-	limit  int64
-	open   atomic.Int64
-	logger *slog.Logger
+// reserve reserves memory for the first part of a request body, whose length is negative if it is unknown. It fails at once if the
+// whole body would not fit now.
+func (g *Ingress) reserve(q *request, length int64) error {
+	q.held = g.Bodies.Lease()
+	if length < 0 {
+		return q.held.Grow(firstChunkBytes, 0)
+	}
+	if err := q.held.Grow(length, g.spare(length)); err != nil {
+		return err
+	}
+	q.held.Shrink(length - min(length, firstBodyBytes))
+	return nil
+}
 
-	// Only used by Accept, which net/http calls from a single goroutine.
-	refused int
-	lastLog time.Time
+// releaseMemory returns the memory of the request.
+func (q *request) releaseMemory() {
+	q.held.Release()
+	q.buffered.Release()
 }
 
-// Accept implements net.Listener.
-func (b *limitListener) Accept() (net.Conn, error) {
-	for {
-		c, err := b.Listener.Accept()
-		if err != nil {
-			return nil, err
+// readBody reads the request body, for the first part of which memory is reserved.
+func (g *Ingress) readBody(c *http.ResponseController, q *request, limit int64) error {
+	if err := c.SetReadDeadline(q.arrived.Add(q.remaining(q.arrived))); err != nil {
+		return err
+	}
+	most := limit + 1
+	if n := q.http.ContentLength; n > 0 {
+		most = n
+	}
+	body := make([]byte, 0, q.firstPart(most))
+	for int64(len(body)) < most {
+		if len(body) == cap(body) {
+			var err error
+			if body, err = g.enlarge(q, body, most); err != nil {
+				return err
+			}
+		}
+		n, err := q.http.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) {
+			break
 		}
-		if b.open.Add(1) <= b.limit {
-			return &limitConn{Conn: c, open: &b.open}, nil
+		if err != nil {
+			return err
 		}
-		b.open.Add(-1)
-		_ = c.Close() // nothing was read from it
-		b.logRefused(time.Now())
 	}
+	q.body = body
+	return c.SetReadDeadline(time.Time{})
 }
 
-func (b *limitListener) logRefused(now time.Time) {
-	b.refused++
-	if now.Sub(b.lastLog) < refusalLogInterval {
-		return
+// firstPart returns the size of the first part of a body of up to most bytes.
+func (q *request) firstPart(most int64) int64 {
+	if q.http.ContentLength < 0 {
+		return min(most, firstChunkBytes)
 	}
-	event.ConnectionsRefused.Log(b.logger, "refused", b.refused, "most", b.limit)
-	b.refused, b.lastLog = 0, now
+	return min(most, firstBodyBytes)
 }
 
-type limitConn struct {
-	net.Conn
-	once sync.Once
-	open *atomic.Int64
+// enlarge returns the body in more memory, up to most bytes. Both copies are reserved until it has been copied.
+func (g *Ingress) enlarge(q *request, body []byte, most int64) ([]byte, error) {
+	factor := int64(chunkGrowth)
+	if q.http.ContentLength > 0 {
+		factor = bodyGrowth
+	}
+	size := min(factor*int64(cap(body)), most)
+	if err := q.held.Grow(size, g.spare(size)); err != nil {
+		return nil, err
+	}
+	larger := append(make([]byte, 0, size), body...)
+	q.held.Shrink(int64(cap(body)))
+	return larger, nil
 }
 
-// Close implements net.Conn.
-func (c *limitConn) Close() error {
-	c.once.Do(func() { c.open.Add(-1) })
-	return c.Conn.Close()
+// reserveAnswer reserves memory for a server's answer of the given length, which is negative if it is unknown. If it returns false the
+// answer is passed on without being buffered.
+func (g *Ingress) reserveAnswer(q *request, length int64) bool {
+	if length < 0 {
+		length = maxBufferedResponse
+	}
+	if q.buffered.Held() == 0 {
+		q.buffered = g.Answers.Lease()
+	}
+	more := length - q.buffered.Held()
+	return more <= 0 || g.grow(&q.buffered, more)
+}
+
+// reserveReply reserves memory for a reply until its client has taken it, and replaces one that does not fit by a refusal: the calls
+// with large replies only read.
+func (g *Ingress) reserveReply(w http.ResponseWriter, a Reply) (reply Reply, release func()) {
+	if len(a.Body) <= smallReplyBytes {
+		return a, func() {}
+	}
+	lease := g.Answers.Lease()
+	if !g.grow(&lease, int64(len(a.Body))) {
+		return Reply{Status: http.StatusServiceUnavailable, RetryAfter: retryNoCapacity, Cause: "no memory for the answer"}, lease.Release
+	}
+	// Without a deadline, a client that stops reading holds the memory for as long as its connection lives. It fails only
+	// if the connection is closed, which the write reports.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(replyTimeout))
+	return a, lease.Release
+}
+
+// grow enlarges a lease for an answer.
+func (g *Ingress) grow(l *budget.Lease, n int64) bool {
+	if l.Grow(n, 0) == nil {
+		return true
+	}
+	if g.OnAnswersFull != nil {
+		g.OnAnswersFull()
+	}
+	return false
 }
--- a/entry/internal/ingress/forward.go
+++ b/entry/internal/ingress/forward.go
@@ -240,7 +240,7 @@
 	case isEventStream(resp.Header) && resp.StatusCode == http.StatusOK:
 		onResponse()
 		return g.stream(ctx, w, q, s, resp)
-	case resp.ContentLength > maxBufferedResponse:
+	case resp.ContentLength > maxBufferedResponse, !g.reserveAnswer(q, resp.ContentLength):
 		onResponse()
 		return g.relay(w, q, resp, nil)
 	}
--- a/entry/internal/ingress/ingress_test.go
+++ b/entry/internal/ingress/ingress_test.go
@@ -18,6 +18,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"bulrushspoke/entry/internal/place"
+	"bulrushspoke/internal/budget"
 	"bulrushspoke/internal/call"
 	"bulrushspoke/internal/catalog"
 	"bulrushspoke/internal/upstream"
@@ -128,7 +129,7 @@
 	g := New(Options{
 		Catalog: c, Pool: upstream.New(upstream.Limits{Dial: time.Second, Idle: 8}),
 		Tracker: place.New(home, c.Limits(), rand.New(rand.NewPCG(1, 1))), Random: rand.New(rand.NewPCG(1, 1)),
-		MaxBodyMemory: 1 << 20, Suspects: NewSuspects(func(uint64, bool) {}), Logger: logger,
+		Bodies: budget.New(1<<20).Account("bodies", 1<<20), Suspects: NewSuspects(func(uint64, bool) {}), Logger: logger,
 	})
 	s := httptest.NewServer(g)
 	t.Cleanup(s.Close)
--- a/internal/link/open.go
+++ b/internal/link/open.go
@@ -141,8 +141,15 @@
 	CheckOrigin:      func(*fasthttp.RequestCtx) bool { return true },
 }
 
-// Accept upgrades an HTTP request to a link. It calls opened before the first message is served.
+// trustee is a connection whose listener exempts it from its limits once the peer has authenticated.
+type trustee interface {
+	Trust()
+}
+
+// Accept upgrades an HTTP request to a link. It calls opened before the first message is served. If the connection has a method
+// Trust, it is called once the peer has authenticated.
 func Accept(ctx *fasthttp.RequestCtx, id *Identity, h Handler, opened func(*Conn), logger *slog.Logger) error {
+	raw := ctx.Conn()
 	err := upgrader.Upgrade(ctx, func(socket *websocket.Conn) {
 		supervise.Guard(logger, "link", func() {
 			defer func() { _ = socket.Close() }()
@@ -151,6 +158,9 @@
 				event.LinkRefused.Log(logger, "cause", err.Error())
 				return
 			}
+			if t, ok := raw.(trustee); ok {
+				t.Trust()
+			}
 			// The HTTP server reuses the connection's buffers once this function returns.
 			defer c.writer.Wait()
 			defer c.Close()
