Let stalled bodies give way, and reserve less for announced ones

Cause: a client that stops within its body keeps its connection until the route's timeout, and 84 clients that announce 256 KiB and send nothing take all memory for bodies of an instance with 144 MB.

Change: a connection whose body has made no progress for 10 s gives way under pressure, as one whose answer is not taken does. A body of known length begins with 16 KiB and grows 16 times, which ordinary requests do not notice. New tests read items of a stored job from an entry that has restarted, and open links while silent connections crowd every port.

--- a/entry/internal/ingress/bound.go
+++ b/entry/internal/ingress/bound.go
@@ -12,15 +12,16 @@
 const (
 	// firstBodyBytes is the memory that a body of known length begins with, and firstChunkBytes that of one in chunks.
 	// It grows by a factor as the body arrives, so that clients cannot reserve much memory for what they do not send.
-	// Documents of ordinary jobs have 100 to 250 KB and are read without a copy. A known length is reached in two or
-	// three steps, as each leaves garbage of its size.
-	firstBodyBytes  = 256 << 10
+	// Most bodies are read without a copy. A known length is reached in few steps, as each leaves garbage of its size.
+	firstBodyBytes  = 16 << 10
 	firstChunkBytes = 256
 	bodyGrowth      = 16
 	chunkGrowth     = 2
-	// spareShare is the divisor of the memory for bodies that those of more than firstBodyBytes leave to smaller ones, so
-	// that a few large bodies that are never completed do not shut out ordinary requests.
-	spareShare = 5
+	// Bodies of more than smallBodyBytes leave one part in spareShare of the memory for bodies to smaller ones, so that a
+	// few large bodies that are never completed do not shut out ordinary requests. Documents of ordinary jobs have 100 to
+	// 250 KB.
+	smallBodyBytes = 256 << 10
+	spareShare     = 5
 	// smallReplyBytes is the size of a reply that the buffers of a connection and of the kernel take at once.
 	smallReplyBytes = 64 << 10
 	// replyTimeout bounds the sending of a larger reply: 900 KB at 240 kbit/s.
@@ -29,7 +30,7 @@
 
 // spare returns the part of the memory for bodies that a body of n bytes must leave to others.
 func (g *Ingress) spare(n int64) int64 {
-	if g.Bodies == nil || n <= firstBodyBytes {
+	if g.Bodies == nil || n <= smallBodyBytes {
 		return 0
 	}
 	return g.Bodies.Limit() / spareShare
--- a/internal/budget/listener.go
+++ b/internal/budget/listener.go
@@ -18,7 +18,8 @@
 	connBytes = 20 << 10
 	// refusalLogInterval is the minimum interval between log lines about refused or closed connections of one port.
 	refusalLogInterval = time.Second
-	// stalledAfter is how long a client may take none of an answer before its connection may be closed in favour of others.
+	// stalledAfter is how long a client may take none of an answer, or send none of a body, before its connection may be
+	// closed in favour of others.
 	stalledAfter = 10 * time.Second
 )
 
@@ -34,8 +35,8 @@
 }
 
 // Listener bounds the connections of a port. When a connection exceeds the limit, the one that has been silent for the longest
-// time is closed in favour of it: a connection that has sent no complete request head yet, or one that has been idle or has
-// taken none of an answer for too long. If there is none, the new connection is closed at once, so that its client can try
+// time is closed in favour of it: a connection that has sent no complete request head yet, or one that has been idle, has
+// taken none of an answer or has sent none of a body for too long. If there is none, the new connection is closed at once, so that its client can try
 // another entry.
 type Listener struct {
 	net.Listener
@@ -59,7 +60,8 @@
 type Conn struct {
 	net.Conn
 	listener   *Listener
-	writeSince atomic.Int64 // when the current write began, in Unix nanoseconds; 0 if there is none
+	readSince  atomic.Int64 // when the current read began, in Unix nanoseconds; 0 if there is none
+	writeSince atomic.Int64 // the same for writes
 	head       headScanner  // used by the goroutine that reads
 	trusted    bool         // guarded by Listener.mu, as are the fields below
 	closed     bool
@@ -135,7 +137,8 @@
 	return nil
 }
 
-// CloseStalled closes the connections whose clients take none of their answers, which frees the memory of the answers.
+// CloseStalled closes the connections whose clients take none of their answers or send none of their bodies, which frees their
+// memory.
 func (l *Listener) CloseStalled(now time.Time) {
 	l.mu.Lock()
 	var stalled []*Conn
@@ -237,15 +240,24 @@
 	c.lease.Release()
 }
 
-// stalled reports whether a write has made no progress for stalledAfter.
+// stalled reports whether a write, or the read of a body, has made no progress for stalledAfter; the caller holds Listener.mu.
 func (c *Conn) stalled(now time.Time) bool {
-	t := c.writeSince.Load()
-	return t != 0 && now.Sub(time.Unix(0, t)) > stalledAfter
+	limit := now.Add(-stalledAfter).UnixNano()
+	if t := c.writeSince.Load(); t != 0 && t < limit {
+		return true
+	}
+	t := c.readSince.Load()
+	return t != 0 && t < limit && c.queue == nil
 }
 
 // Read implements net.Conn.
 func (c *Conn) Read(b []byte) (int, error) {
+	// While a request is served, net/http waits for its end by reading a single byte.
+	if len(b) > 1 {
+		c.readSince.Store(time.Now().UnixNano())
+	}
 	n, err := c.Conn.Read(b)
+	c.readSince.Store(0)
 	if n > 0 && c.head.active {
 		if refusal := c.head.scan(b[:n]); refusal != "" {
 			return 0, c.refuse(refusal)
--- a/internal/budget/listener_test.go
+++ b/internal/budget/listener_test.go
@@ -35,6 +35,9 @@
 		Logger: slog.New(slog.DiscardHandler),
 	})
 	s := &http.Server{ConnState: StateChanged, ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(_ http.ResponseWriter, q *http.Request) {
+		if q.URL.Path == "/body" {
+			_, _ = io.Copy(io.Discard, q.Body) // ends when the connection is closed
+		}
 		if q.URL.Path == "/wait" {
 			<-r.release
 		}
@@ -213,3 +216,24 @@
 		}
 	}
 }
+
+// Guards against clients that keep the places of a port by stopping within a body or by taking none of an answer.
+func TestStalled(t *testing.T) {
+	r := newRig(t, 1, 1<<20)
+	c := r.dial(t)
+	if _, err := io.WriteString(c, "POST /body HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\npart"); err != nil {
+		t.Fatal(err)
+	}
+	for deadline := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
+		if r.listener.victim(time.Now().Add(2*stalledAfter)) != nil && r.listener.victim(time.Now()) == nil {
+			break
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("a connection that stopped within a body does not give way, or gives way at once")
+		}
+	}
+	r.listener.CloseStalled(time.Now().Add(2 * stalledAfter))
+	if !closed(c) {
+		t.Error("the connection stays open")
+	}
+}
--- a/scenario/hostile/hostile_test.go
+++ b/scenario/hostile/hostile_test.go
@@ -7,6 +7,7 @@
 	"encoding/base64"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"path/filepath"
@@ -16,8 +17,10 @@
 	"time"
 
 	"bulrushspoke/internal/job"
+	"bulrushspoke/internal/link"
 	"bulrushspoke/platform/platformtest"
 	"bulrushspoke/scenario/rig"
+	"bulrushspoke/wire"
 )
 
 // The crowd and the limits of the instance. Crowd and bounds are fixed: a change of the product must not change them.
@@ -246,31 +249,93 @@
 			in := newInstance(t, bin, memory, maxBody)
 			c := &crowd{t: t, instance: in}
 			f.attack(c)
-			sent := make(chan struct{})
-			go func() {
-				defer close(sent)
-				c.tasks.Wait()
-			}()
-			for waiting := true; waiting; {
-				select {
-				case <-sent:
-					waiting = false
-				case <-time.After(settleTime / 20):
-				}
-				in.countDescriptors(t)
-			}
-			time.Sleep(settleTime)
-			in.countDescriptors(t)
-			c.leave()
-			in.check(t)
-			if in.process.Running() {
-				in.waitServed(t, calmTimeout)
-				in.check(t)
-			}
+			c.finish(t)
 		})
 	}
 }
 
+// finish measures the instance while the crowd stays and after it has left.
+func (c *crowd) finish(t *testing.T) {
+	t.Helper()
+	in, sent := c.instance, make(chan struct{})
+	go func() {
+		defer close(sent)
+		c.tasks.Wait()
+	}()
+	for waiting := true; waiting; {
+		select {
+		case <-sent:
+			waiting = false
+		case <-time.After(settleTime / 20):
+		}
+		in.countDescriptors(t)
+	}
+	time.Sleep(settleTime)
+	in.countDescriptors(t)
+	c.leave()
+	in.check(t)
+	if in.process.Running() {
+		in.waitServed(t, calmTimeout)
+		in.check(t)
+	}
+}
+
+// Guards against reads of stored jobs that together exceed the memory of the instance: an entry that does not hold a job reads
+// its whole document from the store for each read of an item.
+func TestReadsOfStoredJob(t *testing.T) {
+	in := newInstance(t, build(t), memory, maxBody)
+	if status, err := in.do(http.MethodPost, "/items-of/stored", "stored", strings.NewReader(legalJob(t, maxBody, "i"))); err != nil || status != http.StatusAccepted {
+		t.Fatalf("status %d, error %v", status, err)
+	}
+	if status, err := in.do(http.MethodDelete, platformtest.JobURI("stored"), "end", http.NoBody); err != nil || status != http.StatusOK {
+		t.Fatalf("status %d at the end of the job, error %v", status, err)
+	}
+	in.restart(t)
+	c := &crowd{t: t, instance: in}
+	c.send(submitters, portIngress, func(w io.Writer, i int) {
+		write(w, "GET "+platformtest.BodyURI("stored", fmt.Sprintf("i-%d", i))+" HTTP/1.1\r\nHost: "+host+"\r\n\r\n")
+	})
+	c.finish(t)
+}
+
+// Guards against links and readiness probes that are pushed out by connections that have not authenticated.
+func TestLinksBesideSilentConnections(t *testing.T) {
+	in := newInstance(t, build(t), memory, maxBody)
+	c := &crowd{t: t, instance: in}
+	silent := func() {
+		for _, port := range []int{portReady, portLinks, portMetrics, portIngress} {
+			c.send(silentClients, port, func(io.Writer, int) {})
+		}
+		c.tasks.Wait()
+	}
+	hello := func() wire.Hello {
+		return wire.Hello{Name: "other", Role: "entry", Inc: "other-1", Domain: "a", Region: "r"}
+	}
+	identity := link.NewIdentity("other", []byte(secret), hello)
+	open := func() *link.Conn {
+		conn, err := link.Dial(t.Context(), in.address(portLinks), identity,
+			link.HandlerFunc(func(*link.Conn, link.Frame) error { return nil }), slog.New(slog.DiscardHandler))
+		if err != nil {
+			t.Fatalf("a link cannot be opened: %v", err)
+		}
+		return conn
+	}
+	before := open()
+	silent()
+	after := open()
+	silent()
+	in.waitServed(t, calmTimeout) // while the crowd stays
+	for _, conn := range []*link.Conn{before, after} {
+		select {
+		case <-conn.Done():
+			t.Error("a link has been closed in favour of silent connections")
+		default:
+		}
+		conn.Close()
+	}
+	c.finish(t)
+}
+
 // Guards against limits that ordinary callers meet: in calm, an entry answers a request within the limits of the
 // configuration and accepts the largest job, also where its memory is smallest.
 func TestOrdinaryRequestsInCalm(t *testing.T) {
--- a/scenario/hostile/instance_test.go
+++ b/scenario/hostile/instance_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -35,6 +36,7 @@
 )
 
 const (
+	secret       = "secret-of-the-crowds"
 	host         = "hostile.example"
 	bigBodyBytes = 250_000          // of an answer that an entry buffers
 	startTimeout = 20 * time.Second // until the instance is ready
@@ -103,7 +105,7 @@
 	if err := os.WriteFile(path, platformtest.EncodeSettings(s), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	environ := []string{platform.SettingsEnv + "=" + path, program.SecretEnv + "=secret-of-the-crowds"}
+	environ := []string{platform.SettingsEnv + "=" + path, program.SecretEnv + "=" + secret}
 	p, err := in.rig.StartWith(environ, "entry", "bulrush-entry", "--platform")
 	if err != nil {
 		t.Fatal(err)
@@ -112,6 +114,26 @@
 	in.waitServed(t, startTimeout)
 }
 
+// restart kills the process and starts it again.
+func (in *instance) restart(t *testing.T) {
+	t.Helper()
+	if err := in.process.Signal(syscall.SIGKILL); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := in.process.Wait(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if err := in.rig.Restart("entry"); err != nil {
+		t.Fatal(err)
+	}
+	p, err := in.rig.Process("entry")
+	if err != nil {
+		t.Fatal(err)
+	}
+	in.process = p
+	in.waitServed(t, startTimeout)
+}
+
 // serve serves a port of the platform around the instance until the test ends.
 func (in *instance) serve(t *testing.T, port int, h http.Handler) {
 	t.Helper()
@@ -144,14 +166,19 @@
 
 // post sends a request on a new connection and returns the status of the answer.
 func (in *instance) post(path string, body io.Reader) (int, error) {
+	return in.do(http.MethodPost, path, "ordinary-"+strconv.FormatInt(time.Now().UnixNano(), 10), body)
+}
+
+// do is post with any method and request id.
+func (in *instance) do(method, path, id string, body io.Reader) (int, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), routeTimeout)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+in.address(portIngress)+path, body)
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+in.address(portIngress)+path, body)
 	if err != nil {
 		return 0, err
 	}
 	r.Host, r.Close = host, true
-	platformtest.SetRequestHeaders(r.Header, call.Request{ID: "ordinary-" + strconv.FormatInt(time.Now().UnixNano(), 10)})
+	platformtest.SetRequestHeaders(r.Header, call.Request{ID: id})
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return 0, err
