--- a/entry/internal/cli/memory.go
+++ b/entry/internal/cli/memory.go
@@ -52,6 +52,7 @@
 	connections *budget.Account
 	heads       *budget.Account
 	answers     *budget.Account
+	counts      map[string]*budget.Counts // by port
 
 	mu       sync.Mutex
 	searched time.Time // when stalled connections were last searched for
@@ -67,16 +68,23 @@
 		connections: b.Account("connections", part(connectionShare)),
 		heads:       b.Account("heads", part(headShare)),
 		answers:     b.Account("answers", part(answerShare)),
+		counts:      map[string]*budget.Counts{"ingress": {}, "links": {}, "readiness": {}, "metrics": {}},
 	}
 }
 
-// register exports the use of each account.
+// register exports the use of each account and the refusals by cause.
 func (y *memory) register(m *meter.Meter) {
 	for _, a := range y.budget.Accounts() {
 		m.Gauge("memory_reserved_"+a.Name(), "Bytes reserved for "+a.Name()+".", func() float64 { return float64(a.Used()) })
 		m.Gauge("memory_refused_"+a.Name(), "Reservations for "+a.Name()+" that were refused.",
 			func() float64 { return float64(a.Refused()) })
 	}
+	for port, c := range y.counts {
+		m.Gauge("connections_refused_"+port, "Connections of the port that were refused, or closed in favour of others.",
+			func() float64 { return float64(c.Connections.Load()) })
+	}
+	m.Gauge("heads_refused", "Request heads refused before they were decoded.",
+		func() float64 { return float64(y.counts["ingress"].Heads.Load()) })
 }
 
 // due reports whether stalled connections are to be searched for.
@@ -99,6 +107,7 @@
 		Heads:       p.memory.heads,
 		HeadLimits:  p.headLimits,
 		IdleLimit:   p.idleLimit,
+		Counts:      p.memory.counts["ingress"],
 		Logger:      p.logger,
 	})
 }
@@ -131,7 +140,7 @@
 func (p *platformEntry) serveFast(name, address string, most int, h fasthttp.RequestHandler) {
 	p.listen(name, address, func(l net.Listener) error {
 		return p.newFastServer(h).Serve(budget.Listen(l, budget.ListenerOptions{
-			Name: name, Most: most, Logger: p.logger,
+			Name: name, Most: most, Counts: p.memory.counts[name], Logger: p.logger,
 		}))
 	})
 }
--- a/internal/budget/head.go
+++ b/internal/budget/head.go
@@ -111,6 +111,7 @@
 
 // refuse sends an answer and returns the error that ends the connection. Its client has time to read the answer.
 func (c *Conn) refuse(answer string) error {
+	c.listener.recordHead(c, time.Now())
 	_ = c.SetWriteDeadline(time.Now().Add(lingerTime))
 	if _, err := io.WriteString(c.Conn, answer); err == nil && c.CloseWrite() == nil {
 		time.Sleep(lingerTime)
--- a/internal/budget/listener.go
+++ b/internal/budget/listener.go
@@ -31,9 +31,16 @@
 	Heads       *Account             // nil if heads are not examined
 	HeadLimits  func() HeadLimits    // limits of the head of the next request
 	IdleLimit   func() time.Duration // how long a client may keep a connection between two requests; nil for any time
+	Counts      *Counts              // nil if nobody reads them
 	Logger      *slog.Logger
 }
 
+// Counts are the refusals of a port since the start of the process.
+type Counts struct {
+	Connections atomic.Int64 // refused, or closed in favour of others
+	Heads       atomic.Int64 // beyond a limit, or without memory
+}
+
 // Listener bounds the connections of a port. When a connection exceeds the limit, the one that has been silent for the longest
 // time is closed in favour of it: a connection that has sent no complete request head yet, or one that has been idle, has
 // taken none of an answer or has sent none of a body for too long. If there is none, the new connection is closed at once, so that its client can try
@@ -42,17 +49,36 @@
 	net.Listener
 	options ListenerOptions
 
-	mu      sync.Mutex
-	conns   map[*Conn]struct{} // all that are not trusted
-	silent  *list.List         // of *Conn that have sent no complete head, the oldest first
-	idle    *list.List         // of *Conn between two requests, the one that has been idle longest first
-	dropped int                // connections refused or closed since the last log line
+	mu     sync.Mutex
+	conns  map[*Conn]struct{} // all that are not trusted
+	silent *list.List         // of *Conn that have sent no complete head, the oldest first
+	idle   *list.List         // of *Conn between two requests, the one that has been idle longest first
+
+	connLog, headLog refusalLog
+}
+
+// refusalLog limits the log lines about refusals.
+type refusalLog struct {
+	refused int // since the last line
 	lastLog time.Time
-	refused int64
+}
+
+// due notes a refusal and returns how many to log now, or 0; the caller holds Listener.mu.
+func (r *refusalLog) due(now time.Time) int {
+	r.refused++
+	if now.Sub(r.lastLog) < refusalLogInterval {
+		return 0
+	}
+	n := r.refused
+	r.refused, r.lastLog = 0, now
+	return n
 }
 
 // Listen wraps l.
 func Listen(l net.Listener, o ListenerOptions) *Listener {
+	if o.Counts == nil {
+		o.Counts = &Counts{}
+	}
 	return &Listener{Listener: l, options: o, conns: make(map[*Conn]struct{}), silent: list.New(), idle: list.New()}
 }
 
@@ -93,7 +119,7 @@
 	}
 	for !l.add(c, now) {
 		victim := l.victim(now)
-		l.logDropped(now)
+		l.recordConn(now)
 		if victim == nil {
 			return nil
 		}
@@ -160,23 +186,25 @@
 	return len(l.conns)
 }
 
-// Refused returns the number of connections that were refused or closed in favour of others.
-func (l *Listener) Refused() int64 {
+// recordConn counts and logs a connection that was refused, or closed in favour of another one.
+func (l *Listener) recordConn(now time.Time) {
+	l.options.Counts.Connections.Add(1)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.refused
+	if n := l.connLog.due(now); n > 0 {
+		event.ConnectionsRefused.Log(l.options.Logger, "port", l.options.Name, "refused", n, "most", l.options.Most)
+	}
 }
 
-func (l *Listener) logDropped(now time.Time) {
+// recordHead counts and logs a refused head.
+func (l *Listener) recordHead(c *Conn, now time.Time) {
+	l.options.Counts.Heads.Add(1)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.refused++
-	l.dropped++
-	if now.Sub(l.lastLog) < refusalLogInterval {
-		return
+	if n := l.headLog.due(now); n > 0 {
+		event.HeadsRefused.Log(l.options.Logger, "port", l.options.Name, "refused", n, "bytes", c.head.size, "fields", c.head.fields,
+			"most", c.head.limits.Bytes, "from", c.RemoteAddr().String())
 	}
-	event.ConnectionsRefused.Log(l.options.Logger, "port", l.options.Name, "refused", l.dropped, "most", l.options.Most)
-	l.dropped, l.lastLog = 0, now
 }
 
 // StateChanged is the ConnState hook of an http.Server that serves a Listener.
--- a/internal/budget/listener_test.go
+++ b/internal/budget/listener_test.go
@@ -136,7 +136,7 @@
 			t.Errorf("%d untrusted connections, want 0", n)
 		}
 	}
-	if n := r.listener.Refused(); n != 0 {
+	if n := r.listener.options.Counts.Connections.Load(); n != 0 {
 		t.Errorf("%d connections were closed", n)
 	}
 }
--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -14,6 +14,7 @@
 	RequestServed           = define(1030, slog.LevelInfo, "request answered")
 	RequestRefused          = define(1031, slog.LevelInfo, "request refused or failed")
 	ConnectionsRefused      = define(1032, slog.LevelWarn, "connections refused or closed: limit of the port reached")
+	HeadsRefused            = define(1033, slog.LevelWarn, "request heads refused before they were decoded")
 	JobAccepted             = define(1040, slog.LevelInfo, "batch job accepted")
 	JobRefused              = define(1041, slog.LevelWarn, "batch job refused")
 	JobOwnershipAcquired    = define(1042, slog.LevelInfo, "ownership of a batch job taken")
