--- a/scenario/hostile/hostile_test.go
+++ b/scenario/hostile/hostile_test.go
@@ -95,12 +95,16 @@
 }
 
 // everywhere sends the same to paths with and without a route and to the other ports.
-func everywhere(c *crowd, f func(w io.Writer, path string)) {
-	c.send(clients/2, portIngress, func(w io.Writer, i int) { f(w, fmt.Sprintf("/safe/%d", i)) })
-	c.send(clients/4, portIngress, func(w io.Writer, i int) { f(w, fmt.Sprintf("/items-of/%d", i)) })
-	c.send(clients/4, portIngress, func(w io.Writer, _ int) { f(w, "/none") })
+func everywhere(c *crowd, f func(w io.Writer, path string)) { everywhereBy(c, 1, f) }
+
+// everywhereBy is everywhere with a part of the crowd.
+func everywhereBy(c *crowd, part int, f func(w io.Writer, path string)) {
+	quarter := clients / 4 / part
+	c.send(2*quarter, portIngress, func(w io.Writer, i int) { f(w, fmt.Sprintf("/safe/%d", i)) })
+	c.send(quarter, portIngress, func(w io.Writer, i int) { f(w, fmt.Sprintf("/items-of/%d", i)) })
+	c.send(quarter, portIngress, func(w io.Writer, _ int) { f(w, "/none") })
 	for port, path := range map[int]string{portReady: "/ready", portLinks: "/link", portMetrics: "/metrics"} {
-		c.send(clients/4, port, func(w io.Writer, _ int) { f(w, path) })
+		c.send(quarter, port, func(w io.Writer, _ int) { f(w, path) })
 	}
 }
 
@@ -202,6 +206,19 @@
 	}},
 	{"jobs nested deeply", func(c *crowd) { submit(c, fill(`{"items":`, "[", "")) }},
 	{"jobs of malformed characters", func(c *crowd) { submit(c, fill(`{"items":[{"path":"`, "\xff", `"}]}`)) }},
+	{"jobs of malformed bodies", func(c *crowd) { submit(c, fill(`{"items":[{"id":"i","path":"/","body":"`, "\xff", `"}]}`)) }},
+	{"odd framing", func(c *crowd) {
+		odd := []string{
+			"Content-Length: 10\r\nTransfer-Encoding: chunked\r\n\r\nFFFFFFFFFFFFFFFF\r\n", "Transfer-Encoding: gzip\r\n\r\n",
+			"Transfer-Encoding: chunked, chunked\r\n\r\n", "Content-Length: -1\r\n\r\n", "Content-Length: 9223372036854775807\r\n\r\n",
+			"Content-Length: 1\r\nContent-Length: 2\r\n\r\n", "Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n\r\n",
+			"Connection: " + strings.Repeat("a,", shortHead/2) + "\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n-1\r\n",
+			"Content-Length: 0\r\n\r\nPRI * HTTP/2.0\r\n\r\nSM\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n7FFFFFFFFFFFFFFF\r\n",
+		}
+		for _, fields := range odd {
+			everywhereBy(c, len(odd), func(w io.Writer, path string) { write(w, head(path, fields), strings.Repeat("b", legalBody/4)) })
+		}
+	}},
 	{"jobs of legal size", func(c *crowd) {
 		for i := range submitters {
 			document := legalJob(c.t, maxBody, fmt.Sprint(i))
