--- a/entry/internal/batch/memory_test.go
+++ b/entry/internal/batch/memory_test.go
@@ -23,7 +23,7 @@
 	size.release()
 	m.Memory = budget.New(need*3/2).Account("jobs", need*3/2)
 	submit := func(id string, body []byte) int {
-		return m.Submit(t.Context(), &r.route, id, body, time.Now()).Status
+		return m.Submit(t.Context(), nobody, &r.route, id, body, time.Now()).Status
 	}
 	if s := submit("malformed", []byte(`{"items":[{}]}`)); s != http.StatusBadRequest || m.Memory.Used() != 0 {
 		t.Errorf("malformed job: status %d, %d bytes stay reserved", s, m.Memory.Used())
@@ -42,16 +42,16 @@
 	if err := filler.Grow(m.Memory.Limit()-held-need+1, 0); err != nil {
 		t.Fatal(err)
 	}
-	reply := m.Submit(t.Context(), &r.route, "b", body, time.Now())
+	reply := m.Submit(t.Context(), nobody, &r.route, "b", body, time.Now())
 	if reply.Status != http.StatusTooManyRequests || reply.RetryAfter <= 0 {
 		t.Errorf("job beside an open one: status %d, retry after %s; want 429 with a time", reply.Status, reply.RetryAfter)
 	}
-	m.End(t.Context(), "a")
+	m.End(t.Context(), nobody, "a")
 	if s := submit("b", body); s != http.StatusAccepted {
 		t.Errorf("status %d of a job after the other one has ended", s)
 	}
 	filler.Release()
-	if s := m.Results(t.Context(), "a", 0, 0).Status; s != http.StatusOK {
+	if s := m.Results(t.Context(), nobody, "a", 0, 0).Status; s != http.StatusOK {
 		t.Errorf("status %d of the results of an ended job that has given way", s)
 	}
 	m.mu.Lock()
--- a/entry/internal/batch/submit.go
+++ b/entry/internal/batch/submit.go
@@ -5,21 +5,34 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"strings"
 	"time"
 
 	"bulrushspoke/entry/internal/ingress"
 	"bulrushspoke/internal/catalog"
 	"bulrushspoke/internal/event"
+	"bulrushspoke/internal/job"
 	"bulrushspoke/internal/link"
 	"bulrushspoke/internal/store"
 	"bulrushspoke/internal/supervise"
+	"bulrushspoke/internal/workspace"
 	"bulrushspoke/platform"
 	"bulrushspoke/wire"
 )
 
 // Submit accepts a job and starts to run it.
 func (m *Manager) Submit(
-	ctx context.Context, r *catalog.Route, id string, body []byte, now time.Time,
+	ctx context.Context, w workspace.Workspace, r *catalog.Route, id string, body []byte, now time.Time,
+) ingress.Reply {
+	if id == "" {
+		return ingress.Reply{Status: http.StatusBadRequest, Cause: causeNoID, Body: []byte(causeNoID)}
+	}
+	return m.submit(ctx, w, r, scopedID(w, id), body, now)
+}
+
+// submit implements Submit for a scoped id.
+func (m *Manager) submit(
+	ctx context.Context, w workspace.Workspace, r *catalog.Route, id string, body []byte, now time.Time,
 ) ingress.Reply {
 	accepted := ingress.Reply{Status: http.StatusAccepted}
 	if m.local(id) != nil {
@@ -31,6 +44,9 @@
 	}
 	defer memory.release()
 	spec, err := platform.DecodeJob(id, body)
+	if err == nil && m.hasKeyInID(spec) {
+		err = job.NewFormatError("the id of an item or of a reward call contains a key")
+	}
 	if err != nil {
 		return ingress.Reply{Status: http.StatusBadRequest, Cause: err.Error(), Body: []byte(err.Error())}
 	}
@@ -50,6 +66,7 @@
 		Owner: owner.name, Inc: owner.inc, Epoch: 1, Host: r.Host, Path: r.Prefix, Total: len(spec.Items),
 		At: now.UnixMilli(), Model: spec.Model,
 	}
+	setWorkspace(&state, w)
 	createdAt := time.Now()
 	held, err := m.createState(ctx, id, state)
 	if err != nil {
@@ -66,11 +83,23 @@
 			m.delegate(id, held, body)
 		})
 	}
-	event.JobAccepted.Log(m.Logger, "job", id, "step", spec.Step, "model", spec.Model, "min", spec.MinVersion,
+	event.JobAccepted.Log(m.Logger, "job", id, "workspace", w.Name, "step", spec.Step, "model", spec.Model, "min", spec.MinVersion,
 		"items", len(spec.Items), "owner", held.Owner, "epoch", held.Epoch, "ms", time.Since(now).Milliseconds())
 	return accepted
 }
 
+// hasKeyInID reports whether the id of an item or of a reward call of a new job contains a key, which the ingress may have
+// masked. Ids reach servers, logs and results, and cannot be changed.
+func (m *Manager) hasKeyInID(spec job.Job) bool {
+	c := m.Catalog.Config()
+	if c == nil || c.Workspaces == nil {
+		return false
+	}
+	return spec.AnyID(func(id string) bool {
+		return strings.Contains(id, workspace.MaskText) || c.Workspaces.ContainsKey(id)
+	})
+}
+
 // maxDelegated is the largest payload that is passed to another entry, in bytes; a link carries frames of up to 4 MB.
 const maxDelegated = 2 << 20
 
@@ -117,7 +146,7 @@
 		return false
 	}
 	defer memory.release()
-	spec, err := platform.DecodeJob(q.Job, q.Payload)
+	spec, err := platform.DecodeStoredJob(q.Job, q.Payload)
 	if err != nil || q.State.Owner != m.Name || q.State.Inc != m.Self.Inc || m.outdated(q) {
 		return false
 	}
--- a/entry/internal/ingress/bound.go
+++ b/entry/internal/ingress/bound.go
@@ -50,14 +50,8 @@
 	return nil
 }
 
-// releaseMemory returns the memory of the request.
-func (q *request) releaseMemory() {
-	q.held.Release()
-	q.buffered.Release()
-}
-
-// readBody reads the request body, for the first part of which memory is reserved.
-func (g *Ingress) readBody(c *http.ResponseController, q *request, limit int64) error {
+// readAll reads the request body, for the first part of which memory is reserved.
+func (g *Ingress) readAll(c *http.ResponseController, q *request, limit int64) error {
 	if err := c.SetReadDeadline(q.arrived.Add(q.remaining(q.arrived))); err != nil {
 		return err
 	}
