Bound heads by bytes received, and stamp pieces of answers

Cause: the scanner of heads guessed where a head begins and ends. Blank lines after a POST, which net/http skips, ended it at once (a head of 900 KB of short fields got 200 with nothing reserved), and bytes of a body counted as head when parts of the head had arrived with the former request (431 for a legal request). A write of 20 MiB was stamped once, so a steady reader was closed after 10 s.

Change: the connection counts all bytes between two requests without interpreting them and refuses to read beyond max_header_bytes; a buffer of 4 KB may precede, and another may come with the last read. The step boundHead then checks the decoded head and reserves what it takes. Fields and parameters are no longer limited by number. net/http has a fixed limit of 128 KiB. Writes are made in pieces of 32 KiB.

--- a/entry/internal/cli/memory.go
+++ b/entry/internal/cli/memory.go
@@ -27,10 +27,8 @@
 const (
 	// defaultHeadBytes is the limit on heads while the configuration sets none; servers commonly take 8 or 16 KB.
 	defaultHeadBytes = 64 << 10
-	// A head may have one field for each fieldSize bytes of its limit, but at least minFields. Ordinary fields are longer:
-	// the shortest ones of the platform, with name and value, have 14 bytes, and requests have fewer than 30.
-	fieldSize = 32
-	minFields = 256
+	// maxHeadBytes is the fixed limit of net/http on heads, the second barrier. Larger limits of a configuration are cut to it.
+	maxHeadBytes = 128 << 10
 	// linkConns, readinessConns and metricsConns bound the unauthenticated connections of these ports. Other entries need
 	// one for the moment of a handshake, a load balancer and a collector of metrics a few. Together they take less than
 	// 2 MB and a fourth of the descriptors that clients and servers leave on the smallest instance, 287 of 3,075. They are
@@ -118,7 +116,7 @@
 	if c := p.catalog.Config(); c != nil && c.Limits.MaxHeaderBytes > 0 {
 		n = c.Limits.MaxHeaderBytes
 	}
-	return budget.HeadLimits{Bytes: n, Fields: max(n/fieldSize, minFields)}
+	return budget.HeadLimits{Bytes: min(n, maxHeadBytes)}
 }
 
 // idleLimit returns how long clients may keep a connection between two requests according to the configuration.
--- a/entry/internal/cli/platform.go
+++ b/entry/internal/cli/platform.go
@@ -253,6 +253,8 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       clientIdleTimeout,
 		ConnState:         budget.StateChanged,
+		ConnContext:       budget.ConnContext,
+		MaxHeaderBytes:    maxHeadBytes,
 		ErrorLog:          slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug),
 	}
 	p.serveFast("links", address, linkConns, acceptLinks(p.peers))
--- a/entry/internal/ingress/ingress.go
+++ b/entry/internal/ingress/ingress.go
@@ -153,6 +153,7 @@
 	defer g.release(q)
 	for _, s := range [...]step{
 		g.configure,    // under which configuration it is served
+		g.boundHead,    // whether its head is within the limits
 		g.authenticate, // whose request it is
 		g.route,        // which route it takes
 		g.readBody,     // what it may hold in memory
@@ -223,6 +224,19 @@
 	return Reply{}
 }
 
+// boundHead is the step that refuses a head beyond the limit, of which the connection enforces only a coarse bound, and
+// reserves what the decoded head takes.
+func (g *Ingress) boundHead(q *request) Reply {
+	size, fields := budget.HeadSize(q.http)
+	if limit := q.config.Limits.MaxHeaderBytes; limit > 0 && size > limit {
+		return Reply{Status: http.StatusRequestHeaderFieldsTooLarge, Cause: "request head exceeds the limit", Close: true}
+	}
+	if err := budget.SettleHead(q.http, size, fields); err != nil {
+		return Reply{Status: http.StatusServiceUnavailable, RetryAfter: retryNoCapacity, Cause: err.Error(), Close: true}
+	}
+	return Reply{}
+}
+
 // route is the step that finds the route of a request. Calls for jobs need none and end here, except those that are for
 // the route that matches them; without a workspace they need an open one.
 func (g *Ingress) route(q *request) Reply {
--- a/internal/budget/listener.go
+++ b/internal/budget/listener.go
@@ -202,7 +202,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if n := l.headLog.due(now); n > 0 {
-		event.HeadsRefused.Log(l.options.Logger, "port", l.options.Name, "refused", n, "bytes", c.head.size, "fields", c.head.fields,
+		event.HeadsRefused.Log(l.options.Logger, "port", l.options.Name, "refused", n, "bytes", c.head.seen.size, "fields", c.head.seen.fields,
 			"most", c.head.limits.Bytes, "from", c.RemoteAddr().String())
 	}
 }
@@ -281,24 +281,59 @@
 // Read implements net.Conn.
 func (c *Conn) Read(b []byte) (int, error) {
 	// While a request is served, net/http waits for its end by reading a single byte.
-	if len(b) > 1 {
+	whole := len(b) > 1
+	if whole {
 		c.readSince.Store(time.Now().UnixNano())
 	}
+	if c.head.active {
+		if refusal := c.head.beforeRead(); refusal != "" {
+			return 0, c.refuse(refusal)
+		}
+	}
 	n, err := c.Conn.Read(b)
 	c.readSince.Store(0)
-	if n > 0 && c.head.active {
-		if refusal := c.head.scan(b[:n]); refusal != "" {
+	if c.head.active && n > 0 {
+		if refusal := c.head.afterRead(b[:n]); refusal != "" {
 			return 0, c.refuse(refusal)
 		}
 	}
+	if whole && n > 0 && c.listener.options.Heads != nil {
+		c.head.last = marks{}
+		if len(b) <= readBufferBytes {
+			c.head.last.add(b[:n])
+		}
+	}
 	return n, err
 }
 
+// readBufferBytes is the size of the buffer with which net/http reads a connection. Larger reads pass it by.
+const readBufferBytes = 4 << 10
+
+// SetReadDeadline implements net.Conn.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	if c.head.active {
+		c.head.deadlines++
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// writePiece is the size of the pieces of a write, each of which counts as progress: a client that takes a large answer
+// slowly but steadily is not stalled.
+const writePiece = 32 << 10
+
 // Write implements net.Conn.
 func (c *Conn) Write(b []byte) (int, error) {
-	c.writeSince.Store(time.Now().UnixNano())
 	defer c.writeSince.Store(0)
-	return c.Conn.Write(b)
+	written := 0
+	for {
+		piece := b[written:min(written+writePiece, len(b))]
+		c.writeSince.Store(time.Now().UnixNano())
+		n, err := c.Conn.Write(piece)
+		written += n
+		if err != nil || written >= len(b) {
+			return written, err
+		}
+	}
 }
 
 // CloseWrite shuts down the writing side, so that net/http can close a connection without losing its last answer.
