Charge an exempt lease to nobody else, and give connections time to speak

A body of 32 MiB beside a limit of 22 MiB shut out every other body for as long as it lasted: the lease that needs the exemption is now charged to the budget only, until it has shrunk to half of the limit. Connections give way 50 ms after they were accepted or answered, not at once; a port that is served by fasthttp notes answers, so that a request in progress is not silent. Limits of links, readiness and metrics: 96, 64, 16. Searches for stalled connections are limited to one per second while they find nothing, and CloseStalled closes writers only, as it is called when answers are short.

TestStalled: CloseStalled must spare readers.

--- a/entry/internal/cli/memory.go
+++ b/entry/internal/cli/memory.go
@@ -30,12 +30,13 @@
 	// maxHeadBytes is the fixed limit of net/http on heads, the second barrier. Larger limits of a configuration are cut to it.
 	maxHeadBytes = 128 << 10
 	// linkConns, readinessConns and metricsConns bound the unauthenticated connections of these ports. Other entries need
-	// one for the moment of a handshake, a load balancer and a collector of metrics a few. Together they take less than
-	// 2 MB and a fourth of the descriptors that clients and servers leave on the smallest instance, 287 of 3,075. They are
-	// not part of the account of connections, which clients can use up.
-	linkConns      = 48
-	readinessConns = 16
-	metricsConns   = 8
+	// one for the moment of a handshake, a load balancer and a collector of metrics a few; the rest is for those that a flood
+	// opens beside them, as each may stay for 50 ms. Together they take less than 4 MB, and most of the descriptors that
+	// clients and servers leave on the smallest instance, 287 of 3,075. They are not part of the account of connections,
+	// which clients can use up.
+	linkConns      = 96
+	readinessConns = 64
+	metricsConns   = 16
 	// fastWriteTimeout is how long a probe or a collector of metrics may take for its answer.
 	fastWriteTimeout = 10 * time.Second
 	// stalledInterval is the minimum time between two searches for connections whose clients take no answers.
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -52,6 +52,7 @@
 	name    string
 	limit   int64
 	used    int64
+	exempt  int64 // bytes of the exempt lease, which are not charged to the others; 0 if there is none
 	refused int64 // number of refused reservations
 }
 
@@ -59,6 +60,7 @@
 type Lease struct {
 	account *Account
 	held    int64
+	exempt  bool
 }
 
 // New returns a budget of a number of bytes.
@@ -86,6 +88,9 @@
 // Limit returns the bytes that the account may use.
 func (a *Account) Limit() int64 { return a.limit }
 
+// Total returns the bytes of the whole budget.
+func (a *Account) Total() int64 { return a.budget.total }
+
 // Used returns the bytes that are reserved.
 func (a *Account) Used() int64 {
 	a.budget.mu.Lock()
@@ -106,11 +111,17 @@
 // Held returns the bytes that the lease holds.
 func (l *Lease) Held() int64 { return l.held }
 
-// idleShare is the part of an account's limit up to which the process counts as idle. Small requests that happen to be in
-// progress must not prevent a large one.
-const idleShare = 8
+const (
+	// idleShare is the part of an account's limit up to which its other leases may hold memory while one lease exceeds the
+	// limit. Small requests that happen to be in progress must not prevent a large one.
+	idleShare = 8
+	// exemptShare is the part of an account's limit up to which an exempt lease has to shrink to be charged to the others again.
+	exemptShare = 2
+)
 
-// Grow reserves n more bytes and leaves spare bytes of the account free for others, unless these hold little. A lease without an account is unlimited. The error is an *Error; the lease then holds what it held before.
+// Grow reserves n more bytes. It leaves spare bytes of the account to other leases, unless these hold at most an eighth of its
+// limit; then the lease may take what is left of the budget, and what it holds is not charged to the others if it exceeds what they leave. A lease without
+// an account is unlimited. The error is an *Error; the lease then holds what it held before.
 func (l *Lease) Grow(n, spare int64) error {
 	a := l.account
 	if a == nil {
@@ -119,15 +130,60 @@
 	b := a.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	alone := a.used-l.held <= a.limit/idleShare
-	if b.used+n > b.total || !alone && a.used+n > a.limit-spare {
+	if !l.fits(n, spare, 0, 0) {
 		a.refused++
 		return &Error{account: a.name, bytes: l.held + n, never: l.held+n > b.total}
 	}
+	needsExemption := a.used-a.exempt+n > a.limit-spare
+	l.add(n)
+	if needsExemption && !l.exempt {
+		l.exempt, a.exempt = true, l.held
+	}
+	return nil
+}
+
+// Fits reports whether n more bytes could be reserved if other leases of the account were released.
+func (l *Lease) Fits(n int64, released ...*Lease) bool {
+	if l.account == nil {
+		return true
+	}
+	l.account.budget.mu.Lock()
+	defer l.account.budget.mu.Unlock()
+	var held, exempt int64
+	for _, r := range released {
+		held += r.held
+		if r.exempt {
+			exempt += r.held
+		}
+	}
+	return l.fits(n, 0, held, exempt)
+}
+
+// fits is Fits for the given number of released bytes, of which a part is exempt; the caller holds Budget.mu.
+func (l *Lease) fits(n, spare, released, exempt int64) bool {
+	a := l.account
+	if a.budget.used-released+n > a.budget.total {
+		return false
+	}
+	return l.exempt || l.othersIdle(released, exempt) || (a.used-released)-(a.exempt-exempt)+n <= a.limit-spare
+}
+
+// othersIdle reports whether the other leases of the account hold little, and none of them is exempt; the caller holds
+// Budget.mu.
+func (l *Lease) othersIdle(released, exempt int64) bool {
+	a := l.account
+	return (l.exempt || a.exempt == exempt) && a.used-released-l.held <= a.limit/idleShare
+}
+
+// add adds n bytes, which may be negative; the caller holds Budget.mu.
+func (l *Lease) add(n int64) {
+	a := l.account
 	l.held += n
 	a.used += n
-	b.used += n
-	return nil
+	a.budget.used += n
+	if l.exempt {
+		a.exempt += n
+	}
 }
 
 // Shrink returns n bytes, at most those held.
@@ -136,12 +192,13 @@
 	if n <= 0 {
 		return
 	}
-	b := l.account.budget
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	l.held -= n
-	l.account.used -= n
-	b.used -= n
+	a := l.account
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	l.add(-n)
+	if l.exempt && l.held <= a.limit/exemptShare {
+		l.exempt, a.exempt = false, 0
+	}
 }
 
 // Release returns all bytes. It may be repeated.
--- a/internal/budget/head.go
+++ b/internal/budget/head.go
@@ -136,7 +136,9 @@
 type connKey struct{}
 
 // ConnContext is the ConnContext hook of an http.Server that serves a Listener.
-func ConnContext(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
+func ConnContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
 
 // SettleHead replaces what was reserved for the head of a request while it was received by what it takes. The error is an
 // *Error. Requests of other listeners are not limited.
--- a/internal/budget/listener.go
+++ b/internal/budget/listener.go
@@ -21,6 +21,11 @@
 	// stalledAfter is how long a client may take none of an answer, or send none of a body, before its connection may be
 	// closed in favour of others.
 	stalledAfter = 10 * time.Second
+	// silentAfter is how long a connection has for its request before it may be closed in favour of others: four round trips
+	// of 12 ms, which a handshake of a link takes between regions. A longer time would keep out more new connections.
+	silentAfter = 50 * time.Millisecond
+	// searchInterval is the minimum time between two searches of all connections for stalled ones.
+	searchInterval = time.Second
 )
 
 // ListenerOptions are the limits of a Listener.
@@ -30,7 +35,7 @@
 	Connections *Account             // nil for no limit
 	Heads       *Account             // nil if heads are not examined
 	HeadLimits  func() HeadLimits    // limits of the head of the next request
-	IdleLimit   func() time.Duration // how long a client may keep a connection between two requests; nil for any time
+	IdleLimit   func() time.Duration // how long a client may keep a connection between two requests; nil for silentAfter
 	Counts      *Counts              // nil if nobody reads them
 	Logger      *slog.Logger
 }
@@ -42,9 +47,9 @@
 }
 
 // Listener bounds the connections of a port. When a connection exceeds the limit, the one that has been silent for the longest
-// time is closed in favour of it: a connection that has sent no complete request head yet, or one that has been idle, has
-// taken none of an answer or has sent none of a body for too long. If there is none, the new connection is closed at once, so that its client can try
-// another entry.
+// time is closed in favour of it: a connection that has sent no complete request head for silentAfter, or one that has been
+// idle, has taken none of an answer or has sent none of a body for too long. If there is none, the new connection is closed
+// at once, so that its client can try another entry.
 type Listener struct {
 	net.Listener
 	options ListenerOptions
@@ -54,6 +59,7 @@
 	silent *list.List         // of *Conn that have sent no complete head, the oldest first
 	idle   *list.List         // of *Conn between two requests, the one that has been idle longest first
 
+	searched         time.Time // when the connections were last searched for a stalled one
 	connLog, headLog refusalLog
 }
 
@@ -148,28 +154,37 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if e := l.silent.Front(); e != nil {
-		return e.Value.(*Conn) //nolint:forcetypeassert // the lists hold nothing else
+		if c := e.Value.(*Conn); now.Sub(c.since) >= silentAfter { //nolint:forcetypeassert // the lists hold nothing else
+			return c
+		}
 	}
-	if e := l.idle.Front(); e != nil && l.options.IdleLimit != nil {
-		if c := e.Value.(*Conn); now.Sub(c.since) > l.options.IdleLimit() { //nolint:forcetypeassert // see above
+	if e := l.idle.Front(); e != nil {
+		limit := silentAfter
+		if l.options.IdleLimit != nil {
+			limit = l.options.IdleLimit()
+		}
+		if c := e.Value.(*Conn); now.Sub(c.since) > limit { //nolint:forcetypeassert // see above
 			return c
 		}
 	}
+	if now.Sub(l.searched) < searchInterval {
+		return nil
+	}
 	for c := range l.conns {
 		if c.stalled(now) {
 			return c
 		}
 	}
+	l.searched = now // found nothing: each new connection of a flood would search all
 	return nil
 }
 
-// CloseStalled closes the connections whose clients take none of their answers or send none of their bodies, which frees their
-// memory.
+// CloseStalled closes the connections whose clients take none of their answers, which frees the memory of these.
 func (l *Listener) CloseStalled(now time.Time) {
 	l.mu.Lock()
 	var stalled []*Conn
 	for c := range l.conns {
-		if c.stalled(now) {
+		if c.stalledWrite(now) {
 			stalled = append(stalled, c)
 		}
 	}
@@ -270,12 +285,14 @@
 
 // stalled reports whether a write, or the read of a body, has made no progress for stalledAfter; the caller holds Listener.mu.
 func (c *Conn) stalled(now time.Time) bool {
-	limit := now.Add(-stalledAfter).UnixNano()
-	if t := c.writeSince.Load(); t != 0 && t < limit {
-		return true
-	}
 	t := c.readSince.Load()
-	return t != 0 && t < limit && c.queue == nil
+	return c.stalledWrite(now) || t != 0 && t < now.Add(-stalledAfter).UnixNano() && c.queue == nil
+}
+
+// stalledWrite reports whether a write has made no progress for stalledAfter.
+func (c *Conn) stalledWrite(now time.Time) bool {
+	t := c.writeSince.Load()
+	return t != 0 && t < now.Add(-stalledAfter).UnixNano()
 }
 
 // Read implements net.Conn.
@@ -323,6 +340,9 @@
 
 // Write implements net.Conn.
 func (c *Conn) Write(b []byte) (int, error) {
+	if c.listener.options.Heads == nil {
+		c.answered()
+	}
 	defer c.writeSince.Store(0)
 	written := 0
 	for {
@@ -336,6 +356,15 @@
 	}
 }
 
+// answered notes that a request of the connection is complete, for servers without the ConnState hook.
+func (c *Conn) answered() {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	if c.queue != nil {
+		c.enqueue(c.listener.idle, time.Now())
+	}
+}
+
 // CloseWrite shuts down the writing side, so that net/http can close a connection without losing its last answer.
 func (c *Conn) CloseWrite() error {
 	if t, ok := c.Conn.(*net.TCPConn); ok {
--- a/internal/budget/listener_test.go
+++ b/internal/budget/listener_test.go
@@ -110,6 +110,10 @@
 		t.Fatal(err)
 	}
 	r.waitOpen(t, 2)
+	if !closed(r.dial(t)) {
+		t.Error("a new connection displaces one that has had no time to send its request")
+	}
+	time.Sleep(silentAfter)
 	third := r.dial(t)
 	if !closed(silent) {
 		t.Error("a silent connection stays open although another one needs its place")
@@ -143,7 +147,19 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		if r.listener.victim(time.Now()) != nil || r.listener.victim(time.Now().Add(silentAfter)) != c {
+			t.Error("a connection gives way before it has had time for a handshake, or not at all")
+		}
+		if _, err := io.WriteString(c, "answer"); err != nil {
+			t.Fatal(err)
+		}
+		if r.listener.victim(time.Now()) != nil || r.listener.victim(time.Now().Add(2*silentAfter)) != c {
+			t.Error("a connection that was just answered gives way, or one that has been idle does not")
+		}
 		c.(*Conn).Trust() //nolint:forcetypeassert // a Listener returns nothing else
+		if r.listener.victim(time.Now().Add(2*silentAfter)) != nil {
+			t.Error("a trusted connection gives way")
+		}
 		if n := r.listener.Open(); n != 0 {
 			t.Errorf("%d untrusted connections, want 0", n)
 		}
@@ -329,7 +345,14 @@
 			t.Fatal("a connection that stopped within a body does not give way, or gives way at once")
 		}
 	}
+	// Closing it frees no memory of answers, so it gives way only to a new connection.
 	r.listener.CloseStalled(time.Now().Add(2 * stalledAfter))
+	if n := r.listener.Open(); n != 1 {
+		t.Errorf("%d open connections, want 1", n)
+	}
+	if v := r.listener.victim(time.Now().Add(2 * stalledAfter)); v != nil {
+		_ = v.Close()
+	}
 	if !closed(c) {
 		t.Error("the connection stays open")
 	}
