Reserve the memory of a job before it is taken over

A takeover wrote itself as the owner before it had memory for the job, so that a job larger than the entry stayed with it; and an entry whose owner refused an accepted job reserved the job a second time. Now memory comes first, a failure leaves the owner unchanged, and delegate passes its reservation on. A job that can never be held together with its body gets 413 instead of 429 for ever. Ended jobs are evicted only if this makes enough room, and never while the store is down. Jobs over 1 MiB leave a fifth of the account to smaller ones.

--- a/entry/internal/batch/memory.go
+++ b/entry/internal/batch/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/http"
 	"slices"
 	"sync"
@@ -27,8 +28,8 @@
 	}
 }
 
-// settle returns what the decoded job does not hold.
-func (r *jobMemory) settle(spec job.Job) { r.lease.Shrink(r.lease.Held() - heldBytes(spec)) }
+// shrinkToHeld returns what the decoded job does not hold.
+func (r *jobMemory) shrinkToHeld(spec job.Job) { r.lease.Shrink(r.lease.Held() - heldBytes(spec)) }
 
 const (
 	// itemBytes is the memory of an item beside its strings: as decoded, with its state and its place in two maps.
@@ -52,39 +53,66 @@
 	return int64(n)
 }
 
-// take moves the reservation to another owner, so that release of r returns nothing.
-func (r *jobMemory) take() *jobMemory {
+// transfer moves the reservation to another owner, so that release of r returns nothing.
+func (r *jobMemory) transfer() *jobMemory {
 	t := &jobMemory{lease: r.lease}
 	r.lease = budget.Lease{}
 	return t
 }
 
-// reserve reserves memory for the decoded form of a job, before it is decoded. Its error is a *job.LimitError or a
-// *budget.Error.
+// reserve reserves memory for the decoded form of a job, before it is decoded. The body is held as well while it is decoded. Its
+// error is a *job.LimitError or a *budget.Error.
 func (m *Manager) reserve(body []byte) (*jobMemory, error) {
 	size, err := platform.MeasureJob(body)
 	if err != nil {
 		return nil, err
 	}
+	if m.Memory != nil && size+int64(len(body)) > m.Memory.Total() {
+		return nil, job.NewLimitError(fmt.Sprintf("the job takes %d bytes of memory, more than this entry has for one", size+int64(len(body))))
+	}
 	r := m.newMemory()
 	return r, m.grow(r, size)
 }
 
 func (m *Manager) newMemory() *jobMemory { return &jobMemory{lease: m.Memory.Lease()} }
 
-// grow enlarges a reservation. Ended jobs give way, since their results can be read from the store.
+const (
+	// Jobs of more than smallJobBytes leave one part in spareShare of the memory for jobs to smaller ones.
+	smallJobBytes = 1 << 20
+	spareShare    = 5
+)
+
+// grow enlarges a reservation. Ended jobs are evicted, the oldest first, if this makes enough room and the store can be read,
+// from which their results are then read.
 func (m *Manager) grow(r *jobMemory, size int64) error {
-	err := r.lease.Grow(size, 0)
+	var spare int64
+	if m.Memory != nil && size > smallJobBytes {
+		spare = m.Memory.Limit() / spareShare
+	}
+	err := r.lease.Grow(size, spare)
 	var full *budget.Error
-	if err == nil || errors.As(err, &full) && full.Never() {
+	if err == nil || errors.As(err, &full) && full.Never() || m.Outage(time.Now()) > 0 {
 		return err
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, j := range m.endedJobs() {
+	ended := m.endedJobs()
+	var leases []*budget.Lease
+	for _, j := range ended {
+		if j.memory != nil {
+			leases = append(leases, &j.memory.lease)
+		}
+	}
+	if !r.lease.Fits(size, spare, leases...) {
+		return err
+	}
+	for _, j := range ended {
+		if j.memory == nil {
+			continue // evicting it frees nothing
+		}
 		m.owners[j.spec.ID] = wire.JobState{Owner: m.Name, Inc: m.Self.Inc, Epoch: j.epoch, Ended: true}
 		m.remove(j)
-		if err = r.lease.Grow(size, 0); err == nil {
+		if err = r.lease.Grow(size, spare); err == nil {
 			break
 		}
 	}
@@ -137,10 +165,10 @@
 	return min(max(oldest/2, busyRetryAfter), maxRetryAfter)
 }
 
-// with passes the memory that was reserved for the items to the job.
-func (j *Job) with(r *jobMemory) *Job {
+// attachMemory passes the memory that was reserved for the items to the job.
+func (j *Job) attachMemory(r *jobMemory) *Job {
 	if r != nil {
-		j.memory = r.take()
+		j.memory = r.transfer()
 	}
 	return j
 }
--- a/entry/internal/batch/memory_test.go
+++ b/entry/internal/batch/memory_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"bulrushspoke/internal/budget"
+	"bulrushspoke/platform"
+	"bulrushspoke/wire"
 )
 
 // Guards against jobs that together exceed the memory for them, against open jobs that keep out new ones for good, and against memory
@@ -63,3 +65,89 @@
 		t.Errorf("%d bytes stay reserved", n)
 	}
 }
+
+// Guards against ended jobs that are evicted although this makes too little room, or while the store cannot be read, and against
+// asking the trainer of a job that can never be accepted to repeat it.
+func TestEviction(t *testing.T) {
+	r := newRig(t)
+	m, stop := r.manager("a", "a1")
+	defer stop()
+	body := payload(1, "g-1", "g-2")
+	size, err := m.reserve(body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	need := size.lease.Held()
+	size.release()
+	m.Memory = budget.New(need+int64(len(body))).Account("jobs", need+int64(len(body)))
+	submit := func(id string) int { return m.Submit(t.Context(), nobody, &r.route, id, body, time.Now()).Status }
+	if s := submit("a"); s != http.StatusAccepted {
+		t.Fatalf("status %d", s)
+	}
+	m.End(t.Context(), nobody, "a")
+	filler := m.Memory.Lease()
+	if err := filler.Grow(m.Memory.Limit()-m.Memory.Used(), 0); err != nil {
+		t.Fatal(err)
+	}
+	if s := submit("b"); s != http.StatusTooManyRequests || m.local("a") == nil {
+		t.Errorf("status %d, ended job kept: %t; want 429 and true", s, m.local("a") != nil)
+	}
+	filler.Release()
+	outage := m.Outage
+	m.Outage = func(time.Time) time.Duration { return time.Second }
+	if s := submit("b"); s != http.StatusTooManyRequests || m.local("a") == nil {
+		t.Errorf("while the store is down: status %d, ended job kept: %t; want 429 and true", s, m.local("a") != nil)
+	}
+	m.Outage = outage
+	if s := submit("b"); s != http.StatusAccepted || m.local("a") != nil {
+		t.Errorf("status %d, ended job kept: %t; want 202 and false", s, m.local("a") != nil)
+	}
+	m.Memory = budget.New(need+int64(len(body))-1).Account("jobs", need+int64(len(body)))
+	if s := submit("c"); s != http.StatusRequestEntityTooLarge {
+		t.Errorf("a job that can never be held together with its body: status %d, want 413", s)
+	}
+}
+
+// Guards against an accepted job whose owner has no memory for it: an entry without memory must leave the owner as it is, so
+// that another one can take the job, and the entry that accepted a job must still have memory for it if the owner refuses.
+func TestTakeoverWithoutMemory(t *testing.T) {
+	r := newRig(t)
+	accepting, stop := r.manager("a", "a1")
+	defer stop()
+	small, stopSmall := r.manager("b", "b1")
+	defer stopSmall()
+	small.Memory = budget.New(10).Account("jobs", 10)
+	body := payload(1, "g-1", "g-2")
+	state := wire.JobState{Owner: "gone", Inc: "gone-1", Epoch: 1, Host: r.route.Host, Path: r.route.Prefix, Total: 2, Model: "m"}
+	if err := accepting.putPayload(t.Context(), "j", body); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := accepting.createState(t.Context(), "j", state); err != nil {
+		t.Fatal(err)
+	}
+	if reply := small.takeOver(t.Context(), "j", nil, 1); reply.Status != http.StatusServiceUnavailable {
+		t.Errorf("takeover without memory: status %d, want 503", reply.Status)
+	}
+	if s, _, err := small.readState(t.Context(), "j"); err != nil || s.Owner != "gone" || s.Epoch != 1 {
+		t.Errorf("owner %q in epoch %d after a takeover that failed, error %v; want that before", s.Owner, s.Epoch, err)
+	}
+	// The reservation for the accepted job takes all memory.
+	memory, err := accepting.reserve(body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	need := memory.lease.Held()
+	memory.release()
+	accepting.Memory = budget.New(need+int64(len(body))).Account("jobs", need)
+	if memory, err = accepting.reserve(body); err != nil {
+		t.Fatal(err)
+	}
+	spec, err := platform.DecodeStoredJob("j", body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepting.delegate("j", state, body, &loadedSpec{spec: spec, memory: memory})
+	if s, _, err := accepting.readState(t.Context(), "j"); err != nil || s.Owner != "a" || accepting.local("j") == nil {
+		t.Errorf("owner %q, error %v; want the entry that accepted the job", s.Owner, err)
+	}
+}
--- a/entry/internal/batch/owner.go
+++ b/entry/internal/batch/owner.go
@@ -73,6 +73,32 @@
 // on success, and also if the job turns out to have another owner that can be asked. The owners up to the epoch lost do
 // not run the job, even if they can be asked.
 func (m *Manager) takeOver(ctx context.Context, id string, parts []wire.JobPart, lost int) ingress.Reply {
+	return m.takeOverLoaded(ctx, id, parts, lost, &loadedSpec{})
+}
+
+// loadedSpec is a job as submitted, with the memory that is reserved for it. The zero value has not been loaded.
+type loadedSpec struct {
+	spec   job.Job
+	memory *jobMemory
+}
+
+// load reads the job from the store unless it is there.
+func (l *loadedSpec) load(ctx context.Context, m *Manager, id string) error {
+	if l.memory != nil {
+		return nil
+	}
+	spec, memory, err := m.readSpec(ctx, id)
+	if err != nil {
+		memory.release()
+		return err
+	}
+	l.spec, l.memory = spec, memory
+	return nil
+}
+
+// takeOverLoaded is takeOver for a job that may have been loaded, whose memory it releases unless the job runs here.
+func (m *Manager) takeOverLoaded(ctx context.Context, id string, parts []wire.JobPart, lost int, loaded *loadedSpec) ingress.Reply {
+	defer func() { loaded.memory.release() }()
 	release, ok := m.lockTakeover(ctx, id)
 	if !ok {
 		return unavailable("the job is changing owners")
@@ -94,6 +120,13 @@
 		if !s.Ended && m.leaving() {
 			return unavailable("this entry is shutting down")
 		}
+		// Memory is reserved before the state is written. An entry that has too little leaves the owner as it is, so that a
+		// larger entry can take the job.
+		if !s.Ended {
+			if err := loaded.load(ctx, m, id); err != nil {
+				return unavailable(err.Error())
+			}
+		}
 		// An earlier write that got no answer may have made this process the owner already.
 		if mine := s.Owner == m.Name && s.Inc == m.Self.Inc; !s.Ended && !mine {
 			s.Owner, s.Inc = m.Name, m.Self.Inc
@@ -107,23 +140,20 @@
 			}
 			event.JobOwnershipAcquired.Log(m.Logger, "job", id, "epoch", s.Epoch)
 		}
-		return m.load(ctx, id, s, parts, readAt)
+		return m.load(ctx, id, s, parts, readAt, loaded)
 	}
 	return unavailable("the job is changing owners")
 }
 
-// load reads a job, whose state was read at the given time, from the store and resumes it unless it has ended. Of an
-// ended job only the results are read, since its items are seldom requested.
-func (m *Manager) load(ctx context.Context, id string, s wire.JobState, parts []wire.JobPart, readAt time.Time) ingress.Reply {
+// load resumes a job, whose state was read at the given time, with its log from the store unless it has ended. Of an ended job
+// only the results are read, since its items are seldom requested.
+func (m *Manager) load(
+	ctx context.Context, id string, s wire.JobState, parts []wire.JobPart, readAt time.Time, loaded *loadedSpec,
+) ingress.Reply {
 	spec := job.Job{ID: id}
 	var memory *jobMemory
 	if !s.Ended {
-		var err error
-		spec, memory, err = m.readSpec(ctx, id)
-		defer memory.release()
-		if err != nil {
-			return unavailable(err.Error())
-		}
+		spec, memory = loaded.spec, loaded.memory
 	}
 	records, err := m.readLog(ctx, id)
 	if err != nil {
@@ -135,7 +165,7 @@
 	if !s.Ended && len(parts) == 0 {
 		parts = m.loadCheckpoint(ctx, id)
 	}
-	if !m.start(newJob(m, spec, s, records, readAt).with(memory), parts) && !s.Ended {
+	if !m.start(newJob(m, spec, s, records, readAt).attachMemory(memory), parts) && !s.Ended {
 		return unavailable("this entry is shutting down")
 	}
 	return ingress.Reply{}
--- a/entry/internal/batch/payload.go
+++ b/entry/internal/batch/payload.go
@@ -138,7 +138,7 @@
 		return job.Job{}, memory, err
 	}
 	spec, err := platform.DecodeStoredJob(id, body)
-	memory.settle(spec)
+	memory.shrinkToHeld(spec)
 	return spec, memory, err
 }
 
--- a/entry/internal/batch/submit.go
+++ b/entry/internal/batch/submit.go
@@ -50,7 +50,7 @@
 	if err != nil {
 		return ingress.Reply{Status: http.StatusBadRequest, Cause: err.Error(), Body: []byte(err.Error())}
 	}
-	memory.settle(spec)
+	memory.shrinkToHeld(spec)
 	owner := chooseOwner(spec.Model, m.candidates())
 	if len(body) > maxDelegated && !m.leaving() {
 		owner = candidate{name: m.Name, inc: m.Self.Inc}
@@ -75,12 +75,12 @@
 	switch {
 	case held.Ended || held.Epoch > 1:
 	case held.Owner == m.Name && held.Inc == m.Self.Inc:
-		m.start(newJob(m, spec, held, nil, createdAt).with(memory), nil)
+		m.start(newJob(m, spec, held, nil, createdAt).attachMemory(memory), nil)
 	case held.Owner == owner.name && held.Inc == owner.inc:
-		kept := memory.take()
+		kept := memory.transfer()
 		go supervise.Guard(m.Logger, "delegate", func() {
 			defer kept.release()
-			m.delegate(id, held, body)
+			m.delegate(id, held, body, &loadedSpec{spec: spec, memory: kept})
 		})
 	}
 	event.JobAccepted.Log(m.Logger, "job", id, "workspace", w.Name, "step", spec.Step, "model", spec.Model, "min", spec.MinVersion,
@@ -124,8 +124,9 @@
 	return l
 }
 
-// delegate passes an accepted job to its owner, and takes it over if the owner does not accept it.
-func (m *Manager) delegate(id string, s wire.JobState, body []byte) {
+// delegate passes an accepted job to its owner, and takes it over if the owner does not accept it. The memory of the job stays
+// reserved until then, so that an accepted job finds memory here.
+func (m *Manager) delegate(id string, s wire.JobState, body []byte, loaded *loadedSpec) {
 	ctx, cancel := context.WithTimeout(m.baseCtx, askTimeout)
 	defer cancel()
 	var done wire.JobReply
@@ -135,7 +136,7 @@
 		return
 	}
 	// If the store is unavailable now, the next read by a client takes over the job.
-	m.takeOver(m.baseCtx, id, nil, s.Epoch)
+	m.takeOverLoaded(m.baseCtx, id, nil, s.Epoch, loaded)
 }
 
 // startDelegated runs a job that another entry has accepted for this one.
@@ -150,9 +151,9 @@
 	if err != nil || q.State.Owner != m.Name || q.State.Inc != m.Self.Inc || m.outdated(q) {
 		return false
 	}
-	memory.settle(spec)
+	memory.shrinkToHeld(spec)
 	// The message may have taken long, so the first read of the state is due at once.
-	return m.start(newJob(m, spec, q.State, nil, time.Now().Add(-stateCheckInterval)).with(memory), nil)
+	return m.start(newJob(m, spec, q.State, nil, time.Now().Add(-stateCheckInterval)).attachMemory(memory), nil)
 }
 
 // outdated reports whether a delegated job has had another owner since.
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -142,8 +142,8 @@
 	return nil
 }
 
-// Fits reports whether n more bytes could be reserved if other leases of the account were released.
-func (l *Lease) Fits(n int64, released ...*Lease) bool {
+// Fits reports whether Grow would succeed if other leases of the account were released.
+func (l *Lease) Fits(n, spare int64, released ...*Lease) bool {
 	if l.account == nil {
 		return true
 	}
@@ -156,7 +156,7 @@
 			exempt += r.held
 		}
 	}
-	return l.fits(n, 0, held, exempt)
+	return l.fits(n, spare, held, exempt)
 }
 
 // fits is Fits for the given number of released bytes, of which a part is exempt; the caller holds Budget.mu.
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -67,7 +67,7 @@
 	if err := second.Grow(19<<20, 0); err == nil {
 		t.Error("more than the limit is reserved beside a large one")
 	}
-	if !second.Fits(30<<20, &large, &small) || second.Fits(30<<20, &large) || second.Fits(30<<20, &small) {
+	if !second.Fits(30<<20, 0, &large, &small) || second.Fits(30<<20, 0, &large) || second.Fits(30<<20, 0, &small) {
 		t.Error("released leases are not taken into account")
 	}
 	large.Shrink(30 << 20)
