Load stored jobs of any number of items; document the limits

A job that an earlier version accepted with more items than the limit could not be measured and was stuck.

--- a/entry/internal/batch/payload.go
+++ b/entry/internal/batch/payload.go
@@ -127,7 +127,7 @@
 	if err != nil {
 		return job.Job{}, memory, err
 	}
-	size, err := platform.MeasureJob(body)
+	size, err := platform.MeasureStoredJob(body)
 	if err != nil {
 		return job.Job{}, memory, err
 	}
--- a/entry/internal/cli/memory.go
+++ b/entry/internal/cli/memory.go
@@ -14,8 +14,8 @@
 // Fractions of the instance's memory that clients and servers may make the process hold. Together they exceed memoryShare, which
 // bounds what is used at the same time.
 const (
-	// memoryShare leaves a fifth of the instance's memory to the process itself, below the soft memory limit of 0.7 at
-	// which the runtime collects garbage as often as necessary.
+	// memoryShare is the part of the instance's memory that the accounts may use at the same time. It leaves a fifth to the
+	// process itself, below the soft memory limit of 0.7 at which the runtime collects garbage as often as necessary.
 	memoryShare     = 0.5
 	bodyShare       = 0.15 // request bodies
 	jobShare        = 0.15 // decoded jobs
--- a/internal/budget/listener.go
+++ b/internal/budget/listener.go
@@ -98,6 +98,7 @@
 	listener   *Listener
 	readSince  atomic.Int64 // when the current read began, in Unix nanoseconds; 0 if there is none
 	writeSince atomic.Int64 // the same for writes
+	exempt     atomic.Bool  // as trusted, read without the lock
 	head       headScanner  // used by the goroutine that reads
 	trusted    bool         // guarded by Listener.mu, as are the fields below
 	closed     bool
@@ -269,6 +270,7 @@
 		return
 	}
 	c.trusted = true
+	c.exempt.Store(true)
 	c.remove()
 }
 
@@ -352,7 +354,7 @@
 
 // Write implements net.Conn.
 func (c *Conn) Write(b []byte) (int, error) {
-	if c.listener.options.Heads == nil {
+	if c.listener.options.Heads == nil && !c.exempt.Load() {
 		c.answered()
 	}
 	defer c.writeSince.Store(0)
