--- a/entry/internal/batch/memory.go
+++ b/entry/internal/batch/memory.go
@@ -32,8 +32,11 @@
 func (r *jobMemory) shrinkToHeld(spec job.Job) { r.lease.Shrink(r.lease.Held() - heldBytes(spec)) }
 
 const (
-	// itemBytes is the memory of an item beside its strings: as decoded, with its state and its place in two maps.
-	itemBytes = 1200
+	// partBytes is the memory of a part of a prompt: as decoded, with its hash and tokens in a ticket.
+	partBytes = 40
+	// itemBytes is the memory of an item beside its strings: as decoded, with its state, its place in two maps and the parts of
+	// its prompt.
+	itemBytes = 1200 + platform.MaxPromptParts*partBytes
 	// headerBytes is the memory of a header of an item beside its text, in a map that is up to twice as large as needed.
 	headerBytes = 100
 )
--- a/entry/internal/cli/platform.go
+++ b/entry/internal/cli/platform.go
@@ -19,6 +19,7 @@
 	"github.com/valyala/fasthttp"
 
 	"bulrushspoke/entry/internal/batch"
+	"bulrushspoke/entry/internal/duty"
 	"bulrushspoke/entry/internal/ingress"
 	"bulrushspoke/entry/internal/member"
 	"bulrushspoke/entry/internal/occupancy"
@@ -45,8 +46,9 @@
 const (
 	// dialTimeout bounds opening a connection to a server; it allows for one lost SYN.
 	dialTimeout = 1200 * time.Millisecond
-	// maxIdleConns bounds idle connections to servers; each costs a descriptor and two small buffers.
-	maxIdleConns = 256
+	// maxIdleConns bounds idle connections to servers; each costs a descriptor and a buffer of 4 KB. An entry that runs the
+	// steps of one trainer has two of them open, of up to 192 items each, and connections for other requests beside them.
+	maxIdleConns = 512
 	// maxIdleStoreConns bounds idle connections to the store; an entry seldom has more calls in progress at a time.
 	maxIdleStoreConns = 16
 	// gcPercent is the GOGC value. Memory is scarce, but streamed events wait for the processor during a garbage
@@ -96,6 +98,7 @@
 	peers   *peer.Peers
 	batch   *batch.Manager
 	ingress *ingress.Ingress
+	usage   *duty.Duty // nil if the deployment asks for no usage reports
 	server  *http.Server
 	memory  *memory
 	clients atomic.Pointer[budget.Listener] // of the clients' port; nil before it is open
@@ -167,14 +170,24 @@
 func (p *platformEntry) build(lifetime context.Context) error {
 	s := p.settings
 	p.tree = supervise.New("entry", p.logger)
-	pool := upstream.New(upstream.Limits{Dial: dialTimeout, Idle: maxIdleConns, Open: connectionLimit(s.MaxDescriptors, serverConnShare)})
-	// Store calls have a connection pool of their own, so that requests cannot exhaust it.
-	storePool := upstream.New(upstream.Limits{Dial: dialTimeout, Idle: maxIdleStoreConns})
-	p.store = platform.NewStore(s.Store.Address, program.StoreTimeout, storePool, p.logger)
 	m, text, err := meter.New("entry")
 	if err != nil {
 		return err
 	}
+	connections := m.Counter("connections", "Requests to servers, by the connection that they were sent on.", "service", "use")
+	pool := upstream.New(upstream.Limits{
+		Dial: dialTimeout, Idle: maxIdleConns, Open: connectionLimit(s.MaxDescriptors, serverConnShare),
+		Observe: func(service string, reused bool) {
+			use := "opened"
+			if reused {
+				use = "reused"
+			}
+			connections.Add(1, service, use)
+		},
+	})
+	// Store calls have a connection pool of their own, so that requests cannot exhaust it.
+	storePool := upstream.New(upstream.Limits{Dial: dialTimeout, Idle: maxIdleStoreConns})
+	p.store = platform.NewStore(s.Store.Address, program.StoreTimeout, storePool, p.logger)
 	p.metrics = text
 	p.memory = newMemory(s.MemoryBytes)
 	p.memory.register(m)
@@ -187,11 +200,11 @@
 		p.task("sweep", sweep.New(p.store, retentionFactor*s.Bounds.ResultRetention, p.logger).Run)
 		return nil
 	}
-	return p.buildEntry(lifetime, pool, m)
+	return p.buildEntry(lifetime, pool, storePool, m)
 }
 
 // buildEntry creates the components that serve clients.
-func (p *platformEntry) buildEntry(lifetime context.Context, pool *upstream.Pool, m *meter.Meter) error {
+func (p *platformEntry) buildEntry(lifetime context.Context, pool, storePool *upstream.Pool, m *meter.Meter) error {
 	s := p.settings
 	p.catalog = catalog.New(p.logger)
 	m.Gauge("limited_servers", "Servers that state a limit of their request rate.",
@@ -199,12 +212,15 @@
 	source := newSeedSource(0)
 	tracker := place.New(place.Home{Domain: s.Domain, Region: s.Region, Regions: s.Regions},
 		p.catalog.Limits(), rand.New(rand.NewChaCha8(nextSeed(source))))
+	tracker.SetConnections(pool)
+	m.Gauge("waiting_prefill_tokens", "Prompt tokens of this entry's requests that wait at engines, as far as their sizes are stated.",
+		func() float64 { return float64(tracker.WaitingTokens()) })
 	address := net.JoinHostPort(s.IP, strconv.Itoa(s.Ports.First))
 	self := wire.Member{Address: address, Inc: p.inc, Domain: s.Domain, Region: s.Region}
 	hello := func() wire.Hello {
 		return wire.Hello{
 			Name: s.Name, Role: "entry", Inc: p.inc, Domain: s.Domain, Region: s.Region, Leaving: p.leaving.Load(),
-			Cores: s.Cores,
+			Cores: s.Cores, Rate: s.Bandwidth,
 		}
 	}
 	identity := link.NewIdentity(s.Name, p.secret, hello)
@@ -229,9 +245,13 @@
 	limits.Register()
 	p.catalog.Limits().SetShare(p.peers.Share)
 	p.task("limits", limits.Run)
+	p.buildUsage(objects, storePool, m)
 	p.peers.OnConnect(func(name string) {
 		limits.SendSnapshot(time.Now())
 		p.batch.PeerConnected(name)
+		if p.usage != nil {
+			p.usage.PeerConnected(name)
+		}
 	})
 	feeder := platform.NewCatalogUpdater(p.catalog, p.logger)
 	requestTime := m.Histogram("request", "s", "Time from arrival to the answer.")
@@ -248,6 +268,9 @@
 			requestTime.Record(route, strconv.Itoa(status/100*100), took.Seconds())
 		},
 	})
+	if p.usage != nil {
+		p.ingress.Usage = p.usage
+	}
 	p.server = &http.Server{
 		Handler:           p.ingress,
 		ReadHeaderTimeout: readHeaderTimeout,
@@ -279,6 +302,32 @@
 	return nil
 }
 
+// buildUsage creates the component that reports usage, if the deployment asks for it. Calls of the platform's API use the
+// connection pool of the store, so that requests cannot exhaust it.
+func (p *platformEntry) buildUsage(objects *relay.Relay, pool *upstream.Pool, m *meter.Meter) {
+	s := p.settings
+	if !s.CloudAPI.Metering() {
+		return
+	}
+	if missing := s.MissingForMetering(); missing != "" {
+		event.UsageOff.Log(p.logger, "missing", missing)
+		return
+	}
+	p.usage = duty.New(duty.Options{
+		Name: s.Name, Inc: p.inc, Store: objects, Peers: p.peers, API: platform.NewCloudAPI(s.CloudAPI.Address, pool),
+		Encode: platform.EncodeUsage, Enabled: p.hasWorkspaces, Changed: p.catalog.Changed, Bounds: s.Bounds, Rate: s.CloudAPI.Rate,
+		MaxObject: s.Store.MaxValueBytes, Wall: time.Now, Boot: duty.BootTime, Logger: p.logger, Meter: m,
+	})
+	p.usage.Register()
+	p.task("usage reports", p.usage.Run)
+}
+
+// hasWorkspaces reports whether the configuration names workspaces, whose requests are to be reported.
+func (p *platformEntry) hasWorkspaces() bool {
+	c := p.catalog.Config()
+	return c != nil && c.Workspaces != nil
+}
+
 // suspects returns the set of requests suspected of crashing servers, which entries share with each other.
 func (p *platformEntry) suspects() *ingress.Suspects {
 	s := ingress.NewSuspects(func(fingerprint uint64, answered bool) {
@@ -351,6 +400,9 @@
 	now := time.Now()
 	end := now.Add(p.settings.Bounds.Grace - shutdownMargin)
 	p.ingress.Drain(end.Add(-responseMargin), now)
+	if p.usage != nil {
+		p.usage.Release()
+	}
 	handedOver := make(chan struct{})
 	go func() {
 		defer close(handedOver)
@@ -366,6 +418,9 @@
 	if err := p.server.Shutdown(ctx); err != nil {
 		event.ShutdownTimedOut.Log(p.logger, "cause", err.Error())
 	}
+	if p.usage != nil {
+		p.usage.Close(context.Background())
+	}
 	<-handedOver
 }
 
