--- a/entry/internal/batch/batch.go
+++ b/entry/internal/batch/batch.go
@@ -136,6 +136,7 @@
 	Catalog        *catalog.Catalog
 	Pool           *upstream.Pool
 	Tracker        *place.Tracker
+	Turns          Turns           // nil to start the items of each job as servers have room
 	Retention      time.Duration   // how long an ended job stays in memory, from its submission
 	MaxObjectBytes int             // largest object of the store in bytes
 	Memory         *budget.Account // for decoded jobs; nil for no limit
--- a/entry/internal/cli/platform.go
+++ b/entry/internal/cli/platform.go
@@ -28,6 +28,7 @@
 	"bulrushspoke/entry/internal/relay"
 	"bulrushspoke/entry/internal/retire"
 	"bulrushspoke/entry/internal/sweep"
+	"bulrushspoke/entry/internal/turn"
 	"bulrushspoke/entry/internal/usage"
 	"bulrushspoke/internal/budget"
 	"bulrushspoke/internal/catalog"
@@ -230,8 +231,16 @@
 	}, jitter, p.logger)
 	objects := relay.New(p.store, p.peers, p.logger)
 	objects.Register(p.peers)
+	turns := turn.New(turn.Options{
+		Name: s.Name, Catalog: p.catalog, Tracker: tracker, Peers: p.peers, Logger: p.logger,
+		Waits:   m.Histogram("turn_wait", "s", "Time that requests waited for a slot, by service and outcome."),
+		Refused: m.Counter("turn_refused", "Requests refused because slots were short.", "service", "cause"),
+	})
+	m.Gauge("turn_waiting", "Requests that wait for a slot.", func() float64 { return float64(turns.Waiting()) })
+	turns.Register()
+	p.task("shares", turns.Run)
 	p.batch = batch.New(lifetime, batch.Options{
-		Self: self, Name: s.Name, Cores: s.Cores, Store: objects, Peers: p.peers, Catalog: p.catalog, Pool: pool, Tracker: tracker,
+		Self: self, Name: s.Name, Cores: s.Cores, Store: objects, Peers: p.peers, Catalog: p.catalog, Pool: pool, Tracker: tracker, Turns: turns,
 		Retention: s.Bounds.ResultRetention, MaxObjectBytes: s.Store.MaxValueBytes, Memory: p.memory.jobs, Logger: p.logger, LinkRate: s.Bandwidth,
 		Outage: objects.Outage, Random: jitter,
 		Steps:     m.Histogram("step_part", "s", "Parts of the time until a step has what its trainer waits for, of its last item."),
@@ -262,6 +271,7 @@
 		Answers:       p.memory.answers,
 		OnAnswersFull: p.closeStalled,
 		Suspects:      p.suspects(),
+		Turns:         turns,
 		ReadConfig:    func(ctx context.Context) error { return feeder.RefreshConfig(ctx, objects) },
 		Logger:        p.logger,
 		Observe: func(route string, status int, took time.Duration) {
--- a/entry/internal/ingress/ingress.go
+++ b/entry/internal/ingress/ingress.go
@@ -86,6 +86,7 @@
 	Observe       func(route string, status int, elapsed time.Duration)
 	Logger        *slog.Logger
 	Suspects      *Suspects
+	Turns         Turns // nil to place each request at once
 	Usage         Usage // nil if nothing is counted
 	// ReadConfig reads the newest configuration from the store and applies it to the catalog; nil if it cannot be read.
 	ReadConfig func(ctx context.Context) error
--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -46,5 +46,7 @@
 	CountsUnconfirmed       = define(1079, slog.LevelInfo, "counts not confirmed by the holder of the usage reports")
 	UsageTooLarge           = define(1082, slog.LevelError, "usage report given up: it does not fit into the store")
 	UsageOff                = define(1083, slog.LevelError, "usage reports are off: a setting is missing")
+	SlotsShort              = define(1080, slog.LevelInfo, "slots of a service are short: workspaces get their shares")
+	SlotsSufficient         = define(1081, slog.LevelInfo, "slots of a service are sufficient again")
 	InstanceRetiring        = define(1050, slog.LevelInfo, "instance is to be removed; it holds nothing that must be kept")
 )
