--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -27,9 +27,9 @@
 	host      string
 	path      string
 	submitted time.Time
-	size      int64
-	total     int  // number of items
-	launched  bool // was run by this entry; guarded by Manager.mu
+	memory    *jobMemory // of the items
+	total     int        // number of items
+	launched  bool       // was run by this entry; guarded by Manager.mu
 
 	mu             sync.Mutex
 	items          map[string]*item
@@ -80,10 +80,6 @@
 	listed   bool
 }
 
-// partSize is the memory of a part of a prompt in bytes: the decoded part, and its hash and tokens in a ticket. A short header
-// field may hold many of them.
-const partSize = 40
-
 // newJob returns a job with the results of the given records, whose state was read from the store at the given time. The
 // items of an ended job may be left out.
 func newJob(m *Manager, spec job.Job, s wire.JobState, records []wire.JobRecord, readAt time.Time) *Job {
@@ -109,13 +105,7 @@
 		stateReadAt: readAt,
 	}
 	for i, it := range spec.Items {
-		j.size += int64(len(it.Body))
-		if it.Reward != nil {
-			j.size += int64(len(it.Reward.Body))
-		}
-		prompt := platform.Headers{}.Prompt(it.Header)
-		j.size += int64(len(prompt.Parts)) * partSize
-		j.items[it.ID] = &item{Item: it, index: i, hint: lengthHint(it), prompt: prompt}
+		j.items[it.ID] = &item{Item: it, index: i, hint: lengthHint(it), prompt: platform.Headers{}.Prompt(it.Header)}
 	}
 	for n, r := range records {
 		j.applyRecord(n, r)
--- a/entry/internal/batch/limit_test.go
+++ b/entry/internal/batch/limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 	"bulrushspoke/internal/call"
 	"bulrushspoke/internal/catalog"
 	"bulrushspoke/internal/job"
+	"bulrushspoke/platform"
 	"bulrushspoke/platform/platformtest"
 	"bulrushspoke/wire"
 )
@@ -77,12 +79,22 @@
 	checkScores(t, s, results)
 }
 
-// Guards against jobs whose items state many parts of prompts, which take more memory than the bodies.
-func TestPartsOfPromptsCountAsMemory(t *testing.T) {
+// Guards against jobs whose items state more parts of prompts than their memory allows for.
+func TestPartsOfPromptsAreBounded(t *testing.T) {
 	m, _ := newRig(t, newEngine(t, 1)).manager("a", "a1")
-	spec := job.Job{ID: "j", Items: []job.Item{{ID: "g-1", Header: platformtest.Prompt(10, 1), Body: make([]byte, 100)}}}
-	if j := newJob(m, spec, wire.JobState{}, nil, time.Now()); j.size != 100+partSize {
-		t.Errorf("the size of the job is %d, want %d", j.size, 100+partSize)
+	header := platformtest.Prompt(10, 1)
+	for name, value := range header {
+		if strings.HasPrefix(value, "part:") {
+			header[name] = strings.Repeat(value+",", 4*platform.MaxPromptParts) + value
+		}
+	}
+	spec := job.Job{ID: "j", Items: []job.Item{{ID: "g-1", Header: header}}}
+	j := newJob(m, spec, wire.JobState{}, nil, time.Now())
+	if n := len(j.items["g-1"].prompt.Parts); n != platform.MaxPromptParts {
+		t.Errorf("%d parts are kept, want %d", n, platform.MaxPromptParts)
+	}
+	if held := heldBytes(spec); held < platform.MaxPromptParts*partBytes {
+		t.Errorf("%d bytes are reserved", held)
 	}
 }
 
--- a/entry/internal/batch/submit.go
+++ b/entry/internal/batch/submit.go
@@ -38,6 +38,11 @@
 	if m.local(id) != nil {
 		return accepted
 	}
+	memory, err := m.reserve(body)
+	if err != nil {
+		return m.refuseMemory(id, err)
+	}
+	defer memory.release()
 	spec, err := platform.DecodeJob(id, body)
 	if err == nil && m.hasKeyInID(spec) {
 		err = job.NewFormatError("the id of an item or of a reward call contains a key")
@@ -45,9 +50,7 @@
 	if err != nil {
 		return ingress.Reply{Status: http.StatusBadRequest, Cause: err.Error(), Body: []byte(err.Error())}
 	}
-	if m.openBytes()+int64(len(body)) > m.MaxOpenBytes {
-		return m.refuse(id, http.StatusTooManyRequests, busyRetryAfter, "no memory for the job")
-	}
+	memory.shrinkToHeld(spec)
 	owner := m.preferredOwner(spec.Model, len(spec.Items), now)
 	if len(body) > maxDelegated && !m.leaving() {
 		owner = candidate{name: m.Name, inc: m.Self.Inc}
@@ -75,9 +78,13 @@
 	switch {
 	case held.Ended || held.Epoch > 1:
 	case held.Owner == m.Name && held.Inc == m.Self.Inc:
-		m.start(newJob(m, spec, held, nil, createdAt), nil)
+		m.start(newJob(m, spec, held, nil, createdAt).attachMemory(memory), nil)
 	case held.Owner == owner.name && held.Inc == owner.inc:
-		go supervise.Guard(m.Logger, "delegate", func() { m.delegate(id, held, body) })
+		kept := memory.transfer()
+		go supervise.Guard(m.Logger, "delegate", func() {
+			defer kept.release()
+			m.delegate(id, held, body, &loadedSpec{spec: spec, memory: kept})
+		})
 	}
 	event.JobAccepted.Log(m.Logger, "job", id, "workspace", w.Name, "step", spec.Step, "model", spec.Model, "min", spec.MinVersion,
 		"items", len(spec.Items), "owner", held.Owner, "epoch", held.Epoch, "ms", time.Since(now).Milliseconds())
@@ -99,8 +106,9 @@
 // maxDelegated is the largest payload that is passed to another entry, in bytes; a link carries frames of up to 4 MB.
 const maxDelegated = 2 << 20
 
-// delegate passes an accepted job to its owner, and takes it over if the owner does not accept it.
-func (m *Manager) delegate(id string, s wire.JobState, body []byte) {
+// delegate passes an accepted job to its owner, and takes it over if the owner does not accept it. The memory of the job stays
+// reserved until then, so that an accepted job finds memory here.
+func (m *Manager) delegate(id string, s wire.JobState, body []byte, loaded *loadedSpec) {
 	ctx, cancel := context.WithTimeout(m.baseCtx, askTimeout)
 	defer cancel()
 	var done wire.JobReply
@@ -110,17 +118,24 @@
 		return
 	}
 	// If the store is unavailable now, the next read by a client takes over the job.
-	m.takeOver(m.baseCtx, id, nil, s.Epoch)
+	m.takeOverLoaded(m.baseCtx, id, nil, s.Epoch, loaded)
 }
 
 // startDelegated runs a job that another entry has accepted for this one.
 func (m *Manager) startDelegated(q wire.JobStart) bool {
+	memory, err := m.reserve(q.Payload)
+	if err != nil {
+		event.JobRefused.Log(m.Logger, "job", q.Job, "status", http.StatusTooManyRequests, "cause", err.Error())
+		return false
+	}
+	defer memory.release()
 	spec, err := platform.DecodeStoredJob(q.Job, q.Payload)
 	if err != nil || q.State.Owner != m.Name || q.State.Inc != m.Self.Inc || m.outdated(q) {
 		return false
 	}
+	memory.shrinkToHeld(spec)
 	// The message may have taken long, so the first read of the state is due at once.
-	return m.start(newJob(m, spec, q.State, nil, time.Now().Add(-stateCheckInterval)), nil)
+	return m.start(newJob(m, spec, q.State, nil, time.Now().Add(-stateCheckInterval)).attachMemory(memory), nil)
 }
 
 // outdated reports whether a delegated job has had another owner since.
--- a/entry/internal/ingress/forward.go
+++ b/entry/internal/ingress/forward.go
@@ -271,7 +271,7 @@
 		a := g.stream(ctx, w, q, s, ticket, resp)
 		a.status, a.answeredAt = resp.StatusCode, headAt
 		return a
-	case resp.ContentLength > maxBufferedResponse:
+	case resp.ContentLength > maxBufferedResponse, !g.reserveAnswer(q, resp.ContentLength):
 		onResponse()
 		a := g.relay(w, q, resp, nil)
 		a.status, a.answeredAt = resp.StatusCode, headAt
--- a/entry/internal/ingress/ingress.go
+++ b/entry/internal/ingress/ingress.go
@@ -14,7 +14,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -23,6 +22,7 @@
 	"time"
 
 	"bulrushspoke/entry/internal/place"
+	"bulrushspoke/internal/budget"
 	"bulrushspoke/internal/call"
 	"bulrushspoke/internal/catalog"
 	"bulrushspoke/internal/event"
@@ -80,7 +80,9 @@
 	Tracker       *place.Tracker
 	Jobs          Jobs
 	Random        Random
-	MaxBodyMemory int64 // limit on the total size of request bodies in memory, in bytes
+	Bodies        *budget.Account // memory for request bodies; nil for no limit
+	Answers       *budget.Account // memory for answers that are buffered; nil for no limit
+	OnAnswersFull func()          // called when an answer finds no memory; may be nil
 	Observe       func(route string, status int, elapsed time.Duration)
 	Logger        *slog.Logger
 	Suspects      *Suspects
@@ -98,7 +100,6 @@
 	drainUntil    atomic.Pointer[time.Time] // when each request must have its response; nil while the process is not leaving
 	drained       context.Context           // ends at that time
 	endDrain      context.CancelFunc
-	reserved      atomic.Int64 // bytes reserved for request bodies
 }
 
 // New returns an Ingress.
@@ -154,6 +155,7 @@
 	defer g.release(q)
 	for _, s := range [...]step{
 		g.configure,    // under which configuration it is served
+		g.boundHead,    // whether its head is within the limits
 		g.authenticate, // whose request it is
 		g.route,        // which route it takes
 		g.readBody,     // what it may hold in memory
@@ -179,7 +181,8 @@
 	config      *catalog.Config
 	route       *catalog.Route
 	body        []byte
-	reserved    int64               // bytes reserved for the body
+	held        budget.Lease        // memory of the body
+	buffered    budget.Lease        // memory of the answer
 	workspace   workspace.Workspace // whose request it is; the zero value for none
 	fingerprint uint64              // set by the admission of requests that are forwarded
 
@@ -209,7 +212,10 @@
 }
 
 // release returns what a request holds.
-func (g *Ingress) release(q *request) { g.reserved.Add(-q.reserved) }
+func (g *Ingress) release(q *request) {
+	q.held.Release()
+	q.buffered.Release()
+}
 
 // configure is the step that determines the configuration under which a request is served.
 func (g *Ingress) configure(q *request) Reply {
@@ -219,6 +225,19 @@
 	return Reply{}
 }
 
+// boundHead is the step that refuses a head beyond the limit, of which the connection enforces only a coarse bound, and
+// reserves what the decoded head takes.
+func (g *Ingress) boundHead(q *request) Reply {
+	size, fields := budget.HeadSize(q.http)
+	if limit := q.config.Limits.MaxHeaderBytes; limit > 0 && size > limit {
+		return Reply{Status: http.StatusRequestHeaderFieldsTooLarge, Cause: "request head exceeds the limit", Close: true}
+	}
+	if err := budget.SettleHead(q.http, size, fields); err != nil {
+		return Reply{Status: http.StatusServiceUnavailable, RetryAfter: retryNoCapacity, Cause: err.Error(), Close: true}
+	}
+	return Reply{}
+}
+
 // route is the step that finds the route of a request. Calls for jobs need none and end here, except those that are for
 // the route that matches them; without a workspace they need an open one.
 func (g *Ingress) route(q *request) Reply {
@@ -330,13 +349,16 @@
 	if length == 0 {
 		return Reply{}
 	}
-	err := g.reserve(q, max(length, 0))
+	err := g.reserve(q, length)
 	if err == nil {
 		err = g.readAll(c, q, limit)
 	}
 	var netErr net.Error
+	var full *budget.Error
 	switch {
-	case errors.Is(err, errMemory):
+	case errors.As(err, &full) && full.Never():
+		return Reply{Status: http.StatusRequestEntityTooLarge, Cause: err.Error()}
+	case full != nil:
 		return Reply{Status: http.StatusServiceUnavailable, RetryAfter: retryNoCapacity, Cause: err.Error()}
 	case errors.As(err, &netErr) && netErr.Timeout():
 		return Reply{Status: http.StatusRequestTimeout, Cause: "reading the request body: " + err.Error()}
@@ -348,51 +370,6 @@
 	return Reply{}
 }
 
-// errMemory means that request bodies have reached their memory limit.
-var errMemory = errors.New("ingress: memory limit for request bodies reached")
-
-// reserve reserves memory for a request body until the request ends.
-func (g *Ingress) reserve(q *request, n int64) error {
-	q.reserved += n
-	if g.reserved.Add(n) > g.MaxBodyMemory {
-		return errMemory
-	}
-	return nil
-}
-
-// readAll reads the request body. For a body of known length, the caller has reserved the memory.
-func (g *Ingress) readAll(c *http.ResponseController, q *request, limit int64) error {
-	if err := c.SetReadDeadline(q.arrived.Add(q.remaining(q.arrived))); err != nil {
-		return err
-	}
-	var err error
-	if n := q.http.ContentLength; n > 0 {
-		q.body = make([]byte, n)
-		_, err = io.ReadFull(q.http.Body, q.body)
-	} else {
-		q.body, err = io.ReadAll(io.LimitReader(&reservingReader{ingress: g, request: q}, limit+1))
-	}
-	if err != nil {
-		return err
-	}
-	return c.SetReadDeadline(time.Time{})
-}
-
-// reservingReader reads a request body of unknown length and reserves memory as it goes.
-type reservingReader struct {
-	ingress *Ingress
-	request *request
-}
-
-// Read implements io.Reader.
-func (r *reservingReader) Read(b []byte) (int, error) {
-	n, err := r.request.http.Body.Read(b)
-	if reserveErr := r.ingress.reserve(r.request, int64(n)); reserveErr != nil {
-		return n, reserveErr
-	}
-	return n, err
-}
-
 // callJob makes a call for a batch job. It returns false if the request is one for the route that matches it.
 //
 // A job outlives its route: its results can be read and the job can be ended after the configuration has removed the
@@ -459,6 +436,8 @@
 
 // reply sends a response generated by this process.
 func (g *Ingress) reply(w http.ResponseWriter, q *request, a Reply) {
+	a, release := g.reserveReply(w, a)
+	defer release()
 	h := w.Header()
 	if q.ID != "" {
 		g.headers.Identify(h, q.ID)
