--- a/internal/metering/metering.go
+++ b/internal/metering/metering.go
@@ -4,7 +4,7 @@
 //
 //	c := metering.NewCounter()
 //	c.Add(window, "workspace-1")
-//	windows, marked, any := c.Changes()
+//	windows, completed, found := c.Changes()
 //
 //	l := metering.NewCollector()
 //	l.Merge(metering.Message{Name: "entry-1", …})
@@ -84,10 +84,11 @@
 	maps.DeleteFunc(c.changed, func(w int64, _ Counts) bool { return w <= last })
 }
 
-// Changes returns the counts that have changed since the last call, and reports whether there are any or further windows have
-// become complete. All counts of windows that have become complete are included, since an earlier message about them may be lost.
-func (c *Counter) Changes() (changed map[int64]Counts, marked, any bool) {
-	marked = c.through > c.marked
+// Changes returns the counts that have changed since the last call, whether further windows have become complete, and whether
+// there is anything to send. All counts of windows that have become complete are included, since an earlier message about them
+// may be lost.
+func (c *Counter) Changes() (changed map[int64]Counts, completed, found bool) {
+	completed = c.through > c.marked
 	changed = c.changed
 	c.changed = make(map[int64]Counts)
 	for w, n := range c.windows {
@@ -96,7 +97,7 @@
 		}
 	}
 	c.marked = c.through
-	return changed, marked, marked || len(changed) > 0
+	return changed, completed, completed || len(changed) > 0
 }
 
 // All returns all windows that have not been written.
