--- a/entry/internal/duty/act.go
+++ b/entry/internal/duty/act.go
@@ -95,8 +95,8 @@
 // closed returns the reports of the windows that may be closed. The caller holds mu.
 func (d *Duty) closed(after int64, running []string, now time.Duration) []wire.DutyReport {
 	reports := d.all.Closed(after, metering.Closing{
-		Now: now + d.times.Offset(now), Length: d.Bounds.ReportWindow, Settle: d.settle, Patience: d.patience,
-		Expected: d.expected(running), Hurried: d.seat.Held(now) >= collectTime,
+		Now: now + d.times.Offset(now), Length: d.Bounds.ReportWindow, Settle: d.settle, Deadline: d.closeDeadline,
+		Expected: d.expected(running), MayOmitMissing: d.seat.Held(now) >= collectTime,
 	})
 	l := make([]wire.DutyReport, 0, len(reports))
 	for _, r := range reports {
--- a/entry/internal/duty/counts.go
+++ b/entry/internal/duty/counts.go
@@ -299,7 +299,7 @@
 			}
 		}
 	}
-	if age >= d.patience-listAhead && d.listed < next {
+	if age >= d.closeDeadline-listAhead && d.listed < next {
 		d.listed = next
 		go supervise.Guard(d.Logger, "counts", func() { d.listCounts(ctx) })
 	}
--- a/entry/internal/duty/duty.go
+++ b/entry/internal/duty/duty.go
@@ -57,9 +57,9 @@
 	settleMargin   = 100 * time.Millisecond
 	// maxSettleShare is the largest share of the report's time limit that this may take.
 	maxSettleShare = 0.3
-	// patienceShare is the share of the report's time limit after which a window is closed without the counts of entries that
+	// closeDeadlineShare is the share of the report's time limit after which a window is closed without the counts of entries that
 	// do not answer. The rest is enough for a takeover in the case that the holder ends just then: 4.5 s of 10 s.
-	patienceShare = 0.45
+	closeDeadlineShare = 0.45
 	// rateShare is the share of the calls that the platform accepts which this duty may use.
 	rateShare = 0.5
 	// reportsShare is the share of the largest object that reports may use; their bodies are longer in the object.
@@ -133,8 +133,8 @@
 // Duty counts the requests of this entry and takes part in reporting those of all. It is safe for concurrent use.
 type Duty struct {
 	Options
-	settle, patience time.Duration
-	metrics          metrics
+	settle, closeDeadline time.Duration
+	metrics               metrics
 
 	inbox  sync.Mutex // guards the next two fields, so that requests never wait for messages to be sent
 	clocks clockMap
@@ -172,16 +172,16 @@
 	boot := o.Boot()
 	d := &Duty{
 		Options: o, started: boot,
-		settle:   min(callerDeadline+settleMargin, time.Duration(maxSettleShare*float64(o.Bounds.UsageDelay))),
-		patience: time.Duration(patienceShare * float64(o.Bounds.UsageDelay)),
-		times:    truetime.New(o.Wall(), boot),
-		all:      metering.NewCollector(),
-		seat:     NewSeat(o.Name, o.Inc, timing(o), boot),
-		sentTo:   make(map[string]string),
-		apart:    make(map[string]int64),
-		asking:   make(map[string]bool),
-		askedAt:  make(map[string]time.Duration),
-		missing:  make(map[int64][]string),
+		settle:        min(callerDeadline+settleMargin, time.Duration(maxSettleShare*float64(o.Bounds.UsageDelay))),
+		closeDeadline: time.Duration(closeDeadlineShare * float64(o.Bounds.UsageDelay)),
+		times:         truetime.New(o.Wall(), boot),
+		all:           metering.NewCollector(),
+		seat:          NewSeat(o.Name, o.Inc, timing(o), boot),
+		sentTo:        make(map[string]string),
+		apart:         make(map[string]int64),
+		asking:        make(map[string]bool),
+		askedAt:       make(map[string]time.Duration),
+		missing:       make(map[int64][]string),
 	}
 	d.clocks.update(time.Now(), boot)
 	d.metrics = newMetrics(o.Meter, d)
--- a/entry/internal/duty/seat.go
+++ b/entry/internal/duty/seat.go
@@ -377,7 +377,7 @@
 	case s.observed == 0:
 		return StoreCall{Op: Read}, now >= s.started+introduction+rankDelay
 	}
-	if now-s.observedAt < s.patience(v, now)+rankDelay {
+	if now-s.observedAt < s.takeoverDelay(v, now)+rankDelay {
 		return StoreCall{}, false
 	}
 	if s.revision != s.observed {
@@ -426,10 +426,10 @@
 	return s.last
 }
 
-// patience returns how long the object must have been unchanged before this entry, if it is first in line, takes over. A
+// takeoverDelay returns how long the object must have been unchanged before this entry, if it is first in line, takes over. A
 // former holder does not profit from a release until it has seen others hold the duty for as long, so that the duty does
 // not return to it too soon.
-func (s *Seat) patience(v View, now time.Duration) time.Duration {
+func (s *Seat) takeoverDelay(v View, now time.Duration) time.Duration {
 	former := s.holder == s.name || s.held || s.revision == s.observed && slices.Contains(s.object.Former, s.name)
 	former = former && (s.holder == s.name || now-s.otherSince < s.timing.Takeover)
 	switch {
--- a/internal/metering/metering.go
+++ b/internal/metering/metering.go
@@ -272,12 +272,12 @@
 
 // Closing describes what decides whether a window may be closed.
 type Closing struct {
-	Now      time.Duration // true time since 1970
-	Length   time.Duration // of a window
-	Settle   time.Duration // from the end of a window until no request of it is open
-	Patience time.Duration // from the end of a window until it is closed though processes have not marked it as complete
-	Expected []string      // processes that may hold counts
-	Hurried  bool          // whether Patience applies; false until the processes have had time to send their counts
+	Now            time.Duration // true time since 1970
+	Length         time.Duration // of a window
+	Settle         time.Duration // from the end of a window until no request of it is open
+	Deadline       time.Duration // from the end of a window until it is closed though processes have not marked it as complete
+	Expected       []string      // processes that may hold counts
+	MayOmitMissing bool          // whether Deadline applies; false until the processes have had time to send their counts
 }
 
 // Report holds the final counts of a window.
@@ -297,7 +297,7 @@
 			break
 		}
 		missing := l.Missing(w, c.Expected)
-		if len(missing) > 0 && (!c.Hurried || age < c.Patience) {
+		if len(missing) > 0 && (!c.MayOmitMissing || age < c.Deadline) {
 			break
 		}
 		reports = append(reports, Report{Window: w, Counts: l.Total(w), Missing: missing})
--- a/internal/metering/metering_test.go
+++ b/internal/metering/metering_test.go
@@ -68,22 +68,22 @@
 	l := NewCollector()
 	l.Merge(Message{Name: "a", Incarnation: "i", Through: 12, Windows: map[int64]Counts{11: {"w": 2}}})
 	l.Merge(Message{Name: "b", Incarnation: "i", Through: 11, Windows: map[int64]Counts{12: {"w": 1}}})
-	at := func(s float64, hurried bool) []int64 {
+	at := func(s float64, mayOmitMissing bool) []int64 {
 		var windows []int64
 		for _, r := range l.Closed(10, Closing{
-			Now: time.Duration(s * float64(time.Second)), Length: 5 * time.Second, Settle: 2 * time.Second, Patience: 4 * time.Second,
-			Expected: []string{"a", "b"}, Hurried: hurried,
+			Now: time.Duration(s * float64(time.Second)), Length: 5 * time.Second, Settle: 2 * time.Second, Deadline: 4 * time.Second,
+			Expected: []string{"a", "b"}, MayOmitMissing: mayOmitMissing,
 		}) {
 			windows = append(windows, r.Window)
 		}
 		return windows
 	}
 	for _, c := range []struct {
-		second  float64
-		hurried bool
-		want    []int64
+		second         float64
+		mayOmitMissing bool
+		want           []int64
 	}{{61, true, nil}, {62, true, []int64{11}}, {68, true, []int64{11}}, {69, false, []int64{11}}, {69, true, []int64{11, 12}}} {
-		if got := at(c.second, c.hurried); !slices.Equal(got, c.want) {
+		if got := at(c.second, c.mayOmitMissing); !slices.Equal(got, c.want) {
 			t.Errorf("at second %v closed %v, want %v", c.second, got, c.want)
 		}
 	}
