--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -119,9 +119,9 @@
 	exemptShare = 2
 )
 
-// Grow reserves n more bytes. It leaves spare bytes of the account to other leases, unless these hold at most an eighth of its
-// limit; then the lease may take what is left of the budget, and what it holds is not charged to the others if it exceeds what they leave. A lease without
-// an account is unlimited. The error is an *Error; the lease then holds what it held before.
+// Grow reserves n more bytes. It leaves spare bytes of the account to other leases. A lease may exceed that if the others hold
+// at most an eighth of the account's limit; what it holds is then charged to the budget only. A lease without an account is
+// unlimited. The error is an *Error; the lease then holds what it held before.
 func (l *Lease) Grow(n, spare int64) error {
 	a := l.account
 	if a == nil {
--- a/internal/budget/listener_test.go
+++ b/internal/budget/listener_test.go
@@ -135,6 +135,31 @@
 	}
 }
 
+// Guards against a connection that is closed twice and frees two places.
+func TestClosingTwiceFreesOnePlace(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{listener: Listen(l, ListenerOptions{Most: 2, Logger: slog.New(slog.DiscardHandler)})}
+	var first net.Conn
+	for range 2 {
+		r.dial(t)
+		c, err := r.listener.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if first == nil {
+			first = c
+		}
+	}
+	_ = first.Close()
+	_ = first.Close()
+	if n := r.listener.Open(); n != 1 {
+		t.Errorf("%d connections count as open, want 1", n)
+	}
+}
+
 // Guards against links that are displaced by connections that have not authenticated.
 func TestTrust(t *testing.T) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
