--- a/review/standins-2/engine.go
+++ b/review/standins-2/engine.go
@@ -16,8 +16,10 @@
 // engine is a model server beside a daemon.
 type engine struct {
 	id, address, zone string
+	service           string
 	rec               *record
 	st                *store
+	items             *itemLog // nil to keep none
 
 	mu       sync.Mutex
 	born     int64
@@ -30,7 +32,7 @@
 }
 
 func newEngine(id, address, zone string, st *store, rec *record, models ...string) *engine {
-	e := &engine{id: id, address: address, zone: zone, st: st, rec: rec, born: time.Now().UnixMilli(), versions: map[string]int{}}
+	e := &engine{id: id, address: address, zone: zone, service: "plan-models", st: st, rec: rec, born: time.Now().UnixMilli(), versions: map[string]int{}}
 	for _, m := range models {
 		e.versions[m] = 1
 	}
@@ -55,7 +57,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.st.put("servers", e.id, map[string]any{
-		"service": "plan-models", "address": e.address, "zone": e.zone, "version": "v1", "slots": 12, "state": "ready", "cold_left_ms": 0,
+		"service": e.service, "address": e.address, "zone": e.zone, "version": "v1", "slots": 12, "state": "ready", "cold_left_ms": 0,
 		"stage": "both", "models": e.models(), "seq_no": e.seq, "born": e.born,
 	})
 }
--- a/review/standins-2/serving.go
+++ b/review/standins-2/serving.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -87,6 +88,9 @@
 	length, _ := strconv.Atoi(parts[len(parts)-1])
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	e.rec.line("%s runs item %s after event %d", e.id, id, after)
+	e.items.begin(id)
+	finished := false
+	defer func() { e.items.end(id, finished) }()
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("X-Server-Stamp", "stamp."+id)
 	w.Header().Set("X-Weight-Versions", strconv.Itoa(version))
@@ -104,9 +108,42 @@
 		}
 		_ = out.Flush()
 	}
+	finished = true
 	e.rec.line("%s has finished item %s", e.id, id)
 }
 
+// itemLog holds at how many servers each item is, when it last was at one, and whether one has finished it.
+type itemLog struct {
+	mu       sync.Mutex
+	at       map[string]int
+	last     map[string]time.Time
+	finished map[string]bool
+}
+
+func newItemLog() *itemLog {
+	return &itemLog{at: map[string]int{}, last: map[string]time.Time{}, finished: map[string]bool{}}
+}
+
+func (l *itemLog) begin(id string) {
+	if l == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.at[id]++
+}
+
+func (l *itemLog) end(id string, finished bool) {
+	if l == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.at[id]--
+	l.last[id] = time.Now()
+	l.finished[id] = l.finished[id] || finished
+}
+
 // call makes one call of a client on a new connection.
 func call(front, method, path string, header map[string]string, body []byte, timeout time.Duration) (int, http.Header, []byte, error) {
 	t := &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}
--- a/review/standins-2/world.go
+++ b/review/standins-2/world.go
@@ -17,6 +17,7 @@
 	engines []*engine
 	fronts  []*process
 	version int
+	items   *itemLog
 }
 
 var frontNames = []struct{ name, zone string }{
@@ -25,11 +26,12 @@
 }
 
 func newWorld(rec *record, dir string) *world {
-	w := &world{rec: rec, st: newStore(), n: newNetwork(), models: []string{"daka510000", "rada7437b5"}, version: 1}
+	w := &world{rec: rec, st: newStore(), n: newNetwork(), models: []string{"daka510000", "rada7437b5"}, version: 1, items: newItemLog()}
 	serveOn(w.n.ip(250)+":8169", w.st)
 	var publish []func()
 	for i := range 11 {
 		e := newEngine("i-"+newID()[:8], w.n.ip(101+i)+":8165", zones[i%3], w.st, rec, w.models...)
+		e.items = w.items
 		serveOn(e.address, e)
 		w.engines = append(w.engines, e)
 		publish = append(publish, e.publish)
