--- a/review/standins-2/plain.go
+++ b/review/standins-2/plain.go
@@ -41,10 +41,12 @@
 	w.Header().Set("X-Request-Id", id)
 	w.Header().Set("X-Server-Stamp", "stamp."+id)
 	status := http.StatusOK
-	if !strings.HasPrefix(r.URL.Path, "/lohu930/") {
+	if !strings.HasPrefix(r.URL.Path, "/lohu930/") && !strings.HasPrefix(r.URL.Path, "/once/") {
 		status = http.StatusNotFound
 	}
-	p.rec.line("%s of field-ledger runs %s %s: %d", p.id, r.Method, r.URL.RequestURI(), status)
+	if !strings.HasPrefix(r.URL.Path, "/once/") {
+		p.rec.line("%s of field-ledger runs %s %s: %d", p.id, r.Method, r.URL.RequestURI(), status)
+	}
 	w.WriteHeader(status)
 	fmt.Fprintf(w, "answer to %s", id)
 }
--- a/review/standins-2/poison.go
+++ b/review/standins-2/poison.go
@@ -107,7 +107,7 @@
 			}
 		}
 	}()
-	w.configure(route("r-plain", "/lohu930/", "safe", "field-ledger"))
+	w.configure(route("r-plain", "/lohu930/", "safe", "field-ledger"), route("r-entry", "/once/", "unsafe", "field-ledger"))
 	for i, f := range frontNames {
 		p := newProcess(dir, f.name, filepath.Join(root(), "target/entry"), settings(w.n, "front", f.name, f.zone, 1+i))
 		w.fronts = append(w.fronts, p)
@@ -125,6 +125,10 @@
 	if os.Getenv("SHORT") != "" {
 		limit = 20 * time.Second
 	}
+	stop := time.Now().Add(limit)
+	for k := range 4 {
+		go w.others(k, stop)
+	}
 	for began, n := time.Now(), 0; time.Since(began) < limit; n++ {
 		at := n % len(w.fronts)
 		status, _, _, err := call(w.front(at), http.MethodPost, path, map[string]string{"X-Request-Id": newID(), "X-Deadline-Ms": "3000"},
@@ -133,3 +137,17 @@
 		time.Sleep(2 * time.Second)
 	}
 }
+
+// others sends unsafe requests of another caller, one after the other, and records those that a crash breaks off; a 503
+// promises that the request has not run. They are not judged.
+func (w *world) others(front int, stop time.Time) {
+	for time.Now().Before(stop) {
+		id := newID()
+		status, _, _, err := call(w.front(front), http.MethodPost, "/once/"+id, map[string]string{"X-Request-Id": id, "X-Deadline-Ms": "3000"},
+			[]byte(id), 3500*time.Millisecond)
+		if status != http.StatusOK && status != http.StatusServiceUnavailable {
+			w.rec.line("unsafe request %s of another caller at %s: %d %v", id, w.fronts[front].name, status, err)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
--- a/review/standins-2/serving.go
+++ b/review/standins-2/serving.go
@@ -184,7 +184,7 @@
 			j.items = append(j.items, map[string]any{
 				"id": id, "path": fmt.Sprintf("%s%d/%s/%d", prefix, step, id[:4], events),
 				"headers": map[string]string{"X-Model": model, "X-Token-Count": fmt.Sprintf("1016,%d", events*56), "X-Prompt-Prefix": fmt.Sprintf("%08x:1000,%s:16", g+1, id), "X-Length-Hint": strconv.Itoa(events * 56)},
-				"body": base64.StdEncoding.EncodeToString([]byte("prompt " + id)), "tokens": 1016 + events*56, "group": fmt.Sprintf("g%d-%s", g, j.id),
+				"body":    base64.StdEncoding.EncodeToString([]byte("prompt " + id)), "tokens": 1016 + events*56, "group": fmt.Sprintf("g%d-%s", g, j.id),
 			})
 		}
 	}
