review: case 7, items that come again are listed as completed with a part of their text

Cause: an answer without framing that ends before any event is taken as the confirmation that a resumed text is whole.

--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -17,7 +17,7 @@
 }
 
 func main() {
-	cases := map[string]func(*record, string, bool){"fence": runFence, "route": runRoute, "forgotten": runForgotten, "poison": runPoison, "split": runSplit, "midstream": runMidstream, "empty": runEmpty}
+	cases := map[string]func(*record, string, bool){"fence": runFence, "route": runRoute, "forgotten": runForgotten, "poison": runPoison, "split": runSplit, "midstream": runMidstream, "empty": runEmpty, "short": runShort}
 	run := cases[os.Args[1]]
 	if run == nil {
 		cannot("no case %s", os.Args[1])
