--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -6,8 +6,12 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"time"
 )
 
+// maxRun bounds a run.
+const maxRun = 117 * time.Second
+
 func root() string {
 	d, err := filepath.Abs(os.Getenv("REPO"))
 	if err != nil {
@@ -26,6 +30,8 @@
 	if err != nil {
 		cannot("%v", err)
 	}
+	tempDir = dir
+	time.AfterFunc(maxRun, func() { cannot("the case did not end in %s", maxRun) })
 	rec := newRecord(os.Args[2])
 	run(rec, dir, os.Getenv("TROUBLE") != "0")
 	stopAll()
--- a/review/standins-2/proc.go
+++ b/review/standins-2/proc.go
@@ -67,9 +67,13 @@
 func cannot(format string, args ...any) {
 	fmt.Fprintf(os.Stderr, format+"\n", args...)
 	stopAll()
+	_ = os.RemoveAll(tempDir)
 	os.Exit(2)
 }
 
+// tempDir holds settings and logs of the processes; empty before it is made.
+var tempDir string
+
 // process is a program of the project, started with the command of the deploy file.
 type process struct {
 	name string
