Give items up only under the newest configuration

Cause: the owner of a job goes by the configuration that it holds itself. One that does not have the new route yet takes it for a removed one and terminates all items, which is final. The state of a job did not say under which configuration it had been accepted.

Change: the state names the revision of the configuration. Under an older one no item starts, and the newest one is read from the store at once. Before items are given up for a reason that lies in the configuration (no route, the time limit, the number of failed runs or reward calls), a read that began after the reason arose must confirm it. Jobs share the reads.

Ruled out: the kill of the leader only delays the news; it is the pause between two watches of the owner that matters. The receiver did have the route, as the 202 shows.

--- a/entry/internal/batch/batch.go
+++ b/entry/internal/batch/batch.go
@@ -146,6 +146,9 @@
 	Outage         func(now time.Time) time.Duration // how long the store has been unavailable; 0 if it is available
 	Steps          Histogram
 	LogFaults      Counter // inconsistencies found in the logs of jobs, by kind
+	// ReadConfig reads the newest configuration from the store and applies it to the catalog; nil if the catalog always has the
+	// newest one.
+	ReadConfig func(ctx context.Context) error
 }
 
 // Manager holds the jobs that this entry runs or has loaded.
@@ -163,13 +166,14 @@
 	lengths       *forecast.Forecast
 	readIntervals intervals
 	rewardTimes   *reward.HedgePolicy
+	config        *configReader
 	slotFreed     chan struct{} // closed when a server slot becomes free
 	closed        bool          // set by Handover: no job is added any more
 }
 
 // New returns a Manager whose jobs run until ctx ends.
 func New(ctx context.Context, o Options) *Manager {
-	return &Manager{
+	m := &Manager{
 		Options:       o,
 		baseCtx:       ctx,
 		jobs:          make(map[string]*Job),
@@ -183,6 +187,8 @@
 		rewardTimes:   reward.NewHedgePolicy(),
 		slotFreed:     make(chan struct{}),
 	}
+	m.config = &configReader{read: o.ReadConfig, parent: ctx, logger: o.Logger, ended: m.wakeJobs}
+	return m
 }
 
 // unavailable returns the reply to a call that may succeed when repeated shortly.
@@ -505,8 +511,8 @@
 	return m.closed
 }
 
-// signalFreeSlot wakes all jobs that wait for a server slot.
-func (m *Manager) signalFreeSlot() {
+// wakeJobs wakes all jobs that wait for a server slot or for a newer configuration.
+func (m *Manager) wakeJobs() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	close(m.slotFreed)
--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -27,6 +27,7 @@
 	host      string
 	path      string
 	submitted time.Time
+	accepted  int64      // revision of the configuration under which the job was accepted; 0 if unknown
 	memory    *jobMemory // of the items
 	total     int        // number of items
 	launched  bool       // was run by this entry; guarded by Manager.mu
@@ -51,6 +52,7 @@
 	stepLogged     bool            // event.StepCompleted has been logged
 	reader         reader          // the client that reads the results in order
 	flushRequested bool            // a client waits for results that are held back
+	unconfirmed    unconfirmed     // cause to give up the open items
 	cancel         context.CancelFunc
 	changed        chan struct{} // closed when results are listed or the job stops
 	wake           chan struct{} // signals run that an attempt has ended
@@ -68,6 +70,7 @@
 	data     []string        // data of the events received so far
 	versions []int
 	failures int       // responses with status 500
+	failedAt time.Time // last failure of a run or of the reward call
 	moves    int       // moves between servers
 	moved    time.Time // when the last move began
 	timing   timing
@@ -91,6 +94,7 @@
 		host:      s.Host,
 		path:      s.Path,
 		submitted: time.UnixMilli(s.At),
+		accepted:  s.Config,
 		items:     make(map[string]*item, len(spec.Items)),
 		total:     s.Total,
 		ended:     s.Ended,
@@ -168,7 +172,7 @@
 	if it == nil || it.done {
 		return
 	}
-	it.failures = max(it.failures, p.Failures)
+	it.failures, it.failedAt = max(it.failures, p.Failures), now
 	if p.Void {
 		j.terminate(it, now)
 	}
--- a/entry/internal/batch/log_test.go
+++ b/entry/internal/batch/log_test.go
@@ -224,7 +224,7 @@
 	if !m.ensureCurrent(t.Context(), j, 1, time.Now()) {
 		t.Fatal("the log cannot be read")
 	}
-	j.giveUp(pending, false, time.Now())
+	j.giveUp(pending, causeNoRoute, time.Now())
 	if _, record := j.nextRecord(); len(record.Results) > 0 {
 		t.Errorf("the listed item is to be listed again: %v", record.Results)
 	}
--- a/entry/internal/batch/rig_test.go
+++ b/entry/internal/batch/rig_test.go
@@ -297,6 +297,9 @@
 	steps   *steps
 	faults  *faults
 	wrap    func(Store) Store // applied to the store of each manager; nil for none
+	held    *catalog.Config   // configuration that managers hold when they start; nil for one with the routes of the rig
+	// newest reads the newest configuration from the store; nil if managers hold it.
+	newest func() (catalog.Config, error)
 }
 
 func newRig(t *testing.T, engines ...*engine) *rig {
@@ -321,7 +324,11 @@
 func (r *rig) manager(name, inc string) (*Manager, context.CancelFunc) {
 	r.t.Helper()
 	c := catalog.New(discardLogger)
-	c.ApplyConfig(catalog.Config{Revision: 1, Routes: append([]catalog.Route{r.route}, r.routes...)})
+	held := catalog.Config{Revision: 1, Routes: append([]catalog.Route{r.route}, r.routes...)}
+	if r.held != nil {
+		held = *r.held
+	}
+	c.ApplyConfig(held)
 	r.registerServers(c)
 	pool := upstream.New(upstream.Limits{Dial: time.Second, Idle: 16})
 	life, stop := context.WithCancel(r.t.Context())
@@ -331,11 +338,22 @@
 	if r.wrap != nil {
 		objects = r.wrap(objects)
 	}
+	var readConfig func(context.Context) error
+	if r.newest != nil {
+		readConfig = func(context.Context) error {
+			n, err := r.newest()
+			if err == nil {
+				c.ApplyConfig(n)
+			}
+			return err
+		}
+	}
 	m := New(life, Options{
 		Self: wire.Member{Inc: inc}, Name: name,
 		Store: objects, Peers: peers, Catalog: c, Pool: pool,
 		Tracker: place.New(home, c.Limits(), rand.New(rand.NewPCG(1, 1))), Retention: time.Minute, MaxObjectBytes: 1 << 20, Memory: budget.New(1<<24).Account("jobs", 1<<24), Logger: discardLogger,
 		Outage: func(time.Time) time.Duration { return 0 }, Random: firstChoice{}, Steps: r.steps, LogFaults: r.faults,
+		ReadConfig: readConfig,
 	})
 	m.Register(peers)
 	r.mesh.mu.Lock()
--- a/entry/internal/batch/run.go
+++ b/entry/internal/batch/run.go
@@ -75,23 +75,29 @@
 // schedule starts as many items as servers have room for and returns how many are waiting; negative if all are done.
 func (j *Job) schedule(ctx context.Context) int {
 	now := time.Now()
+	confirmedAt := j.manager.config.current(now)
 	c := j.manager.Catalog.Config()
 	if c == nil {
 		return 1
 	}
-	route, ok := c.Match(j.host, j.path)
 	pending := j.pending()
-	if !ok || j.expired(route, now) {
-		j.giveUp(pending, ok, now)
+	if c.Revision < j.accepted {
+		j.manager.config.request(now)
+		return max(len(pending), 1)
+	}
+	route, ok := c.Match(j.host, j.path)
+	if cause := j.causeToGiveUp(route, now); cause != "" && j.confirmed(confirmedAt, now) {
+		j.giveUp(pending, cause, now)
 		notify(j.listWake)
 		return j.openStatus()
 	}
-	if len(pending) > 0 && !j.stateCurrent(now) {
+	if !ok || len(pending) > 0 && !j.stateCurrent(now) {
 		return len(pending)
 	}
+	pending, unconfirmed := j.giveUpFailed(pending, c, route, confirmedAt, now)
 	// Selected before reward calls start, since these change their items when they end.
 	texts := slices.DeleteFunc(pending, func(it *item) bool { return it.textDone })
-	waiting := j.sendRewardCalls(ctx, c, now)
+	waiting := unconfirmed + j.sendRewardCalls(ctx, c, now)
 	waiting += j.startTexts(ctx, now, texts, route)
 	if j.openStatus() < 0 {
 		notify(j.listWake)
@@ -146,7 +152,7 @@
 			j.mu.Lock()
 			it.running = false
 			j.mu.Unlock()
-			j.manager.signalFreeSlot()
+			j.manager.wakeJobs()
 			notify(j.wake)
 			notify(j.listWake)
 		}()
@@ -189,25 +195,6 @@
 	return -1
 }
 
-func (j *Job) expired(r *catalog.Route, now time.Time) bool {
-	return r.MaxQueueTime > 0 && now.Sub(j.submitted) > r.MaxQueueTime
-}
-
-// giveUp terminates items of jobs that are past their time limit or have no route.
-func (j *Job) giveUp(pending []*item, routed bool, now time.Time) {
-	cause := "the job exceeded its time limit"
-	if !routed {
-		cause = "the route was removed"
-	}
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	for _, it := range pending {
-		if j.terminate(it, now) {
-			event.ItemGivenUp.Log(j.manager.Logger, "job", j.spec.ID, "request", it.ID, "cause", cause)
-		}
-	}
-}
-
 func notify(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
@@ -332,10 +319,7 @@
 	case resp.StatusCode == http.StatusInternalServerError:
 		v.outcome, v.cause = place.Answered, "the engine failed"
 		j.mu.Lock()
-		if it.failures++; it.failures >= route.MaxAttempts && j.terminate(it, time.Now()) {
-			event.ItemGivenUp.Log(j.manager.Logger, "job", j.spec.ID, "request", it.ID, "cause", "its runs fail",
-				"failures", it.failures)
-		}
+		it.failures, it.failedAt = it.failures+1, time.Now()
 		j.mu.Unlock()
 	default:
 		v.cause = causeFailed
--- a/entry/internal/batch/score.go
+++ b/entry/internal/batch/score.go
@@ -27,7 +27,7 @@
 	waiting := 0
 	for _, it := range j.unscored() {
 		route, ok := c.Match(it.Reward.Host, it.Reward.Path)
-		if !ok || !it.call.Due(now) {
+		if !ok || !it.call.Due(now) || it.call.Exhausted(route.MaxAttempts) {
 			waiting++
 			continue
 		}
@@ -153,10 +153,9 @@
 	case r.score != "":
 		j.manager.rewardTimes.Observe(route.Name, took)
 		j.queueResult(it, r.score, now)
-	case it.call.Ended(r.outcome, route.MaxAttempts, now):
-		j.terminate(it, now)
-		event.ItemGivenUp.Log(j.manager.Logger, "job", j.spec.ID, "request", it.ID, "cause", "its reward calls fail",
-			"call", it.Reward.ID)
+	default:
+		it.call.Ended(r.outcome, now)
+		it.failedAt = now
 	}
 	tries := it.call.Attempts()
 	j.mu.Unlock()
--- a/entry/internal/batch/submit.go
+++ b/entry/internal/batch/submit.go
@@ -64,7 +64,7 @@
 	}
 	state := wire.JobState{
 		Owner: owner.name, Inc: owner.inc, Epoch: 1, Host: r.Host, Path: r.Prefix, Total: len(spec.Items),
-		At: now.UnixMilli(), Model: spec.Model,
+		At: now.UnixMilli(), Model: spec.Model, Config: m.configRevision(),
 	}
 	setWorkspace(&state, w)
 	createdAt := time.Now()
@@ -91,6 +91,14 @@
 	return accepted
 }
 
+// configRevision returns the revision of the configuration that this entry holds.
+func (m *Manager) configRevision() int64 {
+	if c := m.Catalog.Config(); c != nil {
+		return c.Revision
+	}
+	return 0
+}
+
 // hasKeyInID reports whether the id of an item or of a reward call of a new job contains a key, which the ingress may have
 // masked. Ids reach servers, logs and results, and cannot be changed.
 func (m *Manager) hasKeyInID(spec job.Job) bool {
--- a/entry/internal/cli/platform.go
+++ b/entry/internal/cli/platform.go
@@ -239,10 +239,11 @@
 	m.Gauge("turn_waiting", "Requests that wait for a slot.", func() float64 { return float64(turns.Waiting()) })
 	turns.Register()
 	p.task("shares", turns.Run)
+	feeder := platform.NewCatalogUpdater(p.catalog, p.logger)
 	p.batch = batch.New(lifetime, batch.Options{
 		Self: self, Name: s.Name, Cores: s.Cores, Store: objects, Peers: p.peers, Catalog: p.catalog, Pool: pool, Tracker: tracker, Turns: turns,
 		Retention: s.Bounds.ResultRetention, MaxObjectBytes: s.Store.MaxValueBytes, Memory: p.memory.jobs, Logger: p.logger, LinkRate: s.Bandwidth,
-		Outage: objects.Outage, Random: jitter,
+		Outage: objects.Outage, Random: jitter, ReadConfig: func(ctx context.Context) error { return feeder.RefreshConfig(ctx, objects) },
 		Steps:     m.Histogram("step_part", "s", "Parts of the time until a step has what its trainer waits for, of its last item."),
 		LogFaults: m.Counter("job_log_faults", "Inconsistencies found in the logs of batch jobs.", "kind"),
 	})
@@ -262,7 +263,6 @@
 			p.usage.PeerConnected(name)
 		}
 	})
-	feeder := platform.NewCatalogUpdater(p.catalog, p.logger)
 	requestTime := m.Histogram("request", "s", "Time from arrival to the answer.")
 	p.ingress = ingress.New(ingress.Options{
 		Catalog: p.catalog, Pool: pool, Tracker: tracker, Jobs: p.batch,
--- a/entry/internal/reward/flood_test.go
+++ b/entry/internal/reward/flood_test.go
@@ -67,7 +67,7 @@
 			default:
 				refused++
 				e.tracker.Ended("s", "", place.Refused, 0, at)
-				c.Ended(Refused, 3, at)
+				c.Ended(Refused, at)
 				left = append(left, c)
 			}
 		}
--- a/entry/internal/reward/reward.go
+++ b/entry/internal/reward/reward.go
@@ -6,7 +6,8 @@
 //	var c reward.Call
 //	c.Ready(now) // the text is complete
 //	if c.Due(now) { … send with a timeout of c.AttemptTimeout(objective, timeout) … }
-//	if c.Ended(reward.Failed, attempts, time.Now()) { … give the item up … }
+//	c.Ended(reward.Failed, time.Now())
+//	if c.Exhausted(attempts) { … give the item up … }
 //
 // The texts of a step are completed in bursts, and their calls share plain servers with live requests. Calls therefore
 // leave a part of each server's slots to live requests until they have waited for some time, and the calls of groups
@@ -93,14 +94,13 @@
 	return place.Need{Tried: tried, RequireSlot: true, Reserve: reservedShare}
 }
 
-// Ended records how an attempt ended. It returns true if the call must be given up, which is after maxFailures
-// failures reported by servers.
-func (c *Call) Ended(o Outcome, maxFailures int, now time.Time) bool {
+// Ended records how an attempt ended.
+func (c *Call) Ended(o Outcome, now time.Time) {
 	const doublings = 8
 	if o == Refused {
 		c.nextAttempt = now.Add(min(minRefusalDelay<<min(c.refusals, doublings), maxRefusalDelay))
 		c.refusals++
-		return false
+		return
 	}
 	c.refusals = 0
 	if o == Failed {
@@ -111,9 +111,11 @@
 		c.nextAttempt = now.Add(min(minRetryDelay<<min(c.attempts-1, doublings), maxRetryDelay))
 	}
 	c.attempts++
-	return c.failures >= maxFailures
 }
 
+// Exhausted reports whether the call must be given up, which is after maxFailures failures reported by servers.
+func (c *Call) Exhausted(maxFailures int) bool { return c.failures > 0 && c.failures >= maxFailures }
+
 // PendingCall is a call that waits to be sent.
 type PendingCall struct {
 	Item  string
--- a/entry/internal/reward/reward_test.go
+++ b/entry/internal/reward/reward_test.go
@@ -32,8 +32,10 @@
 	}
 	now := start
 	for range 20 {
-		if c.Ended(Refused, maxFailures, now) || c.Ended(Lost, maxFailures, now) || c.Ended(Rejected, maxFailures, now) {
-			t.Fatal("call given up although no server failed")
+		for _, o := range []Outcome{Refused, Lost, Rejected} {
+			if c.Ended(o, now); c.Exhausted(maxFailures) {
+				t.Fatal("call given up although no server failed")
+			}
 		}
 		if c.Due(now) || !c.Due(now.Add(maxRetryDelay)) {
 			t.Fatalf("next attempt is due after %s, want more than 0 and at most maxRetryDelay", c.nextAttempt.Sub(now))
@@ -42,7 +44,8 @@
 	}
 	c.Ready(now)
 	for i := 1; i <= maxFailures; i++ {
-		if got := c.Ended(Failed, maxFailures, now); got != (i == maxFailures) {
+		c.Ended(Failed, now)
+		if got := c.Exhausted(maxFailures); got != (i == maxFailures) {
 			t.Errorf("after %d failures: call given up is %t", i, got)
 		}
 	}
@@ -56,7 +59,7 @@
 	var got []time.Duration
 	for range 5 {
 		got = append(got, c.AttemptTimeout(400*time.Millisecond, 2*time.Second))
-		c.Ended(Lost, 1, start)
+		c.Ended(Lost, start)
 	}
 	want := []time.Duration{800 * time.Millisecond, 1600 * time.Millisecond, 2 * time.Second, 2 * time.Second, 2 * time.Second}
 	if d := cmp.Diff(want, got); d != "" {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -768,6 +768,10 @@
 	// Time of the submission in Unix milliseconds.
 	At int64 `json:"at"`
 
+	// Revision of the configuration under which the job was accepted; 0 in objects of
+	// versions before it was added.
+	Config int64 `json:"config"`
+
 	// True after the trainer has ended the job.
 	Ended bool `json:"ended"`
 
