Count servers that die in the middle of an answer

Cause: a crash was counted only if the connection broke before the head of the answer. Streams that broke off were resumed at up to eight servers without asking the count, and bodies that broke off were not counted. A head that broke in the middle of a line was reported as malformed.

Change: recordBreak is called wherever an attempt ends with its connection: before and in the head, in bodies that are read whole or passed on, in streams and at resumptions, and the count is asked before each further server. A blocked request gets 503, as this attempt does not run, with the time until it may come back; it got 502 before, which says neither. Entries tell a new one what they know.

So that sound requests are not blamed: one crash counts once for equal requests, not at all if the server answers a request that was sent afterwards or is leaving, and half if the answer had been running for a second.

Ruled out: max_attempts, which limits the servers before an answer begins and not the resumptions of a stream; a count that other entries do not get, as one entry alone passed the request on to nine servers.

--- a/entry/internal/cli/platform.go
+++ b/entry/internal/cli/platform.go
@@ -256,8 +256,10 @@
 	p.catalog.Limits().SetShare(p.peers.Share)
 	p.task("limits", limits.Run)
 	p.buildUsage(objects, storePool, m)
+	suspects := p.suspects()
 	p.peers.OnConnect(func(name string) {
 		limits.SendSnapshot(time.Now())
+		suspects.SendSnapshot(time.Now())
 		p.batch.PeerConnected(name)
 		if p.usage != nil {
 			p.usage.PeerConnected(name)
@@ -270,7 +272,7 @@
 		Bodies:        p.memory.bodies,
 		Answers:       p.memory.answers,
 		OnAnswersFull: p.closeStalled,
-		Suspects:      p.suspects(),
+		Suspects:      suspects,
 		Turns:         turns,
 		ReadConfig:    func(ctx context.Context) error { return feeder.RefreshConfig(ctx, objects) },
 		Logger:        p.logger,
@@ -340,15 +342,13 @@
 
 // suspects returns the set of requests suspected of crashing servers, which entries share with each other.
 func (p *platformEntry) suspects() *ingress.Suspects {
-	s := ingress.NewSuspects(func(fingerprint uint64, answered bool) {
-		p.peers.Broadcast(link.Crash, wire.Crash{Print: fingerprint, Answered: answered})
-	})
+	s := ingress.NewSuspects(func(c wire.Crash) { p.peers.Broadcast(link.Crash, c) })
 	p.peers.Handle(link.Crash, func(_ context.Context, f link.Frame) (string, any, error) {
 		var c wire.Crash
 		if err := f.Decode(&c); err != nil {
 			return "", nil, err
 		}
-		s.ApplyRemote(c.Print, c.Answered, time.Now())
+		s.ApplyRemote(c, time.Now())
 		return "", nil, nil
 	})
 	return s
--- a/entry/internal/ingress/forward.go
+++ b/entry/internal/ingress/forward.go
@@ -15,6 +15,7 @@
 	"bulrushspoke/entry/internal/prefill"
 	"bulrushspoke/internal/call"
 	"bulrushspoke/internal/catalog"
+	"bulrushspoke/internal/event"
 	"bulrushspoke/internal/upstream"
 )
 
@@ -80,6 +81,9 @@
 		if sent > 0 && left < minAttemptTime || ctx.Err() != nil {
 			break
 		}
+		if _, blocked := g.Suspects.Blocked(q.fingerprint, now); blocked {
+			break
+		}
 		if !g.fits(q, now) {
 			if last.outcome == notRun {
 				last = attempt{outcome: notRun, cause: causeLeaving, retryAfter: retryLeaving}
@@ -124,9 +128,6 @@
 		case lost:
 			mayHaveRun = true
 			sent++
-			if a.cause == causeReset {
-				g.Suspects.RecordCrash(q.fingerprint, time.Now())
-			}
 		case failed:
 			mayHaveRun = true
 			sent++
@@ -250,12 +251,16 @@
 	resp, err := g.Pool.Send(ctx, target, g.upstreamRequest(q, s, call.Attempt{Server: s.ID, Timeout: left}))
 	if err != nil {
 		g.recordUnanswered(q, err)
-		return sendFailure(err)
+		a := sendFailure(err)
+		if a.outcome == lost {
+			g.recordBreak(ctx, q, run{server: s, startedAt: sentAt}, err, time.Now())
+		}
+		return a
 	}
 	headAt := time.Now()
 	answer := g.headers.Answer(resp.StatusCode, resp.Header)
-	meaning := g.Catalog.RecordAnswer(s, answer, q.ID, sentAt, headAt)
-	g.recordAnswered(q, resp, meaning)
+	meaning := g.recordHead(q, s, resp, answer, sentAt, headAt)
+	started := run{server: s, startedAt: sentAt, headAt: headAt}
 	switch {
 	case meaning == call.NotRun:
 		resp.Discard()
@@ -268,16 +273,49 @@
 		return attempt{outcome: lost, cause: call.CauseForeign}
 	case isEventStream(resp.Header) && resp.StatusCode == http.StatusOK:
 		onResponse()
-		a := g.stream(ctx, w, q, s, ticket, resp)
+		a := g.stream(ctx, w, q, started, ticket, resp)
 		a.status, a.answeredAt = resp.StatusCode, headAt
 		return a
 	case resp.ContentLength > maxBufferedResponse, !g.reserveAnswer(q, resp.ContentLength):
 		onResponse()
-		a := g.relay(w, q, resp, nil)
+		a := g.relay(ctx, w, q, started, resp, nil)
 		a.status, a.answeredAt = resp.StatusCode, headAt
 		return a
 	}
-	return g.buffer(w, q, resp, onResponse)
+	return g.buffer(ctx, w, q, started, resp, onResponse)
+}
+
+// recordHead records that a server has begun to answer a request that was sent at the given time, and returns what the answer
+// means.
+func (g *Ingress) recordHead(
+	q *request, s catalog.Server, resp *upstream.Response, a call.Answer, sentAt, now time.Time,
+) call.Meaning {
+	meaning := g.Catalog.RecordAnswer(s, a, q.ID, sentAt, now)
+	g.recordAnswered(q, resp, meaning)
+	if meaning != call.Foreign {
+		g.Suspects.RecordAnswer(s, sentAt, now)
+	}
+	return meaning
+}
+
+// recordBreak records that a run ended with an error of its connection. A server that breaks it without being about to leave
+// may have crashed on the request.
+func (g *Ingress) recordBreak(ctx context.Context, q *request, r run, err error, now time.Time) {
+	if ctx.Err() != nil || !upstream.ClosedByPeer(err) {
+		return
+	}
+	r.endedAt = now
+	g.recordCrash(q, r, now)
+}
+
+// recordCrash records that a server may have crashed on a request.
+func (g *Ingress) recordCrash(q *request, r run, now time.Time) {
+	if g.Catalog.Leaving(r.server) {
+		return
+	}
+	event.RequestBroken.Log(g.Logger, "request", q.redact(q.ID), "print", q.fingerprint, "server", r.server.ID, "answered", !r.headAt.IsZero(),
+		"ms", r.endedAt.Sub(r.startedAt).Milliseconds())
+	g.Suspects.RecordCrash(q.fingerprint, r, now)
 }
 
 // upstreamRequest returns the request to be sent to a server.
@@ -309,9 +347,12 @@
 
 // buffer reads a response of at most maxBufferedResponse bytes before it is sent, so that the request can be retried if the
 // response is truncated. A larger one is relayed.
-func (g *Ingress) buffer(w http.ResponseWriter, q *request, resp *upstream.Response, onResponse func()) attempt {
+func (g *Ingress) buffer(
+	ctx context.Context, w http.ResponseWriter, q *request, r run, resp *upstream.Response, onResponse func(),
+) attempt {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedResponse+1))
 	if err != nil {
+		g.recordBreak(ctx, q, r, err, time.Now())
 		resp.Abandon()
 		if errors.Is(err, io.ErrUnexpectedEOF) {
 			return attempt{outcome: lost, cause: "response truncated"}
@@ -321,7 +362,7 @@
 	answeredAt := time.Now()
 	onResponse()
 	if len(body) > maxBufferedResponse {
-		a := g.relay(w, q, resp, body)
+		a := g.relay(ctx, w, q, r, resp, body)
 		a.status, a.answeredAt = resp.StatusCode, answeredAt
 		return a
 	}
@@ -391,7 +432,9 @@
 
 // relay copies a large response to the client as it arrives; first holds the bytes already read. If the response is
 // truncated, the client's connection is closed, so that the response does not appear complete.
-func (g *Ingress) relay(w http.ResponseWriter, q *request, resp *upstream.Response, first []byte) attempt {
+func (g *Ingress) relay(
+	ctx context.Context, w http.ResponseWriter, q *request, r run, resp *upstream.Response, first []byte,
+) attempt {
 	g.copyResponseHeader(w, resp.Header)
 	if resp.ContentLength >= 0 {
 		w.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
@@ -402,7 +445,9 @@
 	w.WriteHeader(resp.StatusCode)
 	_, err := w.Write(first)
 	if err == nil {
-		_, err = io.Copy(w, resp.Body)
+		body := &bodyReader{body: resp.Body}
+		_, err = io.Copy(w, body)
+		g.recordBreak(ctx, q, r, body.err, time.Now())
 	}
 	if err != nil {
 		resp.Abandon()
@@ -417,6 +462,21 @@
 	return attempt{outcome: delivered}
 }
 
+// bodyReader keeps the error of reading an answer apart from those of writing it to the client.
+type bodyReader struct {
+	body io.Reader
+	err  error // nil at the end of the answer
+}
+
+// Read implements io.Reader.
+func (b *bodyReader) Read(p []byte) (int, error) {
+	n, err := b.body.Read(p)
+	if !errors.Is(err, io.EOF) {
+		b.err = err
+	}
+	return n, err
+}
+
 // EndToEndHeader returns a copy of h without the hop-by-hop headers.
 func EndToEndHeader(h http.Header) http.Header {
 	c := h.Clone()
--- a/entry/internal/ingress/ingress.go
+++ b/entry/internal/ingress/ingress.go
@@ -271,8 +271,8 @@
 		return Reply{}
 	}
 	q.fingerprint = Fingerprint(q.workspace.Name, q.http.URL.RequestURI(), q.body)
-	if g.Suspects.Blocked(q.fingerprint, time.Now()) {
-		return Reply{Status: http.StatusBadGateway, Cause: "request blocked: several servers crashed on it"}
+	if wait, blocked := g.Suspects.Blocked(q.fingerprint, time.Now()); blocked {
+		return Reply{Status: http.StatusServiceUnavailable, RetryAfter: wait, Cause: "request blocked: several servers crashed on it"}
 	}
 	return Reply{}
 }
--- a/entry/internal/ingress/stream.go
+++ b/entry/internal/ingress/stream.go
@@ -64,19 +64,24 @@
 // be resumed, it is complete once a server that is asked to go on has no further event. The response to the client has
 // chunks in any case, so that it can be seen to be broken.
 func (g *Ingress) stream(
-	ctx context.Context, w http.ResponseWriter, q *request, s catalog.Server, ticket *prefill.Ticket, resp *upstream.Response,
+	ctx context.Context, w http.ResponseWriter, q *request, current run, ticket *prefill.Ticket, resp *upstream.Response,
 ) attempt {
 	g.copyResponseHeader(w, resp.Header)
 	w.WriteHeader(resp.StatusCode)
 	out := http.NewResponseController(w)
 	last := q.LastEvent
+	service := current.server.Service
+	var unconfirmed *run      // ended with its connection; its server has died if another one has further events
 	var resumed *continuation // nil while the first server sends the stream
 	defer func() { g.abortContinuation(q, resumed) }()
 	for resumes := 0; ; resumes++ {
 		next, err := g.copyEvents(w, out, q, ticket, resp, last)
 		// Without event ids nobody can be asked to go on.
 		certain := resp.Framed() || !q.route.Resumable || next == last || next == 0
-		last = next
+		if unconfirmed != nil && next > last {
+			g.recordCrash(q, *unconfirmed, time.Now())
+		}
+		unconfirmed, last = nil, next
 		if err == nil && certain {
 			resp.Close()
 			whole := resumed == nil
@@ -90,17 +95,26 @@
 			g.recordRequest(q, resp.StatusCode, "")
 			return attempt{outcome: delivered, streamed: whole}
 		}
+		now := time.Now()
+		current.endedAt = now
+		if err == nil {
+			ended := current
+			unconfirmed = &ended
+		} else {
+			g.recordBreak(ctx, q, current, err, now)
+		}
 		resp.Abandon()
-		g.Tracker.Release(ticket, false, time.Now())
+		g.Tracker.Release(ticket, false, now)
 		g.abortContinuation(q, resumed)
 		resumed = nil
 		if ctx.Err() != nil || !q.route.Resumable || resumes >= maxResumes {
 			break
 		}
-		if resp, resumed = g.resume(ctx, q, s.Service, last); resumed == nil {
+		if resp, resumed = g.resume(ctx, q, service, last); resumed == nil {
 			break
 		}
 		ticket = resumed.ticket
+		current = run{server: resumed.server, startedAt: resp.SentAt, headAt: time.Now()}
 	}
 	g.recordRequest(q, http.StatusOK, "stream interrupted")
 	panic(http.ErrAbortHandler)
@@ -112,6 +126,13 @@
 	errNoID = errors.New("ingress: event without an id in a stream with ids")
 )
 
+// clientError reports that a response could not be written to the client. It does not wrap its cause, which may look like an
+// error of the connection to the server.
+type clientError struct{ cause error }
+
+// Error implements error.
+func (e *clientError) Error() string { return "ingress: write to the client: " + e.cause.Error() }
+
 // copyEvents forwards all events except those with an id up to last, and returns the highest id sent. The error is nil at
 // the end of the stream. The first event ends the wait of the prompt.
 func (g *Ingress) copyEvents(
@@ -147,10 +168,10 @@
 			g.Tracker.FirstEvent(ticket, now)
 		}
 		if _, err := w.Write(e.Raw); err != nil {
-			return last, err
+			return last, &clientError{cause: err}
 		}
 		if err := out.Flush(); err != nil {
-			return last, err
+			return last, &clientError{cause: err}
 		}
 		awaitNext(time.Now())
 		if e.ID != 0 {
@@ -182,6 +203,9 @@
 	tried := make(map[string]bool)
 	for ctx.Err() == nil {
 		now := time.Now()
+		if _, blocked := g.Suspects.Blocked(q.fingerprint, now); blocked {
+			return nil, nil
+		}
 		need := place.Need{Tried: tried, Ticket: prefill.NewTicket(q.Prompt, q.workspace.Name)}
 		s, ok := g.Tracker.Start(now, g.Catalog.Servers(service), need)
 		if !ok {
@@ -212,11 +236,13 @@
 		g.upstreamRequest(q, s, call.Attempt{Server: s.ID, Timeout: q.remaining(now), ResumeAfter: last}))
 	if err != nil {
 		g.recordUnanswered(q, err)
+		if sendFailure(err).outcome == lost {
+			g.recordBreak(ctx, q, run{server: s, startedAt: now}, err, time.Now())
+		}
 		return nil
 	}
 	a := g.headers.Answer(resp.StatusCode, resp.Header)
-	meaning := g.Catalog.RecordAnswer(s, a, q.ID, now, time.Now())
-	g.recordAnswered(q, resp, meaning)
+	meaning := g.recordHead(q, s, resp, a, now, time.Now())
 	aborted = false
 	if resp.StatusCode == http.StatusOK && meaning == call.Genuine && isEventStream(resp.Header) {
 		return resp
--- a/entry/internal/ingress/suspects.go
+++ b/entry/internal/ingress/suspects.go
@@ -1,39 +1,86 @@
 package ingress
 
 import (
+	"maps"
+	"slices"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"bulrushspoke/internal/catalog"
+	"bulrushspoke/wire"
 )
 
 const (
-	// crashLimit is the number of connection resets after which a request is blocked: a request that crashes its server
-	// makes the server unavailable for seconds.
-	crashLimit = 3
-	// suspectRetention is the retention of a request after its last connection reset.
+	// earlyCrash is the time after the first byte of its answer within which the crash of a server is early. A request that
+	// crashes its servers does so when it begins to run; one that runs for long outlives some of its servers by chance.
+	earlyCrash = time.Second
+	// earlyWeight and lateWeight are the weights of a crash, and blockWeight is the sum from which a request is blocked: after
+	// three early crashes or six late ones.
+	earlyWeight = 2
+	lateWeight  = 1
+	blockWeight = 6
+	// aliveTime is the time after a broken connection within which an answer shows that its server has not crashed. A server
+	// that has crashed is back after some seconds, at times under the same id.
+	aliveTime = time.Second
+	// suspectRetention is the retention of a request after its last crash.
 	suspectRetention = 30 * time.Second
-	// maxSuspects is the maximum number of requests tracked.
+	// maxSuspects is the maximum number of requests tracked; the one with the oldest crash is dropped.
 	maxSuspects = 4096
+	// maxCrashes is the maximum number of crashes kept for a request, more than the number after which it is blocked.
+	maxCrashes = 16
 )
 
-// Suspects tracks requests on which servers reset the connection, at this entry or others. It blocks a request that crashes
-// its servers, even if the client repeats it through different entries.
+// Suspects tracks requests under which servers have crashed, at this entry or others. It blocks a request that crashes its
+// servers, even if the client repeats it through different entries.
 type Suspects struct {
-	broadcast func(fingerprint uint64, answered bool)
-	mu        sync.Mutex
-	seen      map[uint64]suspect
+	broadcast func(wire.Crash)
+	tracked   atomic.Int64 // number of requests, so that answers need no lock while there is none
+
+	mu     sync.Mutex
+	seen   map[uint64]*suspect
+	recent map[string]time.Time // by incarnation: the last crash, if it is not older than aliveTime
 }
 
+// suspect is a request under which servers have crashed.
 type suspect struct {
-	crashes int
-	last    time.Time
+	crashes []crash // in the order in which they became known
+}
+
+// crash is a connection to a server that broke while the server handled a request.
+type crash struct {
+	server string // incarnation
+	early  bool
+	at     time.Time
+}
+
+func (c crash) weight() int {
+	if c.early {
+		return earlyWeight
+	}
+	return lateWeight
+}
+
+// run is the run of a request at a server.
+type run struct {
+	server    catalog.Server
+	startedAt time.Time
+	headAt    time.Time // when the answer began; zero if it did not
+	endedAt   time.Time // when the connection broke
+}
+
+// incarnation identifies one start of a server; a server may start again under its id.
+func incarnation(s catalog.Server) string {
+	return s.ID + "@" + strconv.FormatInt(s.StartedAt, 10)
 }
 
 // NewSuspects returns an empty set. It calls broadcast to report local results to other entries; broadcast must not
 // block.
-func NewSuspects(broadcast func(fingerprint uint64, answered bool)) *Suspects {
-	return &Suspects{broadcast: broadcast, seen: make(map[uint64]suspect)}
+func NewSuspects(broadcast func(wire.Crash)) *Suspects {
+	return &Suspects{broadcast: broadcast, seen: make(map[uint64]*suspect), recent: make(map[string]time.Time)}
 }
 
 // Fingerprint returns a hash of the workspace, empty for none, the request URI and the body, which identifies a request at
@@ -51,27 +98,68 @@
 	return d.Sum64()
 }
 
-// RecordCrash counts a connection reset and reports it to other entries.
-func (s *Suspects) RecordCrash(fingerprint uint64, now time.Time) {
-	s.addCrash(fingerprint, now)
-	s.broadcast(fingerprint, false)
+// RecordCrash records a connection that broke while its server handled the request, and reports it to other entries.
+func (s *Suspects) RecordCrash(fingerprint uint64, r run, now time.Time) {
+	c := wire.Crash{
+		Print: fingerprint, Server: incarnation(r.server), Ran: now.Sub(r.startedAt).Milliseconds(),
+		Early: r.headAt.IsZero() || r.endedAt.Sub(r.headAt) < earlyCrash,
+	}
+	s.addCrash(c, r.startedAt, now)
+	s.broadcast(c)
 }
 
-// RecordResponse clears a request to which a server has responded: its resets had another cause, such as a server that
-// resets some of all connections.
+// RecordResponse clears a request to which a server has responded completely: the crashes had another cause.
 func (s *Suspects) RecordResponse(fingerprint uint64) {
-	if s.remove(fingerprint) {
-		s.broadcast(fingerprint, true)
+	if s.tracked.Load() > 0 && s.remove(fingerprint) {
+		s.broadcast(wire.Crash{Print: fingerprint, Answered: true})
+	}
+}
+
+// RecordAnswer records that a server has begun to answer a request that was sent to it at the given time. It has not crashed
+// shortly before, so that the connections that broke then, such as those of a server that resets some of all connections,
+// say nothing about their requests.
+func (s *Suspects) RecordAnswer(server catalog.Server, sentAt, now time.Time) {
+	if s.tracked.Load() == 0 {
+		return
+	}
+	name := incarnation(server)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if at, ok := s.recent[name]; !ok || now.Sub(at) > aliveTime {
+		return
+	}
+	for f, v := range s.seen {
+		v.crashes = slices.DeleteFunc(v.crashes, func(c crash) bool {
+			return c.server == name && c.at.Before(sentAt) && now.Sub(c.at) <= aliveTime
+		})
+		if len(v.crashes) == 0 {
+			s.drop(f)
+		}
 	}
 }
 
 // ApplyRemote applies a result reported by another entry.
-func (s *Suspects) ApplyRemote(fingerprint uint64, answered bool, now time.Time) {
-	if answered {
-		s.remove(fingerprint)
+func (s *Suspects) ApplyRemote(c wire.Crash, now time.Time) {
+	if c.Answered {
+		s.remove(c.Print)
 		return
 	}
-	s.addCrash(fingerprint, now)
+	s.addCrash(c, now.Add(-time.Duration(c.Ran)*time.Millisecond), now)
+}
+
+// SendSnapshot reports all known crashes again, for an entry that has just started.
+func (s *Suspects) SendSnapshot(now time.Time) {
+	var l []wire.Crash
+	s.mu.Lock()
+	for f, v := range s.seen {
+		for _, c := range v.crashes {
+			l = append(l, wire.Crash{Print: f, Server: c.server, Early: c.early, Age: now.Sub(c.at).Milliseconds()})
+		}
+	}
+	s.mu.Unlock()
+	for _, c := range l {
+		s.broadcast(c)
+	}
 }
 
 // remove removes a request and reports whether it was tracked.
@@ -79,34 +167,82 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	_, ok := s.seen[fingerprint]
-	delete(s.seen, fingerprint)
+	s.drop(fingerprint)
 	return ok
 }
 
-func (s *Suspects) addCrash(fingerprint uint64, now time.Time) {
+// drop removes a request; the caller holds mu.
+func (s *Suspects) drop(fingerprint uint64) {
+	delete(s.seen, fingerprint)
+	s.tracked.Store(int64(len(s.seen)))
+}
+
+// addCrash adds a crash under a run that began at the given time.
+func (s *Suspects) addCrash(c wire.Crash, startedAt, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.seen) >= maxSuspects {
-		for f, v := range s.seen {
-			if now.Sub(v.last) > suspectRetention {
-				delete(s.seen, f)
-			}
-		}
-		if len(s.seen) >= maxSuspects {
+	v := s.seen[c.Print]
+	if v == nil || now.Sub(v.lastCrash()) > suspectRetention {
+		s.makeRoom()
+		v = &suspect{}
+		s.seen[c.Print] = v
+		s.tracked.Store(int64(len(s.seen)))
+	}
+	at := now.Add(-time.Duration(c.Age) * time.Millisecond)
+	maps.DeleteFunc(s.recent, func(_ string, at time.Time) bool { return now.Sub(at) > aliveTime })
+	s.recent[c.Server] = at
+	for _, known := range v.crashes {
+		// One crash breaks all runs of the request at its server, and is reported to a new entry by all others.
+		if known.server == c.Server && (c.Age > 0 || !known.at.Before(startedAt)) {
 			return
 		}
 	}
-	v := s.seen[fingerprint]
-	if now.Sub(v.last) > suspectRetention {
-		v.crashes = 0
+	if len(v.crashes) < maxCrashes {
+		v.crashes = append(v.crashes, crash{server: c.Server, early: c.Early, at: at})
+	}
+}
+
+// makeRoom drops the request whose last crash is the oldest if there are too many; the caller holds mu.
+func (s *Suspects) makeRoom() {
+	if len(s.seen) < maxSuspects {
+		return
 	}
-	s.seen[fingerprint] = suspect{crashes: v.crashes + 1, last: now}
+	var oldest uint64
+	var at time.Time
+	for f, v := range s.seen {
+		if last := v.lastCrash(); at.IsZero() || last.Before(at) {
+			oldest, at = f, last
+		}
+	}
+	s.drop(oldest)
 }
 
-// Blocked reports whether a request must not be sent to another server.
-func (s *Suspects) Blocked(fingerprint uint64, now time.Time) bool {
+// Blocked reports whether a request must not be sent to another server, and for how long.
+func (s *Suspects) Blocked(fingerprint uint64, now time.Time) (time.Duration, bool) {
+	if s.tracked.Load() == 0 {
+		return 0, false
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	v := s.seen[fingerprint]
-	return v.crashes >= crashLimit && now.Sub(v.last) <= suspectRetention
+	if v == nil {
+		return 0, false
+	}
+	weight := 0
+	for _, c := range v.crashes {
+		weight += c.weight()
+	}
+	left := suspectRetention - now.Sub(v.lastCrash())
+	return left, weight >= blockWeight && left > 0
+}
+
+// lastCrash returns the time of the last crash.
+func (v *suspect) lastCrash() time.Time {
+	var last time.Time
+	for _, c := range v.crashes {
+		if c.at.After(last) {
+			last = c.at
+		}
+	}
+	return last
 }
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -288,6 +288,15 @@
 	})
 }
 
+// Leaving reports whether a server is about to leave or has left, according to its entry or to its own notice.
+func (c *Catalog) Leaving(s Server) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	held, ok := c.servers[s.ID]
+	leaving, _ := c.leaveState(s)
+	return !ok || held.Draining || leaving
+}
+
 // leaveState reports whether a server has given notice that it is about to leave, and whether it stays in use because its
 // service has no other server; the caller holds mu.
 func (c *Catalog) leaveState(s Server) (leaving, last bool) {
--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -16,6 +16,7 @@
 	ConnectionsRefused      = define(1032, slog.LevelWarn, "connections refused or closed: limit of the port reached")
 	HeadsRefused            = define(1033, slog.LevelWarn, "request heads refused before they were decoded")
 	ConfigReread            = define(1039, slog.LevelInfo, "configuration read again for an unknown key")
+	RequestBroken           = define(1034, slog.LevelInfo, "server broke the connection of a request")
 	ConfigConfirmed         = define(1038, slog.LevelInfo, "configuration read again before items are started or given up")
 	JobAccepted             = define(1040, slog.LevelInfo, "batch job accepted")
 	JobRefused              = define(1041, slog.LevelWarn, "batch job refused")
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -154,7 +154,8 @@
 	idleSince     time.Time
 	expires       time.Time
 	readingHead   bool
-	headBytesLeft int // bytes that may still be read while readingHead is set
+	headBytesLeft int   // bytes that may still be read while readingHead is set
+	headErr       error // of reading the head; parsing what came before may end with another error
 }
 
 // Read implements io.Reader. While the head of an answer is read, it fails once the head exceeds maxHeadBytes.
@@ -167,6 +168,7 @@
 	}
 	n, err := c.Conn.Read(b[:min(len(b), c.headBytesLeft)])
 	c.headBytesLeft -= n
+	c.headErr = err
 	return n, err
 }
 
@@ -332,7 +334,7 @@
 	if err != nil {
 		stop()
 		p.discard(c)
-		return nil, &Error{cause: contextError(ctx, err), sent: true, sentAt: sentAt, reset: closedByPeer(err)}
+		return nil, &Error{cause: contextError(ctx, err), sent: true, sentAt: sentAt, reset: closedByPeer(err) || closedByPeer(c.headErr)}
 	}
 	if q.Reset {
 		c.setLinger(-1) // the default
@@ -351,7 +353,7 @@
 
 // readHead reads the status and header of the final answer and skips interim answers.
 func (c *conn) readHead(method string) (*http.Response, error) {
-	c.readingHead, c.headBytesLeft = true, maxHeadBytes
+	c.readingHead, c.headBytesLeft, c.headErr = true, maxHeadBytes, nil
 	defer func() { c.readingHead = false }()
 	for range maxInterimResponses + 1 {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
@@ -368,6 +370,13 @@
 	return nil, errTooManyInterim
 }
 
+// ClosedByPeer reports whether an error of Send, or of reading the body of an answer, means that the server closed the
+// connection.
+func ClosedByPeer(err error) bool {
+	var e *Error
+	return errors.As(err, &e) && e.ClosedByPeer() || closedByPeer(err)
+}
+
 // closedByPeer reports whether the peer closed the connection.
 func closedByPeer(err error) bool {
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -188,14 +188,26 @@
 }
 
 // Reports to the other entries that a server broke the connection while handling a
-// request, or that a server has since answered the request.
+// request, or that a server has since answered the request completely.
 type Crash struct {
+	// Time since the connection broke, in milliseconds; 0 if it has just broken.
+	Age int64 `json:"age"`
+
 	// True if a server has answered the request, which shows that the request does
 	// not crash servers.
 	Answered bool `json:"answered"`
 
+	// True if the connection broke before the answer began or shortly after.
+	Early bool `json:"early"`
+
 	// Fingerprint of the path and body.
 	Print uint64 `json:"print"`
+
+	// Time from sending the request to the end of the connection, in milliseconds.
+	Ran int64 `json:"ran"`
+
+	// Incarnation of the server; empty if answered.
+	Server string `json:"server"`
 }
 
 // The configuration object; its store version is the configuration revision.
