Remember requests that crash servers while they keep coming

Cause: what was known of a request was dropped 30 s after its last crash, although it kept coming, and it then had three crashes to go.

Change: a request is remembered for an hour after it was last seen. It is blocked for 5 s at first; then one attempt at one server is a trial, and a crash in a trial blocks it for 30 times as long as before. Retry-After names the time of the next trial. A sound request that was blamed for the crashes of another one comes back after 5 s in place of 30.

Ruled out: a longer retention alone, which only spaces the crashes of three servers at a time, and a block without an end, which would keep a sound request out until all entries restart.

--- a/entry/internal/ingress/forward.go
+++ b/entry/internal/ingress/forward.go
@@ -78,10 +78,7 @@
 	for sent := 0; sent < q.route.MaxAttempts && (!mayHaveRun || q.route.Repeatable()); {
 		now := time.Now()
 		left := q.remaining(now)
-		if sent > 0 && left < minAttemptTime || ctx.Err() != nil {
-			break
-		}
-		if _, blocked := g.Suspects.Blocked(q.fingerprint, now); blocked {
+		if sent > 0 && (left < minAttemptTime || g.Suspects.Blocked(q.fingerprint, now)) || ctx.Err() != nil {
 			break
 		}
 		if !g.fits(q, now) {
--- a/entry/internal/ingress/ingress.go
+++ b/entry/internal/ingress/ingress.go
@@ -271,7 +271,7 @@
 		return Reply{}
 	}
 	q.fingerprint = Fingerprint(q.workspace.Name, q.http.URL.RequestURI(), q.body)
-	if wait, blocked := g.Suspects.Blocked(q.fingerprint, time.Now()); blocked {
+	if wait, ok := g.Suspects.Admit(q.fingerprint, time.Now()); !ok {
 		return Reply{Status: http.StatusServiceUnavailable, RetryAfter: wait, Cause: "request blocked: several servers crashed on it"}
 	}
 	return Reply{}
--- a/entry/internal/ingress/stream.go
+++ b/entry/internal/ingress/stream.go
@@ -201,11 +201,8 @@
 	ctx context.Context, q *request, service string, last int,
 ) (*upstream.Response, *continuation) {
 	tried := make(map[string]bool)
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !g.Suspects.Blocked(q.fingerprint, time.Now()) {
 		now := time.Now()
-		if _, blocked := g.Suspects.Blocked(q.fingerprint, now); blocked {
-			return nil, nil
-		}
 		need := place.Need{Tried: tried, Ticket: prefill.NewTicket(q.Prompt, q.workspace.Name)}
 		s, ok := g.Tracker.Start(now, g.Catalog.Servers(service), need)
 		if !ok {
--- a/entry/internal/ingress/suspects.go
+++ b/entry/internal/ingress/suspects.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"strconv"
 	"sync"
@@ -23,14 +24,21 @@
 	earlyWeight = 2
 	lateWeight  = 1
 	blockWeight = 6
+	// minBlock is how long a request is blocked at first. After that it may be tried at one server; each crash of such a trial
+	// multiplies the time by blockFactor, up to maxBlock.
+	minBlock    = 5 * time.Second
+	blockFactor = 30
+	maxBlock    = 24 * time.Hour
+	// trialTime is how long a trial keeps other requests with the same content from being tried at this entry.
+	trialTime = time.Second
 	// aliveTime is the time after a broken connection within which an answer shows that its server has not crashed. A server
 	// that has crashed is back after some seconds, at times under the same id.
 	aliveTime = time.Second
-	// suspectRetention is the retention of a request after its last crash.
-	suspectRetention = 30 * time.Second
-	// maxSuspects is the maximum number of requests tracked; the one with the oldest crash is dropped.
+	// suspectRetention is how long a request is remembered after it was last seen.
+	suspectRetention = time.Hour
+	// maxSuspects is the maximum number of requests tracked; the one that was last seen longest ago is dropped.
 	maxSuspects = 4096
-	// maxCrashes is the maximum number of crashes kept for a request, more than the number after which it is blocked.
+	// maxCrashes is the maximum number of crashes kept for a request, which is more than it takes to reach maxBlock.
 	maxCrashes = 16
 )
 
@@ -48,6 +56,8 @@
 // suspect is a request under which servers have crashed.
 type suspect struct {
 	crashes []crash // in the order in which they became known
+	seenAt  time.Time
+	trialAt time.Time // start of the last trial; zero for none
 }
 
 // crash is a connection to a server that broke while the server handled a request.
@@ -182,12 +192,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	v := s.seen[c.Print]
-	if v == nil || now.Sub(v.lastCrash()) > suspectRetention {
+	if v == nil || now.Sub(v.seenAt) > suspectRetention {
 		s.makeRoom()
 		v = &suspect{}
 		s.seen[c.Print] = v
 		s.tracked.Store(int64(len(s.seen)))
 	}
+	v.seenAt = now
 	at := now.Add(-time.Duration(c.Age) * time.Millisecond)
 	maps.DeleteFunc(s.recent, func(_ string, at time.Time) bool { return now.Sub(at) > aliveTime })
 	s.recent[c.Server] = at
@@ -202,7 +213,7 @@
 	}
 }
 
-// makeRoom drops the request whose last crash is the oldest if there are too many; the caller holds mu.
+// makeRoom drops the request that was last seen longest ago if there are too many; the caller holds mu.
 func (s *Suspects) makeRoom() {
 	if len(s.seen) < maxSuspects {
 		return
@@ -210,39 +221,67 @@
 	var oldest uint64
 	var at time.Time
 	for f, v := range s.seen {
-		if last := v.lastCrash(); at.IsZero() || last.Before(at) {
-			oldest, at = f, last
+		if at.IsZero() || v.seenAt.Before(at) {
+			oldest, at = f, v.seenAt
 		}
 	}
 	s.drop(oldest)
 }
 
-// Blocked reports whether a request must not be sent to another server, and for how long.
-func (s *Suspects) Blocked(fingerprint uint64, now time.Time) (time.Duration, bool) {
+// Admit reports whether a request may be sent to a server. If not, the client may come back after the returned time.
+func (s *Suspects) Admit(fingerprint uint64, now time.Time) (time.Duration, bool) {
 	if s.tracked.Load() == 0 {
-		return 0, false
+		return 0, true
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	v := s.seen[fingerprint]
 	if v == nil {
-		return 0, false
+		return 0, true
 	}
-	weight := 0
-	for _, c := range v.crashes {
-		weight += c.weight()
+	v.seenAt = now
+	until, blocked := v.blockedUntil()
+	if !blocked {
+		return 0, true
+	}
+	if trial := v.trialAt.Add(trialTime); !v.trialAt.IsZero() && trial.After(until) {
+		until = trial
+	}
+	if now.Before(until) {
+		return until.Sub(now), false
 	}
-	left := suspectRetention - now.Sub(v.lastCrash())
-	return left, weight >= blockWeight && left > 0
+	v.trialAt = now
+	return 0, true
 }
 
-// lastCrash returns the time of the last crash.
-func (v *suspect) lastCrash() time.Time {
+// Blocked reports whether a request that has been admitted must not be sent to another server.
+func (s *Suspects) Blocked(fingerprint uint64, now time.Time) bool {
+	if s.tracked.Load() == 0 {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v := s.seen[fingerprint]
+	if v == nil {
+		return false
+	}
+	until, blocked := v.blockedUntil()
+	return blocked && now.Before(until)
+}
+
+// blockedUntil returns until when a request is blocked, and whether it has crashed enough servers to be blocked at all.
+func (v *suspect) blockedUntil() (time.Time, bool) {
+	weight, trials := 0, 0
 	var last time.Time
 	for _, c := range v.crashes {
+		if weight >= blockWeight {
+			trials++
+		}
+		weight += c.weight()
 		if c.at.After(last) {
 			last = c.at
 		}
 	}
-	return last
+	block := float64(minBlock) * math.Pow(blockFactor, float64(trials))
+	return last.Add(time.Duration(min(block, float64(maxBlock)))), weight >= blockWeight
 }
