Find jobs of removed routes at entries that have just started

Where keys are in use, a call without a key for a job of an open route got 401.

Cause: the hosts of batch jobs were those of the routes that the process had seen since its start. The jobs are in the store.

Change: the states of the jobs are listed once for each configuration, after the time within which entries with an older one may still accept jobs, and only if a route covers paths of calls for jobs on a host without a route of batch jobs, or once a request depends on it. Until then such a call asks the store for its job, and goes on to the route if there is none; without the store it gets 503. The state of a job says whether its route needed a key.

Ruled out: the routing of the three entries that were not restarted, which give the results; the store, which has the state of the job.

Cost: none where no such route exists.

--- a/entry/internal/batch/submit.go
+++ b/entry/internal/batch/submit.go
@@ -64,7 +64,7 @@
 	}
 	state := wire.JobState{
 		Owner: owner.name, Inc: owner.inc, Epoch: 1, Host: r.Host, Path: r.Prefix, Total: len(spec.Items),
-		At: now.UnixMilli(), Model: spec.Model, Config: m.configRevision(),
+		At: now.UnixMilli(), Model: spec.Model, Config: m.configRevision(), Open: r.Open,
 	}
 	setWorkspace(&state, w)
 	createdAt := time.Now()
--- a/entry/internal/cli/platform.go
+++ b/entry/internal/cli/platform.go
@@ -275,6 +275,7 @@
 		Suspects:      suspects,
 		Turns:         turns,
 		ReadConfig:    func(ctx context.Context) error { return feeder.RefreshConfig(ctx, objects) },
+		ConfigDelay:   s.Bounds.ConfigDelay,
 		Logger:        p.logger,
 		Observe: func(route string, status int, took time.Duration) {
 			requestTime.Record(route, strconv.Itoa(status/100*100), took.Seconds())
@@ -303,6 +304,7 @@
 		}
 		return err
 	})
+	p.task("hosts of jobs", p.ingress.FollowJobHosts)
 	p.task("entries", p.peers.Serve)
 	p.task("membership", member.New(s.Name, self, p.store, p.peers, p.logger).Run)
 	now := time.Now()
--- a/entry/internal/ingress/authenticate.go
+++ b/entry/internal/ingress/authenticate.go
@@ -124,8 +124,14 @@
 
 // authenticate is the step that determines the workspace of a request. It is the only place that does.
 func (g *Ingress) authenticate(q *request) Reply {
-	w, c, ok := g.authenticator.authenticate(q.http.Context(), q.config, q.key, requestAccess{request: q, catalog: g.Catalog})
+	w, c, ok := g.authenticator.authenticate(q.http.Context(), q.config, q.key, requestAccess{request: q, hosts: g.jobHosts})
 	q.config = c
+	if !ok && g.jobHosts.undecided(q, c) {
+		return Reply{
+			Status: http.StatusServiceUnavailable, RetryAfter: retryNoConfig, Cause: "jobs of the host not listed yet",
+			Close: q.http.ContentLength != 0,
+		}
+	}
 	if !ok {
 		return unauthorized(q)
 	}
@@ -147,7 +153,7 @@
 // requestAccess implements access for a request.
 type requestAccess struct {
 	request *request
-	catalog *catalog.Catalog
+	hosts   *jobHosts
 }
 
 // open implements access. Calls for jobs go by the routes of batch jobs of their host, since a job is not served by the
@@ -159,7 +165,7 @@
 		if c.HasRoute(q.host, catalog.Batch) {
 			return c.HasOpenRoute(q.host, catalog.Batch)
 		}
-		if a.catalog.HadOpenBatchRoute(q.host) {
+		if open, _ := a.hosts.needNoKey(q.host, c); open {
 			return true
 		}
 	}
@@ -171,7 +177,7 @@
 func (a requestAccess) scoped(c *catalog.Config) bool {
 	q := a.request
 	if q.isJobCall() {
-		return c.HasRoute(q.host, catalog.Batch) || a.catalog.HadBatchRoute(q.host)
+		return c.HasRoute(q.host, catalog.Batch) || a.hosts.mayHaveJobs(q.host, c)
 	}
 	r, ok := c.Match(q.host, q.http.URL.Path)
 	return ok && q.submitsJobTo(r)
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -62,6 +62,7 @@
 	former   []string // hosts that had a route of batch jobs, oldest first
 	opened   []string // of these, the hosts whose last such route needed no key, oldest first
 	changed  chan struct{}
+	newer    chan struct{} // closed at the next change of the configuration
 	listed   atomic.Bool
 }
 
@@ -82,6 +83,7 @@
 		notices:  make(map[string]notice),
 		versions: make(map[string]Version),
 		changed:  make(chan struct{}),
+		newer:    make(chan struct{}),
 	}
 	c.view.Store(&view{})
 	return c
@@ -129,6 +131,13 @@
 	return c.changed
 }
 
+// ConfigChanged returns a channel that is closed at the next change of the configuration.
+func (c *Catalog) ConfigChanged() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.newer
+}
+
 // notifyChanged closes the channel returned by Changed; the caller holds mu.
 func (c *Catalog) notifyChanged() {
 	close(c.changed)
@@ -147,6 +156,8 @@
 	}
 	c.config.Store(&n)
 	c.notifyChanged()
+	close(c.newer)
+	c.newer = make(chan struct{})
 	event.ConfigApplied.Log(c.logger, "revision", n.Revision, "version", n.Version, "routes", len(n.Routes))
 	return true
 }
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -799,6 +799,10 @@
 	// Name of the model that processes the items.
 	Model string `json:"model"`
 
+	// True if the route that accepted the job needed no key; false in objects of
+	// versions before it was added.
+	Open bool `json:"open"`
+
 	// Name of the instance that owns the job.
 	Owner string `json:"owner"`
 
