Have the server itself confirm an end without framing

Cause, one for both: a response without framing ends with its connection, whether the server has finished or died. Such an end is confirmed by a server that is asked to go on, but an end without any event counted as the confirmation, or needed none, also if that server had died.

Change: the server whose response has ended is asked itself. If it answers without a further event, it has not died. If it is gone, another one goes on, whose end is confirmed in the same way, and the crash counts against the request of a stream.

Ruled out: the texts that are carried from step to step, which are whole up to their last event; the confirmation by another server, which may die as well and has to read the whole prompt and text.

Tests changed: TestCrashingRequestIsBlocked has servers that are gone after a crash, wants exactly three crashes in a stream without framing, where it allowed four, and has one more place, before an event.

Evidence: TestEngineThatDiesConfirmsNoText failed before in two forms ("text g-5.1"), TestServerThatDiesConfirmsNoStream in three of four.

--- a/entry/internal/batch/cut_test.go
+++ b/entry/internal/batch/cut_test.go
@@ -74,7 +74,45 @@
 	}
 }
 
-// Guards against items that stay open at engines whose responses have no framing.
+// Guards against items that are listed with a part of their text because an engine that was asked to go on died after the head
+// of a response without framing.
+func TestEngineThatDiesConfirmsNoText(t *testing.T) {
+	const broken, dies, gone = "broken", "dies", "gone"
+	for name, script := range map[string][]string{
+		"once":        {broken, dies, gone},
+		"three times": {broken, dies, gone, dies, gone, dies, gone},
+		"first run":   {dies, gone},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e := newEngine(t, 1)
+			e.hijack = func(w http.ResponseWriter, id string, run int) bool {
+				if run > len(script) {
+					return false
+				}
+				head := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + platformtest.RawResponseHeaders(call.Answer{
+					ID: id, Signature: platformtest.Signature, Version: 1,
+				})
+				switch script[run-1] {
+				case broken:
+					text := fmt.Sprintf("id: 1\ndata: %s.1\n\n", id)
+					writeRaw(w, fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", head, len(text), text))
+				case dies:
+					writeRaw(w, head+"\r\n")
+				case gone:
+					writeRaw(w, "")
+				}
+				return true
+			}
+			r := newRig(t, e)
+			m, _ := r.manager("a", "a1")
+			r.submit(m, "j", payload(1, "g-5"))
+			checkTexts(t, r.collect(m, "j", 1), "g-5")
+		})
+	}
+}
+
+// Guards against items that stay open at engines whose responses have no framing, or run there again and again.
 func TestUnframedTextIsConfirmed(t *testing.T) {
 	e := newEngine(t, 1)
 	e.hijack = func(w http.ResponseWriter, id string, run int) bool {
@@ -97,6 +135,13 @@
 	m, _ := r.manager("a", "a1")
 	r.submit(m, "j", payload(1, "g-5", "h-3"))
 	checkTexts(t, r.collect(m, "j", 2), "g-5", "h-3")
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for id, n := range e.runs {
+		if n > 2 {
+			t.Errorf("item %s ran %d times, want a run and a confirmation", id, n)
+		}
+	}
 }
 
 // Guards against a score of a server that stopped in the head of its answer, at each possible byte.
--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -69,6 +69,7 @@
 	ticket   *prefill.Ticket // of the next attempt; only used by run
 	data     []string        // data of the events received so far
 	versions []int
+	ending   ending    // last end of a response without framing
 	failures int       // responses with status 500
 	failedAt time.Time // last failure of a run or of the reward call
 	moves    int       // moves between servers
--- a/entry/internal/batch/run.go
+++ b/entry/internal/batch/run.go
@@ -128,7 +128,15 @@
 		it.ticket = prefill.NewTicket(it.prompt, j.workspace.Name)
 	}
 	need.Ticket = it.ticket
-	s, ok := j.manager.Tracker.Start(now, j.manager.Catalog.Servers(route.Shares[0].Service), need)
+	servers := j.manager.Catalog.Servers(route.Shares[0].Service)
+	var s catalog.Server
+	same, ok := j.confirmingServer(it, servers)
+	if ok {
+		s, ok = j.manager.Tracker.Start(now, same, place.Need{Model: need.Model, MinVersion: need.MinVersion, Ticket: need.Ticket})
+	}
+	if !ok {
+		s, ok = j.manager.Tracker.Start(now, servers, need)
+	}
 	if !ok {
 		return false
 	}
@@ -290,6 +298,7 @@
 	defer watch.stop()
 	r, err := j.post(ctx, s, it.ID, j.request(it, s, route, after, current.startedAt))
 	if err != nil {
+		j.forgetEnding(it, s)
 		if ctx.Err() != nil {
 			return attemptResult{outcome: place.Silent, cause: causeSilent}
 		}
@@ -379,9 +388,7 @@
 		if errors.Is(err, io.EOF) {
 			resp.Close()
 			v.outcome = place.Answered
-			// A response that ends with its connection may be that of an engine that has died between two events. The text is
-			// complete once an engine that is asked to go on has no further event.
-			if !resp.Framed() && (v.events > 0 || after == 0) {
+			if !resp.Framed() && !j.endText(it, s, resp.SentAt, after, time.Now()) {
 				v.cause = causeUncertain
 				return v
 			}
--- a/entry/internal/ingress/crash_test.go
+++ b/entry/internal/ingress/crash_test.go
@@ -52,6 +52,7 @@
 		id := platformtest.DecodeServerRequest(q.Header).ResumeAfter + 1
 		_, _ = fmt.Fprintf(c, "id: %d\ndata: %d\n\n", id, id)
 	}},
+	"in a stream without framing, before an event": {catalog.Stream, true, unframedHead},
 	"at a resumption": {catalog.Stream, true, func(c net.Conn, q *http.Request) {
 		if platformtest.DecodeServerRequest(q.Header).ResumeAfter > 0 {
 			return
@@ -61,6 +62,21 @@
 	}},
 }
 
+// newDyingServer returns a server that writes an answer to its first request and dies.
+func newDyingServer(t *testing.T, answer func(c net.Conn, q *http.Request)) *server {
+	t.Helper()
+	var s *server
+	started := make(chan struct{})
+	s = newServer(t, func(c net.Conn, q *http.Request, _ string) bool {
+		<-started
+		answer(c, q)
+		_ = s.Close()
+		return false
+	})
+	close(started)
+	return s
+}
+
 // Guards against a request that crashes one server after another and is passed on again, wherever in its answer the servers
 // die, and against one that is refused without a time to come back.
 func TestCrashingRequestIsBlocked(t *testing.T) {
@@ -70,10 +86,9 @@
 			var hits atomic.Int64
 			var servers []*server
 			for range 11 {
-				servers = append(servers, newServer(t, func(c net.Conn, q *http.Request, _ string) bool {
+				servers = append(servers, newDyingServer(t, func(c net.Conn, q *http.Request) {
 					hits.Add(1)
 					crash.die(c, q)
-					return false
 				}))
 			}
 			r := newRig(t, catalog.Route{Kind: crash.kind, Resumable: crash.resumable, MaxAttempts: 3}, servers...)
@@ -88,13 +103,8 @@
 					t.Error("refused without a time to come back")
 				}
 			}
-			// The last run of a stream without framing counts once another server has gone on.
-			most := int64(crashLimit)
-			if name == "in a stream without framing" {
-				most++
-			}
-			if n := hits.Load(); n < crashLimit || n > most {
-				t.Errorf("%d servers crashed, want %d", n, most)
+			if n := hits.Load(); n != crashLimit {
+				t.Errorf("%d servers crashed, want %d", n, crashLimit)
 			}
 			if blocked == 0 {
 				t.Error("the request was never refused")
--- a/entry/internal/ingress/cut_test.go
+++ b/entry/internal/ingress/cut_test.go
@@ -141,6 +141,46 @@
 	}
 }
 
+// Guards against a stream without framing that ends as complete because servers died after the head of their answer, and
+// against one that is confirmed again and again.
+func TestServerThatDiesConfirmsNoStream(t *testing.T) {
+	const last = 6
+	send := func(c net.Conn, q *http.Request, most int) {
+		unframedHead(c, q)
+		after := platformtest.DecodeServerRequest(q.Header).ResumeAfter
+		for id := after + 1; id <= min(last, after+most); id++ {
+			_, _ = fmt.Fprintf(c, "id: %d\ndata: %d\n\n", id, id)
+		}
+	}
+	var whole strings.Builder
+	for id := 1; id <= last; id++ {
+		fmt.Fprintf(&whole, "id: %d\ndata: %d\n\n", id, id)
+	}
+	for name, events := range map[string][]int{ // of each server that dies
+		"before the first event": {0}, "both before an event": {0, 0}, "after an event": {1, 0}, "between events": {2, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var servers []*server
+			for _, n := range events {
+				servers = append(servers, newDyingServer(t, func(c net.Conn, q *http.Request) { send(c, q, n) }))
+			}
+			sound := newServer(t, func(c net.Conn, q *http.Request, _ string) bool {
+				send(c, q, last)
+				return false
+			})
+			for range 3 { // the order of the servers varies
+				r := newRig(t, catalog.Route{Kind: catalog.Stream, Resumable: true, MaxAttempts: 3}, append(servers, sound)...)
+				if _, body := r.sendRaw(t); body != whole.String() {
+					t.Errorf("the client got %q", body)
+				}
+			}
+			if n := len(sound.requests()); n > 2*3 {
+				t.Errorf("the sound server got %d requests for 3 streams, want a run and a confirmation of each", n)
+			}
+		})
+	}
+}
+
 // Guards against a large answer without framing that looks complete although its server's connection was reset.
 func TestResetUnframedAnswerIsIncomplete(t *testing.T) {
 	s := newServer(t, func(c net.Conn, q *http.Request, _ string) bool {
--- a/entry/internal/ingress/stream.go
+++ b/entry/internal/ingress/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"bulrushspoke/entry/internal/place"
@@ -60,9 +61,9 @@
 // stream forwards the events of a response as they arrive. If the stream breaks, it is resumed at another server if the
 // route allows it; otherwise the client's connection is closed, so that the response does not appear complete.
 //
-// A response that ends with its connection may be that of a server that has died between two events. If the stream can
-// be resumed, it is complete once a server that is asked to go on has no further event. The response to the client has
-// chunks in any case, so that it can be seen to be broken.
+// A response that ends with its connection may be that of a server that has died. If the stream can be resumed, it is
+// complete once the same server is asked to go on, and answers without a further event: it has not died, then. The response
+// to the client has chunks in any case, so that it can be seen to be broken.
 func (g *Ingress) stream(
 	ctx context.Context, w http.ResponseWriter, q *request, current run, ticket *prefill.Ticket, resp *upstream.Response,
 ) attempt {
@@ -71,17 +72,14 @@
 	out := http.NewResponseController(w)
 	last := q.LastEvent
 	service := current.server.Service
-	var unconfirmed *run      // ended with its connection; its server has died if another one has further events
+	confirms := false         // the server is the one whose last response ended with its connection
 	var resumed *continuation // nil while the first server sends the stream
 	defer func() { g.abortContinuation(q, resumed) }()
 	for resumes := 0; ; resumes++ {
-		next, err := g.copyEvents(w, out, q, ticket, resp, last)
+		copied, err := g.copyEvents(w, out, q, ticket, resp, last)
 		// Without event ids nobody can be asked to go on.
-		certain := resp.Framed() || !q.route.Resumable || next == last || next == 0
-		if unconfirmed != nil && next > last {
-			g.recordCrash(q, *unconfirmed, time.Now())
-		}
-		unconfirmed, last = nil, next
+		certain := resp.Framed() || !q.route.Resumable || copied.withoutID || confirms && copied.last == last
+		last = copied.last
 		if err == nil && certain {
 			resp.Close()
 			whole := resumed == nil
@@ -97,12 +95,7 @@
 		}
 		now := time.Now()
 		current.endedAt = now
-		if err == nil {
-			ended := current
-			unconfirmed = &ended
-		} else {
-			g.recordBreak(ctx, q, current, err, now)
-		}
+		g.recordBreak(ctx, q, current, err, now)
 		resp.Abandon()
 		g.Tracker.Release(ticket, false, now)
 		g.abortContinuation(q, resumed)
@@ -110,7 +103,13 @@
 		if ctx.Err() != nil || !q.route.Resumable || resumes >= maxResumes {
 			break
 		}
-		if resp, resumed = g.resume(ctx, q, service, last); resumed == nil {
+		if err == nil {
+			resp, resumed = g.confirm(ctx, q, current, last)
+		}
+		if confirms = resumed != nil; !confirms {
+			resp, resumed = g.resume(ctx, q, service, last)
+		}
+		if resumed == nil {
 			break
 		}
 		ticket = resumed.ticket
@@ -133,11 +132,18 @@
 // Error implements error.
 func (e *clientError) Error() string { return "ingress: write to the client: " + e.cause.Error() }
 
-// copyEvents forwards all events except those with an id up to last, and returns the highest id sent. The error is nil at
-// the end of the stream. The first event ends the wait of the prompt.
+// copiedEvents are the events of a stream that the client got.
+type copiedEvents struct {
+	last      int  // highest id sent
+	withoutID bool // there were events without an id
+}
+
+// copyEvents forwards all events except those with an id up to last. The error is nil at the end of the stream. The first
+// event ends the wait of the prompt.
 func (g *Ingress) copyEvents(
 	w http.ResponseWriter, out *http.ResponseController, q *request, ticket *prefill.Ticket, resp *upstream.Response, last int,
-) (int, error) {
+) (copiedEvents, error) {
+	copied := copiedEvents{last: last}
 	onEvent, awaitNext := func(time.Time) {}, func(time.Time) {}
 	if q.route.Resumable {
 		s := newStallTimer(resp.Interrupt, time.Now())
@@ -148,19 +154,19 @@
 	for {
 		e, err := in.Next()
 		if errors.Is(err, io.EOF) {
-			return last, nil
+			return copied, nil
 		}
 		if err != nil {
-			return last, err
+			return copied, err
 		}
-		if e.ID == 0 && last > 0 && !e.Comment {
-			return last, errNoID
+		if e.ID == 0 && copied.last > 0 && !e.Comment {
+			return copied, errNoID
 		}
-		if e.ID != 0 && e.ID <= last {
+		if e.ID != 0 && e.ID <= copied.last {
 			continue
 		}
-		if e.ID > last+1 && last > 0 {
-			return last, errGap
+		if e.ID > copied.last+1 && copied.last > 0 {
+			return copied, errGap
 		}
 		now := time.Now()
 		onEvent(now)
@@ -168,14 +174,17 @@
 			g.Tracker.FirstEvent(ticket, now)
 		}
 		if _, err := w.Write(e.Raw); err != nil {
-			return last, &clientError{cause: err}
+			return copied, &clientError{cause: err}
 		}
 		if err := out.Flush(); err != nil {
-			return last, &clientError{cause: err}
+			return copied, &clientError{cause: err}
 		}
 		awaitNext(time.Now())
-		if e.ID != 0 {
-			last = e.ID
+		switch {
+		case e.ID != 0:
+			copied.last = e.ID
+		case !e.Comment:
+			copied.withoutID = true
 		}
 	}
 }
@@ -212,16 +221,41 @@
 		q.servers = append(q.servers, s.ID)
 		q.attempts++
 		c := &continuation{server: s, ticket: need.Ticket}
-		if resp := g.resumeAt(ctx, q, c, last, now); resp != nil {
+		if resp, _ := g.resumeAt(ctx, q, c, last, now); resp != nil {
 			return resp, c
 		}
 	}
 	return nil, nil
 }
 
-// resumeAt asks a server to continue the stream after the event last. If it does not, the result is nil and the end of the
-// attempt is recorded in the tracker.
-func (g *Ingress) resumeAt(ctx context.Context, q *request, c *continuation, last int, now time.Time) *upstream.Response {
+// confirm asks the server of a run that has ended with its connection to continue the stream after the event last. If it is
+// gone, it has died in that run. The result is that of resume.
+func (g *Ingress) confirm(ctx context.Context, q *request, r run, last int) (*upstream.Response, *continuation) {
+	now := time.Now()
+	same := slices.DeleteFunc(slices.Clone(g.Catalog.Servers(r.server.Service)), func(s catalog.Server) bool {
+		return s.ID != r.server.ID || s.StartedAt != r.server.StartedAt
+	})
+	need := place.Need{Ticket: prefill.NewTicket(q.Prompt, q.workspace.Name)}
+	s, ok := g.Tracker.Start(now, same, need)
+	if !ok {
+		return nil, nil
+	}
+	q.servers = append(q.servers, s.ID)
+	q.attempts++
+	c := &continuation{server: s, ticket: need.Ticket}
+	resp, err := g.resumeAt(ctx, q, c, last, now)
+	if resp == nil {
+		g.recordBreak(ctx, q, r, err, r.endedAt)
+		return nil, nil
+	}
+	return resp, c
+}
+
+// resumeAt asks a server to continue the stream after the event last. If it does not, the response is nil and the end of the
+// attempt is recorded in the tracker; the error is that of a server that did not answer.
+func (g *Ingress) resumeAt(
+	ctx context.Context, q *request, c *continuation, last int, now time.Time,
+) (*upstream.Response, error) {
 	s, aborted := c.server, true
 	defer func() {
 		if aborted {
@@ -236,13 +270,13 @@
 		if sendFailure(err).outcome == lost {
 			g.recordBreak(ctx, q, run{server: s, startedAt: now}, err, time.Now())
 		}
-		return nil
+		return nil, err
 	}
 	a := g.headers.Answer(resp.StatusCode, resp.Header)
 	meaning := g.recordHead(q, s, resp, a, now, time.Now())
 	aborted = false
 	if resp.StatusCode == http.StatusOK && meaning == call.Genuine && isEventStream(resp.Header) {
-		return resp
+		return resp, nil
 	}
 	if meaning == call.Foreign || resp.StatusCode == http.StatusOK {
 		resp.Abandon()
@@ -252,5 +286,5 @@
 	now = time.Now()
 	g.Tracker.Ended(s.ID, "", place.Refused, 0, now)
 	g.Tracker.Release(c.ticket, false, now)
-	return nil
+	return nil, nil
 }
