Let items follow the weights of a split route

Cause: items took the first service of the route in three places: at their start, in the offers to the shares of workspaces, and where a move or a stalled attempt looks for another engine.

Change: an item picks a service by weight, of those that have servers, and waits at another one after a second without room. Items are offered to each service of the route, and an attempt reserves its item first, as two services may start items at once.

Ruled out: the placement within a service, which used all slots of the one engine; the weights, which the configuration holds.

A failed try: a pick at each look for a server gave the new service half of the items in place of a tenth, as waiting items look at each freed slot (59 of 120 in TestItemsFollowSplitRoute).

--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -44,7 +44,7 @@
 	checkedAt      time.Time       // last read of the log for a client that was ahead of it
 	stateReadAt    time.Time       // last read of the state, or last attempt without an answer
 	startedAt      time.Time       // when this entry started to run the job
-	offeredTo      string          // service whose slots items were offered for; empty if none
+	offeredTo      []string        // services whose slots items were offered for
 	estimatedAt    time.Time       // when remaining was computed
 	remaining      time.Duration   // expected time until the items that the trainer waits for are done
 	carried        map[string]bool // groups submitted again after an earlier job
@@ -69,7 +69,9 @@
 	ticket   *prefill.Ticket // of the next attempt; only used by run
 	data     []string        // data of the events received so far
 	versions []int
-	ending   ending    // last end of a response without framing
+	ending   ending // last end of a response without framing
+	picked   string // service of a split route that the item waits for; empty if none was picked
+	pickedAt time.Time
 	failures int       // responses with status 500
 	failedAt time.Time // last failure of a run or of the reward call
 	moves    int       // moves between servers
--- a/entry/internal/batch/move.go
+++ b/entry/internal/batch/move.go
@@ -141,7 +141,7 @@
 	j.mu.Lock()
 	allowed := it.moves < maxMoves && now.Sub(it.moved) >= minMoveInterval
 	j.mu.Unlock()
-	if !allowed || !j.stateCurrent(now) || j.service() != current.server.Service {
+	if !allowed || !j.stateCurrent(now) || !slices.Contains(j.services(), current.server.Service) {
 		return nil
 	}
 	need := j.need(it, now)
@@ -162,17 +162,17 @@
 	return m
 }
 
-// service returns the service that runs the items of the job in the current configuration, empty if there is none.
-func (j *Job) service() string {
+// services returns the services that run the items of the job in the current configuration.
+func (j *Job) services() []string {
 	c := j.manager.Catalog.Config()
 	if c == nil {
-		return ""
+		return nil
 	}
 	r, ok := c.Match(j.host, j.path)
 	if !ok {
-		return ""
+		return nil
 	}
-	return r.Shares[0].Service
+	return r.Services()
 }
 
 // runMove sends an item to the server that it is to move to. Once that sends events, the current response is cut.
--- a/entry/internal/batch/run.go
+++ b/entry/internal/batch/run.go
@@ -37,13 +37,15 @@
 	eventOverhead = 32
 	// estimateInterval is the time between two updates of the remaining time of the step.
 	estimateInterval = 100 * time.Millisecond
+	// pickInterval is how long an item waits for a server of one service of a split route.
+	pickInterval = time.Second
 	// defaultItemTimeout bounds an item on routes without a time limit.
 	defaultItemTimeout = 2 * time.Minute
 )
 
 // run starts items as servers have room until all are done or ctx ends.
 func (j *Job) run(ctx context.Context) {
-	defer j.withdrawOffer()
+	defer j.withdrawOffers()
 	for {
 		freed, changed := j.manager.slotFreedChan(), j.manager.Catalog.Changed()
 		waiting := j.schedule(ctx)
@@ -114,21 +116,61 @@
 	}
 	waiting := 0
 	for _, it := range texts {
-		if !j.startText(ctx, now, it, route, func() {}) {
+		if !j.startText(ctx, now, it, j.pickService(it, route, now), route, func() {}) {
 			waiting++
 		}
 	}
 	return waiting
 }
 
-// startText starts an item if a server has room for it; ended is called after its attempts.
-func (j *Job) startText(ctx context.Context, now time.Time, it *item, route *catalog.Route, ended func()) bool {
+// pickService returns the service of the route that is to run an item: by the weights of the route, of the services that
+// have servers. An item that has waited there for pickInterval waits at another one after that, so that it does not wait beside
+// free servers.
+func (j *Job) pickService(it *item, route *catalog.Route, now time.Time) string {
+	if len(route.Shares) == 1 {
+		return route.Shares[0].Service
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if asked := it.ending.server.Service; asked != "" && route.HasService(asked) {
+		return asked
+	}
+	usable := func(name string) bool { return len(j.manager.Catalog.Servers(name)) > 0 }
+	waited := ""
+	if it.picked != "" && route.HasService(it.picked) && usable(it.picked) {
+		if now.Sub(it.pickedAt) < pickInterval {
+			return it.picked
+		}
+		waited = it.picked
+	}
+	name, ok := route.PickServiceIf(func(name string) bool { return name != waited && usable(name) }, j.manager.Random.IntN)
+	if !ok {
+		name = route.PickService(j.manager.Random.IntN)
+	}
+	it.picked, it.pickedAt = name, now
+	return name
+}
+
+// startText starts an item if a server of a service has room for it; ended is called after its attempts. It does nothing if
+// the item runs already: it may have been offered to another service before.
+func (j *Job) startText(
+	ctx context.Context, now time.Time, it *item, service string, route *catalog.Route, ended func(),
+) bool {
+	if !j.claim(it) {
+		return false
+	}
+	started := false
+	defer func() {
+		if !started {
+			j.unclaim(it)
+		}
+	}()
 	need := j.need(it, now)
 	if it.ticket == nil {
 		it.ticket = prefill.NewTicket(it.prompt, j.workspace.Name)
 	}
 	need.Ticket = it.ticket
-	servers := j.manager.Catalog.Servers(route.Shares[0].Service)
+	servers := j.manager.Catalog.Servers(service)
 	var s catalog.Server
 	same, ok := j.confirmingServer(it, servers)
 	if ok {
@@ -140,7 +182,7 @@
 	if !ok {
 		return false
 	}
-	it.ticket = nil
+	it.ticket, started = nil, true
 	j.startAttempt(it, func() {
 		defer ended()
 		for next := (&segment{server: s, ticket: need.Ticket, startedAt: now}); next != nil; {
@@ -150,10 +192,28 @@
 	return true
 }
 
+// claim reserves an item for an attempt, and returns false if it needs none.
+func (j *Job) claim(it *item) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if it.running || it.textDone || it.done {
+		return false
+	}
+	it.running = true
+	return true
+}
+
+// unclaim gives up the reservation of an item that found no server.
+func (j *Job) unclaim(it *item) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	it.running = false
+}
+
 // startAttempt runs an attempt of an item or of its reward call that is started in the tracker.
 func (j *Job) startAttempt(it *item, run func()) {
 	j.mu.Lock()
-	it.running = true
+	it.running, it.picked = true, ""
 	j.mu.Unlock()
 	go supervise.Guard(j.manager.Logger, "item", func() {
 		defer func() {
--- a/entry/internal/batch/turn.go
+++ b/entry/internal/batch/turn.go
@@ -30,11 +30,32 @@
 func (j *Job) offerTexts(
 	ctx context.Context, now time.Time, texts []*item, route *catalog.Route, f fairness.Flow,
 ) int {
-	service := route.Shares[0].Service
+	services := route.Services()
 	j.mu.Lock()
-	j.offeredTo = service
+	former := j.offeredTo
+	j.offeredTo = services
 	j.mu.Unlock()
-	open := slices.Clone(texts)
+	for _, service := range former {
+		if !slices.Contains(services, service) {
+			j.manager.Turns.Withdraw(now, service, j)
+		}
+	}
+	picked := make(map[string][]*item, len(services))
+	for _, it := range texts {
+		service := j.pickService(it, route, now)
+		picked[service] = append(picked[service], it)
+	}
+	waiting := 0
+	for _, service := range services {
+		waiting += j.offer(ctx, now, service, picked[service], route, f)
+	}
+	return waiting
+}
+
+// offer offers items that wait for a server of a service, in place of those offered for it before.
+func (j *Job) offer(
+	ctx context.Context, now time.Time, service string, open []*item, route *catalog.Route, f fairness.Flow,
+) int {
 	return j.manager.Turns.StartItems(now, j, turn.Offer{
 		Service: service, Flow: f, Waiting: len(open),
 		Start: func(now time.Time) bool {
@@ -43,7 +64,7 @@
 			}
 			open = slices.DeleteFunc(open, j.startedOrDone)
 			for _, it := range open {
-				if j.startText(ctx, now, it, route, func() { j.manager.Turns.ItemEnded(service, f) }) {
+				if j.startText(ctx, now, it, service, route, func() { j.manager.Turns.ItemEnded(service, f) }) {
 					return true
 				}
 			}
@@ -60,12 +81,12 @@
 	return it.running || it.textDone || it.done
 }
 
-// withdrawOffer removes the offer of a job that runs no more items.
-func (j *Job) withdrawOffer() {
+// withdrawOffers removes the offers of a job that runs no more items.
+func (j *Job) withdrawOffers() {
 	j.mu.Lock()
-	service := j.offeredTo
+	services := j.offeredTo
 	j.mu.Unlock()
-	if service != "" {
+	for _, service := range services {
 		j.manager.Turns.Withdraw(time.Now(), service, j)
 	}
 }
--- a/entry/internal/batch/watch.go
+++ b/entry/internal/batch/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,8 +32,10 @@
 	w := &stallWatch{
 		cancel: cancel,
 		roomElsewhere: func(now time.Time) bool {
-			_, ok := tracker.Pick(now, j.manager.Catalog.Servers(j.service()), j.needElsewhere(s))
-			return ok
+			return slices.ContainsFunc(j.services(), func(service string) bool {
+				_, ok := tracker.Pick(now, j.manager.Catalog.Servers(service), j.needElsewhere(s))
+				return ok
+			})
 		},
 		stallTimeout: func(now time.Time) time.Duration { return tracker.StallTimeout(firstEventTimeout, now) },
 		lastProgress: time.Now(),
--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -6,7 +6,7 @@
 //	go catalog.Follow(ctx, source, feed, logger) // the functions of feed pass changes in the store to c
 //	cfg := c.Config()                            // nil before the first configuration is known
 //	route, ok := cfg.Match("shop.example", "/orders/7")
-//	for _, s := range c.Servers(route.Shares[0].Service) { … }
+//	for _, s := range c.Servers(route.PickService(random.IntN)) { … }
 //
 // Returned values are shared and must not be modified. An object with a lower revision never replaces one with a higher
 // revision.
@@ -67,22 +67,54 @@
 // PickService returns the name of a random service of the route, chosen by weight; random returns a random number below its
 // argument.
 func (r *Route) PickService(random func(int) int) string {
+	if name, ok := r.PickServiceIf(func(string) bool { return true }, random); ok {
+		return name
+	}
+	return r.Shares[0].Service
+}
+
+// PickServiceIf is PickService for the services that accept allows. It returns false if there are none with a weight.
+func (r *Route) PickServiceIf(accept func(name string) bool, random func(int) int) (string, bool) {
 	total := 0
+	var l []Share
 	for _, s := range r.Shares {
-		total += s.Weight
+		if (s.Weight > 0 || len(r.Shares) == 1) && accept(s.Service) {
+			l = append(l, s)
+			total += s.Weight
+		}
+	}
+	if len(l) == 0 {
+		return "", false
 	}
-	if len(r.Shares) == 1 || total <= 0 {
-		return r.Shares[0].Service
+	if len(l) == 1 {
+		return l[0].Service, true
 	}
 	n := random(total)
-	for _, s := range r.Shares {
+	for _, s := range l {
 		if n -= s.Weight; n < 0 {
-			return s.Service
+			return s.Service, true
 		}
 	}
-	return r.Shares[0].Service
+	return l[0].Service, true
 }
 
+// Services returns the names of the services of the route, without those that get no requests.
+func (r *Route) Services() []string {
+	var l []string
+	for _, s := range r.Shares {
+		if (s.Weight > 0 || len(r.Shares) == 1) && !slices.Contains(l, s.Service) {
+			l = append(l, s.Service)
+		}
+	}
+	if len(l) == 0 && len(r.Shares) > 0 {
+		return []string{r.Shares[0].Service}
+	}
+	return l
+}
+
+// HasService reports whether the route has the service.
+func (r *Route) HasService(name string) bool { return slices.Contains(r.Services(), name) }
+
 // Service is a set of interchangeable servers.
 type Service struct {
 	Name       string
