Bound what a new entry is told of suspected requests

After a mass of broken connections each new link would have made every entry send all crashes of up to 4,096 requests. Now those of the 256 requests that were last seen are sent.

--- a/entry/internal/ingress/suspects.go
+++ b/entry/internal/ingress/suspects.go
@@ -38,6 +38,8 @@
 	suspectRetention = time.Hour
 	// maxSuspects is the maximum number of requests tracked; the one that was last seen longest ago is dropped.
 	maxSuspects = 4096
+	// maxSnapshot is the maximum number of requests that an entry that has just started is told of.
+	maxSnapshot = 256
 	// maxCrashes is the maximum number of crashes kept for a request, which is more than it takes to reach maxBlock.
 	maxCrashes = 16
 )
@@ -157,19 +159,24 @@
 	s.addCrash(c, now.Add(-time.Duration(c.Ran)*time.Millisecond), now)
 }
 
-// SendSnapshot reports all known crashes again, for an entry that has just started.
+// SendSnapshot reports the crashes of the requests that were last seen again, for an entry that has just started.
 func (s *Suspects) SendSnapshot(now time.Time) {
-	var l []wire.Crash
+	for _, c := range s.snapshot(now) {
+		s.broadcast(c)
+	}
+}
+
+func (s *Suspects) snapshot(now time.Time) []wire.Crash {
 	s.mu.Lock()
-	for f, v := range s.seen {
-		for _, c := range v.crashes {
+	defer s.mu.Unlock()
+	latest := slices.SortedFunc(maps.Keys(s.seen), func(a, b uint64) int { return s.seen[b].seenAt.Compare(s.seen[a].seenAt) })
+	var l []wire.Crash
+	for _, f := range latest[:min(len(latest), maxSnapshot)] {
+		for _, c := range s.seen[f].crashes {
 			l = append(l, wire.Crash{Print: f, Server: c.server, Early: c.early, Age: now.Sub(c.at).Milliseconds()})
 		}
 	}
-	s.mu.Unlock()
-	for _, c := range l {
-		s.broadcast(c)
-	}
+	return l
 }
 
 // remove removes a request and reports whether it was tracked.
--- a/entry/internal/ingress/suspects_test.go
+++ b/entry/internal/ingress/suspects_test.go
@@ -210,4 +210,7 @@
 	if s.seen[0] != nil || s.seen[maxSuspects+9] == nil {
 		t.Error("not the oldest requests were dropped")
 	}
+	if l := s.snapshot(now); len(l) != maxSnapshot || l[0].Print != maxSuspects+9 {
+		t.Errorf("an entry that has just started gets %d crashes, the first of request %d", len(l), l[0].Print)
+	}
 }
