Do not ask an engine again that refuses to confirm the end of a text

An engine that is full refuses the request that would confirm the end of its response, and would have been asked again at each look for a server. It is asked once now; after a refusal any engine may run the item. One that answers that it is another incarnation counts as gone. Found by reading the diff; TestEngineThatDiesConfirmsNoText has the form "cannot say".

--- a/entry/internal/batch/cut_test.go
+++ b/entry/internal/batch/cut_test.go
@@ -77,11 +77,12 @@
 // Guards against items that are listed with a part of their text because an engine that was asked to go on died after the head
 // of a response without framing.
 func TestEngineThatDiesConfirmsNoText(t *testing.T) {
-	const broken, dies, gone = "broken", "dies", "gone"
+	const broken, dies, gone, busy = "broken", "dies", "gone", "busy"
 	for name, script := range map[string][]string{
 		"once":        {broken, dies, gone},
 		"three times": {broken, dies, gone, dies, gone, dies, gone},
 		"first run":   {dies, gone},
+		"cannot say":  {broken, dies, busy},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -101,6 +102,9 @@
 					writeRaw(w, head+"\r\n")
 				case gone:
 					writeRaw(w, "")
+				case busy:
+					platformtest.SetResponseHeaders(w.Header(), call.Answer{NotRun: true})
+					w.WriteHeader(http.StatusServiceUnavailable)
 				}
 				return true
 			}
--- a/entry/internal/batch/ending.go
+++ b/entry/internal/batch/ending.go
@@ -20,7 +20,8 @@
 	server catalog.Server
 	after  int // events of the text
 	at     time.Time
-	count  int // ends after the same event in a row; 0 for none
+	count  int  // ends after the same event in a row; 0 for none
+	asked  bool // the server has refused to confirm it
 }
 
 // isAt reports whether the response that has ended was that of the given incarnation.
@@ -48,18 +49,23 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	for i, s := range servers {
-		if it.ending.isAt(s) && it.ending.after == len(it.data) {
+		if it.ending.isAt(s) && !it.ending.asked && it.ending.after == len(it.data) {
 			return servers[i : i+1], true
 		}
 	}
 	return nil, false
 }
 
-// forgetEnding drops the end of a response whose server turns out to be gone.
-func (j *Job) forgetEnding(it *item, s catalog.Server) {
+// endingUnconfirmed notes that a server has not confirmed the end of its response. If it is gone, it has died, and the end
+// is dropped; otherwise it has refused the request.
+func (j *Job) endingUnconfirmed(it *item, s catalog.Server, gone bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if it.ending.isAt(s) {
+	switch {
+	case !it.ending.isAt(s):
+	case gone:
 		it.ending = ending{}
+	default:
+		it.ending.asked = true
 	}
 }
--- a/entry/internal/batch/ending_test.go
+++ b/entry/internal/batch/ending_test.go
@@ -44,7 +44,7 @@
 			for _, e := range c.ends {
 				got = j.endText(&it, e.server, start.Add(e.at), e.after, start.Add(e.at))
 				if e.gone {
-					j.forgetEnding(&it, e.server)
+					j.endingUnconfirmed(&it, e.server, true)
 				}
 			}
 			if got != c.want {
--- a/entry/internal/batch/run.go
+++ b/entry/internal/batch/run.go
@@ -132,7 +132,7 @@
 	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if asked := it.ending.server.Service; asked != "" && route.HasService(asked) {
+	if asked := it.ending.server.Service; asked != "" && !it.ending.asked && route.HasService(asked) {
 		return asked
 	}
 	usable := func(name string) bool { return len(j.manager.Catalog.Servers(name)) > 0 }
@@ -358,7 +358,7 @@
 	defer watch.stop()
 	r, err := j.post(ctx, s, it.ID, j.request(it, s, route, after, current.startedAt))
 	if err != nil {
-		j.forgetEnding(it, s)
+		j.endingUnconfirmed(it, s, true)
 		if ctx.Err() != nil {
 			return attemptResult{outcome: place.Silent, cause: causeSilent}
 		}
@@ -380,6 +380,7 @@
 	switch {
 	case meaning == call.NotRun:
 		v.cause = causeRefused
+		j.endingUnconfirmed(it, s, resp.StatusCode == http.StatusMisdirectedRequest)
 	case resp.StatusCode == http.StatusUnprocessableEntity:
 		v.outcome, v.cause = place.Answered, "the engine rejected the item"
 		j.mu.Lock()
