--- a/entry/internal/batch/giveup.go
+++ b/entry/internal/batch/giveup.go
@@ -13,8 +13,8 @@
 	causeExpired = "the job exceeded its time limit"
 )
 
-// causeToGiveUp returns why the open items of a job are to be given up, empty if they are not; the route is nil if none
-// matches the job. Giving up is final, so that a caller must have the cause confirmed.
+// causeToGiveUp returns why the open items of a job are to be given up, empty if they are not, and notes when the cause
+// arose; the route is nil if none matches the job. Giving up is final, so that a caller must have the cause confirmed.
 func (j *Job) causeToGiveUp(route *catalog.Route, now time.Time) string {
 	cause := ""
 	switch {
@@ -56,7 +56,8 @@
 	defer j.mu.Unlock()
 	for _, it := range pending {
 		if j.terminate(it, now) {
-			event.ItemGivenUp.Log(j.manager.Logger, "job", j.spec.ID, "request", it.ID, "cause", cause)
+			event.ItemGivenUp.Log(j.manager.Logger, "job", j.spec.ID, "request", it.ID, "cause", cause,
+				"config", j.manager.configRevision(), "accepted", j.accepted)
 		}
 	}
 }
@@ -80,7 +81,8 @@
 			waiting++
 		case j.terminate(it, now):
 			ended = true
-			event.ItemGivenUp.Log(j.manager.Logger, "job", j.spec.ID, "request", it.ID, "cause", cause, "failures", it.failures)
+			event.ItemGivenUp.Log(j.manager.Logger, "job", j.spec.ID, "request", it.ID, "cause", cause, "failures", it.failures,
+				"config", c.Revision, "accepted", j.accepted)
 		}
 	}
 	if waiting > 0 {
--- a/entry/internal/batch/submit.go
+++ b/entry/internal/batch/submit.go
@@ -87,7 +87,7 @@
 		})
 	}
 	event.JobAccepted.Log(m.Logger, "job", id, "workspace", w.Name, "step", spec.Step, "model", spec.Model, "min", spec.MinVersion,
-		"items", len(spec.Items), "owner", held.Owner, "epoch", held.Epoch, "ms", time.Since(now).Milliseconds())
+		"items", len(spec.Items), "owner", held.Owner, "epoch", held.Epoch, "config", held.Config, "ms", time.Since(now).Milliseconds())
 	return accepted
 }
 
