Do not block a request for long because many servers died at once

Change: only crashes of trials, that is under runs that began after the request had been blocked, extend the time. Entries tell each other which those are. A crash that is told again has an age of at least 1 ms, so that it cannot count twice.

Found by reading the diff.

--- a/entry/internal/ingress/suspects.go
+++ b/entry/internal/ingress/suspects.go
@@ -40,7 +40,7 @@
 	maxSuspects = 4096
 	// maxSnapshot is the maximum number of requests that an entry that has just started is told of.
 	maxSnapshot = 256
-	// maxCrashes is the maximum number of crashes kept for a request, which is more than it takes to reach maxBlock.
+	// maxCrashes is the maximum number of crashes kept for a request beside those of its trials.
 	maxCrashes = 16
 )
 
@@ -66,9 +66,11 @@
 type crash struct {
 	server string // incarnation
 	early  bool
+	trial  bool // the run began after the request had been blocked
 	at     time.Time
 }
 
+// weight returns what a crash adds to the sum from which a request is blocked.
 func (c crash) weight() int {
 	if c.early {
 		return earlyWeight
@@ -116,7 +118,7 @@
 		Print: fingerprint, Server: incarnation(r.server), Ran: now.Sub(r.startedAt).Milliseconds(),
 		Early: r.headAt.IsZero() || r.endedAt.Sub(r.headAt) < earlyCrash,
 	}
-	s.addCrash(c, r.startedAt, now)
+	c.Trial = s.addCrash(c, r.startedAt, now)
 	s.broadcast(c)
 }
 
@@ -173,7 +175,7 @@
 	var l []wire.Crash
 	for _, f := range latest[:min(len(latest), maxSnapshot)] {
 		for _, c := range s.seen[f].crashes {
-			l = append(l, wire.Crash{Print: f, Server: c.server, Early: c.early, Age: now.Sub(c.at).Milliseconds()})
+			l = append(l, wire.Crash{Print: f, Server: c.server, Early: c.early, Trial: c.trial, Age: max(now.Sub(c.at).Milliseconds(), 1)})
 		}
 	}
 	return l
@@ -194,8 +196,8 @@
 	s.tracked.Store(int64(len(s.seen)))
 }
 
-// addCrash adds a crash under a run that began at the given time.
-func (s *Suspects) addCrash(c wire.Crash, startedAt, now time.Time) {
+// addCrash adds a crash under a run that began at the given time, and reports whether that run was a trial.
+func (s *Suspects) addCrash(c wire.Crash, startedAt, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	v := s.seen[c.Print]
@@ -212,12 +214,15 @@
 	for _, known := range v.crashes {
 		// One crash breaks all runs of the request at its server, and is reported to a new entry by all others.
 		if known.server == c.Server && (c.Age > 0 || !known.at.Before(startedAt)) {
-			return
+			return known.trial
 		}
 	}
-	if len(v.crashes) < maxCrashes {
-		v.crashes = append(v.crashes, crash{server: c.Server, early: c.Early, at: at})
+	blockedAt, blocked := v.blockedAt()
+	trial := c.Trial || blocked && c.Age == 0 && startedAt.After(blockedAt)
+	if len(v.crashes) < maxCrashes || trial {
+		v.crashes = append(v.crashes, crash{server: c.Server, early: c.Early, trial: trial, at: at})
 	}
+	return trial
 }
 
 // makeRoom drops the request that was last seen longest ago if there are too many; the caller holds mu.
@@ -276,19 +281,33 @@
 	return blocked && now.Before(until)
 }
 
-// blockedUntil returns until when a request is blocked, and whether it has crashed enough servers to be blocked at all.
+// blockedAt returns when a request had crashed enough servers to be blocked, and whether it has.
+func (v *suspect) blockedAt() (time.Time, bool) {
+	weight := 0
+	for _, c := range v.crashes {
+		if weight += c.weight(); weight >= blockWeight {
+			return c.at, true
+		}
+	}
+	return time.Time{}, false
+}
+
+// blockedUntil returns until when a request is blocked, and whether it has crashed enough servers to be blocked at all. Servers
+// that died at the same time are one reason to block it, not several.
 func (v *suspect) blockedUntil() (time.Time, bool) {
-	weight, trials := 0, 0
+	if _, blocked := v.blockedAt(); !blocked {
+		return time.Time{}, false
+	}
+	trials := 0
 	var last time.Time
 	for _, c := range v.crashes {
-		if weight >= blockWeight {
+		if c.trial {
 			trials++
 		}
-		weight += c.weight()
 		if c.at.After(last) {
 			last = c.at
 		}
 	}
 	block := float64(minBlock) * math.Pow(blockFactor, float64(trials))
-	return last.Add(time.Duration(min(block, float64(maxBlock)))), weight >= blockWeight
+	return last.Add(time.Duration(min(block, float64(maxBlock)))), true
 }
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -190,7 +190,8 @@
 // Reports to the other entries that a server broke the connection while handling a
 // request, or that a server has since answered the request completely.
 type Crash struct {
-	// Time since the connection broke, in milliseconds; 0 if it has just broken.
+	// Time since the connection broke, in milliseconds, if it is reported again; 0 if
+	// it has just broken.
 	Age int64 `json:"age"`
 
 	// True if a server has answered the request, which shows that the request does
@@ -208,6 +209,9 @@
 
 	// Incarnation of the server; empty if answered.
 	Server string `json:"server"`
+
+	// True if the run began after the request had been blocked.
+	Trial bool `json:"trial"`
 }
 
 // The configuration object; its store version is the configuration revision.
