Soak: leave out the time for which a process is paused during its stop

Change: the time of pauses is added to the grace period; a process that takes longer than that is reported as before. Checked by TestPausesDuringStop.

--- a/scenario/soak/fault.go
+++ b/scenario/soak/fault.go
@@ -238,10 +238,12 @@
 	}
 	end := e.disturbProcess(name)
 	defer end()
+	thawed := e.notePause(name)
 	_ = p.Signal(syscall.SIGSTOP) // the process may have exited
 	pause(ctx, d)
 	e.checker.recordThaw(name, time.Now())
 	_ = p.Signal(syscall.SIGCONT)
+	thawed()
 }
 
 func (e *env) sendHangup(name string) {
--- a/scenario/soak/soak_test.go
+++ b/scenario/soak/soak_test.go
@@ -385,3 +385,20 @@
 		t.Errorf("undisturbed entry: want one violation, got %q", c.violations)
 	}
 }
+
+// Guards against a process that counts as still running after a stop because it was paused meanwhile, and against one that gets
+// more time than that.
+func TestPausesDuringStop(t *testing.T) {
+	e := &env{pauses: map[string][]span{}}
+	start := time.Now()
+	at := func(s int) time.Time { return start.Add(time.Duration(s) * time.Second) }
+	e.pauses["entry0"] = []span{{at(-3), at(-2)}, {at(-1), at(1)}, {at(4), at(6)}, {from: at(7)}}
+	for to, want := range map[int]int{0: 0, 3: 1, 5: 2, 7: 3, 9: 5} {
+		if got := e.pausedSince("entry0", start, at(to)); got != time.Duration(want)*time.Second {
+			t.Errorf("paused for %v in the first %d s, want %d s", got, to, want)
+		}
+	}
+	if got := e.pausedSince("entry1", start, at(9)); got != 0 {
+		t.Errorf("a process that was not paused was paused for %v", got)
+	}
+}
