--- a/entry/internal/batch/ending_test.go
+++ b/entry/internal/batch/ending_test.go
@@ -32,7 +32,9 @@
 			{server: first, after: 3}, {server: first, after: 3, at: 2 * confirmTime}, {server: first, after: 3, at: 4 * confirmTime},
 		}, true},
 		{"gone each time", []end{
-			{server: first, after: 3, gone: true}, {server: second, after: 3, gone: true}, {server: first, after: 3, gone: true},
+			{server: first, after: 3, gone: true},
+			{server: second, after: 3, gone: true},
+			{server: first, after: 3, gone: true},
 			{server: second, after: 3},
 		}, false},
 		{"an empty text", []end{{server: first}, {server: first}}, true},
