Start items of a split route wherever a slot is free

Cause: an item picked its service by weight among those that had any server, and waited there for up to a second, whether a server could run it or not. After a refusal it picked by the same weights again.

Change: a route gives its services in an order drawn by weight. An item keeps its order until it starts, and takes the first service with a free slot for it (place.StartAmong). Items of workspaces are offered to their first service, and those that still wait to all. Weights that sum up to more than an int holds do not panic any more.

The weights are now asked for where both services have room, half in narrower bounds than before, and two new forms ask that full services use all slots.

--- a/entry/internal/batch/ending.go
+++ b/entry/internal/batch/ending.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bulrushspoke/entry/internal/place"
 	"bulrushspoke/internal/catalog"
 )
 
@@ -45,12 +46,17 @@
 
 // confirmingServer returns the server that is to be asked whether the text of an item is complete, if there is one and it
 // still takes requests.
-func (j *Job) confirmingServer(it *item, servers []catalog.Server) ([]catalog.Server, bool) {
+func (j *Job) confirmingServer(it *item, pools place.Pools) ([]catalog.Server, bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	for i, s := range servers {
-		if it.ending.isAt(s) && !it.ending.asked && it.ending.after == len(it.data) {
-			return servers[i : i+1], true
+	if it.ending.asked || it.ending.after != len(it.data) {
+		return nil, false
+	}
+	for _, servers := range pools {
+		for i, s := range servers {
+			if it.ending.isAt(s) {
+				return servers[i : i+1], true
+			}
 		}
 	}
 	return nil, false
--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -69,9 +69,7 @@
 	ticket   *prefill.Ticket // of the next attempt; only used by run
 	data     []string        // data of the events received so far
 	versions []int
-	ending   ending // last end of a response without framing
-	picked   string // service of a split route that the item waits for; empty if none was picked
-	pickedAt time.Time
+	ending   ending    // last end of a response without framing
 	failures int       // responses with status 500
 	failedAt time.Time // last failure of a run or of the reward call
 	moves    int       // moves between servers
@@ -84,6 +82,10 @@
 	done     bool   // the result is known
 	void     bool   // the item was given up
 	listed   bool
+
+	// The services in the order in which the next attempt and the next reward call look for a server.
+	textOrder serviceOrder
+	callOrder serviceOrder
 }
 
 // newJob returns a job with the results of the given records, whose state was read from the store at the given time. The
--- a/entry/internal/batch/run.go
+++ b/entry/internal/batch/run.go
@@ -37,8 +37,6 @@
 	eventOverhead = 32
 	// estimateInterval is the time between two updates of the remaining time of the step.
 	estimateInterval = 100 * time.Millisecond
-	// pickInterval is how long an item waits for a server of one service of a split route.
-	pickInterval = time.Second
 	// defaultItemTimeout bounds an item on routes without a time limit.
 	defaultItemTimeout = 2 * time.Minute
 )
@@ -116,45 +114,17 @@
 	}
 	waiting := 0
 	for _, it := range texts {
-		if !j.startText(ctx, now, it, j.pickService(it, route, now), route, func() {}) {
+		if !j.startText(ctx, now, it, j.textServices(it, route), route, func() {}) {
 			waiting++
 		}
 	}
 	return waiting
 }
 
-// pickService returns the service of the route that is to run an item: by the weights of the route, of the services that
-// have servers. An item that has waited there for pickInterval waits at another one after that, so that it does not wait beside
-// free servers.
-func (j *Job) pickService(it *item, route *catalog.Route, now time.Time) string {
-	if len(route.Shares) == 1 {
-		return route.Shares[0].Service
-	}
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	if asked := it.ending.server.Service; asked != "" && !it.ending.asked && route.HasService(asked) {
-		return asked
-	}
-	usable := func(name string) bool { return len(j.manager.Catalog.Servers(name)) > 0 }
-	waited := ""
-	if it.picked != "" && route.HasService(it.picked) && usable(it.picked) {
-		if now.Sub(it.pickedAt) < pickInterval {
-			return it.picked
-		}
-		waited = it.picked
-	}
-	name, ok := route.PickServiceIf(func(name string) bool { return name != waited && usable(name) }, j.manager.Random.IntN)
-	if !ok {
-		name = route.PickService(j.manager.Random.IntN)
-	}
-	it.picked, it.pickedAt = name, now
-	return name
-}
-
-// startText starts an item if a server of a service has room for it; ended is called after its attempts. It does nothing if
-// the item runs already: it may have been offered to another service before.
+// startText starts an item if a server of one of the services has room for it; ended is called after its attempts. It does
+// nothing if the item runs already: it may have been offered to another service before.
 func (j *Job) startText(
-	ctx context.Context, now time.Time, it *item, service string, route *catalog.Route, ended func(),
+	ctx context.Context, now time.Time, it *item, services []string, route *catalog.Route, ended func(),
 ) bool {
 	if !j.claim(it) {
 		return false
@@ -170,14 +140,14 @@
 		it.ticket = prefill.NewTicket(it.prompt, j.workspace.Name)
 	}
 	need.Ticket = it.ticket
-	servers := j.manager.Catalog.Servers(service)
+	pools := j.pools(services)
 	var s catalog.Server
-	same, ok := j.confirmingServer(it, servers)
+	same, ok := j.confirmingServer(it, pools)
 	if ok {
 		s, ok = j.manager.Tracker.Start(now, same, place.Need{Model: need.Model, MinVersion: need.MinVersion, Ticket: need.Ticket})
 	}
 	if !ok {
-		s, ok = j.manager.Tracker.Start(now, servers, need)
+		s, ok = j.manager.Tracker.StartAmong(now, pools, need)
 	}
 	if !ok {
 		return false
@@ -213,7 +183,7 @@
 // startAttempt runs an attempt of an item or of its reward call that is started in the tracker.
 func (j *Job) startAttempt(it *item, run func()) {
 	j.mu.Lock()
-	it.running, it.picked = true, ""
+	it.running, it.textOrder, it.callOrder = true, serviceOrder{}, serviceOrder{}
 	j.mu.Unlock()
 	go supervise.Guard(j.manager.Logger, "item", func() {
 		defer func() {
--- a/entry/internal/batch/score.go
+++ b/entry/internal/batch/score.go
@@ -31,7 +31,7 @@
 			waiting++
 			continue
 		}
-		servers := j.manager.Catalog.Servers(route.PickService(j.manager.Random.IntN))
+		servers := j.manager.Catalog.Servers(route.Order(j.manager.Random.IntN)[0])
 		s, ok := j.manager.Tracker.Start(now, servers, it.call.Need(now, it.failedScorer(servers)))
 		if !ok {
 			waiting++
--- a/entry/internal/batch/split_test.go
+++ b/entry/internal/batch/split_test.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
 
+	"bulrushspoke/entry/internal/place"
 	"bulrushspoke/entry/internal/turn"
 	"bulrushspoke/internal/catalog"
 	"bulrushspoke/internal/workspace"
@@ -25,6 +27,71 @@
 	return d.r.IntN(n)
 }
 
+// splitRoute is a rig with a route of two services, "new" and "v", of one engine each.
+type splitRoute struct {
+	*rig
+	manager      *Manager
+	added, other *engine
+}
+
+// newSplitRoute returns a split route whose new service has the given weight of 100 and no server yet. The server of the other
+// service has the given number of slots. With fair set, items take turns with those of other workspaces.
+func newSplitRoute(t *testing.T, weight, slots int, fair bool) *splitRoute {
+	t.Helper()
+	added, other := newEngine(t, 1), newEngine(t, 1)
+	r, _, withWorkspaces := newWorkspaceRig(t, other)
+	r.route.Shares = []catalog.Share{{Service: "new", Weight: weight}, {Service: "v", Weight: 100 - weight}}
+	m, _ := r.manager("a", "a1")
+	m.Random = &drawing{r: rand.New(rand.NewPCG(1, 2))}
+	if fair {
+		m.Turns = turn.New(turn.Options{
+			Name: "a", Catalog: m.Catalog, Tracker: m.Tracker, Peers: onlyPeers{member{mesh: r.mesh, name: "a"}},
+			Waits: noMetrics{}, Refused: noMetrics{}, Logger: discardLogger,
+		})
+	}
+	s := r.server(0, 60)
+	s.Slots = slots
+	m.Catalog.ApplyServer(s)
+	withWorkspaces(m, workspace.Entry{Workspace: workspaceOf("big")})
+	return &splitRoute{rig: r, manager: m, added: added, other: other}
+}
+
+// addServer adds the server of the new service, as changed by change, with a number of slots.
+func (r *splitRoute) addServer(slots int, change func(s *catalog.Server)) catalog.Server {
+	r.engines = []*engine{r.added}
+	s := r.server(0, 70)
+	s.ID, s.Service, s.Slots = "new0", "new", slots
+	if change != nil {
+		change(&s)
+	}
+	r.manager.Catalog.ApplyServer(s)
+	return s
+}
+
+// handIn submits a job of n items and returns it with their ids.
+func (r *splitRoute) handIn(n int) (*Job, []string) {
+	r.t.Helper()
+	var ids []string
+	for i := range n {
+		ids = append(ids, fmt.Sprintf("g%d-3", i))
+	}
+	r.submitAs(r.manager, workspaceOf("big"), "big", payloadFor(n, 1, ids...))
+	return r.manager.local(scopedID(workspaceOf("big"), "big")), ids
+}
+
+// running returns the number of items of a job that have an attempt in flight.
+func running(j *Job) int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	n := 0
+	for _, it := range j.items {
+		if it.running {
+			n++
+		}
+	}
+	return n
+}
+
 // Guards against a split route whose items all go to its first service, whatever the weights, and against items that wait for
 // one of its services while another has free servers.
 func TestItemsFollowSplitRoute(t *testing.T) {
@@ -32,54 +99,44 @@
 	for _, c := range []struct {
 		name         string
 		weight       int // of the new service, of 100
+		slots        int // of each server
 		hangs, empty bool
+		refuses      bool
 		least, most  int // items that the new service runs
 	}{
-		{name: "a tenth", weight: 10, least: 2, most: 30},
-		{name: "half", weight: 50, least: 20, most: 90},
-		{name: "nine tenths to a service that hangs", weight: 90, hangs: true, most: items},
-		{name: "nine tenths to a service without servers", weight: 90, empty: true},
-		{name: "nothing", weight: 0},
+		{name: "a tenth", weight: 10, slots: items, least: 2, most: 30},
+		{name: "half", weight: 50, slots: items, least: 40, most: 80},
+		{name: "a tenth, full", weight: 10, slots: 8, least: 30, most: 90},
+		{name: "half, full", weight: 50, slots: 8, least: 30, most: 90},
+		{name: "nine tenths to a service that hangs", weight: 90, slots: 8, hangs: true, most: items},
+		{name: "all but a hundredth to a service that refuses", weight: 99, slots: 8, refuses: true},
+		{name: "nine tenths to a service without servers", weight: 90, slots: 8, empty: true},
+		{name: "nothing", slots: 8},
 	} {
 		for _, fair := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, turns %t", c.name, fair), func(t *testing.T) {
 				t.Parallel()
-				added, other := newEngine(t, 1), newEngine(t, 1)
-				added.gap, other.gap = 2*time.Millisecond, 2*time.Millisecond
+				r := newSplitRoute(t, c.weight, c.slots, fair)
+				r.added.gap, r.other.gap = 2*time.Millisecond, 2*time.Millisecond
 				if c.hangs {
-					added.gap = time.Hour
+					r.added.gap = time.Hour
 				}
-				r, _, withWorkspaces := newWorkspaceRig(t, other)
-				r.route.Shares = []catalog.Share{{Service: "new", Weight: c.weight}, {Service: "v", Weight: 100 - c.weight}}
-				m, _ := r.manager("a", "a1")
-				m.Random = &drawing{r: rand.New(rand.NewPCG(1, 2))}
-				if fair {
-					m.Turns = turn.New(turn.Options{
-						Name: "a", Catalog: m.Catalog, Tracker: m.Tracker, Peers: onlyPeers{member{mesh: r.mesh, name: "a"}},
-						Waits: noMetrics{}, Refused: noMetrics{}, Logger: discardLogger,
-					})
+				if c.refuses {
+					r.added.answer = func(string, int) int { return http.StatusServiceUnavailable }
 				}
 				if !c.empty {
-					r.engines = []*engine{added}
-					s := r.server(0, 60)
-					s.ID, s.Service = "new0", "new"
-					m.Catalog.ApplyServer(s)
-				}
-				withWorkspaces(m, workspace.Entry{Workspace: workspaceOf("big")})
-				var ids []string
-				for i := range items {
-					ids = append(ids, fmt.Sprintf("g%d-3", i))
+					r.addServer(c.slots, nil)
 				}
-				r.submitAs(m, workspaceOf("big"), "big", payloadFor(items, 1, ids...))
-				checkTexts(t, r.collectAs(m, workspaceOf("big"), "big", items), ids...)
+				_, ids := r.handIn(items)
+				checkTexts(t, r.collectAs(r.manager, workspaceOf("big"), "big", items), ids...)
 				ran := make(map[string]bool)
-				for _, start := range added.started() {
+				for _, start := range r.added.started() {
 					ran[start] = true
 				}
 				if n := len(ran); n < c.least || n > c.most {
 					t.Errorf("the new service ran %d of %d items, want %d to %d", n, items, c.least, c.most)
 				}
-				if n := len(added.started()) + len(other.started()); !c.hangs && n != items {
+				if n := len(r.added.started()) + len(r.other.started()); !c.hangs && n != items {
 					t.Errorf("%d runs of %d items", n, items)
 				}
 			})
@@ -87,6 +144,54 @@
 	}
 }
 
+// Guards against items that wait for servers of a split route that cannot run them while other servers of it have free slots.
+func TestItemsUseFreeSlotsOfSplitRoute(t *testing.T) {
+	const items = 40
+	ended := func(o place.Outcome) func(*place.Tracker, catalog.Server) {
+		return func(tracker *place.Tracker, s catalog.Server) {
+			now := time.Now()
+			tracker.Start(now, []catalog.Server{s}, place.Need{Model: "m"})
+			tracker.Ended(s.ID, "m", o, 0, now)
+		}
+	}
+	for _, c := range []struct {
+		name    string
+		change  func(s *catalog.Server)                  // of the new service
+		prepare func(t *place.Tracker, s catalog.Server) // before items are handed in
+		least   int                                      // items that the new service runs, of its 8 slots
+	}{
+		{name: "full", least: 8},
+		{name: "of an older version", change: func(s *catalog.Server) { s.Versions = map[string]int{"m": 0} }},
+		{name: "without the model", change: func(s *catalog.Server) { s.Versions = map[string]int{"other": 1} }},
+		{name: "leaving", change: func(s *catalog.Server) { s.Draining = true }},
+		{name: "has refused", prepare: ended(place.Refused)},
+		{name: "has failed", prepare: ended(place.Failed)},
+	} {
+		for _, fair := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, turns %t", c.name, fair), func(t *testing.T) {
+				t.Parallel()
+				r := newSplitRoute(t, 90, items, fair)
+				r.added.gap, r.other.gap = time.Hour, time.Hour
+				s := r.addServer(8, c.change)
+				if c.prepare != nil {
+					c.prepare(r.manager.Tracker, s)
+				}
+				j, _ := r.handIn(items)
+				j.schedule(t.Context())
+				if n := running(j); n != items {
+					t.Errorf("%d of %d items run", n, items)
+				}
+				await(t, "the engines have all items that run", func() bool {
+					return len(r.added.started())+len(r.other.started()) >= running(j)
+				})
+				if n := len(r.added.started()); n < c.least {
+					t.Errorf("the new service runs %d items, want %d", n, c.least)
+				}
+			})
+		}
+	}
+}
+
 // Guards against a job that can move its items, or finds room for a stalled one, only at the first service of a split route.
 func TestServicesOfSplitRoute(t *testing.T) {
 	r := newRig(t, newEngine(t, 1))
--- a/entry/internal/batch/turn.go
+++ b/entry/internal/batch/turn.go
@@ -26,11 +26,12 @@
 	return fairness.Flow{Workspace: j.workspace.Name, Level: c.Priority(j.workspace, route)}, true
 }
 
-// offerTexts offers the items that wait for a server, has those started whose turn it is, and returns how many still wait.
+// offerTexts offers the items that wait for a server, has those started whose turn it is, and returns how many still wait. On
+// a split route an item is offered to the service that comes first for it, and to all services if it finds no server there.
 func (j *Job) offerTexts(
 	ctx context.Context, now time.Time, texts []*item, route *catalog.Route, f fairness.Flow,
 ) int {
-	services := route.Services()
+	services := j.servedServices(route)
 	j.mu.Lock()
 	former := j.offeredTo
 	j.offeredTo = services
@@ -40,16 +41,24 @@
 			j.manager.Turns.Withdraw(now, service, j)
 		}
 	}
-	picked := make(map[string][]*item, len(services))
+	if len(services) == 1 {
+		return j.offer(ctx, now, services[0], texts, route, f)
+	}
+	first := make(map[string][]*item, len(services))
 	for _, it := range texts {
-		service := j.pickService(it, route, now)
-		picked[service] = append(picked[service], it)
+		order := j.textServices(it, route)
+		i := slices.IndexFunc(order, func(name string) bool { return slices.Contains(services, name) })
+		first[order[i]] = append(first[order[i]], it)
+	}
+	for _, service := range services {
+		j.offer(ctx, now, service, first[service], route, f)
 	}
-	waiting := 0
+	// What still waits takes any slot that frees. Each service gets its own copy, since it removes what has started.
+	left := slices.DeleteFunc(slices.Clone(texts), j.startedOrDone)
 	for _, service := range services {
-		waiting += j.offer(ctx, now, service, picked[service], route, f)
+		j.offer(ctx, now, service, slices.Clone(left), route, f)
 	}
-	return waiting
+	return len(slices.DeleteFunc(left, j.startedOrDone))
 }
 
 // offer offers items that wait for a server of a service, in place of those offered for it before.
@@ -64,7 +73,7 @@
 			}
 			open = slices.DeleteFunc(open, j.startedOrDone)
 			for _, it := range open {
-				if j.startText(ctx, now, it, service, route, func() { j.manager.Turns.ItemEnded(service, f) }) {
+				if j.startText(ctx, now, it, []string{service}, route, func() { j.manager.Turns.ItemEnded(service, f) }) {
 					return true
 				}
 			}
--- a/entry/internal/ingress/forward.go
+++ b/entry/internal/ingress/forward.go
@@ -67,7 +67,7 @@
 	defer stop()
 	ctx, cancel := context.WithDeadline(work, q.arrived.Add(q.remaining(q.arrived)))
 	defer cancel()
-	service := q.route.PickService(g.Random.IntN)
+	service := q.route.Order(g.Random.IntN)[0]
 	tried := make(map[string]bool)
 	if a, ok := g.takeTurn(ctx, q, service, 0); !ok {
 		g.replyUnserved(w, q, a, false)
--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -6,7 +6,9 @@
 //	go catalog.Follow(ctx, source, feed, logger) // the functions of feed pass changes in the store to c
 //	cfg := c.Config()                            // nil before the first configuration is known
 //	route, ok := cfg.Match("shop.example", "/orders/7")
-//	for _, s := range c.Servers(route.PickService(random.IntN)) { … }
+//	for _, service := range route.Order(random.IntN) {
+//		for _, s := range c.Servers(service) { … }
+//	}
 //
 // Returned values are shared and must not be modified. An object with a lower revision never replaces one with a higher
 // revision.
@@ -42,6 +44,9 @@
 	Weight  int
 }
 
+// maxWeight is the weight from which on a share gets no more, so that sums of weights do not overflow.
+const maxWeight = 1 << 40
+
 // Route describes how requests for a host and path prefix are handled.
 type Route struct {
 	Name          string
@@ -64,38 +69,36 @@
 // Repeatable reports whether a request of the route may run more than once.
 func (r *Route) Repeatable() bool { return r.Kind == Safe || r.Kind == Batch || r.Resumable }
 
-// PickService returns the name of a random service of the route, chosen by weight; random returns a random number below its
-// argument.
-func (r *Route) PickService(random func(int) int) string {
-	if name, ok := r.PickServiceIf(func(string) bool { return true }, random); ok {
-		return name
+// Order returns the services of the route in the order in which a request or an item looks for a server there, drawn by
+// weight; random returns a random number below its argument. Services that get no requests are left out.
+func (r *Route) Order(random func(int) int) []string {
+	if services := r.Services(); len(services) <= 1 {
+		return services
+	}
+	var l []string
+	left := slices.Clone(r.Shares)
+	for {
+		left = slices.DeleteFunc(left, func(s Share) bool { return s.Weight <= 0 || slices.Contains(l, s.Service) })
+		if len(left) == 0 {
+			return l
+		}
+		l = append(l, left[draw(left, random)].Service)
 	}
-	return r.Shares[0].Service
 }
 
-// PickServiceIf is PickService for the services that accept allows. It returns false if there are none with a weight.
-func (r *Route) PickServiceIf(accept func(name string) bool, random func(int) int) (string, bool) {
+// draw returns the index of a share, drawn by weight.
+func draw(shares []Share, random func(int) int) int {
 	total := 0
-	var l []Share
-	for _, s := range r.Shares {
-		if (s.Weight > 0 || len(r.Shares) == 1) && accept(s.Service) {
-			l = append(l, s)
-			total += s.Weight
-		}
-	}
-	if len(l) == 0 {
-		return "", false
-	}
-	if len(l) == 1 {
-		return l[0].Service, true
+	for _, s := range shares {
+		total += min(s.Weight, maxWeight)
 	}
 	n := random(total)
-	for _, s := range l {
-		if n -= s.Weight; n < 0 {
-			return s.Service, true
+	for i, s := range shares {
+		if n -= min(s.Weight, maxWeight); n < 0 {
+			return i
 		}
 	}
-	return l[0].Service, true
+	return 0
 }
 
 // Services returns the names of the services of the route, without those that get no requests.
@@ -112,9 +115,6 @@
 	return l
 }
 
-// HasService reports whether the route has the service.
-func (r *Route) HasService(name string) bool { return slices.Contains(r.Services(), name) }
-
 // Service is a set of interchangeable servers.
 type Service struct {
 	Name       string
