Look again for servers for items that another goroutine has reserved

Cause: an attempt reserves its item before it looks for a server, since an item may be offered to two services. A reserved item counted as running. If the job looked for servers in that moment, it saw nothing that waits and set no timer, and the other goroutine gave the item back silently.

Evidence: 39 of 40 items running after a look of the test beside that of the job, in one of five runs of TestItemsUseFreeSlotsOfSplitRoute.

Change: reserved items count as waiting.

--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -75,7 +75,8 @@
 	moves    int       // moves between servers
 	moved    time.Time // when the last move began
 	timing   timing
-	running  bool // an attempt of the item or of its reward call is in flight
+	running  bool // an attempt of the item or of its reward call is in flight, or the item is claimed
+	claimed  bool // a goroutine looks for a server for the item
 	textDone bool // the text is complete; its score may be missing
 	call     reward.Call
 	scorer   string // server of the last reward call
--- a/entry/internal/batch/run.go
+++ b/entry/internal/batch/run.go
@@ -169,7 +169,7 @@
 	if it.running || it.textDone || it.done {
 		return false
 	}
-	it.running = true
+	it.running, it.claimed = true, true
 	return true
 }
 
@@ -177,13 +177,14 @@
 func (j *Job) unclaim(it *item) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	it.running = false
+	it.running, it.claimed = false, false
 }
 
 // startAttempt runs an attempt of an item or of its reward call that is started in the tracker.
 func (j *Job) startAttempt(it *item, run func()) {
 	j.mu.Lock()
-	it.running, it.textOrder, it.callOrder = true, serviceOrder{}, serviceOrder{}
+	it.running, it.claimed = true, false
+	it.textOrder, it.callOrder = serviceOrder{}, serviceOrder{}
 	j.mu.Unlock()
 	go supervise.Guard(j.manager.Logger, "item", func() {
 		defer func() {
@@ -205,7 +206,7 @@
 	defer j.mu.Unlock()
 	var l []*item
 	for _, it := range j.items {
-		if !it.done && !it.running {
+		if !it.done && (!it.running || it.claimed) {
 			l = append(l, it)
 		}
 	}
--- a/entry/internal/batch/turn.go
+++ b/entry/internal/batch/turn.go
@@ -83,11 +83,11 @@
 }
 
 // startedOrDone reports whether the text of an item needs no server any more. Another goroutine may have started it since
-// the item was offered.
+// the item was offered. An item that is claimed may find no server, and waits on then.
 func (j *Job) startedOrDone(it *item) bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	return it.running || it.textDone || it.done
+	return it.running && !it.claimed || it.textDone || it.done
 }
 
 // withdrawOffers removes the offers of a job that runs no more items.
