Move items to faster servers of the other services of their route

Cause: an item moves to a faster engine of its own service only, and a service of one engine has none.

Change: an item looks for a faster engine in its own service first, then in the other services of the route. What a move must save is unchanged.

--- a/entry/internal/batch/move.go
+++ b/entry/internal/batch/move.go
@@ -141,13 +141,14 @@
 	j.mu.Lock()
 	allowed := it.moves < maxMoves && now.Sub(it.moved) >= minMoveInterval
 	j.mu.Unlock()
-	if !allowed || !j.stateCurrent(now) || !slices.Contains(j.services(), current.server.Service) {
+	services := j.services()
+	if !allowed || !j.stateCurrent(now) || !slices.Contains(services, current.server.Service) {
 		return nil
 	}
 	need := j.need(it, now)
 	need.Tried = map[string]bool{current.server.ID: true}
 	need.Ticket = prefill.NewTicket(it.prompt, j.workspace.Name)
-	s, ok := j.manager.Tracker.PickFaster(now, current.server, j.manager.Catalog.Servers(current.server.Service), need)
+	s, ok := j.pickFaster(now, current.server, services, need)
 	if !ok {
 		return nil
 	}
@@ -162,6 +163,16 @@
 	return m
 }
 
+// pickFaster picks a server on which an item finishes earlier than on its present one, if possible of the same service.
+func (j *Job) pickFaster(now time.Time, present catalog.Server, services []string, n place.Need) (catalog.Server, bool) {
+	for _, servers := range j.pools(startWith(present.Service, services)) {
+		if s, ok := j.manager.Tracker.PickFaster(now, present, servers, n); ok {
+			return s, true
+		}
+	}
+	return catalog.Server{}, false
+}
+
 // services returns the services that run the items of the job in the current configuration.
 func (j *Job) services() []string {
 	c := j.manager.Catalog.Config()
--- a/entry/internal/batch/service.go
+++ b/entry/internal/batch/service.go
@@ -28,12 +28,20 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	l := it.textOrder.of(route, j.manager.Random.IntN)
-	i := slices.Index(l, it.ending.server.Service)
-	if i <= 0 || it.ending.asked {
+	if it.ending.asked {
 		return l
 	}
-	l = slices.Delete(slices.Clone(l), i, i+1)
-	return slices.Insert(l, 0, it.ending.server.Service)
+	return startWith(it.ending.server.Service, l)
+}
+
+// startWith returns the services with the one of the given name first, if it is among them.
+func startWith(name string, services []string) []string {
+	i := slices.Index(services, name)
+	if i <= 0 {
+		return services
+	}
+	l := slices.Delete(slices.Clone(services), i, i+1)
+	return slices.Insert(l, 0, name)
 }
 
 // servedServices returns the services of the route that have servers, or all if none has.
