Send reward calls to whichever service of a split route can run them

Callers saw: with 99 of 100 reward calls of a route at a service whose server fails, hangs, refuses or does not exist, 9 of 12 items had a result after 15 s beside two idle servers of the other service. Failures of the one server use up the attempts of a call, and its item is given up.

Cause: each look for a server picked a service by weight alone. The server of the last failure was avoided, and a late call hedged, within that service only.

Change: a call keeps its order of services until it is sent and takes the first one with room. The server of the last failure is avoided, and a late call hedged, across the services of the route.

Tests: TestRewardCallsUseServersOfSplitRoute failed before in its four forms.

--- a/entry/internal/batch/score.go
+++ b/entry/internal/batch/score.go
@@ -31,8 +31,8 @@
 			waiting++
 			continue
 		}
-		servers := j.manager.Catalog.Servers(route.Order(j.manager.Random.IntN)[0])
-		s, ok := j.manager.Tracker.Start(now, servers, it.call.Need(now, it.failedScorer(servers)))
+		pools := j.pools(j.callServices(it, route))
+		s, ok := j.manager.Tracker.StartAmong(now, pools, it.call.Need(now, it.failedScorer(pools)))
 		if !ok {
 			waiting++
 			continue
@@ -44,8 +44,8 @@
 }
 
 // failedScorer returns the server that the last reward call of an item failed at, unless it is the only one.
-func (it *item) failedScorer(servers []catalog.Server) map[string]bool {
-	if it.call.Attempts() == 0 || len(servers) < 2 {
+func (it *item) failedScorer(pools place.Pools) map[string]bool {
+	if it.call.Attempts() == 0 || len(pools.Servers()) < 2 {
 		return nil
 	}
 	return map[string]bool{it.scorer: true}
@@ -125,12 +125,12 @@
 	}
 }
 
-// secondServer picks another server with room for a hedged reward call, and counts the attempt there as started. It
-// returns false if there is none or if too many calls are hedged.
+// secondServer picks another server with room for a hedged reward call, if possible of the same service, and counts the
+// attempt there as started. It returns false if there is none or if too many calls are hedged.
 func (j *Job) secondServer(it *item, first catalog.Server, route *catalog.Route, now time.Time) (catalog.Server, bool) {
 	need := it.call.Need(now, map[string]bool{first.ID: true})
 	need.RequireSlot, need.Optional, need.Reserve = true, true, max(need.Reserve, 0)
-	s, ok := j.manager.Tracker.Pick(now, j.manager.Catalog.Servers(first.Service), need)
+	s, ok := j.manager.Tracker.PickAmong(now, j.pools(startWith(first.Service, route.Services())), need)
 	if !ok || !j.manager.rewardTimes.TakeHedge(route.Name) {
 		return s, false
 	}
--- a/entry/internal/batch/service.go
+++ b/entry/internal/batch/service.go
@@ -34,6 +34,13 @@
 	return startWith(it.ending.server.Service, l)
 }
 
+// callServices returns the services of the route in the order in which the reward call of an item looks for a server there.
+func (j *Job) callServices(it *item, route *catalog.Route) []string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return it.callOrder.of(route, j.manager.Random.IntN)
+}
+
 // startWith returns the services with the one of the given name first, if it is among them.
 func startWith(name string, services []string) []string {
 	i := slices.Index(services, name)
--- a/entry/internal/batch/split_test.go
+++ b/entry/internal/batch/split_test.go
@@ -12,8 +12,10 @@
 
 	"bulrushspoke/entry/internal/place"
 	"bulrushspoke/entry/internal/turn"
+	"bulrushspoke/internal/call"
 	"bulrushspoke/internal/catalog"
 	"bulrushspoke/internal/workspace"
+	"bulrushspoke/platform/platformtest"
 )
 
 // drawing draws random numbers from a seeded source.
@@ -254,3 +256,59 @@
 		}
 	}
 }
+
+// Guards against reward calls that are sent to, or wait for, one service of a split route whose servers fail, hang or do not
+// exist, while another service has servers for them.
+func TestRewardCallsUseServersOfSplitRoute(t *testing.T) {
+	const items = 12
+	for _, c := range []struct {
+		name   string
+		answer func(w http.ResponseWriter, r *http.Request, id string, run int) bool // of the new service
+		empty  bool                                                                  // the new service has no servers
+	}{
+		{name: "fails", answer: func(w http.ResponseWriter, _ *http.Request, _ string, _ int) bool {
+			w.WriteHeader(http.StatusInternalServerError)
+			return true
+		}},
+		{name: "hangs", answer: func(_ http.ResponseWriter, r *http.Request, _ string, _ int) bool {
+			<-r.Context().Done()
+			return true
+		}},
+		{name: "refuses", answer: func(w http.ResponseWriter, _ *http.Request, _ string, _ int) bool {
+			platformtest.SetResponseHeaders(w.Header(), call.Answer{NotRun: true})
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return true
+		}},
+		{name: "has no servers", empty: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			e := newEngine(t, 1)
+			s, added := newScorer(t, e), newScorer(t, e)
+			added.set(c.answer)
+			r := newRig(t, e)
+			r.addScorer(s)
+			r.routes[0].Shares = []catalog.Share{{Service: "new", Weight: 99}, {Service: "w", Weight: 1}}
+			m, _ := r.manager("a", "a1")
+			m.Random = &drawing{r: rand.New(rand.NewPCG(1, 2))}
+			if !c.empty {
+				m.Catalog.ApplyServer(catalog.Server{
+					ID: "new0", Revision: 70, Service: "new", Domain: "d", Slots: 6, Address: strings.TrimPrefix(added.URL, "http://"),
+				})
+			}
+			var ids []string
+			for i := range items {
+				ids = append(ids, fmt.Sprintf("g%d-2", i))
+			}
+			r.submit(m, "j", scoredPayload(ids...))
+			results := r.collect(m, "j", items)
+			checkTexts(t, results, ids...)
+			checkScores(t, s, results)
+			for _, id := range ids {
+				if n := added.count("call-" + id); n > 2 {
+					t.Errorf("the call of item %s was sent to the new service %d times", id, n)
+				}
+			}
+		})
+	}
+}
