Send requests of a split route to whichever service can run them

Callers saw: on a route that was split half and half between a service with three idle servers and one without a server, 50 to 58 of 100 requests got 503; 43 to 52 where the server of the second service refuses connections or answers that it does not run them. Streams broke for good when the only server of their service died. Requests of workspaces waited for a slot of one service while the other one had free slots.

Cause: a request picked its service by weight when it arrived, and kept to it for its turn, each attempt and each resumption.

Change: a request draws an order of the services by weight, and each attempt goes to the first one of those that are most available. Turns are taken at the most available service, then at the next one. Streams are resumed at their service first. Rejections for limits need all services of the route to be at their limits.

Ruled out: a retry of a request that may run only once and may have run (TestAttemptsAcrossServicesOfSplitRoute, unsafe, lost).

Left: a request that waits for a slot waits at one service.

--- a/entry/internal/batch/move.go
+++ b/entry/internal/batch/move.go
@@ -165,7 +165,7 @@
 
 // pickFaster picks a server on which an item finishes earlier than on its present one, if possible of the same service.
 func (j *Job) pickFaster(now time.Time, present catalog.Server, services []string, n place.Need) (catalog.Server, bool) {
-	for _, servers := range j.pools(startWith(present.Service, services)) {
+	for _, servers := range j.pools(catalog.StartWith(present.Service, services)) {
 		if s, ok := j.manager.Tracker.PickFaster(now, present, servers, n); ok {
 			return s, true
 		}
--- a/entry/internal/batch/service.go
+++ b/entry/internal/batch/service.go
@@ -31,7 +31,7 @@
 	if it.ending.asked {
 		return l
 	}
-	return startWith(it.ending.server.Service, l)
+	return catalog.StartWith(it.ending.server.Service, l)
 }
 
 // callServices returns the services of the route in the order in which the reward call of an item looks for a server there.
@@ -41,16 +41,6 @@
 	return it.callOrder.of(route, j.manager.Random.IntN)
 }
 
-// startWith returns the services with the one of the given name first, if it is among them.
-func startWith(name string, services []string) []string {
-	i := slices.Index(services, name)
-	if i <= 0 {
-		return services
-	}
-	l := slices.Delete(slices.Clone(services), i, i+1)
-	return slices.Insert(l, 0, name)
-}
-
 // servedServices returns the services of the route that have servers, or all if none has.
 func (j *Job) servedServices(route *catalog.Route) []string {
 	all := route.Services()
--- a/entry/internal/ingress/forward.go
+++ b/entry/internal/ingress/forward.go
@@ -67,9 +67,10 @@
 	defer stop()
 	ctx, cancel := context.WithDeadline(work, q.arrived.Add(q.remaining(q.arrived)))
 	defer cancel()
-	service := q.route.Order(g.Random.IntN)[0]
+	services := q.route.Order(g.Random.IntN)
 	tried := make(map[string]bool)
-	if a, ok := g.takeTurn(ctx, q, service, 0); !ok {
+	services, a, ok := g.takeTurn(ctx, q, services, 0)
+	if !ok {
 		g.replyUnserved(w, q, a, false)
 		return
 	}
@@ -87,18 +88,16 @@
 			}
 			break
 		}
-		servers, need := g.Catalog.Servers(service), place.Need{Tried: tried, NewConn: !q.route.Repeatable(), Ticket: prefill.NewTicket(q.Prompt, q.workspace.Name)}
-		s, ok := g.Tracker.Start(now, servers, need)
+		pools := g.pools(services)
+		need := place.Need{Tried: tried, NewConn: !q.route.Repeatable(), Ticket: prefill.NewTicket(q.Prompt, q.workspace.Name)}
+		s, ok := g.Tracker.StartAmong(now, pools, need)
 		if !ok {
-			if wait, limited := g.Tracker.Reject(now, servers, need, left); limited && last.outcome == notRun {
+			if wait, limited := g.Tracker.Reject(now, pools.Servers(), need, left); limited && last.outcome == notRun {
 				last = attempt{outcome: notRun, cause: causeLimits, retryAfter: max(wait, minRetryAfter)}
-				if g.Turns != nil {
-					g.Turns.NoRoom(service, now)
-				}
+				g.recordNoRoom(services, now)
 			} else if noRoom && !mayHaveRun && g.takesTurns(q) {
 				returned++
-				a, ok := g.takeTurn(ctx, q, service, returned)
-				if ok {
+				if services, a, ok = g.takeTurn(ctx, q, services, returned); ok {
 					clear(tried)
 					noRoom = false
 					continue
@@ -112,7 +111,7 @@
 		q.attempts++
 		var otherAvailable func(now time.Time) bool
 		if sent == 0 && q.route.Repeatable() && q.route.MaxAttempts > 1 {
-			otherAvailable = g.otherServerAvailable(service, maps.Clone(tried))
+			otherAvailable = g.otherServerAvailable(services, maps.Clone(tried))
 		}
 		a := g.try(ctx, w, q, s, need.Ticket, now, otherAvailable)
 		noRoom = noRoom || a.noRoom
@@ -165,10 +164,19 @@
 	causeLimits   = "all servers are at the limits of their request rates"
 )
 
-// otherServerAvailable returns a function that reports whether a server of a service that was not tried takes a request.
-func (g *Ingress) otherServerAvailable(service string, tried map[string]bool) func(now time.Time) bool {
+// pools returns the servers of services.
+func (g *Ingress) pools(services []string) place.Pools {
+	p := make(place.Pools, 0, len(services))
+	for _, name := range services {
+		p = append(p, g.Catalog.Servers(name))
+	}
+	return p
+}
+
+// otherServerAvailable returns a function that reports whether a server of the services that was not tried takes a request.
+func (g *Ingress) otherServerAvailable(services []string, tried map[string]bool) func(now time.Time) bool {
 	return func(now time.Time) bool {
-		_, ok := g.Tracker.Pick(now, g.Catalog.Servers(service), place.Need{Tried: tried})
+		_, ok := g.Tracker.PickAmong(now, g.pools(services), place.Need{Tried: tried})
 		return ok
 	}
 }
--- a/entry/internal/ingress/stream.go
+++ b/entry/internal/ingress/stream.go
@@ -71,7 +71,7 @@
 	w.WriteHeader(resp.StatusCode)
 	out := http.NewResponseController(w)
 	last := q.LastEvent
-	service := current.server.Service
+	services := catalog.StartWith(current.server.Service, q.route.Services())
 	confirms := false         // the server is the one whose last response ended with its connection
 	var resumed *continuation // nil while the first server sends the stream
 	defer func() { g.abortContinuation(q, resumed) }()
@@ -107,7 +107,7 @@
 			resp, resumed = g.confirm(ctx, q, current, last)
 		}
 		if confirms = resumed != nil; !confirms {
-			resp, resumed = g.resume(ctx, q, service, last)
+			resp, resumed = g.resume(ctx, q, services, last)
 		}
 		if resumed == nil {
 			break
@@ -204,16 +204,16 @@
 	g.Tracker.Release(c.ticket, false, time.Now())
 }
 
-// resume asks one server after another to continue the stream after the event last. It returns the response and the attempt,
+// resume asks one server of the services after another to continue the stream after the event last. It returns the response and the attempt,
 // or nil if no server continues. The caller records the end of the attempt in the tracker.
 func (g *Ingress) resume(
-	ctx context.Context, q *request, service string, last int,
+	ctx context.Context, q *request, services []string, last int,
 ) (*upstream.Response, *continuation) {
 	tried := make(map[string]bool)
 	for ctx.Err() == nil && !g.Suspects.Blocked(q.fingerprint, time.Now()) {
 		now := time.Now()
 		need := place.Need{Tried: tried, Ticket: prefill.NewTicket(q.Prompt, q.workspace.Name)}
-		s, ok := g.Tracker.Start(now, g.Catalog.Servers(service), need)
+		s, ok := g.Tracker.StartAmong(now, g.pools(services), need)
 		if !ok {
 			return nil, nil
 		}
--- a/entry/internal/ingress/turn.go
+++ b/entry/internal/ingress/turn.go
@@ -4,7 +4,9 @@
 	"context"
 	"time"
 
+	"bulrushspoke/entry/internal/place"
 	"bulrushspoke/entry/internal/turn"
+	"bulrushspoke/internal/catalog"
 	"bulrushspoke/internal/fairness"
 )
 
@@ -19,13 +21,43 @@
 	NoRoom(service string, now time.Time)
 }
 
-// takeTurn decides whether a request may go to a server of a service, and waits for its turn if need be; if not, it returns
-// the attempt to be reported. returned is how often all servers had no room for it.
-func (g *Ingress) takeTurn(ctx context.Context, q *request, service string, returned int) (attempt, bool) {
-	f, ok := g.flow(q)
-	if g.Turns == nil || !ok {
-		return attempt{}, true
+// takeTurn decides whether a request may go to a server of one of the services, and waits for its turn if need be; if not, it
+// returns the attempt to be reported. It returns the services with the one that the request may go to first. returned is how
+// often all servers had no room for it.
+//
+// A request waits at the service that is most available and, if it is refused there, at the next one.
+func (g *Ingress) takeTurn(ctx context.Context, q *request, services []string, returned int) ([]string, attempt, bool) {
+	if !g.takesTurns(q) {
+		return services, attempt{}, true
+	}
+	candidates := services
+	if len(services) > 1 {
+		candidates = nil
+		for _, servers := range g.Tracker.Sort(time.Now(), g.pools(services), place.Need{}) {
+			candidates = append(candidates, servers[0].Service)
+		}
+		if len(candidates) == 0 {
+			return services, attempt{}, true // the placement refuses it
+		}
+	}
+	var refusal attempt
+	for _, service := range candidates {
+		a, ok := g.takeTurnAt(ctx, q, service, returned)
+		if ok {
+			return catalog.StartWith(service, services), attempt{}, true
+		}
+		if refusal.cause == "" || a.retryAfter < refusal.retryAfter {
+			refusal = a
+		}
+		if a.retryAfter == 0 || a.cause == causeLeaving {
+			return services, a, false
+		}
 	}
+	return services, refusal, false
+}
+
+// takeTurnAt is takeTurn for one service.
+func (g *Ingress) takeTurnAt(ctx context.Context, q *request, service string, returned int) (attempt, bool) {
 	now := time.Now()
 	leaving := attempt{outcome: notRun, cause: causeLeaving, retryAfter: retryLeaving}
 	if !g.fits(q, now) {
@@ -35,6 +67,7 @@
 	if until := g.drainUntil.Load(); until != nil && until.Sub(now) < within {
 		within, shortened = until.Sub(now), true
 	}
+	f, _ := g.flow(q)
 	v := g.Turns.Admit(ctx, now, turn.Request{
 		Service: service, Flow: f, Route: q.route.Name, Within: within, Left: q.left(now), Returned: returned,
 	})
@@ -47,6 +80,16 @@
 	return attempt{outcome: notRun, cause: v.Cause, retryAfter: v.RetryAfter}, false
 }
 
+// recordNoRoom records that no server of the services had room for a request.
+func (g *Ingress) recordNoRoom(services []string, now time.Time) {
+	if g.Turns == nil {
+		return
+	}
+	for _, service := range services {
+		g.Turns.NoRoom(service, now)
+	}
+}
+
 // takesTurns reports whether a request waits for its turn. Without workspaces in the configuration, requests are placed at
 // once.
 func (g *Ingress) takesTurns(q *request) bool {
--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -115,6 +115,16 @@
 	return l
 }
 
+// StartWith returns services with the given one first, if it is among them, and the others in the same order.
+func StartWith(service string, services []string) []string {
+	i := slices.Index(services, service)
+	if i <= 0 {
+		return services
+	}
+	l := slices.Delete(slices.Clone(services), i, i+1)
+	return slices.Insert(l, 0, service)
+}
+
 // Service is a set of interchangeable servers.
 type Service struct {
 	Name       string
