Pass the counts of ended processes on to new receivers

Cause: a process that takes over counts, or comes back, got from each other entry what that had counted itself, but not what it held of processes that had ended. With the last process that had known those, their counts were lost, though at each moment another one was alive.

Change: an entry sends a new receiver all counts that it holds.

Ruled out: a report that the successor could have read from the store; no entry is missing there, so that it does not look.

Tests: TestReportsAreExact, "all killed, one after another", failed before with up to seven counts of a workspace missing.

--- a/entry/internal/duty/counts.go
+++ b/entry/internal/duty/counts.go
@@ -102,10 +102,20 @@
 	}
 }
 
-// sendAll sends all counts to an entry. The caller holds mu.
+// sendAll sends all counts to an entry, also those that this one holds of others: those of processes that have ended may be
+// nowhere else by now. The caller holds mu.
 func (d *Duty) sendAll(ctx context.Context, name string) {
 	inc := d.Peers.Incarnation(name)
-	if inc != "" && d.sendPieces(ctx, name, d.message(d.counter.All(), false)) == nil {
+	if inc == "" {
+		return
+	}
+	for _, entry := range d.all.Names() {
+		if entry != d.Name {
+			d.forward(ctx, name, entry)
+		}
+	}
+	d.forward(ctx, name, d.Name)
+	if d.sendPieces(ctx, name, d.message(d.counter.All(), false)) == nil {
 		d.sentTo[name] = inc
 	}
 }
--- a/entry/internal/duty/duty_test.go
+++ b/entry/internal/duty/duty_test.go
@@ -554,6 +554,18 @@
 			}
 			f.traffic(60 * time.Second)
 		}, 0},
+		"all killed, one after another": {2 * limit, func(f *fleet) {
+			f.traffic(12 * time.Second)
+			for i := range fleetSize {
+				name := fmt.Sprint("entry-", i)
+				f.traffic(300*time.Millisecond, name)
+				f.kill(name)
+				f.traffic(200 * time.Millisecond)
+				f.start(name, 0)
+				f.traffic(100 * time.Millisecond)
+			}
+			f.traffic(30 * time.Second)
+		}, 0},
 		"stopped without a link to the holder": {limit, func(f *fleet) {
 			f.traffic(12 * time.Second)
 			f.setGroups(map[string]int{f.holder(): 1, "entry-1": 1, "entry-2": 1, "entry-6": 2})
