--- a/entry/internal/ingress/stream.go
+++ b/entry/internal/ingress/stream.go
@@ -204,8 +204,8 @@
 	g.Tracker.Release(c.ticket, false, time.Now())
 }
 
-// resume asks one server of the services after another to continue the stream after the event last. It returns the response and the attempt,
-// or nil if no server continues. The caller records the end of the attempt in the tracker.
+// resume asks one server of the services after another to continue the stream after the event last. It returns the response
+// and the attempt, or nil if no server continues. The caller records the end of the attempt in the tracker.
 func (g *Ingress) resume(
 	ctx context.Context, q *request, services []string, last int,
 ) (*upstream.Response, *continuation) {
