Soak: split routes, also with a service without servers

Configurations of the soak now also split the route of safe requests between two services, and that route and the route of items between one with servers and one without. The check that requests run at a service of their route asks for one of its services.

--- a/scenario/soak/checker.go
+++ b/scenario/soak/checker.go
@@ -87,8 +87,8 @@
 // appliedConfig is a configuration with the time at which the store acknowledged it.
 type appliedConfig struct {
 	appliedAt time.Time
-	services  map[string]string // by route
-	spares    map[string]bool   // spare keys that it holds
+	services  map[string][]string // by route
+	spares    map[string]bool     // spare keys that it holds
 }
 
 func newChecker(now time.Time) *checker {
@@ -149,7 +149,7 @@
 }
 
 // recordConfig records the service of each route and the spare keys from now on.
-func (c *checker) recordConfig(services map[string]string, spares map[string]bool, now time.Time) {
+func (c *checker) recordConfig(services map[string][]string, spares map[string]bool, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.configs = append(c.configs, appliedConfig{appliedAt: now, services: services, spares: spares})
@@ -163,7 +163,10 @@
 		if i+1 < len(c.configs) && c.configs[i+1].appliedAt.Before(since) {
 			continue
 		}
-		services = append(services, cfg.services[route])
+		if _, ok := cfg.services[route]; !ok {
+			services = append(services, "")
+		}
+		services = append(services, cfg.services[route]...)
 	}
 	return services
 }
--- a/scenario/soak/fault.go
+++ b/scenario/soak/fault.go
@@ -342,13 +342,29 @@
 	pause(ctx, heartbeatInterval) // the next heartbeats write the records again
 }
 
-// changeRoutes applies a configuration with a random service for the route "safe", and with or without the route "late".
+// routeShares are the services of the routes "safe" and "items" that configurations choose from. The service "absent" has no
+// servers.
+var routeShares = []struct{ safe, items []catalog.Share }{
+	{safe: []catalog.Share{{Service: "cards", Weight: 1}}},
+	{safe: []catalog.Share{{Service: "tables", Weight: 1}}},
+	{safe: []catalog.Share{{Service: "cards", Weight: 1}, {Service: "tables", Weight: 1}}},
+	{
+		safe:  []catalog.Share{{Service: "absent", Weight: 1}, {Service: "tables", Weight: 1}},
+		items: []catalog.Share{{Service: "absent", Weight: 9}, {Service: "engines", Weight: 1}},
+	},
+}
+
+// changeRoutes applies a configuration with random services for the routes "safe" and "items", and with or without the route
+// "late".
 func (e *env) changeRoutes() {
-	service, withLate := []string{"cards", "tables"}[e.intN(2)], e.intN(2) == 0
+	shares, withLate := routeShares[e.intN(len(routeShares))], e.intN(2) == 0
 	e.applyConfig(func(c *catalog.Config) {
 		for i, r := range c.Routes {
-			if r.Name == "safe" {
-				c.Routes[i].Shares = []catalog.Share{{Service: service, Weight: 1}}
+			switch {
+			case r.Name == "items" && shares.items != nil:
+				c.Routes[i].Shares = shares.items
+			case r.Name == "safe":
+				c.Routes[i].Shares = shares.safe
 				if withLate {
 					r.Name, r.Prefix = "late", "/late/"
 					r.Shares = []catalog.Share{{Service: "tables", Weight: 1}}
--- a/scenario/soak/soak_test.go
+++ b/scenario/soak/soak_test.go
@@ -105,7 +105,7 @@
 	withKey := func(c *checker, key string, held ...bool) *request {
 		c.configs = nil
 		for i, h := range held {
-			c.recordConfig(map[string]string{"safe": "cards"}, map[string]bool{key: h}, now.Add(time.Duration(i-len(held))*time.Minute))
+			c.recordConfig(map[string][]string{"safe": {"cards"}}, map[string]bool{key: h}, now.Add(time.Duration(i-len(held))*time.Minute))
 		}
 		q := newRequest(c, false)
 		q.key, q.space, q.spare = key, "w", key == "spare"
@@ -291,7 +291,7 @@
 		}},
 	} {
 		c := newChecker(now.Add(-time.Hour))
-		c.recordConfig(map[string]string{"safe": "cards"}, nil, now.Add(-time.Hour))
+		c.recordConfig(map[string][]string{"safe": {"cards"}}, nil, now.Add(-time.Hour))
 		tc.violate(c)
 		if len(c.violations) != 1 || !strings.HasPrefix(c.violations[0], tc.rule+" ") {
 			t.Errorf("want one violation, of rule %s; got %q", tc.rule, c.violations)
@@ -360,7 +360,7 @@
 func TestCheckerIgnoresDisturbances(t *testing.T) {
 	now := time.Now()
 	c := newChecker(now.Add(-time.Hour))
-	c.recordConfig(map[string]string{"safe": "cards"}, nil, now.Add(-time.Hour))
+	c.recordConfig(map[string][]string{"safe": {"cards"}}, nil, now.Add(-time.Hour))
 	c.disturb(0, false)()
 	q := &request{id: "q", route: "safe", sentAt: now.Add(-time.Second)}
 	c.recordRequest(q)
@@ -371,7 +371,7 @@
 	// A revoked key of a disturbed entry, and a call after a pause.
 	spare := &request{id: "r", route: "safe", key: "spare", spare: true, sentAt: now}
 	c.configs[0].spares = map[string]bool{"spare": true}
-	c.recordConfig(map[string]string{"safe": "cards"}, nil, now.Add(-time.Minute))
+	c.recordConfig(map[string][]string{"safe": {"cards"}}, nil, now.Add(-time.Minute))
 	c.recordRequest(spare)
 	c.recordRun("r", "s", "cards", "", "", time.Now())
 	c.recordUsage(platformtest.UsageReport{Holder: "b", Token: 2, Window: 1}, true, now.Add(-lease))
--- a/scenario/soak/workspaces.go
+++ b/scenario/soak/workspaces.go
@@ -78,9 +78,9 @@
 // putConfig writes a configuration with the present spare keys to the store. The caller holds mu.
 func (e *env) putConfig(c catalog.Config) {
 	e.config = c
-	services := map[string]string{}
+	services := map[string][]string{}
 	for _, r := range c.Routes {
-		services[r.Name] = r.Shares[0].Service
+		services[r.Name] = r.Services()
 	}
 	e.objects.Put(platformtest.Config, platformtest.Main, platformtest.EncodeConfigWithWorkspaces(c, entries(e.spares)...))
 	e.checker.recordConfig(services, maps.Clone(e.spares), time.Now())
