--- a/entry/internal/place/place.go
+++ b/entry/internal/place/place.go
@@ -15,6 +15,9 @@
 //
 // Requests that state the size of their prompts are placed by the prompts that wait at each engine as well (prompt.go).
 //
+// Work of a route that is split between services goes to the first one, in the order drawn for it, that can run it now
+// (pools.go).
+//
 // Streaming work that runs for seconds is placed by its expected completion time (finish.go), which is derived from
 // the event intervals that this process observes (interval.go) and from the load that other entries report (remote.go).
 package place
