Let moves, hedges and resumptions follow the weights of the route

Callers saw: on a route of three services, items that left a slow engine and streams whose server had died all went to the first other service of the configuration, also if it had weight 1 beside 1,000,000.

Cause: since these paths go through the other services of the route in the order of the configuration.

Change: they use the order drawn by weight, behind the service that the work is at.

Tests: TestMovesFollowWeights and TestResumptionsFollowWeights failed before (a-80@9 at the service of weight 1; 1 and 0 resumptions, want 0 and 1). TestRewardCallsFollowWeights held before. Found by reading.

--- a/entry/internal/batch/move.go
+++ b/entry/internal/batch/move.go
@@ -173,7 +173,7 @@
 	return catalog.Server{}, false
 }
 
-// services returns the services that run the items of the job in the current configuration.
+// services returns the services that run the items of the job in the current configuration, in an order drawn by weight.
 func (j *Job) services() []string {
 	c := j.manager.Catalog.Config()
 	if c == nil {
@@ -183,7 +183,7 @@
 	if !ok {
 		return nil
 	}
-	return r.Services()
+	return r.Order(j.manager.Random.IntN)
 }
 
 // runMove sends an item to the server that it is to move to. Once that sends events, the current response is cut.
--- a/entry/internal/batch/score.go
+++ b/entry/internal/batch/score.go
@@ -130,7 +130,7 @@
 func (j *Job) secondServer(it *item, first catalog.Server, route *catalog.Route, now time.Time) (catalog.Server, bool) {
 	need := it.call.Need(now, map[string]bool{first.ID: true})
 	need.RequireSlot, need.Optional, need.Reserve = true, true, max(need.Reserve, 0)
-	s, ok := j.manager.Tracker.PickAmong(now, j.pools(catalog.StartWith(first.Service, route.Services())), need)
+	s, ok := j.manager.Tracker.PickAmong(now, j.pools(catalog.StartWith(first.Service, route.Order(j.manager.Random.IntN))), need)
 	if !ok || !j.manager.rewardTimes.TakeHedge(route.Name) {
 		return s, false
 	}
--- a/entry/internal/batch/split_test.go
+++ b/entry/internal/batch/split_test.go
@@ -240,6 +240,85 @@
 	}
 }
 
+// Guards against an item that moves, among several other services of its route, to the first one of the configuration, whatever
+// the weights.
+func TestMovesFollowWeights(t *testing.T) {
+	t.Parallel()
+	slow, fast, other := newEngine(t, 1), newEngine(t, 1), newEngine(t, 1)
+	slow.set(func(e *engine) { e.gap = 60 * time.Millisecond })
+	r := newRig(t, slow, fast, other)
+	for _, e := range []*engine{fast, other} {
+		e.set(func(e *engine) { e.gap = 3 * time.Millisecond })
+	}
+	r.route.Shares = []catalog.Share{{Service: "new", Weight: 1 << 40}, {Service: "other", Weight: 1}, {Service: "v", Weight: 1 << 20}}
+	m, stop := r.manager("one", "1")
+	t.Cleanup(stop)
+	m.Random = &drawing{r: rand.New(rand.NewPCG(1, 2))}
+	for i, service := range map[int]string{0: "new", 2: "other"} {
+		s := r.server(i, int64(60+i))
+		s.Service, s.Slots = service, 1
+		m.Catalog.ApplyServer(s)
+	}
+	r.submit(m, "warm", payload(1, "w-12", "w2-12", "w3-12"))
+	checkTexts(t, r.collect(m, "warm", 3), "w-12", "w2-12", "w3-12")
+	r.submit(m, "job", payload(1, "a-80"))
+	checkTexts(t, r.collect(m, "job", 1), "a-80")
+	if got := starts(other, "a-80"); len(got) > 0 || len(starts(fast, "a-80")) == 0 {
+		t.Errorf("the item moved to %v of the service of weight 1, %v of the other", got, starts(fast, "a-80"))
+	}
+}
+
+// Guards against services that get reward calls in another proportion than that of their weights, also once the servers of one
+// service have failed.
+func TestRewardCallsFollowWeights(t *testing.T) {
+	const items = 6 // fewer than the slots of each service
+	for _, c := range []struct {
+		name        string
+		weights     [3]int // of the services new, other and w
+		hangs       bool   // the servers of the new service
+		least, most int    // calls that the service other gets
+	}{
+		{name: "half", weights: [3]int{0, 1, 1}, least: 1, most: 5},
+		{name: "the first hangs", weights: [3]int{1 << 40, 1, 1 << 20}, hangs: true},
+	} {
+		e := newEngine(t, 1)
+		s, added, other := newScorer(t, e), newScorer(t, e), newScorer(t, e)
+		if c.hangs {
+			added.set(func(_ http.ResponseWriter, r *http.Request, _ string, _ int) bool {
+				<-r.Context().Done()
+				return true
+			})
+		}
+		r := newRig(t, e)
+		r.addScorer(s)
+		r.routes[0].Shares = []catalog.Share{
+			{Service: "new", Weight: c.weights[0]}, {Service: "other", Weight: c.weights[1]}, {Service: "w", Weight: c.weights[2]},
+		}
+		m, _ := r.manager("a", "a1")
+		m.Random = &drawing{r: rand.New(rand.NewPCG(1, 2))}
+		for service, server := range map[string]*scorer{"new": added, "other": other} {
+			m.Catalog.ApplyServer(catalog.Server{
+				ID: service + "0", Revision: 70, Service: service, Domain: "d", Slots: 40, Address: strings.TrimPrefix(server.URL, "http://"),
+			})
+		}
+		var ids []string
+		for i := range items {
+			ids = append(ids, fmt.Sprintf("g%d-2", i))
+		}
+		r.submit(m, "j", scoredPayload(ids...))
+		results := r.collect(m, "j", items)
+		checkTexts(t, results, ids...)
+		checkScores(t, s, results)
+		n := 0
+		for _, id := range ids {
+			n += other.count("call-" + id)
+		}
+		if n < c.least || n > c.most {
+			t.Errorf("%s: the service other got %d calls, want %d to %d", c.name, n, c.least, c.most)
+		}
+	}
+}
+
 // Guards against a job that does not look again for a server because another goroutine looked for one, in vain, at the same
 // moment.
 func TestClaimedItemWaits(t *testing.T) {
--- a/entry/internal/ingress/split_test.go
+++ b/entry/internal/ingress/split_test.go
@@ -46,7 +46,7 @@
 		weight  int
 		servers []*server    // of the new service
 		prepare func(r *rig) // before requests are sent
-		least   int          // requests that the new service answers
+		least   int          // requests that the new service gets
 		most    int
 	}{
 		{name: "sound", weight: 50, servers: []*server{newServer(t, respondOK)}, least: 10, most: 30},
@@ -138,6 +138,38 @@
 	}
 }
 
+// Guards against a stream that is resumed, among several other services of its route, at the first one of the configuration,
+// whatever the weights.
+func TestResumptionsFollowWeights(t *testing.T) {
+	dies := newServer(t, func(c net.Conn, q *http.Request, _ string) bool {
+		streamHead(c, q)
+		sendEvent(c, 1)
+		return false
+	})
+	goesOn := func(c net.Conn, q *http.Request, _ string) bool {
+		streamHead(c, q)
+		sendEvent(c, 2)
+		_, _ = io.WriteString(c, "0\r\n\r\n")
+		return true
+	}
+	least, most := newServer(t, goesOn), newServer(t, goesOn)
+	r := newRig(t, catalog.Route{Kind: catalog.Stream, Resumable: true, MaxAttempts: 2}, most)
+	r.split(nearlyAll, 1, dies)
+	config := *r.catalog.Config()
+	config.Revision++
+	route := config.Routes[0]
+	route.Shares = []catalog.Share{{Service: "new", Weight: 1 << 40}, {Service: "least", Weight: 1}, {Service: "v", Weight: 1 << 20}}
+	config.Routes = []catalog.Route{route}
+	r.catalog.ApplyConfig(config)
+	r.catalog.ApplyServer(catalog.Server{ID: "l0", Revision: 200, Service: "least", Address: least.Addr().String(), Domain: "d", Slots: 4})
+	if _, _, err := r.send(t, "POST", "/p/", "x", nil); err != nil {
+		t.Fatal(err)
+	}
+	if a, b := len(least.requests()), len(most.requests()); a != 0 || b != 1 {
+		t.Errorf("%d resumptions at the service of weight 1, %d at the other, want 0 and 1", a, b)
+	}
+}
+
 // Guards against a request that waits for a slot of one service of a split route, or is refused there, while another service
 // has a slot for it.
 func TestTurnsAtServicesOfSplitRoute(t *testing.T) {
--- a/entry/internal/ingress/stream.go
+++ b/entry/internal/ingress/stream.go
@@ -71,7 +71,7 @@
 	w.WriteHeader(resp.StatusCode)
 	out := http.NewResponseController(w)
 	last := q.LastEvent
-	services := catalog.StartWith(current.server.Service, q.route.Services())
+	service := current.server.Service
 	confirms := false         // the server is the one whose last response ended with its connection
 	var resumed *continuation // nil while the first server sends the stream
 	defer func() { g.abortContinuation(q, resumed) }()
@@ -107,7 +107,7 @@
 			resp, resumed = g.confirm(ctx, q, current, last)
 		}
 		if confirms = resumed != nil; !confirms {
-			resp, resumed = g.resume(ctx, q, services, last)
+			resp, resumed = g.resume(ctx, q, catalog.StartWith(service, q.route.Order(g.Random.IntN)), last)
 		}
 		if resumed == nil {
 			break
