Send counts again if those of another process could not be sent

An entry that passes counts on to a new receiver took it for complete when its own counts had been sent, whatever became of those of others. Now a message that cannot be sent has all of them sent again.

--- a/entry/internal/duty/counts.go
+++ b/entry/internal/duty/counts.go
@@ -110,11 +110,10 @@
 		return
 	}
 	for _, entry := range d.all.Names() {
-		if entry != d.Name {
-			d.forward(ctx, name, entry)
+		if d.forward(ctx, name, entry) != nil {
+			return // sent again at the next tick
 		}
 	}
-	d.forward(ctx, name, d.Name)
 	if d.sendPieces(ctx, name, d.message(d.counter.All(), false)) == nil {
 		d.sentTo[name] = inc
 	}
@@ -203,11 +202,14 @@
 	return toWire(metering.Message{Name: d.Name, Incarnation: d.Inc, Through: d.counter.Through(), Bye: bye, Windows: windows})
 }
 
-// forward sends all counts of another entry that this one holds. The caller holds mu.
-func (d *Duty) forward(ctx context.Context, to, entry string) {
+// forward sends all counts of an entry that this one holds to another one. The caller holds mu.
+func (d *Duty) forward(ctx context.Context, to, entry string) error {
 	for _, m := range d.all.Held(entry) {
-		_ = d.sendPieces(ctx, to, toWire(m)) // the holder asks again
+		if err := d.sendPieces(ctx, to, toWire(m)); err != nil {
+			return err
+		}
 	}
+	return nil
 }
 
 // holderOutOfReach reports whether the holder has no link to this entry, but has written since the link was lost. A holder that
--- a/entry/internal/duty/duty.go
+++ b/entry/internal/duty/duty.go
@@ -367,7 +367,7 @@
 	handle(d, link.Gather, func(ctx context.Context, m wire.UsageGather) (string, any) {
 		switch {
 		case m.Entry != d.Name:
-			d.forward(ctx, m.Sender, m.Entry)
+			_ = d.forward(ctx, m.Sender, m.Entry) // the holder asks again
 		case d.counter != nil:
 			delete(d.sentTo, m.Sender)
 			d.sendAll(ctx, m.Sender)
