Never send two requests with one id over a connection

By tests of the same cause: reward calls were given up after two failures, refused items and calls were sent once more while a run went on, and a client that tried again under its id got the answer to its first attempt.

Cause: a server sent an answer twice, and the copy came after the next attempt had been sent over the same connection. An answer is matched by the id that it states, and all attempts of an item, of a reward call and of a client that keeps its id have the same one, so the copy counted as the answer to the next attempt.

Fix: the pool keeps hashes of the ids that a connection has carried and does not use it for a request with one of them. A copy then always meets a request with another id, is recognized as foreign, and its connection is closed. The rule is in the pool, so that it holds for all callers.

--- a/entry/internal/batch/run.go
+++ b/entry/internal/batch/run.go
@@ -378,6 +378,7 @@
 // post sends the request with the given id to a server and reads the headers of the response.
 func (j *Job) post(ctx context.Context, s catalog.Server, id string, q upstream.Request) (serverReply, error) {
 	sentAt := time.Now()
+	q.ID = id
 	resp, err := j.manager.Pool.Send(ctx, j.target(s), q)
 	if err != nil {
 		return serverReply{}, err
--- a/entry/internal/ingress/forward.go
+++ b/entry/internal/ingress/forward.go
@@ -334,6 +334,7 @@
 		Host:    q.http.Host,
 		Header:  h,
 		Body:    q.body,
+		ID:      q.ID,
 		NewConn: !q.route.Repeatable(),
 	}
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -9,7 +9,8 @@
 //	defer r.Close()
 //
 // Send sends a request exactly once and never retries it. A connection is reused only after the complete answer was read
-// and no data followed it. When ctx ends, the connection is closed, which tells the server that the client is gone.
+// and no data followed it, and never for two requests with the same id: a late copy of the first answer could not be told
+// from the second one. When ctx ends, the connection is closed, which tells the server that the client is gone.
 package upstream
 
 import (
@@ -66,6 +67,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// ID identifies the request in its answer; empty if answers to it do not state an id.
+	ID string
 	// NewConn requests a new connection. It is for requests that must not run twice: on an idle connection that the server is
 	// closing, it would be unknown whether the request has run.
 	NewConn bool
@@ -153,6 +156,7 @@
 	timeout       timeoutKey // of the last answer
 	idleSince     time.Time
 	expires       time.Time
+	sent          sentIDs
 	readingHead   bool
 	headBytesLeft int   // bytes that may still be read while readingHead is set
 	headErr       error // of reading the head; parsing what came before may end with another error
@@ -307,7 +311,7 @@
 
 // Send sends a request and reads the status and header of the answer. Its error is always an *Error.
 func (p *Pool) Send(ctx context.Context, t Target, q Request) (*Response, error) {
-	c, reused, err := p.acquire(ctx, t, q.NewConn, time.Now())
+	c, reused, err := p.acquire(ctx, t, q, time.Now())
 	if err != nil {
 		return nil, &Error{cause: err, full: errors.Is(err, errPoolFull), reset: errors.Is(err, syscall.ECONNREFUSED)}
 	}
@@ -323,6 +327,7 @@
 		p.discard(c)
 		return nil, &Error{cause: ErrNotReady}
 	}
+	c.sent.add(q.ID)
 	sentAt := time.Now()
 	wrote, err := writeRequest(c, q)
 	if err != nil {
@@ -418,9 +423,9 @@
 	return true, err
 }
 
-// acquire returns an idle connection to the incarnation or, if there is none or fresh is set, a new one. The second result
-// reports whether the connection was used before.
-func (p *Pool) acquire(ctx context.Context, t Target, fresh bool, now time.Time) (*conn, bool, error) {
+// acquire returns an idle connection to the incarnation that the request may use or, if there is none, a new one. The second
+// result reports whether the connection was used before.
+func (p *Pool) acquire(ctx context.Context, t Target, q Request, now time.Time) (*conn, bool, error) {
 	p.mu.Lock()
 	h := p.hosts[t.Address]
 	if h == nil {
@@ -432,9 +437,12 @@
 		h = &host{incarnation: t.Incarnation}
 		p.hosts[t.Address] = h
 	}
-	for !fresh && len(h.idle) > 0 {
-		c := h.idle[len(h.idle)-1]
-		h.idle = h.idle[:len(h.idle)-1]
+	for i := len(h.idle) - 1; i >= 0 && !q.NewConn; i-- {
+		c := h.idle[i]
+		if c.sent.contains(q.ID) {
+			continue
+		}
+		h.idle = slices.Delete(h.idle, i, i+1)
 		p.idle--
 		if p.check(c, now) && now.Before(c.expires) {
 			p.mu.Unlock()
@@ -555,7 +563,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	keep := p.lifetimes.usable(c.timeout, ok, now)
-	if keep <= 0 || p.hosts[c.RemoteAddr().String()] != c.host || p.idle >= p.limits.Idle && !p.evictFirst() {
+	if keep <= 0 || c.sent.full() || p.hosts[c.RemoteAddr().String()] != c.host || p.idle >= p.limits.Idle && !p.evictFirst() {
 		p.close(c)
 		return
 	}
