Keep open jobs in the store, however old they are

Fix: a job is removed once the sweeper has seen it ended for the retention period, by the steady clock of its process. The end is final, so nothing can make the decision wrong later. Jobs that stay open are reported (1060).

--- a/entry/internal/cli/platform.go
+++ b/entry/internal/cli/platform.go
@@ -74,8 +74,8 @@
 	shutdownMargin = time.Second
 	// unreadyDelay is how long the load balancer takes to notice that a process is leaving: two probes a second apart.
 	unreadyDelay = 2500 * time.Millisecond
-	// retentionFactor times the period for which results must be readable gives the retention period of jobs in the store:
-	// the trainer may still have a job open, and clocks differ by seconds.
+	// retentionFactor times the period for which results must be readable gives how long a job stays in the store after it
+	// has ended: a trainer may read its results, or repeat its calls, later than the platform requires.
 	retentionFactor = 4
 	// handoverTimeout bounds the handover of open jobs at shutdown.
 	handoverTimeout = 3500 * time.Millisecond
--- a/entry/internal/sweep/sweep.go
+++ b/entry/internal/sweep/sweep.go
@@ -5,9 +5,12 @@
 //	s := sweep.New(objects, retention, logger)
 //	err := s.Run(ctx)
 //
-// The platform's store does not expire objects. The log of a job is deleted from its end and the state of the job
-// last, so that the next sweep completes an interrupted one. Deletes are conditional on the revision, so sweepers may
-// run concurrently.
+// The platform's store does not expire objects. A job is removed once the sweeper has seen it ended for the retention
+// period; an open job is never removed, however old it is. The period is measured by the steady clock of this process. The
+// time of day of an instance may step, and that of the submission is of another instance.
+//
+// The log of a job is deleted from its end and the state of the job last, so that the next sweep completes an interrupted
+// one. Deletes are conditional on the revision, so sweepers may run concurrently.
 package sweep
 
 import (
@@ -38,13 +41,17 @@
 	store     Store
 	retention time.Duration
 	logger    *slog.Logger
+
+	ended map[string]time.Time // when jobs were first seen ended
+	open  map[string]time.Time // when jobs were first seen open
 }
 
-// New returns a Sweeper that deletes jobs once the retention period after their submission has passed. The period must
-// exceed both the time for which the platform requires results to be readable and the time after which items may be
-// abandoned.
+// New returns a Sweeper that deletes jobs once it has seen them ended for the retention period. The period must not be
+// shorter than the time for which the platform requires results to be readable.
 func New(s Store, retention time.Duration, logger *slog.Logger) *Sweeper {
-	return &Sweeper{store: s, retention: retention, logger: logger}
+	return &Sweeper{
+		store: s, retention: retention, logger: logger, ended: make(map[string]time.Time), open: make(map[string]time.Time),
+	}
 }
 
 // Run sweeps until ctx ends.
@@ -62,13 +69,14 @@
 	}
 }
 
-// Sweep deletes the jobs whose retention period has passed at the given time.
+// Sweep removes what is due at the given time, which must have a reading of the steady clock.
 func (s *Sweeper) Sweep(ctx context.Context, now time.Time) error {
 	jobs, err := s.list(ctx, batch.KindState)
-	if err != nil || len(jobs) == 0 {
+	if err != nil {
 		return err
 	}
 	expired, known := make(map[string]bool), make(map[string]bool)
+	states := make(map[string]wire.JobState)
 	for _, r := range jobs {
 		known[r.Name] = true
 		var state wire.JobState
@@ -76,8 +84,12 @@
 			event.ObjectInvalid.Log(s.logger, "kind", batch.KindState, "name", r.Name, "cause", err.Error())
 			continue
 		}
-		if now.Sub(time.UnixMilli(state.At)) > s.retention {
-			expired[r.Name] = true
+		states[r.Name] = state
+	}
+	s.observeJobs(states, now)
+	for id, at := range s.ended {
+		if now.Sub(at) >= s.retention {
+			expired[id] = true
 		}
 	}
 	if len(expired) == 0 {
@@ -101,6 +113,39 @@
 	return nil
 }
 
+// observeJobs notes which jobs are open and which have ended, and reports those that are open for longer than the retention
+// period.
+func (s *Sweeper) observeJobs(jobs map[string]wire.JobState, now time.Time) {
+	ended, open := make(map[string]time.Time), make(map[string]time.Time)
+	old, first := 0, ""
+	for id, j := range jobs {
+		if j.Ended {
+			ended[id] = firstSeen(s.ended, id, now)
+			continue
+		}
+		open[id] = firstSeen(s.open, id, now)
+		if now.Sub(open[id]) < s.retention {
+			continue
+		}
+		old++
+		if first == "" || id < first {
+			first = id
+		}
+	}
+	s.ended, s.open = ended, open
+	if old > 0 {
+		event.OldJobsOpen.Log(s.logger, "jobs", old, "first", first)
+	}
+}
+
+// firstSeen returns when a key was first seen, which is now unless it was seen before.
+func firstSeen(seen map[string]time.Time, key string, now time.Time) time.Time {
+	if at, ok := seen[key]; ok {
+		return at
+	}
+	return now
+}
+
 // deleteMatching deletes the objects of a kind whose names match, in reverse order.
 func (s *Sweeper) deleteMatching(ctx context.Context, kind string, match func(name string) bool) error {
 	list, err := s.list(ctx, kind)
