Serve no part of a job while it is removed

A second sweeper deletes what a later job with the same id has written.

Cause: nothing told the entries that a removal had begun, and each delete used the revision that was found right before it, whatever job the object belonged to by then.

Fix: the sweeper marks the state of the job first, on the condition that it has not changed since it was listed. A marked job is absent for all entries, and a submission with its id gets 503 with a retry time. Only objects that were written before the mark are deleted, and the state last. An entry reads the state of an ended job again after its log.

TestInterruptedSweepIsCompleted, TestSweepBesideChanges, TestJobBeingRemovedIsAbsent and TestRemovalDuringLoad.

--- a/entry/internal/batch/batch.go
+++ b/entry/internal/batch/batch.go
@@ -82,6 +82,9 @@
 	fetchTimeout = 10 * time.Second
 	// busyRetryAfter is the retry time of calls that may succeed shortly, such as while a job changes owners.
 	busyRetryAfter = 300 * time.Millisecond
+	// removalRetryAfter is the retry time of a submission while an earlier job with its id is being removed, which takes about a
+	// second.
+	removalRetryAfter = time.Second
 	// maxUpdateAttempts bounds the attempts of a conditional update that conflicts with other writers.
 	maxUpdateAttempts = 5
 	// anyEpoch has a job taken over whoever owns it.
--- a/entry/internal/batch/owner.go
+++ b/entry/internal/batch/owner.go
@@ -17,7 +17,7 @@
 	"bulrushspoke/wire"
 )
 
-// readState reads the state object of a job and its revision.
+// readState reads the state object of a job and its revision. A job that is being removed is absent.
 func (m *Manager) readState(ctx context.Context, id string) (wire.JobState, int64, error) {
 	var s wire.JobState
 	r, err := m.Store.Get(ctx, KindState, id)
@@ -27,6 +27,9 @@
 	if err := json.Unmarshal(r.Spec, &s); err != nil {
 		return s, 0, fmt.Errorf("batch: state of job %s: %w", id, err)
 	}
+	if s.Removed {
+		return s, 0, store.NewNotFoundError(KindState, id)
+	}
 	return s, r.Revision, nil
 }
 
@@ -110,6 +113,11 @@
 	for range maxUpdateAttempts {
 		readAt := time.Now()
 		s, revision, err := m.readState(ctx, id)
+		var absent *store.NotFoundError
+		if errors.As(err, &absent) {
+			m.evictState(id)
+			return notFound(causeNoJob)
+		}
 		if err != nil {
 			return unavailable(err.Error())
 		}
@@ -161,6 +169,18 @@
 	}
 	event.LogLoaded.Log(m.Logger, "job", id, "epoch", s.Epoch, "ended", s.Ended, "records", len(records),
 		"results", countResults(records))
+	if s.Ended {
+		// The log was whole if the job is not marked as removed by now.
+		_, _, err := m.readState(ctx, id)
+		var absent *store.NotFoundError
+		if errors.As(err, &absent) {
+			m.evictState(id)
+			return notFound(causeNoJob)
+		}
+		if err != nil {
+			return unavailable(err.Error())
+		}
+	}
 	m.evictState(id)
 	if !s.Ended && len(parts) == 0 {
 		parts = m.loadCheckpoint(ctx, id)
--- a/entry/internal/batch/payload.go
+++ b/entry/internal/batch/payload.go
@@ -71,6 +71,20 @@
 
 func partName(id string, n int) string { return fmt.Sprintf("%s.%d", id, n) }
 
+// PayloadParts returns the names of the parts of a payload, given the job and the value of its main object; none if it is not
+// split.
+func PayloadParts(id string, value []byte) []string {
+	var p splitPayload
+	if err := json.Unmarshal(value, &p); err != nil {
+		return nil // an unsplit payload of any form
+	}
+	var l []string
+	for n := range min(p.Parts, maxParts) {
+		l = append(l, partName(id, n))
+	}
+	return l
+}
+
 // JobOfPart returns the job of a part of a payload, given the name of its object; empty if the name is not that of a part.
 func JobOfPart(name string) string {
 	i := strings.LastIndexByte(name, '.')
--- /dev/null
+++ b/entry/internal/batch/removed_test.go
@@ -0,0 +1,111 @@
+package batch
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"testing"
+	"time"
+
+	"bulrushspoke/internal/store"
+)
+
+// markRemoved marks the state of a job as the sweeper does before it deletes the other objects.
+func (r *rig) markRemoved(m *Manager, id string) {
+	r.t.Helper()
+	s, _, err := m.readState(r.t.Context(), id)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	s.Removed = true
+	value, err := json.Marshal(s)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.store.Put(KindState, id, value)
+}
+
+// beforeCall calls a function before the calls of a store.
+type beforeCall struct {
+	Store
+	f func(method, kind, name string)
+}
+
+func (s beforeCall) Create(ctx context.Context, kind, name string, spec []byte) (int64, error) {
+	s.f("create", kind, name)
+	return s.Store.Create(ctx, kind, name, spec)
+}
+
+func (s beforeCall) List(ctx context.Context, kind string) ([]store.Record, int64, error) {
+	s.f("list", kind, "")
+	return s.Store.List(ctx, kind)
+}
+
+// Guards against an entry that serves a part of a job whose removal is going on or was interrupted, whatever the entry knows
+// of the job, and against a submission that is accepted and then removed with it.
+func TestJobBeingRemovedIsAbsent(t *testing.T) {
+	for name, known := range map[string]bool{"unknown state": false, "known state": true} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, newEngine(t, 1))
+			owner, crash := r.manager("a", "a1")
+			other, _ := r.manager("b", "b1")
+			body := payload(1, "g-1", "h-1")
+			r.submit(owner, "j", body)
+			r.collect(owner, "j", 2)
+			if reply := owner.End(t.Context(), nobody, "j"); reply.Status != http.StatusOK {
+				t.Fatal(reply)
+			}
+			if known {
+				s, _, err := other.readState(t.Context(), "j")
+				if err != nil {
+					t.Fatal(err)
+				}
+				other.cacheState("j", s)
+			} else {
+				other.evictState("j")
+			}
+			crash()
+			r.cut("a", true)
+			r.markRemoved(other, "j")
+			r.store.Remove(KindRecords+"j", r.store.Names(KindRecords + "j")[0])
+			if reply := other.Results(t.Context(), nobody, "j", 0, 0); reply.Status != http.StatusNotFound {
+				t.Errorf("the results are answered with %d", reply.Status)
+			}
+			if other.local("j") != nil {
+				t.Error("the entry holds the job")
+			}
+			reply := other.Submit(t.Context(), nobody, &r.route, "j", body, time.Now())
+			if reply.Status != http.StatusServiceUnavailable || reply.RetryAfter <= 0 {
+				t.Errorf("a submission with the id is answered with %+v", reply)
+			}
+			r.store.Remove(KindState, "j")
+			r.submit(other, "j", body)
+		})
+	}
+}
+
+// Guards against a job of which a part is loaded because its removal begins between the reads of its state and of its log.
+func TestRemovalDuringLoad(t *testing.T) {
+	r := newRig(t, newEngine(t, 1))
+	owner, crash := r.manager("a", "a1")
+	other, _ := r.manager("b", "b1")
+	r.submit(owner, "j", payload(1, "g-1", "h-1"))
+	r.collect(owner, "j", 2)
+	if reply := owner.End(t.Context(), nobody, "j"); reply.Status != http.StatusOK {
+		t.Fatal(reply)
+	}
+	crash()
+	r.cut("a", true)
+	other.evictState("j")
+	other.Store = beforeCall{Store: other.Store, f: func(method, kind, _ string) {
+		if method == "list" && kind == KindRecords+"j" {
+			r.markRemoved(owner, "j")
+			for _, name := range r.store.Names(kind) {
+				r.store.Remove(kind, name)
+			}
+		}
+	}}
+	if reply := other.Results(t.Context(), nobody, "j", 0, 0); reply.Status != http.StatusNotFound {
+		t.Errorf("the results are answered with %d %s", reply.Status, reply.Body)
+	}
+}
--- a/entry/internal/batch/submit.go
+++ b/entry/internal/batch/submit.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net/http"
 	"strings"
 	"time"
@@ -156,6 +157,10 @@
 // refuseAmbiguous returns the reply to a submission whose state object could not be written. If it may have been
 // written nevertheless, the reply does not promise that the job will not run.
 func (m *Manager) refuseAmbiguous(id string, err error, now time.Time) ingress.Reply {
+	var removed *removedError
+	if errors.As(err, &removed) {
+		return m.refuse(id, http.StatusServiceUnavailable, removalRetryAfter, err.Error())
+	}
 	var down *store.UnavailableError
 	if errors.As(err, &down) && !down.Ambiguous() {
 		return m.refuse(id, http.StatusServiceUnavailable, retryAfter(m.Outage(now)), err.Error())
@@ -163,6 +168,16 @@
 	return m.refuse(id, http.StatusGatewayTimeout, 0, err.Error())
 }
 
+// removedError means that a job cannot be accepted because an earlier one with its id is being removed.
+type removedError struct {
+	id string
+}
+
+// Error implements error.
+func (e *removedError) Error() string {
+	return fmt.Sprintf("batch: an earlier job %s is being removed", e.id)
+}
+
 // retryAfter returns when to retry a submission that the store could not accept, given the length of the outage so far.
 //
 // With a fixed delay the few attempts of a trainer could all fall into one outage. Early in an outage trainers wait for
@@ -191,7 +206,11 @@
 	var down *store.UnavailableError
 	switch {
 	case errors.As(err, &conflict):
-		if json.Unmarshal(conflict.Current().Value, &s) == nil && s.Owner != "" {
+		decodeErr := json.Unmarshal(conflict.Current().Value, &s)
+		if decodeErr == nil && s.Removed {
+			return s, &removedError{id: id}
+		}
+		if decodeErr == nil && s.Owner != "" {
 			return s, nil
 		}
 	case errors.As(err, &down) && down.Ambiguous():
--- a/entry/internal/sweep/sweep.go
+++ b/entry/internal/sweep/sweep.go
@@ -5,12 +5,20 @@
 //	s := sweep.New(objects, retention, logger)
 //	err := s.Run(ctx)
 //
+// # What is removed
+//
 // The platform's store does not expire objects. A job is removed once the sweeper has seen it ended for the retention
 // period; an open job is never removed, however old it is. The period is measured by the steady clock of this process. The
 // time of day of an instance may step, and that of the submission is of another instance.
 //
-// The log of a job is deleted from its end and the state of the job last, so that the next sweep completes an interrupted
-// one. Deletes are conditional on the revision, so sweepers may run concurrently.
+// # Concurrent changes
+//
+// The sweeper first marks the state of the job as removed. The job is absent for all entries from then on, and none can be
+// accepted under its id, so that no entry reads a job of which a part is left. Then the sweeper deletes all objects that were
+// written before the mark, and the state last. A sweep that was interrupted is completed by the next one, which finds the
+// mark.
+//
+// Marks and deletes are conditional on the revision, so sweepers may run concurrently.
 package sweep
 
 import (
@@ -18,7 +26,6 @@
 	"encoding/json"
 	"errors"
 	"log/slog"
-	"slices"
 	"time"
 
 	"bulrushspoke/entry/internal/batch"
@@ -27,16 +34,20 @@
 	"bulrushspoke/wire"
 )
 
-// interval is the time between two sweeps. A sweep that finds no expired job costs one list request for small objects.
+// interval is the time between two sweeps. A sweep that finds nothing to remove costs the pages of a stale list of small
+// objects.
 const interval = time.Minute
 
 // Store is the subset of the platform's store that a Sweeper uses.
 type Store interface {
-	List(ctx context.Context, kind string) ([]store.Record, int64, error)
+	Get(ctx context.Context, kind, name string) (store.Record, error)
+	Update(ctx context.Context, kind, name string, spec []byte, revision int64) (int64, error)
 	Delete(ctx context.Context, kind, name string, revision int64) error
+	Visit(ctx context.Context, kind string, f func(store.Record)) error
+	VisitStale(ctx context.Context, kind string, f func(store.Record)) error
 }
 
-// Sweeper deletes expired jobs.
+// Sweeper deletes ended jobs.
 type Sweeper struct {
 	store     Store
 	retention time.Duration
@@ -50,7 +61,8 @@
 // shorter than the time for which the platform requires results to be readable.
 func New(s Store, retention time.Duration, logger *slog.Logger) *Sweeper {
 	return &Sweeper{
-		store: s, retention: retention, logger: logger, ended: make(map[string]time.Time), open: make(map[string]time.Time),
+		store: s, retention: retention, logger: logger,
+		ended: make(map[string]time.Time), open: make(map[string]time.Time),
 	}
 }
 
@@ -71,55 +83,58 @@
 
 // Sweep removes what is due at the given time, which must have a reading of the steady clock.
 func (s *Sweeper) Sweep(ctx context.Context, now time.Time) error {
-	jobs, err := s.list(ctx, batch.KindState)
+	jobs, err := s.listJobs(ctx)
 	if err != nil {
 		return err
 	}
-	expired, known := make(map[string]bool), make(map[string]bool)
-	states := make(map[string]wire.JobState)
-	for _, r := range jobs {
-		known[r.Name] = true
-		var state wire.JobState
-		if err := json.Unmarshal(r.Spec, &state); err != nil {
-			event.ObjectInvalid.Log(s.logger, "kind", batch.KindState, "name", r.Name, "cause", err.Error())
+	s.observeJobs(jobs, now)
+	removed := 0
+	for id, j := range jobs {
+		due := j.state.Removed || j.state.Ended && now.Sub(s.ended[id]) >= s.retention
+		if !due {
 			continue
 		}
-		states[r.Name] = state
-	}
-	s.observeJobs(states, now)
-	for id, at := range s.ended {
-		if now.Sub(at) >= s.retention {
-			expired[id] = true
-		}
-	}
-	if len(expired) == 0 {
-		return nil
-	}
-	for id := range expired {
-		if err := s.deleteMatching(ctx, batch.KindRecords+id, func(string) bool { return true }); err != nil {
-			return err
-		}
-	}
-	for _, kind := range []string{batch.KindTexts, batch.KindPayload, batch.KindState} {
-		err := s.deleteMatching(ctx, kind, func(name string) bool {
-			// The id of a job may look like the name of a part.
-			return expired[name] || kind == batch.KindPayload && !known[name] && expired[batch.JobOfPart(name)]
-		})
+		done, err := s.removeJob(ctx, id, jobs)
 		if err != nil {
 			return err
 		}
+		if done {
+			removed++
+		}
+	}
+	if removed > 0 {
+		event.OldJobsRemoved.Log(s.logger, "jobs", removed)
 	}
-	event.OldJobsRemoved.Log(s.logger, "jobs", len(expired))
 	return nil
 }
 
+// job is the state of a job as listed.
+type job struct {
+	revision int64
+	state    wire.JobState // the zero value if the object cannot be decoded, which is never removed
+}
+
+// listJobs returns the jobs in the store, as they were up to several seconds ago.
+func (s *Sweeper) listJobs(ctx context.Context) (map[string]job, error) {
+	jobs := make(map[string]job)
+	err := s.store.VisitStale(ctx, batch.KindState, func(r store.Record) {
+		j := job{revision: r.Revision}
+		if err := json.Unmarshal(r.Spec, &j.state); err != nil {
+			event.ObjectInvalid.Log(s.logger, "kind", batch.KindState, "name", r.Name, "cause", err.Error())
+			j.state = wire.JobState{}
+		}
+		jobs[r.Name] = j
+	})
+	return jobs, ignoreAbsent(err)
+}
+
 // observeJobs notes which jobs are open and which have ended, and reports those that are open for longer than the retention
 // period.
-func (s *Sweeper) observeJobs(jobs map[string]wire.JobState, now time.Time) {
+func (s *Sweeper) observeJobs(jobs map[string]job, now time.Time) {
 	ended, open := make(map[string]time.Time), make(map[string]time.Time)
 	old, first := 0, ""
 	for id, j := range jobs {
-		if j.Ended {
+		if j.state.Ended {
 			ended[id] = firstSeen(s.ended, id, now)
 			continue
 		}
@@ -146,32 +161,11 @@
 	return now
 }
 
-// deleteMatching deletes the objects of a kind whose names match, in reverse order.
-func (s *Sweeper) deleteMatching(ctx context.Context, kind string, match func(name string) bool) error {
-	list, err := s.list(ctx, kind)
-	if err != nil {
-		return err
-	}
-	for _, r := range slices.Backward(list) {
-		if !match(r.Name) {
-			continue
-		}
-		err := s.store.Delete(ctx, kind, r.Name, r.Revision)
-		var absent *store.NotFoundError
-		var conflict *store.ConflictError
-		if err != nil && !errors.As(err, &absent) && !errors.As(err, &conflict) {
-			return err
-		}
-	}
-	return nil
-}
-
-// list returns an empty list for a kind that the store does not know yet.
-func (s *Sweeper) list(ctx context.Context, kind string) ([]store.Record, error) {
-	l, _, err := s.store.List(ctx, kind)
+// ignoreAbsent returns nil for the error of a kind that the store does not know yet.
+func ignoreAbsent(err error) error {
 	var absent *store.NotFoundError
 	if errors.As(err, &absent) {
-		return nil, nil
+		return nil
 	}
-	return l, err
+	return err
 }
--- a/entry/internal/sweep/sweep_test.go
+++ b/entry/internal/sweep/sweep_test.go
@@ -1,6 +1,7 @@
 package sweep
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"log/slog"
@@ -27,17 +28,46 @@
 	t     *testing.T
 	store *objects.Store
 	now   time.Time
+	// before is called before each list of records and each write of the sweeper, which fails with the error that it returns.
+	before func(method, kind, name string) error
+}
+
+// watched calls rig.before for the calls of a sweeper.
+type watched struct {
+	Store
+	rig *rig
+}
+
+func (w watched) Visit(ctx context.Context, kind string, f func(store.Record)) error {
+	if err := w.rig.before("visit", kind, ""); err != nil {
+		return err
+	}
+	return w.Store.Visit(ctx, kind, f)
+}
+
+func (w watched) Update(ctx context.Context, kind, name string, spec []byte, revision int64) (int64, error) {
+	if err := w.rig.before("update", kind, name); err != nil {
+		return 0, err
+	}
+	return w.Store.Update(ctx, kind, name, spec, revision)
+}
+
+func (w watched) Delete(ctx context.Context, kind, name string, revision int64) error {
+	if err := w.rig.before("delete", kind, name); err != nil {
+		return err
+	}
+	return w.Store.Delete(ctx, kind, name, revision)
 }
 
 func newRig(t *testing.T) *rig {
 	t.Helper()
-	r := &rig{t: t, store: objects.New(), now: time.Now()}
+	r := &rig{t: t, store: objects.New(), now: time.Now(), before: func(string, string, string) error { return nil }}
 	server := httptest.NewServer(r.store)
 	t.Cleanup(server.CloseClientConnections)
 	logger := slog.New(slog.DiscardHandler)
 	pool := upstream.New(upstream.Limits{Dial: time.Second, Idle: 4})
 	client := platform.NewStore(strings.TrimPrefix(server.URL, "http://"), time.Second, pool, logger)
-	r.Sweeper = New(client, retention, logger)
+	r.Sweeper = New(watched{Store: client, rig: r}, retention, logger)
 	return r
 }
 
@@ -89,8 +119,12 @@
 	return n
 }
 
-// jobObjects is the number of objects of a job.
-const jobObjects = 7
+const (
+	// jobObjects is the number of objects of a job.
+	jobObjects = 7
+	// removalCalls is the number of calls of a removal that rig.before sees: a mark, a list and a delete for each object.
+	removalCalls = jobObjects + 2
+)
 
 // Guards against the removal of an open job (review/12), or of one whose results must still be readable, by the times of day
 // of two instances, and against jobs that are never removed.
@@ -133,6 +167,96 @@
 	want("at last", all)
 }
 
+// Guards against leftovers of a sweep that was interrupted at any of its calls.
+func TestInterruptedSweepIsCompleted(t *testing.T) {
+	failed := errors.New("interrupted")
+	for calls := range removalCalls {
+		r := newRig(t)
+		r.put("j", wire.JobState{Owner: "a", Ended: true})
+		r.mustSweep(0)
+		done := 0
+		r.before = func(string, string, string) error {
+			if done++; done > calls {
+				return failed
+			}
+			return nil
+		}
+		if err := r.sweep(retention); !errors.Is(err, failed) {
+			t.Errorf("after %d calls: the sweep ended with %v", calls, err)
+		}
+		r.before = func(string, string, string) error { return nil }
+		other := New(r.Sweeper.store, retention, r.logger)
+		if calls > 0 {
+			if s := r.state("j"); !s.Removed {
+				t.Errorf("after %d calls: the job is not marked as removed", calls)
+			}
+			if err := other.Sweep(t.Context(), r.now); err != nil {
+				t.Fatal(err)
+			}
+			if n := r.count("j"); n != 0 {
+				t.Errorf("after %d calls: another sweeper leaves %d objects", calls, n)
+			}
+		} else if n := r.count("j"); n != jobObjects {
+			t.Errorf("%d objects of a job without a mark", n)
+		}
+	}
+}
+
+func (r *rig) state(id string) wire.JobState {
+	r.t.Helper()
+	var s wire.JobState
+	rec, err := r.Sweeper.store.Get(r.t.Context(), batch.KindState, id)
+	if err == nil {
+		err = json.Unmarshal(rec.Spec, &s)
+	}
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return s
+}
+
+// Guards against a sweep that deletes what was written after it had listed a job: a state that has changed, or a later job
+// with the same id that was accepted after another sweeper had completed the removal.
+func TestSweepBesideChanges(t *testing.T) {
+	ended := wire.JobState{Owner: "a", Ended: true}
+	t.Run("changed state", func(t *testing.T) {
+		r := newRig(t)
+		r.put("j", ended)
+		r.mustSweep(0)
+		r.before = func(method, _, _ string) error {
+			if method == "update" {
+				r.putState("j", wire.JobState{Owner: "b", Ended: true, Epoch: 2})
+			}
+			return nil
+		}
+		r.mustSweep(retention)
+		if n := r.count("j"); n != jobObjects {
+			t.Errorf("%d objects are left, want %d", n, jobObjects)
+		}
+	})
+	for calls := 1; calls < removalCalls; calls++ {
+		r := newRig(t)
+		r.put("j", ended)
+		r.mustSweep(0)
+		done := 0
+		r.before = func(string, string, string) error {
+			if done++; done != calls+1 {
+				return nil
+			}
+			other := New(r.Sweeper.store, retention, r.logger)
+			if err := other.Sweep(t.Context(), r.now); err != nil {
+				t.Error(err)
+			}
+			r.put("j", wire.JobState{Owner: "a"})
+			return nil
+		}
+		r.mustSweep(retention)
+		if n := r.count("j"); n != jobObjects {
+			t.Errorf("other sweeper after %d calls: %d objects of the later job are left, want %d", calls, n, jobObjects)
+		}
+	}
+}
+
 // Guards against the removal of a job whose id looks like the name of a part of the payload of another one.
 func TestSweepKeepsJobNamedLikePart(t *testing.T) {
 	r := newRig(t)
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -817,6 +817,10 @@
 	// the workspace has left the configuration; absent if it had none.
 	Priority *int `json:"priority,omitempty,omitzero"`
 
+	// True while the objects of the job, which has ended, are removed from the store.
+	// The job counts as absent, and no other one with its id is accepted.
+	Removed bool `json:"removed"`
+
 	// Number of items.
 	Total int `json:"total"`
 
