Write the payload of a job again if that of an earlier one was found

What callers would see: a job is accepted, and its items are lost with the entry that accepted it, since no other entry can load it. Found by reading and shown by a test, not in a run of the programs.

Cause: a submission writes the payload, unless it is there, and then the state.

Fix: if any part had been there, the payload is written again, unless it is there, once the state has been written. Only repeated submissions pay for it.

TestPayloadRemovedDuringSubmission fails without the second write.

--- a/entry/internal/batch/batch_test.go
+++ b/entry/internal/batch/batch_test.go
@@ -271,7 +271,7 @@
 	r := newRig(t, newEngine(t, 1))
 	m, _ := r.manager("a", "a1")
 	body := payload(1, "g-2")
-	if err := m.putPayload(t.Context(), "j", body); err != nil {
+	if _, err := m.putPayload(t.Context(), "j", body); err != nil {
 		t.Fatal(err)
 	}
 	r.store.SetFault(objects.Fault{DelayedWrites: 1})
@@ -360,7 +360,7 @@
 	if len(body) <= m.MaxObjectBytes {
 		t.Fatalf("payload of %d bytes fits into one object", len(body))
 	}
-	if err := m.putPayload(t.Context(), "j", body); err != nil {
+	if _, err := m.putPayload(t.Context(), "j", body); err != nil {
 		t.Fatal(err)
 	}
 	for _, name := range r.store.Names(KindPayload) {
--- a/entry/internal/batch/config_test.go
+++ b/entry/internal/batch/config_test.go
@@ -99,7 +99,7 @@
 				Owner: "gone", Inc: "gone1", Epoch: 1, Host: "h", Path: "/p/", Total: 1, At: time.Now().UnixMilli(), Model: "m",
 				Config: c.accepted,
 			}
-			if err := owner.putPayload(t.Context(), "j", scoredPayload(id)); err != nil {
+			if _, err := owner.putPayload(t.Context(), "j", scoredPayload(id)); err != nil {
 				t.Fatal(err)
 			}
 			if _, err := owner.createState(t.Context(), "j", state); err != nil {
--- a/entry/internal/batch/ended_test.go
+++ b/entry/internal/batch/ended_test.go
@@ -192,7 +192,7 @@
 	s := wire.JobState{
 		Owner: "a", Inc: "a1", Epoch: 1, Host: "h", Path: "/p/", Total: len(ids), At: time.Now().UnixMilli(), Model: "m",
 	}
-	if err := other.putPayload(t.Context(), "j", body); err != nil {
+	if _, err := other.putPayload(t.Context(), "j", body); err != nil {
 		t.Fatal(err)
 	}
 	if _, err := other.createState(t.Context(), "j", s); err != nil {
--- a/entry/internal/batch/former_test.go
+++ b/entry/internal/batch/former_test.go
@@ -63,7 +63,7 @@
 	other, _ := r.manager("b", "b1")
 	body := payload(1, "g-2")
 	state := wire.JobState{Owner: "a", Inc: "a1", Epoch: 1, Host: "h", Path: "/p/", Total: 1, At: time.Now().UnixMilli(), Model: "m"}
-	if err := m.putPayload(t.Context(), "j", body); err != nil {
+	if _, err := m.putPayload(t.Context(), "j", body); err != nil {
 		t.Fatal(err)
 	}
 	if _, err := m.createState(t.Context(), "j", state); err != nil {
--- a/entry/internal/batch/log_test.go
+++ b/entry/internal/batch/log_test.go
@@ -237,7 +237,7 @@
 		Owner: "gone", Inc: "gone1", Epoch: 1, Host: "h", Path: "/p/", Total: len(ids), At: time.Now().UnixMilli(),
 		Model: "m", Ended: ended,
 	}
-	if err := m.putPayload(r.t.Context(), "j", payload(1, ids...)); err != nil {
+	if _, err := m.putPayload(r.t.Context(), "j", payload(1, ids...)); err != nil {
 		r.t.Fatal(err)
 	}
 	if _, err := m.createState(r.t.Context(), "j", state); err != nil {
--- a/entry/internal/batch/memory_test.go
+++ b/entry/internal/batch/memory_test.go
@@ -119,7 +119,7 @@
 	small.Memory = budget.New(10).Account("jobs", 10)
 	body := payload(1, "g-1", "g-2")
 	state := wire.JobState{Owner: "gone", Inc: "gone-1", Epoch: 1, Host: r.route.Host, Path: r.route.Prefix, Total: 2, Model: "m"}
-	if err := accepting.putPayload(t.Context(), "j", body); err != nil {
+	if _, err := accepting.putPayload(t.Context(), "j", body); err != nil {
 		t.Fatal(err)
 	}
 	if _, err := accepting.createState(t.Context(), "j", state); err != nil {
--- a/entry/internal/batch/owner_test.go
+++ b/entry/internal/batch/owner_test.go
@@ -210,7 +210,7 @@
 					Owner: owner.Name, Inc: owner.Self.Inc, Epoch: 1, Host: "h", Path: "/p/", Total: 2,
 					At: time.Now().UnixMilli(),
 				}
-				if err := receiver.putPayload(t.Context(), "j", payload(1, "g-2", "h-9")); err != nil {
+				if _, err := receiver.putPayload(t.Context(), "j", payload(1, "g-2", "h-9")); err != nil {
 					t.Fatal(err)
 				}
 				if _, err := receiver.createState(t.Context(), "j", s); err != nil {
@@ -298,7 +298,7 @@
 		t.Errorf("takeover by a leaving entry: got status %d, want 503", reply.Status)
 	}
 	s := wire.JobState{Owner: "a", Inc: "a1", Epoch: 1, Host: "h", Path: "/p/", Total: 1, At: time.Now().UnixMilli()}
-	if err := other.putPayload(t.Context(), "j2", payload(1, "g-3")); err != nil {
+	if _, err := other.putPayload(t.Context(), "j2", payload(1, "g-3")); err != nil {
 		t.Fatal(err)
 	}
 	if _, err := other.createState(t.Context(), "j2", s); err != nil {
@@ -331,7 +331,7 @@
 	state := wire.JobState{
 		Owner: "a", Inc: "a1", Epoch: 1, Host: "h", Path: "/p/", Total: 3, At: time.Now().UnixMilli(), Model: "m",
 	}
-	if err := other.putPayload(t.Context(), "j", body); err != nil {
+	if _, err := other.putPayload(t.Context(), "j", body); err != nil {
 		t.Fatal(err)
 	}
 	if _, err := other.createState(t.Context(), "j", state); err != nil {
--- a/entry/internal/batch/payload.go
+++ b/entry/internal/batch/payload.go
@@ -27,9 +27,9 @@
 	Parts int `json:"parts"`
 }
 
-// putPayload writes the payload of a job to the store, in parts if necessary. A payload that is there already is the
-// same one.
-func (m *Manager) putPayload(ctx context.Context, id string, body []byte) error {
+// putPayload writes the payload of a job to the store, in parts if necessary, and reports whether any of it was there
+// already. A payload that is there is the same one.
+func (m *Manager) putPayload(ctx context.Context, id string, body []byte) (found bool, err error) {
 	room := m.MaxObjectBytes - envelopeBytes
 	if len(body) <= room {
 		return m.putPart(ctx, id, body)
@@ -40,33 +40,37 @@
 		size := min(chunk, len(rest))
 		value, err := json.Marshal(rest[:size])
 		if err != nil {
-			return err
+			return found, err
 		}
-		if err := m.putPart(ctx, partName(id, n), value); err != nil {
-			return err
+		old, err := m.putPart(ctx, partName(id, n), value)
+		found = found || old
+		if err != nil {
+			return found, err
 		}
 		rest = rest[size:]
 	}
 	value, err := json.Marshal(splitPayload{Parts: n})
 	if err != nil {
-		return err
+		return found, err
 	}
-	return m.putPart(ctx, id, value)
+	old, err := m.putPart(ctx, id, value)
+	return found || old, err
 }
 
-func (m *Manager) putPart(ctx context.Context, name string, value []byte) error {
-	_, err := m.Store.Create(ctx, KindPayload, name, value)
+// putPart writes an object of a payload and reports whether it may have been there already.
+func (m *Manager) putPart(ctx context.Context, name string, value []byte) (found bool, err error) {
+	_, err = m.Store.Create(ctx, KindPayload, name, value)
 	var conflict *store.ConflictError
 	if errors.As(err, &conflict) {
-		return nil
+		return true, nil
 	}
 	var down *store.UnavailableError
 	if errors.As(err, &down) && down.Ambiguous() {
 		if _, readErr := m.Store.Get(ctx, KindPayload, name); readErr == nil {
-			return nil
+			return true, nil
 		}
 	}
-	return err
+	return false, err
 }
 
 func partName(id string, n int) string { return fmt.Sprintf("%s.%d", id, n) }
--- a/entry/internal/batch/removed_test.go
+++ b/entry/internal/batch/removed_test.go
@@ -109,3 +109,24 @@
 		t.Errorf("the results are answered with %d %s", reply.Status, reply.Body)
 	}
 }
+
+// Guards against a job that is accepted without its payload: a submission found that of an earlier job with the id, which was
+// removed before the state of the new job was written.
+func TestPayloadRemovedDuringSubmission(t *testing.T) {
+	r := newRig(t, newEngine(t, 1))
+	m, crash := r.manager("a", "a1")
+	body := payload(1, "g-2")
+	if _, err := m.putPayload(t.Context(), "j", body); err != nil {
+		t.Fatal(err)
+	}
+	m.Store = beforeCall{Store: m.Store, f: func(_, kind, _ string) {
+		if kind == KindState {
+			r.store.Remove(KindPayload, "j")
+		}
+	}}
+	r.submit(m, "j", body)
+	crash()
+	r.cut("a", true)
+	other, _ := r.manager("b", "b1")
+	checkTexts(t, r.collect(other, "j", 1), "g-2")
+}
--- a/entry/internal/batch/submit.go
+++ b/entry/internal/batch/submit.go
@@ -59,7 +59,8 @@
 	if owner.name == "" {
 		return m.refuse(id, http.StatusServiceUnavailable, busyRetryAfter, "this entry is shutting down")
 	}
-	if err := m.putPayload(ctx, id, body); err != nil {
+	found, err := m.putPayload(ctx, id, body)
+	if err != nil {
 		// Without a state object nothing runs, so this refusal is definite.
 		return m.refuse(id, http.StatusServiceUnavailable, retryAfter(m.Outage(now)), err.Error())
 	}
@@ -73,6 +74,12 @@
 	if err != nil {
 		return m.refuseAmbiguous(id, err, now)
 	}
+	if found && !held.Ended {
+		// A payload of an earlier job with the id may have been removed before the state was written.
+		if _, err := m.putPayload(ctx, id, body); err != nil {
+			return m.refuse(id, http.StatusGatewayTimeout, 0, err.Error())
+		}
+	}
 	if !held.Ended {
 		m.recordRunning(wire.JobOwner{Owner: held.Owner, Inc: held.Inc, Model: spec.Model, Items: len(spec.Items)}, now)
 	}
