End a job whose state is absent

What servers would see: an owner that was paused or cut off while its job was ended and removed runs the items of the job for good. Found by reading and shown by a test, not in a run of the programs.

Cause: the owner compares its job with the state in the store each second, and took an absent state for one that cannot be read, after which a job goes on.

Fix: only jobs that have ended are removed, so an absent state means that the job has ended.

TestOwnerOfRemovedJobStops fails without the fix, for a marked and for a deleted state.

--- a/entry/internal/batch/removed_test.go
+++ b/entry/internal/batch/removed_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"bulrushspoke/internal/store"
+	"bulrushspoke/wire"
 )
 
 // markRemoved marks the state of a job as the sweeper does before it deletes the other objects.
@@ -130,3 +131,29 @@
 	other, _ := r.manager("b", "b1")
 	checkTexts(t, r.collect(other, "j", 1), "g-2")
 }
+
+// Guards against an owner that runs items of a job for good after a pause in which the job was ended and removed.
+func TestOwnerOfRemovedJobStops(t *testing.T) {
+	for name, remove := range map[string]func(r *rig){
+		"marked": func(r *rig) {
+			s := wire.JobState{Owner: "a", Inc: "a1", Epoch: 1, Ended: true, Removed: true}
+			value, err := json.Marshal(s)
+			if err != nil {
+				r.t.Fatal(err)
+			}
+			r.store.Put(KindState, "j", value)
+		},
+		"gone": func(r *rig) { r.store.Remove(KindState, "j") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e := newEngine(t, 1)
+			e.gap = time.Hour
+			r := newRig(t, e)
+			m, _ := r.manager("a", "a1")
+			r.submit(m, "j", payload(1, "g-2"))
+			remove(r)
+			await(t, "the owner stops the job", m.local("j").hasEnded)
+		})
+	}
+}
--- a/entry/internal/batch/state.go
+++ b/entry/internal/batch/state.go
@@ -62,6 +62,10 @@
 	ctx, cancel := context.WithTimeout(ctx, stateCheckTimeout)
 	defer cancel()
 	s, _, err := m.readState(ctx, j.spec.ID)
+	var absent *store.NotFoundError
+	if errors.As(err, &absent) { // only jobs that have ended are removed
+		s.Ended, err = true, nil
+	}
 	if err != nil {
 		j.noteStateRead(time.Now())
 		var down *store.UnavailableError
