Remove payloads and checkpoints of jobs that were never accepted

What operators would see: the store grows by the payloads of submissions that were refused or broken off after the payload had been written, and by what was written late.

Fix: once in a retention period the sweeper lists payloads and checkpoints page by page and keeps the names and revisions of those without a job. What is still there, unchanged, a period later is removed, under a mark for each id that the name may belong to, so that no submission takes it for its own meanwhile.

Ruled out: deleting by age alone, as a submission may find the payload right before it is deleted.

TestSweepRemovesOrphans and TestInterruptedSweepOfOrphans.

--- a/entry/internal/sweep/remove.go
+++ b/entry/internal/sweep/remove.go
@@ -10,6 +10,7 @@
 	"bulrushspoke/entry/internal/batch"
 	"bulrushspoke/internal/sleep"
 	"bulrushspoke/internal/store"
+	"bulrushspoke/wire"
 )
 
 // writePause is the time between two writes of a sweep, which leaves the rate of the store to the entries.
@@ -22,6 +23,15 @@
 	revision int64
 }
 
+// jobs returns the ids of the jobs that an object may belong to, in ascending order. The id of a job may look like the name of
+// a part of a payload.
+func (o object) jobs() []string {
+	if id := batch.JobOfPart(o.name); o.kind == batch.KindPayload && id != "" {
+		return []string{id, o.name}
+	}
+	return []string{o.name}
+}
+
 // removeJob removes one of the jobs, and returns false if its state has changed since it was listed.
 func (s *Sweeper) removeJob(ctx context.Context, id string, jobs map[string]job) (bool, error) {
 	j := jobs[id]
@@ -112,6 +122,37 @@
 	return err
 }
 
+// removeOrphan removes an orphan, and returns false if a job that it may belong to has been accepted in the meantime.
+func (s *Sweeper) removeOrphan(ctx context.Context, o object) (bool, error) {
+	value, err := json.Marshal(wire.JobState{Ended: true, Removed: true})
+	if err != nil {
+		return false, err
+	}
+	var marks []object
+	for _, id := range o.jobs() {
+		revision, err := s.store.Create(ctx, batch.KindState, id, value)
+		if isOutdated(err) {
+			break
+		}
+		if err != nil {
+			return false, err // the next sweep finds the marks
+		}
+		marks = append(marks, object{kind: batch.KindState, name: id, revision: revision})
+	}
+	marked := len(marks) == len(o.jobs())
+	if marked {
+		if err := s.delete(ctx, o); err != nil {
+			return false, err
+		}
+	}
+	for _, m := range slices.Backward(marks) {
+		if err := s.delete(ctx, m); err != nil {
+			return false, err
+		}
+	}
+	return marked, nil
+}
+
 // isOutdated reports whether a conditional write failed because the object has changed or is gone.
 func isOutdated(err error) bool {
 	var absent *store.NotFoundError
--- a/entry/internal/sweep/sweep.go
+++ b/entry/internal/sweep/sweep.go
@@ -1,4 +1,5 @@
-// Package sweep deletes jobs from the store once their results no longer have to be readable.
+// Package sweep deletes jobs from the store once their results no longer have to be readable, and the payloads of jobs that
+// were never accepted.
 //
 // # Usage
 //
@@ -11,12 +12,15 @@
 // period; an open job is never removed, however old it is. The period is measured by the steady clock of this process. The
 // time of day of an instance may step, and that of the submission is of another instance.
 //
+// An object of a payload or a checkpoint without a job is an orphan: its submission was refused or broken off, or a write
+// took effect late. It is removed once the sweeper has seen it, unchanged and without a job, for the retention period.
+//
 // # Concurrent changes
 //
-// The sweeper first marks the state of the job as removed. The job is absent for all entries from then on, and none can be
-// accepted under its id, so that no entry reads a job of which a part is left. Then the sweeper deletes all objects that were
-// written before the mark, and the state last. A sweep that was interrupted is completed by the next one, which finds the
-// mark.
+// The sweeper first marks the state of the job as removed, or creates a state with this mark for an orphan. The job is
+// absent for all entries from then on, and none can be accepted under its id, so that no entry reads a job of which a part
+// is left. Then the sweeper deletes all objects that were written before the mark, and the state last. A sweep that was
+// interrupted is completed by the next one, which finds the mark.
 //
 // Marks and deletes are conditional on the revision, so sweepers may run concurrently.
 package sweep
@@ -26,6 +30,8 @@
 	"encoding/json"
 	"errors"
 	"log/slog"
+	"maps"
+	"slices"
 	"time"
 
 	"bulrushspoke/entry/internal/batch"
@@ -41,20 +47,23 @@
 // Store is the subset of the platform's store that a Sweeper uses.
 type Store interface {
 	Get(ctx context.Context, kind, name string) (store.Record, error)
+	Create(ctx context.Context, kind, name string, spec []byte) (int64, error)
 	Update(ctx context.Context, kind, name string, spec []byte, revision int64) (int64, error)
 	Delete(ctx context.Context, kind, name string, revision int64) error
 	Visit(ctx context.Context, kind string, f func(store.Record)) error
 	VisitStale(ctx context.Context, kind string, f func(store.Record)) error
 }
 
-// Sweeper deletes ended jobs.
+// Sweeper deletes ended jobs and orphans.
 type Sweeper struct {
 	store     Store
 	retention time.Duration
 	logger    *slog.Logger
 
-	ended map[string]time.Time // when jobs were first seen ended
-	open  map[string]time.Time // when jobs were first seen open
+	ended   map[string]time.Time // when jobs were first seen ended
+	open    map[string]time.Time // when jobs were first seen open
+	orphans map[object]time.Time // when orphans were first seen
+	listed  time.Time            // when payloads and checkpoints were last listed
 }
 
 // New returns a Sweeper that deletes jobs once it has seen them ended for the retention period. The period must not be
@@ -62,7 +71,7 @@
 func New(s Store, retention time.Duration, logger *slog.Logger) *Sweeper {
 	return &Sweeper{
 		store: s, retention: retention, logger: logger,
-		ended: make(map[string]time.Time), open: make(map[string]time.Time),
+		ended: make(map[string]time.Time), open: make(map[string]time.Time), orphans: make(map[object]time.Time),
 	}
 }
 
@@ -89,7 +98,10 @@
 	}
 	s.observeJobs(jobs, now)
 	removed := 0
-	for id, j := range jobs {
+	// An interrupted sweep may have left the marks of an orphan for two ids. That of the part goes first, as the orphan may
+	// belong to the other job once that can be accepted again.
+	for _, id := range slices.Backward(slices.Sorted(maps.Keys(jobs))) {
+		j := jobs[id]
 		due := j.state.Removed || j.state.Ended && now.Sub(s.ended[id]) >= s.retention
 		if !due {
 			continue
@@ -100,12 +112,14 @@
 		}
 		if done {
 			removed++
+			delete(jobs, id)
 		}
 	}
-	if removed > 0 {
-		event.OldJobsRemoved.Log(s.logger, "jobs", removed)
+	orphans, err := s.removeOrphans(ctx, jobs, now)
+	if removed > 0 || orphans > 0 {
+		event.OldJobsRemoved.Log(s.logger, "jobs", removed, "orphans", orphans)
 	}
-	return nil
+	return err
 }
 
 // job is the state of a job as listed.
@@ -154,8 +168,8 @@
 }
 
 // firstSeen returns when a key was first seen, which is now unless it was seen before.
-func firstSeen(seen map[string]time.Time, key string, now time.Time) time.Time {
-	if at, ok := seen[key]; ok {
+func firstSeen[K comparable](seen map[K]time.Time, k K, now time.Time) time.Time {
+	if at, ok := seen[k]; ok {
 		return at
 	}
 	return now
@@ -169,3 +183,38 @@
 	}
 	return err
 }
+
+// removeOrphans removes objects of payloads and checkpoints that have had no job for the retention period, and returns their
+// number. These objects are large, so they are listed once in that period only, and their values are dropped page by page.
+func (s *Sweeper) removeOrphans(ctx context.Context, jobs map[string]job, now time.Time) (int, error) {
+	if !s.listed.IsZero() && now.Sub(s.listed) < s.retention {
+		return 0, nil
+	}
+	found := make(map[object]time.Time)
+	for _, kind := range []string{batch.KindPayload, batch.KindTexts} {
+		err := s.store.VisitStale(ctx, kind, func(r store.Record) {
+			o := object{kind: kind, name: r.Name, revision: r.Revision}
+			if !slices.ContainsFunc(o.jobs(), func(id string) bool { _, ok := jobs[id]; return ok }) {
+				found[o] = firstSeen(s.orphans, o, now)
+			}
+		})
+		if ignoreAbsent(err) != nil {
+			return 0, err
+		}
+	}
+	s.orphans, s.listed = found, now
+	removed := 0
+	for o, at := range found {
+		if now.Sub(at) < s.retention {
+			continue
+		}
+		done, err := s.removeOrphan(ctx, o)
+		if err != nil {
+			return removed, err
+		}
+		if done {
+			removed++
+		}
+	}
+	return removed, nil
+}
--- a/entry/internal/sweep/sweep_test.go
+++ b/entry/internal/sweep/sweep_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"log/slog"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -45,6 +46,13 @@
 	return w.Store.Visit(ctx, kind, f)
 }
 
+func (w watched) Create(ctx context.Context, kind, name string, spec []byte) (int64, error) {
+	if err := w.rig.before("create", kind, name); err != nil {
+		return 0, err
+	}
+	return w.Store.Create(ctx, kind, name, spec)
+}
+
 func (w watched) Update(ctx context.Context, kind, name string, spec []byte, revision int64) (int64, error) {
 	if err := w.rig.before("update", kind, name); err != nil {
 		return 0, err
@@ -257,6 +265,71 @@
 	}
 }
 
+// Guards against objects of jobs that were never accepted and stay for good, and against the removal of what belongs to a job
+// or to a submission that is still going on.
+func TestSweepRemovesOrphans(t *testing.T) {
+	r := newRig(t)
+	r.put("j", wire.JobState{Owner: "a"})
+	r.put("j.1", wire.JobState{Owner: "a"}) // named like a part of the payload of "j"
+	for _, name := range []string{"refused", "split.0", "split.1", "later", "written"} {
+		r.store.Put(batch.KindPayload, name, []byte(`"x"`))
+	}
+	r.store.Put(batch.KindTexts, "gone", []byte(`{}`))
+	r.mustSweep(0)
+	r.store.Put(batch.KindPayload, "new", []byte(`"x"`))
+	r.store.Put(batch.KindPayload, "written", []byte(`"y"`))
+	r.before = func(method, kind, name string) error {
+		if method == "create" && name == "later" {
+			r.putState("later", wire.JobState{Owner: "a"}) // accepted right before it is marked
+		}
+		return nil
+	}
+	r.mustSweep(retention)
+	got := map[string][]string{}
+	for _, kind := range []string{batch.KindState, batch.KindPayload, batch.KindTexts} {
+		got[kind] = r.store.Names(kind)
+	}
+	want := map[string][]string{
+		batch.KindState:   {"j", "j.1", "later"},
+		batch.KindPayload: {"j", "j.0", "j.1", "j.1.0", "j.1.1", "later", "new", "written"},
+		batch.KindTexts:   {"j", "j.1"},
+	}
+	if d := cmp.Diff(want, got); d != "" {
+		t.Errorf("objects (-want +got):\n%s", d)
+	}
+	r.mustSweep(retention)
+	if left := r.store.Names(batch.KindPayload); slices.Contains(left, "new") || slices.Contains(left, "written") {
+		t.Errorf("payloads are left: %v", left)
+	}
+}
+
+// Guards against marks of orphans that stay, or take a payload with them, if the sweep is interrupted.
+func TestInterruptedSweepOfOrphans(t *testing.T) {
+	failed := errors.New("interrupted")
+	for writes := range 5 {
+		r := newRig(t)
+		r.put("j", wire.JobState{Owner: "a"})
+		r.store.Put(batch.KindPayload, "split.0", []byte(`"x"`))
+		r.mustSweep(0)
+		done := 0
+		r.before = func(string, string, string) error {
+			if done++; done > writes {
+				return failed
+			}
+			return nil
+		}
+		if err := r.sweep(retention); !errors.Is(err, failed) {
+			t.Errorf("after %d writes: the sweep ended with %v", writes, err)
+		}
+		r.before = func(string, string, string) error { return nil }
+		r.mustSweep(retention)
+		got := [][]string{r.store.Names(batch.KindState), r.store.Names(batch.KindPayload)}
+		if d := cmp.Diff([][]string{{"j"}, {"j", "j.0", "j.1"}}, got); d != "" {
+			t.Errorf("after %d writes (-want +got):\n%s", writes, d)
+		}
+	}
+}
+
 // Guards against the removal of a job whose id looks like the name of a part of the payload of another one.
 func TestSweepKeepsJobNamedLikePart(t *testing.T) {
 	r := newRig(t)
