Bound records, pages and checkpoints by their encoded size

Cause: a record was bounded by its texts before they were encoded. With markup it exceeded value_bytes, and the refusal was treated like a store that does not answer, so that the same record was sent again and all later results waited.

Fix: sizes are those of the encoded texts, and the encoding escapes only what JSON requires. A record that is refused for its size is split. A single result that is refused can't be listed; its item runs again, and its text is cut off before it gets as long. Checkpoints and pages of results had the same cause.

Ruled out: the silence itself, as the results of short texts were listed after it; the bound of 700 KB, which is kept.

--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -12,6 +12,7 @@
 	"bulrushspoke/internal/call"
 	"bulrushspoke/internal/event"
 	"bulrushspoke/internal/job"
+	"bulrushspoke/internal/jsonenc"
 	"bulrushspoke/internal/supervise"
 	"bulrushspoke/internal/workspace"
 	"bulrushspoke/platform"
@@ -37,7 +38,8 @@
 	results        []job.Result
 	records        int             // number of records read or written
 	positions      map[string]int  // first position of each listed item
-	ready          []job.Result    // results to be listed
+	ready          []readyResult   // results to be listed
+	recordLimit    int             // largest record in bytes, by the encoded size of its results
 	ended          bool            // by the trainer, for good
 	stopped        bool            // this entry runs no more attempts
 	refreshedAt    time.Time       // last read of the log for records that were written late
@@ -52,6 +54,7 @@
 	stepLogged     bool            // event.StepCompleted has been logged
 	reader         reader          // the client that reads the results in order
 	flushRequested bool            // a client waits for results that are held back
+	finished       bool            // all items were done, so that run has ended or is about to
 	unconfirmed    unconfirmed     // cause to give up the open items
 	cancel         context.CancelFunc
 	changed        chan struct{} // closed when results are listed or the job stops
@@ -113,6 +116,7 @@
 		positions: make(map[string]int),
 
 		stateReadAt: readAt,
+		recordLimit: min(maxRecordBytes, m.MaxObjectBytes-envelopeBytes),
 	}
 	for i, it := range spec.Items {
 		j.items[it.ID] = &item{Item: it, index: i, hint: lengthHint(it), prompt: platform.Headers{}.Prompt(it.Header)}
@@ -253,9 +257,9 @@
 	}
 	it.textDone = true
 	it.timing.events = len(it.data)
-	j.ready = append(j.ready, job.Result{
+	j.ready = append(j.ready, newReadyResult(job.Result{
 		Item: it.ID, State: job.Completed, Text: strings.Join(it.data, "\n"), Versions: it.versions, Score: score,
-	})
+	}))
 }
 
 // terminate gives an item up and adds its result without a text; it returns false if the item has a result already. The
@@ -265,7 +269,7 @@
 		return false
 	}
 	it.void = true
-	j.ready = append(j.ready, job.Result{Item: it.ID, State: job.Terminated})
+	j.ready = append(j.ready, newReadyResult(job.Result{Item: it.ID, State: job.Terminated}))
 	return true
 }
 
@@ -444,7 +448,7 @@
 	}
 }
 
-// pageFrom returns the listed results from a position on, with at most maxBytes of text beyond the first result; the
+// pageFrom returns the listed results from a position on, with at most maxBytes of encoded text beyond the first result; the
 // caller holds mu.
 func (j *Job) pageFrom(after, maxBytes int) job.Page {
 	p := job.Page{Total: j.total, Next: after}
@@ -453,7 +457,7 @@
 	}
 	sum := 0
 	for _, r := range j.results[after:] {
-		sum += len(r.Text) + len(r.Item)
+		sum += jsonenc.StringSize(r.Text) + jsonenc.StringSize(r.Item)
 		if len(p.Results) > 0 && sum > maxBytes {
 			break
 		}
@@ -463,11 +467,11 @@
 	return p
 }
 
-// textBytes returns the bytes of text in a page.
+// textBytes returns the bytes of encoded text in a page.
 func textBytes(p job.Page) int {
 	sum := 0
 	for _, r := range p.Results {
-		sum += len(r.Text) + len(r.Item)
+		sum += jsonenc.StringSize(r.Text) + jsonenc.StringSize(r.Item)
 	}
 	return sum
 }
--- a/entry/internal/batch/keep.go
+++ b/entry/internal/batch/keep.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"bulrushspoke/internal/event"
+	"bulrushspoke/internal/jsonenc"
 	"bulrushspoke/internal/sleep"
 	"bulrushspoke/internal/store"
 	"bulrushspoke/wire"
@@ -18,8 +19,11 @@
 	checkpointInterval = time.Second
 	// minCheckpointEvents is the number of new events that justify a checkpoint.
 	minCheckpointEvents = 32
-	// maxCheckpointBytes bounds the texts in a checkpoint; the longest are included first.
+	// maxCheckpointBytes bounds the encoded texts in a checkpoint, unless the store accepts smaller objects only; the longest
+	// are included first.
 	maxCheckpointBytes = 700 << 10
+	// partOverhead is the encoded size of what is known of an item beside its texts and versions, in bytes.
+	partOverhead = 128
 )
 
 // checkpointer writes the unlisted texts of a job, and the failures of its items, to the store periodically.
@@ -59,7 +63,7 @@
 // write replaces the checkpoint, unless a later owner has written it. Another conflict is caused by an earlier owner, or by
 // an earlier write of this process, and the next checkpoint replaces theirs.
 func (k *checkpointer) write(ctx context.Context, parts []wire.JobPart) error {
-	value, err := json.Marshal(wire.JobTexts{Epoch: k.job.epoch, Parts: parts})
+	value, err := jsonenc.Marshal(wire.JobTexts{Epoch: k.job.epoch, Parts: parts})
 	if err != nil {
 		return err
 	}
@@ -91,10 +95,11 @@
 	sortByLength(all)
 	events, size := 0, 0
 	for i, p := range all {
+		size += partOverhead + jsonenc.StringSize(p.Item) + versionBytes*len(p.Versions)
 		for _, d := range p.Data {
-			size += len(d)
+			size += jsonenc.StringSize(d) + len(",")
 		}
-		if size > maxCheckpointBytes {
+		if size > min(maxCheckpointBytes, j.manager.MaxObjectBytes-envelopeBytes) {
 			return all[:i], events
 		}
 		events += len(p.Data)
--- a/entry/internal/batch/list.go
+++ b/entry/internal/batch/list.go
@@ -4,10 +4,12 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"time"
 
 	"bulrushspoke/internal/event"
 	"bulrushspoke/internal/job"
+	"bulrushspoke/internal/jsonenc"
 	"bulrushspoke/internal/sleep"
 	"bulrushspoke/internal/store"
 	"bulrushspoke/internal/supervise"
@@ -20,8 +22,12 @@
 	gatherDelay = 60 * time.Millisecond
 	// listRetryDelay is the pause after a write that got no answer.
 	listRetryDelay = 150 * time.Millisecond
-	// maxRecordBytes bounds the text in one record; the store accepts objects of up to 1 MB.
+	// maxRecordBytes bounds the encoded results in one record, unless the store accepts smaller objects only.
 	maxRecordBytes = 700 << 10
+	// resultOverhead is the encoded size of a result beside its texts and versions, in bytes.
+	resultOverhead = 96
+	// versionBytes is the encoded size of a version number, in bytes.
+	versionBytes = 12
 )
 
 // lister writes the results of a job to its log.
@@ -148,27 +154,64 @@
 		if open[j.items[r.Item].Group] && r.State != job.Terminated {
 			continue
 		}
-		size += len(r.Text)
-		if len(l) > 0 && size > maxRecordBytes {
+		size += r.size
+		if len(l) > 0 && size > j.recordLimit {
 			break
 		}
-		l = append(l, r)
+		l = append(l, r.Result)
 	}
 	return l
 }
 
+// readyResult is a result to be listed.
+type readyResult struct {
+	job.Result
+	size int // upper bound of its encoded size in bytes
+}
+
+func newReadyResult(r job.Result) readyResult {
+	size := jsonenc.StringSize(r.Item) + jsonenc.StringSize(r.Text) + jsonenc.StringSize(r.Score)
+	return readyResult{Result: r, size: size + resultOverhead + versionBytes*len(r.Versions)}
+}
+
+// recordRefused has a record that is too large for the store written in smaller ones. A single result that is too large can't
+// be listed, so its item runs again until ctx ends, and its text is cut off before it gets as long.
+func (j *Job) recordRefused(ctx context.Context, rec wire.JobRecord, size int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.recordLimit = min(j.recordLimit, size/2)
+	event.RecordRefused.Log(j.manager.Logger, "job", j.spec.ID, "results", len(rec.Results), "bytes", size, "limit", j.recordLimit)
+	if len(rec.Results) != 1 || rec.Results[0].Void {
+		return
+	}
+	it := j.items[rec.Results[0].Item]
+	j.ready = slices.DeleteFunc(j.ready, func(r readyResult) bool { return r.Item == it.ID })
+	it.done, it.textDone, it.data, it.versions, it.ending = false, false, nil, nil, ending{}
+	notify(j.wake)
+	if j.finished {
+		j.finished = false
+		go supervise.Guard(j.manager.Logger, "job", func() { j.run(ctx) })
+	}
+}
+
 // write writes record n of the log, and applies it or what the store has in its place. It returns false if the job has
 // another owner.
 func (l *lister) write(ctx context.Context, n int, rec wire.JobRecord) bool {
 	j := l.job
 	began := time.Now()
-	value, err := json.Marshal(rec)
+	value, err := jsonenc.Marshal(rec)
 	if err != nil {
 		event.RequestFailed.Log(j.manager.Logger, "job", j.spec.ID, "cause", err.Error())
 		return false
 	}
 	for ctx.Err() == nil {
 		held, err := l.create(ctx, n, value, rec)
+		var large *store.TooLargeError
+		if errors.As(err, &large) {
+			j.recordRefused(ctx, rec, len(value))
+			sleep.For(ctx, listRetryDelay)
+			return true
+		}
 		if err != nil {
 			sleep.For(ctx, listRetryDelay)
 			continue
--- a/entry/internal/batch/log.go
+++ b/entry/internal/batch/log.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"bulrushspoke/internal/event"
-	"bulrushspoke/internal/job"
 	"bulrushspoke/internal/store"
 	"bulrushspoke/wire"
 )
@@ -143,7 +142,7 @@
 			it.data = nil
 		}
 	}
-	j.ready = slices.DeleteFunc(j.ready, func(r job.Result) bool { return j.items[r.Item].listed })
+	j.ready = slices.DeleteFunc(j.ready, func(r readyResult) bool { return j.items[r.Item].listed })
 	return true
 }
 
--- a/entry/internal/batch/run.go
+++ b/entry/internal/batch/run.go
@@ -15,6 +15,7 @@
 	"bulrushspoke/internal/call"
 	"bulrushspoke/internal/catalog"
 	"bulrushspoke/internal/event"
+	"bulrushspoke/internal/jsonenc"
 	"bulrushspoke/internal/sse"
 	"bulrushspoke/internal/supervise"
 	"bulrushspoke/internal/upstream"
@@ -30,8 +31,8 @@
 	firstEventTimeout = 2500 * time.Millisecond
 	// nextEventTimeout is how long an engine may pause between two events; a change of weights takes about a second.
 	nextEventTimeout = 2 * time.Second
-	// maxTextBytes bounds the text of an item, including its events. A longer text would not fit into a record, and an
-	// engine may send events without end.
+	// maxTextBytes bounds the encoded text of an item, including its events, unless records are smaller. A longer text would not
+	// fit into a record, and an engine may send events without end.
 	maxTextBytes = maxRecordBytes
 	// eventOverhead is the memory of an event beside its data, in bytes.
 	eventOverhead = 32
@@ -89,7 +90,7 @@
 	if cause := j.causeToGiveUp(route, now); cause != "" && j.confirmed(confirmedAt, now) {
 		j.giveUp(pending, cause, now)
 		notify(j.listWake)
-		return j.openStatus()
+		return j.finishIfDone()
 	}
 	if !ok || len(pending) > 0 && !j.stateCurrent(now) {
 		return len(pending)
@@ -99,7 +100,7 @@
 	texts := slices.DeleteFunc(pending, func(it *item) bool { return it.textDone })
 	waiting := unconfirmed + j.sendRewardCalls(ctx, c, now)
 	waiting += j.startTexts(ctx, now, texts, route)
-	if j.openStatus() < 0 {
+	if j.finishIfDone() < 0 {
 		notify(j.listWake)
 		return -1
 	}
@@ -222,10 +223,24 @@
 	return l
 }
 
+// finishIfDone returns 0 while items are open. Once all are done it returns -1, and run is to end.
+func (j *Job) finishIfDone() int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	status := j.lockedOpenStatus()
+	j.finished = status < 0
+	return status
+}
+
 // openStatus returns 0 while items are open and -1 once all are done.
 func (j *Job) openStatus() int {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	return j.lockedOpenStatus()
+}
+
+// lockedOpenStatus implements openStatus; the caller holds mu.
+func (j *Job) lockedOpenStatus() int {
 	for _, it := range j.items {
 		if !it.done {
 			return 0
@@ -414,7 +429,7 @@
 	var pendingMove *move
 	defer func() { j.abortMove(it, pendingMove) }()
 	version := v.version
-	size := j.textSize(it)
+	size, limit := j.textSize(it)
 	var last time.Time // when the last event was received
 	for {
 		e, err := current.nextEvent()
@@ -459,7 +474,7 @@
 		if version < j.spec.MinVersion || route.SingleVersion && after > 0 && !j.hasOnlyVersion(it, version) {
 			return j.restart(it, resp, v)
 		}
-		if size += len(e.Data) + eventOverhead; size > maxTextBytes {
+		if size += jsonenc.StringSize(e.Data) + eventOverhead; size > limit {
 			v = j.restart(it, resp, v)
 			v.outcome, v.cause = place.Failed, "the text exceeds the size limit"
 			return v
@@ -484,15 +499,14 @@
 	}
 }
 
-// textSize returns the memory of the text of an item so far, in bytes.
-func (j *Job) textSize(it *item) int {
+// textSize returns the encoded size of the text of an item so far, including its events, and its limit, in bytes.
+func (j *Job) textSize(it *item) (size, limit int) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	size := 0
 	for _, d := range it.data {
-		size += len(d) + eventOverhead
+		size += jsonenc.StringSize(d) + eventOverhead
 	}
-	return size
+	return size, min(maxTextBytes, j.recordLimit)
 }
 
 // restart drops the text of an item, which starts again with the current weights.
--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -37,6 +37,7 @@
 	LogInconsistent         = define(1057, slog.LevelWarn, "log of a batch job is inconsistent")
 	RecordRestored          = define(1058, slog.LevelInfo, "missing record of a batch job restored in the store")
 	OldJobsOpen             = define(1060, slog.LevelWarn, "jobs are open for long: their trainers have not ended them")
+	RecordRefused           = define(1061, slog.LevelWarn, "record of a batch job is too large for the store")
 	JobHostsListed          = define(1059, slog.LevelInfo, "jobs listed to know the hosts that have some")
 	DutyTaken               = define(1070, slog.LevelInfo, "duty of the usage reports taken")
 	DutyLost                = define(1071, slog.LevelInfo, "duty of the usage reports released or lost")
--- a/internal/store/record.go
+++ b/internal/store/record.go
@@ -31,5 +31,21 @@
 	return fmt.Sprintf("store: history of %s after %d is gone", e.kind, e.after)
 }
 
+// TooLargeError means that the store does not take an object because of its size.
+type TooLargeError struct {
+	kind string
+	name string
+}
+
+// NewTooLargeError returns a TooLargeError. It is meant for store implementations other than Client.
+func NewTooLargeError(kind, name string) *TooLargeError {
+	return &TooLargeError{kind: kind, name: name}
+}
+
+// Error implements error.
+func (e *TooLargeError) Error() string {
+	return fmt.Sprintf("store: %s/%s is too large", e.kind, e.name)
+}
+
 // NewNotFoundError returns a NotFoundError. It is meant for store implementations other than Client.
 func NewNotFoundError(kind, n string) *NotFoundError { return &NotFoundError{kind: kind, name: n} }
--- a/standin/objects/objects.go
+++ b/standin/objects/objects.go
@@ -33,6 +33,7 @@
 	DelayedWrites int           // number of writes that get no response and are applied later
 	WriteDelay    time.Duration // delay of those writes, 0 for 100 ms
 	CallDelay     time.Duration // delay of each call
+	MaxBytes      int           // larger specs are refused; 0 for no limit
 }
 
 type object struct {
@@ -310,6 +311,10 @@
 		<-r.Context().Done()
 		return
 	}
+	if most := s.maxBytes(); most > 0 && len(in.Spec) > most {
+		writeJSON(w, http.StatusRequestEntityTooLarge, object{})
+		return
+	}
 	status, o := s.apply(r, kind, path, in)
 	if lose {
 		<-r.Context().Done()
@@ -318,6 +323,12 @@
 	writeJSON(w, status, o)
 }
 
+func (s *Store) maxBytes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fault.MaxBytes
+}
+
 // apply applies a write and returns the status and body of its response.
 func (s *Store) apply(r *http.Request, kind string, path []string, in object) (int, object) {
 	s.mu.Lock()
