Let an interrupt end only the answer that it is meant for

What callers saw: an item, or a request that may be repeated, ended with "use of closed network connection" when another item moved to a faster server as its text ended, and ran again.

Cause: Interrupt closed the connection of an answer that had been closed before. The connection was back in the pool or carried another request. The stall timer of live streams uses it in the same way.

Fix: an answer notes under a lock that it gives its connection back, and an interrupt after that does nothing.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -260,6 +260,10 @@
 	conn       *conn
 	stopCancel func() bool
 	released   bool
+
+	mu          sync.Mutex
+	returned    bool // the connection was returned to the pool
+	interrupted bool
 }
 
 // Framed reports whether the end of the body can be distinguished from a broken connection.
@@ -279,7 +283,8 @@
 		whole = n == 0 && errors.Is(err, io.EOF)
 	}
 	ended := r.stopCancel()
-	if whole && ended && r.conn.reader.Buffered() == 0 && r.conn.SetReadDeadline(time.Time{}) == nil {
+	interrupted := r.returnConn()
+	if whole && ended && !interrupted && r.conn.reader.Buffered() == 0 && r.conn.SetReadDeadline(time.Time{}) == nil {
 		r.pool.putIdle(r.conn, r.Header.Get("Keep-Alive"), time.Now())
 		return
 	}
@@ -303,11 +308,29 @@
 	}
 	r.released = true
 	r.stopCancel()
+	r.returnConn()
 	r.pool.discard(r.conn)
 }
 
-// Interrupt closes the connection while another goroutine reads the body. The reader gets an error and must call Abandon.
-func (r *Response) Interrupt() { _ = r.conn.Close() }
+// Interrupt closes the connection while another goroutine reads the body. The reader gets an error and must call Abandon. It
+// does nothing once the answer is closed, as the connection may carry another request by then.
+func (r *Response) Interrupt() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.returned {
+		return
+	}
+	r.interrupted = true
+	_ = r.conn.Close()
+}
+
+// returnConn ends the effect of Interrupt, and reports whether that was called before.
+func (r *Response) returnConn() (interrupted bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.returned = true
+	return r.interrupted
+}
 
 // Send sends a request and reads the status and header of the answer. Its error is always an *Error.
 func (p *Pool) Send(ctx context.Context, t Target, q Request) (*Response, error) {
