Take a move after the last event for no failure of its server

Cause: a server that is asked to go on after the last event of a text answers without an event. openSegment took that for a failure.

Fix: an end with framing is an answer. Without framing it counts neither for nor against the server, which may have died.

TestMoveAfterLastEvent.

--- a/entry/internal/batch/move.go
+++ b/entry/internal/batch/move.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net/http"
 	"slices"
 	"sync"
@@ -254,6 +256,14 @@
 	}
 	in := sse.NewReader(resp.Body, platform.Headers{}.VersionLine())
 	e, err := in.Next()
+	if errors.Is(err, io.EOF) { // the old server had sent the last event
+		outcome = place.Answered
+		if !resp.Framed() {
+			outcome = place.Abandoned // the server may have died as well
+		}
+		resp.Close()
+		return outcome, causeNoEvents
+	}
 	if err != nil {
 		resp.Abandon()
 		return place.Failed, err.Error()
--- a/entry/internal/batch/move_test.go
+++ b/entry/internal/batch/move_test.go
@@ -9,7 +9,10 @@
 	"testing"
 	"time"
 
+	"bulrushspoke/entry/internal/place"
 	"bulrushspoke/internal/catalog"
+	"bulrushspoke/platform"
+	"bulrushspoke/wire"
 )
 
 // slowAndFast returns a rig whose first engine generates events twenty times slower than the second, and a manager that
@@ -262,3 +265,38 @@
 		t.Errorf("%d moves to the former service were tried", n)
 	}
 }
+
+// Guards against a healthy server that is avoided because an item was to move there after its last event, which leaves the
+// server nothing to send.
+func TestMoveAfterLastEvent(t *testing.T) {
+	for name, c := range map[string]struct {
+		unframed bool
+		want     place.Outcome
+	}{
+		"framed": {false, place.Answered}, "unframed": {true, place.Abandoned},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t, newEngine(t, 1))
+			m, _ := r.manager("a", "a1")
+			r.engines[0].set(func(e *engine) {
+				e.hijack = func(w http.ResponseWriter, _ string, _ int) bool {
+					if c.unframed {
+						w.Header().Set("Transfer-Encoding", "identity")
+					}
+					return false
+				}
+			})
+			spec, err := platform.DecodeJob("j", payload(1, "g-3"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			j := newJob(m, spec, wire.JobState{Host: "h", Path: "/p/", Total: 1}, nil, time.Now())
+			next := &segment{server: r.server(0, 1), after: 3, startedAt: time.Now()}
+			outcome, cause := j.openSegment(t.Context(), j.items["g-3"], next, &r.route)
+			if outcome != c.want || cause != causeNoEvents {
+				t.Errorf("the outcome is %d (%s), want %d", outcome, cause, c.want)
+			}
+		})
+	}
+}
--- a/entry/internal/batch/run.go
+++ b/entry/internal/batch/run.go
@@ -521,6 +521,7 @@
 
 // Causes of attempts and moves that did not complete their item.
 const (
+	causeNoEvents  = "the text has no further events"
 	causeMoved     = "the item moves to a faster server"
 	causeSilent    = "no event in time"
 	causeUnwanted  = "the item does not need it any more"
