Try a request that crashes servers at one entry at a time

What callers saw: all servers of a service were down at once.

Cause: an entry knew only of its own trials, as only crashes are sent to the others, and took a trial for over after one second.

Fix: an entry asks the one that a hash of the request picks among those connected, which permits one trial at a time. Equal requests wait for its outcome for half of their time at most: a crash has all of them refused at once, an answer has them sent on, and else the next trial is permitted.

Ruled out: one entry that tries for all, as a sound request would be refused at the others; a broadcast of the begin alone, as the block ends at the same moment at all entries.

--- a/entry/internal/cli/platform.go
+++ b/entry/internal/cli/platform.go
@@ -273,6 +273,7 @@
 		Answers:       p.memory.answers,
 		OnAnswersFull: p.closeStalled,
 		Suspects:      suspects,
+		Trials:        p.trials(suspects),
 		Turns:         turns,
 		ReadConfig:    func(ctx context.Context) error { return feeder.RefreshConfig(ctx, objects) },
 		ConfigDelay:   s.Bounds.ConfigDelay,
@@ -356,6 +357,23 @@
 	return s
 }
 
+// trials returns the trials of suspected requests, of which entries permit each other one at a time.
+func (p *platformEntry) trials(s *ingress.Suspects) *ingress.Trials {
+	t := ingress.NewTrials(p.settings.Name, p.peers, s, p.logger)
+	p.peers.Handle(link.Trial, func(_ context.Context, f link.Frame) (string, any, error) {
+		var q wire.Trial
+		if err := f.Decode(&q); err != nil {
+			return "", nil, err
+		}
+		r := t.Handle(q, time.Now())
+		if q.Done {
+			return "", nil, nil
+		}
+		return link.Granted, r, nil
+	})
+	return t
+}
+
 // connectionLimit returns how many descriptors a share allows, or 0 for no limit if the platform sets none.
 func connectionLimit(descriptors int, share float64) int {
 	return int(share * float64(max(descriptors-reservedDescriptors, 0)))
--- a/entry/internal/ingress/forward.go
+++ b/entry/internal/ingress/forward.go
@@ -110,7 +110,8 @@
 		q.servers = append(q.servers, s.ID)
 		q.attempts++
 		var otherAvailable func(now time.Time) bool
-		if sent == 0 && q.route.Repeatable() && q.route.MaxAttempts > 1 {
+		// A request that has waited for a trial has no time left for a second attempt.
+		if sent == 0 && q.route.Repeatable() && q.route.MaxAttempts > 1 && !q.permit.waited {
 			otherAvailable = g.otherServerAvailable(services, maps.Clone(tried))
 		}
 		a := g.try(ctx, w, q, s, need.Ticket, now, otherAvailable)
--- a/entry/internal/ingress/ingress.go
+++ b/entry/internal/ingress/ingress.go
@@ -88,8 +88,9 @@
 	Observe       func(route string, status int, elapsed time.Duration)
 	Logger        *slog.Logger
 	Suspects      *Suspects
-	Turns         Turns // nil to place each request at once
-	Usage         Usage // nil if nothing is counted
+	Trials        *Trials // nil for an entry without others
+	Turns         Turns   // nil to place each request at once
+	Usage         Usage   // nil if nothing is counted
 	// ReadConfig reads the newest configuration from the store and applies it to the catalog; nil if it cannot be read.
 	ReadConfig func(ctx context.Context) error
 	// ConfigDelay is the time within which all entries have a new configuration.
@@ -111,6 +112,9 @@
 func New(o Options) *Ingress {
 	g := &Ingress{Options: o, authenticator: newAuthenticator(o.Catalog, nil), jobHosts: newJobHosts(o.Catalog, o.ConfigDelay, o.Logger)}
 	g.jobHosts.list = func(ctx context.Context) (map[string]bool, error) { return g.Jobs.Hosts(ctx) }
+	if o.Trials == nil {
+		g.Trials = NewTrials("", noPeers{}, o.Suspects, o.Logger)
+	}
 	if o.ReadConfig != nil {
 		g.authenticator.refresh = newRefresher(o.ReadConfig, o.Logger)
 	}
@@ -194,6 +198,7 @@
 	buffered    budget.Lease        // memory of the answer
 	workspace   workspace.Workspace // whose request it is; the zero value for none
 	fingerprint uint64              // set by the admission of requests that are forwarded
+	permit      permit              // set by the same
 
 	job      string // id of the batch job, for calls for jobs
 	attempts int
@@ -222,6 +227,9 @@
 
 // release returns what a request holds.
 func (g *Ingress) release(q *request) {
+	if q.permit.end != nil {
+		q.permit.end()
+	}
 	q.held.Release()
 	q.buffered.Release()
 }
@@ -280,9 +288,12 @@
 		return Reply{}
 	}
 	q.fingerprint = Fingerprint(q.workspace.Name, q.http.URL.RequestURI(), q.body)
-	if wait, ok := g.Suspects.Admit(q.fingerprint, time.Now()); !ok {
+	now := time.Now()
+	p, wait, ok := g.Trials.admit(q.http.Context(), q.fingerprint, q.remaining(now), now)
+	if !ok {
 		return Reply{Status: http.StatusServiceUnavailable, RetryAfter: wait, Cause: "request blocked: several servers crashed on it"}
 	}
+	q.permit = p
 	return Reply{}
 }
 
--- a/entry/internal/ingress/suspects.go
+++ b/entry/internal/ingress/suspects.go
@@ -29,8 +29,6 @@
 	minBlock    = 5 * time.Second
 	blockFactor = 30
 	maxBlock    = 24 * time.Hour
-	// trialTime is how long a trial keeps other requests with the same content from being tried at this entry.
-	trialTime = time.Second
 	// aliveTime is the time after a broken connection within which an answer shows that its server has not crashed. A server
 	// that has crashed is back after some seconds, at times under the same id.
 	aliveTime = time.Second
@@ -59,7 +57,17 @@
 type suspect struct {
 	crashes []crash // in the order in which they became known
 	seenAt  time.Time
-	trialAt time.Time // start of the last trial; zero for none
+	// trialUntil is until when a trial may run, here or at another entry; zero for none. settled is closed at its end.
+	trialUntil time.Time
+	settled    chan struct{}
+}
+
+// settle ends the trial of a request, if there is one.
+func (v *suspect) settle() {
+	if v.settled != nil {
+		close(v.settled)
+	}
+	v.trialUntil, v.settled = time.Time{}, nil
 }
 
 // crash is a connection to a server that broke while the server handled a request.
@@ -192,6 +200,9 @@
 
 // drop removes a request; the caller holds mu.
 func (s *Suspects) drop(fingerprint uint64) {
+	if v := s.seen[fingerprint]; v != nil {
+		v.settle()
+	}
 	delete(s.seen, fingerprint)
 	s.tracked.Store(int64(len(s.seen)))
 }
@@ -217,11 +228,14 @@
 			return known.trial
 		}
 	}
-	blockedAt, blocked := v.blockedAt()
-	trial := c.Trial || blocked && c.Age == 0 && startedAt.After(blockedAt)
+	blockedAt, isBlocked := v.blockedAt()
+	trial := c.Trial || isBlocked && c.Age == 0 && startedAt.After(blockedAt)
 	if len(v.crashes) < maxCrashes || trial {
 		v.crashes = append(v.crashes, crash{server: c.Server, early: c.Early, trial: trial, at: at})
 	}
+	if trial {
+		v.settle()
+	}
 	return trial
 }
 
@@ -240,30 +254,57 @@
 	s.drop(oldest)
 }
 
-// Admit reports whether a request may be sent to a server. If not, the client may come back after the returned time.
-func (s *Suspects) Admit(fingerprint uint64, now time.Time) (time.Duration, bool) {
+// verdict is what may happen to a request.
+type verdict int
+
+const (
+	passes  verdict = iota // it may be sent to a server
+	isTrial                // it may be sent to a server, if no trial is running at another entry
+	waits                  // a trial is running, after which it may be asked again
+	blocked                // it must not be sent
+)
+
+// admission says what may happen to a request.
+type admission struct {
+	verdict verdict
+	wait    time.Duration   // until the block or the trial ends at the latest; 0 for the other verdicts
+	settled <-chan struct{} // closed when the trial ends; nil for the other verdicts
+}
+
+// admit decides what may happen to a request that may take up to the given time. After a trial has been admitted, here or at
+// another entry, equal requests wait for its end.
+func (s *Suspects) admit(fingerprint uint64, most time.Duration, now time.Time) admission {
 	if s.tracked.Load() == 0 {
-		return 0, true
+		return admission{}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	v := s.seen[fingerprint]
 	if v == nil {
-		return 0, true
+		return admission{}
 	}
 	v.seenAt = now
-	until, blocked := v.blockedUntil()
-	if !blocked {
-		return 0, true
-	}
-	if trial := v.trialAt.Add(trialTime); !v.trialAt.IsZero() && trial.After(until) {
-		until = trial
+	until, isBlocked := v.blockedUntil()
+	switch {
+	case !isBlocked:
+		return admission{}
+	case now.Before(until):
+		return admission{verdict: blocked, wait: until.Sub(now)}
+	case now.Before(v.trialUntil):
+		return admission{verdict: waits, wait: v.trialUntil.Sub(now), settled: v.settled}
 	}
-	if now.Before(until) {
-		return until.Sub(now), false
+	v.settle()
+	v.trialUntil, v.settled = now.Add(most), make(chan struct{})
+	return admission{verdict: isTrial, settled: v.settled}
+}
+
+// EndTrial notes that the trial of a request has ended, whatever it has shown.
+func (s *Suspects) EndTrial(fingerprint uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if v := s.seen[fingerprint]; v != nil {
+		v.settle()
 	}
-	v.trialAt = now
-	return 0, true
 }
 
 // Blocked reports whether a request that has been admitted must not be sent to another server.
@@ -277,8 +318,8 @@
 	if v == nil {
 		return false
 	}
-	until, blocked := v.blockedUntil()
-	return blocked && now.Before(until)
+	until, isBlocked := v.blockedUntil()
+	return isBlocked && now.Before(until)
 }
 
 // blockedAt returns when a request had crashed enough servers to be blocked, and whether it has.
@@ -295,7 +336,7 @@
 // blockedUntil returns until when a request is blocked, and whether it has crashed enough servers to be blocked at all. Servers
 // that died at the same time are one reason to block it, not several.
 func (v *suspect) blockedUntil() (time.Time, bool) {
-	if _, blocked := v.blockedAt(); !blocked {
+	if _, isBlocked := v.blockedAt(); !isBlocked {
 		return time.Time{}, false
 	}
 	trials := 0
--- a/entry/internal/ingress/suspects_test.go
+++ b/entry/internal/ingress/suspects_test.go
@@ -26,10 +26,16 @@
 
 // blocks reports whether requests that arrive are refused.
 func blocks(s *Suspects, fingerprint uint64, now time.Time) bool {
-	_, ok := s.Admit(fingerprint, now)
+	_, ok := admitted(s, fingerprint, now)
 	return !ok
 }
 
+// admitted reports whether a request that may take a second may be sent to a server, and otherwise when it may come back.
+func admitted(s *Suspects, fingerprint uint64, now time.Time) (time.Duration, bool) {
+	a := s.admit(fingerprint, time.Second, now)
+	return a.wait, a.verdict == passes || a.verdict == isTrial
+}
+
 // connected returns the sets of suspects of entries that report to each other.
 func connected(n int, now time.Time) []*Suspects {
 	var all []*Suspects
@@ -73,7 +79,7 @@
 	for range 2 { // each other entry reports the same crashes
 		teller.SendSnapshot(now)
 	}
-	if wait, ok := started.Admit(poison, now); ok || wait > minBlock-time.Second {
+	if wait, ok := admitted(started, poison, now); ok || wait > minBlock-time.Second {
 		t.Errorf("an entry that has just started blocks the request for %v", wait)
 	}
 	for i := range 20 {
@@ -174,7 +180,7 @@
 	}
 	trials := 0
 	for ; now.Sub(start) < 24*time.Hour; now = now.Add(2 * time.Second) {
-		wait, ok := s.Admit(print, now)
+		wait, ok := admitted(s, print, now)
 		if !ok {
 			if wait <= 0 {
 				t.Fatalf("refused without a time to come back after %v", now.Sub(start))
@@ -206,10 +212,10 @@
 		all[0].RecordCrash(print, crashedRun(i, now), now)
 	}
 	for i, s := range all {
-		if wait, ok := s.Admit(print, now); ok || wait > minBlock {
+		if wait, ok := admitted(s, print, now); ok || wait > minBlock {
 			t.Errorf("entry %d blocks the request for %v, want at most %v", i, wait, minBlock)
 		}
-		if _, ok := s.Admit(print, now.Add(minBlock)); !ok {
+		if _, ok := admitted(s, print, now.Add(minBlock)); !ok {
 			t.Errorf("entry %d does not try the request again", i)
 		}
 	}
--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -17,6 +17,7 @@
 	HeadsRefused            = define(1033, slog.LevelWarn, "request heads refused before they were decoded")
 	ConfigReread            = define(1039, slog.LevelInfo, "configuration read again for an unknown key")
 	RequestBroken           = define(1034, slog.LevelInfo, "server broke the connection of a request")
+	TrialUnclaimed          = define(1035, slog.LevelInfo, "entry that permits the trials of a blocked request cannot be asked")
 	ConfigConfirmed         = define(1038, slog.LevelInfo, "configuration read again before items are started or given up")
 	JobAccepted             = define(1040, slog.LevelInfo, "batch job accepted")
 	JobRefused              = define(1041, slog.LevelWarn, "batch job refused")
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -74,6 +74,8 @@
 	Stored  = "stored"
 	News    = "news"
 	Crash   = "crash"
+	Trial   = "trial"
+	Granted = "granted"
 	Taken   = "taken"
 	Limits  = "limits"
 	Shares  = "shares"
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -1522,6 +1522,25 @@
 	Workspace string `json:"workspace"`
 }
 
+// Asks another entry for the permission to try a request that has crashed servers,
+// or tells all entries that a trial has ended.
+type Trial struct {
+	// True if the trial has ended.
+	Done bool `json:"done"`
+
+	// Time that the trial may take, in milliseconds; 0 if it has ended.
+	Most int64 `json:"most"`
+
+	// Fingerprint of the path and body.
+	Print uint64 `json:"print"`
+}
+
+// Answers whether a trial may begin.
+type TrialReply struct {
+	// True if no other trial of the request is running.
+	Granted bool `json:"granted"`
+}
+
 // An attempt of a traced request.
 type Try struct {
 	// Attempt ID.
