Tell a relayed call that its object is too large

An owner that reaches the store only through another entry would send a record that the store refuses for its size again unchanged, as the relay passed the refusal on as an unknown error.

TestGoesThroughPeer fails before.

--- a/entry/internal/relay/relay.go
+++ b/entry/internal/relay/relay.go
@@ -53,6 +53,7 @@
 	codeAbsent   = "absent"
 	codeConflict = "conflict"
 	codeGone     = "gone"
+	codeLarge    = "large"
 	codeDown     = "down"    // the store is unavailable and the call had no effect
 	codeUnknown  = "unknown" // the store is unavailable and a write may have taken effect
 	codeOther    = "other"
@@ -286,6 +287,7 @@
 	var absent *store.NotFoundError
 	var conflict *store.ConflictError
 	var gone *store.ExpiredError
+	var large *store.TooLargeError
 	var down *store.UnavailableError
 	switch {
 	case err == nil:
@@ -296,6 +298,8 @@
 		reply.Code = codeAbsent
 	case errors.As(err, &gone):
 		reply.Code = codeGone
+	case errors.As(err, &large):
+		reply.Code = codeLarge
 	case errors.As(err, &conflict):
 		reply.Code = codeConflict
 		w := conflict.Current()
@@ -331,6 +335,8 @@
 		return 0, nil, store.NewNotFoundError(c.Kind, c.Name)
 	case codeGone:
 		return 0, nil, store.NewExpiredError(c.Kind, c.Rev)
+	case codeLarge:
+		return 0, nil, store.NewTooLargeError(c.Kind, c.Name)
 	case codeConflict:
 		winner := store.Object{}
 		if len(l) > 0 {
--- a/entry/internal/relay/relay_test.go
+++ b/entry/internal/relay/relay_test.go
@@ -104,6 +104,12 @@
 			if _, err := r.Get(ctx, "k", "other"); !errors.As(err, &absent) {
 				t.Errorf("an absent object: %v", err)
 			}
+			peerStore.SetFault(objects.Fault{MaxBytes: 4})
+			var large *store.TooLargeError
+			if _, err := r.Create(ctx, "k", "large", []byte(`12345`)); !errors.As(err, &large) {
+				t.Errorf("an object that is too large: %v", err)
+			}
+			peerStore.SetFault(objects.Fault{})
 			list, at, err := r.List(ctx, "k")
 			if err != nil || len(list) != 1 || list[0].Name != "n" {
 				t.Errorf("list %v, %v", list, err)
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -1451,7 +1451,8 @@
 
 // Result of a relayed store call.
 type StoreReply struct {
-	// Empty on success, otherwise absent, conflict, gone, down or unknown.
+	// Empty on success, otherwise absent, conflict, gone, large, down, unknown or
+	// other.
 	Code string `json:"code"`
 
 	// Objects read, or the current object after a conflict.
