Keep SIGHUP from ending a process that is starting

What operators would see: a process that gets SIGHUP while it starts ends. Suspected by reading before, shown by a test.

Cause: the handler was installed once all components had been built, and the default until then ends the process.

Fix: SIGHUP is caught as soon as the command line has been read, if the settings come from the platform.

--- a/internal/program/platform.go
+++ b/internal/program/platform.go
@@ -39,6 +39,10 @@
 	return lines, slog.New(slog.NewJSONHandler(lines, nil)).With("name", name)
 }
 
+// ignoreHangup keeps SIGHUP, which announces changed settings, from ending the process until RereadOnHangup handles it. The
+// startup reads the settings anyway. Unlike with signal.Ignore, child processes are not affected.
+func ignoreHangup() { signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP) }
+
 // RereadOnHangup calls read at each SIGHUP until ctx ends and logs the result, so that changed settings can be checked.
 // The running process keeps the settings that it was started with.
 func RereadOnHangup(ctx context.Context, read func() error, logger *slog.Logger) {
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -112,6 +112,9 @@
 	if err != nil {
 		return usage(err, stdout, stderr)
 	}
+	if o.Platform {
+		ignoreHangup()
+	}
 	serve, err := o.load(loads)
 	if err != nil {
 		return fail(err, stderr)
