Soak: let one fault at a time start a server again

Two faults had crashed the same server, and each looked whether it was up and then started it: the second one found the address taken by the first. The report is one of the rig about itself; no check of the product is touched. The look and the start are one step now.

--- a/scenario/soak/fault.go
+++ b/scenario/soak/fault.go
@@ -310,8 +310,10 @@
 	e.startServer(s)
 }
 
-// startServer starts a server again unless another fault has done so.
+// startServer starts a server again unless another fault has done so, which may be about to do so at the same moment.
 func (e *env) startServer(s *server) {
+	s.starting.Lock()
+	defer s.starting.Unlock()
 	s.mu.Lock()
 	up := s.up
 	s.mu.Unlock()
--- a/scenario/soak/server.go
+++ b/scenario/soak/server.go
@@ -57,6 +57,8 @@
 	address string
 	engine  bool
 
+	starting sync.Mutex // held from the look at up to the end of start
+
 	mu             sync.Mutex
 	random         *rand.Rand
 	id             string
