Let the test of results after an outage use small objects

Traced beside 20 busy loops: each write of a record of 615 or 677 KB ended with "context deadline exceeded", as the store client of the rig gives a call 200 ms, which is meant for small records.

--- a/entry/internal/batch/large_test.go
+++ b/entry/internal/batch/large_test.go
@@ -59,15 +59,15 @@
 // Guards against results that are never listed because they have piled up while the store was unavailable, and their record
 // is larger as encoded than the store allows.
 func TestResultsOfOutageAreListed(t *testing.T) {
-	const items, size = 24, 60 << 10
+	const items, size, objectBytes = 24, 6 << 10, 64 << 10
 	for _, tc := range []struct {
 		name string
 		text string
 		most int // bytes of an object that the store takes
 	}{
-		{"markup", "<td>&", 1 << 20},
-		{"quotes", `"`, 1 << 20},
-		{"a store that takes less than it says", "a", 200 << 10},
+		{"markup", "<td>&", objectBytes},
+		{"quotes", `"`, objectBytes},
+		{"a store that takes less than it says", "a", 20 << 10},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
@@ -84,6 +84,7 @@
 				return sent
 			}
 			m, _ := r.manager("a", "a1")
+			m.MaxObjectBytes = objectBytes
 			var ids []string
 			for n := range items {
 				ids = append(ids, fmt.Sprintf("g%d-1", n))
